--- /dev/null
+++ b/cmd/kestrel-sidecar/main.go
@@ -0,0 +1,66 @@
+// Command kestrel-sidecar is the node beside one back end on the users'
+// platform: callers, back end and other nodes speak through it.
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/kestrelstream/kestrelstream/internal/build"
+	"github.com/kestrelstream/kestrelstream/internal/lifecycle"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/assembly"
+	"github.com/kestrelstream/kestrelstream/platform"
+)
+
+// flags are the command line.
+type flags struct {
+	Settings      string `short:"c" required:"" placeholder:"FILE" env:"${settings_variable}" help:"The platform's settings file (JSON)."`
+	MetricsPort   int    `placeholder:"PORT" help:"Serve metrics at this port; 0 serves none."`
+	LogLevel      string `default:"info" enum:"debug,info,warn,error" help:"Lowest level that is logged."`
+	CheckSettings bool   `help:"Check the settings, list every error, and exit."`
+	PrintSettings bool   `help:"Print the settings in force and exit."`
+	Version       bool   `help:"Print the version and exit."`
+}
+
+func main() {
+	parsedFlags := &flags{}
+	parsed := kong.Parse(parsedFlags,
+		kong.Name("kestrel-sidecar"),
+		kong.Description("The node of kestrelstream beside one back end."),
+		kong.Vars{"settings_variable": platform.SettingsVariable},
+	)
+	parsed.FatalIfErrorf(run(parsedFlags))
+}
+
+func run(given *flags) error {
+	if given.Version {
+		_, err := fmt.Println(build.Read())
+		return err
+	}
+	loaded, err := platform.ReadSettings(given.Settings)
+	if err != nil {
+		return err
+	}
+	if given.CheckSettings {
+		_, err := fmt.Println("settings: no errors")
+		return err
+	}
+	if given.PrintSettings {
+		_, err := fmt.Printf("%+v\n", *loaded)
+		return err
+	}
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
+	stop, release := lifecycle.Notify()
+	defer release()
+	process, err := assembly.New(loaded, assembly.Flags{MetricsPort: given.MetricsPort, LogLevel: given.LogLevel})
+	if err != nil {
+		return err
+	}
+	return process.Run(stop.Requested)
+}
--- a/internal/proxy/forward/exchange.go
+++ b/internal/proxy/forward/exchange.go
@@ -5,6 +5,8 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
@@ -51,10 +53,11 @@
 	if err != nil {
 		return nil, p.fail(taken, err)
 	}
-	if err := checkReply(request, response); err != nil {
+	if err := p.checkReply(request, response); err != nil {
 		_ = response.Body.Close()
 		return nil, p.fail(taken, err)
 	}
+	taken.heed(response.Header)
 	response.Body = &replyBody{body: response.Body, pool: p, connection: taken, whole: response.Body == http.NoBody}
 	return response, nil
 }
@@ -74,11 +77,30 @@
 	return &Error{Outcome: outcome.Unknown, Step: outcome.StepAwait, Peer: p.address, Cause: cause}
 }
 
-// checkReply refuses replies whose end cannot be proved.
-func checkReply(request *http.Request, response *http.Response) error {
+// keepAliveShare is the part of the idle time a peer grants that is made use of:
+// near its end the peer's close would cross a request.
+const keepAliveShare = 0.7
+
+// heed takes in how long the peer says that it keeps the connection.
+func (c *connection) heed(header http.Header) {
+	for part := range strings.SplitSeq(header.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		seconds, err := strconv.Atoi(value)
+		if strings.EqualFold(name, "timeout") && err == nil && seconds >= 0 {
+			c.idleTimeout = max(time.Duration(float64(seconds)*keepAliveShare*float64(time.Second)), time.Millisecond)
+		}
+	}
+}
+
+// checkReply refuses replies whose end cannot be proved, unless replies that
+// end with their connection are allowed.
+func (p *Pool) checkReply(request *http.Request, response *http.Response) error {
 	if response.StatusCode == http.StatusSwitchingProtocols {
 		return ErrSwitchedProtocol
 	}
+	if p.unframed {
+		return nil
+	}
 	counted := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 	if !counted && request.Method != http.MethodHead && response.Body != http.NoBody {
 		return ErrUnprovenLength
--- a/internal/proxy/forward/outgoing.go
+++ b/internal/proxy/forward/outgoing.go
@@ -6,6 +6,7 @@
 	"net/http/httptrace"
 	"net/textproto"
 	"net/url"
+	"strings"
 	"sync"
 
 	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
@@ -32,6 +33,15 @@
 	return outgoing
 }
 
+// KeepTarget has the outgoing request bear the received one's target byte for
+// byte instead of a normal form of it.
+func KeepTarget(outgoing, received *http.Request) {
+	path, query, hasQuery := strings.Cut(received.RequestURI, "?")
+	outgoing.URL.Opaque = path
+	outgoing.URL.RawQuery = query
+	outgoing.URL.ForceQuery = hasQuery && query == ""
+}
+
 // RequestHeader copies a received header without what concerns one hop and
 // without the mesh's markers, leaving room for extra ones.
 func RequestHeader(received http.Header, extra int) http.Header {
--- a/internal/proxy/forward/pool.go
+++ b/internal/proxy/forward/pool.go
@@ -25,6 +25,12 @@
 	DialTimeout time.Duration
 	// ReplyHeaderBytes bounds the headers of a reply.
 	ReplyHeaderBytes int64
+	// ConsentTimeout is how long a peer may take to answer an Expect header
+	// before the body is sent without its consent; zero takes the default.
+	ConsentTimeout time.Duration
+	// AllowUnframed takes replies that end with their connection; one that is
+	// reset is broken off. Without it such replies are errors.
+	AllowUnframed bool
 }
 
 // Dialer opens network connections.
@@ -34,7 +40,9 @@
 type Pool struct {
 	address   string
 	transport *http.Transport
-	limits    Limits
+	// unframed is Limits.AllowUnframed, which never changes.
+	unframed bool
+	limits   Limits
 
 	mutex   sync.Mutex // guards all below
 	idle    []*connection
@@ -54,6 +62,9 @@
 	tracked   *trackedConn
 	idleSince time.Time
 	reused    bool
+	// idleTimeout is what the peer said of this connection; zero when it said
+	// nothing.
+	idleTimeout time.Duration
 	// generation is the pool's when the connection was asked for.
 	generation uint64
 }
@@ -63,14 +74,14 @@
 	if dial == nil {
 		dial = (&net.Dialer{KeepAlive: 15 * time.Second}).DialContext
 	}
-	pool := &Pool{address: address, limits: limits}
+	pool := &Pool{address: address, limits: limits, unframed: limits.AllowUnframed}
 	pool.transport = &http.Transport{
 		DialContext:            trackDials(dial),
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: limits.ReplyHeaderBytes,
 		ReadBufferSize:         connectionBufferBytes,
 		WriteBufferSize:        connectionBufferBytes,
-		ExpectContinueTimeout:  expectContinueTimeout,
+		ExpectContinueTimeout:  limits.consentTimeout(),
 	}
 	return pool
 }
@@ -83,6 +94,13 @@
 // before the body is sent without its consent.
 const expectContinueTimeout = time.Second
 
+func (l Limits) consentTimeout() time.Duration {
+	if l.ConsentTimeout == 0 {
+		return expectContinueTimeout
+	}
+	return l.ConsentTimeout
+}
+
 // dialedConn is the context key under which a dial leaves its connection.
 type dialedConn struct{}
 
@@ -130,13 +148,30 @@
 		if mayOpen {
 			go p.openSpare()
 		}
-		if idle.client.Available() > 0 {
+		if idle.client.Available() > 0 && !p.expired(idle, time.Now()) {
 			return idle, nil
 		}
 		p.discard(idle)
 	}
 }
 
+// expired reports whether the connection was idle for so long that the peer may
+// be closing it.
+func (p *Pool) expired(idle *connection, now time.Time) bool {
+	p.mutex.Lock()
+	limits := p.limits
+	p.mutex.Unlock()
+	return now.Sub(idle.idleSince) >= idle.idleLimit(limits)
+}
+
+// idleLimit is the pool's idle time-out, or less if the peer said so.
+func (c *connection) idleLimit(limits Limits) time.Duration {
+	if c.idleTimeout > 0 {
+		return min(c.idleTimeout, limits.IdleTimeout)
+	}
+	return limits.IdleTimeout
+}
+
 // takeIdle pops the connection used last. mayOpen says that a place for a new
 // connection is reserved: for the caller when it got none, else for a spare.
 func (p *Pool) takeIdle() (taken *connection, mayOpen bool) {
@@ -256,7 +291,7 @@
 	inUse, p.used = p.used, false
 	kept := p.idle[:0]
 	for _, candidate := range p.idle {
-		expired := now.Sub(candidate.idleSince) >= p.limits.IdleTimeout
+		expired := now.Sub(candidate.idleSince) >= candidate.idleLimit(p.limits)
 		if expired || candidate.client.Available() == 0 {
 			stale = append(stale, candidate)
 		} else {
--- a/internal/proxy/forward/request.go
+++ b/internal/proxy/forward/request.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -54,6 +55,25 @@
 	return &Body{length: request.ContentLength, trailer: request.Trailer, stream: stream}, nil
 }
 
+// BufferedBody returns a body that was read whole.
+func BufferedBody(content []byte) *Body {
+	return &Body{buffered: content, length: int64(len(content))}
+}
+
+// ContinuedBody returns a body of which a part was read and the rest still
+// streams in.
+func ContinuedBody(read []byte, w http.ResponseWriter, request *http.Request) (*Body, error) {
+	if err := http.NewResponseController(w).EnableFullDuplex(); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return nil, fmt.Errorf("stream request body: %w", err)
+	}
+	stream := &streamedBody{
+		source:    io.MultiReader(bytes.NewReader(read), request.Body),
+		remaining: math.MaxInt64,
+		request:   request,
+	}
+	return &Body{length: request.ContentLength, trailer: request.Trailer, stream: stream}, nil
+}
+
 func readShortBody(ctx context.Context, w http.ResponseWriter, request *http.Request) (*Body, error) {
 	defer unblockOnDone(ctx, w)()
 	buffered := make([]byte, request.ContentLength)
--- a/internal/proxy/outcome/outcome.go
+++ b/internal/proxy/outcome/outcome.go
@@ -65,6 +65,8 @@
 	StepConnect   Step = "connect"   // no connection to the peer
 	StepWrite     Step = "write"     // sending the request
 	StepAwait     Step = "await"     // waiting for the reply's headers
+	StepShed      Step = "shed"      // the back end itself declared it not run
+	StepIdentity  Step = "identity"  // another back end than the one meant is there
 	StepBody      Step = "body"      // passing on the reply's body
 )
 
--- /dev/null
+++ b/internal/sidecar/admission/admission.go
@@ -0,0 +1,270 @@
+// Package admission bounds what a back end works on at once and orders what
+// waits for it: the more urgent first, then what has less time left. It knows
+// how long requests take and refuses early what would wait too long.
+package admission
+
+import (
+	"container/heap"
+	"context"
+	"errors"
+	"sync"
+	"time"
+)
+
+// Refusals. A refused request has not run.
+var (
+	// ErrTooLong: the request would wait longer than it may.
+	ErrTooLong = errors.New("admission: the queue is too long")
+	// ErrDisplaced: a more urgent request took the place.
+	ErrDisplaced = errors.New("admission: displaced by a more urgent request")
+	// ErrClosed: no new work is taken any more.
+	ErrClosed = errors.New("admission: closed")
+)
+
+// Ticket describes a request that wants a slot.
+type Ticket struct {
+	// Priority ranks requests; zero is the most urgent.
+	Priority int
+	// Deadline is when the answer is of no use any more.
+	Deadline time.Time
+	// MaximumWait is how long the request may wait.
+	MaximumWait time.Duration
+}
+
+// Gate hands out slots. It is safe for concurrent use.
+type Gate struct {
+	now func() time.Time
+
+	mutex   sync.Mutex // guards all below
+	slots   int
+	running int
+	waiting waiters
+	closed  bool
+	// service is the smoothed time a slot is held.
+	service time.Duration
+	order   uint64
+}
+
+// New returns a gate without slots. The clock is time.Now outside tests.
+func New(now func() time.Time) *Gate { return &Gate{now: now, service: initialService} }
+
+const (
+	// initialService is assumed before the first request has ended.
+	initialService = 50 * time.Millisecond
+	// smoothing is the weight of one request in the service time, as 1/n.
+	smoothing = 16
+)
+
+// Resize sets how many slots there are.
+func (g *Gate) Resize(slots int) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.slots = slots
+	g.grant()
+}
+
+// Load is a moment's state of a gate.
+type Load struct {
+	Running, Waiting, Slots int
+	Service                 time.Duration
+}
+
+// Load returns the present state.
+func (g *Gate) Load() Load {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return Load{Running: g.running, Waiting: len(g.waiting), Slots: g.slots, Service: g.service}
+}
+
+// Slot is a held slot.
+type Slot struct {
+	gate    *Gate
+	started time.Time
+}
+
+// Acquire waits for a slot. The context bounds the wait; its error is returned
+// when it ends first.
+func (g *Gate) Acquire(ctx context.Context, ticket Ticket) (*Slot, error) {
+	entry, err := g.enter(ticket)
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case err = <-entry.result:
+	case <-ctx.Done():
+		err = g.withdraw(entry, ctx.Err())
+	}
+	if err != nil {
+		return nil, err
+	}
+	return &Slot{gate: g, started: g.now()}, nil
+}
+
+// enter takes a slot at once, joins the queue or refuses.
+func (g *Gate) enter(ticket Ticket) (*waiter, error) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if g.closed {
+		return nil, ErrClosed
+	}
+	g.order++
+	entry := &waiter{ticket: ticket, order: g.order, result: make(chan error, 1)}
+	if g.running < g.slots && len(g.waiting) == 0 {
+		g.running++
+		entry.result <- nil
+		return entry, nil
+	}
+	if g.expectedWait(g.ahead(entry)) > ticket.MaximumWait {
+		return nil, ErrTooLong
+	}
+	heap.Push(&g.waiting, entry)
+	g.displace()
+	return entry, nil
+}
+
+// ahead counts the requests that are served before the entry.
+func (g *Gate) ahead(entry *waiter) int {
+	count := 0
+	for _, other := range g.waiting {
+		if other.before(entry) {
+			count++
+		}
+	}
+	return count
+}
+
+// expectedWait is the time until a slot for the request with that many others
+// ahead of it.
+func (g *Gate) expectedWait(ahead int) time.Duration {
+	if g.slots == 0 {
+		return time.Hour
+	}
+	return g.service * time.Duration(ahead+1) / time.Duration(g.slots)
+}
+
+// displace refuses requests at the end of the queue that would now wait longer
+// than they may, since a more urgent one came before them.
+func (g *Gate) displace() {
+	for len(g.waiting) > 1 {
+		last := g.waiting.last()
+		if g.expectedWait(len(g.waiting)-1) <= last.ticket.MaximumWait {
+			return
+		}
+		heap.Remove(&g.waiting, last.index)
+		last.result <- ErrDisplaced
+	}
+}
+
+// withdraw takes an entry out. When it was granted meanwhile its slot is freed.
+func (g *Gate) withdraw(entry *waiter, cause error) error {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if entry.index >= 0 && entry.index < len(g.waiting) && g.waiting[entry.index] == entry {
+		heap.Remove(&g.waiting, entry.index)
+		return cause
+	}
+	if err := <-entry.result; err != nil {
+		return err
+	}
+	g.running--
+	g.grant()
+	return cause
+}
+
+// Release frees the slot. served says that the time it was held tells how long
+// requests take.
+func (s *Slot) Release(served bool) {
+	g := s.gate
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.running--
+	if served {
+		g.service += (g.now().Sub(s.started) - g.service) / smoothing
+	}
+	g.grant()
+}
+
+// grant gives free slots to those that wait; the lock is held.
+func (g *Gate) grant() {
+	for g.running < g.slots && len(g.waiting) > 0 {
+		next := heap.Pop(&g.waiting).(*waiter)
+		g.running++
+		next.result <- nil
+	}
+}
+
+// Close refuses what waits and whatever comes.
+func (g *Gate) Close() {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.closed = true
+	for _, entry := range g.waiting {
+		entry.index = -1
+		entry.result <- ErrClosed
+	}
+	g.waiting = nil
+}
+
+// Open takes work again after Close.
+func (g *Gate) Open() {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.closed = false
+}
+
+// waiter is a request in the queue.
+type waiter struct {
+	ticket Ticket
+	order  uint64
+	index  int
+	result chan error
+}
+
+// before orders by priority, then by deadline, then by arrival.
+func (w *waiter) before(other *waiter) bool {
+	if w.ticket.Priority != other.ticket.Priority {
+		return w.ticket.Priority < other.ticket.Priority
+	}
+	if !w.ticket.Deadline.Equal(other.ticket.Deadline) {
+		return w.ticket.Deadline.Before(other.ticket.Deadline)
+	}
+	return w.order < other.order
+}
+
+// waiters is a heap with the next request first.
+type waiters []*waiter
+
+func (w waiters) Len() int           { return len(w) }
+func (w waiters) Less(i, j int) bool { return w[i].before(w[j]) }
+func (w waiters) Swap(i, j int) {
+	w[i], w[j] = w[j], w[i]
+	w[i].index, w[j].index = i, j
+}
+
+// Push implements heap.Interface.
+func (w *waiters) Push(entry any) {
+	added := entry.(*waiter)
+	added.index = len(*w)
+	*w = append(*w, added)
+}
+
+// Pop implements heap.Interface.
+func (w *waiters) Pop() any {
+	last := len(*w) - 1
+	removed := (*w)[last]
+	(*w)[last] = nil
+	*w = (*w)[:last]
+	removed.index = -1
+	return removed
+}
+
+// last returns the request that would be served after all others.
+func (w waiters) last() *waiter {
+	latest := w[0]
+	for _, entry := range w[1:] {
+		if latest.before(entry) {
+			latest = entry
+		}
+	}
+	return latest
+}
--- /dev/null
+++ b/internal/sidecar/assembly/process.go
@@ -0,0 +1,83 @@
+package assembly
+
+import (
+	"context"
+	"errors"
+	"runtime/debug"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/kestrelstream/kestrelstream/internal/build"
+	"github.com/kestrelstream/kestrelstream/internal/httpserver"
+	"github.com/kestrelstream/kestrelstream/internal/lifecycle"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar"
+	"github.com/kestrelstream/kestrelstream/internal/telemetry"
+	"github.com/kestrelstream/kestrelstream/platform"
+)
+
+// Process is a sidecar with its listeners.
+type Process struct {
+	settings  *sidecar.Settings
+	node      *sidecar.Sidecar
+	listeners *listeners
+	admin     *telemetry.Admin
+	logger    *zap.Logger
+}
+
+const (
+	// closeTimeout bounds the closing of the listeners after the drain.
+	closeTimeout = 250 * time.Millisecond
+	// memoryShare is the part of the allowed memory at which the runtime
+	// collects more eagerly.
+	memoryShare = 0.6
+)
+
+// New binds the listeners and assembles the process.
+func New(loaded *sidecar.Settings, flags Flags) (*Process, error) { return assemble(loaded, flags) }
+
+// Run serves until the context ends and the node has drained.
+func (p *Process) Run(ctx context.Context) error {
+	if p.settings.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(float64(p.settings.MemoryBytes) * memoryShare))
+	}
+	p.logger.Info("start", zap.Any("build", build.Read()), zap.Any("settings", p.settings))
+	servers := p.servers()
+	tasks := make([]lifecycle.Task, 0, len(servers)+2)
+	for _, server := range servers {
+		tasks = append(tasks, func(context.Context) error { return server.Serve() })
+	}
+	tasks = append(tasks, func(running context.Context) error {
+		p.node.Run(running)
+		return nil
+	})
+	if p.listeners.metrics != nil {
+		tasks = append(tasks, func(running context.Context) error { return p.admin.Serve(running, p.listeners.metrics) })
+	}
+	return lifecycle.Serve(ctx, tasks, func() error { return p.stop(servers) })
+}
+
+func (p *Process) servers() []*httpserver.Server {
+	callers := httpserver.Limits{HeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, HeaderBytes: headerBytes}
+	peers := httpserver.Limits{HeaderTimeout: headerTimeout, IdleTimeout: peerIdleTimeout, HeaderBytes: 2 * headerBytes}
+	control := httpserver.Limits{HeaderTimeout: headerTimeout, IdleTimeout: controlIdle, HeaderBytes: headerBytes}
+	return []*httpserver.Server{
+		httpserver.New("outbound", p.listeners.outbound, p.node.Outbound(), callers, p.logger),
+		httpserver.New("inbound", p.listeners.inbound, p.node.Inbound(), peers, p.logger),
+		httpserver.New("peer", p.listeners.peer, container(p.node.Exchanger().Service()), peers, p.logger),
+		httpserver.New("readiness", p.listeners.readiness, container(platform.Readiness(p.node.Ready)), control, p.logger),
+		httpserver.New("control", p.listeners.control, container(platform.Heartbeats(p.node)), control, p.logger),
+	}
+}
+
+// stop drains the node, then closes the listeners.
+func (p *Process) stop(servers []*httpserver.Server) error {
+	p.node.Drain()
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	var failed []error
+	for _, server := range servers {
+		failed = append(failed, server.Stop(ctx))
+	}
+	return errors.Join(failed...)
+}
--- /dev/null
+++ b/internal/sidecar/assembly/providers.go
@@ -0,0 +1,105 @@
+// Package assembly puts a sidecar together for the users' platform: the product's
+// parts, the adapter's names, formats and calls, and the listeners.
+package assembly
+
+import (
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/emicklei/go-restful/v3"
+	"github.com/gravitational/trace"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"github.com/kestrelstream/kestrelstream/internal/httpserver"
+	"github.com/kestrelstream/kestrelstream/internal/settings"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar"
+	"github.com/kestrelstream/kestrelstream/internal/telemetry"
+	"github.com/kestrelstream/kestrelstream/platform"
+)
+
+// Flags are what the command line adds to the platform's settings.
+type Flags struct {
+	// MetricsPort is where metrics are served; zero serves none.
+	MetricsPort int
+	// LogLevel is debug, info, warn or error.
+	LogLevel string
+}
+
+const (
+	// logRepeatInterval and logRepeatBurst bound repeated messages.
+	logRepeatInterval = time.Second
+	logRepeatBurst    = 100
+
+	headerTimeout = 10 * time.Second
+	headerBytes   = 80 << 10
+	// callerIdleTimeout is longer than callers keep their connections, peers'
+	// longer than nodes do.
+	callerIdleTimeout = 2 * time.Minute
+	peerIdleTimeout   = 90 * time.Second
+	controlIdle       = 30 * time.Second
+)
+
+func provideLogger(loaded *sidecar.Settings, flags Flags, registry *prometheus.Registry) (*zap.Logger, error) {
+	logging := settings.Logging{
+		Level: flags.LogLevel, RepeatInterval: settings.Duration(logRepeatInterval), RepeatBurst: logRepeatBurst,
+	}
+	return telemetry.NewLogger(logging, settings.Node{Name: loaded.Node, Zone: loaded.Zone}, os.Stdout, registry)
+}
+
+func provideStore(loaded *sidecar.Settings) *platform.Store {
+	return platform.NewStore(loaded.StoreAddress, sidecar.StoreDialer())
+}
+
+func provideSidecar(loaded *sidecar.Settings, store *platform.Store, logger *zap.Logger, registry *prometheus.Registry) *sidecar.Sidecar {
+	return sidecar.New(sidecar.Options{
+		Settings:         *loaded,
+		Vocabulary:       platform.Vocabulary(),
+		ConfigurationKey: platform.ConfigurationKey,
+		Decode:           platform.DecodeConfiguration,
+		Store:            store,
+		Logger:           logger,
+		Registry:         registry,
+	})
+}
+
+// listeners are what the process has bound.
+type listeners struct {
+	outbound, inbound, peer, readiness, control, metrics net.Listener
+}
+
+func provideListeners(loaded *sidecar.Settings, flags Flags) (*listeners, error) {
+	bound := &listeners{}
+	addresses := loaded.Listen
+	if flags.MetricsPort != 0 {
+		addresses.Metrics = net.JoinHostPort(loaded.Host, strconv.Itoa(flags.MetricsPort))
+	}
+	return bound, httpserver.Bind([]httpserver.Binding{
+		{Field: "listen.outbound", Address: addresses.Outbound, Listener: &bound.outbound},
+		{Field: "listen.inbound", Address: addresses.Inbound, Listener: &bound.inbound},
+		{Field: "listen.peer", Address: addresses.Peer, Listener: &bound.peer},
+		{Field: "listen.readiness", Address: addresses.Readiness, Listener: &bound.readiness},
+		{Field: "listen.control", Address: addresses.Control, Listener: &bound.control},
+		{Field: "listen.metrics", Address: addresses.Metrics, Listener: &bound.metrics},
+	})
+}
+
+func provideAdmin(registry *prometheus.Registry, node *sidecar.Sidecar, logger *zap.Logger) *telemetry.Admin {
+	admin := telemetry.NewAdmin(registry, false, logger)
+	admin.AddCheck("configuration", func() error {
+		if node.Ready() {
+			return nil
+		}
+		return trace.Errorf("no configuration is in force, or the node is stopping")
+	})
+	return admin
+}
+
+// container returns the handler of one web service.
+func container(service *restful.WebService) *restful.Container {
+	created := restful.NewContainer()
+	created.Add(service)
+	return created
+}
--- /dev/null
+++ b/internal/sidecar/assembly/wire.go
@@ -0,0 +1,23 @@
+//go:build wireinject
+
+package assembly
+
+import (
+	"github.com/google/wire"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar"
+	"github.com/kestrelstream/kestrelstream/internal/telemetry"
+)
+
+func assemble(loaded *sidecar.Settings, flags Flags) (*Process, error) {
+	wire.Build(
+		telemetry.NewRegistry,
+		provideLogger,
+		provideStore,
+		provideSidecar,
+		provideListeners,
+		provideAdmin,
+		wire.Struct(new(Process), "*"),
+	)
+	return nil, nil
+}
--- /dev/null
+++ b/internal/sidecar/backend.go
@@ -0,0 +1,37 @@
+package sidecar
+
+import (
+	"context"
+	"time"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+)
+
+// spreadTimeout bounds how long a back end's word waits until another node has
+// heard it. The word counts in any case.
+const spreadTimeout = 400 * time.Millisecond
+
+// Heartbeat takes in what the back end says. When it says that it is leaving,
+// the call returns once another node knows, or after a short time: the word
+// must outlive this process.
+func (s *Sidecar) Heartbeat(ctx context.Context, beat roster.Heartbeat) {
+	own, changed := s.members.Update(func(record roster.Record) (roster.Record, bool) { return record.Beat(beat) })
+	if changed && own.Endpoint.State != roster.Ready {
+		s.spread(ctx)
+	}
+}
+
+// Ended takes in that a back end ends for good.
+func (s *Sidecar) Ended(ctx context.Context, id string) {
+	_, changed := s.members.Update(func(record roster.Record) (roster.Record, bool) { return record.End(id) })
+	if changed {
+		s.spread(ctx)
+	}
+}
+
+// spread tells the peers of the own record.
+func (s *Sidecar) spread(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), spreadTimeout)
+	defer cancel()
+	s.exchanger.Broadcast(ctx)
+}
--- /dev/null
+++ b/internal/sidecar/body/body.go
@@ -0,0 +1,74 @@
+// Package body reads answers whole where they are short, so that one which
+// breaks off can still be replaced by another.
+package body
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+)
+
+// BufferedBytes is the longest answer that is read whole before it is passed on.
+const BufferedBytes = 64 << 10
+
+// readBytes is the size of the first read of an answer without a length.
+const readBytes = 4 << 10
+
+// Gather reads the response's body whole when it is short. Afterwards the
+// response either has a length and cannot break off any more, or streams what
+// is left. An error means that the answer broke off; its body is closed.
+func Gather(response *http.Response) error {
+	if response.ContentLength > BufferedBytes || response.Body == http.NoBody || response.ContentLength == 0 {
+		return nil
+	}
+	gathered, whole, err := readUpTo(response.Body, response.ContentLength)
+	if err != nil {
+		_ = response.Body.Close()
+		return err
+	}
+	rest := response.Body
+	if !whole {
+		response.Body = joined{Reader: io.MultiReader(bytes.NewReader(gathered), rest), Closer: rest}
+		return nil
+	}
+	if len(response.Trailer) > 0 {
+		response.Body = joined{Reader: bytes.NewReader(gathered), Closer: rest}
+		return nil
+	}
+	_ = rest.Close()
+	response.Body = io.NopCloser(bytes.NewReader(gathered))
+	response.ContentLength = int64(len(gathered))
+	response.TransferEncoding = nil
+	response.Header["Content-Length"] = []string{strconv.Itoa(len(gathered))}
+	return nil
+}
+
+type joined struct {
+	io.Reader
+	io.Closer
+}
+
+// readUpTo reads at most BufferedBytes and reports whether that was all.
+func readUpTo(from io.Reader, length int64) (gathered []byte, whole bool, err error) {
+	size := int64(readBytes)
+	if length > 0 {
+		size = length + 1 // one more, to meet the end
+	}
+	buffer := make([]byte, 0, size)
+	for len(buffer) < BufferedBytes {
+		if len(buffer) == cap(buffer) {
+			buffer = append(buffer, 0)[:len(buffer)]
+		}
+		count, err := from.Read(buffer[len(buffer):cap(buffer)])
+		buffer = buffer[:len(buffer)+count]
+		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+			return buffer, true, nil
+		}
+		if err != nil {
+			return nil, false, err
+		}
+	}
+	return buffer, false, nil
+}
--- /dev/null
+++ b/internal/sidecar/configuration/follower.go
@@ -0,0 +1,95 @@
+package configuration
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/kestrelstream/kestrelstream/internal/store"
+)
+
+const (
+	// readTimeout bounds one read of the store.
+	readTimeout = 2 * time.Second
+	// pauseBase and pauseMost bound the wait after a failure of the store.
+	pauseBase = 100 * time.Millisecond
+	pauseMost = 800 * time.Millisecond
+)
+
+// Follow keeps the keeper at what the store has under the key until the context
+// ends. After every end of a watch the key is read anew: what was missed
+// meanwhile must not stay unheard.
+func Follow(ctx context.Context, reader store.Reader, key string, keeper *Keeper, logger *zap.Logger) {
+	pause := pauseBase
+	healthy := true
+	for ctx.Err() == nil {
+		err := followOnce(ctx, reader, key, keeper)
+		if ctx.Err() != nil {
+			return
+		}
+		if err == nil || errors.Is(err, store.ErrCompacted) {
+			if !healthy {
+				logger.Info("store regained", zap.String("key", key))
+			}
+			healthy, pause = true, pauseBase
+			wait(ctx, pauseBase/2)
+			continue
+		}
+		if healthy {
+			logger.Warn("store lost", zap.String("key", key), zap.Error(err))
+		}
+		healthy = false
+		wait(ctx, pause)
+		pause = min(2*pause, pauseMost)
+	}
+}
+
+// followOnce reads the key, then watches it until the watch ends. A nil error
+// means that the store had answered.
+func followOnce(ctx context.Context, reader store.Reader, key string, keeper *Keeper) error {
+	after, err := readOnce(ctx, reader, key, keeper)
+	if err != nil {
+		return err
+	}
+	watch, err := reader.Watch(ctx, key, after)
+	if err != nil {
+		return err
+	}
+	defer watch.Close()
+	for event := range watch.Events() {
+		if event.Key == key && !event.Deleted {
+			_ = keeper.Offer(event.Value, "store")
+		}
+	}
+	return watch.Err()
+}
+
+// readOnce offers what is under the key now and returns the revision after
+// which nothing is missed.
+func readOnce(ctx context.Context, reader store.Reader, key string, keeper *Keeper) (after uint64, err error) {
+	bounded, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	found, err := reader.Get(bounded, key)
+	if errors.Is(err, store.ErrNotFound) {
+		_, after, err = reader.Range(bounded, key, key, 1)
+		return after, err
+	}
+	if err != nil {
+		return 0, err
+	}
+	_ = keeper.Offer(found.Value, "store")
+	return found.Revision, nil
+}
+
+// wait pauses for half to all of the duration.
+func wait(ctx context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration/2 + rand.N(duration/2+1))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/sidecar/configuration/keeper.go
@@ -0,0 +1,116 @@
+// Package configuration keeps the configuration in force on a node. It comes
+// from a document that someone else commits whole, read from the store or, when
+// the store does not answer this node, from a peer that has it.
+package configuration
+
+import (
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/route"
+)
+
+// Decoder reads a committed document. Notes name what it left out.
+type Decoder func(raw []byte) (document *route.Document, notes []string, err error)
+
+// Keeper holds the table in force. Versions only rise.
+type Keeper struct {
+	decode Decoder
+	logger *zap.Logger
+	held   atomic.Pointer[held]
+
+	mutex     sync.Mutex // serializes Offer; guards observers
+	observers []func(*route.Table)
+	// refused is the last document that was refused, so that it is logged once.
+	refused string
+}
+
+// held is one version in force. It is immutable.
+type held struct {
+	table *route.Table
+	raw   []byte
+	since time.Time
+}
+
+// NewKeeper returns a keeper without a table.
+func NewKeeper(decode Decoder, logger *zap.Logger) *Keeper {
+	return &Keeper{decode: decode, logger: logger}
+}
+
+// Table returns the table in force, nil before the first.
+func (k *Keeper) Table() *route.Table {
+	if current := k.held.Load(); current != nil {
+		return current.table
+	}
+	return nil
+}
+
+// Version returns the version in force, zero before the first.
+func (k *Keeper) Version() uint64 { return k.Table().Version() }
+
+// Raw returns the document in force as it was committed, nil before the first.
+func (k *Keeper) Raw() []byte {
+	if current := k.held.Load(); current != nil {
+		return current.raw
+	}
+	return nil
+}
+
+// Age returns how long the version has been in force.
+func (k *Keeper) Age() time.Duration {
+	if current := k.held.Load(); current != nil {
+		return time.Since(current.since)
+	}
+	return 0
+}
+
+// Observe has the function called with each table put in force from now on.
+func (k *Keeper) Observe(observer func(*route.Table)) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.observers = append(k.observers, observer)
+}
+
+// ErrNotNewer says that a document is not above the version in force.
+var ErrNotNewer = errors.New("the version is not above the one in force")
+
+// Offer puts a document in force when it is valid and newer. Otherwise the one
+// before stays in force, whole. source names where it came from.
+func (k *Keeper) Offer(raw []byte, source string) error {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	document, notes, err := k.decode(raw)
+	if err != nil {
+		return k.refuse(raw, source, trace.Wrap(err, "decode configuration"))
+	}
+	before := k.Table()
+	if document.Version <= before.Version() {
+		return ErrNotNewer
+	}
+	compiled, err := route.Compile(document, before)
+	if err != nil {
+		return k.refuse(raw, source, trace.Wrap(err, "compile configuration"))
+	}
+	k.held.Store(&held{table: compiled, raw: raw, since: time.Now()})
+	k.logger.Info("configuration in force",
+		zap.Uint64("version", document.Version), zap.Uint64("before", before.Version()),
+		zap.String("source", source), zap.Int("routes", len(document.Routes)), zap.Strings("notes", notes))
+	for _, observer := range k.observers {
+		observer(compiled)
+	}
+	return nil
+}
+
+func (k *Keeper) refuse(raw []byte, source string, err error) error {
+	if k.refused != string(raw) {
+		k.refused = string(raw)
+		k.logger.Error("configuration refused",
+			zap.Uint64("inForce", k.Version()), zap.String("source", source), zap.Error(err))
+	}
+	return err
+}
--- /dev/null
+++ b/internal/sidecar/dial/dial.go
@@ -0,0 +1,46 @@
+// Package dial opens TCP connections that notice a silent peer: one without
+// power, or behind a cut, acknowledges nothing.
+package dial
+
+import (
+	"context"
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Silence bounds how long a connection waits for a peer that acknowledges
+// nothing.
+type Silence struct {
+	// Unacknowledged bounds data that was sent.
+	Unacknowledged time.Duration
+	// Idle is the time without traffic after which probes begin, and the time
+	// between two of them. The system counts it in whole seconds.
+	Idle time.Duration
+}
+
+// probes is how many unanswered probes end a connection.
+const probes = 3
+
+// Dialer returns a function that opens connections with these bounds.
+func Dialer(timeout time.Duration, silence Silence) func(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := &net.Dialer{
+		Timeout:         timeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: silence.Idle, Interval: silence.Idle, Count: probes},
+		Control:         silence.control,
+	}
+	return dialer.DialContext
+}
+
+func (s Silence) control(_, _ string, connection syscall.RawConn) error {
+	var failed error
+	err := connection.Control(func(descriptor uintptr) {
+		failed = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(s.Unacknowledged.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
--- /dev/null
+++ b/internal/sidecar/egress/budget.go
@@ -0,0 +1,81 @@
+package egress
+
+import (
+	"sync"
+	"time"
+)
+
+// RetryLimits bound the repeated sends of all nodes together to one service.
+type RetryLimits struct {
+	// Ratio is the most repeats per request.
+	Ratio float64
+	// Slack is how many more there may be in any Window.
+	Slack float64
+	// Window is the length over which repeats are counted.
+	Window time.Duration
+}
+
+// The part of the allowance that nodes make use of. The rest covers calls made
+// by repeated runs, which count as repeats where they arrive, and nodes that
+// see different numbers of members.
+const (
+	ratioShare = 0.4
+	slackShare = 0.4
+)
+
+// budget is this node's share of the repeats to one service: a part of its own
+// requests, and a part of the slack divided by the members.
+type budget struct {
+	mutex  sync.Mutex // guards all below
+	tokens float64
+	filled bool
+	last   time.Time
+}
+
+// first notes a request, which earns a share of a repeat.
+func (b *budget) first(limits RetryLimits, members int, now time.Time) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.refill(limits, members, now)
+	b.tokens = min(b.tokens+limits.Ratio*ratioShare, b.most(limits, members))
+}
+
+// take spends one repeat and reports whether there was one.
+func (b *budget) take(limits RetryLimits, members int, now time.Time) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.refill(limits, members, now)
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// left returns how many repeats there are.
+func (b *budget) left() float64 {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.tokens
+}
+
+// most is what can be saved up: half of the share of the slack, so that what is
+// saved and what flows in within one window stay within it.
+func (b *budget) most(limits RetryLimits, members int) float64 {
+	return max(limits.Slack*slackShare/2/float64(max(members, 1)), 1)
+}
+
+// refill lets the other half of the share flow in over a window.
+func (b *budget) refill(limits RetryLimits, members int, now time.Time) {
+	most := b.most(limits, members)
+	if !b.filled {
+		b.tokens, b.filled, b.last = most, true, now
+		return
+	}
+	if limits.Window > 0 {
+		inflow := limits.Slack * slackShare / 2 / float64(max(members, 1))
+		b.tokens += inflow * float64(now.Sub(b.last)) / float64(limits.Window)
+	}
+	b.tokens = min(b.tokens, most)
+	b.last = now
+}
--- /dev/null
+++ b/internal/sidecar/egress/call.go
@@ -0,0 +1,251 @@
+package egress
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/kestrelstream/kestrelstream/internal/proxy/forward"
+	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/route"
+)
+
+// Causes of failures.
+var (
+	errNoTable    = errors.New("no configuration is in force yet")
+	errNoRoute    = errors.New("no route for this host and path")
+	errStopping   = errors.New("the node is leaving")
+	errNoEndpoint = errors.New("no back end of the service is known")
+	errAllRefused = errors.New("every back end of the service refused")
+	errLate       = errors.New("the deadline passed before work began")
+	errUpgrade    = errors.New("upgrades are not carried")
+	errBudget     = errors.New("the budget of repeats is spent")
+	errAttempts   = errors.New("the route's attempts are spent")
+)
+
+const (
+	// defaultDeadline bounds a request when neither caller nor route does.
+	defaultDeadline = 30 * time.Second
+	// minimumRetryAfter is the shortest wait that a refused caller is told.
+	minimumRetryAfter = 50 * time.Millisecond
+	// defaultRetryAfter is told when nothing is known of the load.
+	defaultRetryAfter = 150 * time.Millisecond
+	// unlimitedBody stands for a configuration without a bound.
+	unlimitedBody = int64(1) << 40
+)
+
+// call is one request of a caller. It is used by one goroutine.
+type call struct {
+	handler *Handler
+	writer  http.ResponseWriter
+	request *http.Request
+	started time.Time
+
+	table    *route.Table
+	route    *route.Matched
+	service  string
+	context  context.Context
+	deadline time.Time
+	body     *forward.Body
+	// visits are the nodes that the request was sent to.
+	visits []visit
+	// runs counts the sends that may have reached a back end.
+	runs int
+	// mayHaveRun: a send ended with an unknown outcome.
+	mayHaveRun bool
+
+	status  int
+	failure *outcome.Failure
+}
+
+// visit is one send of a request.
+type visit struct {
+	target  *target
+	outcome outcome.Outcome
+	step    outcome.Step
+}
+
+// serve carries the request through. A nil result means that the caller has
+// its answer; a failure is still to be sent.
+func (c *call) serve() *outcome.Failure {
+	c.table = c.handler.options.Table()
+	if c.table == nil {
+		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepSnapshot, defaultRetryAfter, errNoTable)
+	}
+	if c.handler.closed.Load() {
+		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepDrain, defaultRetryAfter, errStopping)
+	}
+	if forward.WantsUpgrade(c.request) {
+		return outcome.Refusal(http.StatusNotImplemented, outcome.StepRequest, 0, errUpgrade)
+	}
+	path, _, _ := strings.Cut(c.request.RequestURI, "?")
+	c.route = c.table.Match(c.request.Host, path)
+	if c.route == nil {
+		return outcome.Refusal(http.StatusNotFound, outcome.StepMatch, 0, errNoRoute)
+	}
+	if failure := c.bound(); failure != nil {
+		return failure
+	}
+	var cancel context.CancelFunc
+	c.context, cancel = context.WithDeadline(c.request.Context(), c.deadline)
+	defer cancel()
+	return c.send()
+}
+
+// bound sets the deadline: the caller's, at most the route's time-out.
+func (c *call) bound() *outcome.Failure {
+	limit := defaultDeadline
+	if c.route.Timeout > 0 {
+		limit = c.route.Timeout
+	}
+	text := c.request.Header.Get(c.handler.options.Vocabulary.Deadline)
+	if asked, valid := hop.Milliseconds(text); valid && asked < limit {
+		limit = asked
+	}
+	if limit <= 0 {
+		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepDeadline, minimumRetryAfter, errLate)
+	}
+	c.deadline = c.started.Add(limit)
+	return nil
+}
+
+// send reads the body and sends the request until it is answered or given up.
+func (c *call) send() *outcome.Failure {
+	maximum := c.table.Document().Limits.BodyBytes
+	if maximum == 0 {
+		maximum = unlimitedBody
+	}
+	body, err := forward.ReadBody(c.context, c.writer, c.request, maximum, "")
+	if err != nil {
+		return c.bodyRefusal(err)
+	}
+	c.body = body
+	defer body.UnblockOnDone(c.context, c.writer)()
+	c.service = c.route.NextService()
+	c.handler.budget(c.service).first(c.handler.options.Retries, c.members(), time.Now())
+	for {
+		result := c.visit()
+		if result.response != nil {
+			return c.pass(result)
+		}
+		if !c.again(result) {
+			return c.giveUp(result.failure)
+		}
+	}
+}
+
+func (c *call) bodyRefusal(err error) *outcome.Failure {
+	status := http.StatusBadRequest
+	switch {
+	case errors.Is(err, forward.ErrBodyTooLarge):
+		status = http.StatusRequestEntityTooLarge
+	case c.context.Err() != nil:
+		status = http.StatusRequestTimeout
+	}
+	return outcome.Refusal(status, outcome.StepRequest, 0, err)
+}
+
+// members is how many nodes share the budget.
+func (c *call) members() int { return len(c.handler.options.View().Records()) }
+
+// pass sends the answer of a back end on.
+func (c *call) pass(result result) *outcome.Failure {
+	response := result.response
+	c.status = response.StatusCode
+	forward.RemoveHopByHop(response.Header)
+	outcome.StripMarkers(response.Header)
+	c.body.CloseUnlessRead(c.writer.Header())
+	if err := forward.WriteReply(c.context, c.writer, response, ""); err != nil {
+		c.failure = &outcome.Failure{Outcome: outcome.Unknown, Step: outcome.StepBody, Peer: result.target.address, Cause: err}
+		c.ended()
+		panic(http.ErrAbortHandler)
+	}
+	return nil
+}
+
+// giveUp makes the final failure of the last one.
+func (c *call) giveUp(last *outcome.Failure) *outcome.Failure {
+	failure := *last
+	if c.mayHaveRun {
+		failure.Outcome = outcome.Unknown
+	}
+	if failure.Outcome == outcome.NotRun {
+		failure.Status = http.StatusServiceUnavailable
+		return &failure
+	}
+	failure.RetryAfter = 0
+	failure.Status = http.StatusBadGateway
+	if c.context.Err() != nil {
+		failure.Status = http.StatusGatewayTimeout
+	}
+	return &failure
+}
+
+// reply sends a failure that the node answers itself.
+func (c *call) reply(failure *outcome.Failure) {
+	c.status, c.failure = failure.Status, failure
+	defer forward.PrepareOwnReply(c.context, c.writer, c.request, c.body)()
+	header := c.writer.Header()
+	if failure.RetryAfter > 0 {
+		header["Retry-After"] = []string{hop.FormatSeconds(c.retryAfter(failure.RetryAfter))}
+	}
+	if names := &c.handler.options.Vocabulary; c.request.Header.Get(names.RequestID) != "" {
+		header[names.RequestID] = []string{c.request.Header.Get(names.RequestID)}
+	}
+	header["Content-Length"] = []string{"0"}
+	c.writer.WriteHeader(failure.Status)
+}
+
+// retryAfter keeps the wait within what the caller still has.
+func (c *call) retryAfter(wanted time.Duration) time.Duration {
+	wait := max(wanted, minimumRetryAfter)
+	if !c.deadline.IsZero() {
+		const useful = 4
+		wait = min(wait, max(time.Until(c.deadline)/useful, 0))
+	}
+	return wait
+}
+
+// ended tells the observer and the log how the call went.
+func (c *call) ended() {
+	name := ""
+	if c.route != nil {
+		name = c.route.Name
+	}
+	options := &c.handler.options
+	elapsed := time.Since(c.started)
+	if c.failure == nil {
+		options.Observer.CallEnded(name, c.status, "", "", elapsed)
+		return
+	}
+	options.Observer.CallEnded(name, c.status, c.failure.Outcome, c.failure.Step, elapsed)
+	entry := options.Logger.Check(zap.InfoLevel, "call failed")
+	if entry == nil {
+		return
+	}
+	entry.Write(
+		zap.String("request", c.request.Header.Get(options.Vocabulary.RequestID)),
+		zap.String("route", name), zap.Int("status", c.status),
+		zap.String("outcome", string(c.failure.Outcome)),
+		zap.String("step", string(c.failure.Step)),
+		zap.String("peer", c.failure.Peer),
+		zap.Uint64("version", c.table.Version()),
+		zap.String("visits", c.describeVisits()),
+		zap.Bool("callerGone", c.request.Context().Err() != nil),
+		zap.Duration("elapsed", elapsed),
+		zap.NamedError("cause", c.failure.Cause),
+	)
+}
+
+func (c *call) describeVisits() string {
+	var text strings.Builder
+	for _, visited := range c.visits {
+		text.WriteString(visited.target.node + "=" + string(visited.outcome) + "/" + string(visited.step) + " ")
+	}
+	return text.String()
+}
--- /dev/null
+++ b/internal/sidecar/egress/handler.go
@@ -0,0 +1,177 @@
+// Package egress is the side of a sidecar that callers on its machine use. It
+// matches a request to a route, chooses the back end and passes the request to
+// the node beside it.
+package egress
+
+import (
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/kestrelstream/kestrelstream/internal/proxy/forward"
+	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/choice"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/route"
+)
+
+// Options configure the handler.
+type Options struct {
+	Vocabulary hop.Vocabulary
+	// Table returns the configuration in force, nil before the first.
+	Table func() *route.Table
+	// View returns what is known of the other nodes.
+	View func() *roster.View
+	// Zone is the node's own.
+	Zone string
+	// Caller names the service beside this node.
+	Caller func() string
+	// Retries bound repeated sends.
+	Retries RetryLimits
+	// Weights price the choice of back ends.
+	Weights choice.Weights
+	// Dial opens connections to other nodes.
+	Dial     forward.Dialer
+	Logger   *zap.Logger
+	Observer Observer
+}
+
+// Observer is told how calls went.
+type Observer interface {
+	// CallEnded: the caller has its answer, or is gone.
+	CallEnded(route string, status int, result outcome.Outcome, step outcome.Step, elapsed time.Duration)
+	// Sent: a request went to another node, for that often.
+	Sent(service string, attempt int)
+	// Behind: a peer has a newer configuration than this node.
+	Behind(node string, version uint64)
+}
+
+const (
+	// peerConnections bounds the connections to one node.
+	peerConnections = 256
+	peerIdleTimeout = 45 * time.Second
+	peerDialTimeout = 500 * time.Millisecond
+	// consentTimeout is beyond every deadline: without consent no body is sent.
+	consentTimeout   = time.Hour
+	replyHeaderBytes = 96 << 10
+	// defaultCrossing is assumed for the way to another zone and back.
+	defaultCrossing = 3 * time.Millisecond
+)
+
+// Handler serves callers. It is safe for concurrent use.
+type Handler struct {
+	options  Options
+	targets  *targets
+	rotation atomic.Uint64
+	stopping atomic.Bool
+	closed   atomic.Bool
+	inFlight atomic.Int64
+	lastCall atomic.Int64
+
+	mutex   sync.RWMutex // guards budgets
+	budgets map[string]*budget
+}
+
+// New returns a handler that refuses everything until there is a table.
+func New(options Options) *Handler {
+	limits := forward.Limits{
+		Connections:      peerConnections,
+		IdleTimeout:      peerIdleTimeout,
+		DialTimeout:      peerDialTimeout,
+		ReplyHeaderBytes: replyHeaderBytes,
+		ConsentTimeout:   consentTimeout,
+	}
+	return &Handler{
+		options: options,
+		targets: &targets{options: limits, dial: options.Dial, byNode: map[string]*target{}},
+		budgets: map[string]*budget{},
+	}
+}
+
+// budget returns the service's budget of repeats.
+func (h *Handler) budget(service string) *budget {
+	h.mutex.RLock()
+	held := h.budgets[service]
+	h.mutex.RUnlock()
+	if held != nil {
+		return held
+	}
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.budgets[service] == nil {
+		h.budgets[service] = &budget{}
+	}
+	return h.budgets[service]
+}
+
+// BudgetLeft returns how many repeats are left by service.
+func (h *Handler) BudgetLeft() map[string]float64 {
+	h.mutex.RLock()
+	defer h.mutex.RUnlock()
+	left := make(map[string]float64, len(h.budgets))
+	for service, held := range h.budgets {
+		left[service] = held.left()
+	}
+	return left
+}
+
+// Follow takes in changed records: nodes that leave are dropped once idle, and
+// one that comes back is used at once.
+func (h *Handler) Follow(changed []*roster.Record) {
+	for _, record := range changed {
+		switch {
+		case record.Leaving:
+			continue
+		case record.AcceptsWork():
+			if held := h.targets.of(record); held.failures.Load() > 0 {
+				held.succeeded()
+			}
+		}
+	}
+}
+
+// Drop forgets a node that has withdrawn.
+func (h *Handler) Drop(node string) { h.targets.drop(node) }
+
+// Suspect has a node avoided that did not answer another question.
+func (h *Handler) Suspect(record *roster.Record) {
+	h.targets.of(record).failed(time.Now())
+}
+
+// Sweep closes idle connections that are too old or broken.
+func (h *Handler) Sweep(now time.Time) {
+	for _, held := range h.targets.all() {
+		held.pool.Sweep(now)
+	}
+}
+
+// Stop has answers close their connections from now on.
+func (h *Handler) Stop() { h.stopping.Store(true) }
+
+// Refuse has new calls refused from now on.
+func (h *Handler) Refuse() { h.closed.Store(true) }
+
+// InFlight returns how many calls are under way.
+func (h *Handler) InFlight() int { return int(h.inFlight.Load()) }
+
+// LastCall returns when the last call came in.
+func (h *Handler) LastCall() time.Time { return time.Unix(0, h.lastCall.Load()) }
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.inFlight.Add(1)
+	defer h.inFlight.Add(-1)
+	if h.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	call := &call{handler: h, writer: w, request: r, started: time.Now()}
+	h.lastCall.Store(call.started.UnixNano())
+	if failure := call.serve(); failure != nil {
+		call.reply(failure)
+	}
+	call.ended()
+}
--- /dev/null
+++ b/internal/sidecar/egress/target.go
@@ -0,0 +1,141 @@
+package egress
+
+import (
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/kestrelstream/kestrelstream/internal/proxy/forward"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/choice"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+)
+
+// target is another node as this one sees it: its connections, what it last
+// said of its load, and how it failed. It is shared by all of its records.
+type target struct {
+	node    string
+	address string
+	pool    *forward.Pool
+	// inFlight counts this node's requests there.
+	inFlight atomic.Int64
+	// avoidUntil is Unix-like nanoseconds of the handler's clock.
+	avoidUntil atomic.Int64
+	failures   atomic.Int32
+	report     atomic.Pointer[loadReport]
+}
+
+// loadReport is what a reply said of the load there.
+type loadReport struct {
+	hop.Load
+	// others is how many requests there were not this node's.
+	others float64
+	taken  time.Time
+}
+
+const (
+	// reportHalfLife is how fast the requests of others are forgotten.
+	reportHalfLife = 400 * time.Millisecond
+	// avoidBase is how long a target is avoided after its first failure; each
+	// further one doubles it, up to avoidMost.
+	avoidBase = 200 * time.Millisecond
+	avoidMost = 2 * time.Second
+)
+
+// learn takes in the load that a reply carries.
+func (t *target) learn(load hop.Load, now time.Time) {
+	others := float64(load.Running+load.Waiting) - float64(t.inFlight.Load())
+	t.report.Store(&loadReport{Load: load, others: max(others, 0), taken: now})
+}
+
+// failed has the target avoided for a while.
+func (t *target) failed(now time.Time) {
+	count := t.failures.Add(1)
+	wait := avoidMost
+	if shift := count - 1; shift < 4 {
+		wait = min(avoidBase<<shift, avoidMost)
+	}
+	t.avoidUntil.Store(now.Add(wait).UnixNano())
+}
+
+// succeeded ends a target's bad record.
+func (t *target) succeeded() {
+	if t.failures.Load() != 0 {
+		t.failures.Store(0)
+		t.avoidUntil.Store(0)
+	}
+}
+
+// candidate describes the target for the choice.
+func (t *target) candidate(record *roster.Record, zone string, crossing time.Duration, now time.Time) choice.Candidate {
+	described := choice.Candidate{
+		SameZone:  record.Zone == zone,
+		Busy:      float64(t.inFlight.Load()),
+		Slots:     record.Endpoint.Slots,
+		RoundTrip: 0,
+		Avoid:     t.avoidUntil.Load() > now.UnixNano() || !record.AcceptsWork(),
+	}
+	if !described.SameZone {
+		described.RoundTrip = crossing
+	}
+	if report := t.report.Load(); report != nil {
+		age := float64(now.Sub(report.taken)) / float64(reportHalfLife)
+		described.Busy += report.others * math.Exp2(-age)
+		described.ServiceTime = report.Service
+	}
+	return described
+}
+
+// targets holds the targets of all nodes. Reads take a shared lock only.
+type targets struct {
+	options forward.Limits
+	dial    forward.Dialer
+
+	mutex  sync.RWMutex // guards byNode
+	byNode map[string]*target
+}
+
+// of returns the target of a record, a new one when the node has moved.
+func (t *targets) of(record *roster.Record) *target {
+	t.mutex.RLock()
+	held := t.byNode[record.Node]
+	t.mutex.RUnlock()
+	if held != nil && held.address == record.Address {
+		return held
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	held = t.byNode[record.Node]
+	if held != nil && held.address == record.Address {
+		return held
+	}
+	if held != nil {
+		held.pool.Close()
+	}
+	created := &target{node: record.Node, address: record.Address, pool: forward.NewPool(record.Address, t.options, t.dial)}
+	t.byNode[record.Node] = created
+	return created
+}
+
+// drop forgets a node that is gone.
+func (t *targets) drop(node string) {
+	t.mutex.Lock()
+	held := t.byNode[node]
+	delete(t.byNode, node)
+	t.mutex.Unlock()
+	if held != nil {
+		held.pool.Close()
+	}
+}
+
+// all returns every target.
+func (t *targets) all() []*target {
+	t.mutex.RLock()
+	defer t.mutex.RUnlock()
+	list := make([]*target, 0, len(t.byNode))
+	for _, held := range t.byNode {
+		list = append(list, held)
+	}
+	return list
+}
--- /dev/null
+++ b/internal/sidecar/egress/visit.go
@@ -0,0 +1,262 @@
+package egress
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"slices"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/kestrelstream/kestrelstream/internal/proxy/forward"
+	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/body"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/choice"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+)
+
+const (
+	// markerCount is how many headers the node adds at most.
+	markerCount = 8
+	// refusalsPerCall bounds how many nodes may refuse one request. A refusal
+	// costs no back end anything.
+	refusalsPerCall = 3
+	// waitShare is the part of the target latency that a request may wait
+	// before it is better refused while the caller can still come back.
+	waitShare = 0.25
+)
+
+// result is what one visit brought: an answer of the back end or a failure.
+type result struct {
+	target   *target
+	response *http.Response
+	failure  *outcome.Failure
+}
+
+// visit chooses a node and sends the request there once.
+func (c *call) visit() result {
+	record, chosen := c.choose()
+	if chosen == nil {
+		failure := outcome.Refusal(http.StatusServiceUnavailable, outcome.StepChoose, defaultRetryAfter, errNoEndpoint)
+		failure.Peer = c.service
+		return result{failure: failure}
+	}
+	chosen.inFlight.Add(1)
+	defer chosen.inFlight.Add(-1)
+	c.handler.options.Observer.Sent(c.service, len(c.visits)+1)
+	response, failure := c.exchange(record, chosen)
+	seen := visit{target: chosen}
+	if failure != nil {
+		seen.outcome, seen.step = failure.Outcome, failure.Step
+		failure.Peer = chosen.address
+	}
+	c.visits = append(c.visits, seen)
+	return result{target: chosen, response: response, failure: failure}
+}
+
+// choose returns the node whose back end is to take the request.
+func (c *call) choose() (*roster.Record, *target) {
+	view := c.handler.options.View()
+	records := view.Service(c.service)
+	if len(records) == 0 {
+		c.service, records = c.fallback(view)
+	}
+	candidates := make([]choice.Candidate, 0, len(records))
+	held := make([]*target, 0, len(records))
+	now := time.Now()
+	for _, record := range records {
+		found := c.handler.targets.of(record)
+		candidate := found.candidate(record, c.handler.options.Zone, defaultCrossing, now)
+		candidate.Tried = c.visited(found)
+		candidates = append(candidates, candidate)
+		held = append(held, found)
+	}
+	start := 0
+	if len(candidates) > 0 {
+		start = int(c.handler.rotation.Add(1) % uint64(len(candidates)))
+	}
+	best := choice.Best(candidates, c.route.TargetLatency, start, c.handler.options.Weights)
+	if best < 0 {
+		return nil, nil
+	}
+	return records[best], held[best]
+}
+
+// fallback returns another service of the route that has back ends.
+func (c *call) fallback(view *roster.View) (string, []*roster.Record) {
+	for _, target := range c.route.Targets {
+		if records := view.Service(target.Service); len(records) > 0 && target.Weight > 0 {
+			return target.Service, records
+		}
+	}
+	return c.service, nil
+}
+
+func (c *call) visited(candidate *target) bool {
+	return slices.ContainsFunc(c.visits, func(seen visit) bool { return seen.target == candidate })
+}
+
+// exchange sends the request to the node and returns the back end's answer.
+func (c *call) exchange(record *roster.Record, chosen *target) (*http.Response, *outcome.Failure) {
+	var consented atomic.Bool
+	traced := c.context
+	if !c.route.Repeatable {
+		traced = httptrace.WithClientTrace(traced, &httptrace.ClientTrace{Got100Continue: func() { consented.Store(true) }})
+	}
+	interim := forward.NewInterim(c.writer, "")
+	response, err := chosen.pool.RoundTrip(c.outgoing(traced, record, interim))
+	interim.Stop()
+	now := time.Now()
+	if err != nil {
+		return nil, c.exchangeFailed(chosen, err, consented.Load(), now)
+	}
+	c.learn(chosen, response, now)
+	if said := outcome.Outcome(response.Header.Get(outcome.HeaderOutcome)); said != "" {
+		return nil, c.refused(chosen, response, said, now)
+	}
+	if err := body.Gather(response); err != nil {
+		chosen.failed(now)
+		return nil, &outcome.Failure{Outcome: outcome.Unknown, Step: outcome.StepBody, Cause: err}
+	}
+	chosen.succeeded()
+	return response, nil
+}
+
+// learn takes in what the reply says of the node itself.
+func (c *call) learn(chosen *target, response *http.Response, now time.Time) {
+	if load, valid := hop.ParseLoad(response.Header); valid {
+		chosen.learn(load, now)
+	}
+	version, err := strconv.ParseUint(response.Header.Get(hop.HeaderVersion), 10, 64)
+	if err == nil && version > c.table.Version() {
+		c.handler.options.Observer.Behind(chosen.node, version)
+	}
+}
+
+// exchangeFailed judges an exchange that brought no reply. Without consent the
+// body was never sent, and nothing runs without its body.
+func (c *call) exchangeFailed(chosen *target, err error, consented bool, now time.Time) *outcome.Failure {
+	failure := &outcome.Failure{Outcome: outcome.Unknown, Step: outcome.StepAwait, Cause: err}
+	var known *forward.Error
+	if errors.As(err, &known) {
+		failure.Outcome, failure.Step = known.Outcome, known.Step
+	}
+	if !c.route.Repeatable && !consented && c.consentAsked() {
+		failure.Outcome = outcome.NotRun
+	}
+	if failure.Outcome == outcome.NotRun {
+		failure.RetryAfter = defaultRetryAfter
+	}
+	if c.context.Err() == nil && !errors.Is(err, forward.ErrNoConnection) {
+		chosen.failed(now)
+	}
+	return failure
+}
+
+// refused reads what the node itself says of the request.
+func (c *call) refused(chosen *target, response *http.Response, said outcome.Outcome, now time.Time) *outcome.Failure {
+	defer func() {
+		_, _ = io.CopyN(io.Discard, response.Body, 1)
+		_ = response.Body.Close()
+	}()
+	failure := &outcome.Failure{Outcome: said, Step: outcome.StepAwait, Cause: errors.New(response.Header.Get(outcome.HeaderError))}
+	if step, found := strings.CutPrefix(response.Header.Get(outcome.HeaderError), "step="); found {
+		failure.Step = outcome.Step(step)
+	}
+	if seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); err == nil && seconds > 0 {
+		failure.RetryAfter = time.Duration(seconds * float64(time.Second))
+	}
+	switch {
+	case failure.Step == outcome.StepAdmit:
+	case c.context.Err() == nil:
+		chosen.failed(now)
+	}
+	return failure
+}
+
+// again decides whether another visit follows a failed one.
+func (c *call) again(last result) bool {
+	if last.target == nil || c.context.Err() != nil || c.body.Spent() {
+		return false
+	}
+	reached := last.failure.Outcome != outcome.NotRun || last.failure.Step == outcome.StepShed
+	if !reached {
+		return len(c.visits) < refusalsPerCall && c.untried()
+	}
+	c.runs++
+	if last.failure.Outcome != outcome.NotRun {
+		c.mayHaveRun = true
+		if !c.route.Repeatable {
+			return false
+		}
+	}
+	if c.runs >= c.route.Attempts {
+		last.failure.Cause = errors.Join(errAttempts, last.failure.Cause)
+		return false
+	}
+	if !c.handler.budget(c.service).take(c.handler.options.Retries, c.members(), time.Now()) {
+		last.failure.Cause = errors.Join(errBudget, last.failure.Cause)
+		return false
+	}
+	return true
+}
+
+// untried reports whether a back end is left that the request did not go to.
+func (c *call) untried() bool {
+	for _, record := range c.handler.options.View().Service(c.service) {
+		if record.AcceptsWork() && !c.visited(c.handler.targets.of(record)) {
+			return true
+		}
+	}
+	return false
+}
+
+// consentAsked reports whether the request's body waits for the node's consent.
+// The library asks only where the method usually has a body.
+func (c *call) consentAsked() bool {
+	switch c.request.Method {
+	case http.MethodPost, http.MethodPut, http.MethodPatch:
+		return true
+	}
+	return false
+}
+
+// outgoing builds the request to the node.
+func (c *call) outgoing(ctx context.Context, record *roster.Record, interim *forward.Interim) *http.Request {
+	options := &c.handler.options
+	header := forward.RequestHeader(c.request.Header, markerCount)
+	delete(header, "Expect")
+	remaining := time.Until(c.deadline)
+	header[outcome.HeaderDeadline] = []string{hop.FormatMilliseconds(remaining)}
+	header[outcome.HeaderService] = []string{c.service}
+	header[hop.HeaderEndpoint] = []string{record.Endpoint.ID}
+	header[hop.HeaderCaller] = []string{options.Caller()}
+	header[hop.HeaderPriority] = []string{strconv.Itoa(c.route.Priority)}
+	header[hop.HeaderMaximumWait] = []string{hop.FormatMilliseconds(c.maximumWait(remaining))}
+	outgoing := forward.NewRequest(ctx, c.request, record.Address, header, interim)
+	forward.KeepTarget(outgoing, c.request)
+	c.body.Attach(outgoing)
+	if !c.route.Repeatable && c.consentAsked() {
+		header["Expect"] = []string{"100-continue"}
+		if outgoing.Body == nil {
+			// Chunks make room for consent where there is no body.
+			outgoing.Body, outgoing.ContentLength = io.NopCloser(strings.NewReader("")), -1
+		}
+	}
+	return outgoing
+}
+
+// maximumWait is how long the request may wait for a slot: a part of the
+// target latency, and less when little time is left.
+func (c *call) maximumWait(remaining time.Duration) time.Duration {
+	if c.route.TargetLatency <= 0 {
+		return remaining / 2
+	}
+	wait := time.Duration(float64(c.route.TargetLatency) * waitShare)
+	return min(wait, remaining/2)
+}
--- /dev/null
+++ b/internal/sidecar/exchange/exchanger.go
@@ -0,0 +1,249 @@
+package exchange
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/configuration"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+)
+
+// Options configure an exchanger.
+type Options struct {
+	Roster        *roster.Roster
+	Configuration *configuration.Keeper
+	// Interval is the time between two exchanges that this node begins.
+	Interval time.Duration
+	Dial     func(ctx context.Context, network, address string) (net.Conn, error)
+	// Suspect is told of nodes that do not answer.
+	Suspect func(*roster.Record)
+	Logger  *zap.Logger
+}
+
+const (
+	// DefaultInterval is the time between two exchanges that a node begins.
+	DefaultInterval = 500 * time.Millisecond
+
+	exchangeTimeout = 700 * time.Millisecond
+	fetchTimeout    = 2 * time.Second
+	// broadcastPeers bounds how many nodes are told of a change directly; the
+	// others hear of it through them and the store.
+	broadcastPeers = 64
+	// broadcastParallel is how many are told at once.
+	broadcastParallel = 16
+	idlePerPeer       = 1
+	peerIdleTimeout   = 20 * time.Second
+	// nearShare is the part of the exchanges that stay in the zone, where bytes
+	// cost nothing.
+	nearShare = 0.75
+)
+
+// Exchanger keeps a node level with its peers. It is safe for concurrent use.
+type Exchanger struct {
+	options Options
+	client  *http.Client
+	// fetching keeps a node from fetching a configuration twice at once.
+	fetching atomic.Bool
+}
+
+// New returns an exchanger that Run starts.
+func New(options Options) *Exchanger {
+	if options.Interval == 0 {
+		options.Interval = DefaultInterval
+	}
+	transport := &http.Transport{
+		DialContext:         options.Dial,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: idlePerPeer,
+		IdleConnTimeout:     peerIdleTimeout,
+	}
+	return &Exchanger{options: options, client: &http.Client{Transport: transport}}
+}
+
+// Run begins an exchange with one peer after the other until the context ends.
+func (e *Exchanger) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		half := e.options.Interval / 2
+		timer := time.NewTimer(half + rand.N(e.options.Interval))
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		}
+		if peer := e.pick(); peer != nil {
+			_ = e.With(ctx, peer)
+		}
+	}
+}
+
+// pick returns a random peer, mostly one of the zone.
+func (e *Exchanger) pick() *roster.Record {
+	own := e.options.Roster.Own()
+	var near, far []*roster.Record
+	for _, record := range e.options.Roster.View().Records() {
+		switch {
+		case record.Node == own.Node || record.PeerAddress == "":
+		case record.Zone == own.Zone:
+			near = append(near, record)
+		default:
+			far = append(far, record)
+		}
+	}
+	from := far
+	if len(near) > 0 && (len(far) == 0 || rand.Float64() < nearShare) {
+		from = near
+	}
+	if len(from) == 0 {
+		return nil
+	}
+	return from[rand.N(len(from))]
+}
+
+// With exchanges with one peer until both have the same records.
+func (e *Exchanger) With(ctx context.Context, peer *roster.Record) error {
+	answer, err := e.post(ctx, peer, e.message(e.options.Roster.View().Digest()))
+	if err != nil {
+		if ctx.Err() == nil && e.options.Suspect != nil {
+			e.options.Suspect(peer)
+		}
+		return err
+	}
+	e.take(answer)
+	if answer.Digest == e.options.Roster.View().Digest() {
+		return nil
+	}
+	answer, err = e.post(ctx, peer, e.message(answer.Digest))
+	if err == nil {
+		e.take(answer)
+	}
+	return err
+}
+
+// Broadcast tells peers of the own record at once and returns how many have
+// heard it.
+func (e *Exchanger) Broadcast(ctx context.Context) int {
+	own := e.options.Roster.Own()
+	var peers []*roster.Record
+	for _, record := range e.options.Roster.View().Records() {
+		if record.Node != own.Node && record.PeerAddress != "" {
+			peers = append(peers, record)
+		}
+	}
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	peers = peers[:min(len(peers), broadcastPeers)]
+	var heard atomic.Int64
+	var group errgroup.Group
+	group.SetLimit(broadcastParallel)
+	for _, peer := range peers {
+		group.Go(func() error {
+			if _, err := e.post(ctx, peer, e.message(e.options.Roster.View().Digest())); err == nil {
+				heard.Add(1)
+			}
+			return nil
+		})
+	}
+	_ = group.Wait()
+	return int(heard.Load())
+}
+
+// message makes this node's side of an exchange with one whose roster has the
+// digest.
+func (e *Exchanger) message(other uint64) *Message {
+	view := e.options.Roster.View()
+	made := &Message{From: e.options.Roster.Own(), Digest: view.Digest(), Version: e.options.Configuration.Version()}
+	if other != view.Digest() {
+		made.Records = view.Records()
+	}
+	return made
+}
+
+// take merges a peer's message and fetches its configuration when it is newer.
+func (e *Exchanger) take(received *Message) {
+	e.options.Roster.Merge(append([]*roster.Record{received.From}, received.Records...))
+	e.Behind(received.From, received.Version)
+}
+
+// Behind fetches the configuration from a peer that has a newer one.
+func (e *Exchanger) Behind(peer *roster.Record, version uint64) {
+	if peer == nil || version <= e.options.Configuration.Version() || !e.fetching.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer e.fetching.Store(false)
+		if err := e.fetch(peer); err != nil {
+			e.options.Logger.Warn("configuration not fetched", zap.String("peer", peer.Node),
+				zap.Uint64("version", version), zap.Error(err))
+		}
+	}()
+}
+
+func (e *Exchanger) fetch(peer *roster.Record) error {
+	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer.PeerAddress+PathRoot+pathConfiguration, nil)
+	if err != nil {
+		return trace.Wrap(err, "fetch configuration")
+	}
+	answer, err := e.client.Do(request)
+	if err != nil {
+		return trace.Wrap(err, "fetch configuration")
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		return trace.Errorf("fetch configuration: status %d", answer.StatusCode)
+	}
+	raw, err := readDocument(answer)
+	if err != nil {
+		return trace.Wrap(err, "fetch configuration")
+	}
+	err = e.options.Configuration.Offer(raw, peer.Node)
+	if errors.Is(err, configuration.ErrNotNewer) {
+		return nil
+	}
+	return err
+}
+
+// post sends a message and reads the answer.
+func (e *Exchanger) post(ctx context.Context, peer *roster.Record, message *Message) (*Message, error) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	encoded, err := json.Marshal(message)
+	if err != nil {
+		return nil, trace.Wrap(err, "exchange")
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+peer.PeerAddress+PathRoot+pathExchange, bytes.NewReader(encoded))
+	if err != nil {
+		return nil, trace.Wrap(err, "exchange")
+	}
+	request.Header.Set("Content-Type", "application/json")
+	answer, err := e.client.Do(request)
+	if err != nil {
+		return nil, trace.Wrap(err, "exchange with %s", peer.Node)
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		return nil, trace.Wrap(fmt.Errorf("status %d", answer.StatusCode), "exchange with %s", peer.Node)
+	}
+	received := &Message{}
+	if err := json.NewDecoder(io.LimitReader(answer.Body, messageBytes)).Decode(received); err != nil {
+		return nil, trace.Wrap(err, "exchange with %s", peer.Node)
+	}
+	if received.From == nil {
+		return nil, trace.Errorf("exchange with %s: from is missing", peer.Node)
+	}
+	return received, nil
+}
--- /dev/null
+++ b/internal/sidecar/exchange/server.go
@@ -0,0 +1,54 @@
+package exchange
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/emicklei/go-restful/v3"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
+)
+
+const (
+	// messageBytes bounds one message.
+	messageBytes = 4 << 20
+	// documentBytes bounds a configuration fetched from a peer.
+	documentBytes = 16 << 20
+)
+
+// Service returns the web service of the peer listener.
+func (e *Exchanger) Service() *restful.WebService {
+	service := &restful.WebService{}
+	service.Path(PathRoot)
+	service.Route(service.POST(pathExchange).Consumes(restful.MIME_JSON).Produces(restful.MIME_JSON).To(e.serveExchange))
+	service.Route(service.GET(pathConfiguration).Produces(restful.MIME_OCTET).To(e.serveConfiguration))
+	return service
+}
+
+func (e *Exchanger) serveExchange(request *restful.Request, response *restful.Response) {
+	request.Request.Body = http.MaxBytesReader(response.ResponseWriter, request.Request.Body, messageBytes)
+	received := &Message{}
+	if err := request.ReadEntity(received); err != nil || received.From == nil {
+		_ = response.WriteErrorString(http.StatusBadRequest, "from: no exchange message")
+		return
+	}
+	e.take(received)
+	_ = response.WriteAsJson(e.message(received.Digest))
+}
+
+func (e *Exchanger) serveConfiguration(_ *restful.Request, response *restful.Response) {
+	raw := e.options.Configuration.Raw()
+	if raw == nil {
+		_ = response.WriteErrorString(http.StatusNotFound, "configuration: none is in force")
+		return
+	}
+	response.AddHeader(hop.HeaderVersion, strconv.FormatUint(e.options.Configuration.Version(), 10))
+	response.AddHeader("Content-Type", restful.MIME_OCTET)
+	_, _ = response.Write(raw)
+}
+
+// readDocument reads a configuration from a peer's answer.
+func readDocument(answer *http.Response) ([]byte, error) {
+	return io.ReadAll(io.LimitReader(answer.Body, documentBytes))
+}
--- /dev/null
+++ b/internal/sidecar/ingress/exchange.go
@@ -0,0 +1,139 @@
+package ingress
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/kestrelstream/kestrelstream/internal/proxy/forward"
+	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/body"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
+)
+
+// Causes of failed exchanges with the back end.
+var (
+	errShed      = errors.New("the back end did not process the request")
+	errMisplaced = errors.New("the answer belongs to another request")
+	errUnsigned  = errors.New("the answer bears no signature")
+	errPromise   = errors.New("the back end ran the request and answered with a status that denies it")
+	errBrokenOff = errors.New("the answer broke off")
+)
+
+const (
+	// markerCount is how many headers the node adds at most.
+	markerCount = 3
+	// sendsPerVisit bounds how often a request that wrote nothing is sent anew.
+	sendsPerVisit = 2
+)
+
+// exchange sends the request to the back end and passes its answer on. A second
+// send follows only when the first provably wrote nothing.
+func (a *arrival) exchange(sent *forward.Body) *outcome.Failure {
+	for send := 1; ; send++ {
+		interim := forward.NewInterim(a.writer, "")
+		response, err := a.handler.pool.RoundTrip(a.outgoing(interim, sent))
+		interim.Stop()
+		if err == nil {
+			return a.take(response, sent)
+		}
+		failure := a.failed(err)
+		again := failure.Outcome == outcome.NotRun && failure.Step == outcome.StepWrite && a.context.Err() == nil
+		if !again || send == sendsPerVisit || sent.Spent() {
+			return failure
+		}
+	}
+}
+
+// outgoing builds the request to the back end.
+func (a *arrival) outgoing(interim *forward.Interim, sent *forward.Body) *http.Request {
+	names := &a.handler.options.Vocabulary
+	header := forward.RequestHeader(a.request.Header, markerCount)
+	delete(header, "Expect")
+	remaining := time.Until(a.deadline)
+	header[names.Deadline] = []string{hop.FormatMilliseconds(remaining)}
+	header[names.TargetInstance] = []string{a.endpoint.ID}
+	header[names.CallerService] = []string{a.request.Header.Get(hop.HeaderCaller)}
+	outgoing := forward.NewRequest(a.context, a.request, a.handler.options.Address, header, interim)
+	forward.KeepTarget(outgoing, a.request)
+	sent.Attach(outgoing)
+	return outgoing
+}
+
+func (a *arrival) failed(err error) *outcome.Failure {
+	failure := &outcome.Failure{
+		Outcome: outcome.Unknown, Status: http.StatusBadGateway, Step: outcome.StepAwait,
+		Peer: a.handler.options.Address, Cause: err,
+	}
+	var known *forward.Error
+	if errors.As(err, &known) {
+		failure.Outcome, failure.Step = known.Outcome, known.Step
+	}
+	if failure.Outcome == outcome.NotRun {
+		failure.Status, failure.RetryAfter = http.StatusServiceUnavailable, refusedWait
+	}
+	if errors.Is(err, context.DeadlineExceeded) || a.context.Err() != nil {
+		failure.Status = http.StatusGatewayTimeout
+		failure.RetryAfter = 0
+	}
+	return failure
+}
+
+// take judges an answer and passes it on when it is the one to this request.
+func (a *arrival) take(response *http.Response, sent *forward.Body) *outcome.Failure {
+	if failure := a.judge(response); failure != nil {
+		_ = response.Body.Close()
+		return failure
+	}
+	if err := body.Gather(response); err != nil {
+		return a.unknown(errors.Join(errBrokenOff, err))
+	}
+	forward.RemoveHopByHop(response.Header)
+	outcome.StripMarkers(response.Header)
+	a.mark()
+	sent.CloseUnlessRead(a.writer.Header())
+	if err := forward.WriteReply(a.context, a.writer, response, ""); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	return nil
+}
+
+// judge tells what the back end's answer means. Only an answer that bears the
+// request's id is one to it.
+func (a *arrival) judge(response *http.Response) *outcome.Failure {
+	names := &a.handler.options.Vocabulary
+	header := response.Header
+	if header.Get(names.NotProcessed) != "" {
+		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepShed, a.retryAfter(), errShed)
+	}
+	if response.StatusCode == http.StatusMisdirectedRequest {
+		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepIdentity, refusedWait, errIdentity)
+	}
+	if header.Get(names.RequestID) != a.request.Header.Get(names.RequestID) {
+		return a.unknown(errMisplaced)
+	}
+	if response.StatusCode < http.StatusMultipleChoices && header.Get(names.Signature) == "" {
+		return a.unknown(errUnsigned)
+	}
+	if promisesNotRun(response.StatusCode) {
+		return a.unknown(errPromise)
+	}
+	return nil
+}
+
+// promisesNotRun reports whether callers read the status as "has not run".
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+func (a *arrival) unknown(cause error) *outcome.Failure {
+	return &outcome.Failure{
+		Outcome: outcome.Unknown, Status: http.StatusBadGateway, Step: outcome.StepBody,
+		Peer: a.handler.options.Address, Cause: cause,
+	}
+}
--- /dev/null
+++ b/internal/sidecar/ingress/handler.go
@@ -0,0 +1,325 @@
+// Package ingress is the side of a sidecar that stands before the local back
+// end. Nothing reaches the back end but through it: it alone admits, orders,
+// refuses and enforces that a back end which is leaving gets no new work.
+package ingress
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/kestrelstream/kestrelstream/internal/proxy/forward"
+	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/admission"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+)
+
+// Options configure the handler.
+type Options struct {
+	Vocabulary hop.Vocabulary
+	// Address is the back end's own listener, host:port.
+	Address string
+	// Endpoint returns the back end beside the node, or nil.
+	Endpoint func() *roster.Endpoint
+	// Version returns the version of the configuration in force.
+	Version func() uint64
+	// DrainAfter is how long after a back end's word that it is leaving new
+	// work is still taken.
+	DrainAfter time.Duration
+	// Dial opens connections to the back end.
+	Dial     forward.Dialer
+	Logger   *zap.Logger
+	Observer Observer
+}
+
+// Observer is told how requests went at the back end.
+type Observer interface {
+	// Arrived: a request has its answer or was refused, after that time in all
+	// and that time in the queue.
+	Arrived(result outcome.Outcome, step outcome.Step, elapsed, waited time.Duration)
+}
+
+const (
+	// dialTimeout bounds the opening of a connection to the back end, which is
+	// on the same machine.
+	dialTimeout = 400 * time.Millisecond
+	// idleTimeout is how long a connection is kept when the back end does not
+	// say how long it keeps it.
+	idleTimeout = 3 * time.Second
+	// replyHeaderBytes bounds the headers of an answer.
+	replyHeaderBytes = 64 << 10
+	// defaultConnections bounds the connections until the configuration says.
+	defaultConnections = 64
+	// refusedWait is the Retry-After of refusals when nothing better is known.
+	refusedWait = 100 * time.Millisecond
+)
+
+// Handler serves other nodes and its own. It is safe for concurrent use.
+type Handler struct {
+	options Options
+	pool    *forward.Pool
+	gate    *admission.Gate
+	// leavingSince is when the back end with leavingID was first known to be
+	// leaving; nil while it is not.
+	leaving  atomic.Pointer[leaving]
+	stopping atomic.Bool
+}
+
+// leaving remembers since when a back end is leaving.
+type leaving struct {
+	id    string
+	since time.Time
+}
+
+// New returns a handler that refuses everything until a back end is known.
+func New(options Options) *Handler {
+	return &Handler{
+		options: options,
+		pool: forward.NewPool(options.Address, forward.Limits{
+			Connections:      defaultConnections,
+			IdleTimeout:      idleTimeout,
+			DialTimeout:      dialTimeout,
+			ReplyHeaderBytes: replyHeaderBytes,
+			AllowUnframed:    true,
+		}, options.Dial),
+		gate: admission.New(time.Now),
+	}
+}
+
+// Follow takes in the state of the back end: how much it works on at once, and
+// whether it is leaving.
+func (h *Handler) Follow(endpoint *roster.Endpoint) {
+	if endpoint == nil {
+		return
+	}
+	h.gate.Resize(max(endpoint.Slots, 1))
+	held := h.leaving.Load()
+	switch {
+	case endpoint.State == roster.Ready:
+		h.leaving.Store(nil)
+	case held == nil || held.id != endpoint.ID:
+		h.leaving.Store(&leaving{id: endpoint.ID, since: time.Now()})
+	}
+}
+
+// SetConnections bounds the connections to the back end.
+func (h *Handler) SetConnections(connections int) {
+	if connections <= 0 {
+		connections = defaultConnections
+	}
+	h.pool.SetLimits(forward.Limits{
+		Connections: connections, IdleTimeout: idleTimeout, DialTimeout: dialTimeout, ReplyHeaderBytes: replyHeaderBytes,
+	})
+}
+
+// Stop has answers close their connections from now on.
+func (h *Handler) Stop() { h.stopping.Store(true) }
+
+// Load returns the state of the back end's slots.
+func (h *Handler) Load() admission.Load { return h.gate.Load() }
+
+// Sweep closes idle connections that are too old or broken.
+func (h *Handler) Sweep(now time.Time) { h.pool.Sweep(now) }
+
+// leftBehind reports whether the back end takes no new work any more.
+func (h *Handler) leftBehind(id string) bool {
+	held := h.leaving.Load()
+	return held != nil && held.id == id && time.Since(held.since) >= h.options.DrainAfter
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if h.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	arrival := &arrival{handler: h, writer: w, request: r, started: time.Now()}
+	failure := arrival.serve()
+	if failure != nil {
+		arrival.reply(failure)
+	}
+	arrival.ended(failure)
+}
+
+// Causes of refusals.
+var (
+	errNoEndpoint = errors.New("no back end has made itself known")
+	errIdentity   = errors.New("another back end is at this address")
+	errLeaving    = errors.New("the back end is leaving")
+	errDeadline   = errors.New("the request bears no remaining time")
+	errNoCaller   = errors.New("the request did not come through a node")
+)
+
+// readBodyLimit is how much of a body that waited for consent is read at once.
+const readBodyLimit = 64 << 10
+
+// arrival is one request of a node. It is used by one goroutine.
+type arrival struct {
+	handler  *Handler
+	writer   http.ResponseWriter
+	request  *http.Request
+	started  time.Time
+	waited   time.Duration
+	endpoint *roster.Endpoint
+	deadline time.Time
+	context  context.Context
+}
+
+// serve carries the request through. A nil result means that it is answered.
+func (a *arrival) serve() *outcome.Failure {
+	if failure := a.check(); failure != nil {
+		return failure
+	}
+	var cancel context.CancelFunc
+	a.context, cancel = context.WithDeadline(a.request.Context(), a.deadline)
+	defer cancel()
+	consent := len(a.request.Header["Expect"]) > 0
+	var body *forward.Body
+	if !consent {
+		read, err := a.readBody()
+		if err != nil {
+			return outcome.Refusal(http.StatusBadRequest, outcome.StepRequest, 0, err)
+		}
+		body = read
+	}
+	slot, failure := a.admit()
+	if failure != nil {
+		return failure
+	}
+	served := false
+	defer func() { slot.Release(served) }()
+	if consent {
+		// The first read tells the caller's node to send the body. Without the
+		// whole of it nothing is run.
+		read, err := a.readConsented()
+		if err != nil {
+			return outcome.Refusal(http.StatusBadRequest, outcome.StepRequest, 0, err)
+		}
+		body = read
+	}
+	failure = a.exchange(body)
+	served = failure == nil
+	return failure
+}
+
+func (a *arrival) check() *outcome.Failure {
+	header := a.request.Header
+	if header.Get(outcome.HeaderService) == "" {
+		return outcome.Refusal(http.StatusForbidden, outcome.StepRequest, 0, errNoCaller)
+	}
+	a.endpoint = a.handler.options.Endpoint()
+	if a.endpoint == nil {
+		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepIdentity, refusedWait, errNoEndpoint)
+	}
+	if a.endpoint.ID != header.Get(hop.HeaderEndpoint) || a.endpoint.Service != header.Get(outcome.HeaderService) {
+		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepIdentity, refusedWait, errIdentity)
+	}
+	if a.handler.leftBehind(a.endpoint.ID) {
+		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepDrain, refusedWait, errLeaving)
+	}
+	remaining, valid := hop.Milliseconds(header.Get(outcome.HeaderDeadline))
+	if !valid {
+		return outcome.Refusal(http.StatusBadRequest, outcome.StepRequest, 0, errDeadline)
+	}
+	a.deadline = a.started.Add(remaining)
+	return nil
+}
+
+func (a *arrival) readBody() (*forward.Body, error) {
+	const unlimited = 1 << 40
+	return forward.ReadBody(a.context, a.writer, a.request, unlimited, "")
+}
+
+// readConsented reads a body whose sender waited for the slot. A short one is
+// read whole, so that one that breaks off is never run.
+func (a *arrival) readConsented() (*forward.Body, error) {
+	stop := context.AfterFunc(a.context, func() {
+		_ = http.NewResponseController(a.writer).SetReadDeadline(time.Unix(1, 0))
+	})
+	defer stop()
+	read, err := io.ReadAll(io.LimitReader(a.request.Body, readBodyLimit))
+	if err != nil {
+		return nil, err
+	}
+	if len(read) < readBodyLimit {
+		return forward.BufferedBody(read), nil
+	}
+	return forward.ContinuedBody(read, a.writer, a.request)
+}
+
+// admit waits for a slot of the back end.
+func (a *arrival) admit() (*admission.Slot, *outcome.Failure) {
+	priority, _ := strconv.Atoi(a.request.Header.Get(hop.HeaderPriority))
+	maximum, _ := hop.Milliseconds(a.request.Header.Get(hop.HeaderMaximumWait))
+	slot, err := a.handler.gate.Acquire(a.context, admission.Ticket{
+		Priority: priority, Deadline: a.deadline, MaximumWait: maximum,
+	})
+	a.waited = time.Since(a.started)
+	if err != nil {
+		return nil, outcome.Refusal(http.StatusServiceUnavailable, outcome.StepAdmit, a.retryAfter(), err)
+	}
+	if a.handler.leftBehind(a.endpoint.ID) {
+		slot.Release(false)
+		return nil, outcome.Refusal(http.StatusServiceUnavailable, outcome.StepDrain, refusedWait, errLeaving)
+	}
+	return slot, nil
+}
+
+// retryAfter is the time in which the queue is expected to be worked off.
+func (a *arrival) retryAfter() time.Duration {
+	load := a.handler.gate.Load()
+	wait := load.Service * time.Duration(load.Waiting+1) / time.Duration(max(load.Slots, 1))
+	return max(wait, refusedWait/2)
+}
+
+// reply sends a failure that the node answers itself.
+func (a *arrival) reply(failure *outcome.Failure) {
+	defer forward.PrepareOwnReply(a.context, a.writer, a.request, nil)()
+	a.mark()
+	header := a.writer.Header()
+	header[outcome.HeaderOutcome] = []string{string(failure.Outcome)}
+	header[outcome.HeaderError] = []string{"step=" + string(failure.Step)}
+	if failure.RetryAfter > 0 {
+		header["Retry-After"] = []string{hop.FormatSeconds(failure.RetryAfter)}
+	}
+	header["Content-Length"] = []string{"0"}
+	a.writer.WriteHeader(failure.Status)
+}
+
+// mark adds the node's load and version to a reply.
+func (a *arrival) mark() {
+	header := a.writer.Header()
+	header[outcome.HeaderLoad] = []string{hop.FormatLoad(a.handler.gate.Load())}
+	header[hop.HeaderVersion] = []string{strconv.FormatUint(a.handler.options.Version(), 10)}
+}
+
+func (a *arrival) ended(failure *outcome.Failure) {
+	options := &a.handler.options
+	elapsed := time.Since(a.started)
+	if failure == nil {
+		options.Observer.Arrived("", "", elapsed, a.waited)
+		return
+	}
+	options.Observer.Arrived(failure.Outcome, failure.Step, elapsed, a.waited)
+	entry := options.Logger.Check(zap.InfoLevel, "arrival failed")
+	if entry == nil {
+		return
+	}
+	load := a.handler.gate.Load()
+	entry.Write(
+		zap.String("request", a.request.Header.Get(options.Vocabulary.RequestID)),
+		zap.String("outcome", string(failure.Outcome)),
+		zap.String("step", string(failure.Step)),
+		zap.String("peer", a.request.RemoteAddr),
+		zap.String("endpoint", a.request.Header.Get(hop.HeaderEndpoint)),
+		zap.Int("running", load.Running), zap.Int("waiting", load.Waiting), zap.Int("slots", load.Slots),
+		zap.Duration("waited", a.waited), zap.Duration("elapsed", elapsed),
+		zap.NamedError("cause", failure.Cause),
+	)
+}
--- /dev/null
+++ b/internal/sidecar/metrics.go
@@ -0,0 +1,95 @@
+package sidecar
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
+)
+
+// metrics counts what the node decides. Label sets are bounded: outcomes, steps
+// and statuses are few, services are those of the configuration.
+type metrics struct {
+	calls    *prometheus.CounterVec
+	latency  prometheus.Histogram
+	sends    *prometheus.CounterVec
+	arrivals *prometheus.CounterVec
+	queued   prometheus.Histogram
+	worked   prometheus.Histogram
+}
+
+// latencyBuckets are in seconds.
+var latencyBuckets = []float64{.005, .01, .025, .05, .1, .2, .4, .8, 1.6, 3.2, 6.4}
+
+func newMetrics(registry prometheus.Registerer) *metrics {
+	created := &metrics{
+		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "kestrel_sidecar_calls_total", Help: "Calls of this machine's callers by status, outcome and step.",
+		}, []string{"status", "outcome", "step"}),
+		latency: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "kestrel_sidecar_call_seconds", Help: "Time from a call to the end of its answer.", Buckets: latencyBuckets,
+		}),
+		sends: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "kestrel_sidecar_sends_total", Help: "Requests sent to nodes, by service and whether an earlier node was tried.",
+		}, []string{"service", "repeat"}),
+		arrivals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "kestrel_sidecar_arrivals_total", Help: "Requests of nodes for the local back end by outcome and step.",
+		}, []string{"outcome", "step"}),
+		queued: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "kestrel_sidecar_queue_seconds", Help: "Time that requests waited for a slot.", Buckets: latencyBuckets,
+		}),
+		worked: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "kestrel_sidecar_backend_seconds", Help: "Time that the back end held requests.", Buckets: latencyBuckets,
+		}),
+	}
+	registry.MustRegister(created.calls, created.latency, created.sends, created.arrivals, created.queued, created.worked)
+	return created
+}
+
+// CallEnded implements egress.Observer.
+func (m *metrics) CallEnded(_ string, status int, result outcome.Outcome, step outcome.Step, elapsed time.Duration) {
+	m.calls.WithLabelValues(strconv.Itoa(status), string(result), string(step)).Inc()
+	m.latency.Observe(elapsed.Seconds())
+}
+
+// Sent counts one send.
+func (m *metrics) Sent(service string, attempt int) {
+	m.sends.WithLabelValues(service, strconv.FormatBool(attempt > 1)).Inc()
+}
+
+// Arrived implements ingress.Observer.
+func (m *metrics) Arrived(result outcome.Outcome, step outcome.Step, elapsed, waited time.Duration) {
+	m.arrivals.WithLabelValues(string(result), string(step)).Inc()
+	m.queued.Observe(waited.Seconds())
+	m.worked.Observe((elapsed - waited).Seconds())
+}
+
+// watch adds gauges that read the node's state.
+func (s *Sidecar) watch(registry prometheus.Registerer) {
+	gauge := func(name, help string, read func() float64) {
+		registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, read))
+	}
+	gauge("kestrel_sidecar_configuration_version", "Version in force, 0 before the first.", func() float64 {
+		return float64(s.keeper.Version())
+	})
+	gauge("kestrel_sidecar_configuration_age_seconds", "Time since the version came into force.", func() float64 {
+		return s.keeper.Age().Seconds()
+	})
+	gauge("kestrel_sidecar_members", "Nodes in the roster.", func() float64 { return float64(len(s.members.View().Records())) })
+	gauge("kestrel_sidecar_running", "Requests at the local back end.", func() float64 { return float64(s.ingress.Load().Running) })
+	gauge("kestrel_sidecar_waiting", "Requests that wait for a slot.", func() float64 { return float64(s.ingress.Load().Waiting) })
+	gauge("kestrel_sidecar_calls_in_flight", "Calls under way.", func() float64 { return float64(s.egress.InFlight()) })
+	gauge("kestrel_sidecar_retry_budget", "Least repeats left of all services.", s.leastBudget)
+}
+
+func (s *Sidecar) leastBudget() float64 {
+	least, found := 0.0, false
+	for _, left := range s.egress.BudgetLeft() {
+		if !found || left < least {
+			least, found = left, true
+		}
+	}
+	return least
+}
--- /dev/null
+++ b/internal/sidecar/roster/record.go
@@ -0,0 +1,120 @@
+// Package roster holds what a sidecar knows of the others: one record per node,
+// merged by version from whatever way it came. The package is pure apart from
+// the published view, which is replaced whole.
+package roster
+
+import (
+	"slices"
+	"time"
+)
+
+// State is what a back end says of itself.
+type State string
+
+// The states of a back end.
+const (
+	Ready    State = "ready"
+	Draining State = "draining"
+	// Gone: the back end has said that it ends. Final for its id.
+	Gone State = "gone"
+)
+
+// Endpoint is the back end beside a node.
+type Endpoint struct {
+	ID       string `json:"id"`
+	Service  string `json:"service"`
+	Slots    int    `json:"slots"`
+	State    State  `json:"state"`
+	Sequence uint64 `json:"sequence"`
+}
+
+// Record is what one node says of itself. Only the node itself makes records
+// of it; everyone else passes them on unchanged.
+type Record struct {
+	Node string `json:"node"`
+	// Epoch rises with each start of the node's process, Counter with each
+	// change within it.
+	Epoch   uint64 `json:"epoch"`
+	Counter uint64 `json:"counter"`
+	// Address takes requests of other nodes, PeerAddress exchanges.
+	Address     string `json:"address"`
+	PeerAddress string `json:"peerAddress"`
+	Zone        string `json:"zone"`
+	// Leaving: the node's process has begun its planned stop.
+	Leaving bool `json:"leaving,omitempty"`
+	// Endpoint is nil until a back end has made itself known.
+	Endpoint *Endpoint `json:"endpoint,omitempty"`
+	// Ended lists the last ids that are final, the newest last.
+	Ended []string `json:"ended,omitempty"`
+}
+
+// Newer reports whether the record replaces the other one.
+func (r *Record) Newer(other *Record) bool {
+	if r.Epoch != other.Epoch {
+		return r.Epoch > other.Epoch
+	}
+	return r.Counter > other.Counter
+}
+
+// AcceptsWork reports whether new requests may go to the node's back end.
+func (r *Record) AcceptsWork() bool {
+	return !r.Leaving && r.Endpoint != nil && r.Endpoint.State == Ready
+}
+
+// endedRemembered is how many final ids a record carries. A late heartbeat
+// concerns one of the last few.
+const endedRemembered = 16
+
+// HasEnded reports whether the id is final.
+func (r *Record) HasEnded(id string) bool { return slices.Contains(r.Ended, id) }
+
+// Heartbeat is what a back end says at one moment.
+type Heartbeat struct {
+	Endpoint
+	// WarmupLeft is how long the back end stays slow from its start.
+	WarmupLeft time.Duration
+}
+
+// Beat returns the record after a heartbeat, and whether it changed. A final id
+// stays final, and the highest sequence of an id wins. A new id ends the
+// previous one.
+func (r Record) Beat(beat Heartbeat) (next Record, changed bool) {
+	if r.HasEnded(beat.ID) {
+		return r, false
+	}
+	held := r.Endpoint
+	if held == nil || held.ID != beat.ID {
+		if held != nil {
+			r.Ended = appendEnded(r.Ended, held.ID)
+		}
+		fresh := beat.Endpoint
+		r.Endpoint = &fresh
+		return r, true
+	}
+	if held.State == Gone || beat.Sequence < held.Sequence {
+		return r, false
+	}
+	changed = held.State != beat.State || held.Slots != beat.Slots || held.Service != beat.Service
+	fresh := beat.Endpoint
+	r.Endpoint = &fresh
+	return r, changed
+}
+
+// End returns the record after a back end has said that it ends.
+func (r Record) End(id string) (next Record, changed bool) {
+	if r.HasEnded(id) {
+		return r, false
+	}
+	r.Ended = appendEnded(r.Ended, id)
+	if r.Endpoint != nil && r.Endpoint.ID == id {
+		gone := *r.Endpoint
+		gone.State = Gone
+		r.Endpoint = &gone
+	}
+	return r, true
+}
+
+func appendEnded(ended []string, id string) []string {
+	kept := append(slices.Clone(ended), id)
+	return kept[max(0, len(kept)-endedRemembered):]
+}
--- /dev/null
+++ b/internal/sidecar/roster/roster.go
@@ -0,0 +1,187 @@
+package roster
+
+import (
+	"encoding/binary"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// View is one state of the roster. It is immutable.
+type View struct {
+	records  map[string]*Record
+	services map[string][]*Record
+	digest   uint64
+}
+
+// Digest is equal for equal views.
+func (v *View) Digest() uint64 { return v.digest }
+
+// Record returns a node's record or nil.
+func (v *View) Record(node string) *Record { return v.records[node] }
+
+// Service returns the records whose back end is of the service, by node name.
+func (v *View) Service(name string) []*Record { return v.services[name] }
+
+// Records returns all records by node name.
+func (v *View) Records() []*Record {
+	list := make([]*Record, 0, len(v.records))
+	for _, node := range slices.Sorted(maps.Keys(v.records)) {
+		list = append(list, v.records[node])
+	}
+	return list
+}
+
+// Roster merges records. It is safe for concurrent use; reads take no lock.
+type Roster struct {
+	self string
+	view atomic.Pointer[View]
+
+	mutex     sync.Mutex // guards all below and the replacement of view
+	records   map[string]*Record
+	observers []func(changed []*Record)
+}
+
+// New returns a roster that holds the node's own first record.
+func New(own Record) *Roster {
+	created := &Roster{self: own.Node, records: map[string]*Record{own.Node: &own}}
+	created.publish()
+	return created
+}
+
+// View returns the current state.
+func (r *Roster) View() *View { return r.view.Load() }
+
+// Own returns the node's own record.
+func (r *Roster) Own() *Record { return r.View().Record(r.self) }
+
+// Observe has the function called after each change, with the lock held, so
+// that changes arrive in order. It must not block.
+func (r *Roster) Observe(observer func(changed []*Record)) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.observers = append(r.observers, observer)
+}
+
+// Merge takes in records of others. A record of this node from an earlier life,
+// or one that is ahead of it, raises the node's own epoch above it and hands
+// over what that life knew of the back end.
+func (r *Roster) Merge(records []*Record) (changed []*Record) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, record := range records {
+		if record == nil || record.Node == "" {
+			continue
+		}
+		if record.Node == r.self {
+			changed = append(changed, r.refute(record)...)
+			continue
+		}
+		held := r.records[record.Node]
+		if held == nil || record.Newer(held) {
+			r.records[record.Node] = record
+			changed = append(changed, record)
+		}
+	}
+	r.announce(changed)
+	return changed
+}
+
+// refute puts the own record above one that an earlier life left behind.
+func (r *Roster) refute(remembered *Record) []*Record {
+	own := *r.records[r.self]
+	if !remembered.Newer(&own) {
+		return nil
+	}
+	own.Epoch = remembered.Epoch + 1
+	for _, id := range remembered.Ended {
+		if !own.HasEnded(id) {
+			own.Ended = appendEnded(own.Ended, id)
+		}
+	}
+	own.Endpoint = inherited(own, remembered.Endpoint)
+	r.records[r.self] = &own
+	return []*Record{&own}
+}
+
+// inherited decides which back end the node has after an earlier life's record
+// came to light: what was heard in this life, unless the earlier one knows that
+// it has ended or heard a later word of it.
+func inherited(own Record, remembered *Endpoint) *Endpoint {
+	held := own.Endpoint
+	switch {
+	case remembered == nil:
+		return held
+	case held == nil:
+		return remembered
+	case held.ID == remembered.ID && (remembered.Sequence > held.Sequence || remembered.State == Gone):
+		return remembered
+	case own.HasEnded(held.ID):
+		gone := *held
+		gone.State = Gone
+		return &gone
+	}
+	return held
+}
+
+// Update replaces the own record by what the function makes of it, under the
+// next counter, when the function reports a change.
+func (r *Roster) Update(change func(Record) (Record, bool)) (own *Record, changed bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	next, changed := change(*r.records[r.self])
+	if changed {
+		next.Counter++
+	}
+	r.records[r.self] = &next
+	if changed {
+		r.announce([]*Record{&next})
+	}
+	return &next, changed
+}
+
+// Remove drops the record of a node that has withdrawn it.
+func (r *Roster) Remove(node string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	held := r.records[node]
+	if node == r.self || held == nil {
+		return
+	}
+	delete(r.records, node)
+	withdrawn := *held
+	withdrawn.Leaving = true
+	r.announce([]*Record{&withdrawn})
+}
+
+// announce publishes the view and tells the observers; the lock is held.
+func (r *Roster) announce(changed []*Record) {
+	if len(changed) == 0 {
+		return
+	}
+	r.publish()
+	for _, observer := range r.observers {
+		observer(changed)
+	}
+}
+
+func (r *Roster) publish() {
+	view := &View{records: maps.Clone(r.records), services: map[string][]*Record{}}
+	digest := xxhash.New()
+	for _, record := range view.Records() {
+		_, _ = digest.WriteString(record.Node)
+		var versions [16]byte
+		binary.LittleEndian.PutUint64(versions[:8], record.Epoch)
+		binary.LittleEndian.PutUint64(versions[8:], record.Counter)
+		_, _ = digest.Write(versions[:])
+		if record.Endpoint != nil {
+			service := record.Endpoint.Service
+			view.services[service] = append(view.services[service], record)
+		}
+	}
+	view.digest = digest.Sum64()
+	r.view.Store(view)
+}
--- /dev/null
+++ b/internal/sidecar/route/table.go
@@ -0,0 +1,106 @@
+package route
+
+import (
+	"slices"
+	"strings"
+)
+
+// Table matches requests to routes. It is immutable except for the counters
+// of the splits, which outlive versions.
+type Table struct {
+	document *Document
+	hosts    map[string]map[string]*Matched
+	services map[string]*Service
+}
+
+// Matched is a route in force, with the state of its split.
+type Matched struct {
+	Route
+	split *split
+}
+
+// NextService returns the service that takes the route's next request.
+func (m *Matched) NextService() string {
+	if len(m.Targets) == 1 {
+		return m.Targets[0].Service
+	}
+	return m.split.next(m.Targets)
+}
+
+// Compile validates the document and builds its table. A split keeps its place
+// in the sequence when the previous table, which may be nil, has the same one.
+func Compile(document *Document, previous *Table) (*Table, error) {
+	if err := document.Validate(); err != nil {
+		return nil, err
+	}
+	compiled := &Table{
+		document: document,
+		hosts:    map[string]map[string]*Matched{},
+		services: make(map[string]*Service, len(document.Services)),
+	}
+	for index := range document.Services {
+		compiled.services[document.Services[index].Name] = &document.Services[index]
+	}
+	for index := range document.Routes {
+		compiled.add(&document.Routes[index], previous)
+	}
+	return compiled, nil
+}
+
+func (t *Table) add(route *Route, previous *Table) {
+	host := normalizeHost(route.Host)
+	prefixes := t.hosts[host]
+	if prefixes == nil {
+		prefixes = map[string]*Matched{}
+		t.hosts[host] = prefixes
+	}
+	prefixes[route.PathPrefix] = &Matched{Route: *route, split: previous.splitOf(host, route)}
+}
+
+// splitOf returns the split of the same targets at the same place, or a new one.
+func (t *Table) splitOf(host string, route *Route) *split {
+	if t != nil {
+		held := t.hosts[host][route.PathPrefix]
+		if held != nil && slices.Equal(held.Targets, route.Targets) {
+			return held.split
+		}
+	}
+	return newSplit()
+}
+
+// Version is the version of the table's document; zero for a nil table.
+func (t *Table) Version() uint64 {
+	if t == nil {
+		return 0
+	}
+	return t.document.Version
+}
+
+// Document is the document the table was compiled from.
+func (t *Table) Document() *Document { return t.document }
+
+// Service returns a declared service or nil.
+func (t *Table) Service(name string) *Service { return t.services[name] }
+
+// Match finds the route of the host whose prefix begins the path and is the
+// longest, or nil. The path is the escaped one, as it was received.
+func (t *Table) Match(host, path string) *Matched {
+	prefixes := t.hosts[normalizeHost(host)]
+	if prefixes == nil {
+		return nil
+	}
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if matched := prefixes[path[:end+1]]; matched != nil {
+			return matched
+		}
+	}
+	return nil
+}
+
+// normalizeHost brings a host into lower case, without port and trailing dot.
+func normalizeHost(host string) string {
+	if colon := strings.LastIndexByte(host, ':'); colon >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:colon]
+	}
+	return strings.ToLower(strings.TrimSuffix(host, "."))
+}
--- /dev/null
+++ b/internal/sidecar/run.go
@@ -0,0 +1,111 @@
+package sidecar
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/configuration"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/membership"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+)
+
+const (
+	// sweepInterval is the time between two looks at idle connections.
+	sweepInterval = 2 * time.Second
+	// stopPoll is the time between two looks at whether a stop is done.
+	stopPoll = 50 * time.Millisecond
+	// stopLeast is how long a stopping node serves at least: so long the
+	// platform takes to lead callers elsewhere.
+	stopLeast = 2500 * time.Millisecond
+	// stopQuiet is the time without a call after which no more are expected.
+	stopQuiet = 600 * time.Millisecond
+	// stopRefuse and stopEnd are how long before the forced end new calls are
+	// refused, and the listeners are closed.
+	stopRefuse = 1200 * time.Millisecond
+	stopEnd    = 450 * time.Millisecond
+	// withdrawTimeout bounds the last word to the store.
+	withdrawTimeout = 300 * time.Millisecond
+)
+
+// Run does the node's work in the background until the context ends.
+func (s *Sidecar) Run(ctx context.Context) {
+	var running sync.WaitGroup
+	work := []func(){
+		func() { configuration.Follow(ctx, s.options.Store, s.options.ConfigurationKey, s.keeper, s.logger) },
+		func() { membership.Follow(ctx, s.options.Store, s.members, s.logger) },
+		func() { s.publisher.Run(ctx) },
+		func() { s.exchanger.Run(ctx) },
+		func() { s.sweep(ctx) },
+	}
+	for _, task := range work {
+		running.Go(task)
+	}
+	running.Wait()
+}
+
+func (s *Sidecar) sweep(ctx context.Context) {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			s.egress.Sweep(now)
+			s.ingress.Sweep(now)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Drain brings the node to its planned stop: it is no longer ready, tells its
+// peers, and serves what still comes until nothing does or the time is nearly
+// over. The listeners are to be closed after that.
+func (s *Sidecar) Drain() {
+	started := time.Now()
+	s.stopping.Store(true)
+	s.egress.Stop()
+	s.ingress.Stop()
+	s.members.Update(func(record roster.Record) (roster.Record, bool) {
+		record.Leaving = true
+		return record, true
+	})
+	go s.spread(context.Background())
+	s.logger.Info("stop begins", zap.Int("callsInFlight", s.egress.InFlight()), zap.Int("running", s.ingress.Load().Running))
+	for !s.drained(time.Since(started)) {
+		time.Sleep(stopPoll)
+	}
+	s.withdraw()
+	s.logger.Info("stop ends", zap.Int("callsInFlight", s.egress.InFlight()),
+		zap.Int("running", s.ingress.Load().Running), zap.Duration("elapsed", time.Since(started)))
+}
+
+// drained reports whether the stop is done after that time.
+func (s *Sidecar) drained(elapsed time.Duration) bool {
+	grace := s.options.Settings.Grace
+	if elapsed >= grace-stopEnd {
+		return true
+	}
+	if elapsed >= grace-stopRefuse {
+		s.egress.Refuse()
+	}
+	load := s.ingress.Load()
+	idle := s.egress.InFlight() == 0 && load.Running+load.Waiting == 0
+	return idle && elapsed >= min(stopLeast, grace/2) && time.Since(s.egress.LastCall()) >= stopQuiet
+}
+
+// withdraw removes the node's key when its back end has ended: neither comes
+// back under this name.
+func (s *Sidecar) withdraw() {
+	endpoint := s.members.Own().Endpoint
+	if endpoint == nil || endpoint.State != roster.Gone {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), withdrawTimeout)
+	defer cancel()
+	if err := s.publisher.Withdraw(ctx); err != nil {
+		s.logger.Warn("record not withdrawn", zap.Error(err))
+	}
+}
--- /dev/null
+++ b/internal/sidecar/settings.go
@@ -0,0 +1,46 @@
+// Package sidecar is the node beside one back end: it serves the callers and
+// the back end of its machine, follows the configuration, and knows the other
+// nodes. It needs no disk and no other machine but the store and its peers.
+package sidecar
+
+import (
+	"time"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/egress"
+)
+
+// Settings are what a sidecar is told before it starts.
+type Settings struct {
+	// Node names this node among all; Host is its address without a port.
+	Node, Zone, Region, Host string
+	// Service is that of the back end beside the node.
+	Service string
+	// BackendAddress is the back end's own listener, host:port.
+	BackendAddress string
+	// StoreAddress is the platform's store, host:port.
+	StoreAddress string
+	// ValueBytes is the longest value that the store takes.
+	ValueBytes int64
+	Listen     Listen
+	// MemoryBytes is what the process may use; zero means no bound.
+	MemoryBytes int64
+	// DrainBound is how long after its word that it is leaving a back end may
+	// still get new work.
+	DrainBound time.Duration
+	// Grace is the time between the request to stop and the forced end.
+	Grace time.Duration
+	// Retries bound the repeated sends of all nodes together.
+	Retries egress.RetryLimits
+}
+
+// Listen holds the addresses to bind, host:port.
+type Listen struct {
+	// Outbound takes callers' requests, Inbound those of other nodes.
+	Outbound, Inbound string
+	// Peer takes exchanges of other nodes.
+	Peer string
+	// Readiness and Control are asked and told by the platform.
+	Readiness, Control string
+	// Metrics serves metrics; empty serves none.
+	Metrics string
+}
--- /dev/null
+++ b/internal/sidecar/sidecar.go
@@ -0,0 +1,201 @@
+package sidecar
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"github.com/kestrelstream/kestrelstream/internal/proxy/forward"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/choice"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/configuration"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/dial"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/egress"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/exchange"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/ingress"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/membership"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/route"
+)
+
+// Store is what a sidecar needs of the store.
+type Store = membership.Store
+
+// Options are the parts that the assembly provides.
+type Options struct {
+	Settings   Settings
+	Vocabulary hop.Vocabulary
+	// ConfigurationKey is where the store has the configuration.
+	ConfigurationKey string
+	Decode           configuration.Decoder
+	Store            Store
+	Logger           *zap.Logger
+	Registry         prometheus.Registerer
+}
+
+const (
+	// drainShare is the part of the drain bound after which a back end that is
+	// leaving gets no new work any more; the rest covers what is on its way.
+	drainShare = 0.5
+	// peerSilence bounds connections to other nodes.
+	peerUnacknowledged = 1500 * time.Millisecond
+	peerIdle           = time.Second
+	exchangeDial       = 400 * time.Millisecond
+	storeDial          = time.Second
+	storeSilence       = 3 * time.Second
+)
+
+// Sidecar is one node. It is safe for concurrent use.
+type Sidecar struct {
+	options   Options
+	logger    *zap.Logger
+	members   *roster.Roster
+	keeper    *configuration.Keeper
+	publisher *membership.Publisher
+	exchanger *exchange.Exchanger
+	egress    *egress.Handler
+	ingress   *ingress.Handler
+	stopping  atomic.Bool
+}
+
+// StoreDialer returns the dialer for connections to the store.
+func StoreDialer() func(ctx context.Context, network, address string) (net.Conn, error) {
+	return dial.Dialer(storeDial, dial.Silence{Unacknowledged: storeSilence, Idle: peerIdle})
+}
+
+// New returns a sidecar that serves nobody before its first configuration.
+func New(options Options) *Sidecar {
+	settings := &options.Settings
+	created := &Sidecar{
+		options: options,
+		logger:  options.Logger,
+		members: roster.New(roster.Record{
+			Node: settings.Node, Epoch: 1, Counter: 1, Zone: settings.Zone,
+			Address: settings.Listen.Inbound, PeerAddress: settings.Listen.Peer,
+		}),
+		keeper: configuration.NewKeeper(options.Decode, options.Logger),
+	}
+	observed := newMetrics(options.Registry)
+	created.addIngress(observed)
+	created.addEgress(observed)
+	created.exchanger = exchange.New(exchange.Options{
+		Roster:        created.members,
+		Configuration: created.keeper,
+		Dial:          dial.Dialer(exchangeDial, dial.Silence{Unacknowledged: peerUnacknowledged, Idle: peerIdle}),
+		Suspect:       created.egress.Suspect,
+		Logger:        options.Logger,
+	})
+	created.publisher = membership.NewPublisher(options.Store, created.members, options.Logger)
+	created.members.Observe(created.follow)
+	created.keeper.Observe(created.apply)
+	created.watch(options.Registry)
+	return created
+}
+
+func (s *Sidecar) addIngress(observed *metrics) {
+	settings := &s.options.Settings
+	s.ingress = ingress.New(ingress.Options{
+		Vocabulary: s.options.Vocabulary,
+		Address:    settings.BackendAddress,
+		Endpoint:   func() *roster.Endpoint { return s.members.Own().Endpoint },
+		Version:    s.keeper.Version,
+		DrainAfter: time.Duration(float64(settings.DrainBound) * drainShare),
+		Dial:       forward.Dialer((&net.Dialer{}).DialContext),
+		Logger:     s.logger,
+		Observer:   observed,
+	})
+}
+
+func (s *Sidecar) addEgress(observed *metrics) {
+	settings := &s.options.Settings
+	s.egress = egress.New(egress.Options{
+		Vocabulary: s.options.Vocabulary,
+		Table:      s.keeper.Table,
+		View:       s.members.View,
+		Zone:       settings.Zone,
+		Caller:     s.caller,
+		Retries:    settings.Retries,
+		Weights:    choice.DefaultWeights(),
+		Dial:       dial.Dialer(exchangeDial, dial.Silence{Unacknowledged: peerUnacknowledged, Idle: peerIdle}),
+		Logger:     s.logger,
+		Observer:   &callObserver{metrics: observed, sidecar: s},
+	})
+}
+
+// callObserver adds to the metrics what a reply says of a peer's configuration.
+type callObserver struct {
+	*metrics
+	sidecar *Sidecar
+}
+
+// Behind implements egress.Observer.
+func (o *callObserver) Behind(node string, version uint64) {
+	o.sidecar.exchanger.Behind(o.sidecar.members.View().Record(node), version)
+}
+
+// caller names the service beside this node.
+func (s *Sidecar) caller() string {
+	if endpoint := s.members.Own().Endpoint; endpoint != nil {
+		return endpoint.Service
+	}
+	return s.options.Settings.Service
+}
+
+// follow passes changed records on. The roster's lock is held.
+func (s *Sidecar) follow(changed []*roster.Record) {
+	for _, record := range changed {
+		s.logChange(record)
+		if record.Node == s.options.Settings.Node {
+			s.ingress.Follow(record.Endpoint)
+			s.limitConnections(s.keeper.Table(), record.Endpoint)
+		}
+	}
+	s.egress.Follow(changed)
+}
+
+func (s *Sidecar) logChange(record *roster.Record) {
+	entry := s.logger.Check(zap.InfoLevel, "node changed")
+	if entry == nil {
+		return
+	}
+	fields := []zap.Field{
+		zap.String("peer", record.Node), zap.Uint64("epoch", record.Epoch), zap.Uint64("counter", record.Counter),
+		zap.Bool("leaving", record.Leaving),
+	}
+	if record.Endpoint != nil {
+		fields = append(fields, zap.String("endpoint", record.Endpoint.ID), zap.String("service", record.Endpoint.Service),
+			zap.String("state", string(record.Endpoint.State)), zap.Uint64("sequence", record.Endpoint.Sequence))
+	}
+	entry.Write(fields...)
+}
+
+// apply takes in a new configuration.
+func (s *Sidecar) apply(table *route.Table) {
+	s.limitConnections(table, s.members.Own().Endpoint)
+}
+
+func (s *Sidecar) limitConnections(table *route.Table, endpoint *roster.Endpoint) {
+	if table == nil || endpoint == nil {
+		return
+	}
+	if service := table.Service(endpoint.Service); service != nil {
+		s.ingress.SetConnections(service.MaximumConnections)
+	}
+}
+
+// Ready reports whether callers are to come to this node.
+func (s *Sidecar) Ready() bool { return !s.stopping.Load() && s.keeper.Table() != nil }
+
+// Outbound returns the handler of the callers' listener.
+func (s *Sidecar) Outbound() http.Handler { return s.egress }
+
+// Inbound returns the handler of the listener for other nodes.
+func (s *Sidecar) Inbound() http.Handler { return s.ingress }
+
+// Exchanger returns the node's exchanges with its peers.
+func (s *Sidecar) Exchanger() *exchange.Exchanger { return s.exchanger }
