Identify back ends by claims, weigh their pace, ask the store less

A stop near the end of the grace time closed requests without an answer. Every node watched every other node's key.

Ruled out: overload alone: quiet minutes after the kill refused as much.

Change: an id is taken over only when the held one is silent, a rival is heard twice in a row, or the back end itself gives its id; the arriving node compares the service. New calls are refused after half of the grace time and what is left is answered before the end. Choice by chance of a late answer, with a pace per back end measured beside it. Members are read at the start and then rarely; changes travel between nodes. Watches rest half a second after an event.

--- a/internal/sidecar/admission/admission.go
+++ b/internal/sidecar/admission/admission.go
@@ -25,6 +25,9 @@
 type Ticket struct {
 	// Priority ranks requests; zero is the most urgent.
 	Priority int
+	// Returning requests were refused before and have come back: to refuse them
+	// again costs more than to refuse one that comes for the first time.
+	Returning bool
 	// Deadline is when the answer is of no use any more.
 	Deadline time.Time
 	// MaximumWait is how long the request may wait.
@@ -220,11 +223,15 @@
 	result chan error
 }
 
-// before orders by priority, then by deadline, then by arrival.
+// before orders by priority, then what comes back before what comes first, then
+// by deadline, then by arrival.
 func (w *waiter) before(other *waiter) bool {
 	if w.ticket.Priority != other.ticket.Priority {
 		return w.ticket.Priority < other.ticket.Priority
 	}
+	if w.ticket.Returning != other.ticket.Returning {
+		return w.ticket.Returning
+	}
 	if !w.ticket.Deadline.Equal(other.ticket.Deadline) {
 		return w.ticket.Deadline.Before(other.ticket.Deadline)
 	}
--- a/internal/sidecar/assembly/providers.go
+++ b/internal/sidecar/assembly/providers.go
@@ -50,7 +50,7 @@
 }
 
 func provideStore(loaded *sidecar.Settings) *platform.Store {
-	return platform.NewStore(loaded.StoreAddress, sidecar.StoreDialer())
+	return platform.NewStore(loaded.StoreAddress, sidecar.WatchPause, sidecar.StoreDialer())
 }
 
 func provideSidecar(loaded *sidecar.Settings, store *platform.Store, logger *zap.Logger, registry *prometheus.Registry) *sidecar.Sidecar {
--- a/internal/sidecar/backend.go
+++ b/internal/sidecar/backend.go
@@ -15,12 +15,28 @@
 // the call returns once another node knows, or after a short time: the word
 // must outlive this process.
 func (s *Sidecar) Heartbeat(ctx context.Context, beat roster.Heartbeat) {
-	own, changed := s.members.Update(func(record roster.Record) (roster.Record, bool) { return record.Beat(beat) })
-	if changed && own.Endpoint.State != roster.Ready {
+	own, changed := s.members.Update(func(record roster.Record) (roster.Record, bool) {
+		return s.claims.Beat(record, beat, time.Now())
+	})
+	switch {
+	case !changed:
+	case own.Endpoint.State == roster.Ready:
+		go s.spread(context.WithoutCancel(ctx))
+	default:
 		s.spread(ctx)
 	}
 }
 
+// identified takes in the id that the back end itself gives.
+func (s *Sidecar) identified(id string) {
+	_, changed := s.members.Update(func(record roster.Record) (roster.Record, bool) {
+		return s.claims.Confirm(record, id, time.Now())
+	})
+	if changed {
+		go s.spread(context.Background())
+	}
+}
+
 // Ended takes in that a back end ends for good.
 func (s *Sidecar) Ended(ctx context.Context, id string) {
 	_, changed := s.members.Update(func(record roster.Record) (roster.Record, bool) { return record.End(id) })
--- a/internal/sidecar/choice/choice.go
+++ b/internal/sidecar/choice/choice.go
@@ -2,7 +2,10 @@
 // it sees numbers only, so that tables and simulations can test it.
 package choice
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Candidate is what is known of one back end at the moment of the choice.
 type Candidate struct {
@@ -12,72 +15,82 @@
 	Busy float64
 	// Slots is how many requests the back end works on at once.
 	Slots int
-	// ServiceTime is how long it works on one request, waiting not counted;
-	// zero when unknown.
-	ServiceTime time.Duration
+	// Work is how long it works on this request, waiting not counted.
+	Work time.Duration
+	// Held is how long requests of all kinds hold one of its slots.
+	Held time.Duration
 	// RoundTrip is the time to it and back.
 	RoundTrip time.Duration
 	// Avoid: it failed a short time ago, or is said to be silent.
 	Avoid bool
+	// Leaving: it takes no new work, or will not for long.
+	Leaving bool
 	// Tried: this request was sent to it before.
 	Tried bool
 }
 
-// Weights price what cannot be measured in time.
+// Weights price what cannot be measured in time, in units of the worth of an
+// answer that comes in time.
 type Weights struct {
-	// ForeignZone is the price of leaving the zone, in units of the worth of an
-	// answer that comes in time.
+	// ForeignZone is the price of leaving the zone.
 	ForeignZone float64
-	// Avoided and Repeated are added for back ends that are to be chosen only
-	// when nothing else is left.
-	Avoided, Repeated float64
+	// Avoided, Leaving and Repeated are added for back ends that are to be
+	// chosen only when nothing else is left.
+	Avoided, Leaving, Repeated float64
 }
 
 // DefaultWeights prefer the zone until its back ends would answer late.
 func DefaultWeights() Weights {
-	return Weights{ForeignZone: 0.12, Avoided: 50, Repeated: 200}
+	return Weights{ForeignZone: 0.1, Avoided: 50, Leaving: 100, Repeated: 400}
 }
 
 const (
-	// assumedServiceTime stands in for an unknown one.
-	assumedServiceTime = 50 * time.Millisecond
 	// crowding is how much longer a back end works when all its slots are
 	// taken, as a share of the time it takes when they are not.
 	crowding = 0.3
 	// assumedAim stands in for a route without a target latency.
 	assumedAim = time.Second
+	// lateness is how much of the worth is lost by an answer that comes late.
+	lateness = 0.7
+	// spread is how far answers scatter around the expected time, as a share of
+	// the target latency.
+	spread = 0.14
+	// slowness is the price of a whole target latency of waiting. It tells apart
+	// back ends that would all answer in time, or all late.
+	slowness = 0.1
 )
 
 // Expected estimates the time until the candidate's answer.
 func Expected(candidate Candidate) time.Duration {
-	service := candidate.ServiceTime
-	if service <= 0 {
-		service = assumedServiceTime
-	}
 	slots := float64(max(candidate.Slots, 1))
 	used := min(candidate.Busy/slots, 1)
-	factor := 1 + crowding*used*used
+	expected := float64(candidate.Work) * (1 + crowding*used*used)
 	if waiting := candidate.Busy + 1 - slots; waiting > 0 {
-		factor += waiting / slots
+		expected += float64(candidate.Held) * waiting / slots
 	}
-	return time.Duration(float64(service)*factor) + candidate.RoundTrip
+	return time.Duration(expected) + candidate.RoundTrip
 }
 
 // Cost is the price of sending a request with that target latency to the
-// candidate. Lateness grows with the square of the expected share of the aim:
-// far below it differences hardly count, near it they outweigh the zone.
+// candidate: the chance that the answer comes late, and what cannot be measured
+// in time. Far below the target latency differences hardly count; near it they
+// outweigh the zone.
 func Cost(candidate Candidate, aim time.Duration, weights Weights) float64 {
 	if aim <= 0 {
 		aim = assumedAim
 	}
 	share := float64(Expected(candidate)) / float64(aim)
-	cost := share * share
+	cost := lateness / (1 + math.Exp((1-share)/spread))
+	cost += slowness * share
 	if !candidate.SameZone {
 		cost += weights.ForeignZone
 	}
 	if candidate.Avoid {
 		cost += weights.Avoided
 	}
+	if candidate.Leaving {
+		cost += weights.Leaving
+	}
 	if candidate.Tried {
 		cost += weights.Repeated
 	}
--- a/internal/sidecar/egress/call.go
+++ b/internal/sidecar/egress/call.go
@@ -56,6 +56,10 @@
 	visits []visit
 	// runs counts the sends that may have reached a back end.
 	runs int
+	// expected is how long the chosen back end will work.
+	expected time.Duration
+	// returning: the caller was refused before and has come back.
+	returning bool
 	// mayHaveRun: a send ended with an unknown outcome.
 	mayHaveRun bool
 
@@ -94,6 +98,7 @@
 	var cancel context.CancelFunc
 	c.context, cancel = context.WithDeadline(c.request.Context(), c.deadline)
 	defer cancel()
+	defer context.AfterFunc(c.handler.cutting, cancel)()
 	return c.send()
 }
 
@@ -104,8 +109,9 @@
 		limit = c.route.Timeout
 	}
 	text := c.request.Header.Get(c.handler.options.Vocabulary.Deadline)
-	if asked, valid := hop.Milliseconds(text); valid && asked < limit {
-		limit = asked
+	if asked, valid := hop.Milliseconds(text); valid {
+		c.returning = c.handler.patience(c.route.Name).returns(asked)
+		limit = min(limit, asked)
 	}
 	if limit <= 0 {
 		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepDeadline, minimumRetryAfter, errLate)
@@ -180,7 +186,7 @@
 	}
 	failure.RetryAfter = 0
 	failure.Status = http.StatusBadGateway
-	if c.context.Err() != nil {
+	if errors.Is(c.context.Err(), context.DeadlineExceeded) {
 		failure.Status = http.StatusGatewayTimeout
 	}
 	return &failure
--- a/internal/sidecar/egress/handler.go
+++ b/internal/sidecar/egress/handler.go
@@ -4,6 +4,7 @@
 package egress
 
 import (
+	"context"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -72,6 +73,13 @@
 	inFlight atomic.Int64
 	lastCall atomic.Int64
 
+	// cutting ends when calls under way are to be given up.
+	cutting context.Context
+	cut     context.CancelCauseFunc
+
+	// work and patiences hold what is learned by route name.
+	work, patiences sync.Map
+
 	mutex   sync.RWMutex // guards budgets
 	budgets map[string]*budget
 }
@@ -85,9 +93,12 @@
 		ReplyHeaderBytes: replyHeaderBytes,
 		ConsentTimeout:   consentTimeout,
 	}
+	cutting, cut := context.WithCancelCause(context.Background())
 	return &Handler{
 		options: options,
 		targets: &targets{options: limits, dial: options.Dial, byNode: map[string]*target{}},
+		cutting: cutting,
+		cut:     cut,
 		budgets: map[string]*budget{},
 	}
 }
@@ -155,6 +166,9 @@
 // Refuse has new calls refused from now on.
 func (h *Handler) Refuse() { h.closed.Store(true) }
 
+// Cut ends what is still under way with an answer.
+func (h *Handler) Cut() { h.cut(errStopping) }
+
 // InFlight returns how many calls are under way.
 func (h *Handler) InFlight() int { return int(h.inFlight.Load()) }
 
--- a/internal/sidecar/egress/target.go
+++ b/internal/sidecar/egress/target.go
@@ -67,22 +67,26 @@
 	}
 }
 
-// candidate describes the target for the choice.
-func (t *target) candidate(record *roster.Record, zone string, crossing time.Duration, now time.Time) choice.Candidate {
+// candidate describes the target for the choice. usual is how long back ends of
+// the service work on such a request.
+func (t *target) candidate(record *roster.Record, zone string, crossing, usual time.Duration, now time.Time) choice.Candidate {
 	described := choice.Candidate{
-		SameZone:  record.Zone == zone,
-		Busy:      float64(t.inFlight.Load()),
-		Slots:     record.Endpoint.Slots,
-		RoundTrip: 0,
-		Avoid:     t.avoidUntil.Load() > now.UnixNano() || !record.AcceptsWork(),
+		SameZone: record.Zone == zone,
+		Busy:     float64(t.inFlight.Load()),
+		Slots:    record.Endpoint.Slots,
+		Work:     usual,
+		Held:     usual,
+		Avoid:    t.avoidUntil.Load() > now.UnixNano(),
+		Leaving:  !record.AcceptsWork(),
 	}
 	if !described.SameZone {
 		described.RoundTrip = crossing
 	}
 	if report := t.report.Load(); report != nil {
-		age := float64(now.Sub(report.taken)) / float64(reportHalfLife)
-		described.Busy += report.others * math.Exp2(-age)
-		described.ServiceTime = report.Service
+		age := now.Sub(report.taken)
+		described.Busy += report.others * math.Exp2(-float64(age)/float64(reportHalfLife))
+		described.Work = time.Duration(float64(usual) * choice.Faded(report.Factor, age))
+		described.Held = report.Service
 	}
 	return described
 }
--- a/internal/sidecar/egress/visit.go
+++ b/internal/sidecar/egress/visit.go
@@ -22,13 +22,18 @@
 
 const (
 	// markerCount is how many headers the node adds at most.
-	markerCount = 8
+	markerCount = 11
 	// refusalsPerCall bounds how many nodes may refuse one request. A refusal
 	// costs no back end anything.
 	refusalsPerCall = 3
 	// waitShare is the part of the target latency that a request may wait
 	// before it is better refused while the caller can still come back.
 	waitShare = 0.25
+	// lateShare is the part of the remaining time that a request may wait at
+	// most.
+	lateShare = 0.5
+	// workMargin is how much longer than expected the work may take.
+	workMargin = 1.5
 )
 
 // result is what one visit brought: an answer of the back end or a failure.
@@ -66,15 +71,21 @@
 	if len(records) == 0 {
 		c.service, records = c.fallback(view)
 	}
+	usual := c.work().Mean(c.assumedWork())
 	candidates := make([]choice.Candidate, 0, len(records))
 	held := make([]*target, 0, len(records))
+	chosen := make([]*roster.Record, 0, len(records))
 	now := time.Now()
 	for _, record := range records {
+		if record.Departed() {
+			continue
+		}
 		found := c.handler.targets.of(record)
-		candidate := found.candidate(record, c.handler.options.Zone, defaultCrossing, now)
+		candidate := found.candidate(record, c.handler.options.Zone, defaultCrossing, usual, now)
 		candidate.Tried = c.visited(found)
 		candidates = append(candidates, candidate)
 		held = append(held, found)
+		chosen = append(chosen, record)
 	}
 	start := 0
 	if len(candidates) > 0 {
@@ -84,7 +95,29 @@
 	if best < 0 {
 		return nil, nil
 	}
-	return records[best], held[best]
+	c.expected = candidates[best].Work
+	return chosen[best], held[best]
+}
+
+// work returns the estimate of how long requests of the route are worked on.
+func (c *call) work() *choice.Work {
+	key := c.route.Name
+	if held, found := c.handler.work.Load(key); found {
+		return held.(*choice.Work)
+	}
+	held, _ := c.handler.work.LoadOrStore(key, &choice.Work{})
+	return held.(*choice.Work)
+}
+
+// assumedWork stands in for the time a route's requests take before any was
+// measured.
+func (c *call) assumedWork() time.Duration {
+	const aimShare = 0.35
+	if c.route.TargetLatency > 0 {
+		return time.Duration(float64(c.route.TargetLatency) * aimShare)
+	}
+	const unknown = 50 * time.Millisecond
+	return unknown
 }
 
 // fallback returns another service of the route that has back ends.
@@ -132,6 +165,9 @@
 	if load, valid := hop.ParseLoad(response.Header); valid {
 		chosen.learn(load, now)
 	}
+	if worked, valid := hop.Microseconds(response.Header.Get(hop.HeaderWorked)); valid && response.StatusCode < http.StatusMultipleChoices {
+		c.work().Observe(worked)
+	}
 	version, err := strconv.ParseUint(response.Header.Get(hop.HeaderVersion), 10, 64)
 	if err == nil && version > c.table.Version() {
 		c.handler.options.Observer.Behind(chosen.node, version)
@@ -237,6 +273,10 @@
 	header[hop.HeaderEndpoint] = []string{record.Endpoint.ID}
 	header[hop.HeaderCaller] = []string{options.Caller()}
 	header[hop.HeaderPriority] = []string{strconv.Itoa(c.route.Priority)}
+	header[hop.HeaderExpected] = []string{hop.FormatMicroseconds(c.work().Mean(c.assumedWork()))}
+	if c.returning {
+		header[hop.HeaderReturning] = []string{"true"}
+	}
 	header[hop.HeaderMaximumWait] = []string{hop.FormatMilliseconds(c.maximumWait(remaining))}
 	outgoing := forward.NewRequest(ctx, c.request, record.Address, header, interim)
 	forward.KeepTarget(outgoing, c.request)
@@ -251,12 +291,15 @@
 	return outgoing
 }
 
-// maximumWait is how long the request may wait for a slot: a part of the
-// target latency, and less when little time is left.
+// maximumWait is how long the request may wait for a slot so that the answer
+// still comes within the target latency. What comes back may wait longer: it
+// has less to lose by being late than by being refused again.
 func (c *call) maximumWait(remaining time.Duration) time.Duration {
-	if c.route.TargetLatency <= 0 {
-		return remaining / 2
+	late := time.Duration(float64(remaining) * lateShare)
+	if c.returning || c.route.TargetLatency <= 0 {
+		return late
 	}
-	wait := time.Duration(float64(c.route.TargetLatency) * waitShare)
-	return min(wait, remaining/2)
+	least := time.Duration(float64(c.route.TargetLatency) * waitShare)
+	inTime := c.route.TargetLatency - time.Duration(float64(c.expected)*workMargin)
+	return min(max(inTime, least), late)
 }
--- a/internal/sidecar/hop/hop.go
+++ b/internal/sidecar/hop/hop.go
@@ -24,6 +24,12 @@
 	HeaderPriority = "Kestrel-Priority"
 	// HeaderMaximumWait carries how long the request may wait, in milliseconds.
 	HeaderMaximumWait = "Kestrel-Maximum-Wait-Ms"
+	// HeaderReturning is set when the caller was refused before.
+	HeaderReturning = "Kestrel-Returning"
+	// HeaderExpected carries how long the caller's node expects a back end to
+	// work, in microseconds; HeaderWorked how long it did.
+	HeaderExpected = "Kestrel-Expected-Us"
+	HeaderWorked   = "Kestrel-Worked-Us"
 	// HeaderVersion carries the configuration's version on replies.
 	HeaderVersion = "Kestrel-Version"
 )
@@ -37,6 +43,8 @@
 	Deadline string
 	// TargetInstance names the only back end that may run the request.
 	TargetInstance string
+	// InstanceID carries a back end's own id.
+	InstanceID string
 	// CallerService names the service beside the node where a request began.
 	CallerService string
 	// NotProcessed on an answer says that the request was not run.
@@ -48,21 +56,37 @@
 // Load is a node's own account of its back end, as replies carry it.
 type Load struct {
 	Running, Waiting, Slots int
-	// Service is how long the back end works on one request.
+	// Service is how long a slot is held.
 	Service time.Duration
+	// Factor is how much longer the back end works than others do.
+	Factor float64
 }
 
+const (
+	loadParts = 5
+	// factorUnits make a whole number of a factor.
+	factorUnits = 1000
+)
+
 // FormatLoad writes a load as a header value.
-func FormatLoad(load admission.Load) string {
-	return strconv.Itoa(load.Running) + "," + strconv.Itoa(load.Waiting) + "," +
-		strconv.Itoa(load.Slots) + "," + strconv.FormatInt(load.Service.Microseconds(), 10)
+func FormatLoad(load admission.Load, factor float64) string {
+	numbers := [loadParts]int64{
+		int64(load.Running), int64(load.Waiting), int64(load.Slots),
+		load.Service.Microseconds(), int64(factor * factorUnits),
+	}
+	text := make([]byte, 0, 4*loadParts)
+	for index, number := range numbers {
+		if index > 0 {
+			text = append(text, ',')
+		}
+		text = strconv.AppendInt(text, number, 10)
+	}
+	return string(text)
 }
 
-const loadParts = 4
-
 // ParseLoad reads a load from a reply's header.
 func ParseLoad(header http.Header) (load Load, valid bool) {
-	parts := strings.SplitN(header.Get(outcome.HeaderLoad), ",", loadParts)
+	parts := strings.Split(header.Get(outcome.HeaderLoad), ",")
 	if len(parts) != loadParts {
 		return Load{}, false
 	}
@@ -74,8 +98,25 @@
 		}
 		numbers[index] = number
 	}
-	service := time.Duration(numbers[3]) * time.Microsecond
-	return Load{Running: numbers[0], Waiting: numbers[1], Slots: numbers[2], Service: service}, true
+	return Load{
+		Running: numbers[0], Waiting: numbers[1], Slots: numbers[2],
+		Service: time.Duration(numbers[3]) * time.Microsecond,
+		Factor:  float64(numbers[4]) / factorUnits,
+	}, true
+}
+
+// Microseconds reads a whole number of microseconds above zero.
+func Microseconds(text string) (duration time.Duration, valid bool) {
+	number, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || number <= 0 || number > time.Hour.Microseconds() {
+		return 0, false
+	}
+	return time.Duration(number) * time.Microsecond, true
+}
+
+// FormatMicroseconds writes a duration as whole microseconds.
+func FormatMicroseconds(duration time.Duration) string {
+	return strconv.FormatInt(duration.Microseconds(), 10)
 }
 
 // Milliseconds reads a whole number of milliseconds above or equal to zero.
--- a/internal/sidecar/ingress/exchange.go
+++ b/internal/sidecar/ingress/exchange.go
@@ -14,6 +14,7 @@
 
 // Causes of failed exchanges with the back end.
 var (
+	errOtherID   = errors.New("the back end has another id than the one last heard of")
 	errShed      = errors.New("the back end did not process the request")
 	errMisplaced = errors.New("the answer belongs to another request")
 	errUnsigned  = errors.New("the answer bears no signature")
@@ -91,7 +92,7 @@
 	}
 	forward.RemoveHopByHop(response.Header)
 	outcome.StripMarkers(response.Header)
-	a.mark()
+	a.learn(response)
 	sent.CloseUnlessRead(a.writer.Header())
 	if err := forward.WriteReply(a.context, a.writer, response, ""); err != nil {
 		panic(http.ErrAbortHandler)
@@ -99,6 +100,17 @@
 	return nil
 }
 
+// learn takes in how long the back end worked, compared to what the caller's
+// node expected, and marks the reply with it.
+func (a *arrival) learn(response *http.Response) {
+	worked := time.Since(a.started) - a.waited
+	if expected, valid := hop.Microseconds(a.request.Header.Get(hop.HeaderExpected)); valid && response.StatusCode < http.StatusMultipleChoices {
+		a.handler.pace.Observe(worked, expected)
+	}
+	a.mark()
+	a.writer.Header()[hop.HeaderWorked] = []string{hop.FormatMicroseconds(worked)}
+}
+
 // judge tells what the back end's answer means. Only an answer that bears the
 // request's id is one to it.
 func (a *arrival) judge(response *http.Response) *outcome.Failure {
@@ -108,7 +120,8 @@
 		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepShed, a.retryAfter(), errShed)
 	}
 	if response.StatusCode == http.StatusMisdirectedRequest {
-		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepIdentity, refusedWait, errIdentity)
+		a.handler.options.Identified(header.Get(names.InstanceID))
+		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepIdentity, refusedWait, errOtherID)
 	}
 	if header.Get(names.RequestID) != a.request.Header.Get(names.RequestID) {
 		return a.unknown(errMisplaced)
--- a/internal/sidecar/ingress/handler.go
+++ b/internal/sidecar/ingress/handler.go
@@ -17,6 +17,7 @@
 	"github.com/kestrelstream/kestrelstream/internal/proxy/forward"
 	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/admission"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/choice"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 )
@@ -28,6 +29,9 @@
 	Address string
 	// Endpoint returns the back end beside the node, or nil.
 	Endpoint func() *roster.Endpoint
+	// Identified is told the id that the back end itself gives when it is not
+	// the one that was meant.
+	Identified func(id string)
 	// Version returns the version of the configuration in force.
 	Version func() uint64
 	// DrainAfter is how long after a back end's word that it is leaving new
@@ -70,6 +74,7 @@
 	// leaving; nil while it is not.
 	leaving  atomic.Pointer[leaving]
 	stopping atomic.Bool
+	pace     choice.Pace
 }
 
 // leaving remembers since when a back end is leaving.
@@ -150,7 +155,7 @@
 // Causes of refusals.
 var (
 	errNoEndpoint = errors.New("no back end has made itself known")
-	errIdentity   = errors.New("another back end is at this address")
+	errIdentity   = errors.New("a back end of another service is here")
 	errLeaving    = errors.New("the back end is leaving")
 	errDeadline   = errors.New("the request bears no remaining time")
 	errNoCaller   = errors.New("the request did not come through a node")
@@ -217,7 +222,7 @@
 	if a.endpoint == nil {
 		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepIdentity, refusedWait, errNoEndpoint)
 	}
-	if a.endpoint.ID != header.Get(hop.HeaderEndpoint) || a.endpoint.Service != header.Get(outcome.HeaderService) {
+	if a.endpoint.Service != header.Get(outcome.HeaderService) {
 		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepIdentity, refusedWait, errIdentity)
 	}
 	if a.handler.leftBehind(a.endpoint.ID) {
@@ -258,7 +263,10 @@
 	priority, _ := strconv.Atoi(a.request.Header.Get(hop.HeaderPriority))
 	maximum, _ := hop.Milliseconds(a.request.Header.Get(hop.HeaderMaximumWait))
 	slot, err := a.handler.gate.Acquire(a.context, admission.Ticket{
-		Priority: priority, Deadline: a.deadline, MaximumWait: maximum,
+		Priority:    priority,
+		Returning:   a.request.Header.Get(hop.HeaderReturning) != "",
+		Deadline:    a.deadline,
+		MaximumWait: maximum,
 	})
 	a.waited = time.Since(a.started)
 	if err != nil {
@@ -295,7 +303,7 @@
 // mark adds the node's load and version to a reply.
 func (a *arrival) mark() {
 	header := a.writer.Header()
-	header[outcome.HeaderLoad] = []string{hop.FormatLoad(a.handler.gate.Load())}
+	header[outcome.HeaderLoad] = []string{hop.FormatLoad(a.handler.gate.Load(), a.handler.pace.Factor())}
 	header[hop.HeaderVersion] = []string{strconv.FormatUint(a.handler.options.Version(), 10)}
 }
 
--- a/internal/sidecar/membership/membership.go
+++ b/internal/sidecar/membership/membership.go
@@ -1,6 +1,6 @@
-// Package membership keeps the roster of nodes through the store: each node
-// writes one key with its own record and follows the keys of all others. The
-// keys bear no lease: that the store is silent says nothing about a node.
+// Package membership lets nodes find each other through the store: each node
+// writes one key with its own record and reads the keys of all others. The keys
+// bear no lease: that the store is silent says nothing about a node.
 package membership
 
 import (
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
-	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -28,58 +27,56 @@
 	pageKeys = 500
 )
 
-// Follow keeps the roster at what the store has until the context ends.
-func Follow(ctx context.Context, reader store.Reader, members *roster.Roster, logger *zap.Logger) {
+// rangeFunction reads one page of keys.
+type rangeFunction func(ctx context.Context, prefix, from string, limit int) ([]store.KeyValue, uint64, error)
+
+// settling are the times between the first reads: nodes that start together
+// write their keys while the others read. Later reads may be seconds old; a
+// change travels between the nodes themselves.
+var settling = []time.Duration{time.Second, 3 * time.Second}
+
+const settledInterval = 20 * time.Second
+
+// Follow reads the records of all nodes from the store until the context ends.
+// joined is called after each read that succeeded while settling.
+func Follow(ctx context.Context, reader Store, members *roster.Roster, joined func(), logger *zap.Logger) {
 	pause := pauseBase
-	for ctx.Err() == nil {
-		err := followOnce(ctx, reader, members, logger)
-		if err == nil || errors.Is(err, store.ErrCompacted) {
-			pause = pauseBase
+	for reads := 0; ctx.Err() == nil; {
+		read := reader.RangeStale
+		if reads <= len(settling) {
+			read = reader.Range
 		}
-		wait(ctx, pause)
-		pause = min(2*pause, pauseMost)
-	}
-}
-
-func followOnce(ctx context.Context, reader store.Reader, members *roster.Roster, logger *zap.Logger) error {
-	after, err := readAll(ctx, reader, members, logger)
-	if err != nil {
-		return err
-	}
-	watch, err := reader.Watch(ctx, KeyPrefix, after)
-	if err != nil {
-		return err
-	}
-	defer watch.Close()
-	for event := range watch.Events() {
-		if event.Deleted {
-			members.Remove(strings.TrimPrefix(event.Key, KeyPrefix))
+		if err := readAll(ctx, read, members, logger); err != nil {
+			wait(ctx, pause)
+			pause = min(2*pause, pauseMost)
 			continue
 		}
-		take(members, event.KeyValue, logger)
+		pause = pauseBase
+		interval := settledInterval
+		if reads < len(settling) {
+			interval = settling[reads]
+			joined()
+		}
+		reads++
+		wait(ctx, interval)
 	}
-	return watch.Err()
 }
 
-// readAll takes in every key and returns the lowest revision of the pages, from
-// which nothing is missed.
-func readAll(ctx context.Context, reader store.Reader, members *roster.Roster, logger *zap.Logger) (after uint64, err error) {
+// readAll takes in every key.
+func readAll(ctx context.Context, read rangeFunction, members *roster.Roster, logger *zap.Logger) error {
 	from := KeyPrefix
-	for page := 0; ; page++ {
+	for {
 		bounded, cancel := context.WithTimeout(ctx, callTimeout)
-		found, revision, err := reader.Range(bounded, KeyPrefix, from, pageKeys)
+		found, _, err := read(bounded, KeyPrefix, from, pageKeys)
 		cancel()
 		if err != nil {
-			return 0, err
-		}
-		if page == 0 {
-			after = revision
+			return err
 		}
 		for _, item := range found {
 			take(members, item, logger)
 		}
 		if len(found) < pageKeys {
-			return after, nil
+			return nil
 		}
 		from = found[len(found)-1].Key + "\x00"
 	}
@@ -99,6 +96,8 @@
 type Store interface {
 	store.Reader
 	store.Writer
+	// RangeStale is Range, but what it returns may be seconds old.
+	RangeStale(ctx context.Context, prefix, from string, limit int) ([]store.KeyValue, uint64, error)
 }
 
 // Publisher writes the node's own record.
--- /dev/null
+++ b/internal/sidecar/roster/claims.go
@@ -0,0 +1,90 @@
+package roster
+
+import "time"
+
+// Heartbeat is what a back end says at one moment.
+type Heartbeat struct {
+	Endpoint
+	// WarmupLeft is how long the back end stays slow from its start.
+	WarmupLeft time.Duration
+}
+
+// Claims decides which id is the back end's when heartbeats bear several. A
+// heartbeat may come seconds late, from a back end that is no more: one alone
+// does not take the place of an id that is heard from.
+type Claims struct {
+	// Interval is the usual time between two heartbeats.
+	Interval time.Duration
+	// heard is when the current id was last heard in this life.
+	heard time.Time
+	// rival is another id heard since then, that often.
+	rival      Endpoint
+	rivalBeats int
+}
+
+const (
+	// silentIntervals is how long the current id may be silent before another
+	// one takes its place at once.
+	silentIntervals = 3
+	// rivalBeatsNeeded is how often a rival must be heard in a row.
+	rivalBeatsNeeded = 2
+)
+
+// Beat returns the record after a heartbeat, and whether it changed. A final id
+// stays final, and the highest sequence of an id wins.
+func (c *Claims) Beat(record Record, beat Heartbeat, now time.Time) (next Record, changed bool) {
+	held := record.Endpoint
+	switch {
+	case record.HasEnded(beat.ID):
+		return record, false
+	case held != nil && held.ID == beat.ID:
+		return c.renew(record, beat.Endpoint, now)
+	case held == nil || held.State == Gone || c.silent(now) || c.prevails(beat.Endpoint):
+		return c.install(record, beat.Endpoint, now), true
+	}
+	return record, false
+}
+
+// silent reports whether the current id has not been heard for too long, or not
+// at all in this life.
+func (c *Claims) silent(now time.Time) bool {
+	return c.heard.IsZero() || now.Sub(c.heard) > silentIntervals*c.Interval
+}
+
+// prevails counts a rival's heartbeat and reports whether it was heard often
+// enough.
+func (c *Claims) prevails(rival Endpoint) bool {
+	if c.rival.ID != rival.ID {
+		c.rivalBeats = 0
+	}
+	c.rivalBeats++
+	c.rival = rival
+	return c.rivalBeats >= rivalBeatsNeeded
+}
+
+func (c *Claims) renew(record Record, fresh Endpoint, now time.Time) (next Record, changed bool) {
+	held := record.Endpoint
+	if held.State == Gone || fresh.Sequence < held.Sequence {
+		return record, false
+	}
+	c.heard, c.rivalBeats = now, 0
+	changed = held.State != fresh.State || held.Slots != fresh.Slots || held.Service != fresh.Service
+	record.Endpoint = &fresh
+	return record, changed
+}
+
+func (c *Claims) install(record Record, fresh Endpoint, now time.Time) Record {
+	c.heard, c.rivalBeats = now, 0
+	record.Endpoint = &fresh
+	return record
+}
+
+// Confirm takes in that the back end itself has given its id. A rival of that
+// id takes the place at once.
+func (c *Claims) Confirm(record Record, id string, now time.Time) (next Record, changed bool) {
+	held := record.Endpoint
+	if held == nil || held.ID == id || c.rival.ID != id || record.HasEnded(id) {
+		return record, false
+	}
+	return c.install(record, c.rival, now), true
+}
--- a/internal/sidecar/roster/record.go
+++ b/internal/sidecar/roster/record.go
@@ -3,10 +3,7 @@
 // the published view, which is replaced whole.
 package roster
 
-import (
-	"slices"
-	"time"
-)
+import "slices"
 
 // State is what a back end says of itself.
 type State string
@@ -56,6 +53,9 @@
 	return r.Counter > other.Counter
 }
 
+// Departed reports whether the node's back end has ended for good.
+func (r *Record) Departed() bool { return r.Endpoint == nil || r.Endpoint.State == Gone }
+
 // AcceptsWork reports whether new requests may go to the node's back end.
 func (r *Record) AcceptsWork() bool {
 	return !r.Leaving && r.Endpoint != nil && r.Endpoint.State == Ready
@@ -68,38 +68,6 @@
 // HasEnded reports whether the id is final.
 func (r *Record) HasEnded(id string) bool { return slices.Contains(r.Ended, id) }
 
-// Heartbeat is what a back end says at one moment.
-type Heartbeat struct {
-	Endpoint
-	// WarmupLeft is how long the back end stays slow from its start.
-	WarmupLeft time.Duration
-}
-
-// Beat returns the record after a heartbeat, and whether it changed. A final id
-// stays final, and the highest sequence of an id wins. A new id ends the
-// previous one.
-func (r Record) Beat(beat Heartbeat) (next Record, changed bool) {
-	if r.HasEnded(beat.ID) {
-		return r, false
-	}
-	held := r.Endpoint
-	if held == nil || held.ID != beat.ID {
-		if held != nil {
-			r.Ended = appendEnded(r.Ended, held.ID)
-		}
-		fresh := beat.Endpoint
-		r.Endpoint = &fresh
-		return r, true
-	}
-	if held.State == Gone || beat.Sequence < held.Sequence {
-		return r, false
-	}
-	changed = held.State != beat.State || held.Slots != beat.Slots || held.Service != beat.Service
-	fresh := beat.Endpoint
-	r.Endpoint = &fresh
-	return r, changed
-}
-
 // End returns the record after a back end has said that it ends.
 func (r Record) End(id string) (next Record, changed bool) {
 	if r.HasEnded(id) {
--- a/internal/sidecar/roster/roster.go
+++ b/internal/sidecar/roster/roster.go
@@ -143,20 +143,6 @@
 	return &next, changed
 }
 
-// Remove drops the record of a node that has withdrawn it.
-func (r *Roster) Remove(node string) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	held := r.records[node]
-	if node == r.self || held == nil {
-		return
-	}
-	delete(r.records, node)
-	withdrawn := *held
-	withdrawn.Leaving = true
-	r.announce([]*Record{&withdrawn})
-}
-
 // announce publishes the view and tells the observers; the lock is held.
 func (r *Roster) announce(changed []*Record) {
 	if len(changed) == 0 {
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -22,10 +22,11 @@
 	stopLeast = 2500 * time.Millisecond
 	// stopQuiet is the time without a call after which no more are expected.
 	stopQuiet = 600 * time.Millisecond
-	// stopRefuse and stopEnd are how long before the forced end new calls are
-	// refused, and the listeners are closed.
-	stopRefuse = 1200 * time.Millisecond
-	stopEnd    = 450 * time.Millisecond
+	// stopTakes is the part of the grace time in which new calls are taken;
+	// later ones might not end in time.
+	stopTakes = 0.5
+	// stopEnd is how long before the forced end what is left is cut.
+	stopEnd = 900 * time.Millisecond
 	// withdrawTimeout bounds the last word to the store.
 	withdrawTimeout = 300 * time.Millisecond
 )
@@ -35,7 +36,7 @@
 	var running sync.WaitGroup
 	work := []func(){
 		func() { configuration.Follow(ctx, s.options.Store, s.options.ConfigurationKey, s.keeper, s.logger) },
-		func() { membership.Follow(ctx, s.options.Store, s.members, s.logger) },
+		func() { membership.Follow(ctx, s.options.Store, s.members, func() { go s.spread(ctx) }, s.logger) },
 		func() { s.publisher.Run(ctx) },
 		func() { s.exchanger.Run(ctx) },
 		func() { s.sweep(ctx) },
@@ -77,6 +78,7 @@
 	for !s.drained(time.Since(started)) {
 		time.Sleep(stopPoll)
 	}
+	s.egress.Cut()
 	s.withdraw()
 	s.logger.Info("stop ends", zap.Int("callsInFlight", s.egress.InFlight()),
 		zap.Int("running", s.ingress.Load().Running), zap.Duration("elapsed", time.Since(started)))
@@ -88,7 +90,7 @@
 	if elapsed >= grace-stopEnd {
 		return true
 	}
-	if elapsed >= grace-stopRefuse {
+	if elapsed >= time.Duration(float64(grace)*stopTakes) {
 		s.egress.Refuse()
 	}
 	load := s.ingress.Load()
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -48,6 +48,9 @@
 	exchangeDial       = 400 * time.Millisecond
 	storeDial          = time.Second
 	storeSilence       = 3 * time.Second
+	// WatchPause is how long a watch of the store rests after an event: changes
+	// in quick succession come with one call.
+	WatchPause = 500 * time.Millisecond
 )
 
 // Sidecar is one node. It is safe for concurrent use.
@@ -61,6 +64,8 @@
 	egress    *egress.Handler
 	ingress   *ingress.Handler
 	stopping  atomic.Bool
+	// claims is used under the roster's lock.
+	claims roster.Claims
 }
 
 // StoreDialer returns the dialer for connections to the store.
@@ -79,6 +84,7 @@
 			Address: settings.Listen.Inbound, PeerAddress: settings.Listen.Peer,
 		}),
 		keeper: configuration.NewKeeper(options.Decode, options.Logger),
+		claims: roster.Claims{Interval: settings.HeartbeatInterval},
 	}
 	observed := newMetrics(options.Registry)
 	created.addIngress(observed)
@@ -103,6 +109,7 @@
 		Vocabulary: s.options.Vocabulary,
 		Address:    settings.BackendAddress,
 		Endpoint:   func() *roster.Endpoint { return s.members.Own().Endpoint },
+		Identified: s.identified,
 		Version:    s.keeper.Version,
 		DrainAfter: time.Duration(float64(settings.DrainBound) * drainShare),
 		Dial:       forward.Dialer((&net.Dialer{}).DialContext),
