Bound the queue by the target latency also for what comes back

Ruled out: lost requests: each stood in the log of the arriving node as waiting.

Change: what comes back waits a target latency at most; what overstays its maximum is refused with a promise.

--- a/internal/sidecar/admission/admission.go
+++ b/internal/sidecar/admission/admission.go
@@ -92,17 +92,36 @@
 	if err != nil {
 		return nil, err
 	}
-	select {
-	case err = <-entry.result:
-	case <-ctx.Done():
-		err = g.withdraw(entry, ctx.Err())
-	}
+	err = g.wait(ctx, entry)
 	if err != nil {
 		return nil, err
 	}
 	return &Slot{gate: g, started: g.now()}, nil
 }
 
+// overstay is how much longer than its maximum a request is left in the queue:
+// the estimate by which it was let in is a rough one.
+const overstay = 1.25
+
+// wait returns once the entry has a slot, or why it has none.
+func (g *Gate) wait(ctx context.Context, entry *waiter) error {
+	select {
+	case err := <-entry.result:
+		return err
+	default:
+	}
+	timer := time.NewTimer(time.Duration(float64(entry.ticket.MaximumWait) * overstay))
+	defer timer.Stop()
+	select {
+	case err := <-entry.result:
+		return err
+	case <-timer.C:
+		return g.withdraw(entry, ErrTooLong)
+	case <-ctx.Done():
+		return g.withdraw(entry, ctx.Err())
+	}
+}
+
 // enter takes a slot at once, joins the queue or refuses.
 func (g *Gate) enter(ticket Ticket) (*waiter, error) {
 	g.mutex.Lock()
--- a/internal/sidecar/egress/visit.go
+++ b/internal/sidecar/egress/visit.go
@@ -292,14 +292,18 @@
 }
 
 // maximumWait is how long the request may wait for a slot so that the answer
-// still comes within the target latency. What comes back may wait longer: it
-// has less to lose by being late than by being refused again.
+// still comes within the target latency. What comes back may wait a whole target
+// latency: it has less to lose by being late than by being refused again.
 func (c *call) maximumWait(remaining time.Duration) time.Duration {
 	late := time.Duration(float64(remaining) * lateShare)
-	if c.returning || c.route.TargetLatency <= 0 {
+	aim := c.route.TargetLatency
+	if aim <= 0 {
 		return late
 	}
-	least := time.Duration(float64(c.route.TargetLatency) * waitShare)
-	inTime := c.route.TargetLatency - time.Duration(float64(c.expected)*workMargin)
+	if c.returning {
+		return min(aim, late)
+	}
+	least := time.Duration(float64(aim) * waitShare)
+	inTime := aim - time.Duration(float64(c.expected)*workMargin) - time.Since(c.started)
 	return min(max(inTime, least), late)
 }
