Test the pure parts of the sidecar; probe silent nodes; order by the time to start by

Ruled out: telling calls of back ends by their address: it is the machine's own for clients too.

Change: a request that waits long for a node has the node probed; a silent one loses what waits for it, to be sent elsewhere within the budget, and is avoided. The queue is ordered by the time by which work must begin; who has no time to come back waits rather than is refused. The budget of a node with few requests begins with its share, not with a whole repeat: a test with 1,000 nodes failed.

--- a/internal/sidecar/admission/admission.go
+++ b/internal/sidecar/admission/admission.go
@@ -25,11 +25,8 @@
 type Ticket struct {
 	// Priority ranks requests; zero is the most urgent.
 	Priority int
-	// Returning requests were refused before and have come back: to refuse them
-	// again costs more than to refuse one that comes for the first time.
-	Returning bool
-	// Deadline is when the answer is of no use any more.
-	Deadline time.Time
+	// StartBy is when work must begin for the answer to have its full worth.
+	StartBy time.Time
 	// MaximumWait is how long the request may wait.
 	MaximumWait time.Duration
 }
@@ -242,17 +239,13 @@
 	result chan error
 }
 
-// before orders by priority, then what comes back before what comes first, then
-// by deadline, then by arrival.
+// before orders by priority, then by the time to start by, then by arrival.
 func (w *waiter) before(other *waiter) bool {
 	if w.ticket.Priority != other.ticket.Priority {
 		return w.ticket.Priority < other.ticket.Priority
 	}
-	if w.ticket.Returning != other.ticket.Returning {
-		return w.ticket.Returning
-	}
-	if !w.ticket.Deadline.Equal(other.ticket.Deadline) {
-		return w.ticket.Deadline.Before(other.ticket.Deadline)
+	if !w.ticket.StartBy.Equal(other.ticket.StartBy) {
+		return w.ticket.StartBy.Before(other.ticket.StartBy)
 	}
 	return w.order < other.order
 }
--- /dev/null
+++ b/internal/sidecar/admission/admission_test.go
@@ -0,0 +1,136 @@
+package admission_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/admission"
+)
+
+func ticket(priority int, startIn, wait time.Duration) admission.Ticket {
+	return admission.Ticket{Priority: priority, StartBy: time.Now().Add(startIn), MaximumWait: wait}
+}
+
+// TestOrder: the more urgent first, then what must begin sooner.
+func TestOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		gate := admission.New(time.Now)
+		gate.Resize(1)
+		first, err := gate.Acquire(t.Context(), ticket(0, 0, time.Second))
+		g.Expect(err).NotTo(HaveOccurred())
+		served := make(chan string, 4)
+		waiters := []struct {
+			name   string
+			ticket admission.Ticket
+		}{
+			{"least urgent", ticket(2, 0, time.Minute)},
+			{"later", ticket(1, 2*time.Second, time.Minute)},
+			{"sooner", ticket(1, time.Second, time.Minute)},
+			{"most urgent", ticket(0, time.Hour, time.Minute)},
+		}
+		for _, waiter := range waiters {
+			go func() {
+				slot, err := gate.Acquire(t.Context(), waiter.ticket)
+				g.Expect(err).NotTo(HaveOccurred())
+				served <- waiter.name
+				slot.Release(true)
+			}()
+			synctest.Wait()
+		}
+		first.Release(true)
+		for _, want := range []string{"most urgent", "sooner", "later", "least urgent"} {
+			g.Expect(<-served).To(Equal(want))
+		}
+	})
+}
+
+// TestRefusals: a request is refused when it would wait too long, when a more
+// urgent one takes its place, when it has waited too long and at the close.
+func TestRefusals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		gate := admission.New(time.Now)
+		gate.Resize(1)
+		held, err := gate.Acquire(t.Context(), ticket(0, 0, time.Second))
+		g.Expect(err).NotTo(HaveOccurred())
+
+		_, err = gate.Acquire(t.Context(), ticket(1, 0, 10*time.Millisecond))
+		g.Expect(err).To(MatchError(admission.ErrTooLong))
+
+		refused := make(chan error, 2)
+		for range 2 {
+			go func() {
+				_, err := gate.Acquire(t.Context(), ticket(1, time.Minute, 110*time.Millisecond))
+				refused <- err
+			}()
+			synctest.Wait()
+		}
+		go func() {
+			slot, err := gate.Acquire(t.Context(), ticket(0, time.Second, time.Minute))
+			g.Expect(err).NotTo(HaveOccurred())
+			slot.Release(true)
+		}()
+		g.Expect(<-refused).To(MatchError(admission.ErrDisplaced))
+
+		started := time.Now()
+		g.Expect(<-refused).To(MatchError(admission.ErrTooLong))
+		g.Expect(time.Since(started)).To(BeNumerically("<=", 150*time.Millisecond))
+		g.Expect(gate.Load().Waiting).To(Equal(1))
+
+		held.Release(true)
+		synctest.Wait()
+		gate.Close()
+		_, err = gate.Acquire(t.Context(), ticket(0, 0, time.Second))
+		g.Expect(err).To(MatchError(admission.ErrClosed))
+	})
+}
+
+// TestACallerThatLeavesHoldsNothing: neither a place in the queue nor a slot
+// that was granted in the same moment.
+func TestACallerThatLeavesHoldsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		gate := admission.New(time.Now)
+		gate.Resize(1)
+		held, err := gate.Acquire(t.Context(), ticket(0, 0, time.Second))
+		g.Expect(err).NotTo(HaveOccurred())
+		leaving, leave := context.WithCancel(t.Context())
+		left := make(chan error, 1)
+		go func() {
+			_, err := gate.Acquire(leaving, ticket(0, 0, time.Minute))
+			left <- err
+		}()
+		synctest.Wait()
+		leave()
+		g.Expect(<-left).To(MatchError(context.Canceled))
+		held.Release(true)
+		g.Expect(gate.Load().Running).To(BeZero())
+		g.Expect(gate.Load().Waiting).To(BeZero())
+	})
+}
+
+func TestServiceTimeIsLearned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		gate := admission.New(time.Now)
+		gate.Resize(2)
+		for range 100 {
+			slot, err := gate.Acquire(t.Context(), ticket(0, 0, time.Second))
+			g.Expect(err).NotTo(HaveOccurred())
+			time.Sleep(200 * time.Millisecond)
+			slot.Release(true)
+		}
+		g.Expect(gate.Load().Service).To(BeNumerically("~", 200*time.Millisecond, 5*time.Millisecond))
+		slot, err := gate.Acquire(t.Context(), ticket(0, 0, time.Second))
+		g.Expect(err).NotTo(HaveOccurred())
+		before := gate.Load().Service
+		time.Sleep(time.Hour)
+		slot.Release(false)
+		g.Expect(gate.Load().Service).To(Equal(before))
+	})
+}
--- /dev/null
+++ b/internal/sidecar/choice/choice_test.go
@@ -0,0 +1,113 @@
+package choice_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/choice"
+)
+
+const ms = time.Millisecond
+
+func TestBest(t *testing.T) {
+	near := choice.Candidate{SameZone: true, Slots: 8, Work: 80 * ms, Held: 80 * ms}
+	far := choice.Candidate{Slots: 8, Work: 80 * ms, Held: 80 * ms, RoundTrip: 2 * ms}
+	with := func(from choice.Candidate, change func(*choice.Candidate)) choice.Candidate {
+		change(&from)
+		return from
+	}
+	cases := []struct {
+		name       string
+		candidates []choice.Candidate
+		aim        time.Duration
+		want       int
+	}{
+		{"none", nil, 300 * ms, -1},
+		{"the zone", []choice.Candidate{far, near}, 300 * ms, 1},
+		{"the zone, although it is twice as slow", []choice.Candidate{far, with(near, func(c *choice.Candidate) { c.Work = 160 * ms })}, 400 * ms, 1},
+		{"another zone when this one's would be late", []choice.Candidate{far, with(near, func(c *choice.Candidate) { c.Work = 320 * ms })}, 300 * ms, 0},
+		{"another zone when this one's queue is long", []choice.Candidate{far, with(near, func(c *choice.Candidate) { c.Busy = 40 })}, 300 * ms, 0},
+		{"the shorter of two queues that are both too long", []choice.Candidate{
+			with(near, func(c *choice.Candidate) { c.Busy = 200 }), with(near, func(c *choice.Candidate) { c.Busy = 150 }),
+		}, 300 * ms, 1},
+		{"not the one that failed", []choice.Candidate{far, with(near, func(c *choice.Candidate) { c.Avoid = true })}, 300 * ms, 0},
+		{"one that failed before one that leaves", []choice.Candidate{
+			with(near, func(c *choice.Candidate) { c.Leaving = true }), with(far, func(c *choice.Candidate) { c.Avoid = true }),
+		}, 300 * ms, 1},
+		{"one that leaves before one that was tried", []choice.Candidate{
+			with(near, func(c *choice.Candidate) { c.Tried = true }), with(far, func(c *choice.Candidate) { c.Leaving = true }),
+		}, 300 * ms, 1},
+		{"without a target latency the less busy", []choice.Candidate{
+			with(near, func(c *choice.Candidate) { c.Busy = 20 }), near,
+		}, 0, 1},
+	}
+	for _, chosen := range cases {
+		t.Run(chosen.name, func(t *testing.T) {
+			g := NewWithT(t)
+			for start := range max(len(chosen.candidates), 1) {
+				g.Expect(choice.Best(chosen.candidates, chosen.aim, start, choice.DefaultWeights())).To(Equal(chosen.want))
+			}
+		})
+	}
+}
+
+func TestEqualsTakeTurns(t *testing.T) {
+	g := NewWithT(t)
+	same := []choice.Candidate{{SameZone: true, Slots: 4}, {SameZone: true, Slots: 4}, {SameZone: true, Slots: 4}}
+	for start := range same {
+		g.Expect(choice.Best(same, time.Second, start, choice.DefaultWeights())).To(Equal(start))
+	}
+}
+
+func TestPatience(t *testing.T) {
+	cases := []struct {
+		name        string
+		request     choice.Request
+		wait, slack time.Duration
+	}{
+		{"no target latency", choice.Request{Remaining: time.Second}, 500 * ms, 500 * ms},
+		{"time to spare", choice.Request{Aim: 600 * ms, Remaining: 4 * time.Second, Expected: 200 * ms}, 300 * ms, 300 * ms},
+		{"part of it gone", choice.Request{Aim: 600 * ms, Remaining: 4 * time.Second, Expected: 200 * ms, Elapsed: 100 * ms}, 200 * ms, 200 * ms},
+		{"hardly in time", choice.Request{Aim: 400 * ms, Remaining: 4 * time.Second, Expected: 390 * ms}, 100 * ms, 100 * ms},
+		{"came back", choice.Request{Aim: 600 * ms, Remaining: 4 * time.Second, Expected: 200 * ms, Returning: true}, 600 * ms, 150 * ms},
+		{"no time to come back", choice.Request{Aim: 100 * ms, Remaining: 250 * ms, Expected: 20 * ms}, 100 * ms, 70 * ms},
+		{"hardly any time at all", choice.Request{Aim: 100 * ms, Remaining: 40 * ms, Expected: 20 * ms}, 20 * ms, 20 * ms},
+	}
+	for _, asked := range cases {
+		t.Run(asked.name, func(t *testing.T) {
+			g := NewWithT(t)
+			wait, slack := choice.Patience(asked.request)
+			g.Expect(wait).To(Equal(asked.wait))
+			g.Expect(slack).To(Equal(asked.slack))
+		})
+	}
+}
+
+func TestPace(t *testing.T) {
+	g := NewWithT(t)
+	pace := &choice.Pace{}
+	g.Expect(pace.Factor()).To(Equal(1.0))
+	pace.Observe(time.Hour, 0)
+	g.Expect(pace.Factor()).To(Equal(1.0), "nothing was expected")
+	for range 200 {
+		pace.Observe(50*ms, 100*ms)
+	}
+	g.Expect(pace.Factor()).To(BeNumerically("~", 0.5, 0.01))
+	pace.Observe(time.Hour, 100*ms)
+	g.Expect(pace.Factor()).To(BeNumerically("<", 1.0), "one request alone says little")
+	g.Expect(choice.Faded(5, 0)).To(Equal(5.0))
+	g.Expect(choice.Faded(5, 3*time.Second)).To(BeNumerically("~", 3, 0.001))
+	g.Expect(choice.Faded(5, time.Hour)).To(BeNumerically("~", 1, 0.001))
+	g.Expect(choice.Faded(0, 0)).To(Equal(1.0))
+}
+
+func TestWork(t *testing.T) {
+	g := NewWithT(t)
+	work := &choice.Work{}
+	g.Expect(work.Mean(70 * ms)).To(Equal(70 * ms))
+	work.Observe(20 * ms)
+	work.Observe(40 * ms)
+	g.Expect(work.Mean(70 * ms)).To(Equal(30 * ms))
+}
--- a/internal/sidecar/egress/budget.go
+++ b/internal/sidecar/egress/budget.go
@@ -37,7 +37,7 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.refill(limits, members, now)
-	b.tokens = min(b.tokens+limits.Ratio*ratioShare, b.most(limits, members))
+	b.tokens = min(b.tokens+limits.Ratio*ratioShare, most(limits, members))
 }
 
 // take spends one repeat and reports whether there was one.
@@ -59,23 +59,26 @@
 	return b.tokens
 }
 
-// most is what can be saved up: half of the share of the slack, so that what is
-// saved and what flows in within one window stay within it.
-func (b *budget) most(limits RetryLimits, members int) float64 {
-	return max(limits.Slack*slackShare/2/float64(max(members, 1)), 1)
+// half is half of this node's share of the slack. One half can be saved up and
+// is there at the start, the other flows in over a window.
+func half(limits RetryLimits, members int) float64 {
+	return limits.Slack * slackShare / 2 / float64(max(members, 1))
 }
 
+// most is what can be saved up: at least one repeat, which many nodes with few
+// requests each must save for.
+func most(limits RetryLimits, members int) float64 { return max(half(limits, members), 1) }
+
 // refill lets the other half of the share flow in over a window.
 func (b *budget) refill(limits RetryLimits, members int, now time.Time) {
-	most := b.most(limits, members)
+	share := half(limits, members)
 	if !b.filled {
-		b.tokens, b.filled, b.last = most, true, now
+		b.tokens, b.filled, b.last = share, true, now
 		return
 	}
 	if limits.Window > 0 {
-		inflow := limits.Slack * slackShare / 2 / float64(max(members, 1))
-		b.tokens += inflow * float64(now.Sub(b.last)) / float64(limits.Window)
+		b.tokens += share * float64(now.Sub(b.last)) / float64(limits.Window)
 	}
-	b.tokens = min(b.tokens, most)
+	b.tokens = min(b.tokens, most(limits, members))
 	b.last = now
 }
--- /dev/null
+++ b/internal/sidecar/egress/budget_test.go
@@ -0,0 +1,65 @@
+package egress
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// TestBudgetOverAllNodes: whatever the load does, the repeats of all nodes
+// together in any window stay below what the limits allow.
+func TestBudgetOverAllNodes(t *testing.T) {
+	limits := RetryLimits{Ratio: 0.2, Slack: 60, Window: 10 * time.Second}
+	cases := []struct {
+		name     string
+		nodes    int
+		requests int // of each node per tenth of a second
+	}{
+		{"calm", 10, 0}, {"one node", 1, 5}, {"busy", 10, 4}, {"many nodes", 100, 1}, {"very many nodes", 1000, 0},
+	}
+	for _, load := range cases {
+		t.Run(load.name, func(t *testing.T) {
+			g := NewWithT(t)
+			budgets := make([]budget, load.nodes)
+			now := time.Unix(1000, 0)
+			const steps = 600
+			taken := make([]int, steps)
+			for step := range steps {
+				now = now.Add(100 * time.Millisecond)
+				for node := range budgets {
+					for range load.requests {
+						budgets[node].first(limits, load.nodes, now)
+					}
+					for budgets[node].take(limits, load.nodes, now) {
+						taken[step]++
+					}
+				}
+			}
+			const window = 100
+			inWindow, most := 0, 0
+			for step := range steps {
+				inWindow += taken[step]
+				if step >= window {
+					inWindow -= taken[step-window]
+				}
+				most = max(most, inWindow)
+			}
+			allowed := limits.Ratio*float64(load.nodes*load.requests*window) + limits.Slack
+			g.Expect(float64(most)).To(BeNumerically("<=", allowed))
+			if load.requests > 0 {
+				g.Expect(most).To(BeNumerically(">", 0))
+			}
+		})
+	}
+}
+
+func TestPatienceOfCallers(t *testing.T) {
+	g := NewWithT(t)
+	known := &patience{}
+	g.Expect(known.returns(1200 * time.Millisecond)).To(BeFalse())
+	g.Expect(known.returns(1200 * time.Millisecond)).To(BeFalse())
+	g.Expect(known.returns(1199 * time.Millisecond)).To(BeFalse())
+	g.Expect(known.returns(900 * time.Millisecond)).To(BeTrue())
+	g.Expect(known.returns(1500 * time.Millisecond)).To(BeFalse())
+}
--- a/internal/sidecar/egress/call.go
+++ b/internal/sidecar/egress/call.go
@@ -234,13 +234,20 @@
 	if entry == nil {
 		return
 	}
+	priority := -1
+	if c.route != nil {
+		priority = c.route.Priority
+	}
 	entry.Write(
+		zap.Int("priority", priority),
 		zap.String("request", c.request.Header.Get(options.Vocabulary.RequestID)),
 		zap.String("route", name), zap.Int("status", c.status),
 		zap.String("outcome", string(c.failure.Outcome)),
 		zap.String("step", string(c.failure.Step)),
 		zap.String("peer", c.failure.Peer),
+		zap.String("caller", c.request.RemoteAddr),
 		zap.Uint64("version", c.table.Version()),
+		zap.Bool("returning", c.returning),
 		zap.String("visits", c.describeVisits()),
 		zap.Bool("callerGone", c.request.Context().Err() != nil),
 		zap.Duration("elapsed", elapsed),
--- a/internal/sidecar/egress/handler.go
+++ b/internal/sidecar/egress/handler.go
@@ -36,7 +36,9 @@
 	// Weights price the choice of back ends.
 	Weights choice.Weights
 	// Dial opens connections to other nodes.
-	Dial     forward.Dialer
+	Dial forward.Dialer
+	// Probe asks a node whether it is there.
+	Probe    Probe
 	Logger   *zap.Logger
 	Observer Observer
 }
@@ -47,6 +49,10 @@
 	CallEnded(route string, status int, result outcome.Outcome, step outcome.Step, elapsed time.Duration)
 	// Sent: a request went to another node, for that often.
 	Sent(service string, attempt int)
+	// Silent: a node does not answer; first says that it did before.
+	Silent(node string, first bool)
+	// Regained: a silent node answers again.
+	Regained(node string)
 	// Behind: a peer has a newer configuration than this node.
 	Behind(node string, version uint64)
 }
--- a/internal/sidecar/egress/target.go
+++ b/internal/sidecar/egress/target.go
@@ -24,6 +24,8 @@
 	avoidUntil atomic.Int64
 	failures   atomic.Int32
 	report     atomic.Pointer[loadReport]
+	// outstanding are the visits that wait for an answer.
+	outstanding outstanding
 }
 
 // loadReport is what a reply said of the load there.
--- a/internal/sidecar/egress/visit.go
+++ b/internal/sidecar/egress/visit.go
@@ -26,14 +26,6 @@
 	// refusalsPerCall bounds how many nodes may refuse one request. A refusal
 	// costs no back end anything.
 	refusalsPerCall = 3
-	// waitShare is the part of the target latency that a request may wait
-	// before it is better refused while the caller can still come back.
-	waitShare = 0.25
-	// lateShare is the part of the remaining time that a request may wait at
-	// most.
-	lateShare = 0.5
-	// workMargin is how much longer than expected the work may take.
-	workMargin = 1.5
 )
 
 // result is what one visit brought: an answer of the back end or a failure.
@@ -137,7 +129,8 @@
 // exchange sends the request to the node and returns the back end's answer.
 func (c *call) exchange(record *roster.Record, chosen *target) (*http.Response, *outcome.Failure) {
 	var consented atomic.Bool
-	traced := c.context
+	awaited, entry := c.handler.await(c.context, record, chosen, c.expected)
+	traced := awaited
 	if !c.route.Repeatable {
 		traced = httptrace.WithClientTrace(traced, &httptrace.ClientTrace{Got100Continue: func() { consented.Store(true) }})
 	}
@@ -145,7 +138,11 @@
 	response, err := chosen.pool.RoundTrip(c.outgoing(traced, record, interim))
 	interim.Stop()
 	now := time.Now()
+	chosen.outstanding.answered(entry, err == nil, now)
 	if err != nil {
+		if errors.Is(context.Cause(awaited), errSilent) {
+			err = errors.Join(errSilent, err)
+		}
 		return nil, c.exchangeFailed(chosen, err, consented.Load(), now)
 	}
 	c.learn(chosen, response, now)
@@ -274,10 +271,9 @@
 	header[hop.HeaderCaller] = []string{options.Caller()}
 	header[hop.HeaderPriority] = []string{strconv.Itoa(c.route.Priority)}
 	header[hop.HeaderExpected] = []string{hop.FormatMicroseconds(c.work().Mean(c.assumedWork()))}
-	if c.returning {
-		header[hop.HeaderReturning] = []string{"true"}
-	}
-	header[hop.HeaderMaximumWait] = []string{hop.FormatMilliseconds(c.maximumWait(remaining))}
+	wait, slack := c.patience(remaining)
+	header[hop.HeaderMaximumWait] = []string{hop.FormatMilliseconds(wait)}
+	header[hop.HeaderSlack] = []string{hop.FormatMilliseconds(slack)}
 	outgoing := forward.NewRequest(ctx, c.request, record.Address, header, interim)
 	forward.KeepTarget(outgoing, c.request)
 	c.body.Attach(outgoing)
@@ -291,19 +287,14 @@
 	return outgoing
 }
 
-// maximumWait is how long the request may wait for a slot so that the answer
-// still comes within the target latency. What comes back may wait a whole target
-// latency: it has less to lose by being late than by being refused again.
-func (c *call) maximumWait(remaining time.Duration) time.Duration {
-	late := time.Duration(float64(remaining) * lateShare)
-	aim := c.route.TargetLatency
-	if aim <= 0 {
-		return late
-	}
-	if c.returning {
-		return min(aim, late)
-	}
-	least := time.Duration(float64(aim) * waitShare)
-	inTime := aim - time.Duration(float64(c.expected)*workMargin) - time.Since(c.started)
-	return min(max(inTime, least), late)
+// patience returns how long the request may wait for a slot, and in what time it
+// must have one for its answer to come within the target latency.
+func (c *call) patience(remaining time.Duration) (wait, slack time.Duration) {
+	return choice.Patience(choice.Request{
+		Aim:       c.route.TargetLatency,
+		Remaining: remaining,
+		Elapsed:   time.Since(c.started),
+		Expected:  c.expected,
+		Returning: c.returning,
+	})
 }
--- a/internal/sidecar/exchange/message.go
+++ b/internal/sidecar/exchange/message.go
@@ -21,5 +21,6 @@
 const (
 	PathRoot          = "/v1"
 	pathExchange      = "/exchange"
+	pathPing          = "/ping"
 	pathConfiguration = "/configuration"
 )
--- a/internal/sidecar/exchange/server.go
+++ b/internal/sidecar/exchange/server.go
@@ -23,6 +23,9 @@
 	service.Path(PathRoot)
 	service.Route(service.POST(pathExchange).Consumes(restful.MIME_JSON).Produces(restful.MIME_JSON).To(e.serveExchange))
 	service.Route(service.GET(pathConfiguration).Produces(restful.MIME_OCTET).To(e.serveConfiguration))
+	service.Route(service.GET(pathPing).To(func(_ *restful.Request, response *restful.Response) {
+		response.WriteHeader(http.StatusNoContent)
+	}))
 	return service
 }
 
--- a/internal/sidecar/hop/hop.go
+++ b/internal/sidecar/hop/hop.go
@@ -24,8 +24,9 @@
 	HeaderPriority = "Kestrel-Priority"
 	// HeaderMaximumWait carries how long the request may wait, in milliseconds.
 	HeaderMaximumWait = "Kestrel-Maximum-Wait-Ms"
-	// HeaderReturning is set when the caller was refused before.
-	HeaderReturning = "Kestrel-Returning"
+	// HeaderSlack carries in how many milliseconds work must begin for the
+	// answer to have its full worth.
+	HeaderSlack = "Kestrel-Slack-Ms"
 	// HeaderExpected carries how long the caller's node expects a back end to
 	// work, in microseconds; HeaderWorked how long it did.
 	HeaderExpected = "Kestrel-Expected-Us"
--- a/internal/sidecar/ingress/handler.go
+++ b/internal/sidecar/ingress/handler.go
@@ -260,13 +260,12 @@
 
 // admit waits for a slot of the back end.
 func (a *arrival) admit() (*admission.Slot, *outcome.Failure) {
-	priority, _ := strconv.Atoi(a.request.Header.Get(hop.HeaderPriority))
-	maximum, _ := hop.Milliseconds(a.request.Header.Get(hop.HeaderMaximumWait))
+	header := a.request.Header
+	priority, _ := strconv.Atoi(header.Get(hop.HeaderPriority))
+	maximum, _ := hop.Milliseconds(header.Get(hop.HeaderMaximumWait))
+	slack, _ := hop.Milliseconds(header.Get(hop.HeaderSlack))
 	slot, err := a.handler.gate.Acquire(a.context, admission.Ticket{
-		Priority:    priority,
-		Returning:   a.request.Header.Get(hop.HeaderReturning) != "",
-		Deadline:    a.deadline,
-		MaximumWait: maximum,
+		Priority: priority, StartBy: a.started.Add(slack), MaximumWait: maximum,
 	})
 	a.waited = time.Since(a.started)
 	if err != nil {
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -18,6 +18,7 @@
 	arrivals *prometheus.CounterVec
 	queued   prometheus.Histogram
 	worked   prometheus.Histogram
+	silent   prometheus.Counter
 }
 
 // latencyBuckets are in seconds.
@@ -44,7 +45,10 @@
 			Name: "kestrel_sidecar_backend_seconds", Help: "Time that the back end held requests.", Buckets: latencyBuckets,
 		}),
 	}
-	registry.MustRegister(created.calls, created.latency, created.sends, created.arrivals, created.queued, created.worked)
+	created.silent = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "kestrel_sidecar_silent_probes_total", Help: "Probes that a node did not answer.",
+	})
+	registry.MustRegister(created.silent, created.calls, created.latency, created.sends, created.arrivals, created.queued, created.worked)
 	return created
 }
 
--- /dev/null
+++ b/internal/sidecar/roster/roster_test.go
@@ -0,0 +1,177 @@
+package roster_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+)
+
+func record(node string, epoch, counter uint64) roster.Record {
+	return roster.Record{Node: node, Epoch: epoch, Counter: counter, Address: node + ":1", Zone: "z"}
+}
+
+func endpoint(id string, state roster.State, sequence uint64) *roster.Endpoint {
+	return &roster.Endpoint{ID: id, Service: "s", Slots: 4, State: state, Sequence: sequence}
+}
+
+func TestMergeTakesTheNewest(t *testing.T) {
+	cases := []struct {
+		name         string
+		epoch, count uint64
+		taken        bool
+	}{
+		{"older epoch, higher counter", 1, 9, false},
+		{"same", 2, 5, false},
+		{"same epoch, lower counter", 2, 4, false},
+		{"same epoch, higher counter", 2, 6, true},
+		{"newer epoch, lower counter", 3, 1, true},
+	}
+	for _, offered := range cases {
+		t.Run(offered.name, func(t *testing.T) {
+			g := NewWithT(t)
+			held := roster.New(record("self", 1, 1))
+			first := record("other", 2, 5)
+			held.Merge([]*roster.Record{&first})
+			before := held.View().Digest()
+			second := record("other", offered.epoch, offered.count)
+			second.Leaving = true
+			changed := held.Merge([]*roster.Record{&second})
+			g.Expect(len(changed) == 1).To(Equal(offered.taken))
+			g.Expect(held.View().Record("other").Leaving).To(Equal(offered.taken))
+			g.Expect(held.View().Digest() != before).To(Equal(offered.taken))
+		})
+	}
+}
+
+// TestAnEarlierLifeIsRefuted: the node goes above what an earlier life left, and
+// takes over what that life knew of the back end.
+func TestAnEarlierLifeIsRefuted(t *testing.T) {
+	cases := []struct {
+		name       string
+		heard      *roster.Endpoint
+		remembered *roster.Endpoint
+		ended      []string
+		want       *roster.Endpoint
+	}{
+		{"nothing heard yet", nil, endpoint("i-1", roster.Draining, 4), nil, endpoint("i-1", roster.Draining, 4)},
+		{"a late heartbeat before the word that it drains", endpoint("i-1", roster.Ready, 3), endpoint("i-1", roster.Draining, 4), nil, endpoint("i-1", roster.Draining, 4)},
+		{"a newer heartbeat", endpoint("i-1", roster.Draining, 5), endpoint("i-1", roster.Ready, 4), nil, endpoint("i-1", roster.Draining, 5)},
+		{"another back end since", endpoint("i-2", roster.Ready, 1), endpoint("i-1", roster.Ready, 4), nil, endpoint("i-2", roster.Ready, 1)},
+		{"a late heartbeat of one that has ended", endpoint("i-1", roster.Ready, 9), endpoint("i-0", roster.Ready, 1), []string{"i-1"}, endpoint("i-1", roster.Gone, 9)},
+		{"gone stays gone", endpoint("i-1", roster.Ready, 9), endpoint("i-1", roster.Gone, 2), nil, endpoint("i-1", roster.Gone, 2)},
+		{"nothing remembered", endpoint("i-1", roster.Ready, 9), nil, nil, endpoint("i-1", roster.Ready, 9)},
+	}
+	for _, life := range cases {
+		t.Run(life.name, func(t *testing.T) {
+			g := NewWithT(t)
+			own := record("self", 1, 1)
+			own.Endpoint = life.heard
+			held := roster.New(own)
+			remembered := record("self", 4, 2)
+			remembered.Endpoint, remembered.Ended = life.remembered, life.ended
+			held.Merge([]*roster.Record{&remembered})
+			g.Expect(held.Own().Epoch).To(BeEquivalentTo(5))
+			g.Expect(held.Own().Endpoint).To(Equal(life.want))
+		})
+	}
+}
+
+// TestClaims plays heartbeats of several ids in the order in which they come.
+func TestClaims(t *testing.T) {
+	const interval = 1500 * time.Millisecond
+	type beat struct {
+		at       time.Duration
+		id       string
+		state    roster.State
+		sequence uint64
+		end      bool
+		confirm  bool
+	}
+	cases := []struct {
+		name  string
+		beats []beat
+		id    string
+		state roster.State
+	}{
+		{"the first is taken", []beat{{0, "a", roster.Ready, 1, false, false}}, "a", roster.Ready},
+		{"draining", []beat{{0, "a", roster.Ready, 1, false, false}, {1, "a", roster.Draining, 2, false, false}}, "a", roster.Draining},
+		{"a late heartbeat does not undo draining", []beat{
+			{0, "a", roster.Ready, 1, false, false}, {1, "a", roster.Draining, 3, false, false}, {2, "a", roster.Ready, 2, false, false},
+		}, "a", roster.Draining},
+		{"an ended id does not come back", []beat{
+			{0, "a", roster.Ready, 1, false, false}, {1, "a", "", 0, true, false}, {2, "a", roster.Ready, 2, false, false},
+		}, "a", roster.Gone},
+		{"the next one follows an ended one at once", []beat{
+			{0, "a", roster.Ready, 1, false, false}, {1, "a", "", 0, true, false}, {2, "b", roster.Ready, 1, false, false},
+		}, "b", roster.Ready},
+		{"one late heartbeat of an earlier one changes nothing", []beat{
+			{0, "b", roster.Ready, 1, false, false}, {1, "a", roster.Ready, 40, false, false}, {interval, "b", roster.Ready, 2, false, false},
+			{interval + 1, "a", roster.Ready, 41, false, false}, {2 * interval, "b", roster.Ready, 3, false, false},
+		}, "b", roster.Ready},
+		{"a late heartbeat that came first gives way", []beat{
+			{0, "a", roster.Ready, 40, false, false}, {1, "b", roster.Ready, 1, false, false}, {interval, "b", roster.Ready, 2, false, false},
+		}, "b", roster.Ready},
+		{"and may not come back alone", []beat{
+			{0, "a", roster.Ready, 40, false, false}, {1, "b", roster.Ready, 1, false, false}, {interval, "b", roster.Ready, 2, false, false},
+			{interval + 1, "a", roster.Ready, 41, false, false},
+		}, "b", roster.Ready},
+		{"a silent one gives way at once", []beat{
+			{0, "a", roster.Ready, 1, false, false}, {4 * interval, "b", roster.Ready, 1, false, false},
+		}, "b", roster.Ready},
+		{"the back end's own word decides", []beat{
+			{0, "a", roster.Ready, 40, false, false}, {1, "b", roster.Ready, 1, false, false}, {2, "b", "", 0, false, true},
+		}, "b", roster.Ready},
+		{"an unknown id from the back end is no claim", []beat{
+			{0, "a", roster.Ready, 40, false, false}, {2, "c", "", 0, false, true},
+		}, "a", roster.Ready},
+	}
+	for _, played := range cases {
+		t.Run(played.name, func(t *testing.T) {
+			g := NewWithT(t)
+			start := time.Unix(1000, 0)
+			claims := roster.Claims{Interval: interval}
+			own := record("self", 1, 1)
+			for _, beat := range played.beats {
+				now := start.Add(beat.at)
+				switch {
+				case beat.end:
+					own, _ = own.End(beat.id)
+				case beat.confirm:
+					own, _ = claims.Confirm(own, beat.id, now)
+				default:
+					own, _ = claims.Beat(own, roster.Heartbeat{Endpoint: *endpoint(beat.id, beat.state, beat.sequence)}, now)
+				}
+			}
+			g.Expect(own.Endpoint.ID).To(Equal(played.id))
+			g.Expect(own.Endpoint.State).To(Equal(played.state))
+		})
+	}
+}
+
+func TestUnchangedHeartbeatsMakeNoNewRecord(t *testing.T) {
+	g := NewWithT(t)
+	held := roster.New(record("self", 1, 1))
+	claims := roster.Claims{Interval: time.Second}
+	told := 0
+	held.Observe(func([]*roster.Record) { told++ })
+	for sequence := uint64(1); sequence <= 5; sequence++ {
+		held.Update(func(own roster.Record) (roster.Record, bool) {
+			return claims.Beat(own, roster.Heartbeat{Endpoint: *endpoint("a", roster.Ready, sequence)}, time.Unix(int64(sequence), 0))
+		})
+	}
+	g.Expect(told).To(Equal(1))
+	g.Expect(held.Own().Counter).To(BeEquivalentTo(2))
+}
+
+func TestEndedIDsAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	own := record("self", 1, 1)
+	for number := range 100 {
+		own, _ = own.End(string(rune('A' + number)))
+	}
+	g.Expect(len(own.Ended)).To(BeNumerically("<=", 16))
+	g.Expect(own.HasEnded(string(rune('A' + 99)))).To(BeTrue())
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -129,8 +129,11 @@
 		Retries:    settings.Retries,
 		Weights:    choice.DefaultWeights(),
 		Dial:       dial.Dialer(exchangeDial, dial.Silence{Unacknowledged: peerUnacknowledged, Idle: peerIdle}),
-		Logger:     s.logger,
-		Observer:   &callObserver{metrics: observed, sidecar: s},
+		Probe: func(ctx context.Context, record *roster.Record) error {
+			return s.exchanger.Ping(ctx, record)
+		},
+		Logger:   s.logger,
+		Observer: &callObserver{metrics: observed, sidecar: s},
 	})
 }
 
@@ -140,6 +143,19 @@
 	sidecar *Sidecar
 }
 
+// Silent implements egress.Observer.
+func (o *callObserver) Silent(node string, first bool) {
+	o.silent.Inc()
+	if first {
+		o.sidecar.logger.Warn("peer silent", zap.String("peer", node))
+	}
+}
+
+// Regained implements egress.Observer.
+func (o *callObserver) Regained(node string) {
+	o.sidecar.logger.Info("peer regained", zap.String("peer", node))
+}
+
 // Behind implements egress.Observer.
 func (o *callObserver) Behind(node string, version uint64) {
 	o.sidecar.exchanger.Behind(o.sidecar.members.View().Record(node), version)
