Hear of versions that the watch missed: ask anew at random, tell the others

Ruled out: a slow decode: the watch had brought nothing on any node.

Change: calls of a watch wait a random time that grows with the number of nodes, so that some node asks anew about twice a second; who learns of a version by reading tells the others; who is behind a peer waits 0.6 s for its own watch, then asks the store, then the peer. Fetching from peers at once had sent every version across the zones.

--- a/internal/sidecar/configuration/follower.go
+++ b/internal/sidecar/configuration/follower.go
@@ -61,7 +61,7 @@
 	defer watch.Close()
 	for event := range watch.Events() {
 		if event.Key == key && !event.Deleted {
-			_ = keeper.Offer(event.Value, "store")
+			_ = keeper.Offer(event.Value, SourceWatch)
 		}
 	}
 	return watch.Err()
@@ -80,10 +80,16 @@
 	if err != nil {
 		return 0, err
 	}
-	_ = keeper.Offer(found.Value, "store")
+	_ = keeper.Offer(found.Value, SourceRead)
 	return found.Revision, nil
 }
 
+// Refresh offers the keeper what the store has under the key now.
+func Refresh(ctx context.Context, reader store.Reader, key string, keeper *Keeper) error {
+	_, err := readOnce(ctx, reader, key, keeper)
+	return err
+}
+
 // wait pauses for half to all of the duration.
 func wait(ctx context.Context, duration time.Duration) {
 	timer := time.NewTimer(duration/2 + rand.N(duration/2+1))
--- a/internal/sidecar/configuration/keeper.go
+++ b/internal/sidecar/configuration/keeper.go
@@ -18,6 +18,19 @@
 // Decoder reads a committed document. Notes name what it left out.
 type Decoder func(raw []byte) (document *route.Document, notes []string, err error)
 
+// Source says how a document came to the node.
+type Source string
+
+// The sources of documents.
+const (
+	// SourceWatch: the store told by itself.
+	SourceWatch Source = "watch"
+	// SourceRead: the store was asked anew.
+	SourceRead Source = "read"
+	// SourcePeer: another node had it.
+	SourcePeer Source = "peer"
+)
+
 // Keeper holds the table in force. Versions only rise.
 type Keeper struct {
 	decode Decoder
@@ -25,7 +38,7 @@
 	held   atomic.Pointer[held]
 
 	mutex     sync.Mutex // serializes Offer; guards observers
-	observers []func(*route.Table)
+	observers []func(*route.Table, Source)
 	// refused is the last document that was refused, so that it is logged once.
 	refused string
 }
@@ -70,7 +83,7 @@
 }
 
 // Observe has the function called with each table put in force from now on.
-func (k *Keeper) Observe(observer func(*route.Table)) {
+func (k *Keeper) Observe(observer func(*route.Table, Source)) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	k.observers = append(k.observers, observer)
@@ -80,8 +93,8 @@
 var ErrNotNewer = errors.New("the version is not above the one in force")
 
 // Offer puts a document in force when it is valid and newer. Otherwise the one
-// before stays in force, whole. source names where it came from.
-func (k *Keeper) Offer(raw []byte, source string) error {
+// before stays in force, whole.
+func (k *Keeper) Offer(raw []byte, source Source) error {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	document, notes, err := k.decode(raw)
@@ -99,18 +112,18 @@
 	k.held.Store(&held{table: compiled, raw: raw, since: time.Now()})
 	k.logger.Info("configuration in force",
 		zap.Uint64("version", document.Version), zap.Uint64("before", before.Version()),
-		zap.String("source", source), zap.Int("routes", len(document.Routes)), zap.Strings("notes", notes))
+		zap.String("source", string(source)), zap.Int("routes", len(document.Routes)), zap.Strings("notes", notes))
 	for _, observer := range k.observers {
-		observer(compiled)
+		observer(compiled, source)
 	}
 	return nil
 }
 
-func (k *Keeper) refuse(raw []byte, source string, err error) error {
+func (k *Keeper) refuse(raw []byte, source Source, err error) error {
 	if k.refused != string(raw) {
 		k.refused = string(raw)
 		k.logger.Error("configuration refused",
-			zap.Uint64("inForce", k.Version()), zap.String("source", source), zap.Error(err))
+			zap.Uint64("inForce", k.Version()), zap.String("source", string(source)), zap.Error(err))
 	}
 	return err
 }
--- a/internal/sidecar/exchange/exchanger.go
+++ b/internal/sidecar/exchange/exchanger.go
@@ -28,6 +28,8 @@
 	// Interval is the time between two exchanges that this node begins.
 	Interval time.Duration
 	Dial     func(ctx context.Context, network, address string) (net.Conn, error)
+	// Refresh reads the configuration from the store now.
+	Refresh func(ctx context.Context) error
 	// Suspect is told of nodes that do not answer.
 	Suspect func(*roster.Record)
 	Logger  *zap.Logger
@@ -39,6 +41,10 @@
 
 	exchangeTimeout = 700 * time.Millisecond
 	fetchTimeout    = 2 * time.Second
+	// catchUpDelay is how long a node that is behind waits for its own watch,
+	// refreshTimeout bounds its question to the store.
+	catchUpDelay   = 600 * time.Millisecond
+	refreshTimeout = 400 * time.Millisecond
 	// broadcastPeers bounds how many nodes are told of a change directly; the
 	// others hear of it through them and the store.
 	broadcastPeers = 64
@@ -180,20 +186,41 @@
 	e.Behind(received.From, received.Version)
 }
 
-// Behind fetches the configuration from a peer that has a newer one.
+// Behind catches up with a peer that has a newer configuration: the store will
+// mostly tell by itself within a short time; then it is asked, and at last the
+// peer.
 func (e *Exchanger) Behind(peer *roster.Record, version uint64) {
 	if peer == nil || version <= e.options.Configuration.Version() || !e.fetching.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
 		defer e.fetching.Store(false)
-		if err := e.fetch(peer); err != nil {
-			e.options.Logger.Warn("configuration not fetched", zap.String("peer", peer.Node),
-				zap.Uint64("version", version), zap.Error(err))
-		}
+		e.catchUp(peer, version)
 	}()
 }
 
+func (e *Exchanger) catchUp(peer *roster.Record, version uint64) {
+	held := e.options.Configuration
+	if held.Version() > 0 {
+		time.Sleep(catchUpDelay)
+	}
+	if held.Version() >= version {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), refreshTimeout)
+	err := e.options.Refresh(ctx)
+	cancel()
+	if held.Version() >= version {
+		return
+	}
+	e.options.Logger.Warn("configuration behind a peer's", zap.String("peer", peer.Node),
+		zap.Uint64("version", version), zap.Uint64("inForce", held.Version()), zap.Error(err))
+	if err := e.fetch(peer); err != nil {
+		e.options.Logger.Warn("configuration not fetched", zap.String("peer", peer.Node),
+			zap.Uint64("version", version), zap.Error(err))
+	}
+}
+
 func (e *Exchanger) fetch(peer *roster.Record) error {
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
@@ -213,7 +240,7 @@
 	if err != nil {
 		return trace.Wrap(err, "fetch configuration")
 	}
-	err = e.options.Configuration.Offer(raw, peer.Node)
+	err = e.options.Configuration.Offer(raw, configuration.SourcePeer)
 	if errors.Is(err, configuration.ErrNotNewer) {
 		return nil
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -24,7 +25,11 @@
 )
 
 // Store is what a sidecar needs of the store.
-type Store = membership.Store
+type Store interface {
+	membership.Store
+	// PaceWatches sets how long each call of a watch waits.
+	PaceWatches(wait func() time.Duration)
+}
 
 // Options are the parts that the assembly provides.
 type Options struct {
@@ -51,6 +56,12 @@
 	// WatchPause is how long a watch of the store rests after an event: changes
 	// in quick succession come with one call.
 	WatchPause = 500 * time.Millisecond
+	// watchWaitPerNode, watchWaitLeast and watchWaitMost say how long one call
+	// of a watch waits at most: a watch may miss an event unheard, so that of all
+	// nodes some one should ask anew about twice in that time.
+	watchWaitPerNode = 1200 * time.Millisecond
+	watchWaitLeast   = 6 * time.Second
+	watchWaitMost    = 28 * time.Second
 )
 
 // Sidecar is one node. It is safe for concurrent use.
@@ -68,6 +79,14 @@
 	claims roster.Claims
 }
 
+// WatchWait returns how long the next call of a watch is to wait.
+func (s *Sidecar) WatchWait() time.Duration {
+	nodes := time.Duration(len(s.members.View().Records()))
+	wait := min(max(nodes*watchWaitPerNode, watchWaitLeast), watchWaitMost)
+	const leastShare = 12
+	return wait/leastShare + rand.N(wait-wait/leastShare)
+}
+
 // StoreDialer returns the dialer for connections to the store.
 func StoreDialer() func(ctx context.Context, network, address string) (net.Conn, error) {
 	return dial.Dialer(storeDial, dial.Silence{Unacknowledged: storeSilence, Idle: peerIdle})
@@ -93,13 +112,17 @@
 		Roster:        created.members,
 		Configuration: created.keeper,
 		Dial:          dial.Dialer(exchangeDial, dial.Silence{Unacknowledged: peerUnacknowledged, Idle: peerIdle}),
-		Suspect:       created.egress.Suspect,
-		Logger:        options.Logger,
+		Refresh: func(ctx context.Context) error {
+			return configuration.Refresh(ctx, options.Store, options.ConfigurationKey, created.keeper)
+		},
+		Suspect: created.egress.Suspect,
+		Logger:  options.Logger,
 	})
 	created.publisher = membership.NewPublisher(options.Store, created.members, options.Logger)
 	created.members.Observe(created.follow)
 	created.keeper.Observe(created.apply)
 	created.watch(options.Registry)
+	options.Store.PaceWatches(created.WatchWait)
 	return created
 }
 
@@ -197,9 +220,13 @@
 	entry.Write(fields...)
 }
 
-// apply takes in a new configuration.
-func (s *Sidecar) apply(table *route.Table) {
+// apply takes in a new configuration. One that the watch had missed is likely to
+// have been missed by others: they are told.
+func (s *Sidecar) apply(table *route.Table, source configuration.Source) {
 	s.limitConnections(table, s.members.Own().Endpoint)
+	if source == configuration.SourceRead {
+		go s.spread(context.Background())
+	}
 }
 
 func (s *Sidecar) limitConnections(table *route.Table, endpoint *roster.Endpoint) {
