Put shorter work first among equally urgent requests

Change: of equal priority, requests are ordered by the order of magnitude of their expected work. The chance of a late answer has a long tail, as the times of back ends have.

--- a/internal/sidecar/admission/admission.go
+++ b/internal/sidecar/admission/admission.go
@@ -7,6 +7,7 @@
 	"container/heap"
 	"context"
 	"errors"
+	"math/bits"
 	"sync"
 	"time"
 )
@@ -29,6 +30,10 @@
 	// the first time: a server that is behind would otherwise serve everyone
 	// late for as long as callers come back.
 	Returning bool
+	// Work is how long the back end is expected to work on the request. Of equal
+	// urgency the much shorter go first: more of them are served, and calls that
+	// back ends make while they work are short.
+	Work time.Duration
 	// StartBy is when work must begin for the answer to have its full worth.
 	StartBy time.Time
 	// MaximumWait is how long the request may wait.
@@ -244,7 +249,8 @@
 }
 
 // before orders by priority, then what comes first before what comes back, then
-// by the time to start by, then by arrival.
+// by the order of magnitude of the work, then by the time to start by, then by
+// arrival.
 func (w *waiter) before(other *waiter) bool {
 	if w.ticket.Priority != other.ticket.Priority {
 		return w.ticket.Priority < other.ticket.Priority
@@ -252,12 +258,18 @@
 	if w.ticket.Returning != other.ticket.Returning {
 		return other.ticket.Returning
 	}
+	if own, others := magnitude(w.ticket.Work), magnitude(other.ticket.Work); own != others {
+		return own < others
+	}
 	if !w.ticket.StartBy.Equal(other.ticket.StartBy) {
 		return w.ticket.StartBy.Before(other.ticket.StartBy)
 	}
 	return w.order < other.order
 }
 
+// magnitude is the number of binary digits of the work in milliseconds.
+func magnitude(work time.Duration) int { return bits.Len64(uint64(max(work, 0) / time.Millisecond)) }
+
 // waiters is a heap with the next request first.
 type waiters []*waiter
 
--- a/internal/sidecar/admission/admission_test.go
+++ b/internal/sidecar/admission/admission_test.go
@@ -23,12 +23,14 @@
 		gate.Resize(1)
 		first, err := gate.Acquire(t.Context(), ticket(0, 0, time.Second))
 		g.Expect(err).NotTo(HaveOccurred())
-		served := make(chan string, 5)
+		served := make(chan string, 7)
 		waiters := []struct {
 			name   string
 			ticket admission.Ticket
 		}{
 			{"least urgent", ticket(2, 0, time.Minute)},
+			{"long", admission.Ticket{Priority: 1, Work: 120 * time.Millisecond, StartBy: time.Now(), MaximumWait: time.Minute}},
+			{"as long, sooner", admission.Ticket{Priority: 1, Work: 70 * time.Millisecond, StartBy: time.Now().Add(-1), MaximumWait: time.Minute}},
 			{"came back", admission.Ticket{Priority: 1, Returning: true, StartBy: time.Now(), MaximumWait: time.Minute}},
 			{"later", ticket(1, 2*time.Second, time.Minute)},
 			{"sooner", ticket(1, time.Second, time.Minute)},
@@ -44,7 +46,7 @@
 			synctest.Wait()
 		}
 		first.Release(true)
-		for _, want := range []string{"most urgent", "sooner", "later", "came back", "least urgent"} {
+		for _, want := range []string{"most urgent", "sooner", "later", "as long, sooner", "long", "came back", "least urgent"} {
 			g.Expect(<-served).To(Equal(want))
 		}
 	})
--- a/internal/sidecar/choice/choice.go
+++ b/internal/sidecar/choice/choice.go
@@ -52,9 +52,10 @@
 	assumedAim = time.Second
 	// lateness is how much of the worth is lost by an answer that comes late.
 	lateness = 0.7
-	// spread is how far answers scatter around the expected time, as a share of
-	// the target latency.
-	spread = 0.14
+	// Times scatter widely to the long side, as in a log-logistic distribution:
+	// typical is its median as a share of the expected time, steepness its shape.
+	typical   = 0.83
+	steepness = 2.8
 	// slowness is the price of a whole target latency of waiting. It tells apart
 	// back ends that would all answer in time, or all late.
 	slowness = 0.1
@@ -80,7 +81,7 @@
 		aim = assumedAim
 	}
 	share := float64(Expected(candidate)) / float64(aim)
-	cost := lateness / (1 + math.Exp((1-share)/spread))
+	cost := lateness / (1 + math.Pow(typical*share, -steepness))
 	cost += slowness * share
 	if !candidate.SameZone {
 		cost += weights.ForeignZone
--- a/internal/sidecar/ingress/handler.go
+++ b/internal/sidecar/ingress/handler.go
@@ -264,9 +264,11 @@
 	priority, _ := strconv.Atoi(header.Get(hop.HeaderPriority))
 	maximum, _ := hop.Milliseconds(header.Get(hop.HeaderMaximumWait))
 	slack, _ := hop.Milliseconds(header.Get(hop.HeaderSlack))
+	expected, _ := hop.Microseconds(header.Get(hop.HeaderExpected))
 	slot, err := a.handler.gate.Acquire(a.context, admission.Ticket{
 		Priority:    priority,
 		Returning:   header.Get(hop.HeaderReturning) != "",
+		Work:        expected,
 		StartBy:     a.started.Add(slack),
 		MaximumWait: maximum,
 	})
