Use a stopping node's back end for a while; one short line between nodes

Nine headers between nodes cost about 300 bytes a request.

Ruled out: a shorter stop: the platform needs two readiness checks to lead callers elsewhere.

Change: peers are told after a fifth of the grace time. What nodes tell each other beside a request is one header line each way, typed and tested.

--- a/internal/sidecar/egress/call.go
+++ b/internal/sidecar/egress/call.go
@@ -21,7 +21,6 @@
 	errNoRoute    = errors.New("no route for this host and path")
 	errStopping   = errors.New("the node is leaving")
 	errNoEndpoint = errors.New("no back end of the service is known")
-	errAllRefused = errors.New("every back end of the service refused")
 	errLate       = errors.New("the deadline passed before work began")
 	errUpgrade    = errors.New("upgrades are not carried")
 	errBudget     = errors.New("the budget of repeats is spent")
--- a/internal/sidecar/egress/target.go
+++ b/internal/sidecar/egress/target.go
@@ -30,7 +30,7 @@
 
 // loadReport is what a reply said of the load there.
 type loadReport struct {
-	hop.Load
+	hop.Reply
 	// others is how many requests there were not this node's.
 	others float64
 	taken  time.Time
@@ -46,9 +46,9 @@
 )
 
 // learn takes in the load that a reply carries.
-func (t *target) learn(load hop.Load, now time.Time) {
+func (t *target) learn(load hop.Reply, now time.Time) {
 	others := float64(load.Running+load.Waiting) - float64(t.inFlight.Load())
-	t.report.Store(&loadReport{Load: load, others: max(others, 0), taken: now})
+	t.report.Store(&loadReport{Reply: load, others: max(others, 0), taken: now})
 }
 
 // failed has the target avoided for a while.
@@ -88,7 +88,7 @@
 		age := now.Sub(report.taken)
 		described.Busy += report.others * math.Exp2(-float64(age)/float64(reportHalfLife))
 		described.Work = time.Duration(float64(usual) * choice.Faded(report.Factor, age))
-		described.Held = report.Service
+		described.Held = report.Held
 	}
 	return described
 }
--- a/internal/sidecar/egress/visit.go
+++ b/internal/sidecar/egress/visit.go
@@ -22,7 +22,7 @@
 
 const (
 	// markerCount is how many headers the node adds at most.
-	markerCount = 11
+	markerCount = 2
 	// refusalsPerCall bounds how many nodes may refuse one request. A refusal
 	// costs no back end anything.
 	refusalsPerCall = 3
@@ -159,15 +159,16 @@
 
 // learn takes in what the reply says of the node itself.
 func (c *call) learn(chosen *target, response *http.Response, now time.Time) {
-	if load, valid := hop.ParseLoad(response.Header); valid {
-		chosen.learn(load, now)
+	reply, err := hop.ParseReply(response.Header.Get(hop.HeaderReply))
+	if err != nil {
+		return
 	}
-	if worked, valid := hop.Microseconds(response.Header.Get(hop.HeaderWorked)); valid && response.StatusCode < http.StatusMultipleChoices {
-		c.work().Observe(worked)
+	chosen.learn(reply, now)
+	if reply.Worked > 0 && response.StatusCode < http.StatusMultipleChoices {
+		c.work().Observe(reply.Worked)
 	}
-	version, err := strconv.ParseUint(response.Header.Get(hop.HeaderVersion), 10, 64)
-	if err == nil && version > c.table.Version() {
-		c.handler.options.Observer.Behind(chosen.node, version)
+	if reply.Version > c.table.Version() {
+		c.handler.options.Observer.Behind(chosen.node, reply.Version)
 	}
 }
 
@@ -265,19 +266,14 @@
 	header := forward.RequestHeader(c.request.Header, markerCount)
 	delete(header, "Expect")
 	remaining := time.Until(c.deadline)
-	header[outcome.HeaderDeadline] = []string{hop.FormatMilliseconds(remaining)}
-	header[outcome.HeaderService] = []string{c.service}
-	header[hop.HeaderEndpoint] = []string{record.Endpoint.ID}
-	header[hop.HeaderCaller] = []string{options.Caller()}
-	header[hop.HeaderPriority] = []string{strconv.Itoa(c.route.Priority)}
-	header[hop.HeaderExpected] = []string{hop.FormatMicroseconds(c.work().Mean(c.assumedWork()))}
 	request := c.described(remaining)
 	wait, slack := choice.Patience(request)
-	header[hop.HeaderMaximumWait] = []string{hop.FormatMilliseconds(wait)}
-	header[hop.HeaderSlack] = []string{hop.FormatMilliseconds(slack)}
-	if request.Returning && !request.Hurried() {
-		header[hop.HeaderReturning] = []string{"true"}
+	told := hop.Request{
+		Service: c.service, Caller: options.Caller(), Remaining: remaining, Priority: c.route.Priority,
+		MaximumWait: wait, Slack: slack, Expected: c.work().Mean(c.assumedWork()),
+		Returning: request.Returning && !request.Hurried(),
 	}
+	header[hop.HeaderHop] = []string{told.Format()}
 	outgoing := forward.NewRequest(ctx, c.request, record.Address, header, interim)
 	forward.KeepTarget(outgoing, c.request)
 	c.body.Attach(outgoing)
--- a/internal/sidecar/exchange/server.go
+++ b/internal/sidecar/exchange/server.go
@@ -3,11 +3,8 @@
 import (
 	"io"
 	"net/http"
-	"strconv"
 
 	"github.com/emicklei/go-restful/v3"
-
-	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
 )
 
 const (
@@ -46,7 +43,6 @@
 		_ = response.WriteErrorString(http.StatusNotFound, "configuration: none is in force")
 		return
 	}
-	response.AddHeader(hop.HeaderVersion, strconv.FormatUint(e.options.Configuration.Version(), 10))
 	response.AddHeader("Content-Type", restful.MIME_OCTET)
 	_, _ = response.Write(raw)
 }
--- /dev/null
+++ b/internal/sidecar/hop/hop_test.go
@@ -0,0 +1,60 @@
+package hop_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
+)
+
+func TestRequestLine(t *testing.T) {
+	g := NewWithT(t)
+	sent := hop.Request{
+		Service: "one", Caller: "two", Remaining: 1234567 * time.Microsecond, Priority: 3,
+		MaximumWait: 90 * time.Millisecond, Slack: 70 * time.Millisecond, Expected: 36500 * time.Microsecond, Returning: true,
+	}
+	received, err := hop.ParseRequest(sent.Format())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(received).To(Equal(sent))
+	late := hop.Request{Service: "one", Remaining: -time.Second, Slack: -1}
+	received, err = hop.ParseRequest(late.Format())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(received.Remaining).To(Equal(time.Microsecond))
+	g.Expect(received.Slack).To(BeZero())
+}
+
+func TestReplyLine(t *testing.T) {
+	g := NewWithT(t)
+	sent := hop.Reply{
+		Version: 1<<53 - 1, Running: 9, Waiting: 2, Slots: 9, Held: 120 * time.Millisecond, Factor: 1.5, Worked: 80 * time.Millisecond,
+	}
+	received, err := hop.ParseReply(sent.Format())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(received).To(Equal(sent))
+}
+
+func TestLinesThatCannotBeRead(t *testing.T) {
+	for _, line := range []string{"", "one", " two 1 2 3 4 5 0", "one two 1 2 3 4 5", "one two 1 2 3 4 5 0 6", "one two -1 2 3 4 5 0", "one two x 2 3 4 5 0"} {
+		_, err := hop.ParseRequest(line)
+		NewWithT(t).Expect(err).To(MatchError(hop.ErrLine), line)
+	}
+	for _, line := range []string{"", "1 2 3 4 5 6", "1 2 3 4 5 6 7 8", "1 2 3 4 5 6 99999999999999999999", "1 2 3 4 5 6 -7"} {
+		_, err := hop.ParseReply(line)
+		NewWithT(t).Expect(err).To(MatchError(hop.ErrLine), line)
+	}
+}
+
+func TestMilliseconds(t *testing.T) {
+	g := NewWithT(t)
+	for _, text := range []string{"", "-1", "x", "1.5", "99999999999999"} {
+		_, valid := hop.Milliseconds(text)
+		g.Expect(valid).To(BeFalse(), text)
+	}
+	read, valid := hop.Milliseconds("1200")
+	g.Expect(valid).To(BeTrue())
+	g.Expect(read).To(Equal(1200 * time.Millisecond))
+	g.Expect(hop.FormatMilliseconds(10 * time.Microsecond)).To(Equal("1"))
+	g.Expect(hop.FormatSeconds(150 * time.Millisecond)).To(Equal("0.15"))
+}
--- /dev/null
+++ b/internal/sidecar/hop/line.go
@@ -0,0 +1,135 @@
+package hop
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Request is what the caller's node tells the arriving one beside the request
+// itself.
+type Request struct {
+	// Service is the one the caller's node means to reach, Caller the one beside
+	// the node where the request began. Neither holds a blank.
+	Service, Caller string
+	// Remaining is the time until the answer is of no use.
+	Remaining time.Duration
+	// Priority ranks requests; zero is the most urgent.
+	Priority int
+	// MaximumWait is how long the request may wait for a slot, Slack in what time
+	// it must have one for its answer to have its full worth.
+	MaximumWait, Slack time.Duration
+	// Expected is how long back ends usually work on such a request.
+	Expected time.Duration
+	// Returning: the caller was refused before and has come back.
+	Returning bool
+}
+
+// ErrLine says that a header between nodes cannot be read.
+var ErrLine = errors.New("hop: header between nodes cannot be read")
+
+// Format writes the request as a header value. Times are whole microseconds.
+func (r *Request) Format() string {
+	line := make([]byte, 0, 96)
+	line = append(line, r.Service...)
+	line = append(line, ' ')
+	line = append(line, r.Caller...)
+	returning := int64(0)
+	if r.Returning {
+		returning = 1
+	}
+	for _, number := range [...]int64{
+		max(r.Remaining.Microseconds(), 1), int64(r.Priority), max(r.MaximumWait.Microseconds(), 0),
+		max(r.Slack.Microseconds(), 0), max(r.Expected.Microseconds(), 0), returning,
+	} {
+		line = strconv.AppendInt(append(line, ' '), number, 10)
+	}
+	return string(line)
+}
+
+const (
+	requestNames   = 2
+	requestNumbers = 6
+	replyNumbers   = 7
+)
+
+// ParseRequest reads a request's header value.
+func ParseRequest(line string) (Request, error) {
+	parts := strings.Split(line, " ")
+	if len(parts) != requestNames+requestNumbers || parts[0] == "" {
+		return Request{}, fmt.Errorf("%w: %d parts", ErrLine, len(parts))
+	}
+	numbers, err := parseNumbers(parts[requestNames:])
+	if err != nil {
+		return Request{}, err
+	}
+	return Request{
+		Service: parts[0], Caller: parts[1],
+		Remaining: microseconds(numbers[0]), Priority: int(numbers[1]), MaximumWait: microseconds(numbers[2]),
+		Slack: microseconds(numbers[3]), Expected: microseconds(numbers[4]), Returning: numbers[5] != 0,
+	}, nil
+}
+
+// Reply is what the arriving node tells of itself with each reply.
+type Reply struct {
+	// Version is that of the configuration in force there.
+	Version uint64
+	// Running, Waiting and Slots describe its back end's load, Held how long a
+	// slot is held.
+	Running, Waiting, Slots int
+	Held                    time.Duration
+	// Factor is how much longer the back end works than others do.
+	Factor float64
+	// Worked is how long it worked on this request; zero when it did not.
+	Worked time.Duration
+}
+
+// factorUnits make a whole number of a factor.
+const factorUnits = 1000
+
+// Format writes the reply as a header value.
+func (r *Reply) Format() string {
+	line := make([]byte, 0, 64)
+	line = strconv.AppendUint(line, r.Version, 10)
+	for _, number := range [...]int64{
+		int64(r.Running), int64(r.Waiting), int64(r.Slots), r.Held.Microseconds(),
+		int64(r.Factor * factorUnits), r.Worked.Microseconds(),
+	} {
+		line = strconv.AppendInt(append(line, ' '), max(number, 0), 10)
+	}
+	return string(line)
+}
+
+// ParseReply reads a reply's header value.
+func ParseReply(line string) (Reply, error) {
+	parts := strings.Split(line, " ")
+	if len(parts) != replyNumbers {
+		return Reply{}, fmt.Errorf("%w: %d parts", ErrLine, len(parts))
+	}
+	numbers, err := parseNumbers(parts)
+	if err != nil {
+		return Reply{}, err
+	}
+	return Reply{
+		Version: numbers[0], Running: int(numbers[1]), Waiting: int(numbers[2]), Slots: int(numbers[3]),
+		Held: microseconds(numbers[4]), Factor: float64(numbers[5]) / factorUnits, Worked: microseconds(numbers[6]),
+	}, nil
+}
+
+// parseNumbers reads whole numbers of at most 53 bits.
+func parseNumbers(parts []string) ([]uint64, error) {
+	numbers := make([]uint64, len(parts))
+	for index, part := range parts {
+		const bits = 53
+		number, err := strconv.ParseUint(part, 10, bits)
+		if err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrLine, err)
+		}
+		numbers[index] = number
+	}
+	return numbers, nil
+}
+
+func microseconds(number uint64) time.Duration { return time.Duration(number) * time.Microsecond }
--- a/internal/sidecar/ingress/exchange.go
+++ b/internal/sidecar/ingress/exchange.go
@@ -55,7 +55,7 @@
 	remaining := time.Until(a.deadline)
 	header[names.Deadline] = []string{hop.FormatMilliseconds(remaining)}
 	header[names.TargetInstance] = []string{a.endpoint.ID}
-	header[names.CallerService] = []string{a.request.Header.Get(hop.HeaderCaller)}
+	header[names.CallerService] = []string{a.told.Caller}
 	outgoing := forward.NewRequest(a.context, a.request, a.handler.options.Address, header, interim)
 	forward.KeepTarget(outgoing, a.request)
 	sent.Attach(outgoing)
@@ -104,11 +104,10 @@
 // node expected, and marks the reply with it.
 func (a *arrival) learn(response *http.Response) {
 	worked := time.Since(a.started) - a.waited
-	if expected, valid := hop.Microseconds(a.request.Header.Get(hop.HeaderExpected)); valid && response.StatusCode < http.StatusMultipleChoices {
-		a.handler.pace.Observe(worked, expected)
+	if response.StatusCode < http.StatusMultipleChoices {
+		a.handler.pace.Observe(worked, a.told.Expected)
 	}
-	a.mark()
-	a.writer.Header()[hop.HeaderWorked] = []string{hop.FormatMicroseconds(worked)}
+	a.mark(worked)
 }
 
 // judge tells what the back end's answer means. Only an answer that bears the
--- a/internal/sidecar/ingress/handler.go
+++ b/internal/sidecar/ingress/handler.go
@@ -8,7 +8,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -157,7 +156,6 @@
 	errNoEndpoint = errors.New("no back end has made itself known")
 	errIdentity   = errors.New("a back end of another service is here")
 	errLeaving    = errors.New("the back end is leaving")
-	errDeadline   = errors.New("the request bears no remaining time")
 	errNoCaller   = errors.New("the request did not come through a node")
 )
 
@@ -171,6 +169,7 @@
 	request  *http.Request
 	started  time.Time
 	waited   time.Duration
+	told     hop.Request
 	endpoint *roster.Endpoint
 	deadline time.Time
 	context  context.Context
@@ -214,25 +213,26 @@
 }
 
 func (a *arrival) check() *outcome.Failure {
-	header := a.request.Header
-	if header.Get(outcome.HeaderService) == "" {
+	line := a.request.Header.Get(hop.HeaderHop)
+	if line == "" {
 		return outcome.Refusal(http.StatusForbidden, outcome.StepRequest, 0, errNoCaller)
 	}
+	told, err := hop.ParseRequest(line)
+	if err != nil {
+		return outcome.Refusal(http.StatusBadRequest, outcome.StepRequest, 0, err)
+	}
+	a.told = told
 	a.endpoint = a.handler.options.Endpoint()
 	if a.endpoint == nil {
 		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepIdentity, refusedWait, errNoEndpoint)
 	}
-	if a.endpoint.Service != header.Get(outcome.HeaderService) {
+	if a.endpoint.Service != told.Service {
 		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepIdentity, refusedWait, errIdentity)
 	}
 	if a.handler.leftBehind(a.endpoint.ID) {
 		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepDrain, refusedWait, errLeaving)
 	}
-	remaining, valid := hop.Milliseconds(header.Get(outcome.HeaderDeadline))
-	if !valid {
-		return outcome.Refusal(http.StatusBadRequest, outcome.StepRequest, 0, errDeadline)
-	}
-	a.deadline = a.started.Add(remaining)
+	a.deadline = a.started.Add(told.Remaining)
 	return nil
 }
 
@@ -260,17 +260,12 @@
 
 // admit waits for a slot of the back end.
 func (a *arrival) admit() (*admission.Slot, *outcome.Failure) {
-	header := a.request.Header
-	priority, _ := strconv.Atoi(header.Get(hop.HeaderPriority))
-	maximum, _ := hop.Milliseconds(header.Get(hop.HeaderMaximumWait))
-	slack, _ := hop.Milliseconds(header.Get(hop.HeaderSlack))
-	expected, _ := hop.Microseconds(header.Get(hop.HeaderExpected))
 	slot, err := a.handler.gate.Acquire(a.context, admission.Ticket{
-		Priority:    priority,
-		Returning:   header.Get(hop.HeaderReturning) != "",
-		Work:        expected,
-		StartBy:     a.started.Add(slack),
-		MaximumWait: maximum,
+		Priority:    a.told.Priority,
+		Returning:   a.told.Returning,
+		Work:        a.told.Expected,
+		StartBy:     a.started.Add(a.told.Slack),
+		MaximumWait: a.told.MaximumWait,
 	})
 	a.waited = time.Since(a.started)
 	if err != nil {
@@ -293,7 +288,7 @@
 // reply sends a failure that the node answers itself.
 func (a *arrival) reply(failure *outcome.Failure) {
 	defer forward.PrepareOwnReply(a.context, a.writer, a.request, nil)()
-	a.mark()
+	a.mark(0)
 	header := a.writer.Header()
 	header[outcome.HeaderOutcome] = []string{string(failure.Outcome)}
 	header[outcome.HeaderError] = []string{"step=" + string(failure.Step)}
@@ -304,11 +299,20 @@
 	a.writer.WriteHeader(failure.Status)
 }
 
-// mark adds the node's load and version to a reply.
-func (a *arrival) mark() {
+// mark adds what the node tells of itself to a reply.
+func (a *arrival) mark(worked time.Duration) {
+	load := a.handler.gate.Load()
+	reply := hop.Reply{
+		Version: a.handler.options.Version(),
+		Running: load.Running, Waiting: load.Waiting, Slots: load.Slots, Held: load.Service,
+		Factor: a.handler.pace.Factor(), Worked: worked,
+	}
 	header := a.writer.Header()
-	header[outcome.HeaderLoad] = []string{hop.FormatLoad(a.handler.gate.Load(), a.handler.pace.Factor())}
-	header[hop.HeaderVersion] = []string{strconv.FormatUint(a.handler.options.Version(), 10)}
+	header[hop.HeaderReply] = []string{reply.Format()}
+	if _, set := header["Date"]; !set {
+		// Without a value the library adds none of its own.
+		header["Date"] = nil
+	}
 }
 
 func (a *arrival) ended(failure *outcome.Failure) {
@@ -329,7 +333,7 @@
 		zap.String("outcome", string(failure.Outcome)),
 		zap.String("step", string(failure.Step)),
 		zap.String("peer", a.request.RemoteAddr),
-		zap.String("endpoint", a.request.Header.Get(hop.HeaderEndpoint)),
+		zap.String("service", a.told.Service),
 		zap.Int("running", load.Running), zap.Int("waiting", load.Waiting), zap.Int("slots", load.Slots),
 		zap.Duration("waited", a.waited), zap.Duration("elapsed", elapsed),
 		zap.NamedError("cause", failure.Cause),
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -20,8 +20,14 @@
 	// stopLeast is how long a stopping node serves at least: so long the
 	// platform takes to lead callers elsewhere.
 	stopLeast = 2500 * time.Millisecond
+	// stopLeastGraceShare bounds that time where the grace time is short.
+	stopLeastGraceShare = 0.5
 	// stopQuiet is the time without a call after which no more are expected.
 	stopQuiet = 600 * time.Millisecond
+	// stopAnnounce is the part of the grace time after which peers are told to
+	// send no more requests: until then the back end's slots are still of use,
+	// since callers of this machine come for about as long.
+	stopAnnounce = 0.2
 	// stopTakes is the part of the grace time in which new calls are taken;
 	// later ones might not end in time.
 	stopTakes = 0.5
@@ -69,11 +75,8 @@
 	s.stopping.Store(true)
 	s.egress.Stop()
 	s.ingress.Stop()
-	s.members.Update(func(record roster.Record) (roster.Record, bool) {
-		record.Leaving = true
-		return record, true
-	})
-	go s.spread(context.Background())
+	announcement := time.AfterFunc(time.Duration(float64(s.options.Settings.Grace)*stopAnnounce), s.leave)
+	defer announcement.Stop()
 	s.logger.Info("stop begins", zap.Int("callsInFlight", s.egress.InFlight()), zap.Int("running", s.ingress.Load().Running))
 	for !s.drained(time.Since(started)) {
 		time.Sleep(stopPoll)
@@ -84,6 +87,15 @@
 		zap.Int("running", s.ingress.Load().Running), zap.Duration("elapsed", time.Since(started)))
 }
 
+// leave tells the peers to send no more requests for the back end.
+func (s *Sidecar) leave() {
+	s.members.Update(func(record roster.Record) (roster.Record, bool) {
+		record.Leaving = true
+		return record, true
+	})
+	s.spread(context.Background())
+}
+
 // drained reports whether the stop is done after that time.
 func (s *Sidecar) drained(elapsed time.Duration) bool {
 	grace := s.options.Settings.Grace
@@ -95,7 +107,7 @@
 	}
 	load := s.ingress.Load()
 	idle := s.egress.InFlight() == 0 && load.Running+load.Waiting == 0
-	return idle && elapsed >= min(stopLeast, grace/2) && time.Since(s.egress.LastCall()) >= stopQuiet
+	return idle && elapsed >= min(stopLeast, time.Duration(float64(grace)*stopLeastGraceShare)) && time.Since(s.egress.LastCall()) >= stopQuiet
 }
 
 // withdraw removes the node's key when its back end has ended: neither comes
