Look for lost peers: who returns while the store is down is found sooner

Ruled out: the second way itself: it had the configuration 30 ms after contact.

Change: peers that did not answer are picked more often, by all nodes together about as often whatever their number.

--- a/internal/sidecar/egress/handler.go
+++ b/internal/sidecar/egress/handler.go
@@ -53,6 +53,8 @@
 	Silent(node string, first bool)
 	// Regained: a silent node answers again.
 	Regained(node string)
+	// Unreachable: no connection to a node could be opened.
+	Unreachable(node string)
 	// Behind: a peer has a newer configuration than this node.
 	Behind(node string, version uint64)
 }
--- a/internal/sidecar/egress/visit.go
+++ b/internal/sidecar/egress/visit.go
@@ -188,6 +188,9 @@
 	}
 	if c.context.Err() == nil && !errors.Is(err, forward.ErrNoConnection) {
 		chosen.failed(now)
+		if failure.Step == outcome.StepConnect {
+			c.handler.options.Observer.Unreachable(chosen.node)
+		}
 	}
 	return failure
 }
--- a/internal/sidecar/exchange/exchanger.go
+++ b/internal/sidecar/exchange/exchanger.go
@@ -64,6 +64,7 @@
 type Exchanger struct {
 	options Options
 	client  *http.Client
+	lost    lostPeers
 	// fetching keeps a node from fetching a configuration twice at once.
 	fetching atomic.Bool
 }
@@ -99,8 +100,11 @@
 	}
 }
 
-// pick returns a random peer, mostly one of the zone.
+// pick returns a random peer: often a lost one, mostly one of the zone.
 func (e *Exchanger) pick() *roster.Record {
+	if lost := e.lost.pick(e.options.Roster.View(), time.Now()); lost != nil {
+		return lost
+	}
 	own := e.options.Roster.Own()
 	var near, far []*roster.Record
 	for _, record := range e.options.Roster.View().Records() {
@@ -126,11 +130,13 @@
 func (e *Exchanger) With(ctx context.Context, peer *roster.Record) error {
 	answer, err := e.post(ctx, peer, e.message(e.options.Roster.View().Digest()))
 	if err != nil {
-		if ctx.Err() == nil && e.options.Suspect != nil {
+		if ctx.Err() == nil {
+			e.Lost(peer.Node)
 			e.options.Suspect(peer)
 		}
 		return err
 	}
+	e.lost.remove(peer.Node)
 	e.take(answer)
 	if answer.Digest == e.options.Roster.View().Digest() {
 		return nil
@@ -142,6 +148,9 @@
 	return err
 }
 
+// Lost notes that a node did not answer: it is looked for until it does.
+func (e *Exchanger) Lost(node string) { e.lost.add(node, time.Now()) }
+
 // Broadcast tells peers of the own record at once and returns how many have
 // heard it.
 func (e *Exchanger) Broadcast(ctx context.Context) int {
--- /dev/null
+++ b/internal/sidecar/exchange/lost_test.go
@@ -0,0 +1,52 @@
+package exchange
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+)
+
+func viewOf(nodes int) *roster.View {
+	held := roster.New(roster.Record{Node: "self", Epoch: 1})
+	for number := range nodes {
+		held.Merge([]*roster.Record{{Node: fmt.Sprintf("node-%d", number), Epoch: 1}})
+	}
+	return held.View()
+}
+
+// TestLostPeersAreLookedFor: often among few nodes, seldom by each of many, and
+// not for ever.
+func TestLostPeersAreLookedFor(t *testing.T) {
+	cases := []struct {
+		nodes           int
+		least, mostEach float64
+	}{{10, 0.4, 0.6}, {1000, 0.003, 0.012}}
+	for _, size := range cases {
+		t.Run(fmt.Sprint(size.nodes), func(t *testing.T) {
+			g := NewWithT(t)
+			view := viewOf(size.nodes)
+			now := time.Unix(1000, 0)
+			lost := &lostPeers{}
+			g.Expect(lost.pick(view, now)).To(BeNil())
+			lost.add("node-7", now)
+			const tries = 20000
+			picked := 0
+			for range tries {
+				if record := lost.pick(view, now); record != nil {
+					g.Expect(record.Node).To(Equal("node-7"))
+					picked++
+				}
+			}
+			g.Expect(float64(picked) / tries).To(And(BeNumerically(">", size.least), BeNumerically("<", size.mostEach)))
+			lost.remove("node-7")
+			g.Expect(lost.pick(view, now)).To(BeNil())
+			lost.add("node-7", now)
+			g.Expect(lost.pick(view, now.Add(time.Hour))).To(BeNil())
+			g.Expect(lost.since).To(BeEmpty())
+		})
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -174,6 +174,9 @@
 	}
 }
 
+// Unreachable implements egress.Observer.
+func (o *callObserver) Unreachable(node string) { o.sidecar.exchanger.Lost(node) }
+
 // Regained implements egress.Observer.
 func (o *callObserver) Regained(node string) {
 	o.sidecar.logger.Info("peer regained", zap.String("peer", node))
