Log through a bounded ring; reload settings

Cause: a slow reader of standard output would have stalled whoever logs; a SIGHUP was swallowed and a changed file not seen.

Change: telemetry.Ring between loggers and output: 1,024 lines, one writer, what finds no room is counted and told. Settings are read again at SIGHUP and when the file changes; one line names what changed and what needs a restart; a broken file changes nothing.

--- a/cmd/kestrel-sidecar/main.go
+++ b/cmd/kestrel-sidecar/main.go
@@ -4,14 +4,12 @@
 
 import (
 	"fmt"
-	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/alecthomas/kong"
 
 	"github.com/kestrelstream/kestrelstream/internal/build"
 	"github.com/kestrelstream/kestrelstream/internal/lifecycle"
+	"github.com/kestrelstream/kestrelstream/internal/settings"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/assembly"
 	"github.com/kestrelstream/kestrelstream/platform"
 )
@@ -53,14 +51,22 @@
 		_, err := fmt.Printf("%+v\n", *loaded)
 		return err
 	}
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
-	defer signal.Stop(reload)
 	stop, release := lifecycle.Notify()
 	defer release()
 	process, err := assembly.New(loaded, assembly.Flags{MetricsPort: given.MetricsPort, LogLevel: given.LogLevel})
 	if err != nil {
 		return err
 	}
+	go settings.Watch(stop.Requested, given.Settings, func() { reload(process, given.Settings) })
 	return process.Run(stop.Requested)
 }
+
+// reload reads the settings file again. A broken one changes nothing.
+func reload(process *assembly.Process, path string) {
+	next, err := platform.ReadSettings(path)
+	if err != nil {
+		process.RefuseReload(err)
+		return
+	}
+	process.Reload(next)
+}
--- /dev/null
+++ b/internal/settings/watch.go
@@ -0,0 +1,52 @@
+package settings
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+)
+
+// watchInterval is the time between two looks at a settings file: it may change
+// without a signal.
+const watchInterval = 2 * time.Second
+
+// Watch calls the function at each SIGHUP and whenever the file's time or size
+// has changed, until the context ends.
+func Watch(ctx context.Context, path string, changed func()) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
+	seen := fileState(path)
+	for {
+		select {
+		case <-signals:
+			seen = fileState(path)
+			changed()
+		case <-ticker.C:
+			if now := fileState(path); now != seen {
+				seen = now
+				changed()
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// state tells whether a file has changed.
+type state struct {
+	modified time.Time
+	size     int64
+}
+
+func fileState(path string) state {
+	found, err := os.Stat(path)
+	if err != nil {
+		return state{}
+	}
+	return state{modified: found.ModTime(), size: found.Size()}
+}
--- a/internal/sidecar/assembly/process.go
+++ b/internal/sidecar/assembly/process.go
@@ -20,9 +20,11 @@
 type Process struct {
 	settings  *sidecar.Settings
 	node      *sidecar.Sidecar
+	store     *platform.Store
 	listeners *listeners
 	admin     *telemetry.Admin
 	logger    *zap.Logger
+	ring      *telemetry.Ring
 }
 
 const (
@@ -54,9 +56,23 @@
 	if p.listeners.metrics != nil {
 		tasks = append(tasks, func(running context.Context) error { return p.admin.Serve(running, p.listeners.metrics) })
 	}
+	defer p.ring.Close()
 	return lifecycle.Serve(ctx, tasks, func() error { return p.stop(servers) })
 }
 
+// RefuseReload logs why newer settings were not taken over.
+func (p *Process) RefuseReload(err error) {
+	p.logger.Error("settings refused", telemetry.Error(err))
+}
+
+// Reload takes in newer settings as far as a running process can.
+func (p *Process) Reload(next *sidecar.Settings) {
+	if p.settings.StoreAddress != next.StoreAddress {
+		p.store.SetAddress(next.StoreAddress)
+	}
+	p.node.Reload(*next)
+}
+
 func (p *Process) servers() []*httpserver.Server {
 	callers := httpserver.Limits{HeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, HeaderBytes: headerBytes}
 	peers := httpserver.Limits{HeaderTimeout: headerTimeout, IdleTimeout: peerIdleTimeout, HeaderBytes: 2 * headerBytes}
--- a/internal/sidecar/assembly/providers.go
+++ b/internal/sidecar/assembly/providers.go
@@ -31,7 +31,9 @@
 const (
 	// logRepeatInterval and logRepeatBurst bound repeated messages.
 	logRepeatInterval = time.Second
-	logRepeatBurst    = 100
+	logRepeatBurst    = 500
+	// ringLines is how many lines wait for the output.
+	ringLines = 1024
 
 	headerTimeout = 10 * time.Second
 	headerBytes   = 80 << 10
@@ -42,11 +44,19 @@
 	controlIdle       = 30 * time.Second
 )
 
-func provideLogger(loaded *sidecar.Settings, flags Flags, registry *prometheus.Registry) (*zap.Logger, error) {
+func provideRing(registry *prometheus.Registry) *telemetry.Ring {
+	lost := prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "kestrel_log_lost_total", Help: "Log lines that found no room before a slow output.",
+	})
+	registry.MustRegister(lost)
+	return telemetry.NewRing(os.Stdout, ringLines, lost)
+}
+
+func provideLogger(loaded *sidecar.Settings, flags Flags, ring *telemetry.Ring, registry *prometheus.Registry) (*zap.Logger, error) {
 	logging := settings.Logging{
 		Level: flags.LogLevel, RepeatInterval: settings.Duration(logRepeatInterval), RepeatBurst: logRepeatBurst,
 	}
-	return telemetry.NewLogger(logging, settings.Node{Name: loaded.Node, Zone: loaded.Zone}, os.Stdout, registry)
+	return telemetry.NewLogger(logging, settings.Node{Name: loaded.Node, Zone: loaded.Zone}, ring, registry)
 }
 
 func provideStore(loaded *sidecar.Settings) *platform.Store {
--- a/internal/sidecar/assembly/wire.go
+++ b/internal/sidecar/assembly/wire.go
@@ -12,6 +12,7 @@
 func assemble(loaded *sidecar.Settings, flags Flags) (*Process, error) {
 	wire.Build(
 		telemetry.NewRegistry,
+		provideRing,
 		provideLogger,
 		provideStore,
 		provideSidecar,
--- a/internal/sidecar/assembly/wire_gen.go
+++ b/internal/sidecar/assembly/wire_gen.go
@@ -16,7 +16,8 @@
 func assemble(loaded *sidecar.Settings, flags Flags) (*Process, error) {
 	store := provideStore(loaded)
 	registry := telemetry.NewRegistry()
-	logger, err := provideLogger(loaded, flags, registry)
+	ring := provideRing(registry)
+	logger, err := provideLogger(loaded, flags, ring, registry)
 	if err != nil {
 		return nil, err
 	}
@@ -29,9 +30,11 @@
 	process := &Process{
 		settings:  loaded,
 		node:      sidecarSidecar,
+		store:     store,
 		listeners: assemblyListeners,
 		admin:     admin,
 		logger:    logger,
+		ring:      ring,
 	}
 	return process, nil
 }
--- a/internal/sidecar/egress/call.go
+++ b/internal/sidecar/egress/call.go
@@ -132,7 +132,7 @@
 	c.body = body
 	defer body.UnblockOnDone(c.context, c.writer)()
 	c.service = c.route.NextService()
-	c.handler.budget(c.service).first(c.handler.options.Retries, c.members(), time.Now())
+	c.handler.budget(c.service).first(c.handler.options.Retries(), c.members(), time.Now())
 	for {
 		result := c.visit()
 		if result.response != nil {
--- a/internal/sidecar/egress/handler.go
+++ b/internal/sidecar/egress/handler.go
@@ -32,7 +32,7 @@
 	// Caller names the service beside this node.
 	Caller func() string
 	// Retries bound repeated sends.
-	Retries RetryLimits
+	Retries func() RetryLimits
 	// Weights price the choice of back ends.
 	Weights choice.Weights
 	// Dial opens connections to other nodes.
--- a/internal/sidecar/egress/visit.go
+++ b/internal/sidecar/egress/visit.go
@@ -236,7 +236,7 @@
 		last.failure.Cause = errors.Join(errAttempts, last.failure.Cause)
 		return false
 	}
-	if !c.handler.budget(c.service).take(c.handler.options.Retries, c.members(), time.Now()) {
+	if !c.handler.budget(c.service).take(c.handler.options.Retries(), c.members(), time.Now()) {
 		last.failure.Cause = errors.Join(errBudget, last.failure.Cause)
 		return false
 	}
--- a/internal/sidecar/ingress/handler.go
+++ b/internal/sidecar/ingress/handler.go
@@ -35,7 +35,7 @@
 	Version func() uint64
 	// DrainAfter is how long after a back end's word that it is leaving new
 	// work is still taken.
-	DrainAfter time.Duration
+	DrainAfter func() time.Duration
 	// Dial opens connections to the back end.
 	Dial     forward.Dialer
 	Logger   *zap.Logger
@@ -135,7 +135,7 @@
 // leftBehind reports whether the back end takes no new work any more.
 func (h *Handler) leftBehind(id string) bool {
 	held := h.leaving.Load()
-	return held != nil && held.id == id && time.Since(held.since) >= h.options.DrainAfter
+	return held != nil && held.id == id && time.Since(held.since) >= h.options.DrainAfter()
 }
 
 // ServeHTTP implements http.Handler.
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -75,7 +75,7 @@
 	s.stopping.Store(true)
 	s.egress.Stop()
 	s.ingress.Stop()
-	announcement := time.AfterFunc(time.Duration(float64(s.options.Settings.Grace)*stopAnnounce), s.leave)
+	announcement := time.AfterFunc(time.Duration(float64(s.settings.Load().Grace)*stopAnnounce), s.leave)
 	defer announcement.Stop()
 	s.logger.Info("stop begins", zap.Int("callsInFlight", s.egress.InFlight()), zap.Int("running", s.ingress.Load().Running))
 	for !s.drained(time.Since(started)) {
@@ -98,7 +98,7 @@
 
 // drained reports whether the stop is done after that time.
 func (s *Sidecar) drained(elapsed time.Duration) bool {
-	grace := s.options.Settings.Grace
+	grace := s.settings.Load().Grace
 	if elapsed >= grace-stopEnd {
 		return true
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -75,6 +75,8 @@
 	egress    *egress.Handler
 	ingress   *ingress.Handler
 	stopping  atomic.Bool
+	// settings are replaced at a reload.
+	settings atomic.Pointer[Settings]
 	// claims is used under the roster's lock.
 	claims roster.Claims
 }
@@ -106,6 +108,7 @@
 		claims: roster.Claims{Interval: settings.HeartbeatInterval},
 	}
 	observed := newMetrics(options.Registry)
+	created.settings.Store(settings)
 	created.addIngress(observed)
 	created.addEgress(observed)
 	created.exchanger = exchange.New(exchange.Options{
@@ -134,7 +137,7 @@
 		Endpoint:   func() *roster.Endpoint { return s.members.Own().Endpoint },
 		Identified: s.identified,
 		Version:    s.keeper.Version,
-		DrainAfter: time.Duration(float64(settings.DrainBound) * drainShare),
+		DrainAfter: func() time.Duration { return time.Duration(float64(s.settings.Load().DrainBound) * drainShare) },
 		Dial:       forward.Dialer((&net.Dialer{}).DialContext),
 		Logger:     s.logger,
 		Observer:   observed,
@@ -149,7 +152,7 @@
 		View:       s.members.View,
 		Zone:       settings.Zone,
 		Caller:     s.caller,
-		Retries:    settings.Retries,
+		Retries:    func() egress.RetryLimits { return s.settings.Load().Retries },
 		Weights:    choice.DefaultWeights(),
 		Dial:       dial.Dialer(exchangeDial, dial.Silence{Unacknowledged: peerUnacknowledged, Idle: peerIdle}),
 		Probe: func(ctx context.Context, record *roster.Record) error {
