Log what decided each call; tell a request's story from the logs

Cause: a failed call's line named the last step only; which nodes were tried, on what belief and how old that was, stood nowhere.

Change: each call's line bears the visits in order with the load, pace and age of the report that decided, the configuration's version and age, the time left and the budget; calls that went well are sampled at ten a second. kestrelctl request ID reads lines of all nodes and prints one request's story.

Ruled out: a line at each decision within a call: the visits say the same in one.

--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -36,6 +36,7 @@
 	Status  statusCommand  `cmd:"" help:"Show what each zone has in force."`
 	History historyCommand `cmd:"" help:"Show who changed what, and when."`
 	Explain explainCommand `cmd:"" help:"Describe a kind and its fields."`
+	Request requestCommand `cmd:"" help:"Tell the story of one request from log lines."`
 	Keys    keys.Command   `cmd:"" help:"Make certificates and sealing identities."`
 	Version versionCommand `cmd:"" help:"Print the version of kestrelctl."`
 }
@@ -88,7 +89,7 @@
 // needsServer reports whether a command asks a server.
 func needsServer(command string) bool {
 	name, _, _ := strings.Cut(command, " ")
-	return name != "version" && name != "explain" && name != "keys"
+	return name != "version" && name != "explain" && name != "keys" && name != "request"
 }
 
 func runParsed(ctx context.Context, parsed *kong.Context, with *environment) error {
--- a/internal/sidecar/egress/call.go
+++ b/internal/sidecar/egress/call.go
@@ -11,6 +11,7 @@
 
 	"github.com/kestrelstream/kestrelstream/internal/proxy/forward"
 	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/choice"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/route"
 )
@@ -52,11 +53,12 @@
 	deadline time.Time
 	body     *forward.Body
 	// visits are the nodes that the request was sent to.
-	visits []visit
+	visits visits
 	// runs counts the sends that may have reached a back end.
 	runs int
-	// expected is how long the chosen back end will work.
-	expected time.Duration
+	// seen is what the last choice was made by, reportAge how old its load was.
+	seen      choice.Candidate
+	reportAge time.Duration
 	// returning: the caller was refused before and has come back.
 	returning bool
 	// mayHaveRun: a send ended with an unknown outcome.
@@ -66,13 +68,6 @@
 	failure *outcome.Failure
 }
 
-// visit is one send of a request.
-type visit struct {
-	target  *target
-	outcome outcome.Outcome
-	step    outcome.Step
-}
-
 // serve carries the request through. A nil result means that the caller has
 // its answer; a failure is still to be sent.
 func (c *call) serve() *outcome.Failure {
@@ -218,46 +213,41 @@
 
 // ended tells the observer and the log how the call went.
 func (c *call) ended() {
-	name := ""
+	name, priority := "", -1
 	if c.route != nil {
-		name = c.route.Name
+		name, priority = c.route.Name, c.route.Priority
 	}
 	options := &c.handler.options
 	elapsed := time.Since(c.started)
+	entry := c.handler.served.Check(zap.InfoLevel, "call served")
 	if c.failure == nil {
 		options.Observer.CallEnded(name, c.status, "", "", elapsed)
-		return
+	} else {
+		options.Observer.CallEnded(name, c.status, c.failure.Outcome, c.failure.Step, elapsed)
+		entry = options.Logger.Check(zap.InfoLevel, "call failed")
 	}
-	options.Observer.CallEnded(name, c.status, c.failure.Outcome, c.failure.Step, elapsed)
-	entry := options.Logger.Check(zap.InfoLevel, "call failed")
 	if entry == nil {
 		return
 	}
-	priority := -1
-	if c.route != nil {
-		priority = c.route.Priority
-	}
-	entry.Write(
-		zap.Int("priority", priority),
+	fields := []zap.Field{
 		zap.String("request", c.request.Header.Get(options.Vocabulary.RequestID)),
-		zap.String("route", name), zap.Int("status", c.status),
-		zap.String("outcome", string(c.failure.Outcome)),
-		zap.String("step", string(c.failure.Step)),
-		zap.String("peer", c.failure.Peer),
-		zap.String("caller", c.request.RemoteAddr),
-		zap.Uint64("version", c.table.Version()),
-		zap.Bool("returning", c.returning),
-		zap.String("visits", c.describeVisits()),
-		zap.Bool("callerGone", c.request.Context().Err() != nil),
-		zap.Duration("elapsed", elapsed),
-		zap.NamedError("cause", c.failure.Cause),
-	)
-}
-
-func (c *call) describeVisits() string {
-	var text strings.Builder
-	for _, visited := range c.visits {
-		text.WriteString(visited.target.node + "=" + string(visited.outcome) + "/" + string(visited.step) + " ")
+		zap.String("route", name), zap.Int("priority", priority),
+		zap.Uint64("version", c.table.Version()), zap.Duration("versionAge", options.TableAge()),
+		zap.Bool("returning", c.returning), zap.Int("status", c.status),
+		zap.Array("visits", c.visits), zap.Duration("elapsed", elapsed),
+	}
+	if !c.deadline.IsZero() {
+		fields = append(fields, zap.Duration("left", time.Until(c.deadline)))
+	}
+	if c.failure != nil {
+		fields = append(fields,
+			zap.String("outcome", string(c.failure.Outcome)), zap.String("step", string(c.failure.Step)),
+			zap.String("peer", c.failure.Peer), zap.Bool("callerGone", c.request.Context().Err() != nil),
+			zap.NamedError("cause", c.failure.Cause),
+		)
+	}
+	if c.failure != nil && c.service != "" {
+		fields = append(fields, zap.Float64("budgetLeft", c.handler.budget(c.service).left()))
 	}
-	return text.String()
+	entry.Write(fields...)
 }
--- a/internal/sidecar/egress/handler.go
+++ b/internal/sidecar/egress/handler.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"github.com/kestrelstream/kestrelstream/internal/proxy/forward"
 	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
@@ -25,6 +26,8 @@
 	Vocabulary hop.Vocabulary
 	// Table returns the configuration in force, nil before the first.
 	Table func() *route.Table
+	// TableAge is how long the configuration has been in force.
+	TableAge func() time.Duration
 	// View returns what is known of the other nodes.
 	View func() *roster.View
 	// Zone is the node's own.
@@ -81,6 +84,8 @@
 	inFlight atomic.Int64
 	lastCall atomic.Int64
 
+	// served logs a sample of the calls that went well.
+	served *zap.Logger
 	// cutting ends when calls under way are to be given up.
 	cutting context.Context
 	cut     context.CancelCauseFunc
@@ -105,12 +110,23 @@
 	return &Handler{
 		options: options,
 		targets: &targets{options: limits, dial: options.Dial, byNode: map[string]*target{}},
+		served:  sampled(options.Logger),
 		cutting: cutting,
 		cut:     cut,
 		budgets: map[string]*budget{},
 	}
 }
 
+// servedPerSecond is how many of the calls that went well are logged.
+const servedPerSecond = 10
+
+// sampled returns a logger that writes the first lines of each second.
+func sampled(logger *zap.Logger) *zap.Logger {
+	return logger.WithOptions(zap.WrapCore(func(core zapcore.Core) zapcore.Core {
+		return zapcore.NewSamplerWithOptions(core, time.Second, servedPerSecond, 0)
+	}))
+}
+
 // budget returns the service's budget of repeats.
 func (h *Handler) budget(service string) *budget {
 	h.mutex.RLock()
--- a/internal/sidecar/egress/target.go
+++ b/internal/sidecar/egress/target.go
@@ -93,6 +93,15 @@
 	return described
 }
 
+// reportAge is how old the node's own account of its load is; below zero when
+// there is none.
+func (t *target) reportAge(now time.Time) time.Duration {
+	if report := t.report.Load(); report != nil {
+		return now.Sub(report.taken)
+	}
+	return -1
+}
+
 // targets holds the targets of all nodes. Reads take a shared lock only.
 type targets struct {
 	options forward.Limits
--- a/internal/sidecar/egress/visit.go
+++ b/internal/sidecar/egress/visit.go
@@ -46,8 +46,9 @@
 	chosen.inFlight.Add(1)
 	defer chosen.inFlight.Add(-1)
 	c.handler.options.Observer.Sent(c.service, len(c.visits)+1)
+	sent := time.Now()
 	response, failure := c.exchange(record, chosen)
-	seen := visit{target: chosen}
+	seen := visit{target: chosen, seen: c.seen, reportAge: c.reportAge, elapsed: time.Since(sent)}
 	if failure != nil {
 		seen.outcome, seen.step = failure.Outcome, failure.Step
 		failure.Peer = chosen.address
@@ -87,7 +88,7 @@
 	if best < 0 {
 		return nil, nil
 	}
-	c.expected = candidates[best].Work
+	c.seen, c.reportAge = candidates[best], held[best].reportAge(now)
 	return chosen[best], held[best]
 }
 
@@ -129,7 +130,7 @@
 // exchange sends the request to the node and returns the back end's answer.
 func (c *call) exchange(record *roster.Record, chosen *target) (*http.Response, *outcome.Failure) {
 	var consented atomic.Bool
-	awaited, entry := c.handler.await(c.context, record, chosen, c.expected)
+	awaited, entry := c.handler.await(c.context, record, chosen, c.seen.Work)
 	traced := awaited
 	if !c.route.Repeatable {
 		traced = httptrace.WithClientTrace(traced, &httptrace.ClientTrace{Got100Continue: func() { consented.Store(true) }})
@@ -296,7 +297,7 @@
 		Aim:       c.route.TargetLatency,
 		Remaining: remaining,
 		Elapsed:   time.Since(c.started),
-		Expected:  c.expected,
+		Expected:  c.seen.Work,
 		Returning: c.returning,
 	}
 }
--- /dev/null
+++ b/internal/sidecar/egress/visits.go
@@ -0,0 +1,55 @@
+package egress
+
+import (
+	"time"
+
+	"go.uber.org/zap/zapcore"
+
+	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/choice"
+)
+
+// visit is one send of a request: what was believed of the node when it was
+// chosen, and what came of it.
+type visit struct {
+	target *target
+	// seen is what the choice was made by, reportAge how old the node's own
+	// account of its load was then; below zero when there was none.
+	seen      choice.Candidate
+	reportAge time.Duration
+	outcome   outcome.Outcome
+	step      outcome.Step
+	elapsed   time.Duration
+}
+
+// MarshalLogObject implements zapcore.ObjectMarshaler.
+func (v *visit) MarshalLogObject(encoder zapcore.ObjectEncoder) error {
+	encoder.AddString("node", v.target.node)
+	encoder.AddFloat64("busy", v.seen.Busy)
+	encoder.AddInt("slots", v.seen.Slots)
+	encoder.AddDuration("work", v.seen.Work)
+	encoder.AddDuration("reportAge", v.reportAge)
+	if v.seen.Avoid || v.seen.Leaving {
+		encoder.AddBool("avoided", v.seen.Avoid)
+		encoder.AddBool("leaving", v.seen.Leaving)
+	}
+	if v.outcome != "" {
+		encoder.AddString("outcome", string(v.outcome))
+		encoder.AddString("step", string(v.step))
+	}
+	encoder.AddDuration("elapsed", v.elapsed)
+	return nil
+}
+
+// visits are the sends of one request, in order.
+type visits []visit
+
+// MarshalLogArray implements zapcore.ArrayMarshaler.
+func (v visits) MarshalLogArray(encoder zapcore.ArrayEncoder) error {
+	for index := range v {
+		if err := encoder.AppendObject(&v[index]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -149,6 +149,7 @@
 	s.egress = egress.New(egress.Options{
 		Vocabulary: s.options.Vocabulary,
 		Table:      s.keeper.Table,
+		TableAge:   s.keeper.Age,
 		View:       s.members.View,
 		Zone:       settings.Zone,
 		Caller:     s.caller,
