Send nothing more to silent nodes after a refusal; prove consent and silence

Ruled out: false silence: the node was frozen for 5 s and answered no probe.

Change: a node that has not answered its probe is chosen only when nothing else is left, and after a refusal not at all. Tests over sockets show that a request which may not be repeated is provably not run before consent, goes nowhere after it, that a silent node loses what waits for it, and that a slow one does not.

--- a/internal/sidecar/choice/choice.go
+++ b/internal/sidecar/choice/choice.go
@@ -21,8 +21,10 @@
 	Held time.Duration
 	// RoundTrip is the time to it and back.
 	RoundTrip time.Duration
-	// Avoid: it failed a short time ago, or is said to be silent.
+	// Avoid: it failed a short time ago.
 	Avoid bool
+	// Silent: it has not answered a probe.
+	Silent bool
 	// Leaving: it takes no new work, or will not for long.
 	Leaving bool
 	// Tried: this request was sent to it before.
@@ -34,14 +36,14 @@
 type Weights struct {
 	// ForeignZone is the price of leaving the zone.
 	ForeignZone float64
-	// Avoided, Leaving and Repeated are added for back ends that are to be
-	// chosen only when nothing else is left.
-	Avoided, Leaving, Repeated float64
+	// Avoided, Leaving, Silent and Repeated are added for back ends that are to
+	// be chosen only when nothing else is left.
+	Avoided, Leaving, Silent, Repeated float64
 }
 
 // DefaultWeights prefer the zone until its back ends would answer late.
 func DefaultWeights() Weights {
-	return Weights{ForeignZone: 0.1, Avoided: 50, Leaving: 100, Repeated: 400}
+	return Weights{ForeignZone: 0.1, Avoided: 50, Leaving: 100, Silent: 200, Repeated: 400}
 }
 
 const (
@@ -92,12 +94,27 @@
 	if candidate.Leaving {
 		cost += weights.Leaving
 	}
+	if candidate.Silent {
+		cost += weights.Silent
+	}
 	if candidate.Tried {
 		cost += weights.Repeated
 	}
 	return cost
 }
 
+// Worthwhile reports whether another back end is left for a request that was
+// refused: one that was not tried, takes work and is there. To send it to a
+// silent one would only make its outcome unknown.
+func Worthwhile(candidates []Candidate) bool {
+	for _, candidate := range candidates {
+		if !candidate.Tried && !candidate.Leaving && !candidate.Silent {
+			return true
+		}
+	}
+	return false
+}
+
 // Best returns the index of the cheapest candidate, beginning at start so that
 // equal ones take turns; -1 without candidates.
 func Best(candidates []Candidate, aim time.Duration, start int, weights Weights) int {
--- a/internal/sidecar/choice/choice_test.go
+++ b/internal/sidecar/choice/choice_test.go
@@ -36,6 +36,12 @@
 		{"one that failed before one that leaves", []choice.Candidate{
 			with(near, func(c *choice.Candidate) { c.Leaving = true }), with(far, func(c *choice.Candidate) { c.Avoid = true }),
 		}, 300 * ms, 1},
+		{"one that leaves before a silent one", []choice.Candidate{
+			with(near, func(c *choice.Candidate) { c.Silent = true }), with(far, func(c *choice.Candidate) { c.Leaving = true }),
+		}, 300 * ms, 1},
+		{"a silent one before one that was tried", []choice.Candidate{
+			with(near, func(c *choice.Candidate) { c.Tried = true }), with(far, func(c *choice.Candidate) { c.Silent = true }),
+		}, 300 * ms, 1},
 		{"one that leaves before one that was tried", []choice.Candidate{
 			with(near, func(c *choice.Candidate) { c.Tried = true }), with(far, func(c *choice.Candidate) { c.Leaving = true }),
 		}, 300 * ms, 1},
@@ -53,6 +59,14 @@
 	}
 }
 
+func TestWorthwhile(t *testing.T) {
+	g := NewWithT(t)
+	tried, leaving, silent := choice.Candidate{Tried: true}, choice.Candidate{Leaving: true}, choice.Candidate{Silent: true}
+	g.Expect(choice.Worthwhile(nil)).To(BeFalse())
+	g.Expect(choice.Worthwhile([]choice.Candidate{tried, leaving, silent})).To(BeFalse())
+	g.Expect(choice.Worthwhile([]choice.Candidate{tried, {Avoid: true}})).To(BeTrue())
+}
+
 func TestEqualsTakeTurns(t *testing.T) {
 	g := NewWithT(t)
 	same := []choice.Candidate{{SameZone: true, Slots: 4}, {SameZone: true, Slots: 4}, {SameZone: true, Slots: 4}}
--- /dev/null
+++ b/internal/sidecar/egress/call_test.go
@@ -0,0 +1,252 @@
+package egress
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/choice"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/route"
+)
+
+// quiet is an observer that remembers silent nodes only.
+type quiet struct{ silent atomic.Int64 }
+
+func (q *quiet) CallEnded(string, int, outcome.Outcome, outcome.Step, time.Duration) {}
+func (q *quiet) Sent(string, int)                                                    {}
+func (q *quiet) Silent(string, bool)                                                 { q.silent.Add(1) }
+func (q *quiet) Regained(string)                                                     {}
+func (q *quiet) Unreachable(string)                                                  {}
+func (q *quiet) Behind(string, uint64)                                               {}
+
+// peer is a node that scripts what it does with each connection.
+type peer struct {
+	address  string
+	bodies   atomic.Int64
+	requests atomic.Int64
+}
+
+// newPeer serves each connection with the script, which gets the connection
+// after a request's header was read.
+func newPeer(t *testing.T, script func(p *peer, connection net.Conn, reader *bufio.Reader)) *peer {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	created := &peer{address: listener.Addr().String()}
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer connection.Close()
+				reader := bufio.NewReader(connection)
+				for {
+					line, err := reader.ReadString('\n')
+					if err != nil {
+						return
+					}
+					if strings.TrimSpace(line) == "" {
+						break
+					}
+				}
+				created.requests.Add(1)
+				script(created, connection, reader)
+			}()
+		}
+	}()
+	return created
+}
+
+const replyOK = "HTTP/1.1 200 OK\r\nKestrel-Reply: 1 0 0 8 50000 1000 1000\r\nContent-Length: 2\r\n\r\nok"
+
+// dies ends the connection before it consents.
+func dies(*peer, net.Conn, *bufio.Reader) {}
+
+// consentsAndDies takes the body and ends the connection without an answer.
+func consentsAndDies(p *peer, connection net.Conn, reader *bufio.Reader) {
+	_, _ = io.WriteString(connection, "HTTP/1.1 100 Continue\r\n\r\n")
+	if line, err := reader.ReadString('\n'); err == nil && line != "" {
+		p.bodies.Add(1)
+	}
+}
+
+// serves consents and answers.
+func serves(p *peer, connection net.Conn, reader *bufio.Reader) {
+	_, _ = io.WriteString(connection, "HTTP/1.1 100 Continue\r\n\r\n")
+	if line, err := reader.ReadString('\n'); err == nil && line != "" {
+		p.bodies.Add(1)
+	}
+	_, _ = io.WriteString(connection, replyOK)
+}
+
+// answers answers a request without a body.
+func answers(_ *peer, connection net.Conn, _ *bufio.Reader) {
+	_, _ = io.WriteString(connection, replyOK)
+}
+
+// hangs says nothing until the caller goes.
+func hangs(_ *peer, _ net.Conn, reader *bufio.Reader) { _, _ = reader.ReadByte() }
+
+func newHandler(t *testing.T, observer Observer, probe Probe, peers ...*peer) *Handler {
+	table, err := route.Compile(&route.Document{
+		Version: 1,
+		Routes: []route.Route{
+			{Name: "safe", Host: "h", PathPrefix: "/safe/", Repeatable: true, Attempts: 2, TargetLatency: 200 * time.Millisecond, Targets: []route.Target{{Service: "s", Weight: 1}}},
+			{Name: "once", Host: "h", PathPrefix: "/once/", Attempts: 2, TargetLatency: 200 * time.Millisecond, Targets: []route.Target{{Service: "s", Weight: 1}}},
+		},
+		Services: []route.Service{{Name: "s"}},
+		Limits:   route.Limits{BodyBytes: 64},
+	}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	members := roster.New(roster.Record{Node: "self", Epoch: 1, Zone: "z"})
+	for number, member := range peers {
+		// The first is in the zone, so that it is chosen first.
+		zone := "other"
+		if number == 0 {
+			zone = "z"
+		}
+		members.Merge([]*roster.Record{{
+			Node: string(rune('a' + number)), Epoch: 1, Address: member.address, Zone: zone,
+			Endpoint: &roster.Endpoint{ID: "i", Service: "s", Slots: 8, State: roster.Ready},
+		}})
+	}
+	created := New(Options{
+		Vocabulary: hop.Vocabulary{RequestID: "Request-Id", Deadline: "Deadline-Ms"},
+		Table:      func() *route.Table { return table },
+		TableAge:   func() time.Duration { return 0 },
+		View:       members.View,
+		Zone:       "z",
+		Caller:     func() string { return "caller" },
+		Retries:    func() RetryLimits { return RetryLimits{Ratio: 1, Slack: 100, Window: time.Second} },
+		Weights:    choice.DefaultWeights(),
+		Probe:      probe,
+		Logger:     zap.NewNop(),
+		Observer:   observer,
+	})
+	t.Cleanup(created.Cut)
+	return created
+}
+
+func present(context.Context, *roster.Record) error { return nil }
+
+var errNoAnswer = errors.New("no answer")
+
+func absent(context.Context, *roster.Record) error { return errNoAnswer }
+
+// call sends a request over a real server and returns status and Retry-After.
+func callThrough(t *testing.T, handler *Handler, method, path, body string) (int, string) {
+	server := httptest.NewServer(handler)
+	defer server.Close()
+	request, err := http.NewRequestWithContext(t.Context(), method, server.URL+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Host = "h"
+	request.Header.Set("Deadline-Ms", "3000")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	return response.StatusCode, response.Header.Get("Retry-After")
+}
+
+// TestConsent: a request that may not be repeated is provably not run before the
+// node has consented, whatever becomes of the node; after that its outcome is
+// unknown, and it goes nowhere else.
+func TestConsent(t *testing.T) {
+	cases := []struct {
+		name          string
+		first, second func(*peer, net.Conn, *bufio.Reader)
+		body          string
+		status        int
+		bodies        [2]int64
+	}{
+		{"dies before consent, then served", dies, serves, "body\n", 200, [2]int64{0, 1}},
+		{"both die before consent", dies, dies, "body\n", 503, [2]int64{0, 0}},
+		{"dies after consent", consentsAndDies, serves, "body\n", 502, [2]int64{1, 0}},
+		{"no body, dies before consent", dies, serves, "", 200, [2]int64{0, 1}},
+	}
+	for _, played := range cases {
+		t.Run(played.name, func(t *testing.T) {
+			g := NewWithT(t)
+			first, second := newPeer(t, played.first), newPeer(t, played.second)
+			status, retryAfter := callThrough(t, newHandler(t, &quiet{}, present, first, second), http.MethodPost, "/once/1", played.body)
+			g.Expect(status).To(Equal(played.status))
+			g.Expect(retryAfter != "").To(Equal(status == http.StatusServiceUnavailable))
+			g.Expect([2]int64{first.bodies.Load(), second.bodies.Load()}).To(Equal(played.bodies))
+		})
+	}
+}
+
+// TestASilentNode loses what waits for it: what may be repeated, or was not
+// consented to, goes elsewhere long before its deadline.
+func TestASilentNode(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		t.Run(method, func(t *testing.T) {
+			g := NewWithT(t)
+			second, path, body := answers, "/safe/1", ""
+			if method == http.MethodPost {
+				second, path, body = serves, "/once/1", "body\n"
+			}
+			observer := &quiet{}
+			status, _ := callThrough(t, newHandler(t, observer, absent, newPeer(t, hangs), newPeer(t, second)), method, path, body)
+			g.Expect(status).To(Equal(http.StatusOK))
+			g.Expect(observer.silent.Load()).To(BeNumerically(">", 0))
+		})
+	}
+}
+
+// TestASlowNodeIsLeftAlone: one that answers the probe keeps its requests.
+func TestASlowNodeIsLeftAlone(t *testing.T) {
+	g := NewWithT(t)
+	slow := newPeer(t, func(_ *peer, connection net.Conn, _ *bufio.Reader) {
+		time.Sleep(600 * time.Millisecond)
+		_, _ = io.WriteString(connection, replyOK)
+	})
+	other := newPeer(t, answers)
+	observer := &quiet{}
+	status, _ := callThrough(t, newHandler(t, observer, present, slow, other), http.MethodGet, "/safe/1", "")
+	g.Expect(status).To(Equal(http.StatusOK))
+	g.Expect(other.requests.Load()).To(BeZero())
+	g.Expect(observer.silent.Load()).To(BeZero())
+}
+
+func TestRefusals(t *testing.T) {
+	cases := []struct {
+		name, method, path, body string
+		status                   int
+	}{
+		{"no route", http.MethodGet, "/none/", "", 404},
+		{"body too large", http.MethodPost, "/once/1", strings.Repeat("x", 65), 413},
+		{"no back end", http.MethodGet, "/safe/1", "", 503},
+	}
+	for _, refused := range cases {
+		t.Run(refused.name, func(t *testing.T) {
+			g := NewWithT(t)
+			status, retryAfter := callThrough(t, newHandler(t, &quiet{}, present), refused.method, refused.path, refused.body)
+			g.Expect(status).To(Equal(refused.status))
+			g.Expect(retryAfter != "").To(Equal(status == http.StatusServiceUnavailable))
+		})
+	}
+}
--- a/internal/sidecar/egress/silence.go
+++ b/internal/sidecar/egress/silence.go
@@ -99,6 +99,7 @@
 // it ends and it is avoided.
 func (h *Handler) watchSilence(record *roster.Record, held *target) {
 	defer func() {
+		held.silent.Store(false)
 		held.outstanding.mutex.Lock()
 		held.outstanding.probing = false
 		held.outstanding.mutex.Unlock()
@@ -109,6 +110,7 @@
 			return
 		}
 		h.options.Observer.Silent(held.node, probes == 0)
+		held.silent.Store(true)
 		held.avoidUntil.Store(time.Now().Add(silentAvoid).UnixNano())
 		held.outstanding.giveUp()
 		time.Sleep(probeInterval)
--- a/internal/sidecar/egress/target.go
+++ b/internal/sidecar/egress/target.go
@@ -23,7 +23,9 @@
 	// avoidUntil is Unix-like nanoseconds of the handler's clock.
 	avoidUntil atomic.Int64
 	failures   atomic.Int32
-	report     atomic.Pointer[loadReport]
+	// silent: the node has not answered the last probe.
+	silent atomic.Bool
+	report atomic.Pointer[loadReport]
 	// outstanding are the visits that wait for an answer.
 	outstanding outstanding
 }
@@ -80,6 +82,7 @@
 		Held:     usual,
 		Avoid:    t.avoidUntil.Load() > now.UnixNano(),
 		Leaving:  !record.AcceptsWork(),
+		Silent:   t.silent.Load(),
 	}
 	if !described.SameZone {
 		described.RoundTrip = crossing
--- a/internal/sidecar/egress/visit.go
+++ b/internal/sidecar/egress/visit.go
@@ -60,36 +60,46 @@
 // choose returns the node whose back end is to take the request.
 func (c *call) choose() (*roster.Record, *target) {
 	view := c.handler.options.View()
-	records := view.Service(c.service)
-	if len(records) == 0 {
-		c.service, records = c.fallback(view)
+	if len(view.Service(c.service)) == 0 {
+		c.service = c.fallback(view)
 	}
-	usual := c.work().Mean(c.assumedWork())
-	candidates := make([]choice.Candidate, 0, len(records))
-	held := make([]*target, 0, len(records))
-	chosen := make([]*roster.Record, 0, len(records))
 	now := time.Now()
-	for _, record := range records {
+	described := c.candidates(view, now)
+	start := 0
+	if len(described.candidates) > 0 {
+		start = int(c.handler.rotation.Add(1) % uint64(len(described.candidates)))
+	}
+	best := choice.Best(described.candidates, c.route.TargetLatency, start, c.handler.options.Weights)
+	if best < 0 {
+		return nil, nil
+	}
+	c.seen, c.reportAge = described.candidates[best], described.targets[best].reportAge(now)
+	return described.records[best], described.targets[best]
+}
+
+// candidates are the back ends of a service, each at the same index.
+type candidates struct {
+	candidates []choice.Candidate
+	records    []*roster.Record
+	targets    []*target
+}
+
+// candidates describes the back ends of the request's service.
+func (c *call) candidates(view *roster.View, now time.Time) candidates {
+	usual := c.work().Mean(c.assumedWork())
+	var described candidates
+	for _, record := range view.Service(c.service) {
 		if record.Departed() {
 			continue
 		}
 		found := c.handler.targets.of(record)
 		candidate := found.candidate(record, c.handler.options.Zone, defaultCrossing, usual, now)
 		candidate.Tried = c.visited(found)
-		candidates = append(candidates, candidate)
-		held = append(held, found)
-		chosen = append(chosen, record)
+		described.candidates = append(described.candidates, candidate)
+		described.records = append(described.records, record)
+		described.targets = append(described.targets, found)
 	}
-	start := 0
-	if len(candidates) > 0 {
-		start = int(c.handler.rotation.Add(1) % uint64(len(candidates)))
-	}
-	best := choice.Best(candidates, c.route.TargetLatency, start, c.handler.options.Weights)
-	if best < 0 {
-		return nil, nil
-	}
-	c.seen, c.reportAge = candidates[best], held[best].reportAge(now)
-	return chosen[best], held[best]
+	return described
 }
 
 // work returns the estimate of how long requests of the route are worked on.
@@ -113,14 +123,15 @@
 	return unknown
 }
 
-// fallback returns another service of the route that has back ends.
-func (c *call) fallback(view *roster.View) (string, []*roster.Record) {
+// fallback returns another service of the route that has back ends, or the one
+// that was chosen.
+func (c *call) fallback(view *roster.View) string {
 	for _, target := range c.route.Targets {
-		if records := view.Service(target.Service); len(records) > 0 && target.Weight > 0 {
-			return target.Service, records
+		if target.Weight > 0 && len(view.Service(target.Service)) > 0 {
+			return target.Service
 		}
 	}
-	return c.service, nil
+	return c.service
 }
 
 func (c *call) visited(candidate *target) bool {
@@ -224,7 +235,8 @@
 	}
 	reached := last.failure.Outcome != outcome.NotRun || last.failure.Step == outcome.StepShed
 	if !reached {
-		return len(c.visits) < refusalsPerCall && c.untried()
+		left := c.candidates(c.handler.options.View(), time.Now())
+		return len(c.visits) < refusalsPerCall && choice.Worthwhile(left.candidates)
 	}
 	c.runs++
 	if last.failure.Outcome != outcome.NotRun {
@@ -244,16 +256,6 @@
 	return true
 }
 
-// untried reports whether a back end is left that the request did not go to.
-func (c *call) untried() bool {
-	for _, record := range c.handler.options.View().Service(c.service) {
-		if record.AcceptsWork() && !c.visited(c.handler.targets.of(record)) {
-			return true
-		}
-	}
-	return false
-}
-
 // consentAsked reports whether the request's body waits for the node's consent.
 // The library asks only where the method usually has a body.
 func (c *call) consentAsked() bool {
