--- a/internal/sidecar/egress/call.go
+++ b/internal/sidecar/egress/call.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"github.com/kestrelstream/kestrelstream/internal/proxy/forward"
 	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
@@ -219,12 +220,17 @@
 	}
 	options := &c.handler.options
 	elapsed := time.Since(c.started)
-	entry := c.handler.served.Check(zap.InfoLevel, "call served")
-	if c.failure == nil {
-		options.Observer.CallEnded(name, c.status, "", "", elapsed)
-	} else {
+	var entry *zapcore.CheckedEntry
+	switch {
+	case c.failure != nil:
 		options.Observer.CallEnded(name, c.status, c.failure.Outcome, c.failure.Step, elapsed)
 		entry = options.Logger.Check(zap.InfoLevel, "call failed")
+	case c.status >= http.StatusInternalServerError:
+		options.Observer.CallEnded(name, c.status, "", "", elapsed)
+		entry = options.Logger.Check(zap.InfoLevel, "back end failed the call")
+	default:
+		options.Observer.CallEnded(name, c.status, "", "", elapsed)
+		entry = c.handler.served.Check(zap.InfoLevel, "call served")
 	}
 	if entry == nil {
 		return
