--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -58,9 +58,9 @@
 	WatchPause = 500 * time.Millisecond
 	// watchWaitPerNode, watchWaitLeast and watchWaitMost say how long one call
 	// of a watch waits at most: a watch may miss an event unheard, so that of all
-	// nodes some one should ask anew about twice in that time.
-	watchWaitPerNode = 1200 * time.Millisecond
-	watchWaitLeast   = 6 * time.Second
+	// nodes some one should ask anew about three times a second.
+	watchWaitPerNode = 700 * time.Millisecond
+	watchWaitLeast   = 4 * time.Second
 	watchWaitMost    = 28 * time.Second
 )
 
