Estimate a queue by the work ahead, corrected by real waits

Change: the estimate sums the expected work of what stands ahead and is corrected by how long requests really waited. A test with long work behind many short ones failed before: 0 of 12 refused at once.

--- a/internal/sidecar/admission/admission.go
+++ b/internal/sidecar/admission/admission.go
@@ -51,11 +51,14 @@
 	closed  bool
 	// service is the smoothed time a slot is held.
 	service time.Duration
-	order   uint64
+	// correction is how much longer requests wait than the work before them
+	// makes expect.
+	correction float64
+	order      uint64
 }
 
 // New returns a gate without slots. The clock is time.Now outside tests.
-func New(now func() time.Time) *Gate { return &Gate{now: now, service: initialService} }
+func New(now func() time.Time) *Gate { return &Gate{now: now, service: initialService, correction: 1} }
 
 const (
 	// initialService is assumed before the first request has ended.
@@ -122,6 +125,9 @@
 	case err := <-entry.result:
 		return err
 	case <-timer.C:
+		g.mutex.Lock()
+		g.learn(entry)
+		g.mutex.Unlock()
 		return g.withdraw(entry, ErrTooLong)
 	case <-ctx.Done():
 		return g.withdraw(entry, ctx.Err())
@@ -142,7 +148,8 @@
 		entry.result <- nil
 		return entry, nil
 	}
-	if g.expectedWait(g.ahead(entry)) > ticket.MaximumWait {
+	entry.entered, entry.predicted = g.now(), g.expectedWait(entry)
+	if entry.predicted > ticket.MaximumWait {
 		return nil, ErrTooLong
 	}
 	heap.Push(&g.waiting, entry)
@@ -150,24 +157,45 @@
 	return entry, nil
 }
 
-// ahead counts the requests that are served before the entry.
-func (g *Gate) ahead(entry *waiter) int {
-	count := 0
+// expectedWait is the time until a slot for the entry: the work of those before
+// it, and of one that runs, over all slots. It is corrected by how long others
+// waited compared to what was expected of them, since back ends differ in pace
+// and more urgent requests keep coming.
+func (g *Gate) expectedWait(entry *waiter) time.Duration {
+	if g.slots == 0 {
+		return time.Hour
+	}
+	ahead := g.service
 	for _, other := range g.waiting {
-		if other.before(entry) {
-			count++
+		if other != entry && other.before(entry) {
+			ahead += g.workOf(other)
 		}
 	}
-	return count
+	return time.Duration(float64(ahead) / float64(g.slots) * g.correction)
 }
 
-// expectedWait is the time until a slot for the request with that many others
-// ahead of it.
-func (g *Gate) expectedWait(ahead int) time.Duration {
-	if g.slots == 0 {
-		return time.Hour
+func (g *Gate) workOf(entry *waiter) time.Duration {
+	if entry.ticket.Work > 0 {
+		return entry.ticket.Work
+	}
+	return g.service
+}
+
+const (
+	// A single wait moves the correction by no more than these bounds allow.
+	leastCorrection, mostCorrection = 0.3, 5
+	// shortestPrediction is the shortest one that says something.
+	shortestPrediction = 2 * time.Millisecond
+)
+
+// learn takes in how long an entry waited.
+func (g *Gate) learn(entry *waiter) {
+	if entry.predicted < shortestPrediction {
+		return
 	}
-	return g.service * time.Duration(ahead+1) / time.Duration(g.slots)
+	ratio := float64(g.now().Sub(entry.entered)) / float64(entry.predicted) * g.correction
+	ratio = min(max(ratio, leastCorrection), mostCorrection)
+	g.correction += (ratio - g.correction) / smoothing
 }
 
 // displace refuses requests at the end of the queue that would now wait longer
@@ -175,7 +203,7 @@
 func (g *Gate) displace() {
 	for len(g.waiting) > 1 {
 		last := g.waiting.last()
-		if g.expectedWait(len(g.waiting)-1) <= last.ticket.MaximumWait {
+		if g.now().Sub(last.entered)+g.expectedWait(last) <= last.ticket.MaximumWait {
 			return
 		}
 		heap.Remove(&g.waiting, last.index)
@@ -216,6 +244,7 @@
 func (g *Gate) grant() {
 	for g.running < g.slots && len(g.waiting) > 0 {
 		next := heap.Pop(&g.waiting).(*waiter)
+		g.learn(next)
 		g.running++
 		next.result <- nil
 	}
@@ -246,6 +275,9 @@
 	order  uint64
 	index  int
 	result chan error
+	// entered is when it joined the queue, predicted the wait expected then.
+	entered   time.Time
+	predicted time.Duration
 }
 
 // before orders by priority, then what comes first before what comes back, then
--- a/internal/sidecar/admission/admission_test.go
+++ b/internal/sidecar/admission/admission_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -137,3 +138,84 @@
 		g.Expect(gate.Load().Service).To(Equal(before))
 	})
 }
+
+// TestLongWorkAheadIsCounted: a queue of long requests takes long, whatever
+// short ones have made of the mean.
+func TestLongWorkAheadIsCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		gate := admission.New(time.Now)
+		gate.Resize(2)
+		for range 100 {
+			slot, err := gate.Acquire(t.Context(), admission.Ticket{Work: 10 * time.Millisecond, MaximumWait: time.Second})
+			g.Expect(err).NotTo(HaveOccurred())
+			time.Sleep(10 * time.Millisecond)
+			slot.Release(true)
+		}
+		long := admission.Ticket{Work: 200 * time.Millisecond, MaximumWait: 450 * time.Millisecond}
+		waited := make(chan time.Duration, 20)
+		refused := 0
+		var refusedAtOnce atomic.Int64
+		for range 20 {
+			started := time.Now()
+			go func() {
+				slot, err := gate.Acquire(t.Context(), long)
+				if err != nil {
+					if time.Since(started) == 0 {
+						refusedAtOnce.Add(1)
+					}
+					waited <- -1
+					return
+				}
+				waited <- time.Since(started)
+				time.Sleep(200 * time.Millisecond)
+				slot.Release(true)
+			}()
+			synctest.Wait()
+		}
+		longest := time.Duration(0)
+		for range 20 {
+			wait := <-waited
+			if wait < 0 {
+				refused++
+			}
+			longest = max(longest, wait)
+		}
+		time.Sleep(time.Second) // lets the last ones end
+		g.Expect(longest).To(BeNumerically("<=", 500*time.Millisecond))
+		g.Expect(refused).To(BeNumerically("~", 14, 1))
+		g.Expect(refusedAtOnce.Load()).To(BeNumerically(">=", 12), "without waiting for nothing")
+	})
+}
+
+// TestTheEstimateIsCorrected by how long requests really waited: here a back end
+// that works three times as long as is said of it.
+func TestTheEstimateIsCorrected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		gate := admission.New(time.Now)
+		gate.Resize(1)
+		late := 0
+		ended := make(chan struct{}, 1000)
+		for number := range 400 {
+			go func() {
+				defer func() { ended <- struct{}{} }()
+				started := time.Now()
+				slot, err := gate.Acquire(t.Context(), admission.Ticket{Work: 20 * time.Millisecond, MaximumWait: 200 * time.Millisecond})
+				if err != nil {
+					return
+				}
+				if number >= 200 && time.Since(started) > 240*time.Millisecond {
+					late++
+				}
+				time.Sleep(60 * time.Millisecond)
+				slot.Release(true)
+			}()
+			time.Sleep(20 * time.Millisecond)
+		}
+		for range 400 {
+			<-ended
+		}
+		g.Expect(late).To(BeNumerically("<", 10))
+	})
+}
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -19,7 +19,7 @@
 	stopPoll = 50 * time.Millisecond
 	// stopLeast is how long a stopping node serves at least: so long the
 	// platform takes to lead callers elsewhere.
-	stopLeast = 2500 * time.Millisecond
+	stopLeast = 2300 * time.Millisecond
 	// stopLeastGraceShare bounds that time where the grace time is short.
 	stopLeastGraceShare = 0.5
 	// stopQuiet is the time without a call after which no more are expected.
@@ -27,7 +27,7 @@
 	// stopAnnounce is the part of the grace time after which peers are told to
 	// send no more requests: until then the back end's slots are still of use,
 	// since callers of this machine come for about as long.
-	stopAnnounce = 0.2
+	stopAnnounce = 0.3
 	// stopTakes is the part of the grace time in which new calls are taken;
 	// later ones might not end in time.
 	stopTakes = 0.5
