Split grown files of the sidecar; one way to pause between tries

Change: package pause with a backoff; queue, arrival, publisher, ping and catch-up in files of their own; no behaviour changed. Ruled out: nothing.

--- a/internal/sidecar/configuration/follower.go
+++ b/internal/sidecar/configuration/follower.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/pause"
 	"github.com/kestrelstream/kestrelstream/internal/store"
 )
 
@@ -23,7 +23,7 @@
 // ends. After every end of a watch the key is read anew: what was missed
 // meanwhile must not stay unheard.
 func Follow(ctx context.Context, reader store.Reader, key string, keeper *Keeper, logger *zap.Logger) {
-	pause := pauseBase
+	backoff := pause.Backoff{Base: pauseBase, Most: pauseMost}
 	healthy := true
 	for ctx.Err() == nil {
 		err := followOnce(ctx, reader, key, keeper)
@@ -34,16 +34,16 @@
 			if !healthy {
 				logger.Info("store regained", zap.String("key", key))
 			}
-			healthy, pause = true, pauseBase
-			wait(ctx, pauseBase/2)
+			healthy = true
+			backoff.Succeeded()
+			pause.Wait(ctx, pauseBase/2)
 			continue
 		}
 		if healthy {
 			logger.Warn("store lost", zap.String("key", key), zap.Error(err))
 		}
 		healthy = false
-		wait(ctx, pause)
-		pause = min(2*pause, pauseMost)
+		backoff.Failed(ctx)
 	}
 }
 
@@ -89,13 +89,3 @@
 	_, err := readOnce(ctx, reader, key, keeper)
 	return err
 }
-
-// wait pauses for half to all of the duration.
-func wait(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration/2 + rand.N(duration/2+1))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/sidecar/exchange/exchanger.go
+++ b/internal/sidecar/exchange/exchanger.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -218,109 +217,6 @@
 	e.Behind(received.From, received.Version)
 }
 
-// Behind catches up with a peer that has a newer configuration: the store will
-// mostly tell by itself within a short time; then it is asked, and at last the
-// peer.
-func (e *Exchanger) Behind(peer *roster.Record, version uint64) {
-	if peer == nil || version <= e.options.Configuration.Version() || !e.fetching.CompareAndSwap(false, true) {
-		return
-	}
-	go func() {
-		defer e.fetching.Store(false)
-		e.catchUp(peer, version)
-	}()
-}
-
-func (e *Exchanger) catchUp(peer *roster.Record, version uint64) {
-	held := e.options.Configuration
-	if held.Version() > 0 {
-		time.Sleep(catchUpDelay)
-	}
-	if held.Version() >= version {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), refreshTimeout)
-	err := e.options.Refresh(ctx)
-	cancel()
-	if held.Version() >= version {
-		return
-	}
-	e.options.Logger.Warn("configuration behind a peer's", zap.String("peer", peer.Node),
-		zap.Uint64("version", version), zap.Uint64("inForce", held.Version()), zap.Error(err))
-	if err := e.fetch(peer); err != nil {
-		e.options.Logger.Warn("configuration not fetched", zap.String("peer", peer.Node),
-			zap.Uint64("version", version), zap.Error(err))
-	}
-}
-
-func (e *Exchanger) fetch(peer *roster.Record) error {
-	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer.PeerAddress+PathRoot+pathConfiguration, nil)
-	if err != nil {
-		return trace.Wrap(err, "fetch configuration")
-	}
-	answer, err := e.client.Do(request)
-	if err != nil {
-		return trace.Wrap(err, "fetch configuration")
-	}
-	defer answer.Body.Close()
-	if answer.StatusCode != http.StatusOK {
-		return trace.Errorf("fetch configuration: status %d", answer.StatusCode)
-	}
-	raw, err := readDocument(answer)
-	if err != nil {
-		return trace.Wrap(err, "fetch configuration")
-	}
-	err = e.options.Configuration.Offer(raw, configuration.SourcePeer)
-	if errors.Is(err, configuration.ErrNotNewer) {
-		return nil
-	}
-	return err
-}
-
-// Ping asks a peer whether it is there. A second question follows the first
-// after a short time, since one may be lost on the way.
-func (e *Exchanger) Ping(ctx context.Context, peer *roster.Record) error {
-	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
-	defer cancel()
-	answers := make(chan error, pings)
-	for ask := range pings {
-		go func() {
-			timer := time.NewTimer(time.Duration(ask) * pingTimeout / pings)
-			defer timer.Stop()
-			select {
-			case <-timer.C:
-				answers <- e.ping(ctx, peer)
-			case <-ctx.Done():
-				answers <- ctx.Err()
-			}
-		}()
-	}
-	var failed error
-	for range pings {
-		err := <-answers
-		if err == nil {
-			return nil
-		}
-		failed = err
-	}
-	return failed
-}
-
-func (e *Exchanger) ping(ctx context.Context, peer *roster.Record) error {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer.PeerAddress+PathRoot+pathPing, nil)
-	if err != nil {
-		return trace.Wrap(err, "ping %s", peer.Node)
-	}
-	answer, err := e.client.Do(request)
-	if err != nil {
-		return trace.Wrap(err, "ping %s", peer.Node)
-	}
-	_ = answer.Body.Close()
-	return nil
-}
-
 // post sends a message and reads the answer.
 func (e *Exchanger) post(ctx context.Context, peer *roster.Record, message *Message) (*Message, error) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
--- /dev/null
+++ b/internal/sidecar/exchange/ping.go
@@ -0,0 +1,53 @@
+package exchange
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+)
+
+// Ping asks a peer whether it is there. A second question follows the first
+// after a short time, since one may be lost on the way.
+func (e *Exchanger) Ping(ctx context.Context, peer *roster.Record) error {
+	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	answers := make(chan error, pings)
+	for ask := range pings {
+		go func() {
+			timer := time.NewTimer(time.Duration(ask) * pingTimeout / pings)
+			defer timer.Stop()
+			select {
+			case <-timer.C:
+				answers <- e.ping(ctx, peer)
+			case <-ctx.Done():
+				answers <- ctx.Err()
+			}
+		}()
+	}
+	var failed error
+	for range pings {
+		err := <-answers
+		if err == nil {
+			return nil
+		}
+		failed = err
+	}
+	return failed
+}
+
+func (e *Exchanger) ping(ctx context.Context, peer *roster.Record) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer.PeerAddress+PathRoot+pathPing, nil)
+	if err != nil {
+		return trace.Wrap(err, "ping %s", peer.Node)
+	}
+	answer, err := e.client.Do(request)
+	if err != nil {
+		return trace.Wrap(err, "ping %s", peer.Node)
+	}
+	_ = answer.Body.Close()
+	return nil
+}
--- /dev/null
+++ b/internal/sidecar/ingress/arrival.go
@@ -0,0 +1,206 @@
+package ingress
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/kestrelstream/kestrelstream/internal/proxy/forward"
+	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/admission"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+)
+
+// Causes of refusals.
+var (
+	errNoEndpoint = errors.New("no back end has made itself known")
+	errIdentity   = errors.New("a back end of another service is here")
+	errLeaving    = errors.New("the back end is leaving")
+	errNoCaller   = errors.New("the request did not come through a node")
+)
+
+// readBodyLimit is how much of a body that waited for consent is read at once.
+const readBodyLimit = 64 << 10
+
+// arrival is one request of a node. It is used by one goroutine.
+type arrival struct {
+	handler  *Handler
+	writer   http.ResponseWriter
+	request  *http.Request
+	started  time.Time
+	waited   time.Duration
+	told     hop.Request
+	endpoint *roster.Endpoint
+	deadline time.Time
+	context  context.Context
+}
+
+// serve carries the request through. A nil result means that it is answered.
+func (a *arrival) serve() *outcome.Failure {
+	if failure := a.check(); failure != nil {
+		return failure
+	}
+	var cancel context.CancelFunc
+	a.context, cancel = context.WithDeadline(a.request.Context(), a.deadline)
+	defer cancel()
+	consent := len(a.request.Header["Expect"]) > 0
+	var body *forward.Body
+	if !consent {
+		read, err := a.readBody()
+		if err != nil {
+			return outcome.Refusal(http.StatusBadRequest, outcome.StepRequest, 0, err)
+		}
+		body = read
+	}
+	slot, failure := a.admit()
+	if failure != nil {
+		return failure
+	}
+	served := false
+	defer func() { slot.Release(served) }()
+	if consent {
+		// The first read tells the caller's node to send the body. Without the
+		// whole of it nothing is run.
+		read, err := a.readConsented()
+		if err != nil {
+			return outcome.Refusal(http.StatusBadRequest, outcome.StepRequest, 0, err)
+		}
+		body = read
+	}
+	failure = a.exchange(body)
+	served = failure == nil
+	return failure
+}
+
+func (a *arrival) check() *outcome.Failure {
+	line := a.request.Header.Get(hop.HeaderHop)
+	if line == "" {
+		return outcome.Refusal(http.StatusForbidden, outcome.StepRequest, 0, errNoCaller)
+	}
+	told, err := hop.ParseRequest(line)
+	if err != nil {
+		return outcome.Refusal(http.StatusBadRequest, outcome.StepRequest, 0, err)
+	}
+	a.told = told
+	a.endpoint = a.handler.options.Endpoint()
+	if a.endpoint == nil {
+		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepIdentity, refusedWait, errNoEndpoint)
+	}
+	if a.endpoint.Service != told.Service {
+		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepIdentity, refusedWait, errIdentity)
+	}
+	if a.handler.leftBehind(a.endpoint.ID) {
+		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepDrain, refusedWait, errLeaving)
+	}
+	a.deadline = a.started.Add(told.Remaining)
+	return nil
+}
+
+func (a *arrival) readBody() (*forward.Body, error) {
+	const unlimited = 1 << 40
+	return forward.ReadBody(a.context, a.writer, a.request, unlimited, "")
+}
+
+// readConsented reads a body whose sender waited for the slot. A short one is
+// read whole, so that one that breaks off is never run.
+func (a *arrival) readConsented() (*forward.Body, error) {
+	stop := context.AfterFunc(a.context, func() {
+		_ = http.NewResponseController(a.writer).SetReadDeadline(time.Unix(1, 0))
+	})
+	defer stop()
+	read, err := io.ReadAll(io.LimitReader(a.request.Body, readBodyLimit))
+	if err != nil {
+		return nil, err
+	}
+	if len(read) < readBodyLimit {
+		return forward.BufferedBody(read), nil
+	}
+	return forward.ContinuedBody(read, a.writer, a.request)
+}
+
+// admit waits for a slot of the back end.
+func (a *arrival) admit() (*admission.Slot, *outcome.Failure) {
+	slot, err := a.handler.gate.Acquire(a.context, admission.Ticket{
+		Priority:    a.told.Priority,
+		Returning:   a.told.Returning,
+		Work:        a.told.Expected,
+		StartBy:     a.started.Add(a.told.Slack),
+		MaximumWait: a.told.MaximumWait,
+	})
+	a.waited = time.Since(a.started)
+	if err != nil {
+		return nil, outcome.Refusal(http.StatusServiceUnavailable, outcome.StepAdmit, a.retryAfter(), err)
+	}
+	if a.handler.leftBehind(a.endpoint.ID) {
+		slot.Release(false)
+		return nil, outcome.Refusal(http.StatusServiceUnavailable, outcome.StepDrain, refusedWait, errLeaving)
+	}
+	return slot, nil
+}
+
+// retryAfter is the time in which the queue is expected to be worked off.
+func (a *arrival) retryAfter() time.Duration {
+	load := a.handler.gate.Load()
+	wait := load.Service * time.Duration(load.Waiting+1) / time.Duration(max(load.Slots, 1))
+	return max(wait, refusedWait/2)
+}
+
+// reply sends a failure that the node answers itself.
+func (a *arrival) reply(failure *outcome.Failure) {
+	defer forward.PrepareOwnReply(a.context, a.writer, a.request, nil)()
+	a.mark(0)
+	header := a.writer.Header()
+	header[outcome.HeaderOutcome] = []string{string(failure.Outcome)}
+	header[outcome.HeaderError] = []string{"step=" + string(failure.Step)}
+	if failure.RetryAfter > 0 {
+		header["Retry-After"] = []string{hop.FormatSeconds(failure.RetryAfter)}
+	}
+	header["Content-Length"] = []string{"0"}
+	a.writer.WriteHeader(failure.Status)
+}
+
+// mark adds what the node tells of itself to a reply.
+func (a *arrival) mark(worked time.Duration) {
+	load := a.handler.gate.Load()
+	reply := hop.Reply{
+		Version: a.handler.options.Version(),
+		Running: load.Running, Waiting: load.Waiting, Slots: load.Slots, Held: load.Service,
+		Factor: a.handler.pace.Factor(), Worked: worked,
+	}
+	header := a.writer.Header()
+	header[hop.HeaderReply] = []string{reply.Format()}
+	if _, set := header["Date"]; !set {
+		// Without a value the library adds none of its own.
+		header["Date"] = nil
+	}
+}
+
+func (a *arrival) ended(failure *outcome.Failure) {
+	options := &a.handler.options
+	elapsed := time.Since(a.started)
+	if failure == nil {
+		options.Observer.Arrived("", "", elapsed, a.waited)
+		return
+	}
+	options.Observer.Arrived(failure.Outcome, failure.Step, elapsed, a.waited)
+	entry := options.Logger.Check(zap.InfoLevel, "arrival failed")
+	if entry == nil {
+		return
+	}
+	load := a.handler.gate.Load()
+	entry.Write(
+		zap.String("request", a.request.Header.Get(options.Vocabulary.RequestID)),
+		zap.String("outcome", string(failure.Outcome)),
+		zap.String("step", string(failure.Step)),
+		zap.String("peer", a.request.RemoteAddr),
+		zap.String("service", a.told.Service),
+		zap.Int("running", load.Running), zap.Int("waiting", load.Waiting), zap.Int("slots", load.Slots),
+		zap.Duration("waited", a.waited), zap.Duration("elapsed", elapsed),
+		zap.NamedError("cause", failure.Cause),
+	)
+}
--- /dev/null
+++ b/internal/sidecar/pause/pause_test.go
@@ -0,0 +1,34 @@
+package pause_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/pause"
+)
+
+func TestBackoff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		backoff := pause.Backoff{Base: 100 * time.Millisecond, Most: 300 * time.Millisecond}
+		waited := func() time.Duration {
+			started := time.Now()
+			backoff.Failed(t.Context())
+			return time.Since(started)
+		}
+		for _, most := range []time.Duration{100, 200, 300, 300} {
+			g.Expect(waited()).To(And(BeNumerically(">=", most*time.Millisecond/2), BeNumerically("<=", most*time.Millisecond)))
+		}
+		backoff.Succeeded()
+		g.Expect(waited()).To(BeNumerically("<=", 100*time.Millisecond))
+		ended, cancel := context.WithCancel(t.Context())
+		cancel()
+		started := time.Now()
+		pause.Wait(ended, time.Hour)
+		g.Expect(time.Since(started)).To(BeZero())
+	})
+}
