Let a node that refuses every call leave; take calls by their time; news crosses zones few times

Its log shows nodes that stay for 5 s because refused callers keep coming: where fewer than half of a zone's nodes are ready the platform does not lead callers elsewhere. The refusal began by a poll, so that calls sent after 3 s could be taken and be cut at 5.1 s, which counts as lost. Ruled out: requests cut while none was refused (stop ends name none in flight). Change: calls are judged by the time they came, taken until 0.4 of the grace time; once they are refused, a node without work leaves at once. A node's record goes to 2 nodes of each other zone, which pass it on to 8 of theirs, instead of to 64 nodes at random; the answer to a notice is empty. Nodes whose back end is gone are no members of the retry budget.

--- a/internal/sidecar/egress/call.go
+++ b/internal/sidecar/egress/call.go
@@ -76,7 +76,7 @@
 	if c.table == nil {
 		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepSnapshot, defaultRetryAfter, errNoTable)
 	}
-	if c.handler.closed.Load() {
+	if c.handler.refuses(c.started) {
 		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepDrain, defaultRetryAfter, errStopping)
 	}
 	if forward.WantsUpgrade(c.request) {
@@ -152,7 +152,7 @@
 }
 
 // members is how many nodes share the budget.
-func (c *call) members() int { return c.handler.options.View().Count() }
+func (c *call) members() int { return c.handler.options.View().Present() }
 
 // pass sends the answer of a back end on.
 func (c *call) pass(result result) *outcome.Failure {
--- a/internal/sidecar/egress/handler.go
+++ b/internal/sidecar/egress/handler.go
@@ -80,9 +80,10 @@
 	targets  *targets
 	rotation atomic.Uint64
 	stopping atomic.Bool
-	closed   atomic.Bool
-	inFlight atomic.Int64
-	lastCall atomic.Int64
+	// refuseFrom is the moment from which new calls are refused, nil for never.
+	refuseFrom atomic.Pointer[time.Time]
+	inFlight   atomic.Int64
+	lastCall   atomic.Int64
 
 	// served logs a sample of the calls that went well.
 	served *zap.Logger
@@ -187,8 +188,14 @@
 // Stop has answers close their connections from now on.
 func (h *Handler) Stop() { h.stopping.Store(true) }
 
-// Refuse has new calls refused from now on.
-func (h *Handler) Refuse() { h.closed.Store(true) }
+// RefuseFrom has calls refused that come at that moment or later.
+func (h *Handler) RefuseFrom(moment time.Time) { h.refuseFrom.Store(&moment) }
+
+// refuses reports whether a call that came at that moment is refused.
+func (h *Handler) refuses(came time.Time) bool {
+	from := h.refuseFrom.Load()
+	return from != nil && !came.Before(*from)
+}
 
 // Cut ends what is still under way with an answer.
 func (h *Handler) Cut() { h.cut(errStopping) }
--- a/internal/sidecar/exchange/exchange_test.go
+++ b/internal/sidecar/exchange/exchange_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -29,7 +30,7 @@
 	members   *roster.Roster
 	keeper    *configuration.Keeper
 	record    *roster.Record
-	bytes     int
+	bytes     atomic.Int64
 }
 
 func decodeVersion(raw []byte) (*route.Document, []string, error) {
@@ -43,7 +44,7 @@
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		recorder := httptest.NewRecorder()
 		container.ServeHTTP(recorder, r)
-		created.bytes += int(r.ContentLength) + recorder.Body.Len()
+		created.bytes.Add(r.ContentLength + int64(recorder.Body.Len()))
 		for key, values := range recorder.Header() {
 			w.Header()[key] = values
 		}
@@ -104,15 +105,15 @@
 	first.members.Merge(records)
 	second.members.Merge(records)
 	g.Expect(first.exchanger.With(t.Context(), second.record)).To(Succeed())
-	second.bytes = 0
+	second.bytes.Store(0)
 	g.Expect(first.exchanger.With(t.Context(), second.record)).To(Succeed())
-	g.Expect(second.bytes).To(BeNumerically("<", 1000), "nothing differs")
+	g.Expect(second.bytes.Load()).To(BeNumerically("<", 1000), "nothing differs")
 	changed := *records[500]
 	changed.Counter = 2
 	second.members.Merge([]*roster.Record{&changed})
-	second.bytes = 0
+	second.bytes.Store(0)
 	g.Expect(first.exchanger.With(t.Context(), second.record)).To(Succeed())
-	g.Expect(second.bytes).To(BeNumerically("<", 8000), "one record differs")
+	g.Expect(second.bytes.Load()).To(BeNumerically("<", 8000), "one record differs")
 	g.Expect(first.members.View().Record("node-500").Counter).To(BeEquivalentTo(2))
 }
 
--- a/internal/sidecar/exchange/exchanger.go
+++ b/internal/sidecar/exchange/exchanger.go
@@ -14,7 +14,6 @@
 
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/configuration"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
@@ -42,15 +41,10 @@
 	fetchTimeout    = 2 * time.Second
 	// catchUpDelay is how long a node that is behind waits for its own watch,
 	// refreshTimeout bounds its question to the store.
-	catchUpDelay   = 600 * time.Millisecond
-	refreshTimeout = 400 * time.Millisecond
-	// broadcastPeers bounds how many nodes are told of a change directly; the
-	// others hear of it through them and the store.
-	broadcastPeers = 64
-	// broadcastParallel is how many are told at once.
-	broadcastParallel = 16
-	idlePerPeer       = 1
-	peerIdleTimeout   = 20 * time.Second
+	catchUpDelay    = 600 * time.Millisecond
+	refreshTimeout  = 400 * time.Millisecond
+	idlePerPeer     = 1
+	peerIdleTimeout = 20 * time.Second
 	// pingTimeout bounds the answer to a ping, pings is how many are sent.
 	pingTimeout = 240 * time.Millisecond
 	pings       = 2
@@ -104,15 +98,13 @@
 	if lost := e.lost.pick(e.options.Roster.View(), time.Now()); lost != nil {
 		return lost
 	}
-	own := e.options.Roster.Own()
+	own, view := e.options.Roster.Own(), e.options.Roster.View()
 	var near, far []*roster.Record
-	for _, record := range e.options.Roster.View().Records() {
-		switch {
-		case record.Node == own.Node || record.PeerAddress == "":
-		case record.Zone == own.Zone:
-			near = append(near, record)
-		default:
-			far = append(far, record)
+	for _, zone := range view.Zones() {
+		if zone == own.Zone {
+			near = e.peersOf(view.Zone(zone))
+		} else {
+			far = append(far, e.peersOf(view.Zone(zone))...)
 		}
 	}
 	from := far
@@ -125,6 +117,18 @@
 	return from[rand.N(len(from))]
 }
 
+// peersOf returns those of the records that can be exchanged with.
+func (e *Exchanger) peersOf(records []*roster.Record) []*roster.Record {
+	self := e.options.Roster.Own().Node
+	peers := make([]*roster.Record, 0, len(records))
+	for _, record := range records {
+		if record.Node != self && record.PeerAddress != "" {
+			peers = append(peers, record)
+		}
+	}
+	return peers
+}
+
 // With exchanges with one peer: digests first, and where they differ the records
 // of the parts that do.
 func (e *Exchanger) With(ctx context.Context, peer *roster.Record) error {
@@ -173,35 +177,6 @@
 // Lost notes that a node did not answer: it is looked for until it does.
 func (e *Exchanger) Lost(node string) { e.lost.add(node, time.Now()) }
 
-// Broadcast tells peers of the own record at once and returns how many have
-// heard it.
-func (e *Exchanger) Broadcast(ctx context.Context) int {
-	own := e.options.Roster.Own()
-	var peers []*roster.Record
-	for _, record := range e.options.Roster.View().Records() {
-		if record.Node != own.Node && record.PeerAddress != "" {
-			peers = append(peers, record)
-		}
-	}
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	peers = peers[:min(len(peers), broadcastPeers)]
-	notice := e.message()
-	notice.Notice = true
-	var heard atomic.Int64
-	var group errgroup.Group
-	group.SetLimit(broadcastParallel)
-	for _, peer := range peers {
-		group.Go(func() error {
-			if _, err := e.post(ctx, peer, notice); err == nil {
-				heard.Add(1)
-			}
-			return nil
-		})
-	}
-	_ = group.Wait()
-	return int(heard.Load())
-}
-
 // message is what every message of this node says.
 func (e *Exchanger) message() *Message {
 	return &Message{
@@ -221,29 +196,40 @@
 func (e *Exchanger) post(ctx context.Context, peer *roster.Record, message *Message) (*Message, error) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	encoded, err := json.Marshal(message)
+	resp, err := e.send(ctx, peer, pathExchange, message)
 	if err != nil {
-		return nil, trace.Wrap(err, "exchange")
+		return nil, err
+	}
+	defer resp.Body.Close()
+	received := &Message{}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, messageBytes)).Decode(received); err != nil {
+		return nil, trace.Wrap(err, "exchange with %s", peer.Node)
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+peer.PeerAddress+PathRoot+pathExchange, bytes.NewReader(encoded))
+	if received.From == nil {
+		return nil, trace.Errorf("exchange with %s: from is missing", peer.Node)
+	}
+	return received, nil
+}
+
+// send posts a value to a peer. The body of the response, which has a status of
+// success, is to be closed.
+func (e *Exchanger) send(ctx context.Context, peer *roster.Record, path string, value any) (*http.Response, error) {
+	encoded, err := json.Marshal(value)
 	if err != nil {
 		return nil, trace.Wrap(err, "exchange")
 	}
-	request.Header.Set("Content-Type", "application/json")
-	answer, err := e.client.Do(request)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+peer.PeerAddress+PathRoot+path, bytes.NewReader(encoded))
 	if err != nil {
-		return nil, trace.Wrap(err, "exchange with %s", peer.Node)
-	}
-	defer answer.Body.Close()
-	if answer.StatusCode != http.StatusOK {
-		return nil, trace.Wrap(fmt.Errorf("status %d", answer.StatusCode), "exchange with %s", peer.Node)
+		return nil, trace.Wrap(err, "exchange")
 	}
-	received := &Message{}
-	if err := json.NewDecoder(io.LimitReader(answer.Body, messageBytes)).Decode(received); err != nil {
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := e.client.Do(req)
+	if err != nil {
 		return nil, trace.Wrap(err, "exchange with %s", peer.Node)
 	}
-	if received.From == nil {
-		return nil, trace.Errorf("exchange with %s: from is missing", peer.Node)
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		_ = resp.Body.Close()
+		return nil, trace.Wrap(fmt.Errorf("status %d", resp.StatusCode), "exchange with %s", peer.Node)
 	}
-	return received, nil
+	return resp, nil
 }
--- a/internal/sidecar/exchange/message.go
+++ b/internal/sidecar/exchange/message.go
@@ -13,8 +13,6 @@
 	Digest uint64 `json:"digest"`
 	// Version is that of the sender's configuration, zero without one.
 	Version uint64 `json:"version"`
-	// Notice: the sender wants nothing but to be heard.
-	Notice bool `json:"notice,omitempty"`
 	// Buckets are the digests of the sender's roster in parts, when the digests
 	// differ.
 	Buckets []uint32 `json:"buckets,omitempty"`
@@ -26,6 +24,17 @@
 	Records []*roster.Record `json:"records,omitempty"`
 }
 
+// Notice tells a peer of one node's record. Nothing is answered.
+type Notice struct {
+	// Record is the news; it is the sender's own unless the notice is relayed.
+	Record *roster.Record `json:"record"`
+	// From is the sender's node and Version that of its configuration.
+	From    string `json:"from"`
+	Version uint64 `json:"version"`
+	// Relay asks the receiver to pass the news on in its zone.
+	Relay bool `json:"relay,omitempty"`
+}
+
 const (
 	// recordsPerBucket is about how many records share a part.
 	recordsPerBucket = 4
@@ -59,6 +68,7 @@
 const (
 	PathRoot          = "/v1"
 	pathExchange      = "/exchange"
+	pathNotice        = "/notice"
 	pathPing          = "/ping"
 	pathConfiguration = "/configuration"
 )
--- a/internal/sidecar/exchange/server.go
+++ b/internal/sidecar/exchange/server.go
@@ -21,6 +21,7 @@
 	service := &restful.WebService{}
 	service.Path(PathRoot)
 	service.Route(service.POST(pathExchange).Consumes(restful.MIME_JSON).Produces(restful.MIME_JSON).To(e.serveExchange))
+	service.Route(service.POST(pathNotice).Consumes(restful.MIME_JSON).To(e.serveNotice))
 	service.Route(service.GET(pathConfiguration).Produces(restful.MIME_OCTET).To(e.serveConfiguration))
 	service.Route(service.GET(pathPing).To(func(_ *restful.Request, response *restful.Response) {
 		response.WriteHeader(http.StatusNoContent)
@@ -38,6 +39,17 @@
 	_ = response.WriteAsJson(e.answer(received))
 }
 
+func (e *Exchanger) serveNotice(request *restful.Request, response *restful.Response) {
+	request.Request.Body = http.MaxBytesReader(response.ResponseWriter, request.Request.Body, messageBytes)
+	notice := &Notice{}
+	if err := request.ReadEntity(notice); err != nil || notice.Record == nil {
+		_ = response.WriteErrorString(http.StatusBadRequest, "record: is missing")
+		return
+	}
+	e.hear(notice)
+	response.WriteHeader(http.StatusNoContent)
+}
+
 // answer takes in a peer's message and makes this node's side of the exchange:
 // the parts of its roster when the digests differ, or the records that the peer
 // lacks in the parts it has found to differ.
@@ -46,7 +58,6 @@
 	made := e.message()
 	view := e.options.Roster.View()
 	switch {
-	case received.Notice:
 	case received.comparable():
 		made.Records = lacking(view.InBuckets(received.Differing, received.Of), received.Records)
 	case received.Digest != view.Digest():
--- /dev/null
+++ b/internal/sidecar/exchange/spread.go
@@ -0,0 +1,124 @@
+package exchange
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+)
+
+const (
+	// zonePeers bounds how many nodes of its own zone a node tells of a change;
+	// the others hear of it by exchanges.
+	zonePeers = 32
+	// zoneRelays is how many nodes of each other zone are told, relayTries how
+	// many are asked until so many have heard.
+	zoneRelays = 2
+	relayTries = 4
+	// smallZone is the size up to which all nodes of another zone are told
+	// directly.
+	smallZone = 3
+	// relayPeers is how many nodes of its zone a relay passes news on to.
+	relayPeers = 8
+	// spreadParallel is how many peers are told at once.
+	spreadParallel = 16
+)
+
+// Broadcast tells peers of the own record at once and returns how many have
+// heard it themselves. In its own zone a node tells the peers itself. To each
+// other zone the news goes but a few times, since what passes between zones is
+// paid for by the byte; there it is passed on.
+func (e *Exchanger) Broadcast(ctx context.Context) int {
+	own, view := e.options.Roster.Own(), e.options.Roster.View()
+	var heard atomic.Int64
+	var group errgroup.Group
+	group.SetLimit(spreadParallel)
+	for _, zone := range view.Zones() {
+		peers := shuffled(e.peersOf(view.Zone(zone)))
+		if zone == own.Zone || len(peers) <= smallZone {
+			e.tell(ctx, &group, &heard, peers[:min(len(peers), zonePeers)], e.notice(own))
+			continue
+		}
+		relayed := e.notice(own)
+		relayed.Relay = true
+		group.Go(func() error {
+			heard.Add(e.relay(ctx, peers, relayed))
+			return nil
+		})
+	}
+	_ = group.Wait()
+	return int(heard.Load())
+}
+
+// tell has the peers told by the group's goroutines.
+func (e *Exchanger) tell(ctx context.Context, group *errgroup.Group, heard *atomic.Int64, peers []*roster.Record, notice *Notice) {
+	for _, peer := range peers {
+		group.Go(func() error {
+			if e.sendNotice(ctx, peer, notice) == nil {
+				heard.Add(1)
+			}
+			return nil
+		})
+	}
+}
+
+// relay tells peers of one other zone until some have heard.
+func (e *Exchanger) relay(ctx context.Context, peers []*roster.Record, notice *Notice) (heard int64) {
+	for _, peer := range peers[:min(len(peers), relayTries)] {
+		if e.sendNotice(ctx, peer, notice) == nil {
+			heard++
+		}
+		if heard == zoneRelays || ctx.Err() != nil {
+			break
+		}
+	}
+	return heard
+}
+
+// hear takes in a notice and passes news on when that is asked.
+func (e *Exchanger) hear(notice *Notice) {
+	news := e.options.Roster.Merge([]*roster.Record{notice.Record})
+	if sender := e.options.Roster.View().Record(notice.From); sender != nil {
+		e.Behind(sender, notice.Version)
+	}
+	if notice.Relay && len(news) > 0 {
+		go e.passOn(notice.Record)
+	}
+}
+
+// passOn tells some nodes of the own zone of another node's record.
+func (e *Exchanger) passOn(record *roster.Record) {
+	ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
+	defer cancel()
+	own, view := e.options.Roster.Own(), e.options.Roster.View()
+	peers := shuffled(e.peersOf(view.Zone(own.Zone)))
+	var heard atomic.Int64
+	var group errgroup.Group
+	group.SetLimit(spreadParallel)
+	e.tell(ctx, &group, &heard, peers[:min(len(peers), relayPeers)], e.notice(record))
+	_ = group.Wait()
+}
+
+// notice returns what is told of a record.
+func (e *Exchanger) notice(record *roster.Record) *Notice {
+	return &Notice{Record: record, From: e.options.Roster.Own().Node, Version: e.options.Configuration.Version()}
+}
+
+// sendNotice sends one notice.
+func (e *Exchanger) sendNotice(ctx context.Context, peer *roster.Record, notice *Notice) error {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	resp, err := e.send(ctx, peer, pathNotice, notice)
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
+
+func shuffled(records []*roster.Record) []*roster.Record {
+	rand.Shuffle(len(records), func(i, j int) { records[i], records[j] = records[j], records[i] })
+	return records
+}
--- /dev/null
+++ b/internal/sidecar/exchange/spread_test.go
@@ -0,0 +1,84 @@
+package exchange
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+)
+
+// neighbourhood starts members of three zones that know each other.
+func neighbourhood(t *testing.T, perZone int) (all []*member) {
+	for _, zone := range []string{"east", "south", "west"} {
+		for i := range perZone {
+			started := newMember(t, fmt.Sprintf("%s-%d", zone, i))
+			started.members.Update(func(record roster.Record) (roster.Record, bool) {
+				record.Zone = zone
+				return record, true
+			})
+			started.record = started.members.Own()
+			all = append(all, started)
+		}
+	}
+	records := make([]*roster.Record, len(all))
+	for i, started := range all {
+		records[i] = started.record
+	}
+	for _, started := range all {
+		started.members.Merge(records)
+	}
+	return all
+}
+
+// TestNewsCrossesZonesFewTimes: everyone of small zones is told directly; with
+// larger ones the news goes to a few nodes of each other zone and spreads there.
+func TestNewsCrossesZonesFewTimes(t *testing.T) {
+	cases := []struct{ perZone, heard int }{
+		{smallZone, 3*smallZone - 1},
+		{smallZone + 3, smallZone + 2 + 2*zoneRelays},
+	}
+	for _, size := range cases {
+		t.Run(fmt.Sprint(size.perZone), func(t *testing.T) {
+			g := NewWithT(t)
+			all := neighbourhood(t, size.perZone)
+			all[0].members.Update(func(record roster.Record) (roster.Record, bool) {
+				record.Leaving = true
+				return record, true
+			})
+			g.Expect(all[0].exchanger.Broadcast(t.Context())).To(Equal(size.heard))
+			for _, other := range all {
+				g.Eventually(func() bool { return other.members.View().Record("east-0").Leaving }).
+					WithTimeout(patience).Should(BeTrue(), other.record.Node)
+			}
+		})
+	}
+}
+
+// TestNewsFindsItsWayPastDeadRelays: a node of another zone that does not answer
+// is passed over.
+func TestNewsFindsItsWayPastDeadRelays(t *testing.T) {
+	g := NewWithT(t)
+	all := neighbourhood(t, smallZone+1)
+	dead := *all[len(all)-1].record
+	dead.Counter, dead.PeerAddress = dead.Counter+1, "127.0.0.1:1"
+	all[0].members.Merge([]*roster.Record{&dead})
+	g.Expect(all[0].exchanger.Broadcast(t.Context())).To(Equal(smallZone + 2*zoneRelays))
+}
+
+// TestRelayedNewsIsPassedOnOnce: a notice that says nothing new goes no further.
+func TestRelayedNewsIsPassedOnOnce(t *testing.T) {
+	g := NewWithT(t)
+	all := neighbourhood(t, 2)
+	subject := *all[2].record
+	subject.Counter++
+	notice := &Notice{Record: &subject, From: "south-0", Relay: true}
+	all[0].exchanger.hear(notice)
+	g.Eventually(func() uint64 { return all[1].members.View().Record("south-0").Counter }).
+		WithTimeout(patience).Should(Equal(subject.Counter))
+	before := all[1].bytes.Load()
+	all[0].exchanger.hear(notice)
+	g.Consistently(all[1].bytes.Load).WithTimeout(100 * time.Millisecond).Should(Equal(before))
+}
--- a/internal/sidecar/roster/roster.go
+++ b/internal/sidecar/roster/roster.go
@@ -12,9 +12,14 @@
 
 // View is one state of the roster. It is immutable.
 type View struct {
-	records  map[string]*Record
+	records map[string]*Record
+	// services and zones hold the records by the service and the zone of their
+	// node, each list ordered by node name.
 	services map[string][]*Record
-	digest   uint64
+	zones    map[string][]*Record
+	// present counts the nodes whose back end has not ended for good.
+	present int
+	digest  uint64
 }
 
 // Digest is equal for equal views.
@@ -26,6 +31,16 @@
 // Service returns the records whose back end is of the service, by node name.
 func (v *View) Service(name string) []*Record { return v.services[name] }
 
+// Zone returns the records of the nodes in the zone, by node name.
+func (v *View) Zone(name string) []*Record { return v.zones[name] }
+
+// Zones returns the names of the zones that have nodes, in order.
+func (v *View) Zones() []string { return slices.Sorted(maps.Keys(v.zones)) }
+
+// Present returns how many nodes are known whose back end has not ended for
+// good. A node whose back end has ended sends no requests for long.
+func (v *View) Present() int { return v.present }
+
 // Count returns how many nodes are known.
 func (v *View) Count() int { return len(v.records) }
 
@@ -197,9 +212,13 @@
 }
 
 func (r *Roster) publish() {
-	view := &View{records: maps.Clone(r.records), services: map[string][]*Record{}}
+	view := &View{records: maps.Clone(r.records), services: map[string][]*Record{}, zones: map[string][]*Record{}}
 	for _, record := range view.Records() {
 		view.digest ^= record.digest()
+		view.zones[record.Zone] = append(view.zones[record.Zone], record)
+		if record.Endpoint == nil || record.Endpoint.State != Gone {
+			view.present++
+		}
 		if record.Endpoint != nil {
 			service := record.Endpoint.Service
 			view.services[service] = append(view.services[service], record)
--- /dev/null
+++ b/internal/sidecar/route/change.go
@@ -0,0 +1,119 @@
+package route
+
+import (
+	"errors"
+	"reflect"
+	"slices"
+)
+
+// Change leads from one version of a document to a later one. It is what nodes
+// pass on: a version mostly differs from the one before in a few routes.
+type Change struct {
+	// Version is the one that the change leads to, Base the one it starts from.
+	// Without a base the change holds the document whole.
+	Version uint64 `json:"version"`
+	Base    uint64 `json:"base,omitempty"`
+	// Routes and Services are those that are new or differ.
+	Routes   []Route   `json:"routes,omitempty"`
+	Services []Service `json:"services,omitempty"`
+	// Places are the hosts and prefixes of routes that are gone, Gone the names
+	// of services that are.
+	Places []string `json:"places,omitempty"`
+	Gone   []string `json:"gone,omitempty"`
+	Limits Limits   `json:"limits"`
+	// RouteCount and ServiceCount are those of the later version.
+	RouteCount   int `json:"routeCount"`
+	ServiceCount int `json:"serviceCount"`
+}
+
+// ErrBase says that a change does not start from the document it is applied to.
+var ErrBase = errors.New("route: the change starts from another document")
+
+// place identifies a route within a document.
+func (r *Route) place() string { return normalizeHost(r.Host) + r.PathPrefix }
+
+// name identifies a service within a document.
+func (s *Service) name() string { return s.Name }
+
+// ChangeFrom returns what leads from the base, which may be nil, to the document.
+func (d *Document) ChangeFrom(base *Document) *Change {
+	change := &Change{
+		Version: d.Version, Limits: d.Limits, RouteCount: len(d.Routes), ServiceCount: len(d.Services),
+	}
+	if base == nil {
+		change.Routes, change.Services = d.Routes, d.Services
+		return change
+	}
+	change.Base = base.Version
+	change.Routes, change.Places = differing(base.Routes, d.Routes, (*Route).place)
+	change.Services, change.Gone = differing(base.Services, d.Services, (*Service).name)
+	return change
+}
+
+// Apply returns the document that the change makes of the base, which may be nil
+// when the change is whole. Neither is modified.
+func (c *Change) Apply(base *Document) (*Document, error) {
+	document := &Document{Version: c.Version, Limits: c.Limits}
+	switch {
+	case c.Base == 0:
+		document.Routes, document.Services = c.Routes, c.Services
+	case base == nil || base.Version != c.Base:
+		return nil, ErrBase
+	default:
+		document.Routes = replaced(base.Routes, c.Routes, c.Places, (*Route).place)
+		document.Services = replaced(base.Services, c.Services, c.Gone, (*Service).name)
+	}
+	if len(document.Routes) != c.RouteCount || len(document.Services) != c.ServiceCount {
+		return nil, ErrBase
+	}
+	return document, nil
+}
+
+// differing returns the items of after that before lacks or has otherwise, and
+// the keys of those that after lacks.
+func differing[T any](before, after []T, key func(*T) string) (changed []T, gone []string) {
+	held := make(map[string]*T, len(before))
+	for i := range before {
+		held[key(&before[i])] = &before[i]
+	}
+	for i := range after {
+		k := key(&after[i])
+		if old := held[k]; old == nil || !reflect.DeepEqual(*old, after[i]) {
+			changed = append(changed, after[i])
+		}
+		delete(held, k)
+	}
+	for k := range held {
+		gone = append(gone, k)
+	}
+	slices.Sort(gone)
+	return changed, gone
+}
+
+// replaced returns before with the changed items in it and without those that
+// are gone. Items that stay are shared with before.
+func replaced[T any](before, changed []T, gone []string, key func(*T) string) []T {
+	next := make(map[string]*T, len(changed))
+	for i := range changed {
+		next[key(&changed[i])] = &changed[i]
+	}
+	after := make([]T, 0, len(before)+len(changed))
+	for i := range before {
+		k := key(&before[i])
+		if _, lost := slices.BinarySearch(gone, k); lost {
+			continue
+		}
+		if newer := next[k]; newer != nil {
+			after = append(after, *newer)
+			delete(next, k)
+			continue
+		}
+		after = append(after, before[i])
+	}
+	for i := range changed {
+		if next[key(&changed[i])] != nil {
+			after = append(after, changed[i])
+		}
+	}
+	return after
+}
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -21,16 +21,17 @@
 	// platform takes to lead callers elsewhere.
 	stopLeast = 2300 * time.Millisecond
 	// stopLeastGraceShare bounds that time where the grace time is short.
-	stopLeastGraceShare = 0.5
+	stopLeastGraceShare = 0.4
 	// stopQuiet is the time without a call after which no more are expected.
 	stopQuiet = 600 * time.Millisecond
 	// stopAnnounce is the part of the grace time after which peers are told to
 	// send no more requests: until then the back end's slots are still of use,
 	// since callers of this machine come for about as long.
 	stopAnnounce = 0.3
-	// stopTakes is the part of the grace time in which new calls are taken;
-	// later ones might not end in time.
-	stopTakes = 0.5
+	// stopTakes is the part of the grace time in which new calls are taken. The
+	// platform has led callers elsewhere before, unless most nodes of the zone are
+	// away; then the sooner this one is back the better.
+	stopTakes = 0.4
 	// stopEnd is how long before the forced end what is left is cut.
 	stopEnd = 900 * time.Millisecond
 	// withdrawTimeout bounds the last word to the store.
@@ -75,10 +76,12 @@
 	s.stopping.Store(true)
 	s.egress.Stop()
 	s.ingress.Stop()
-	announcement := time.AfterFunc(time.Duration(float64(s.settings.Load().Grace)*stopAnnounce), s.leave)
+	plan := stopPlan{grace: s.settings.Load().Grace}
+	s.egress.RefuseFrom(started.Add(plan.takes()))
+	announcement := time.AfterFunc(time.Duration(float64(plan.grace)*stopAnnounce), s.leave)
 	defer announcement.Stop()
 	s.logger.Info("stop begins", zap.Int("callsInFlight", s.egress.InFlight()), zap.Int("running", s.ingress.Load().Running))
-	for !s.drained(time.Since(started)) {
+	for !plan.done(time.Since(started), s.idle(), time.Since(s.egress.LastCall())) {
 		time.Sleep(stopPoll)
 	}
 	s.egress.Cut()
@@ -96,18 +99,38 @@
 	s.spread(context.Background())
 }
 
-// drained reports whether the stop is done after that time.
-func (s *Sidecar) drained(elapsed time.Duration) bool {
-	grace := s.settings.Load().Grace
-	if elapsed >= grace-stopEnd {
+// idle reports whether nothing is under way on either side.
+func (s *Sidecar) idle() bool {
+	load := s.ingress.Load()
+	return s.egress.InFlight() == 0 && load.Running+load.Waiting == 0
+}
+
+// stopPlan says what happens when in a planned stop. Times count from its
+// beginning.
+type stopPlan struct {
+	// grace is the time until the forced end.
+	grace time.Duration
+}
+
+// takes returns until when new calls are taken.
+func (p stopPlan) takes() time.Duration { return time.Duration(float64(p.grace) * stopTakes) }
+
+// least returns how long the node stays at least, for calls that still come.
+func (p stopPlan) least() time.Duration {
+	return min(stopLeast, time.Duration(float64(p.grace)*stopLeastGraceShare))
+}
+
+// done reports whether the stop is done after the elapsed time: nothing is under
+// way, and either no call has come for a while or all are refused anyhow. What
+// is still under way near the forced end is cut.
+func (p stopPlan) done(elapsed time.Duration, idle bool, sinceCall time.Duration) bool {
+	switch {
+	case elapsed >= p.grace-stopEnd:
 		return true
+	case !idle || elapsed < p.least():
+		return false
 	}
-	if elapsed >= time.Duration(float64(grace)*stopTakes) {
-		s.egress.Refuse()
-	}
-	load := s.ingress.Load()
-	idle := s.egress.InFlight() == 0 && load.Running+load.Waiting == 0
-	return idle && elapsed >= min(stopLeast, time.Duration(float64(grace)*stopLeastGraceShare)) && time.Since(s.egress.LastCall()) >= stopQuiet
+	return sinceCall >= stopQuiet || elapsed >= p.takes()
 }
 
 // withdraw removes the node's key when its back end has ended: neither comes
--- /dev/null
+++ b/internal/sidecar/run_test.go
@@ -0,0 +1,39 @@
+package sidecar
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+const ms = time.Millisecond
+
+// TestStopPlan: a stopping node leaves once nothing is under way and either no
+// call comes any more or every call would be refused; it never stays beyond the
+// time at which the rest is cut.
+func TestStopPlan(t *testing.T) {
+	plan := stopPlan{grace: 6 * time.Second}
+	cases := []struct {
+		name      string
+		elapsed   time.Duration
+		idle      bool
+		sinceCall time.Duration
+		done      bool
+	}{
+		{"callers may still come", 2000 * ms, true, time.Minute, false},
+		{"none comes any more", 2300 * ms, true, 600 * ms, true},
+		{"one came just now", 2300 * ms, true, 10 * ms, false},
+		{"they keep coming and are refused", 2400 * ms, true, 0, true},
+		{"one is under way", 4000 * ms, false, time.Second, false},
+		{"it is still under way near the end", 5100 * ms, false, time.Second, true},
+	}
+	for _, moment := range cases {
+		t.Run(moment.name, func(t *testing.T) {
+			NewWithT(t).Expect(plan.done(moment.elapsed, moment.idle, moment.sinceCall)).To(Equal(moment.done))
+		})
+	}
+	g := NewWithT(t)
+	g.Expect(plan.takes()).To(BeNumerically("<", 3*time.Second), "later ones would be broken off")
+	g.Expect(stopPlan{grace: time.Second}.done(100*ms, false, 0)).To(BeTrue(), "a short grace time leaves no time to wait")
+}
