Let a part of a zone's nodes read the store; the others take changes from them

Cause: every node read every version whole. Ruled out: leases for readers (a store that is down would leave none), a flag of blind readers in the records (an outage of the store would have everyone tell everyone). Change: package readers, a pure decision of each node by its own view: four nodes of a zone read, one more for each sixteen above sixty-four, faster links first; each other node is told by one of them, exchanges with them often, and takes what differs from the version it has. Zones of up to four nodes work as before. Replies still carry versions.

--- a/internal/sidecar/configuration/follower.go
+++ b/internal/sidecar/configuration/follower.go
@@ -17,19 +17,33 @@
 	// pauseBase and pauseMost bound the wait after a failure of the store.
 	pauseBase = 100 * time.Millisecond
 	pauseMost = 800 * time.Millisecond
+	// turnInterval is the time between two looks at whether it is the node's turn
+	// to read.
+	turnInterval = 400 * time.Millisecond
 )
 
 // Follow keeps the keeper at what the store has under the key until the context
 // ends. After every end of a watch the key is read anew: what was missed
-// meanwhile must not stay unheard.
-func Follow(ctx context.Context, reader store.Reader, key string, keeper *Keeper, logger *zap.Logger) {
+// meanwhile must not stay unheard. While reads returns false the store is left
+// alone, once there is a first version.
+func Follow(ctx context.Context, reader store.Reader, key string, keeper *Keeper, reads func() bool, logger *zap.Logger) {
 	backoff := pause.Backoff{Base: pauseBase, Most: pauseMost}
 	healthy := true
 	for ctx.Err() == nil {
-		err := followOnce(ctx, reader, key, keeper)
+		if keeper.Version() > 0 && !reads() {
+			pause.Wait(ctx, turnInterval)
+			continue
+		}
+		turn, end := whileReading(ctx, keeper, reads)
+		err := followOnce(turn, reader, key, keeper)
+		ended := turn.Err() != nil
+		end()
 		if ctx.Err() != nil {
 			return
 		}
+		if ended {
+			continue
+		}
 		if err == nil || errors.Is(err, store.ErrCompacted) {
 			if !healthy {
 				logger.Info("store regained", zap.String("key", key))
@@ -47,6 +61,20 @@
 	}
 }
 
+// whileReading returns a context that ends when the node's turn to read does.
+func whileReading(ctx context.Context, keeper *Keeper, reads func() bool) (context.Context, context.CancelFunc) {
+	turn, end := context.WithCancel(ctx)
+	go func() {
+		for turn.Err() == nil {
+			pause.Wait(turn, turnInterval)
+			if keeper.Version() > 0 && !reads() {
+				end()
+			}
+		}
+	}()
+	return turn, end
+}
+
 // followOnce reads the key, then watches it until the watch ends. A nil error
 // means that the store had answered.
 func followOnce(ctx context.Context, reader store.Reader, key string, keeper *Keeper) error {
--- a/internal/sidecar/configuration/keeper.go
+++ b/internal/sidecar/configuration/keeper.go
@@ -5,6 +5,8 @@
 
 import (
 	"errors"
+	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -46,10 +48,15 @@
 // held is one version in force. It is immutable.
 type held struct {
 	table *route.Table
-	raw   []byte
 	since time.Time
+	// past are the documents before, the newest last, at most remembered.
+	past []*route.Document
 }
 
+// remembered is how many past documents are kept, to tell peers that have one of
+// them just what differs.
+const remembered = 6
+
 // NewKeeper returns a keeper without a table.
 func NewKeeper(decode Decoder, logger *zap.Logger) *Keeper {
 	return &Keeper{decode: decode, logger: logger}
@@ -66,12 +73,20 @@
 // Version returns the version in force, zero before the first.
 func (k *Keeper) Version() uint64 { return k.Table().Version() }
 
-// Raw returns the document in force as it was committed, nil before the first.
-func (k *Keeper) Raw() []byte {
-	if current := k.held.Load(); current != nil {
-		return current.raw
+// Since returns what leads from a past version to the one in force: the whole
+// document when that version is not remembered, nil before the first.
+func (k *Keeper) Since(version uint64) *route.Change {
+	current := k.held.Load()
+	if current == nil {
+		return nil
 	}
-	return nil
+	document := current.table.Document()
+	for _, past := range current.past {
+		if past.Version == version {
+			return document.ChangeFrom(past)
+		}
+	}
+	return document.ChangeFrom(nil)
 }
 
 // Age returns how long the version has been in force.
@@ -99,19 +114,45 @@
 	defer k.mutex.Unlock()
 	document, notes, err := k.decode(raw)
 	if err != nil {
-		return k.refuse(raw, source, trace.Wrap(err, "decode configuration"))
+		return k.refuse(string(raw), source, trace.Wrap(err, "decode configuration"))
 	}
-	before := k.Table()
-	if document.Version <= before.Version() {
+	return k.adopt(document, notes, source)
+}
+
+// Advance puts in force what a peer's change makes of the document in force. The
+// error is route.ErrBase when it starts from another one.
+func (k *Keeper) Advance(change *route.Change) error {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if change.Version <= k.Version() {
 		return ErrNotNewer
 	}
-	compiled, err := route.Compile(document, before)
+	document, err := change.Apply(k.Table().Document())
 	if err != nil {
-		return k.refuse(raw, source, trace.Wrap(err, "compile configuration"))
+		return err
+	}
+	return k.adopt(document, nil, SourcePeer)
+}
+
+// adopt puts a newer document in force; the lock is held.
+func (k *Keeper) adopt(document *route.Document, notes []string, source Source) error {
+	before := k.held.Load()
+	if document.Version <= k.Version() {
+		return ErrNotNewer
+	}
+	compiled, err := route.Compile(document, k.Table())
+	if err != nil {
+		return k.refuse(strconv.FormatUint(document.Version, 10), source, trace.Wrap(err, "compile configuration"))
+	}
+	next := &held{table: compiled, since: time.Now()}
+	if before != nil {
+		past := append(slices.Clone(before.past), before.table.Document())
+		next.past = past[max(0, len(past)-remembered):]
 	}
-	k.held.Store(&held{table: compiled, raw: raw, since: time.Now()})
+	old := k.Version()
+	k.held.Store(next)
 	k.logger.Info("configuration in force",
-		zap.Uint64("version", document.Version), zap.Uint64("before", before.Version()),
+		zap.Uint64("version", document.Version), zap.Uint64("before", old),
 		zap.String("source", string(source)), zap.Int("routes", len(document.Routes)), zap.Strings("notes", notes))
 	for _, observer := range k.observers {
 		observer(compiled, source)
@@ -119,9 +160,10 @@
 	return nil
 }
 
-func (k *Keeper) refuse(raw []byte, source Source, err error) error {
-	if k.refused != string(raw) {
-		k.refused = string(raw)
+// refuse logs why a document was not taken, once for each.
+func (k *Keeper) refuse(document string, source Source, err error) error {
+	if k.refused != document {
+		k.refused = document
 		k.logger.Error("configuration refused",
 			zap.Uint64("inForce", k.Version()), zap.String("source", string(source)), zap.Error(err))
 	}
--- a/internal/sidecar/exchange/exchange_test.go
+++ b/internal/sidecar/exchange/exchange_test.go
@@ -31,6 +31,7 @@
 	keeper    *configuration.Keeper
 	record    *roster.Record
 	bytes     atomic.Int64
+	reads     atomic.Bool
 }
 
 func decodeVersion(raw []byte) (*route.Document, []string, error) {
@@ -40,6 +41,7 @@
 
 func newMember(t *testing.T, name string) *member {
 	created := &member{keeper: configuration.NewKeeper(decodeVersion, zap.NewNop())}
+	created.reads.Store(true)
 	container := restful.NewContainer()
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		recorder := httptest.NewRecorder()
@@ -58,6 +60,7 @@
 		Roster: created.members, Configuration: created.keeper,
 		Dial:    (&net.Dialer{}).DialContext,
 		Refresh: func(context.Context) error { return nil },
+		Reads:   created.reads.Load,
 		Suspect: func(*roster.Record) {},
 		Logger:  zap.NewNop(),
 	})
@@ -152,3 +155,40 @@
 		g.Expect(response.StatusCode).To(Or(Equal(http.StatusBadRequest), Equal(http.StatusOK)))
 	}
 }
+
+// TestANodeThatDoesNotReadAsksItsPeer and not the store, also when the peer does
+// not remember the version that the node has.
+func TestANodeThatDoesNotReadAsksItsPeer(t *testing.T) {
+	g := NewWithT(t)
+	first, second := newMember(t, "first"), newMember(t, "second")
+	first.reads.Store(false)
+	var asked atomic.Int64
+	first.exchanger.options.Refresh = func(context.Context) error {
+		asked.Add(1)
+		return nil
+	}
+	g.Expect(first.keeper.Offer([]byte("3"), configuration.SourceRead)).To(Succeed())
+	for _, version := range []string{"7", "8", "12"} {
+		g.Expect(second.keeper.Offer([]byte(version), configuration.SourceWatch)).To(Succeed())
+		g.Expect(first.exchanger.With(t.Context(), second.record)).To(Succeed())
+		g.Eventually(first.keeper.Version).WithTimeout(patience).Should(Equal(second.keeper.Version()))
+	}
+	g.Expect(asked.Load()).To(BeZero())
+	g.Expect(second.keeper.Since(8).Base).To(BeEquivalentTo(8))
+	g.Expect(second.keeper.Since(3).Base).To(BeZero(), "not remembered: whole")
+	g.Expect(newMember(t, "third").keeper.Since(3)).To(BeNil())
+}
+
+// TestANodeThatDoesNotReadAsksTheStore when its peer does not answer.
+func TestANodeThatDoesNotReadAsksTheStore(t *testing.T) {
+	g := NewWithT(t)
+	first := newMember(t, "first")
+	first.reads.Store(false)
+	asked := make(chan struct{}, 1)
+	first.exchanger.options.Refresh = func(context.Context) error {
+		asked <- struct{}{}
+		return nil
+	}
+	first.exchanger.Behind(&roster.Record{Node: "second", PeerAddress: "127.0.0.1:1"}, 7)
+	g.Eventually(asked).WithTimeout(patience).Should(Receive())
+}
--- a/internal/sidecar/exchange/exchanger.go
+++ b/internal/sidecar/exchange/exchanger.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/configuration"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/readers"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 )
 
@@ -28,6 +29,8 @@
 	Dial     func(ctx context.Context, network, address string) (net.Conn, error)
 	// Refresh reads the configuration from the store now.
 	Refresh func(ctx context.Context) error
+	// Reads reports whether the node reads the store itself.
+	Reads func() bool
 	// Suspect is told of nodes that do not answer.
 	Suspect func(*roster.Record)
 	Logger  *zap.Logger
@@ -39,9 +42,11 @@
 
 	exchangeTimeout = 700 * time.Millisecond
 	fetchTimeout    = 2 * time.Second
-	// catchUpDelay is how long a node that is behind waits for its own watch,
+	// watchDelay is how long a node that is behind waits for its own watch,
+	// zoneDelay how long one without a watch waits for a peer of its zone;
 	// refreshTimeout bounds its question to the store.
-	catchUpDelay    = 600 * time.Millisecond
+	watchDelay      = 600 * time.Millisecond
+	zoneDelay       = 300 * time.Millisecond
 	refreshTimeout  = 400 * time.Millisecond
 	idlePerPeer     = 1
 	peerIdleTimeout = 20 * time.Second
@@ -51,6 +56,9 @@
 	// nearShare is the part of the exchanges that stay in the zone, where bytes
 	// cost nothing.
 	nearShare = 0.75
+	// readerShare is the part of the exchanges of a node that does not read the
+	// store that go to those which do.
+	readerShare = 0.5
 )
 
 // Exchanger keeps a node level with its peers. It is safe for concurrent use.
@@ -99,6 +107,11 @@
 		return lost
 	}
 	own, view := e.options.Roster.Own(), e.options.Roster.View()
+	if !e.options.Reads() && rand.Float64() < readerShare {
+		if reading, _ := readers.Zone(view.Zone(own.Zone), e.Usable); len(reading) > 0 {
+			return reading[rand.N(len(reading))]
+		}
+	}
 	var near, far []*roster.Record
 	for _, zone := range view.Zones() {
 		if zone == own.Zone {
@@ -174,6 +187,9 @@
 	return asked
 }
 
+// Usable reports whether a node has not failed to answer of late.
+func (e *Exchanger) Usable(record *roster.Record) bool { return !e.lost.holds(record.Node) }
+
 // Lost notes that a node did not answer: it is looked for until it does.
 func (e *Exchanger) Lost(node string) { e.lost.add(node, time.Now()) }
 
--- a/internal/sidecar/exchange/lost.go
+++ b/internal/sidecar/exchange/lost.go
@@ -44,6 +44,14 @@
 	delete(l.since, node)
 }
 
+// holds reports whether a peer did not answer and has not answered since.
+func (l *lostPeers) holds(node string) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	_, lost := l.since[node]
+	return lost
+}
+
 // pick returns a random lost peer of the view, or nil.
 func (l *lostPeers) pick(view *roster.View, now time.Time) *roster.Record {
 	l.mutex.Lock()
--- a/internal/sidecar/exchange/message.go
+++ b/internal/sidecar/exchange/message.go
@@ -71,4 +71,6 @@
 	pathNotice        = "/notice"
 	pathPing          = "/ping"
 	pathConfiguration = "/configuration"
+	// queryAfter names the version that a node has when it asks for a later one.
+	queryAfter = "after"
 )
--- a/internal/sidecar/exchange/server.go
+++ b/internal/sidecar/exchange/server.go
@@ -1,8 +1,8 @@
 package exchange
 
 import (
-	"io"
 	"net/http"
+	"strconv"
 
 	"github.com/emicklei/go-restful/v3"
 
@@ -22,7 +22,7 @@
 	service.Path(PathRoot)
 	service.Route(service.POST(pathExchange).Consumes(restful.MIME_JSON).Produces(restful.MIME_JSON).To(e.serveExchange))
 	service.Route(service.POST(pathNotice).Consumes(restful.MIME_JSON).To(e.serveNotice))
-	service.Route(service.GET(pathConfiguration).Produces(restful.MIME_OCTET).To(e.serveConfiguration))
+	service.Route(service.GET(pathConfiguration).Produces(restful.MIME_JSON).To(e.serveConfiguration))
 	service.Route(service.GET(pathPing).To(func(_ *restful.Request, response *restful.Response) {
 		response.WriteHeader(http.StatusNoContent)
 	}))
@@ -83,17 +83,18 @@
 	return found
 }
 
-func (e *Exchanger) serveConfiguration(_ *restful.Request, response *restful.Response) {
-	raw := e.options.Configuration.Raw()
-	if raw == nil {
+// serveConfiguration answers what leads from the version that the peer has to
+// the one in force here.
+func (e *Exchanger) serveConfiguration(request *restful.Request, response *restful.Response) {
+	after, err := strconv.ParseUint(request.QueryParameter(queryAfter), 10, 64)
+	if err != nil {
+		_ = response.WriteErrorString(http.StatusBadRequest, queryAfter+": is no version")
+		return
+	}
+	change := e.options.Configuration.Since(after)
+	if change == nil {
 		_ = response.WriteErrorString(http.StatusNotFound, "configuration: none is in force")
 		return
 	}
-	response.AddHeader("Content-Type", restful.MIME_OCTET)
-	_, _ = response.Write(raw)
-}
-
-// readDocument reads a configuration from a peer's answer.
-func readDocument(answer *http.Response) ([]byte, error) {
-	return io.ReadAll(io.LimitReader(answer.Body, documentBytes))
+	_ = response.WriteAsJson(change)
 }
--- a/internal/sidecar/exchange/spread.go
+++ b/internal/sidecar/exchange/spread.go
@@ -91,14 +91,19 @@
 
 // passOn tells some nodes of the own zone of another node's record.
 func (e *Exchanger) passOn(record *roster.Record) {
-	ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
-	defer cancel()
 	own, view := e.options.Roster.Own(), e.options.Roster.View()
 	peers := shuffled(e.peersOf(view.Zone(own.Zone)))
+	e.tellAll(peers[:min(len(peers), relayPeers)], record)
+}
+
+// tellAll tells the peers of a record and, with it, of the version in force.
+func (e *Exchanger) tellAll(peers []*roster.Record, record *roster.Record) {
+	ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
+	defer cancel()
 	var heard atomic.Int64
 	var group errgroup.Group
 	group.SetLimit(spreadParallel)
-	e.tell(ctx, &group, &heard, peers[:min(len(peers), relayPeers)], e.notice(record))
+	e.tell(ctx, &group, &heard, peers, e.notice(record))
 	_ = group.Wait()
 }
 
--- a/internal/sidecar/membership/membership.go
+++ b/internal/sidecar/membership/membership.go
@@ -37,25 +37,29 @@
 const settledInterval = 20 * time.Second
 
 // Follow reads the records of all nodes from the store until the context ends.
-// joined is called after each read that succeeded while settling.
-func Follow(ctx context.Context, reader Store, members *roster.Roster, joined func(), logger *zap.Logger) {
+// joined is called after each read that succeeded while settling. While reads
+// returns false a node that has read once leaves the store alone: it is kept
+// level by its peers.
+func Follow(ctx context.Context, reader Store, members *roster.Roster, joined func(), reads func() bool, logger *zap.Logger) {
 	backoff := pause.Backoff{Base: pauseBase, Most: pauseMost}
-	for reads := 0; ctx.Err() == nil; {
+	for rounds := 0; ctx.Err() == nil; {
 		read := reader.RangeStale
-		if reads <= len(settling) {
+		if rounds <= len(settling) {
 			read = reader.Range
 		}
-		if err := readAll(ctx, read, members, logger); err != nil {
-			backoff.Failed(ctx)
-			continue
+		if rounds == 0 || reads() {
+			if err := readAll(ctx, read, members, logger); err != nil {
+				backoff.Failed(ctx)
+				continue
+			}
+			backoff.Succeeded()
 		}
-		backoff.Succeeded()
 		interval := settledInterval
-		if reads < len(settling) {
-			interval = settling[reads]
+		if rounds < len(settling) {
+			interval = settling[rounds]
 			joined()
 		}
-		reads++
+		rounds++
 		pause.Wait(ctx, interval)
 	}
 }
--- /dev/null
+++ b/internal/sidecar/readers/readers.go
@@ -0,0 +1,84 @@
+// Package readers decides which nodes read the store. In a small zone every node
+// does; in a larger one a few do, and the others take what these read from them.
+// The package is pure: each node decides by its own view, and when views differ
+// a node too many reads.
+package readers
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+)
+
+const (
+	// least is how many nodes of a zone read at least: so many may be lost or cut
+	// off from the store at once without the others having to notice.
+	least = 4
+	// share is the number of nodes for each of which one reads.
+	share = 16
+)
+
+// Usable reports whether a node is believed to be there.
+type Usable func(*roster.Record) bool
+
+// Count returns how many of that many nodes of a zone read.
+func Count(nodes int) int { return min(max(least, (nodes+share-1)/share), nodes) }
+
+// Zone divides the nodes of one zone: those that read, in order, and the others
+// in the order of their names. Nodes that are not usable are in neither. Of two
+// nodes the one with the faster link reads.
+func Zone(records []*roster.Record, usable Usable) (reading, others []*roster.Record) {
+	ranked := make([]*roster.Record, 0, len(records))
+	for _, record := range records {
+		if !record.Leaving && !ended(record) && usable(record) {
+			ranked = append(ranked, record)
+		}
+	}
+	slices.SortFunc(ranked, func(a, b *roster.Record) int {
+		return cmp.Or(cmp.Compare(b.Link, a.Link), cmp.Compare(xxhash.Sum64String(a.Node), xxhash.Sum64String(b.Node)))
+	})
+	count := Count(len(ranked))
+	reading, others = ranked[:count], ranked[count:]
+	slices.SortFunc(others, func(a, b *roster.Record) int { return cmp.Compare(a.Node, b.Node) })
+	return reading, others
+}
+
+// ended reports whether the node's back end is gone: the node goes too.
+func ended(record *roster.Record) bool {
+	return record.Endpoint != nil && record.Endpoint.State == roster.Gone
+}
+
+// Reads reports whether the node is among those of its zone that read. A node
+// that is leaving, or whose back end is gone, reads for itself.
+func Reads(view *roster.View, own *roster.Record, usable Usable) bool {
+	reading, others := Zone(view.Zone(own.Zone), usable)
+	return slices.ContainsFunc(reading, own.Same) || !slices.ContainsFunc(others, own.Same)
+}
+
+// Told returns the nodes that the given one is to tell of what it has read: of
+// those in its zone that do not read, each is told by one reader.
+func Told(view *roster.View, own *roster.Record, usable Usable) []*roster.Record {
+	reading, others := Zone(view.Zone(own.Zone), usable)
+	rank := slices.IndexFunc(reading, own.Same)
+	if rank < 0 {
+		return nil
+	}
+	var told []*roster.Record
+	for i := rank; i < len(others); i += len(reading) {
+		told = append(told, others[i])
+	}
+	return told
+}
+
+// Total returns how many nodes read in all zones, each counted as if all its
+// nodes were there.
+func Total(view *roster.View) int {
+	total := 0
+	for _, zone := range view.Zones() {
+		total += Count(len(view.Zone(zone)))
+	}
+	return total
+}
--- /dev/null
+++ b/internal/sidecar/readers/readers_test.go
@@ -0,0 +1,96 @@
+package readers_test
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/readers"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+)
+
+func all(*roster.Record) bool { return true }
+
+// zoneOf returns the view of a zone of that many nodes.
+func zoneOf(nodes int, change func(i int, record *roster.Record)) *roster.View {
+	records := make([]*roster.Record, nodes)
+	for i := range records {
+		records[i] = &roster.Record{Node: fmt.Sprint("node-", i), Epoch: 1, Counter: 1, Zone: "z"}
+		if change != nil {
+			change(i, records[i])
+		}
+	}
+	members := roster.New(*records[0])
+	members.Merge(records[1:])
+	return members.View()
+}
+
+func TestHowManyRead(t *testing.T) {
+	for nodes, count := range map[int]int{0: 0, 1: 1, 4: 4, 5: 4, 18: 4, 64: 4, 65: 5, 1347: 85} {
+		NewWithT(t).Expect(readers.Count(nodes)).To(Equal(count), fmt.Sprint(nodes))
+	}
+}
+
+// TestEveryoneIsServed: each node either reads or is told by exactly one that
+// does, whichever nodes are away.
+func TestEveryoneIsServed(t *testing.T) {
+	for away := range 8 {
+		g := NewWithT(t)
+		view := zoneOf(20, nil)
+		usable := func(record *roster.Record) bool {
+			var i int
+			_, _ = fmt.Sscanf(record.Node, "node-%d", &i)
+			return i >= away
+		}
+		served := map[string]int{}
+		for _, record := range view.Zone("z")[0:] {
+			if !usable(record) {
+				continue
+			}
+			if readers.Reads(view, record, usable) {
+				served[record.Node]++
+			}
+			for _, told := range readers.Told(view, record, usable) {
+				served[told.Node]++
+			}
+		}
+		g.Expect(served).To(HaveLen(20 - away))
+		for node, times := range served {
+			g.Expect(times).To(Equal(1), node)
+		}
+	}
+}
+
+func TestWhoReads(t *testing.T) {
+	g := NewWithT(t)
+	view := zoneOf(20, func(i int, record *roster.Record) {
+		switch i {
+		case 3, 7:
+			record.Link = 200
+		case 11:
+			record.Link, record.Leaving = 200, true
+		case 13:
+			record.Link, record.Endpoint = 200, &roster.Endpoint{State: roster.Gone}
+		default:
+			record.Link = 10
+		}
+	})
+	reading, others := readers.Zone(view.Zone("z"), all)
+	g.Expect(reading).To(HaveLen(4))
+	g.Expect(others).To(HaveLen(14))
+	g.Expect([]string{reading[0].Node, reading[1].Node}).To(ConsistOf("node-3", "node-7"), "faster links first")
+	g.Expect(readers.Reads(view, view.Record("node-11"), all)).To(BeTrue(), "one that leaves reads for itself")
+	g.Expect(readers.Told(view, view.Record("node-11"), all)).To(BeEmpty())
+	g.Expect(readers.Total(view)).To(Equal(4))
+}
+
+// TestALostReaderIsReplaced by the next one in order, by none else.
+func TestALostReaderIsReplaced(t *testing.T) {
+	g := NewWithT(t)
+	view := zoneOf(20, nil)
+	before, _ := readers.Zone(view.Zone("z"), all)
+	after, _ := readers.Zone(view.Zone("z"), func(record *roster.Record) bool { return !record.Same(before[1]) })
+	g.Expect(after).To(HaveLen(4))
+	g.Expect(after).To(ContainElements(before[0], before[2], before[3]))
+}
--- a/internal/sidecar/roster/record.go
+++ b/internal/sidecar/roster/record.go
@@ -37,6 +37,8 @@
 	Address     string `json:"address"`
 	PeerAddress string `json:"peerAddress"`
 	Zone        string `json:"zone"`
+	// Link is the speed of the node's link in Mbit/s; zero when it is not known.
+	Link int `json:"link,omitempty"`
 	// Leaving: the node's process has begun its planned stop.
 	Leaving bool `json:"leaving,omitempty"`
 	// Endpoint is nil until a back end has made itself known.
@@ -53,6 +55,9 @@
 	return r.Counter > other.Counter
 }
 
+// Same reports whether the other record is of the same node.
+func (r *Record) Same(other *Record) bool { return r.Node == other.Node }
+
 // Departed reports whether the node's back end has ended for good.
 func (r *Record) Departed() bool { return r.Endpoint == nil || r.Endpoint.State == Gone }
 
--- a/internal/sidecar/route/table.go
+++ b/internal/sidecar/route/table.go
@@ -77,7 +77,12 @@
 }
 
 // Document is the document the table was compiled from.
-func (t *Table) Document() *Document { return t.document }
+func (t *Table) Document() *Document {
+	if t == nil {
+		return nil
+	}
+	return t.document
+}
 
 // Service returns a declared service or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -42,8 +42,12 @@
 func (s *Sidecar) Run(ctx context.Context) {
 	var running sync.WaitGroup
 	work := []func(){
-		func() { configuration.Follow(ctx, s.options.Store, s.options.ConfigurationKey, s.keeper, s.logger) },
-		func() { membership.Follow(ctx, s.options.Store, s.members, func() { go s.spread(ctx) }, s.logger) },
+		func() {
+			configuration.Follow(ctx, s.options.Store, s.options.ConfigurationKey, s.keeper, s.reads, s.logger)
+		},
+		func() {
+			membership.Follow(ctx, s.options.Store, s.members, func() { go s.spread(ctx) }, s.reads, s.logger)
+		},
 		func() { s.publisher.Run(ctx) },
 		func() { s.exchanger.Run(ctx) },
 		func() { s.sweep(ctx) },
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -24,6 +24,8 @@
 	Listen     Listen
 	// MemoryBytes is what the process may use; zero means no bound.
 	MemoryBytes int64
+	// LinkMbps is the speed of the machine's link in Mbit/s; zero when unknown.
+	LinkMbps int
 	// HeartbeatInterval is the usual time between two heartbeats of a back end.
 	HeartbeatInterval time.Duration
 	// DrainBound is how long after its word that it is leaving a back end may
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -20,6 +20,7 @@
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/ingress"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/membership"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/readers"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/route"
 )
@@ -56,12 +57,12 @@
 	// WatchPause is how long a watch of the store rests after an event: changes
 	// in quick succession come with one call.
 	WatchPause = 500 * time.Millisecond
-	// watchWaitPerNode, watchWaitLeast and watchWaitMost say how long one call
+	// watchWaitPerReader, watchWaitLeast and watchWaitMost say how long one call
 	// of a watch waits at most: a watch may miss an event unheard, so that of all
-	// nodes some one should ask anew about three times a second.
-	watchWaitPerNode = 700 * time.Millisecond
-	watchWaitLeast   = 4 * time.Second
-	watchWaitMost    = 28 * time.Second
+	// nodes that read some one should ask anew about three times a second.
+	watchWaitPerReader = 700 * time.Millisecond
+	watchWaitLeast     = 4 * time.Second
+	watchWaitMost      = 28 * time.Second
 )
 
 // Sidecar is one node. It is safe for concurrent use.
@@ -83,8 +84,8 @@
 
 // WatchWait returns how long the next call of a watch is to wait.
 func (s *Sidecar) WatchWait() time.Duration {
-	nodes := time.Duration(s.members.View().Count())
-	wait := min(max(nodes*watchWaitPerNode, watchWaitLeast), watchWaitMost)
+	reading := time.Duration(readers.Total(s.members.View()))
+	wait := min(max(reading*watchWaitPerReader, watchWaitLeast), watchWaitMost)
 	const leastShare = 12
 	return wait/leastShare + rand.N(wait-wait/leastShare)
 }
@@ -102,7 +103,7 @@
 		logger:  options.Logger,
 		members: roster.New(roster.Record{
 			Node: settings.Node, Epoch: 1, Counter: 1, Zone: settings.Zone,
-			Address: settings.Listen.Inbound, PeerAddress: settings.Listen.Peer,
+			Address: settings.Listen.Inbound, PeerAddress: settings.Listen.Peer, Link: settings.LinkMbps,
 		}),
 		keeper: configuration.NewKeeper(options.Decode, options.Logger),
 		claims: roster.Claims{Interval: settings.HeartbeatInterval},
@@ -118,6 +119,7 @@
 		Refresh: func(ctx context.Context) error {
 			return configuration.Refresh(ctx, options.Store, options.ConfigurationKey, created.keeper)
 		},
+		Reads:   created.reads,
 		Suspect: created.egress.Suspect,
 		Logger:  options.Logger,
 	})
@@ -227,15 +229,25 @@
 	entry.Write(fields...)
 }
 
-// apply takes in a new configuration. One that the watch had missed is likely to
-// have been missed by others: they are told.
+// apply takes in a new configuration. What the watch brings is announced to those
+// that do not read. What the watch had missed is likely to have been missed by
+// others as well: all are told.
 func (s *Sidecar) apply(table *route.Table, source configuration.Source) {
 	s.limitConnections(table, s.members.Own().Endpoint)
-	if source == configuration.SourceRead {
+	switch source {
+	case configuration.SourceWatch:
+		go s.exchanger.Announce()
+	case configuration.SourceRead:
 		go s.spread(context.Background())
+		go s.exchanger.Announce()
 	}
 }
 
+// reads reports whether this node reads the store.
+func (s *Sidecar) reads() bool {
+	return readers.Reads(s.members.View(), s.members.Own(), s.exchanger.Usable)
+}
+
 func (s *Sidecar) limitConnections(table *route.Table, endpoint *roster.Endpoint) {
 	if table == nil || endpoint == nil {
 		return
