Count store calls, time calls by route and part, age of heartbeats

Change: a counting decorator of the store, a histogram by route (the first 64 called have labels of their own) and one of the time outside of the back end, gauges for the age of the last heartbeat and for whether the node reads the store.

--- a/internal/sidecar/backend.go
+++ b/internal/sidecar/backend.go
@@ -15,6 +15,7 @@
 // the call returns once another node knows, or after a short time: the word
 // must outlive this process.
 func (s *Sidecar) Heartbeat(ctx context.Context, beat roster.Heartbeat) {
+	s.lastBeat.Store(time.Now().UnixNano())
 	own, changed := s.members.Update(func(record roster.Record) (roster.Record, bool) {
 		return s.claims.Beat(record, beat, time.Now())
 	})
@@ -51,3 +52,13 @@
 	defer cancel()
 	s.exchanger.Broadcast(ctx)
 }
+
+// heartbeatAge returns the seconds since the last heartbeat, below zero before
+// the first.
+func (s *Sidecar) heartbeatAge() float64 {
+	last := s.lastBeat.Load()
+	if last == 0 {
+		return -1
+	}
+	return time.Since(time.Unix(0, last)).Seconds()
+}
--- a/internal/sidecar/egress/call.go
+++ b/internal/sidecar/egress/call.go
@@ -60,6 +60,8 @@
 	// seen is what the last choice was made by, reportAge how old its load was.
 	seen      choice.Candidate
 	reportAge time.Duration
+	// worked is how long the back end of the last visit says it worked.
+	worked time.Duration
 	// returning: the caller was refused before and has come back.
 	returning bool
 	// mayHaveRun: a send ended with an unknown outcome.
--- a/internal/sidecar/egress/handler.go
+++ b/internal/sidecar/egress/handler.go
@@ -52,6 +52,9 @@
 	CallEnded(route string, status int, result outcome.Outcome, step outcome.Step, elapsed time.Duration)
 	// Sent: a request went to another node, for that often.
 	Sent(service string, attempt int)
+	// Carried: a visit brought an answer after that time, of which the back end
+	// worked so long.
+	Carried(elapsed, worked time.Duration)
 	// Silent: a node does not answer; first says that it did before.
 	Silent(node string, first bool)
 	// Regained: a silent node answers again.
--- a/internal/sidecar/egress/visit.go
+++ b/internal/sidecar/egress/visit.go
@@ -49,6 +49,9 @@
 	sent := time.Now()
 	response, failure := c.exchange(record, chosen)
 	seen := visit{target: chosen, seen: c.seen, reportAge: c.reportAge, elapsed: time.Since(sent)}
+	if response != nil {
+		c.handler.options.Observer.Carried(seen.elapsed, c.worked)
+	}
 	if failure != nil {
 		seen.outcome, seen.step = failure.Outcome, failure.Step
 		failure.Peer = chosen.address
@@ -176,6 +179,7 @@
 		return
 	}
 	chosen.learn(reply, now)
+	c.worked = reply.Worked
 	if reply.Worked > 0 && response.StatusCode < http.StatusMultipleChoices {
 		c.work().Observe(reply.Worked)
 	}
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -13,7 +14,9 @@
 // and statuses are few, services are those of the configuration.
 type metrics struct {
 	calls    *prometheus.CounterVec
-	latency  prometheus.Histogram
+	latency  *prometheus.HistogramVec
+	routes   boundedLabels
+	hop      prometheus.Histogram
 	sends    *prometheus.CounterVec
 	arrivals *prometheus.CounterVec
 	queued   prometheus.Histogram
@@ -24,13 +27,51 @@
 // latencyBuckets are in seconds.
 var latencyBuckets = []float64{.005, .01, .025, .05, .1, .2, .4, .8, 1.6, 3.2, 6.4}
 
+// labelledRoutes is how many routes have a label of their own. Those that are
+// called first do; deployments have many routes that nobody calls.
+const labelledRoutes = 64
+
+// boundedLabels gives the first names labels of their own. It is safe for
+// concurrent use.
+type boundedLabels struct {
+	most int
+
+	mu    sync.RWMutex // guards known
+	known map[string]struct{}
+}
+
+// label returns the name or, beyond the bound, a common one.
+func (b *boundedLabels) label(name string) string {
+	b.mu.RLock()
+	_, found := b.known[name]
+	full := len(b.known) >= b.most
+	b.mu.RUnlock()
+	switch {
+	case found:
+		return name
+	case full:
+		return "other"
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.known == nil {
+		b.known = map[string]struct{}{}
+	}
+	b.known[name] = struct{}{}
+	return name
+}
+
 func newMetrics(registry prometheus.Registerer) *metrics {
 	created := &metrics{
 		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "kestrel_sidecar_calls_total", Help: "Calls of this machine's callers by status, outcome and step.",
 		}, []string{"status", "outcome", "step"}),
-		latency: prometheus.NewHistogram(prometheus.HistogramOpts{
-			Name: "kestrel_sidecar_call_seconds", Help: "Time from a call to the end of its answer.", Buckets: latencyBuckets,
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "kestrel_sidecar_call_seconds", Help: "Time from a call to the end of its answer, by route.", Buckets: latencyBuckets,
+		}, []string{"route"}),
+		routes: boundedLabels{most: labelledRoutes},
+		hop: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "kestrel_sidecar_hop_seconds", Help: "Time that served calls spent outside of the back end.", Buckets: latencyBuckets,
 		}),
 		sends: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "kestrel_sidecar_sends_total", Help: "Requests sent to nodes, by service and whether an earlier node was tried.",
@@ -48,14 +89,19 @@
 	created.silent = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "kestrel_sidecar_silent_probes_total", Help: "Probes that a node did not answer.",
 	})
-	registry.MustRegister(created.silent, created.calls, created.latency, created.sends, created.arrivals, created.queued, created.worked)
+	registry.MustRegister(created.silent, created.calls, created.latency, created.hop, created.sends, created.arrivals, created.queued, created.worked)
 	return created
 }
 
 // CallEnded implements egress.Observer.
-func (m *metrics) CallEnded(_ string, status int, result outcome.Outcome, step outcome.Step, elapsed time.Duration) {
+func (m *metrics) CallEnded(route string, status int, result outcome.Outcome, step outcome.Step, elapsed time.Duration) {
 	m.calls.WithLabelValues(strconv.Itoa(status), string(result), string(step)).Inc()
-	m.latency.Observe(elapsed.Seconds())
+	m.latency.WithLabelValues(m.routes.label(route)).Observe(elapsed.Seconds())
+}
+
+// Carried implements egress.Observer.
+func (m *metrics) Carried(elapsed, worked time.Duration) {
+	m.hop.Observe(max(elapsed-worked, 0).Seconds())
 }
 
 // Sent counts one send.
@@ -81,6 +127,13 @@
 	gauge("kestrel_sidecar_configuration_age_seconds", "Time since the version came into force.", func() float64 {
 		return s.keeper.Age().Seconds()
 	})
+	gauge("kestrel_sidecar_heartbeat_age_seconds", "Time since the back end's last heartbeat, below zero before the first.", s.heartbeatAge)
+	gauge("kestrel_sidecar_reads_store", "1 while this node is one of those of its zone that read the store.", func() float64 {
+		if s.reads() {
+			return 1
+		}
+		return 0
+	})
 	gauge("kestrel_sidecar_members", "Nodes in the roster.", func() float64 { return float64(s.members.View().Count()) })
 	gauge("kestrel_sidecar_running", "Requests at the local back end.", func() float64 { return float64(s.ingress.Load().Running) })
 	gauge("kestrel_sidecar_waiting", "Requests that wait for a slot.", func() float64 { return float64(s.ingress.Load().Waiting) })
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -78,6 +78,9 @@
 	stopping  atomic.Bool
 	// settings are replaced at a reload.
 	settings atomic.Pointer[Settings]
+	// lastBeat is when a heartbeat was last heard, in nanoseconds of the Unix time;
+	// zero before the first.
+	lastBeat atomic.Int64
 	// claims is used under the roster's lock.
 	claims roster.Claims
 }
@@ -109,6 +112,8 @@
 		claims: roster.Claims{Interval: settings.HeartbeatInterval},
 	}
 	observed := newMetrics(options.Registry)
+	options.Store = newCountedStore(options.Store, options.Registry)
+	created.options.Store = options.Store
 	created.settings.Store(settings)
 	created.addIngress(observed)
 	created.addEgress(observed)
