Do not trust a peer's connection beyond a rest at which one broke; shun back ends that fail

Cause: (1) an upstream may forget a resting connection without a word; what is sent on it next is lost, and what may not be repeated fails. (2) a back end that fails a part of its requests fast looked fast, and drew more of them. (2) the node beside a back end keeps the share of its requests that failed there and tells it with each reply; the choice adds it to the price, fading as the pace does. A line of the version before is still read.

--- a/internal/proxy/forward/exchange.go
+++ b/internal/proxy/forward/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -41,16 +42,29 @@
 // be closed; closing it before its end closes the connection. The request's
 // context bounds the whole exchange.
 func (p *Pool) RoundTrip(request *http.Request) (*http.Response, error) {
+	return p.roundTrip(request, math.MaxInt64)
+}
+
+// RoundTripOnce is RoundTrip for a request that may not be sent again: it uses
+// no connection that has rested for long, since the peer may have forgotten it.
+func (p *Pool) RoundTripOnce(request *http.Request) (*http.Response, error) {
+	return p.roundTrip(request, restOnce)
+}
+
+func (p *Pool) roundTrip(request *http.Request, longest time.Duration) (*http.Response, error) {
 	if err := request.Context().Err(); err != nil {
 		return nil, p.notRun(outcome.StepDeadline, context.Cause(request.Context()))
 	}
-	taken, err := p.get(request.Context())
+	taken, err := p.get(request.Context(), longest)
 	if err != nil {
 		return nil, p.notRun(outcome.StepConnect, err)
 	}
 	taken.tracked.begin()
 	response, err := taken.client.RoundTrip(request)
 	if err != nil {
+		if taken.reused && request.Context().Err() == nil {
+			p.broke(taken.rested)
+		}
 		return nil, p.fail(taken, err)
 	}
 	if err := p.checkReply(request, response); err != nil {
@@ -62,6 +76,13 @@
 	return response, nil
 }
 
+// broke takes in that a connection broke without an answer after a rest.
+func (p *Pool) broke(rested time.Duration) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.rest.broke(rested, time.Now())
+}
+
 func (p *Pool) notRun(step outcome.Step, cause error) *Error {
 	return &Error{Outcome: outcome.NotRun, Step: step, Peer: p.address, Cause: cause}
 }
--- a/internal/proxy/forward/pool.go
+++ b/internal/proxy/forward/pool.go
@@ -53,6 +53,8 @@
 	generation uint64
 	// used says whether an exchange began since the last Sweep.
 	used bool
+	// rest bounds the rest of connections, beside Limits.IdleTimeout.
+	rest restBound
 }
 
 // connection is one HTTP/1.1 connection. It belongs either to the pool's idle
@@ -62,6 +64,8 @@
 	tracked   *trackedConn
 	idleSince time.Time
 	reused    bool
+	// rested is how long it was idle before the exchange that it is used by.
+	rested time.Duration
 	// idleTimeout is what the peer said of this connection; zero when it said
 	// nothing.
 	idleTimeout time.Duration
@@ -135,10 +139,11 @@
 	p.limits = limits
 }
 
-// get returns an idle connection or opens one.
-func (p *Pool) get(ctx context.Context) (*connection, error) {
+// get returns an idle connection or opens one. An idle one that has rested longer
+// than the given time is used only when none may be opened.
+func (p *Pool) get(ctx context.Context, longest time.Duration) (*connection, error) {
 	for {
-		idle, mayOpen := p.takeIdle()
+		idle, mayOpen := p.takeIdle(longest)
 		if idle == nil && !mayOpen {
 			return nil, ErrNoConnection
 		}
@@ -148,7 +153,9 @@
 		if mayOpen {
 			go p.openSpare()
 		}
-		if idle.client.Available() > 0 && !p.expired(idle, time.Now()) {
+		now := time.Now()
+		if idle.client.Available() > 0 && !p.expired(idle, now) {
+			idle.rested = now.Sub(idle.idleSince)
 			return idle, nil
 		}
 		p.discard(idle)
@@ -159,9 +166,9 @@
 // be closing it.
 func (p *Pool) expired(idle *connection, now time.Time) bool {
 	p.mutex.Lock()
-	limits := p.limits
+	limits, rest := p.limits, p.rest.allowed(now)
 	p.mutex.Unlock()
-	return now.Sub(idle.idleSince) >= idle.idleLimit(limits)
+	return now.Sub(idle.idleSince) >= min(idle.idleLimit(limits), rest)
 }
 
 // idleLimit is the pool's idle time-out, or less if the peer said so.
@@ -172,13 +179,18 @@
 	return limits.IdleTimeout
 }
 
-// takeIdle pops the connection used last. mayOpen says that a place for a new
+// takeIdle pops the connection used last, unless it has rested too long and one
+// may be opened. mayOpen says that a place for a new
 // connection is reserved: for the caller when it got none, else for a spare.
-func (p *Pool) takeIdle() (taken *connection, mayOpen bool) {
+func (p *Pool) takeIdle(longest time.Duration) (taken *connection, mayOpen bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.used = true
-	if last := len(p.idle) - 1; last >= 0 {
+	last := len(p.idle) - 1
+	if last >= 0 && time.Since(p.idle[last].idleSince) > longest && p.reserve() {
+		return nil, true
+	}
+	if last >= 0 {
 		taken = p.idle[last]
 		p.idle[last] = nil
 		p.idle = p.idle[:last]
--- a/internal/sidecar/choice/choice.go
+++ b/internal/sidecar/choice/choice.go
@@ -21,6 +21,8 @@
 	Held time.Duration
 	// RoundTrip is the time to it and back.
 	RoundTrip time.Duration
+	// Failing is the share of its requests that fail there.
+	Failing float64
 	// Avoid: it failed a short time ago.
 	Avoid bool
 	// Silent: it has not answered a probe.
@@ -75,8 +77,8 @@
 }
 
 // Cost is the price of sending a request with that target latency to the
-// candidate: the chance that the answer comes late, and what cannot be measured
-// in time. Far below the target latency differences hardly count; near it they
+// candidate: the chance that the answer comes late, the chance that it is a
+// failure, and what cannot be measured in time. Far below the target latency differences hardly count; near it they
 // outweigh the zone.
 func Cost(candidate Candidate, aim time.Duration, weights Weights) float64 {
 	if aim <= 0 {
@@ -84,7 +86,7 @@
 	}
 	share := float64(Expected(candidate)) / float64(aim)
 	cost := lateness / (1 + math.Pow(typical*share, -steepness))
-	cost += slowness * share
+	cost += slowness*share + candidate.Failing
 	if !candidate.SameZone {
 		cost += weights.ForeignZone
 	}
--- a/internal/sidecar/choice/choice_test.go
+++ b/internal/sidecar/choice/choice_test.go
@@ -33,6 +33,10 @@
 			with(near, func(c *choice.Candidate) { c.Busy = 200 }), with(near, func(c *choice.Candidate) { c.Busy = 150 }),
 		}, 300 * ms, 1},
 		{"not the one that failed", []choice.Candidate{far, with(near, func(c *choice.Candidate) { c.Avoid = true })}, 300 * ms, 0},
+		{"not the one at which many fail, although it answers fast", []choice.Candidate{
+			far, with(near, func(c *choice.Candidate) { c.Failing, c.Work = 0.3, 5*ms }),
+		}, 300 * ms, 0},
+		{"the zone in spite of a failure now and then", []choice.Candidate{far, with(near, func(c *choice.Candidate) { c.Failing = 0.01 })}, 300 * ms, 1},
 		{"one that failed before one that leaves", []choice.Candidate{
 			with(near, func(c *choice.Candidate) { c.Leaving = true }), with(far, func(c *choice.Candidate) { c.Avoid = true }),
 		}, 300 * ms, 1},
@@ -125,3 +129,18 @@
 	work.Observe(40 * ms)
 	g.Expect(work.Mean(70 * ms)).To(Equal(30 * ms))
 }
+
+func TestFailures(t *testing.T) {
+	g := NewWithT(t)
+	failures := &choice.Failures{}
+	g.Expect(failures.Share()).To(BeZero())
+	for i := range 200 {
+		failures.Observe(i%2 == 0)
+	}
+	g.Expect(failures.Share()).To(BeNumerically("~", 0.5, 0.05))
+	for range 100 {
+		failures.Observe(false)
+	}
+	g.Expect(failures.Share()).To(BeNumerically("<", 0.01))
+	g.Expect(choice.FadedShare(0.4, 3*time.Second)).To(BeNumerically("~", 0.2, 0.001))
+}
--- a/internal/sidecar/choice/pace.go
+++ b/internal/sidecar/choice/pace.go
@@ -56,9 +56,16 @@
 	if factor <= 0 {
 		return 1
 	}
-	return 1 + (factor-1)*math.Exp2(-float64(age)/float64(paceHalfLife))
+	return 1 + (factor-1)*fading(age)
 }
 
+// FadedShare returns what a share of failures of that age still says: a back end
+// that was left alone is tried again.
+func FadedShare(share float64, age time.Duration) float64 { return share * fading(age) }
+
+// fading is the part of a report that still counts after that time.
+func fading(age time.Duration) float64 { return math.Exp2(-float64(age) / float64(paceHalfLife)) }
+
 // Work is the usual time that requests of one route are worked on. It is safe
 // for concurrent use.
 type Work struct {
--- a/internal/sidecar/egress/target.go
+++ b/internal/sidecar/egress/target.go
@@ -92,6 +92,7 @@
 		described.Busy += report.others * math.Exp2(-float64(age)/float64(reportHalfLife))
 		described.Work = time.Duration(float64(usual) * choice.Faded(report.Factor, age))
 		described.Held = report.Held
+		described.Failing = choice.FadedShare(report.Failing, age)
 	}
 	return described
 }
--- a/internal/sidecar/egress/visits.go
+++ b/internal/sidecar/egress/visits.go
@@ -22,6 +22,9 @@
 	elapsed   time.Duration
 }
 
+// loggedFailing is the least share of failures that is worth a word in the log.
+const loggedFailing = 0.05
+
 // MarshalLogObject implements zapcore.ObjectMarshaler.
 func (v *visit) MarshalLogObject(encoder zapcore.ObjectEncoder) error {
 	encoder.AddString("node", v.target.node)
@@ -29,6 +32,9 @@
 	encoder.AddInt("slots", v.seen.Slots)
 	encoder.AddDuration("work", v.seen.Work)
 	encoder.AddDuration("reportAge", v.reportAge)
+	if v.seen.Failing >= loggedFailing {
+		encoder.AddFloat64("failing", v.seen.Failing)
+	}
 	if v.seen.Avoid || v.seen.Leaving {
 		encoder.AddBool("avoided", v.seen.Avoid)
 		encoder.AddBool("leaving", v.seen.Leaving)
--- a/internal/sidecar/hop/hop_test.go
+++ b/internal/sidecar/hop/hop_test.go
@@ -28,19 +28,27 @@
 func TestReplyLine(t *testing.T) {
 	g := NewWithT(t)
 	sent := hop.Reply{
-		Version: 1<<53 - 1, Running: 9, Waiting: 2, Slots: 9, Held: 120 * time.Millisecond, Factor: 1.5, Worked: 80 * time.Millisecond,
+		Version: 1<<53 - 1, Running: 9, Waiting: 2, Slots: 9, Held: 120 * time.Millisecond, Factor: 1.5, Worked: 80 * time.Millisecond, Failing: 0.25,
 	}
 	received, err := hop.ParseReply(sent.Format())
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(received).To(Equal(sent))
 }
 
+func TestReplyOfTheVersionBefore(t *testing.T) {
+	g := NewWithT(t)
+	received, err := hop.ParseReply("1 2 3 4 5 6 7")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(received.Worked).To(Equal(7 * time.Microsecond))
+	g.Expect(received.Failing).To(BeZero())
+}
+
 func TestLinesThatCannotBeRead(t *testing.T) {
 	for _, line := range []string{"", "one", " two 1 2 3 4 5 0", "one two 1 2 3 4 5", "one two 1 2 3 4 5 0 6", "one two -1 2 3 4 5 0", "one two x 2 3 4 5 0"} {
 		_, err := hop.ParseRequest(line)
 		NewWithT(t).Expect(err).To(MatchError(hop.ErrLine), line)
 	}
-	for _, line := range []string{"", "1 2 3 4 5 6", "1 2 3 4 5 6 7 8", "1 2 3 4 5 6 99999999999999999999", "1 2 3 4 5 6 -7"} {
+	for _, line := range []string{"", "1 2 3 4 5 6", "1 2 3 4 5 6 7 8 9", "1 2 3 4 5 6 99999999999999999999", "1 2 3 4 5 6 -7"} {
 		_, err := hop.ParseReply(line)
 		NewWithT(t).Expect(err).To(MatchError(hop.ErrLine), line)
 	}
--- a/internal/sidecar/hop/line.go
+++ b/internal/sidecar/hop/line.go
@@ -52,7 +52,7 @@
 const (
 	requestNames   = 2
 	requestNumbers = 6
-	replyNumbers   = 7
+	replyNumbers   = 8
 )
 
 // ParseRequest reads a request's header value.
@@ -84,6 +84,8 @@
 	Factor float64
 	// Worked is how long it worked on this request; zero when it did not.
 	Worked time.Duration
+	// Failing is the share of its requests that fail.
+	Failing float64
 }
 
 // factorUnits make a whole number of a factor.
@@ -95,16 +97,20 @@
 	line = strconv.AppendUint(line, r.Version, 10)
 	for _, number := range [...]int64{
 		int64(r.Running), int64(r.Waiting), int64(r.Slots), r.Held.Microseconds(),
-		int64(r.Factor * factorUnits), r.Worked.Microseconds(),
+		int64(r.Factor * factorUnits), r.Worked.Microseconds(), int64(r.Failing * factorUnits),
 	} {
 		line = strconv.AppendInt(append(line, ' '), max(number, 0), 10)
 	}
 	return string(line)
 }
 
-// ParseReply reads a reply's header value.
+// ParseReply reads a reply's header value. Nodes of the version before do not
+// tell of failures.
 func ParseReply(line string) (Reply, error) {
 	parts := strings.Split(line, " ")
+	if len(parts) == replyNumbers-1 {
+		parts = append(parts, "0")
+	}
 	if len(parts) != replyNumbers {
 		return Reply{}, fmt.Errorf("%w: %d parts", ErrLine, len(parts))
 	}
@@ -115,6 +121,7 @@
 	return Reply{
 		Version: numbers[0], Running: int(numbers[1]), Waiting: int(numbers[2]), Slots: int(numbers[3]),
 		Held: microseconds(numbers[4]), Factor: float64(numbers[5]) / factorUnits, Worked: microseconds(numbers[6]),
+		Failing: float64(numbers[7]) / factorUnits,
 	}, nil
 }
 
--- a/internal/sidecar/ingress/arrival.go
+++ b/internal/sidecar/ingress/arrival.go
@@ -38,6 +38,8 @@
 	endpoint *roster.Endpoint
 	deadline time.Time
 	context  context.Context
+	// consented: the caller's node waited for consent before it sent the body.
+	consented bool
 }
 
 // serve carries the request through. A nil result means that it is answered.
@@ -48,9 +50,9 @@
 	var cancel context.CancelFunc
 	a.context, cancel = context.WithDeadline(a.request.Context(), a.deadline)
 	defer cancel()
-	consent := len(a.request.Header["Expect"]) > 0
+	a.consented = len(a.request.Header["Expect"]) > 0
 	var body *forward.Body
-	if !consent {
+	if !a.consented {
 		read, err := a.readBody()
 		if err != nil {
 			return outcome.Refusal(http.StatusBadRequest, outcome.StepRequest, 0, err)
@@ -63,7 +65,7 @@
 	}
 	served := false
 	defer func() { slot.Release(served) }()
-	if consent {
+	if a.consented {
 		// The first read tells the caller's node to send the body. Without the
 		// whole of it nothing is run.
 		read, err := a.readConsented()
@@ -170,7 +172,7 @@
 	reply := hop.Reply{
 		Version: a.handler.options.Version(),
 		Running: load.Running, Waiting: load.Waiting, Slots: load.Slots, Held: load.Service,
-		Factor: a.handler.pace.Factor(), Worked: worked,
+		Factor: a.handler.pace.Factor(), Worked: worked, Failing: a.handler.failures.Share(),
 	}
 	header := a.writer.Header()
 	header[hop.HeaderReply] = []string{reply.Format()}
--- a/internal/sidecar/ingress/exchange.go
+++ b/internal/sidecar/ingress/exchange.go
@@ -34,12 +34,13 @@
 func (a *arrival) exchange(sent *forward.Body) *outcome.Failure {
 	for send := 1; ; send++ {
 		interim := forward.NewInterim(a.writer, "")
-		response, err := a.handler.pool.RoundTrip(a.outgoing(interim, sent))
+		response, err := a.roundTrip(a.outgoing(interim, sent))
 		interim.Stop()
 		if err == nil {
 			return a.take(response, sent)
 		}
 		failure := a.failed(err)
+		a.observe(failure)
 		again := failure.Outcome == outcome.NotRun && failure.Step == outcome.StepWrite && a.context.Err() == nil
 		if !again || send == sendsPerVisit || sent.Spent() {
 			return failure
@@ -47,6 +48,14 @@
 	}
 }
 
+// roundTrip sends the request once. What waited for consent may not be repeated.
+func (a *arrival) roundTrip(outgoing *http.Request) (*http.Response, error) {
+	if a.consented {
+		return a.handler.pool.RoundTripOnce(outgoing)
+	}
+	return a.handler.pool.RoundTrip(outgoing)
+}
+
 // outgoing builds the request to the back end.
 func (a *arrival) outgoing(interim *forward.Interim, sent *forward.Body) *http.Request {
 	names := &a.handler.options.Vocabulary
@@ -81,15 +90,36 @@
 	return failure
 }
 
+// hangs is how many times as long as expected a request must have been at the
+// back end for its end without an answer to be the back end's failure.
+const hangs = 4
+
+// observe counts a failure against the back end: one of its answers, a broken
+// connection, or that it did not answer for long. What the caller gave up early,
+// what wrote nothing and an answer of another id say nothing of it.
+func (a *arrival) observe(failure *outcome.Failure) {
+	switch {
+	case failure.Step == outcome.StepIdentity || failure.Step == outcome.StepWrite:
+	case a.context.Err() == nil:
+		a.handler.failures.Observe(true)
+	case a.told.Expected > 0 && time.Since(a.started)-a.waited > hangs*a.told.Expected:
+		a.handler.failures.Observe(true)
+	}
+}
+
 // take judges an answer and passes it on when it is the one to this request.
 func (a *arrival) take(response *http.Response, sent *forward.Body) *outcome.Failure {
 	if failure := a.judge(response); failure != nil {
 		_ = response.Body.Close()
+		a.observe(failure)
 		return failure
 	}
 	if err := body.Gather(response); err != nil {
-		return a.unknown(errors.Join(errBrokenOff, err))
+		failure := a.unknown(errors.Join(errBrokenOff, err))
+		a.observe(failure)
+		return failure
 	}
+	a.handler.failures.Observe(response.StatusCode >= http.StatusInternalServerError)
 	forward.RemoveHopByHop(response.Header)
 	outcome.StripMarkers(response.Header)
 	a.learn(response)
--- a/internal/sidecar/ingress/handler.go
+++ b/internal/sidecar/ingress/handler.go
@@ -71,6 +71,7 @@
 	leaving  atomic.Pointer[leaving]
 	stopping atomic.Bool
 	pace     choice.Pace
+	failures choice.Failures
 }
 
 // leaving remembers since when a back end is leaving.
--- /dev/null
+++ b/internal/sidecar/ingress/handler_test.go
@@ -0,0 +1,132 @@
+package ingress_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/ingress"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+)
+
+var vocabulary = hop.Vocabulary{
+	RequestID: "Request-Id", Deadline: "Deadline", TargetInstance: "Target", InstanceID: "Instance",
+	CallerService: "Caller", NotProcessed: "Not-Processed", Signature: "Signature",
+}
+
+type silentObserver struct{}
+
+func (silentObserver) Arrived(outcome.Outcome, outcome.Step, time.Duration, time.Duration) {}
+
+// played is a handler with a back end that answers as it is told.
+type played struct {
+	handler *ingress.Handler
+	answer  atomic.Pointer[http.HandlerFunc]
+}
+
+func play(t *testing.T) *played {
+	made := &played{}
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { (*made.answer.Load())(w, r) }))
+	t.Cleanup(backend.Close)
+	endpoint := &roster.Endpoint{ID: "i-1", Service: "one", Slots: 4, State: roster.Ready}
+	made.handler = ingress.New(ingress.Options{
+		Vocabulary: vocabulary, Address: backend.Listener.Addr().String(),
+		Endpoint:   func() *roster.Endpoint { return endpoint },
+		Identified: func(string) {}, Version: func() uint64 { return 1 },
+		DrainAfter: func() time.Duration { return time.Second },
+		Dial:       (&net.Dialer{}).DialContext, Logger: zap.NewNop(), Observer: silentObserver{},
+	})
+	made.handler.Follow(endpoint)
+	return made
+}
+
+// send passes one request through the handler and returns what the node says of
+// itself with the reply.
+func (p *played) send(t *testing.T, ctx context.Context) hop.Reply {
+	told := hop.Request{Service: "one", Caller: "two", Remaining: time.Minute, MaximumWait: time.Second, Expected: 10 * time.Millisecond}
+	req := httptest.NewRequestWithContext(ctx, http.MethodGet, "/a/", strings.NewReader(""))
+	req.Header.Set(hop.HeaderHop, told.Format())
+	req.Header.Set(vocabulary.RequestID, "r")
+	recorder := httptest.NewRecorder()
+	p.handler.ServeHTTP(recorder, req)
+	reply, err := hop.ParseReply(recorder.Header().Get(hop.HeaderReply))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return reply
+}
+
+// signed answers as a back end does that ran the request.
+func signed(status int) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(vocabulary.RequestID, r.Header.Get(vocabulary.RequestID))
+		w.Header().Set(vocabulary.Signature, "s")
+		w.WriteHeader(status)
+	}
+}
+
+// TestTheShareOfFailures: what counts against a back end, as peers are told.
+func TestTheShareOfFailures(t *testing.T) {
+	cases := []struct {
+		name   string
+		answer http.HandlerFunc
+		failed bool
+	}{
+		{"a success", signed(http.StatusOK), false},
+		{"a refusal of the request itself", signed(http.StatusNotFound), false},
+		{"a failure of its own", signed(http.StatusInternalServerError), true},
+		{"not processed", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(vocabulary.NotProcessed, "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}, true},
+		{"an answer to another request", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(vocabulary.RequestID, "q") }, true},
+		{"another back end's refusal", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(vocabulary.InstanceID, "i-2")
+			w.WriteHeader(http.StatusMisdirectedRequest)
+		}, false},
+		{"a broken connection", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, true},
+	}
+	for _, held := range cases {
+		t.Run(held.name, func(t *testing.T) {
+			g := NewWithT(t)
+			made := play(t)
+			made.answer.Store(&held.answer)
+			var last hop.Reply
+			for range 20 {
+				last = made.send(t, t.Context())
+			}
+			if held.failed {
+				g.Expect(last.Failing).To(BeNumerically(">", 0.5))
+				return
+			}
+			g.Expect(last.Failing).To(BeZero())
+		})
+	}
+}
+
+// TestCallersThatLeave say nothing of the back end, unless it kept them waiting
+// for long.
+func TestCallersThatLeave(t *testing.T) {
+	for wait, failed := range map[time.Duration]bool{0: false, 100 * time.Millisecond: true} {
+		g := NewWithT(t)
+		made := play(t)
+		hanging := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+		made.answer.Store(&hanging)
+		for range 3 {
+			ctx, leave := context.WithTimeout(t.Context(), wait)
+			last := made.send(t, ctx)
+			leave()
+			g.Expect(last.Failing > 0).To(Equal(failed))
+		}
+	}
+}
