Acknowledge a leaving back end once one peer knows; fewer exchanges between zones

Change: the answer waits for the first peer that has heard. With more than 16 nodes in a zone the share of exchanges that leave it falls. Tests: one peer that hangs, no peer at all.

--- a/internal/sidecar/backend.go
+++ b/internal/sidecar/backend.go
@@ -46,11 +46,12 @@
 	}
 }
 
-// spread tells the peers of the own record.
+// spread tells the peers of the own record and returns when one of them knows,
+// or none can be told in time.
 func (s *Sidecar) spread(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), spreadTimeout)
-	defer cancel()
-	s.exchanger.Broadcast(ctx)
+	context.AfterFunc(ctx, cancel)
+	s.exchanger.BroadcastToOne(ctx)
 }
 
 // heartbeatAge returns the seconds since the last heartbeat, below zero before
--- a/internal/sidecar/exchange/exchanger.go
+++ b/internal/sidecar/exchange/exchanger.go
@@ -53,9 +53,11 @@
 	// pingTimeout bounds the answer to a ping, pings is how many are sent.
 	pingTimeout = 240 * time.Millisecond
 	pings       = 2
-	// nearShare is the part of the exchanges that stay in the zone, where bytes
-	// cost nothing.
-	nearShare = 0.75
+	// farShare is the part of the exchanges that leave the zone at most; with more
+	// than a few nodes in the zone it falls, so that all of them together begin
+	// about farNodes in an interval: bytes between zones are paid for.
+	farShare = 0.25
+	farNodes = 4
 	// readerShare is the part of the exchanges of a node that does not read the
 	// store that go to those which do.
 	readerShare = 0.5
@@ -120,9 +122,9 @@
 			far = append(far, e.peersOf(view.Zone(zone))...)
 		}
 	}
-	from := far
-	if len(near) > 0 && (len(far) == 0 || rand.Float64() < nearShare) {
-		from = near
+	from := near
+	if len(near) == 0 || (len(far) > 0 && rand.Float64() < min(farShare, farNodes/float64(len(near)+1))) {
+		from = far
 	}
 	if len(from) == 0 {
 		return nil
--- a/internal/sidecar/exchange/spread.go
+++ b/internal/sidecar/exchange/spread.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 
 	"golang.org/x/sync/errgroup"
@@ -27,38 +28,73 @@
 	spreadParallel = 16
 )
 
+// listeners counts the peers that have heard a piece of news.
+type listeners struct {
+	count atomic.Int64
+	// first, when not nil, is closed when the first one has heard.
+	first chan struct{}
+	once  sync.Once
+}
+
+// add counts one peer.
+func (l *listeners) add() {
+	l.count.Add(1)
+	if l.first != nil {
+		l.once.Do(func() { close(l.first) })
+	}
+}
+
+// BroadcastToOne is Broadcast, but returns when one peer has heard, or all were
+// told in vain; the others are told meanwhile.
+func (e *Exchanger) BroadcastToOne(ctx context.Context) {
+	heard := &listeners{first: make(chan struct{})}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		e.broadcast(ctx, heard)
+	}()
+	select {
+	case <-heard.first:
+	case <-done:
+	}
+}
+
 // Broadcast tells peers of the own record at once and returns how many have
 // heard it themselves. In its own zone a node tells the peers itself. To each
 // other zone the news goes but a few times, since what passes between zones is
 // paid for by the byte; there it is passed on.
 func (e *Exchanger) Broadcast(ctx context.Context) int {
+	heard := &listeners{}
+	e.broadcast(ctx, heard)
+	return int(heard.count.Load())
+}
+
+func (e *Exchanger) broadcast(ctx context.Context, heard *listeners) {
 	own, view := e.options.Roster.Own(), e.options.Roster.View()
-	var heard atomic.Int64
 	var group errgroup.Group
 	group.SetLimit(spreadParallel)
 	for _, zone := range view.Zones() {
 		peers := shuffled(e.peersOf(view.Zone(zone)))
 		if zone == own.Zone || len(peers) <= smallZone {
-			e.tell(ctx, &group, &heard, peers[:min(len(peers), zonePeers)], e.notice(own))
+			e.tell(ctx, &group, heard, peers[:min(len(peers), zonePeers)], e.notice(own))
 			continue
 		}
 		relayed := e.notice(own)
 		relayed.Relay = true
 		group.Go(func() error {
-			heard.Add(e.relay(ctx, peers, relayed))
+			e.relay(ctx, heard, peers, relayed)
 			return nil
 		})
 	}
 	_ = group.Wait()
-	return int(heard.Load())
 }
 
 // tell has the peers told by the group's goroutines.
-func (e *Exchanger) tell(ctx context.Context, group *errgroup.Group, heard *atomic.Int64, peers []*roster.Record, notice *Notice) {
+func (e *Exchanger) tell(ctx context.Context, group *errgroup.Group, heard *listeners, peers []*roster.Record, notice *Notice) {
 	for _, peer := range peers {
 		group.Go(func() error {
 			if e.sendNotice(ctx, peer, notice) == nil {
-				heard.Add(1)
+				heard.add()
 			}
 			return nil
 		})
@@ -66,16 +102,17 @@
 }
 
 // relay tells peers of one other zone until some have heard.
-func (e *Exchanger) relay(ctx context.Context, peers []*roster.Record, notice *Notice) (heard int64) {
+func (e *Exchanger) relay(ctx context.Context, heard *listeners, peers []*roster.Record, notice *Notice) {
+	told := 0
 	for _, peer := range peers[:min(len(peers), relayTries)] {
 		if e.sendNotice(ctx, peer, notice) == nil {
-			heard++
+			heard.add()
+			told++
 		}
-		if heard == zoneRelays || ctx.Err() != nil {
-			break
+		if told == zoneRelays || ctx.Err() != nil {
+			return
 		}
 	}
-	return heard
 }
 
 // hear takes in a notice and passes news on when that is asked.
@@ -100,10 +137,9 @@
 func (e *Exchanger) tellAll(peers []*roster.Record, record *roster.Record) {
 	ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
 	defer cancel()
-	var heard atomic.Int64
 	var group errgroup.Group
 	group.SetLimit(spreadParallel)
-	e.tell(ctx, &group, &heard, peers, e.notice(record))
+	e.tell(ctx, &group, &listeners{}, peers, e.notice(record))
 	_ = group.Wait()
 }
 
--- a/internal/sidecar/exchange/spread_test.go
+++ b/internal/sidecar/exchange/spread_test.go
@@ -1,7 +1,9 @@
 package exchange
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"testing"
 	"time"
 
@@ -82,3 +84,37 @@
 	all[0].exchanger.hear(notice)
 	g.Consistently(all[1].bytes.Load).WithTimeout(100 * time.Millisecond).Should(Equal(before))
 }
+
+// TestOneListenerIsEnough: the call returns once one peer has heard, although
+// another one never answers.
+func TestOneListenerIsEnough(t *testing.T) {
+	g := NewWithT(t)
+	all := neighbourhood(t, 3)
+	hanging, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer hanging.Close()
+	silent := *all[1].record
+	silent.Counter, silent.PeerAddress = silent.Counter+1, hanging.Addr().String()
+	all[0].members.Merge([]*roster.Record{&silent})
+	all[0].members.Update(func(record roster.Record) (roster.Record, bool) {
+		record.Leaving = true
+		return record, true
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	all[0].exchanger.BroadcastToOne(ctx)
+	heard := 0
+	for _, other := range all[2:] {
+		if other.members.View().Record("east-0").Leaving {
+			heard++
+		}
+	}
+	g.Expect(heard).To(BeNumerically(">", 0))
+}
+
+// TestNobodyListens: with no peer that answers the call returns as well.
+func TestNobodyListens(t *testing.T) {
+	alone := newMember(t, "first")
+	alone.members.Merge([]*roster.Record{{Node: "second", Epoch: 1, PeerAddress: "127.0.0.1:1"}})
+	alone.exchanger.BroadcastToOne(t.Context())
+}
