Forget nodes that left for good

Change: they count in no digest, an unknown one is not taken in, and after five minutes they are dropped, with their connections. A node that returns with another back end is as new. Tests: forgotten after a while, not brought back by a peer, digests equal meanwhile.

--- a/internal/sidecar/roster/roster.go
+++ b/internal/sidecar/roster/roster.go
@@ -6,6 +6,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -22,7 +23,7 @@
 	digest  uint64
 }
 
-// Digest is equal for equal views.
+// Digest is equal for views that are equal but for nodes whose back end is gone.
 func (v *View) Digest() uint64 { return v.digest }
 
 // Record returns a node's record or nil.
@@ -55,10 +56,14 @@
 
 // Buckets divides the records by a hash of their node into that many buckets and
 // returns a digest of each. Two rosters differ just in the buckets whose digests
-// differ.
+// differ. Nodes whose back end is gone do not count: each node forgets them in
+// its own time.
 func (v *View) Buckets(count int) []uint32 {
 	digests := make([]uint32, count)
 	for node, record := range v.records {
+		if record.gone() {
+			continue
+		}
 		digests[bucketOf(node, count)] ^= uint32(record.digest())
 	}
 	return digests
@@ -100,11 +105,14 @@
 	mutex     sync.Mutex // guards all below and the replacement of view
 	records   map[string]*Record
 	observers []func(changed []*Record)
+	// gone says since when a record is known to be of a node that does not come
+	// back; used by Forget alone.
+	gone map[string]time.Time
 }
 
 // New returns a roster that holds the node's own first record.
 func New(own Record) *Roster {
-	created := &Roster{self: own.Node, records: map[string]*Record{own.Node: &own}}
+	created := &Roster{self: own.Node, records: map[string]*Record{own.Node: &own}, gone: map[string]time.Time{}}
 	created.publish()
 	return created
 }
@@ -138,6 +146,9 @@
 			continue
 		}
 		held := r.records[record.Node]
+		if held == nil && record.gone() {
+			continue // forgotten, or never to be known
+		}
 		if held == nil || record.Newer(held) {
 			r.records[record.Node] = record
 			changed = append(changed, record)
@@ -147,6 +158,36 @@
 	return changed
 }
 
+// goneKept is how long the record of a node whose back end has ended is kept: a
+// process that starts anew beside it hears from others what has ended.
+const goneKept = 5 * time.Minute
+
+// Forget drops the records of other nodes whose back end has been gone for long,
+// and returns their names. It is to be called from time to time.
+func (r *Roster) Forget(now time.Time) (forgotten []string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for node, record := range r.records {
+		if node == r.self || !record.gone() {
+			delete(r.gone, node)
+			continue
+		}
+		since, known := r.gone[node]
+		switch {
+		case !known:
+			r.gone[node] = now
+		case now.Sub(since) >= goneKept:
+			delete(r.gone, node)
+			delete(r.records, node)
+			forgotten = append(forgotten, node)
+		}
+	}
+	if len(forgotten) > 0 {
+		r.publish()
+	}
+	return forgotten
+}
+
 // refute puts the own record above one that an earlier life left behind.
 func (r *Roster) refute(remembered *Record) []*Record {
 	own := *r.records[r.self]
@@ -214,9 +255,9 @@
 func (r *Roster) publish() {
 	view := &View{records: maps.Clone(r.records), services: map[string][]*Record{}, zones: map[string][]*Record{}}
 	for _, record := range view.Records() {
-		view.digest ^= record.digest()
 		view.zones[record.Zone] = append(view.zones[record.Zone], record)
-		if record.Endpoint == nil || record.Endpoint.State != Gone {
+		if !record.gone() {
+			view.digest ^= record.digest()
 			view.present++
 		}
 		if record.Endpoint != nil {
--- a/internal/sidecar/roster/roster_test.go
+++ b/internal/sidecar/roster/roster_test.go
@@ -175,3 +175,33 @@
 	g.Expect(len(own.Ended)).To(BeNumerically("<=", 16))
 	g.Expect(own.HasEnded(string(rune('A' + 99)))).To(BeTrue())
 }
+
+// TestNodesThatLeftAreForgotten after a while, and do not come back by way of a
+// peer that still knows them; one that returns with another back end does.
+func TestNodesThatLeftAreForgotten(t *testing.T) {
+	g := NewWithT(t)
+	began := time.Unix(0, 0)
+	held, peer := roster.New(record("self", 1, 1)), roster.New(record("self", 1, 1))
+	alive, left := record("alive", 1, 1), record("left", 1, 2)
+	alive.Endpoint = endpoint("i-1", roster.Ready, 1)
+	left.Endpoint = endpoint("i-2", roster.Gone, 9)
+	before := record("left", 1, 1)
+	before.Endpoint = endpoint("i-2", roster.Ready, 8)
+	for _, members := range []*roster.Roster{held, peer} {
+		members.Merge([]*roster.Record{&alive, &before})
+		members.Merge([]*roster.Record{&left})
+	}
+	g.Expect(held.View().Present()).To(Equal(2))
+	g.Expect(held.Forget(began)).To(BeEmpty())
+	g.Expect(held.Forget(began.Add(time.Minute))).To(BeEmpty())
+	g.Expect(held.View().Record("left")).NotTo(BeNil())
+	g.Expect(held.Forget(began.Add(time.Hour))).To(Equal([]string{"left"}))
+	g.Expect(held.View().Record("left")).To(BeNil())
+	g.Expect(held.View().Digest()).To(Equal(peer.View().Digest()), "nothing is to be exchanged for it")
+	g.Expect(held.View().Buckets(4)).To(Equal(peer.View().Buckets(4)))
+	g.Expect(held.Merge(peer.View().Records())).To(BeEmpty())
+	back := record("left", 2, 1)
+	back.Endpoint = endpoint("i-3", roster.Ready, 1)
+	g.Expect(held.Merge([]*roster.Record{&back})).To(HaveLen(1))
+	g.Expect(held.Forget(began.Add(2 * time.Hour))).To(BeEmpty())
+}
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -66,6 +66,10 @@
 		case now := <-ticker.C:
 			s.egress.Sweep(now)
 			s.ingress.Sweep(now)
+			for _, node := range s.members.Forget(now) {
+				s.egress.Drop(node)
+				s.logger.Info("node forgotten", zap.String("peer", node))
+			}
 		case <-ctx.Done():
 			return
 		}
