Price the way to another region

Cause: deployments of several regions must work; the choice knew zones only and took 3 ms for any way between them. Change: the region of each zone comes from the settings; a back end in another region is taken to be 50 ms away and costs 0.2 more than one in another zone. Not measured: the users' sites have one region.

--- a/internal/sidecar/choice/choice.go
+++ b/internal/sidecar/choice/choice.go
@@ -9,8 +9,9 @@
 
 // Candidate is what is known of one back end at the moment of the choice.
 type Candidate struct {
-	// SameZone: the back end is in the caller's zone.
-	SameZone bool
+	// SameZone: the back end is in the caller's zone. OtherRegion: it is known to
+	// be in another region than the caller.
+	SameZone, OtherRegion bool
 	// Busy is how many requests run or wait there, the caller's own included.
 	Busy float64
 	// Slots is how many requests the back end works on at once.
@@ -36,8 +37,9 @@
 // Weights price what cannot be measured in time, in units of the worth of an
 // answer that comes in time.
 type Weights struct {
-	// ForeignZone is the price of leaving the zone.
-	ForeignZone float64
+	// ForeignZone is the price of leaving the zone, OtherRegion what is added to
+	// it for leaving the region.
+	ForeignZone, OtherRegion float64
 	// Avoided, Leaving, Silent and Repeated are added for back ends that are to
 	// be chosen only when nothing else is left.
 	Avoided, Leaving, Silent, Repeated float64
@@ -45,7 +47,7 @@
 
 // DefaultWeights prefer the zone until its back ends would answer late.
 func DefaultWeights() Weights {
-	return Weights{ForeignZone: 0.1, Avoided: 50, Leaving: 100, Silent: 200, Repeated: 400}
+	return Weights{ForeignZone: 0.1, OtherRegion: 0.2, Avoided: 50, Leaving: 100, Silent: 200, Repeated: 400}
 }
 
 const (
@@ -90,6 +92,9 @@
 	if !candidate.SameZone {
 		cost += weights.ForeignZone
 	}
+	if candidate.OtherRegion {
+		cost += weights.OtherRegion
+	}
 	if candidate.Avoid {
 		cost += weights.Avoided
 	}
--- a/internal/sidecar/choice/choice_test.go
+++ b/internal/sidecar/choice/choice_test.go
@@ -27,6 +27,12 @@
 		{"none", nil, 300 * ms, -1},
 		{"the zone", []choice.Candidate{far, near}, 300 * ms, 1},
 		{"the zone, although it is twice as slow", []choice.Candidate{far, with(near, func(c *choice.Candidate) { c.Work = 160 * ms })}, 400 * ms, 1},
+		{"the region, although another one's back end is faster", []choice.Candidate{
+			with(far, func(c *choice.Candidate) { c.OtherRegion, c.Work = true, 20*ms }), far,
+		}, 300 * ms, 1},
+		{"another region when the own one's would be late", []choice.Candidate{
+			with(far, func(c *choice.Candidate) { c.OtherRegion = true }), with(far, func(c *choice.Candidate) { c.Busy = 60 }),
+		}, 300 * ms, 0},
 		{"another zone when this one's would be late", []choice.Candidate{far, with(near, func(c *choice.Candidate) { c.Work = 320 * ms })}, 300 * ms, 0},
 		{"another zone when this one's queue is long", []choice.Candidate{far, with(near, func(c *choice.Candidate) { c.Busy = 40 })}, 300 * ms, 0},
 		{"the shorter of two queues that are both too long", []choice.Candidate{
--- a/internal/sidecar/egress/handler.go
+++ b/internal/sidecar/egress/handler.go
@@ -32,6 +32,8 @@
 	View func() *roster.View
 	// Zone is the node's own.
 	Zone string
+	// Regions holds the region of each zone, as far as known.
+	Regions map[string]string
 	// Caller names the service beside this node.
 	Caller func() string
 	// Retries bound repeated sends.
@@ -73,8 +75,10 @@
 	// consentTimeout is beyond every deadline: without consent no body is sent.
 	consentTimeout   = time.Hour
 	replyHeaderBytes = 96 << 10
-	// defaultCrossing is assumed for the way to another zone and back.
-	defaultCrossing = 3 * time.Millisecond
+	// zoneCrossing is assumed for the way to another zone of the region and back,
+	// regionCrossing for that to another region.
+	zoneCrossing   = 3 * time.Millisecond
+	regionCrossing = 50 * time.Millisecond
 )
 
 // Handler serves callers. It is safe for concurrent use.
--- a/internal/sidecar/egress/target.go
+++ b/internal/sidecar/egress/target.go
@@ -71,21 +71,37 @@
 	}
 }
 
+// place is where a node is.
+type place struct {
+	zone string
+	// regions holds the region of each zone, as far as known.
+	regions map[string]string
+}
+
+// leaves reports whether a zone is known to be in another region.
+func (p place) leaves(zone string) bool {
+	own, other := p.regions[p.zone], p.regions[zone]
+	return own != "" && other != "" && own != other
+}
+
 // candidate describes the target for the choice. usual is how long back ends of
 // the service work on such a request.
-func (t *target) candidate(record *roster.Record, zone string, crossing, usual time.Duration, now time.Time) choice.Candidate {
+func (t *target) candidate(record *roster.Record, near place, usual time.Duration, now time.Time) choice.Candidate {
 	described := choice.Candidate{
-		SameZone: record.Zone == zone,
-		Busy:     float64(t.inFlight.Load()),
-		Slots:    record.Endpoint.Slots,
-		Work:     usual,
-		Held:     usual,
-		Avoid:    t.avoidUntil.Load() > now.UnixNano(),
-		Leaving:  !record.AcceptsWork(),
-		Silent:   t.silent.Load(),
+		SameZone: record.Zone == near.zone, OtherRegion: near.leaves(record.Zone),
+		Busy:    float64(t.inFlight.Load()),
+		Slots:   record.Endpoint.Slots,
+		Work:    usual,
+		Held:    usual,
+		Avoid:   t.avoidUntil.Load() > now.UnixNano(),
+		Leaving: !record.AcceptsWork(),
+		Silent:  t.silent.Load(),
 	}
-	if !described.SameZone {
-		described.RoundTrip = crossing
+	switch {
+	case described.OtherRegion:
+		described.RoundTrip = regionCrossing
+	case !described.SameZone:
+		described.RoundTrip = zoneCrossing
 	}
 	if report := t.report.Load(); report != nil {
 		age := now.Sub(report.taken)
--- a/internal/sidecar/egress/visit.go
+++ b/internal/sidecar/egress/visit.go
@@ -90,13 +90,14 @@
 // candidates describes the back ends of the request's service.
 func (c *call) candidates(view *roster.View, now time.Time) candidates {
 	usual := c.work().Mean(c.assumedWork())
+	near := place{zone: c.handler.options.Zone, regions: c.handler.options.Regions}
 	var described candidates
 	for _, record := range view.Service(c.service) {
 		if record.Departed() {
 			continue
 		}
 		found := c.handler.targets.of(record)
-		candidate := found.candidate(record, c.handler.options.Zone, defaultCrossing, usual, now)
+		candidate := found.candidate(record, near, usual, now)
 		candidate.Tried = c.visited(found)
 		described.candidates = append(described.candidates, candidate)
 		described.records = append(described.records, record)
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -13,6 +13,8 @@
 type Settings struct {
 	// Node names this node among all; Host is its address without a port.
 	Node, Zone, Region, Host string
+	// Regions holds the region of each zone, as far as known.
+	Regions map[string]string
 	// Service is that of the back end beside the node.
 	Service string
 	// BackendAddress is the back end's own listener, host:port.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -159,6 +159,7 @@
 		TableAge:   s.keeper.Age,
 		View:       s.members.View,
 		Zone:       settings.Zone,
+		Regions:    settings.Regions,
 		Caller:     s.caller,
 		Retries:    func() egress.RetryLimits { return s.settings.Load().Retries },
 		Weights:    choice.DefaultWeights(),
