--- a/internal/sidecar/egress/call.go
+++ b/internal/sidecar/egress/call.go
@@ -25,6 +25,7 @@
 	errNoEndpoint = errors.New("no back end of the service is known")
 	errLate       = errors.New("the deadline passed before work began")
 	errUpgrade    = errors.New("upgrades are not carried")
+	errHeader     = errors.New("the header is longer than limits.headerBytes")
 	errBudget     = errors.New("the budget of repeats is spent")
 	errAttempts   = errors.New("the route's attempts are spent")
 )
@@ -84,6 +85,9 @@
 	if forward.WantsUpgrade(c.request) {
 		return outcome.Refusal(http.StatusNotImplemented, outcome.StepRequest, 0, errUpgrade)
 	}
+	if most := c.table.Document().Limits.HeaderBytes; most > 0 && headerBytes(c.request) > most {
+		return outcome.Refusal(http.StatusRequestHeaderFieldsTooLarge, outcome.StepRequest, 0, errHeader)
+	}
 	path, _, _ := strings.Cut(c.request.RequestURI, "?")
 	c.route = c.table.Match(c.request.Host, path)
 	if c.route == nil {
@@ -99,6 +103,23 @@
 	return c.send()
 }
 
+// headerBytes is the length of the request's header as it was sent, line ends
+// included.
+func headerBytes(r *http.Request) int {
+	const (
+		lineEnd   = len("\r\n")
+		separator = len(": ")
+	)
+	total := len(r.Method) + len(" ") + len(r.RequestURI) + len(" HTTP/1.1") + lineEnd
+	total += len("Host") + separator + len(r.Host) + lineEnd
+	for name, values := range r.Header {
+		for _, value := range values {
+			total += len(name) + separator + len(value) + lineEnd
+		}
+	}
+	return total + lineEnd
+}
+
 // bound sets the deadline: the caller's, at most the route's time-out.
 func (c *call) bound() *outcome.Failure {
 	limit := defaultDeadline
--- a/internal/sidecar/egress/call_test.go
+++ b/internal/sidecar/egress/call_test.go
@@ -114,7 +114,7 @@
 			{Name: "once", Host: "h", PathPrefix: "/once/", Attempts: 2, TargetLatency: 200 * time.Millisecond, Targets: []route.Target{{Service: "s", Weight: 1}}},
 		},
 		Services: []route.Service{{Name: "s"}},
-		Limits:   route.Limits{BodyBytes: 64},
+		Limits:   route.Limits{BodyBytes: 64, HeaderBytes: 4096},
 	}, nil)
 	if err != nil {
 		t.Fatal(err)
@@ -251,3 +251,31 @@
 		})
 	}
 }
+
+// TestHeaderBytes counts a header as it was sent.
+func TestHeaderBytes(t *testing.T) {
+	for _, raw := range []string{
+		"GET / HTTP/1.1\r\nHost: h\r\n\r\n",
+		"POST /a%20b/?c=d HTTP/1.1\r\nHost: some.example:80\r\nX-One: 1\r\nX-One: 22\r\nRequest-Id: abc\r\nContent-Length: 0\r\n\r\n",
+	} {
+		g := NewWithT(t)
+		request, err := http.ReadRequest(bufio.NewReader(strings.NewReader(raw)))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(headerBytes(request)).To(Equal(len(raw)))
+	}
+}
+
+// TestALongHeaderIsRefused by the bound of the configuration.
+func TestALongHeaderIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	server := newPeer(t, func(_ *peer, connection net.Conn, _ *bufio.Reader) { _, _ = io.WriteString(connection, replyOK) })
+	handler := newHandler(t, &quiet{}, present, server)
+	for length, want := range map[int]int{100: http.StatusOK, 5000: http.StatusRequestHeaderFieldsTooLarge} {
+		request := httptest.NewRequest(http.MethodGet, "/safe/", nil)
+		request.Host = "h"
+		request.Header.Set("Long", strings.Repeat("x", length))
+		recorder := httptest.NewRecorder()
+		handler.ServeHTTP(recorder, request)
+		g.Expect(recorder.Code).To(Equal(want))
+	}
+}
