Admission: what can be in time first, a reserve for urgent short work; tolerate rare failures

(3) bytes between zones rose by a tenth since the share of failures was added to the choice: one failure in sixteen cost as much as half a zone. Ruled out: serving who came back first (fewer in time at the same load), repeating failures within the mesh (spends the shared budget). Change: (1) within a priority, requests that can still begin in time come before those that cannot. (2) slots kept free for the most urgent priority, grown by each of its requests that began late, at most a third, given up within seconds. (3) a share of 0.05 costs nothing, one request weighs 1/32.

--- a/internal/sidecar/admission/admission.go
+++ b/internal/sidecar/admission/admission.go
@@ -4,7 +4,6 @@
 package admission
 
 import (
-	"container/heap"
 	"context"
 	"errors"
 	"sync"
@@ -54,6 +53,7 @@
 	// makes expect.
 	correction float64
 	order      uint64
+	reserve    reserve
 }
 
 // New returns a gate without slots. The clock is time.Now outside tests.
@@ -126,6 +126,7 @@
 	case <-timer.C:
 		g.mutex.Lock()
 		g.learn(entry)
+		g.reserve.began(entry.ticket.Priority, true, g.slots, g.now())
 		g.mutex.Unlock()
 		return g.withdraw(entry, ErrTooLong)
 	case <-ctx.Done():
@@ -141,21 +142,41 @@
 		return nil, ErrClosed
 	}
 	g.order++
-	entry := &waiter{ticket: ticket, order: g.order, result: make(chan error, 1)}
-	if g.running < g.slots && len(g.waiting) == 0 {
-		g.running++
-		entry.result <- nil
+	now := g.now()
+	g.reserve.note(ticket.Priority, now)
+	entry := &waiter{ticket: ticket, order: g.order, result: make(chan error, 1), entered: now}
+	if g.running < g.open(entry) && !g.yields(entry) {
+		g.start(entry)
 		return entry, nil
 	}
-	entry.entered, entry.predicted = g.now(), g.expectedWait(entry)
+	entry.predicted = g.expectedWait(entry)
 	if entry.predicted > ticket.MaximumWait {
+		g.reserve.began(ticket.Priority, true, g.slots, now)
 		return nil, ErrTooLong
 	}
-	heap.Push(&g.waiting, entry)
+	g.waiting.add(entry)
 	g.displace()
 	return entry, nil
 }
 
+// open returns how many slots there are for the entry.
+func (g *Gate) open(entry *waiter) int {
+	return g.slots - g.reserve.kept(entry.ticket.Priority, g.now())
+}
+
+// yields reports whether a request that waits comes before the entry.
+func (g *Gate) yields(entry *waiter) bool {
+	return len(g.waiting) > 0 && g.waiting.next(g.now()).before(entry, g.now())
+}
+
+// start gives the entry a slot.
+func (g *Gate) start(entry *waiter) {
+	now := g.now()
+	g.reserve.began(entry.ticket.Priority, entry.late(now) && now.After(entry.entered), g.slots, now)
+	g.running++
+	entry.result <- nil
+}
+
 // expectedWait is the time until a slot for the entry: the work of those before
 // it, and of one that runs, over all slots. It is corrected by how long others
 // waited compared to what was expected of them, since back ends differ in pace
@@ -164,13 +185,13 @@
 	if g.slots == 0 {
 		return time.Hour
 	}
-	ahead := g.service
+	ahead, now := g.service, g.now()
 	for _, other := range g.waiting {
-		if other != entry && other.before(entry) {
+		if other != entry && other.before(entry, now) {
 			ahead += g.workOf(other)
 		}
 	}
-	return time.Duration(float64(ahead) / float64(g.slots) * g.correction)
+	return time.Duration(float64(ahead) / float64(max(g.open(entry), 1)) * g.correction)
 }
 
 func (g *Gate) workOf(entry *waiter) time.Duration {
@@ -201,11 +222,11 @@
 // than they may, since a more urgent one came before them.
 func (g *Gate) displace() {
 	for len(g.waiting) > 1 {
-		last := g.waiting.last()
+		last := g.waiting.last(g.now())
 		if g.now().Sub(last.entered)+g.expectedWait(last) <= last.ticket.MaximumWait {
 			return
 		}
-		heap.Remove(&g.waiting, last.index)
+		g.waiting.remove(last)
 		last.result <- ErrDisplaced
 	}
 }
@@ -214,8 +235,8 @@
 func (g *Gate) withdraw(entry *waiter, cause error) error {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if entry.index >= 0 && entry.index < len(g.waiting) && g.waiting[entry.index] == entry {
-		heap.Remove(&g.waiting, entry.index)
+	if g.waiting.holds(entry) {
+		g.waiting.remove(entry)
 		return cause
 	}
 	if err := <-entry.result; err != nil {
@@ -241,11 +262,14 @@
 
 // grant gives free slots to those that wait; the lock is held.
 func (g *Gate) grant() {
-	for g.running < g.slots && len(g.waiting) > 0 {
-		next := heap.Pop(&g.waiting).(*waiter)
+	for len(g.waiting) > 0 {
+		next := g.waiting.next(g.now())
+		if g.running >= g.open(next) {
+			return
+		}
+		g.waiting.remove(next)
 		g.learn(next)
-		g.running++
-		next.result <- nil
+		g.start(next)
 	}
 }
 
--- a/internal/sidecar/admission/queue.go
+++ b/internal/sidecar/admission/queue.go
@@ -16,13 +16,16 @@
 	predicted time.Duration
 }
 
-// before orders by priority, then what comes first before what comes back, then
-// by the order of magnitude of the work, then by the time to start by, then by
-// arrival.
-func (w *waiter) before(other *waiter) bool {
+// before orders by priority, then what can still be answered in time before what
+// cannot, then what comes first before what comes back, then by the order of
+// magnitude of the work, then by the time to start by, then by arrival.
+func (w *waiter) before(other *waiter, now time.Time) bool {
 	if w.ticket.Priority != other.ticket.Priority {
 		return w.ticket.Priority < other.ticket.Priority
 	}
+	if late, othersLate := w.late(now), other.late(now); late != othersLate {
+		return othersLate
+	}
 	if w.ticket.Returning != other.ticket.Returning {
 		return other.ticket.Returning
 	}
@@ -35,43 +38,57 @@
 	return w.order < other.order
 }
 
+// late reports whether work would begin too late for an answer in time. A
+// server that is behind serves everyone late when it takes such requests in the
+// order in which they came.
+func (w *waiter) late(now time.Time) bool { return now.After(w.ticket.StartBy) }
+
 // magnitude is the number of binary digits of the work in milliseconds.
 func magnitude(work time.Duration) int { return bits.Len64(uint64(max(work, 0) / time.Millisecond)) }
 
-// waiters is a heap with the next request first.
+// waiters are the requests in the queue, in no order: who is next changes with
+// time.
 type waiters []*waiter
 
-func (w waiters) Len() int           { return len(w) }
-func (w waiters) Less(i, j int) bool { return w[i].before(w[j]) }
-func (w waiters) Swap(i, j int) {
-	w[i], w[j] = w[j], w[i]
-	w[i].index, w[j].index = i, j
+// add puts a request into the queue.
+func (w *waiters) add(entry *waiter) {
+	entry.index = len(*w)
+	*w = append(*w, entry)
 }
 
-// Push implements heap.Interface.
-func (w *waiters) Push(entry any) {
-	added := entry.(*waiter)
-	added.index = len(*w)
-	*w = append(*w, added)
+// holds reports whether the request is still in the queue.
+func (w waiters) holds(entry *waiter) bool {
+	return entry.index >= 0 && entry.index < len(w) && w[entry.index] == entry
 }
 
-// Pop implements heap.Interface.
-func (w *waiters) Pop() any {
+// remove takes a request out of the queue, in which it is.
+func (w *waiters) remove(entry *waiter) {
 	last := len(*w) - 1
-	removed := (*w)[last]
+	moved := (*w)[last]
+	(*w)[entry.index] = moved
+	moved.index = entry.index
 	(*w)[last] = nil
 	*w = (*w)[:last]
-	removed.index = -1
-	return removed
+	entry.index = -1
+}
+
+// next returns the request that is served first, last the one that is served
+// after all others. The queue is not empty.
+func (w waiters) next(now time.Time) *waiter {
+	return w.extreme(func(a, b *waiter) bool { return a.before(b, now) })
+}
+
+func (w waiters) last(now time.Time) *waiter {
+	return w.extreme(func(a, b *waiter) bool { return b.before(a, now) })
 }
 
-// last returns the request that would be served after all others.
-func (w waiters) last() *waiter {
-	latest := w[0]
+// extreme returns the request that comes before all others.
+func (w waiters) extreme(before func(a, b *waiter) bool) *waiter {
+	found := w[0]
 	for _, entry := range w[1:] {
-		if latest.before(entry) {
-			latest = entry
+		if before(entry, found) {
+			found = entry
 		}
 	}
-	return latest
+	return found
 }
--- a/internal/sidecar/choice/choice.go
+++ b/internal/sidecar/choice/choice.go
@@ -65,6 +65,9 @@
 	// slowness is the price of a whole target latency of waiting. It tells apart
 	// back ends that would all answer in time, or all late.
 	slowness = 0.1
+	// usualFailing is a share of failures that costs nothing: a failure now and
+	// then is no reason to leave the zone.
+	usualFailing = 0.05
 )
 
 // Expected estimates the time until the candidate's answer.
@@ -88,7 +91,7 @@
 	}
 	share := float64(Expected(candidate)) / float64(aim)
 	cost := lateness / (1 + math.Pow(typical*share, -steepness))
-	cost += slowness*share + candidate.Failing
+	cost += slowness*share + max(candidate.Failing-usualFailing, 0)
 	if !candidate.SameZone {
 		cost += weights.ForeignZone
 	}
--- a/internal/sidecar/choice/failures.go
+++ b/internal/sidecar/choice/failures.go
@@ -11,7 +11,7 @@
 }
 
 // failureWeight is the weight of one request in the share.
-const failureWeight = 1.0 / 16
+const failureWeight = 1.0 / 32
 
 // Observe takes in how one request went.
 func (f *Failures) Observe(failed bool) {
