--- a/scripts/play-kinds.sh
+++ b/scripts/play-kinds.sh
@@ -2,11 +2,13 @@
 # Plays every kind of trouble of scripts/days/kinds.txt, each in a day of its own, on
 # a site file with the users' bench: twice in the day, the first time at second 0,
 # with changes of the configuration near it, and a full restart at the end. Fails
-# when a rule is broken. Usage: scripts/play-kinds.sh BENCH SITE [JOBS]
+# when a rule is broken. With a pattern only the lines that match it are played.
+# Usage: scripts/play-kinds.sh BENCH SITE [JOBS [PATTERN]]
 set -euo pipefail
-bench=${1:?usage: scripts/play-kinds.sh BENCH SITE [JOBS]}
-site=${2:?usage: scripts/play-kinds.sh BENCH SITE [JOBS]}
+bench=${1:?usage: scripts/play-kinds.sh BENCH SITE [JOBS [PATTERN]]}
+site=${2:?usage: scripts/play-kinds.sh BENCH SITE [JOBS [PATTERN]]}
 jobs=${3:-4}
+pattern=${4:-.}
 cd "$(dirname "$0")/.."
 folder=$(mktemp -d)
 trap 'rm -rf "$folder"' EXIT
@@ -26,7 +28,7 @@
 plan = [ $planned { at = 0.5, kind = "config_change", how = "route" }, { at = 15.0, kind = "config_storm", for_s = 3.0, gap_s = 0.25 } ]
 faults = [ $sudden ]
 DAY
-done < <(grep -v '^#' scripts/days/kinds.txt)
+done < <(grep -v '^#' scripts/days/kinds.txt | grep -E "$pattern")
 play() {
   output=$("$1" run "$2" "$3" 2>&1) || true
   line=$(grep -E '^kind-[0-9]+ ' <<<"$output" | head -1 || true)
