--- a/internal/sidecar/configuration/follower.go
+++ b/internal/sidecar/configuration/follower.go
@@ -29,8 +29,13 @@
 func Follow(ctx context.Context, reader store.Reader, key string, keeper *Keeper, reads func() bool, logger *zap.Logger) {
 	backoff := pause.Backoff{Base: pauseBase, Most: pauseMost}
 	healthy := true
+	reading := true
 	for ctx.Err() == nil {
-		if keeper.Version() > 0 && !reads() {
+		if turn := keeper.Version() == 0 || reads(); turn != reading {
+			reading = turn
+			logger.Info("turn to read the store", zap.Bool("reads", reading), zap.Uint64("inForce", keeper.Version()))
+		}
+		if !reading {
 			pause.Wait(ctx, turnInterval)
 			continue
 		}
