--- a/internal/sidecar/egress/call_test.go
+++ b/internal/sidecar/egress/call_test.go
@@ -136,6 +136,7 @@
 		Table:      func() *route.Table { return table },
 		TableAge:   func() time.Duration { return 0 },
 		View:       members.View,
+		Node:       "self",
 		Zone:       "z",
 		Caller:     func() string { return "caller" },
 		Retries:    func() RetryLimits { return RetryLimits{Ratio: 1, Slack: 100, Window: time.Second} },
--- a/internal/sidecar/egress/handler.go
+++ b/internal/sidecar/egress/handler.go
@@ -30,8 +30,8 @@
 	TableAge func() time.Duration
 	// View returns what is known of the other nodes.
 	View func() *roster.View
-	// Zone is the node's own.
-	Zone string
+	// Node is the node's own name, Zone its zone.
+	Node, Zone string
 	// Regions holds the region of each zone, as far as known.
 	Regions map[string]string
 	// Caller names the service beside this node.
@@ -98,6 +98,8 @@
 	cutting context.Context
 	cut     context.CancelCauseFunc
 
+	// subsets are those of the last view.
+	subsets atomic.Pointer[subsets]
 	// work and patiences hold what is learned by route name.
 	work, patiences sync.Map
 
--- /dev/null
+++ b/internal/sidecar/egress/subset.go
@@ -0,0 +1,97 @@
+package egress
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+)
+
+const (
+	// nearSubset and farSubset are how many back ends of a service a node considers
+	// in its own zone and in others. Without a bound a choice would take time, and
+	// a back end connections, in proportion to the size of the mesh.
+	nearSubset = 24
+	farSubset  = 16
+)
+
+// subsets holds, for one view, the back ends that a node considers by service.
+type subsets struct {
+	view      *roster.View
+	byService sync.Map // of string to []*roster.Record
+}
+
+// subset returns the records of the service that the node considers. It is
+// computed once for each view.
+func (h *Handler) subset(view *roster.View, service string) []*roster.Record {
+	held := h.subsets.Load()
+	if held == nil || held.view != view {
+		held = &subsets{view: view}
+		h.subsets.Store(held)
+	}
+	if found, known := held.byService.Load(service); known {
+		return found.([]*roster.Record)
+	}
+	chosen := chooseSubset(view.Service(service), h.options.Node, place{zone: h.options.Zone, regions: h.options.Regions})
+	held.byService.Store(service, chosen)
+	return chosen
+}
+
+// ranked is a record with what its rank goes by.
+type ranked struct {
+	record *roster.Record
+	// waits: it takes no new work now. distance is 0 in the zone, 1 in the region, 2
+	// beyond. hash is of the pair of nodes, so that each node has a choice of its
+	// own that hardly changes when others come and go.
+	waits    bool
+	distance int
+	hash     uint64
+}
+
+// chooseSubset returns at most nearSubset records of the zone and farSubset of
+// others, those of the region first. Those that take no work come after all
+// others, and nodes whose back end is gone not at all.
+func chooseSubset(records []*roster.Record, self string, near place) []*roster.Record {
+	all := make([]ranked, 0, len(records))
+	for _, record := range records {
+		if !record.Departed() {
+			all = append(all, rank(record, self, near))
+		}
+	}
+	slices.SortFunc(all, compareRanks)
+	chosen := make([]*roster.Record, 0, min(len(all), nearSubset+farSubset))
+	room := map[bool]int{true: nearSubset, false: farSubset}
+	for _, candidate := range all {
+		inZone := candidate.distance == 0
+		if room[inZone] > 0 {
+			room[inZone]--
+			chosen = append(chosen, candidate.record)
+		}
+	}
+	return chosen
+}
+
+func rank(record *roster.Record, self string, near place) ranked {
+	made := ranked{record: record, waits: !record.AcceptsWork(), hash: xxhash.Sum64String(self + "\x00" + record.Node)}
+	switch {
+	case record.Zone == near.zone:
+	case near.leaves(record.Zone):
+		made.distance = 2
+	default:
+		made.distance = 1
+	}
+	return made
+}
+
+func compareRanks(a, b ranked) int {
+	if a.waits != b.waits {
+		if a.waits {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Or(cmp.Compare(a.distance, b.distance), cmp.Compare(a.hash, b.hash))
+}
--- /dev/null
+++ b/internal/sidecar/egress/subset_test.go
@@ -0,0 +1,95 @@
+package egress
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+)
+
+// serviceOf returns the records of a service, by turns in the zones.
+func serviceOf(count int, zones ...string) []*roster.Record {
+	records := make([]*roster.Record, count)
+	for i := range records {
+		records[i] = &roster.Record{
+			Node: fmt.Sprint("node-", i), Epoch: 1, Zone: zones[i%len(zones)],
+			Endpoint: &roster.Endpoint{ID: "i", Service: "s", Slots: 4, State: roster.Ready},
+		}
+	}
+	return records
+}
+
+func TestTheSizeOfASubset(t *testing.T) {
+	near := place{zone: "a"}
+	cases := []struct {
+		name    string
+		records []*roster.Record
+		want    int
+	}{
+		{"none", nil, 0},
+		{"few: all", serviceOf(12, "a", "b", "c"), 12},
+		{"many in the zone", serviceOf(500, "a"), nearSubset},
+		{"many elsewhere", serviceOf(500, "b", "c"), farSubset},
+		{"many everywhere", serviceOf(900, "a", "b", "c"), nearSubset + farSubset},
+	}
+	for _, held := range cases {
+		t.Run(held.name, func(t *testing.T) {
+			NewWithT(t).Expect(chooseSubset(held.records, "self", near)).To(HaveLen(held.want))
+		})
+	}
+}
+
+// TestASubsetPrefers who takes work, then the region.
+func TestASubsetPrefers(t *testing.T) {
+	g := NewWithT(t)
+	records := serviceOf(400, "a", "b", "c", "d")
+	near := place{zone: "a", regions: map[string]string{"a": "north", "b": "north", "c": "south", "d": "north"}}
+	for i, record := range records {
+		switch {
+		case i < 200:
+			record.Leaving = true
+		case i < 220:
+			record.Endpoint.State = roster.Gone
+		}
+	}
+	for _, record := range chooseSubset(records, "self", near) {
+		g.Expect(record.AcceptsWork()).To(BeTrue())
+		g.Expect(record.Zone).NotTo(Equal("c"), "another region, and there are enough")
+	}
+	for _, record := range records {
+		record.Leaving = true
+	}
+	g.Expect(chooseSubset(records, "self", near)).To(HaveLen(nearSubset+farSubset), "rather than none")
+}
+
+// TestSubsetsSpreadAndStay: the callers' nodes do not all consider the same back
+// ends, and one more back end changes little.
+func TestSubsetsSpreadAndStay(t *testing.T) {
+	g := NewWithT(t)
+	records := serviceOf(200, "a")
+	near := place{zone: "a"}
+	considered := map[string]int{}
+	for caller := range 200 {
+		self := fmt.Sprint("caller-", caller)
+		before := chooseSubset(records, self, near)
+		for _, record := range before {
+			considered[record.Node]++
+		}
+		after := chooseSubset(serviceOf(201, "a"), self, near)
+		kept := 0
+		for _, record := range before {
+			for _, other := range after {
+				if record.Node == other.Node {
+					kept++
+				}
+			}
+		}
+		g.Expect(kept).To(BeNumerically(">=", nearSubset-1))
+	}
+	g.Expect(considered).To(HaveLen(200))
+	for node, callers := range considered {
+		g.Expect(callers).To(BeNumerically("~", nearSubset, 18), node)
+	}
+}
--- a/internal/sidecar/egress/visit.go
+++ b/internal/sidecar/egress/visit.go
@@ -92,10 +92,7 @@
 	usual := c.work().Mean(c.assumedWork())
 	near := place{zone: c.handler.options.Zone, regions: c.handler.options.Regions}
 	var described candidates
-	for _, record := range view.Service(c.service) {
-		if record.Departed() {
-			continue
-		}
+	for _, record := range c.handler.subset(view, c.service) {
 		found := c.handler.targets.of(record)
 		candidate := found.candidate(record, near, usual, now)
 		candidate.Tried = c.visited(found)
--- a/internal/sidecar/exchange/exchanger.go
+++ b/internal/sidecar/exchange/exchanger.go
@@ -59,8 +59,8 @@
 	farShare = 0.25
 	farNodes = 4
 	// readerShare is the part of the exchanges of a node that does not read the
-	// store that go to those which do.
-	readerShare = 0.5
+	// store that go to the reader which tells it.
+	readerShare = 0.4
 )
 
 // Exchanger keeps a node level with its peers. It is safe for concurrent use.
@@ -109,9 +109,9 @@
 		return lost
 	}
 	own, view := e.options.Roster.Own(), e.options.Roster.View()
-	if !e.options.Reads() && rand.Float64() < readerShare {
-		if reading, _ := readers.Zone(view.Zone(own.Zone), e.Usable); len(reading) > 0 {
-			return reading[rand.N(len(reading))]
+	if rand.Float64() < readerShare {
+		if teller := readers.Teller(view, own, e.Usable); teller != nil {
+			return teller
 		}
 	}
 	var near, far []*roster.Record
--- a/internal/sidecar/readers/readers.go
+++ b/internal/sidecar/readers/readers.go
@@ -73,6 +73,16 @@
 	return told
 }
 
+// Teller returns the reader that tells the given node, nil when the node reads
+// itself.
+func Teller(view *roster.View, own *roster.Record, usable Usable) *roster.Record {
+	reading, others := Zone(view.Zone(own.Zone), usable)
+	if place := slices.IndexFunc(others, own.Same); place >= 0 {
+		return reading[place%len(reading)]
+	}
+	return nil
+}
+
 // Total returns how many nodes read in all zones, each counted as if all its
 // nodes were there.
 func Total(view *roster.View) int {
--- a/internal/sidecar/readers/readers_test.go
+++ b/internal/sidecar/readers/readers_test.go
@@ -50,9 +50,11 @@
 			}
 			if readers.Reads(view, record, usable) {
 				served[record.Node]++
+				g.Expect(readers.Teller(view, record, usable)).To(BeNil())
 			}
 			for _, told := range readers.Told(view, record, usable) {
 				served[told.Node]++
+				g.Expect(readers.Teller(view, told, usable)).To(BeIdenticalTo(record))
 			}
 		}
 		g.Expect(served).To(HaveLen(20 - away))
--- a/internal/sidecar/roster/roster_test.go
+++ b/internal/sidecar/roster/roster_test.go
@@ -1,7 +1,9 @@
 package roster_test
 
 import (
+	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -205,3 +207,33 @@
 	g.Expect(held.Merge([]*roster.Record{&back})).To(HaveLen(1))
 	g.Expect(held.Forget(began.Add(2 * time.Hour))).To(BeEmpty())
 }
+
+// TestChangesOfALargeRosterAreTakenTogether but none is left out, and the own
+// record never waits.
+func TestChangesOfALargeRosterAreTakenTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		members := roster.New(record("self", 1, 1))
+		many := make([]*roster.Record, 1000)
+		for i := range many {
+			made := record(fmt.Sprint("node-", i), 1, 1)
+			many[i] = &made
+		}
+		members.Merge(many)
+		time.Sleep(time.Second)
+		views := map[*roster.View]bool{}
+		for i := range many {
+			changed := record(fmt.Sprint("node-", i), 1, 2)
+			members.Merge([]*roster.Record{&changed})
+			views[members.View()] = true
+			time.Sleep(time.Millisecond)
+		}
+		g.Expect(len(views)).To(BeNumerically("<", 30))
+		_, _ = members.Update(func(own roster.Record) (roster.Record, bool) { return own, true })
+		g.Expect(members.Own().Counter).To(BeEquivalentTo(2))
+		time.Sleep(time.Second)
+		for i := range many {
+			g.Expect(members.View().Record(fmt.Sprint("node-", i)).Counter).To(BeEquivalentTo(2))
+		}
+	})
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -158,6 +158,7 @@
 		Table:      s.keeper.Table,
 		TableAge:   s.keeper.Age,
 		View:       s.members.View,
+		Node:       settings.Node,
 		Zone:       settings.Zone,
 		Regions:    settings.Regions,
 		Caller:     s.caller,
