--- /dev/null
+++ b/internal/sidecar/egress/choose.go
@@ -0,0 +1,88 @@
+package egress
+
+import (
+	"slices"
+	"time"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/choice"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+)
+
+// choose returns the node whose back end is to take the request.
+func (c *call) choose() (*roster.Record, *target) {
+	view := c.handler.options.View()
+	if len(view.Service(c.service)) == 0 {
+		c.service = c.fallback(view)
+	}
+	now := time.Now()
+	described := c.candidates(view, now)
+	start := 0
+	if len(described.candidates) > 0 {
+		start = int(c.handler.rotation.Add(1) % uint64(len(described.candidates)))
+	}
+	best := choice.Best(described.candidates, c.route.TargetLatency, start, c.handler.options.Weights)
+	if best < 0 {
+		return nil, nil
+	}
+	c.seen, c.reportAge = described.candidates[best], described.targets[best].reportAge(now)
+	return described.records[best], described.targets[best]
+}
+
+// candidates are the back ends of a service, each at the same index.
+type candidates struct {
+	candidates []choice.Candidate
+	records    []*roster.Record
+	targets    []*target
+}
+
+// candidates describes the back ends of the request's service.
+func (c *call) candidates(view *roster.View, now time.Time) candidates {
+	usual := c.work().Mean(c.assumedWork())
+	near := place{zone: c.handler.options.Zone, regions: c.handler.options.Regions}
+	var described candidates
+	for _, record := range c.handler.subset(view, c.service) {
+		found := c.handler.targets.of(record)
+		candidate := found.candidate(record, near, usual, now)
+		candidate.Tried = c.visited(found)
+		described.candidates = append(described.candidates, candidate)
+		described.records = append(described.records, record)
+		described.targets = append(described.targets, found)
+	}
+	return described
+}
+
+// work returns the estimate of how long requests of the route are worked on.
+func (c *call) work() *choice.Work {
+	key := c.route.Name
+	if held, found := c.handler.work.Load(key); found {
+		return held.(*choice.Work)
+	}
+	held, _ := c.handler.work.LoadOrStore(key, &choice.Work{})
+	return held.(*choice.Work)
+}
+
+// assumedWork stands in for the time a route's requests take before any was
+// measured.
+func (c *call) assumedWork() time.Duration {
+	const aimShare = 0.35
+	if c.route.TargetLatency > 0 {
+		return time.Duration(float64(c.route.TargetLatency) * aimShare)
+	}
+	const unknown = 50 * time.Millisecond
+	return unknown
+}
+
+// fallback returns another service of the route that has back ends, or the one
+// that was chosen.
+func (c *call) fallback(view *roster.View) string {
+	for _, target := range c.route.Targets {
+		if target.Weight > 0 && len(view.Service(target.Service)) > 0 {
+			return target.Service
+		}
+	}
+	return c.service
+}
+
+func (c *call) visited(candidate *target) bool {
+	return slices.ContainsFunc(c.visits, func(seen visit) bool { return seen.target == candidate })
+}
--- /dev/null
+++ b/internal/sidecar/roster/publish.go
@@ -0,0 +1,66 @@
+package roster
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// immediate is the size of a view up to which each change replaces it at once.
+	// Replacing it takes time in proportion to the size; of a larger one changes
+	// of others in quick succession are taken together.
+	immediate = 512
+	// publishPause is the time between two replacements then.
+	publishPause = 50 * time.Millisecond
+)
+
+// announce publishes the view and tells the observers; the lock is held.
+func (r *Roster) announce(changed []*Record) {
+	if len(changed) == 0 {
+		return
+	}
+	r.publishSoon(changed)
+	for _, observer := range r.observers {
+		observer(changed)
+	}
+}
+
+// publishSoon replaces the view now, or within publishPause when it is large and
+// was replaced just before. A change of the own record never waits.
+func (r *Roster) publishSoon(changed []*Record) {
+	own := slices.ContainsFunc(changed, func(record *Record) bool { return record.Node == r.self })
+	since := time.Since(r.published)
+	switch {
+	case own || r.View().Count() <= immediate || since >= publishPause:
+		r.publish()
+	case !r.delayed:
+		r.delayed = true
+		time.AfterFunc(publishPause-since, r.publishDelayed)
+	}
+}
+
+func (r *Roster) publishDelayed() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.delayed {
+		r.publish()
+	}
+}
+
+func (r *Roster) publish() {
+	r.published, r.delayed = time.Now(), false
+	view := &View{records: maps.Clone(r.records), services: map[string][]*Record{}, zones: map[string][]*Record{}}
+	for _, record := range view.Records() {
+		view.zones[record.Zone] = append(view.zones[record.Zone], record)
+		if !record.gone() {
+			view.digest ^= record.digest()
+			view.present++
+		}
+		if record.Endpoint != nil {
+			service := record.Endpoint.Service
+			view.services[service] = append(view.services[service], record)
+		}
+	}
+	r.view.Store(view)
+}
