A SIGHUP does not end a process that is starting or stopping

Ruled out: the end of the stop plan (the log has no stop ends), a cut by the node itself. Change: Hangups takes the signal over first of all, and for good.

--- a/cmd/kestrel-sidecar/main.go
+++ b/cmd/kestrel-sidecar/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"os"
 
 	"github.com/alecthomas/kong"
 
@@ -25,16 +26,17 @@
 }
 
 func main() {
+	hangups := settings.Hangups()
 	parsedFlags := &flags{}
 	parsed := kong.Parse(parsedFlags,
 		kong.Name("kestrel-sidecar"),
 		kong.Description("The node of kestrelstream beside one back end."),
 		kong.Vars{"settings_variable": platform.SettingsVariable},
 	)
-	parsed.FatalIfErrorf(run(parsedFlags))
+	parsed.FatalIfErrorf(run(parsedFlags, hangups))
 }
 
-func run(given *flags) error {
+func run(given *flags, hangups <-chan os.Signal) error {
 	if given.Version {
 		_, err := fmt.Println(build.Read())
 		return err
@@ -57,7 +59,7 @@
 	if err != nil {
 		return err
 	}
-	go settings.Watch(stop.Requested, given.Settings, func() { reload(process, given.Settings) })
+	go settings.Watch(stop.Requested, given.Settings, hangups, func() { reload(process, given.Settings) })
 	return process.Run(stop.Requested)
 }
 
--- a/internal/settings/watch.go
+++ b/internal/settings/watch.go
@@ -12,18 +12,25 @@
 // without a signal.
 const watchInterval = 2 * time.Second
 
-// Watch calls the function at each SIGHUP and whenever the file's time or size
-// has changed, until the context ends.
-func Watch(ctx context.Context, path string, changed func()) {
+// Hangups takes over SIGHUP for good: from the call on, to the end of the process,
+// the signal does nothing but arrive at the channel. It is to be called first of
+// all. Left to itself the signal ends a process, also one that is still starting
+// or has begun to stop.
+func Hangups() <-chan os.Signal {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
+	return signals
+}
+
+// Watch calls the function at each signal of hangups and whenever the file's time
+// or size has changed, until the context ends.
+func Watch(ctx context.Context, path string, hangups <-chan os.Signal, changed func()) {
 	ticker := time.NewTicker(watchInterval)
 	defer ticker.Stop()
 	seen := fileState(path)
 	for {
 		select {
-		case <-signals:
+		case <-hangups:
 			seen = fileState(path)
 			changed()
 		case <-ticker.C:
