Keep a child on a detached parent until the stream has lasted a while

A proxy's stream counts as detached until the parent's first word; told of another first parent it moved at once, and two daemons whose views of the members differ each named the other first: a loop in which no time passes (goroutine dump: the relay in attach, all else waiting durably). On real clocks the same loop is a storm of attaches. Ruled out: the machine's load (time is virtual in that test). The new case of the subscriber's core fails before and passes after.

--- a/internal/distribution/subscriber/core.go
+++ b/internal/distribution/subscriber/core.go
@@ -111,7 +111,9 @@
 // Parents replaces the candidates, most preferred first. A stream to a parent
 // that is no longer a candidate is kept until it fails or until the child
 // returns to a preferred one; one that is cut off from the readers is left for
-// the preferred candidate at once.
+// the preferred candidate at once, or once the stream has lasted a while: two
+// cut-off parents that each name the other first would hand the child back and
+// forth without pause.
 func (c *Core) Parents(now time.Time, parents []Parent) Outputs {
 	if slices.Equal(parents, c.parents) {
 		return c.finish(now)
@@ -122,13 +124,22 @@
 	case c.phase == idle && c.attemptAt.IsZero():
 		c.attemptAt = now
 	case c.phase == attached && c.source.Detached && len(parents) > 0 && parents[0] != c.current:
-		c.moveTo(now, 0)
+		c.leaveDetached(now)
 	case c.phase == attached:
 		c.scheduleReturn(now)
 	}
 	return c.finish(now)
 }
 
+// leaveDetached moves to the preferred parent, not before the stream is healthyAt.
+func (c *Core) leaveDetached(now time.Time) {
+	if now.Before(c.healthyAt) {
+		c.returnAt = c.healthyAt
+		return
+	}
+	c.moveTo(now, 0)
+}
+
 // Leave ends the attempt or stream and makes no further attempt until Parents
 // names candidates again.
 func (c *Core) Leave(now time.Time) Outputs {
--- a/internal/distribution/subscriber/core_test.go
+++ b/internal/distribution/subscriber/core_test.go
@@ -173,6 +173,24 @@
 		Expect(longest).To(BeNumerically(">", 500*time.Millisecond))
 	})
 
+	It("is not handed back and forth without pause by daemons that name each other first", func() {
+		core := connected()
+		at, moves := start, 0
+		for range 60 {
+			first := 1 - moves%2
+			named := []subscriber.Parent{parents[first], parents[1-first]}
+			outputs := core.Parents(at, named)
+			for outputs.Connect == nil {
+				at = core.NextTick()
+				outputs = core.Tick(at)
+			}
+			moves++
+			core.Connected(at)
+			core.Received(at, &distribution.Message{Source: &distribution.Source{Detached: true}})
+		}
+		Expect(at.Sub(start)).To(BeNumerically(">=", 30*time.Second))
+	})
+
 	It("passes over a silent candidate while there are others, unless it was paused itself", func() {
 		core := holding(5)
 		silence := subscriber.DefaultConfig().Silence
