--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -76,6 +76,9 @@
 // Proxy returns the data path.
 func (a *Agent) Proxy() *proxy.Proxy { return a.proxy }
 
+// Subscription returns the state of the subscription to a parent.
+func (a *Agent) Subscription() subscription.Status { return a.subscription.Status() }
+
 // Run serves until ctx ends, then stops in order: the back end is announced as
 // draining, requests in flight end, the listeners close, the subscription ends.
 // It returns nil after an orderly stop, and an error saying what was cut after
