Leave a send whose node seems silent behind instead of cutting it

One probe without an answer cut every send there. Ruled out: the deadline (the caller got 502, not 504), the forced end of the stop (63 ms after SIGTERM), the back end (its run was cut from outside). Change: each send runs as an attempt of its own. The first missed probe makes the node suspected: a repeatable request goes elsewhere as well, and the first answer is passed on; without consent a request that may not be repeated is still given up at once, since it has not run; with consent it waits. The third missed probe gives the send up. Before: three of the five cases of TestANodeThatSeemedSilent fail; after: all pass, also with the race detector.

--- a/internal/proxy/forward/request.go
+++ b/internal/proxy/forward/request.go
@@ -113,6 +113,9 @@
 // Spent reports whether the body can no longer be sent from its start.
 func (b *Body) Spent() bool { return b.stream != nil && b.stream.touched.Load() }
 
+// Replayable reports whether the body can be sent any number of times.
+func (b *Body) Replayable() bool { return b.stream == nil }
+
 // CloseUnlessRead has the server close the caller's connection after the reply
 // unless the body was read to its end before the reply's header is written.
 // What follows on the connection might otherwise be a rest of this request: a
--- /dev/null
+++ b/internal/sidecar/egress/attempt.go
@@ -0,0 +1,149 @@
+package egress
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"github.com/kestrelstream/kestrelstream/internal/proxy/forward"
+	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/body"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/choice"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+)
+
+// attempt is one send of a request to a node. It runs in a goroutine of its own,
+// so that the call can look elsewhere while a node that seems silent may still
+// answer. The call reads the result only after it was delivered.
+type attempt struct {
+	call   *call
+	record *roster.Record
+	target *target
+	// service is the one that was chosen for this send.
+	service string
+	// seen is what the choice was made by, reportAge how old the node's own
+	// account of its load was then.
+	seen      choice.Candidate
+	reportAge time.Duration
+
+	sent    time.Time
+	context context.Context
+	cancel  context.CancelCauseFunc
+	interim *forward.Interim
+	// suspected is closed when the node did not answer a probe.
+	suspected chan struct{}
+	// consented: the node holds a slot and gets the body.
+	consented atomic.Bool
+
+	// noted is the send's number among the call's visits once it was left behind,
+	// zero before; the call's goroutine alone uses it.
+	noted int
+
+	// response or failure is the result, worked how long the back end says that
+	// it worked.
+	response *http.Response
+	failure  *outcome.Failure
+	worked   time.Duration
+	elapsed  time.Duration
+}
+
+// run sends the request and delivers the result.
+func (a *attempt) run() {
+	defer a.target.inFlight.Add(-1)
+	entry := a.call.handler.register(a)
+	response, err := a.target.pool.RoundTrip(a.call.outgoing(a))
+	a.interim.Stop()
+	now := time.Now()
+	a.target.outstanding.answered(entry, err == nil, now)
+	a.judge(response, err, now)
+	a.elapsed = time.Since(a.sent)
+	if a.failure != nil {
+		a.failure.Peer = a.target.address
+	}
+	a.deliver()
+}
+
+// deliver hands the result to the call, or drops it when the call has ended.
+func (a *attempt) deliver() {
+	select {
+	case a.call.results <- a:
+	case <-a.call.over:
+		if a.response != nil {
+			_ = a.response.Body.Close()
+		}
+	}
+}
+
+// suspect tells that the node did not answer a probe. Without consent the body
+// was never sent: the send is given up at once, provably not run.
+func (a *attempt) suspect() {
+	close(a.suspected)
+	if !a.call.route.Repeatable && !a.consented.Load() && a.call.consentAsked() {
+		a.lose()
+	}
+}
+
+// lose gives the send up.
+func (a *attempt) lose() { a.cancel(errSilent) }
+
+// traced is the context of the exchange; it notes consent where that counts.
+func (a *attempt) traced() context.Context {
+	if a.call.route.Repeatable {
+		return a.context
+	}
+	return httptrace.WithClientTrace(a.context, &httptrace.ClientTrace{
+		Got100Continue: func() { a.consented.Store(true) },
+	})
+}
+
+// judge makes the result of what the exchange brought.
+func (a *attempt) judge(response *http.Response, err error, now time.Time) {
+	if err != nil {
+		if errors.Is(context.Cause(a.context), errSilent) {
+			err = errors.Join(errSilent, err)
+		}
+		a.failure = a.exchangeFailed(err, now)
+		return
+	}
+	a.learn(response, now)
+	if said := outcome.Outcome(response.Header.Get(outcome.HeaderOutcome)); said != "" {
+		a.failure = a.refused(response, said, now)
+		return
+	}
+	if err := body.Gather(response); err != nil {
+		a.target.failed(now)
+		a.failure = &outcome.Failure{Outcome: outcome.Unknown, Step: outcome.StepBody, Cause: err}
+		return
+	}
+	a.target.succeeded()
+	a.response = response
+}
+
+// learn takes in what the reply says of the node itself.
+func (a *attempt) learn(response *http.Response, now time.Time) {
+	reply, err := hop.ParseReply(response.Header.Get(hop.HeaderReply))
+	if err != nil {
+		return
+	}
+	a.target.learn(reply, now)
+	a.worked = reply.Worked
+	if reply.Worked > 0 && response.StatusCode < http.StatusMultipleChoices {
+		a.call.work().Observe(reply.Worked)
+	}
+	if reply.Version > a.call.table.Version() {
+		a.call.handler.options.Observer.Behind(a.target.node, reply.Version)
+	}
+}
+
+// visit describes the send for the log.
+func (a *attempt) visit() visit {
+	seen := visit{target: a.target, seen: a.seen, reportAge: a.reportAge, elapsed: a.elapsed}
+	if a.failure != nil {
+		seen.outcome, seen.step = a.failure.Outcome, a.failure.Step
+	}
+	return seen
+}
--- a/internal/sidecar/egress/call.go
+++ b/internal/sidecar/egress/call.go
@@ -12,7 +12,6 @@
 
 	"github.com/kestrelstream/kestrelstream/internal/proxy/forward"
 	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
-	"github.com/kestrelstream/kestrelstream/internal/sidecar/choice"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/route"
 )
@@ -58,11 +57,12 @@
 	visits visits
 	// runs counts the sends that may have reached a back end.
 	runs int
-	// seen is what the last choice was made by, reportAge how old its load was.
-	seen      choice.Candidate
-	reportAge time.Duration
-	// worked is how long the back end of the last visit says it worked.
-	worked time.Duration
+	// results delivers the sends that ended; over is closed when nobody takes
+	// them any more.
+	results chan *attempt
+	over    chan struct{}
+	// behind counts the sends whose node seems silent, which go on.
+	behind int
 	// returning: the caller was refused before and has come back.
 	returning bool
 	// mayHaveRun: a send ended with an unknown outcome.
@@ -151,15 +151,21 @@
 	c.body = body
 	defer body.UnblockOnDone(c.context, c.writer)()
 	c.service = c.route.NextService()
+	c.results, c.over = make(chan *attempt), make(chan struct{})
+	defer close(c.over)
 	c.handler.budget(c.service).first(c.handler.options.Retries(), c.members(), time.Now())
 	for {
 		result := c.visit()
 		if result.response != nil {
 			return c.pass(result)
 		}
-		if !c.again(result) {
-			return c.giveUp(result.failure)
+		if c.again(result) {
+			continue
 		}
+		if late, answered := c.awaitBehind(); answered {
+			return c.pass(late)
+		}
+		return c.giveUp(result.failure)
 	}
 }
 
--- a/internal/sidecar/egress/call_test.go
+++ b/internal/sidecar/egress/call_test.go
@@ -219,6 +219,64 @@
 	}
 }
 
+// refuses answers that it has not run the request.
+func refuses(_ *peer, connection net.Conn, _ *bufio.Reader) {
+	_, _ = io.WriteString(connection, "HTTP/1.1 503 Service Unavailable\r\n"+
+		outcome.HeaderOutcome+": not-run\r\n"+outcome.HeaderError+": step=admit\r\nContent-Length: 0\r\n\r\n")
+}
+
+// late does the same as the script after a while.
+func late(script func(*peer, net.Conn, *bufio.Reader)) func(*peer, net.Conn, *bufio.Reader) {
+	return func(p *peer, connection net.Conn, reader *bufio.Reader) {
+		time.Sleep(700 * time.Millisecond)
+		script(p, connection, reader)
+	}
+}
+
+// absentAtFirst does not answer the first probes.
+func absentAtFirst(missed int64) Probe {
+	var asked atomic.Int64
+	return func(ctx context.Context, record *roster.Record) error {
+		if record.Node == "a" && asked.Add(1) <= missed {
+			return absent(ctx, record)
+		}
+		return nil
+	}
+}
+
+// TestANodeThatSeemedSilent keeps what it works on: the node that asked may have
+// been the slow one. What may be repeated is tried elsewhere meanwhile.
+func TestANodeThatSeemedSilent(t *testing.T) {
+	consentsAndAnswersLate := func(p *peer, connection net.Conn, reader *bufio.Reader) {
+		_, _ = io.WriteString(connection, "HTTP/1.1 100 Continue\r\n\r\n")
+		_, _ = reader.ReadString('\n')
+		late(answers)(p, connection, reader)
+	}
+	cases := []struct {
+		name, method, path, body string
+		first, second            func(*peer, net.Conn, *bufio.Reader)
+		missed                   int64
+		status                   int
+		asked                    int64
+	}{
+		{"repeatable, refused elsewhere", http.MethodGet, "/safe/1", "", late(answers), refuses, 1, 200, 1},
+		{"repeatable, served elsewhere", http.MethodGet, "/safe/1", "", late(answers), answers, 1, 200, 1},
+		{"repeatable with a body, refused elsewhere", http.MethodPost, "/safe/1", "body\n", late(answers), refuses, 1, 200, 1},
+		{"not repeatable, at work", http.MethodPost, "/once/1", "body\n", consentsAndAnswersLate, serves, 1, 200, 0},
+		{"lost after all, refused elsewhere", http.MethodGet, "/safe/1", "", hangs, refuses, lostProbes, 502, 1},
+	}
+	for _, played := range cases {
+		t.Run(played.name, func(t *testing.T) {
+			g := NewWithT(t)
+			first, second := newPeer(t, played.first), newPeer(t, played.second)
+			handler := newHandler(t, &quiet{}, absentAtFirst(played.missed), first, second)
+			status, _ := callThrough(t, handler, played.method, played.path, played.body)
+			g.Expect(status).To(Equal(played.status))
+			g.Expect(second.requests.Load()).To(Equal(played.asked))
+		})
+	}
+}
+
 // TestASlowNodeIsLeftAlone: one that answers the probe keeps its requests.
 func TestASlowNodeIsLeftAlone(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/sidecar/egress/choose.go
+++ b/internal/sidecar/egress/choose.go
@@ -8,8 +8,9 @@
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 )
 
-// choose returns the node whose back end is to take the request.
-func (c *call) choose() (*roster.Record, *target) {
+// choose returns a send, not begun yet, to the node whose back end is to take the
+// request; nil when there is none.
+func (c *call) choose() *attempt {
 	view := c.handler.options.View()
 	if len(view.Service(c.service)) == 0 {
 		c.service = c.fallback(view)
@@ -22,10 +23,13 @@
 	}
 	best := choice.Best(described.candidates, c.route.TargetLatency, start, c.handler.options.Weights)
 	if best < 0 {
-		return nil, nil
+		return nil
+	}
+	chosen := described.targets[best]
+	return &attempt{
+		call: c, record: described.records[best], target: chosen, service: c.service,
+		seen: described.candidates[best], reportAge: chosen.reportAge(now),
 	}
-	c.seen, c.reportAge = described.candidates[best], described.targets[best].reportAge(now)
-	return described.records[best], described.targets[best]
 }
 
 // candidates are the back ends of a service, each at the same index.
--- a/internal/sidecar/egress/silence.go
+++ b/internal/sidecar/egress/silence.go
@@ -24,6 +24,10 @@
 	silentAvoid = 1500 * time.Millisecond
 	// silentProbes bounds how often a silent node is probed in a row.
 	silentProbes = 40
+	// lostProbes is after how many probes without an answer a send is given up.
+	// After the first it is only suspected: this node may be the slow one, and a
+	// request at which a back end is at work is not to be broken off for that.
+	lostProbes = 3
 )
 
 // Probe asks a node whether it is there; an error means that it did not answer
@@ -42,15 +46,18 @@
 
 // pending is one visit that waits for an answer.
 type pending struct {
-	cancel context.CancelCauseFunc
-	timer  *time.Timer
+	attempt *attempt
+	timer   *time.Timer
+	// missed counts the probes without an answer.
+	missed int
 }
 
-// await registers a visit. The context ends when the node proves silent.
-func (h *Handler) await(ctx context.Context, record *roster.Record, held *target, expected time.Duration) (context.Context, *pending) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	entry := &pending{cancel: cancel}
-	patience := max(time.Duration(float64(expected)*suspicionFactor), suspicionLeast)
+// register notes a send: it is suspected when its node does not answer a probe,
+// and given up when it does not answer several.
+func (h *Handler) register(a *attempt) *pending {
+	record, held := a.record, a.target
+	entry := &pending{attempt: a}
+	patience := max(time.Duration(float64(a.seen.Work)*suspicionFactor), suspicionLeast)
 	sent := time.Now()
 	waiting := &held.outstanding
 	waiting.mutex.Lock()
@@ -60,7 +67,7 @@
 	waiting.visits[entry] = struct{}{}
 	entry.timer = time.AfterFunc(patience, func() { h.suspect(record, held, entry, sent, patience) })
 	waiting.mutex.Unlock()
-	return ctx, entry
+	return entry
 }
 
 // answered takes a visit out; heard says that the node itself said something.
@@ -95,8 +102,8 @@
 	}
 }
 
-// watchSilence probes a node until it answers. When it does not, what waits for
-// it ends and it is avoided.
+// watchSilence probes a node until it answers. When it does not, it is avoided
+// and what waits for it is told.
 func (h *Handler) watchSilence(record *roster.Record, held *target) {
 	defer func() {
 		held.silent.Store(false)
@@ -112,7 +119,7 @@
 		h.options.Observer.Silent(held.node, probes == 0)
 		held.silent.Store(true)
 		held.avoidUntil.Store(time.Now().Add(silentAvoid).UnixNano())
-		held.outstanding.giveUp()
+		held.outstanding.miss()
 		time.Sleep(probeInterval)
 	}
 }
@@ -129,11 +136,17 @@
 	}
 }
 
-// giveUp ends every visit that waits.
-func (o *outstanding) giveUp() {
+// miss tells every send that waits of a probe without an answer.
+func (o *outstanding) miss() {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	for entry := range o.visits {
-		entry.cancel(errSilent)
+		entry.missed++
+		switch entry.missed {
+		case 1:
+			entry.attempt.suspect()
+		case lostProbes:
+			entry.attempt.lose()
+		}
 	}
 }
--- a/internal/sidecar/egress/visit.go
+++ b/internal/sidecar/egress/visit.go
@@ -5,18 +5,14 @@
 	"errors"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/kestrelstream/kestrelstream/internal/proxy/forward"
 	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
-	"github.com/kestrelstream/kestrelstream/internal/sidecar/body"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/choice"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
-	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 )
 
 const (
@@ -34,103 +30,122 @@
 	failure  *outcome.Failure
 }
 
-// visit chooses a node and sends the request there once.
+// visit chooses a node, sends the request there once and waits for what comes of
+// it. An earlier send that was left behind may answer first.
 func (c *call) visit() result {
-	record, chosen := c.choose()
+	chosen := c.choose()
 	if chosen == nil {
 		failure := outcome.Refusal(http.StatusServiceUnavailable, outcome.StepChoose, defaultRetryAfter, errNoEndpoint)
 		failure.Peer = c.service
 		return result{failure: failure}
 	}
-	chosen.inFlight.Add(1)
-	defer chosen.inFlight.Add(-1)
 	c.handler.options.Observer.Sent(c.service, len(c.visits)+1)
-	sent := time.Now()
-	response, failure := c.exchange(record, chosen)
-	seen := visit{target: chosen, seen: c.seen, reportAge: c.reportAge, elapsed: time.Since(sent)}
-	if response != nil {
-		c.handler.options.Observer.Carried(seen.elapsed, c.worked)
-	}
-	if failure != nil {
-		seen.outcome, seen.step = failure.Outcome, failure.Step
-		failure.Peer = chosen.address
-	}
-	c.visits = append(c.visits, seen)
-	return result{target: chosen, response: response, failure: failure}
+	chosen.target.inFlight.Add(1)
+	chosen.context, chosen.cancel = context.WithCancelCause(c.context)
+	chosen.interim = forward.NewInterim(c.writer, "")
+	chosen.suspected = make(chan struct{})
+	chosen.sent = time.Now()
+	go chosen.run()
+	return c.await(chosen)
 }
 
-// exchange sends the request to the node and returns the back end's answer.
-func (c *call) exchange(record *roster.Record, chosen *target) (*http.Response, *outcome.Failure) {
-	var consented atomic.Bool
-	awaited, entry := c.handler.await(c.context, record, chosen, c.seen.Work)
-	traced := awaited
-	if !c.route.Repeatable {
-		traced = httptrace.WithClientTrace(traced, &httptrace.ClientTrace{Got100Continue: func() { consented.Store(true) }})
-	}
-	interim := forward.NewInterim(c.writer, "")
-	response, err := chosen.pool.RoundTrip(c.outgoing(traced, record, interim))
-	interim.Stop()
-	now := time.Now()
-	chosen.outstanding.answered(entry, err == nil, now)
-	if err != nil {
-		if errors.Is(context.Cause(awaited), errSilent) {
-			err = errors.Join(errSilent, err)
+// await returns the result of a send, or of an earlier one that answers first. A
+// send of a repeatable request whose node seems silent is left behind.
+func (c *call) await(current *attempt) result {
+	var suspected chan struct{}
+	if c.route.Repeatable && c.body.Replayable() {
+		suspected = current.suspected
+	}
+	for {
+		select {
+		case ended := <-c.results:
+			if ended == current || ended.response != nil {
+				current.interim.Stop()
+				return c.took(ended)
+			}
+			c.tookLate(ended)
+		case <-suspected:
+			current.interim.Stop()
+			return c.leaveBehind(current)
 		}
-		return nil, c.exchangeFailed(chosen, err, consented.Load(), now)
 	}
-	c.learn(chosen, response, now)
-	if said := outcome.Outcome(response.Header.Get(outcome.HeaderOutcome)); said != "" {
-		return nil, c.refused(chosen, response, said, now)
-	}
-	if err := body.Gather(response); err != nil {
-		chosen.failed(now)
-		return nil, &outcome.Failure{Outcome: outcome.Unknown, Step: outcome.StepBody, Cause: err}
+}
+
+// took notes the result of a send.
+func (c *call) took(ended *attempt) result {
+	if ended.response != nil {
+		c.handler.options.Observer.Carried(ended.elapsed, ended.worked)
 	}
-	chosen.succeeded()
-	return response, nil
+	c.note(ended)
+	return result{target: ended.target, response: ended.response, failure: ended.failure}
 }
 
-// learn takes in what the reply says of the node itself.
-func (c *call) learn(chosen *target, response *http.Response, now time.Time) {
-	reply, err := hop.ParseReply(response.Header.Get(hop.HeaderReply))
-	if err != nil {
+// leaveBehind turns away from a send that goes on.
+func (c *call) leaveBehind(current *attempt) result {
+	c.behind++
+	current.noted = len(c.visits) + 1
+	failure := &outcome.Failure{Outcome: outcome.Unknown, Step: outcome.StepAwait, Peer: current.target.address, Cause: errSilent}
+	c.visits = append(c.visits, visit{
+		target: current.target, seen: current.seen, reportAge: current.reportAge,
+		outcome: failure.Outcome, step: failure.Step, elapsed: time.Since(current.sent),
+	})
+	return result{target: current.target, failure: failure}
+}
+
+// tookLate notes that a send that was left behind has failed.
+func (c *call) tookLate(ended *attempt) {
+	c.behind--
+	c.note(ended)
+}
+
+// note adds a send that ended to the visits, or replaces what was noted of it.
+func (c *call) note(ended *attempt) {
+	if ended.noted > 0 {
+		c.visits[ended.noted-1] = ended.visit()
 		return
 	}
-	chosen.learn(reply, now)
-	c.worked = reply.Worked
-	if reply.Worked > 0 && response.StatusCode < http.StatusMultipleChoices {
-		c.work().Observe(reply.Worked)
-	}
-	if reply.Version > c.table.Version() {
-		c.handler.options.Observer.Behind(chosen.node, reply.Version)
+	c.visits = append(c.visits, ended.visit())
+}
+
+// awaitBehind waits for the sends that were left behind, once nothing else is
+// left to try. Each ends by its answer, the loss of its node or the deadline.
+func (c *call) awaitBehind() (result, bool) {
+	for c.behind > 0 {
+		ended := <-c.results
+		if ended.response != nil {
+			return c.took(ended), true
+		}
+		c.tookLate(ended)
 	}
+	return result{}, false
 }
 
 // exchangeFailed judges an exchange that brought no reply. Without consent the
 // body was never sent, and nothing runs without its body.
-func (c *call) exchangeFailed(chosen *target, err error, consented bool, now time.Time) *outcome.Failure {
+func (a *attempt) exchangeFailed(err error, now time.Time) *outcome.Failure {
+	c := a.call
 	failure := &outcome.Failure{Outcome: outcome.Unknown, Step: outcome.StepAwait, Cause: err}
 	var known *forward.Error
 	if errors.As(err, &known) {
 		failure.Outcome, failure.Step = known.Outcome, known.Step
 	}
-	if !c.route.Repeatable && !consented && c.consentAsked() {
+	if !c.route.Repeatable && !a.consented.Load() && c.consentAsked() {
 		failure.Outcome = outcome.NotRun
 	}
 	if failure.Outcome == outcome.NotRun {
 		failure.RetryAfter = defaultRetryAfter
 	}
 	if c.context.Err() == nil && !errors.Is(err, forward.ErrNoConnection) {
-		chosen.failed(now)
+		a.target.failed(now)
 		if failure.Step == outcome.StepConnect {
-			c.handler.options.Observer.Unreachable(chosen.node)
+			c.handler.options.Observer.Unreachable(a.target.node)
 		}
 	}
 	return failure
 }
 
 // refused reads what the node itself says of the request.
-func (c *call) refused(chosen *target, response *http.Response, said outcome.Outcome, now time.Time) *outcome.Failure {
+func (a *attempt) refused(response *http.Response, said outcome.Outcome, now time.Time) *outcome.Failure {
 	defer func() {
 		_, _ = io.CopyN(io.Discard, response.Body, 1)
 		_ = response.Body.Close()
@@ -144,8 +159,8 @@
 	}
 	switch {
 	case failure.Step == outcome.StepAdmit:
-	case c.context.Err() == nil:
-		chosen.failed(now)
+	case a.call.context.Err() == nil:
+		a.target.failed(now)
 	}
 	return failure
 }
@@ -189,20 +204,20 @@
 }
 
 // outgoing builds the request to the node.
-func (c *call) outgoing(ctx context.Context, record *roster.Record, interim *forward.Interim) *http.Request {
+func (c *call) outgoing(a *attempt) *http.Request {
 	options := &c.handler.options
 	header := forward.RequestHeader(c.request.Header, markerCount)
 	delete(header, "Expect")
 	remaining := time.Until(c.deadline)
-	request := c.described(remaining)
+	request := c.described(remaining, a.seen.Work)
 	wait, slack := choice.Patience(request)
 	told := hop.Request{
-		Service: c.service, Caller: options.Caller(), Remaining: remaining, Priority: c.route.Priority,
+		Service: a.service, Caller: options.Caller(), Remaining: remaining, Priority: c.route.Priority,
 		MaximumWait: wait, Slack: slack, Expected: c.work().Mean(c.assumedWork()),
 		Returning: request.Returning && !request.Hurried(),
 	}
 	header[hop.HeaderHop] = []string{told.Format()}
-	outgoing := forward.NewRequest(ctx, c.request, record.Address, header, interim)
+	outgoing := forward.NewRequest(a.traced(), c.request, a.record.Address, header, a.interim)
 	forward.KeepTarget(outgoing, c.request)
 	c.body.Attach(outgoing)
 	if !c.route.Repeatable && c.consentAsked() {
@@ -216,12 +231,12 @@
 }
 
 // described is what the choice needs to know of the request.
-func (c *call) described(remaining time.Duration) choice.Request {
+func (c *call) described(remaining, expected time.Duration) choice.Request {
 	return choice.Request{
 		Aim:       c.route.TargetLatency,
 		Remaining: remaining,
 		Elapsed:   time.Since(c.started),
-		Expected:  c.seen.Work,
+		Expected:  expected,
 		Returning: c.returning,
 	}
 }
