Serve pipelined requests of a connection side by side

Change: internal/pipelining looks at what the server reads and begins requests behind the present one when route and table say that they may be repeated; the server still frames all requests, and gets the held answers in its order. Requests with a body, and what may not be repeated, hold back those behind them. A connection is not closed behind an answer while requests behind it are under way, a stopping node begins none, and they count as under way until they are answered. A client that leaves ends all of its requests. Before: TestSideBySide, TestAClientThatLeaves and others that await several requests fail without the pipeline (one is begun).

--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -15,6 +15,7 @@
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 
+	"github.com/kestrelstream/kestrelstream/internal/pipelining"
 	"github.com/kestrelstream/kestrelstream/internal/telemetry"
 )
 
@@ -29,6 +30,9 @@
 	// Linger is how long a stop leaves idle connections open, so that a
 	// request that is on its way is answered; zero closes them at once.
 	Linger time.Duration
+	// Pipelining says which requests that a client sent ahead of answers are served
+	// side by side; nil serves them one after the other.
+	Pipelining *pipelining.Options
 	// CloseGently says whether a connection that closes now is still read for a
 	// moment; nil is never.
 	CloseGently func() bool
@@ -61,8 +65,16 @@
 		created.lingering = &lingerListener{Listener: created.listener, lingers: limits.CloseGently}
 		created.listener = created.lingering
 	}
+	handler = created.counted(handler)
+	var connected func(context.Context, net.Conn) context.Context
+	if limits.Pipelining != nil {
+		pipeline := pipelining.New(*limits.Pipelining, handler)
+		created.listener = pipeline.Listen(created.listener)
+		handler, connected = pipeline, pipeline.Context
+	}
 	created.server = &http.Server{
-		Handler:           created.counted(handler),
+		Handler:           handler,
+		ConnContext:       connected,
 		ReadHeaderTimeout: limits.HeaderTimeout,
 		IdleTimeout:       limits.IdleTimeout,
 		MaxHeaderBytes:    limits.HeaderBytes,
--- /dev/null
+++ b/internal/pipelining/pipelining.go
@@ -0,0 +1,95 @@
+// Package pipelining serves requests that a client sent ahead of the answers to
+// earlier ones side by side. The server of net/http reads, frames and answers
+// the requests of a connection one after the other; this package looks at what it
+// reads, begins requests that wait for their turn, and gives the server their
+// answers when it comes to them.
+package pipelining
+
+import (
+	"context"
+	"net"
+	"net/http"
+)
+
+// Options say what may be served before its turn.
+type Options struct {
+	// Ahead reports whether a request may be begun before those sent earlier are
+	// answered, and may be dropped: it is safe to repeat.
+	Ahead func(*http.Request) bool
+	// Begun is told that a request is begun before its turn. What it returns is
+	// called when the answer was given or dropped.
+	Begun func() (ended func())
+}
+
+const (
+	// aheadPerConnection bounds the requests of a connection that are begun
+	// before their turn.
+	aheadPerConnection = 8
+	// unreadBytes bounds what is read of a connection ahead of the server.
+	unreadBytes = 16 << 10
+	// heldBytes is how much of an answer is held until its turn; its sender waits
+	// with what is beyond.
+	heldBytes = 64 << 10
+)
+
+// Pipeline connects the listener, the connections' contexts and the handler of
+// one server.
+type Pipeline struct {
+	options Options
+	handler http.Handler
+}
+
+// New returns a pipeline before a handler.
+func New(options Options, handler http.Handler) *Pipeline {
+	return &Pipeline{options: options, handler: handler}
+}
+
+// Listen wraps the server's listener.
+func (p *Pipeline) Listen(listener net.Listener) net.Listener {
+	return &pipelinedListener{Listener: listener, pipeline: p}
+}
+
+type pipelinedListener struct {
+	net.Listener
+	pipeline *Pipeline
+}
+
+// Accept implements net.Listener.
+func (l *pipelinedListener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return newConnection(accepted, l.pipeline), nil
+}
+
+type connectionKey struct{}
+
+// Context is the server's ConnContext: requests of a connection end with it.
+func (p *Pipeline) Context(ctx context.Context, accepted net.Conn) context.Context {
+	held, ours := accepted.(*connection)
+	if !ours {
+		return ctx
+	}
+	ctx, held.end = context.WithCancel(context.WithValue(ctx, connectionKey{}, held))
+	held.context = ctx
+	return ctx
+}
+
+// ServeHTTP implements http.Handler. The server calls it for the requests of a
+// connection in order.
+func (p *Pipeline) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	held, ours := r.Context().Value(connectionKey{}).(*connection)
+	if !ours {
+		p.handler.ServeHTTP(w, r)
+		return
+	}
+	begun := held.turn(r)
+	defer held.answered()
+	keeping := &keepingWriter{ResponseWriter: w, connection: held}
+	if begun == nil {
+		p.handler.ServeHTTP(keeping, r)
+		return
+	}
+	begun.answer(keeping, r)
+}
--- a/internal/sidecar/assembly/process.go
+++ b/internal/sidecar/assembly/process.go
@@ -76,6 +76,7 @@
 func (p *Process) servers() []*httpserver.Server {
 	callers := httpserver.Limits{
 		HeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, HeaderBytes: headerBytes, CloseGently: p.node.Stopping,
+		Pipelining: p.node.Pipelining(),
 	}
 	peers := httpserver.Limits{HeaderTimeout: headerTimeout, IdleTimeout: peerIdleTimeout, HeaderBytes: 2 * headerBytes}
 	control := httpserver.Limits{HeaderTimeout: headerTimeout, IdleTimeout: controlIdle, HeaderBytes: headerBytes}
--- a/internal/sidecar/egress/call.go
+++ b/internal/sidecar/egress/call.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -88,8 +87,7 @@
 	if most := c.table.Document().Limits.HeaderBytes; most > 0 && headerBytes(c.request) > most {
 		return outcome.Refusal(http.StatusRequestHeaderFieldsTooLarge, outcome.StepRequest, 0, errHeader)
 	}
-	path, _, _ := strings.Cut(c.request.RequestURI, "?")
-	c.route = c.table.Match(c.request.Host, path)
+	c.route = match(c.table, c.request)
 	if c.route == nil {
 		return outcome.Refusal(http.StatusNotFound, outcome.StepMatch, 0, errNoRoute)
 	}
--- a/internal/sidecar/egress/handler.go
+++ b/internal/sidecar/egress/handler.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -54,6 +55,8 @@
 	CallEnded(route string, status int, result outcome.Outcome, step outcome.Step, elapsed time.Duration)
 	// Sent: a request went to another node, for that often.
 	Sent(service string, attempt int)
+	// Overtook: a request was begun before its turn on the caller's connection.
+	Overtook()
 	// Carried: a visit brought an answer after that time, of which the back end
 	// worked so long.
 	Carried(elapsed, worked time.Duration)
@@ -215,6 +218,34 @@
 // LastCall returns when the last call came in.
 func (h *Handler) LastCall() time.Time { return time.Unix(0, h.lastCall.Load()) }
 
+// Ahead reports whether a request may be begun before its turn on the caller's
+// connection: one that may be repeated, while the node does not stop. A stopping
+// node closes connections behind its answers.
+func (h *Handler) Ahead(r *http.Request) bool {
+	if h.stopping.Load() {
+		return false
+	}
+	matched := match(h.options.Table(), r)
+	return matched != nil && matched.Repeatable
+}
+
+// Begun notes a request that was begun before its turn: it is under way until its
+// answer was given.
+func (h *Handler) Begun() (ended func()) {
+	h.options.Observer.Overtook()
+	h.inFlight.Add(1)
+	return func() { h.inFlight.Add(-1) }
+}
+
+// match finds the route of a request; nil without a table or a route.
+func match(table *route.Table, r *http.Request) *route.Matched {
+	if table == nil {
+		return nil
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	return table.Match(r.Host, path)
+}
+
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.inFlight.Add(1)
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -22,6 +22,7 @@
 	queued   prometheus.Histogram
 	worked   prometheus.Histogram
 	silent   prometheus.Counter
+	overtook prometheus.Counter
 }
 
 // latencyBuckets are in seconds.
@@ -89,7 +90,10 @@
 	created.silent = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "kestrel_sidecar_silent_probes_total", Help: "Probes that a node did not answer.",
 	})
-	registry.MustRegister(created.silent, created.calls, created.latency, created.hop, created.sends, created.arrivals, created.queued, created.worked)
+	created.overtook = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "kestrel_sidecar_pipelined_total", Help: "Requests begun before the answers to earlier ones on their connection.",
+	})
+	registry.MustRegister(created.silent, created.overtook, created.calls, created.latency, created.hop, created.sends, created.arrivals, created.queued, created.worked)
 	return created
 }
 
@@ -99,6 +103,9 @@
 	m.latency.WithLabelValues(m.routes.label(route)).Observe(elapsed.Seconds())
 }
 
+// Overtook implements egress.Observer.
+func (m *metrics) Overtook() { m.overtook.Inc() }
+
 // Carried implements egress.Observer.
 func (m *metrics) Carried(elapsed, worked time.Duration) {
 	m.hop.Observe(max(elapsed-worked, 0).Seconds())
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
+	"github.com/kestrelstream/kestrelstream/internal/pipelining"
 	"github.com/kestrelstream/kestrelstream/internal/proxy/forward"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/choice"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/configuration"
@@ -273,6 +274,12 @@
 // Outbound returns the handler of the callers' listener.
 func (s *Sidecar) Outbound() http.Handler { return s.egress }
 
+// Pipelining says which requests that a caller sent ahead of answers are served
+// side by side.
+func (s *Sidecar) Pipelining() *pipelining.Options {
+	return &pipelining.Options{Ahead: s.egress.Ahead, Begun: s.egress.Begun}
+}
+
 // Inbound returns the handler of the listener for other nodes.
 func (s *Sidecar) Inbound() http.Handler { return s.ingress }
 
