Mend what earlier work left in the sidecar

Removed, since nothing called or read them: admission's Close, Open and ErrClosed with the three test lines that were their only users, and the heartbeat's warm-up time, which was decoded and compared in a test only: the pace of a starting back end is measured. Behaviour is unchanged.

--- a/internal/sidecar/admission/admission.go
+++ b/internal/sidecar/admission/admission.go
@@ -16,8 +16,6 @@
 	ErrTooLong = errors.New("admission: the queue is too long")
 	// ErrDisplaced: a more urgent request took the place.
 	ErrDisplaced = errors.New("admission: displaced by a more urgent request")
-	// ErrClosed: no new work is taken any more.
-	ErrClosed = errors.New("admission: closed")
 )
 
 // Ticket describes a request that wants a slot.
@@ -46,7 +44,6 @@
 	slots   int
 	running int
 	waiting waiters
-	closed  bool
 	// service is the smoothed time a slot is held.
 	service time.Duration
 	// correction is how much longer requests wait than the work before them
@@ -138,9 +135,6 @@
 func (g *Gate) enter(ticket Ticket) (*waiter, error) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if g.closed {
-		return nil, ErrClosed
-	}
 	g.order++
 	now := g.now()
 	g.reserve.note(ticket.Priority, now)
@@ -272,22 +266,3 @@
 		g.start(next)
 	}
 }
-
-// Close refuses what waits and whatever comes.
-func (g *Gate) Close() {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	g.closed = true
-	for _, entry := range g.waiting {
-		entry.index = -1
-		entry.result <- ErrClosed
-	}
-	g.waiting = nil
-}
-
-// Open takes work again after Close.
-func (g *Gate) Open() {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	g.closed = false
-}
--- a/internal/sidecar/admission/admission_test.go
+++ b/internal/sidecar/admission/admission_test.go
@@ -90,9 +90,6 @@
 
 		held.Release(true)
 		synctest.Wait()
-		gate.Close()
-		_, err = gate.Acquire(t.Context(), ticket(0, 0, time.Second))
-		g.Expect(err).To(MatchError(admission.ErrClosed))
 	})
 }
 
--- a/internal/sidecar/choice/choice.go
+++ b/internal/sidecar/choice/choice.go
@@ -83,8 +83,8 @@
 
 // Cost is the price of sending a request with that target latency to the
 // candidate: the chance that the answer comes late, the chance that it is a
-// failure, and what cannot be measured in time. Far below the target latency differences hardly count; near it they
-// outweigh the zone.
+// failure, and what cannot be measured in time. Far below the target latency
+// differences hardly count; near it they outweigh the zone.
 func Cost(candidate Candidate, aim time.Duration, weights Weights) float64 {
 	if aim <= 0 {
 		aim = assumedAim
--- a/internal/sidecar/egress/call.go
+++ b/internal/sidecar/egress/call.go
@@ -6,9 +6,6 @@
 	"net/http"
 	"time"
 
-	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
-
 	"github.com/kestrelstream/kestrelstream/internal/proxy/forward"
 	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
@@ -238,49 +235,3 @@
 	}
 	return wait
 }
-
-// ended tells the observer and the log how the call went.
-func (c *call) ended() {
-	name, priority := "", -1
-	if c.route != nil {
-		name, priority = c.route.Name, c.route.Priority
-	}
-	options := &c.handler.options
-	elapsed := time.Since(c.started)
-	var entry *zapcore.CheckedEntry
-	switch {
-	case c.failure != nil:
-		options.Observer.CallEnded(name, c.status, c.failure.Outcome, c.failure.Step, elapsed)
-		entry = options.Logger.Check(zap.InfoLevel, "call failed")
-	case c.status >= http.StatusInternalServerError:
-		options.Observer.CallEnded(name, c.status, "", "", elapsed)
-		entry = options.Logger.Check(zap.InfoLevel, "back end failed the call")
-	default:
-		options.Observer.CallEnded(name, c.status, "", "", elapsed)
-		entry = c.handler.served.Check(zap.InfoLevel, "call served")
-	}
-	if entry == nil {
-		return
-	}
-	fields := []zap.Field{
-		zap.String("request", c.request.Header.Get(options.Vocabulary.RequestID)),
-		zap.String("route", name), zap.Int("priority", priority),
-		zap.Uint64("version", c.table.Version()), zap.Duration("versionAge", options.TableAge()),
-		zap.Bool("returning", c.returning), zap.Int("status", c.status),
-		zap.Array("visits", c.visits), zap.Duration("elapsed", elapsed),
-	}
-	if !c.deadline.IsZero() {
-		fields = append(fields, zap.Duration("left", time.Until(c.deadline)))
-	}
-	if c.failure != nil {
-		fields = append(fields,
-			zap.String("outcome", string(c.failure.Outcome)), zap.String("step", string(c.failure.Step)),
-			zap.String("peer", c.failure.Peer), zap.Bool("callerGone", c.request.Context().Err() != nil),
-			zap.NamedError("cause", c.failure.Cause),
-		)
-	}
-	if c.failure != nil && c.service != "" {
-		fields = append(fields, zap.Float64("budgetLeft", c.handler.budget(c.service).left()))
-	}
-	entry.Write(fields...)
-}
--- /dev/null
+++ b/internal/sidecar/egress/calllog.go
@@ -0,0 +1,71 @@
+package egress
+
+import (
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// ended tells the observer and the log how the call went.
+func (c *call) ended() {
+	name := ""
+	if c.route != nil {
+		name = c.route.Name
+	}
+	elapsed := time.Since(c.started)
+	if c.failure != nil {
+		c.handler.options.Observer.CallEnded(name, c.status, c.failure.Outcome, c.failure.Step, elapsed)
+	} else {
+		c.handler.options.Observer.CallEnded(name, c.status, "", "", elapsed)
+	}
+	if entry := c.logEntry(); entry != nil {
+		entry.Write(c.logFields(name, elapsed)...)
+	}
+}
+
+// logEntry returns the line for the call, nil when it is not to be logged: of
+// those that went well a sample is.
+func (c *call) logEntry() *zapcore.CheckedEntry {
+	logger := c.handler.options.Logger
+	switch {
+	case c.failure != nil:
+		return logger.Check(zap.InfoLevel, "call failed")
+	case c.status >= http.StatusInternalServerError:
+		return logger.Check(zap.InfoLevel, "back end failed the call")
+	}
+	return c.handler.served.Check(zap.InfoLevel, "call served")
+}
+
+// logFields are the inputs of the decisions on the call, and the outcome.
+func (c *call) logFields(name string, elapsed time.Duration) []zap.Field {
+	options := &c.handler.options
+	priority := -1
+	if c.route != nil {
+		priority = c.route.Priority
+	}
+	fields := []zap.Field{
+		zap.String("request", c.request.Header.Get(options.Vocabulary.RequestID)),
+		zap.String("caller", c.request.RemoteAddr),
+		zap.String("route", name), zap.Int("priority", priority),
+		zap.Uint64("version", c.table.Version()), zap.Duration("versionAge", options.TableAge()),
+		zap.Bool("returning", c.returning), zap.Int("status", c.status),
+		zap.Array("visits", c.visits), zap.Duration("elapsed", elapsed),
+	}
+	if !c.deadline.IsZero() {
+		fields = append(fields, zap.Duration("left", time.Until(c.deadline)))
+	}
+	if c.failure == nil {
+		return fields
+	}
+	fields = append(fields,
+		zap.String("outcome", string(c.failure.Outcome)), zap.String("step", string(c.failure.Step)),
+		zap.String("peer", c.failure.Peer), zap.Bool("callerGone", c.request.Context().Err() != nil),
+		zap.NamedError("cause", c.failure.Cause),
+	)
+	if c.service != "" {
+		fields = append(fields, zap.Float64("budgetLeft", c.handler.budget(c.service).left()))
+	}
+	return fields
+}
--- a/internal/sidecar/egress/handler.go
+++ b/internal/sidecar/egress/handler.go
@@ -197,27 +197,6 @@
 	}
 }
 
-// Stop has answers close their connections from now on.
-func (h *Handler) Stop() { h.stopping.Store(true) }
-
-// RefuseFrom has calls refused that come at that moment or later.
-func (h *Handler) RefuseFrom(moment time.Time) { h.refuseFrom.Store(&moment) }
-
-// refuses reports whether a call that came at that moment is refused.
-func (h *Handler) refuses(came time.Time) bool {
-	from := h.refuseFrom.Load()
-	return from != nil && !came.Before(*from)
-}
-
-// Cut ends what is still under way with an answer.
-func (h *Handler) Cut() { h.cut(errStopping) }
-
-// InFlight returns how many calls are under way.
-func (h *Handler) InFlight() int { return int(h.inFlight.Load()) }
-
-// LastCall returns when the last call came in.
-func (h *Handler) LastCall() time.Time { return time.Unix(0, h.lastCall.Load()) }
-
 // Ahead reports whether a request may be begun before its turn on the caller's
 // connection: one that may be repeated, while the node does not stop. A stopping
 // node closes connections behind its answers.
--- a/internal/sidecar/readers/readers.go
+++ b/internal/sidecar/readers/readers.go
@@ -33,7 +33,7 @@
 func Zone(records []*roster.Record, usable Usable) (reading, others []*roster.Record) {
 	ranked := make([]*roster.Record, 0, len(records))
 	for _, record := range records {
-		if !record.Leaving && !ended(record) && usable(record) {
+		if !record.Leaving && !record.Gone() && usable(record) {
 			ranked = append(ranked, record)
 		}
 	}
@@ -46,11 +46,6 @@
 	return reading, others
 }
 
-// ended reports whether the node's back end is gone: the node goes too.
-func ended(record *roster.Record) bool {
-	return record.Endpoint != nil && record.Endpoint.State == roster.Gone
-}
-
 // Reads reports whether the node is among those of its zone that read. A node
 // that is leaving, or whose back end is gone, reads for itself.
 func Reads(view *roster.View, own *roster.Record, usable Usable) bool {
--- a/internal/sidecar/roster/claims.go
+++ b/internal/sidecar/roster/claims.go
@@ -5,8 +5,6 @@
 // Heartbeat is what a back end says at one moment.
 type Heartbeat struct {
 	Endpoint
-	// WarmupLeft is how long the back end stays slow from its start.
-	WarmupLeft time.Duration
 }
 
 // Claims decides which id is the back end's when heartbeats bear several. A
--- a/internal/sidecar/roster/publish.go
+++ b/internal/sidecar/roster/publish.go
@@ -53,7 +53,7 @@
 	view := &View{records: maps.Clone(r.records), services: map[string][]*Record{}, zones: map[string][]*Record{}}
 	for _, record := range view.Records() {
 		view.zones[record.Zone] = append(view.zones[record.Zone], record)
-		if !record.gone() {
+		if !record.Gone() {
 			view.digest ^= record.digest()
 			view.present++
 		}
--- a/internal/sidecar/roster/record.go
+++ b/internal/sidecar/roster/record.go
@@ -61,8 +61,8 @@
 // Departed reports whether the node's back end has ended for good.
 func (r *Record) Departed() bool { return r.Endpoint == nil || r.Endpoint.State == Gone }
 
-// gone reports whether the node's back end has ended: the node ends too.
-func (r *Record) gone() bool { return r.Endpoint != nil && r.Endpoint.State == Gone }
+// Gone reports whether the node's back end has ended: the node ends too.
+func (r *Record) Gone() bool { return r.Endpoint != nil && r.Endpoint.State == Gone }
 
 // AcceptsWork reports whether new requests may go to the node's back end.
 func (r *Record) AcceptsWork() bool {
--- a/internal/sidecar/roster/roster.go
+++ b/internal/sidecar/roster/roster.go
@@ -59,7 +59,7 @@
 			continue
 		}
 		held := r.records[record.Node]
-		if held == nil && record.gone() {
+		if held == nil && record.Gone() {
 			continue // forgotten, or never to be known
 		}
 		if held == nil || record.Newer(held) {
@@ -81,7 +81,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	for node, record := range r.records {
-		if node == r.self || !record.gone() {
+		if node == r.self || !record.Gone() {
 			delete(r.gone, node)
 			continue
 		}
--- a/internal/sidecar/roster/view.go
+++ b/internal/sidecar/roster/view.go
@@ -58,7 +58,7 @@
 func (v *View) Buckets(count int) []uint32 {
 	digests := make([]uint32, count)
 	for node, record := range v.records {
-		if record.gone() {
+		if record.Gone() {
 			continue
 		}
 		digests[bucketOf(node, count)] ^= uint32(record.digest())
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -144,8 +144,7 @@
 // withdraw removes the node's key when its back end has ended: neither comes
 // back under this name.
 func (s *Sidecar) withdraw() {
-	endpoint := s.members.Own().Endpoint
-	if endpoint == nil || endpoint.State != roster.Gone {
+	if !s.members.Own().Gone() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), withdrawTimeout)
