--- a/internal/sidecar/choice/choice_test.go
+++ b/internal/sidecar/choice/choice_test.go
@@ -153,3 +153,43 @@
 	g.Expect(failures.Share()).To(BeNumerically("<", 0.01))
 	g.Expect(choice.FadedShare(0.4, 3*time.Second)).To(BeNumerically("~", 0.2, 0.001))
 }
+
+func TestReturns(t *testing.T) {
+	start := time.Unix(1_700_000_000, 0)
+	after := func(refused ...bool) *choice.Returns {
+		returns := &choice.Returns{}
+		for _, again := range refused {
+			returns.Observe(again, start)
+		}
+		return returns
+	}
+	refusals := func(count int) []bool {
+		all := make([]bool, count)
+		for i := range all {
+			all[i] = true
+		}
+		return all
+	}
+	cases := []struct {
+		name                string
+		returns             *choice.Returns
+		expected, remaining time.Duration
+		age                 time.Duration
+		least, most         time.Duration
+	}{
+		{"nobody came back: what the queue makes expect", after(), 200 * ms, 9 * time.Second, 0, 200 * ms, 200 * ms},
+		{"those who came back were served", after(false, false), 200 * ms, 9 * time.Second, 0, 200 * ms, 200 * ms},
+		{"all were refused again: as long as callers heed", after(refusals(60)...), 200 * ms, 9 * time.Second, 0, 2800 * ms, 2880 * ms},
+		{"one was refused again", after(true), 0, 8 * time.Second, 0, 300 * ms, 340 * ms},
+		{"a while ago", after(refusals(60)...), 0, 9 * time.Second, 3 * time.Second, 1400 * ms, 1440 * ms},
+		{"long ago", after(refusals(60)...), 100 * ms, 9 * time.Second, time.Minute, 100 * ms, 100 * ms},
+		{"never beyond what callers heed", after(), 5 * time.Second, 3 * time.Second, 0, 960 * ms, 960 * ms},
+		{"no time left", after(refusals(60)...), 100 * ms, -ms, 0, 0, 0},
+	}
+	for _, asked := range cases {
+		t.Run(asked.name, func(t *testing.T) {
+			wait := asked.returns.Wait(asked.expected, asked.remaining, start.Add(asked.age))
+			NewWithT(t).Expect(wait).To(And(BeNumerically(">=", asked.least), BeNumerically("<=", asked.most)))
+		})
+	}
+}
--- a/internal/sidecar/egress/calllog.go
+++ b/internal/sidecar/egress/calllog.go
@@ -10,6 +10,7 @@
 
 // ended tells the observer and the log how the call went.
 func (c *call) ended() {
+	c.noteReturn()
 	name := ""
 	if c.route != nil {
 		name = c.route.Name
