--- a/internal/sidecar/egress/call.go
+++ b/internal/sidecar/egress/call.go
@@ -43,13 +43,12 @@
 	request *http.Request
 	started time.Time
 
-	table   *route.Table
-	route   *route.Matched
-	service string
-	context context.Context
-	// deadline is when the call ends here, callerEnds when the caller gives up.
-	deadline, callerEnds time.Time
-	body                 *forward.Body
+	table    *route.Table
+	route    *route.Matched
+	service  string
+	context  context.Context
+	deadline time.Time
+	body     *forward.Body
 	// visits are the nodes that the request was sent to.
 	visits visits
 	// runs counts the sends that may have reached a back end.
@@ -125,16 +124,12 @@
 	text := c.request.Header.Get(c.handler.options.Vocabulary.Deadline)
 	if asked, valid := hop.Milliseconds(text); valid {
 		c.returning = c.handler.patience(c.route.Name).returns(asked)
-		c.callerEnds = c.started.Add(asked)
 		limit = min(limit, asked)
 	}
 	if limit <= 0 {
 		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepDeadline, minimumRetryAfter, errLate)
 	}
 	c.deadline = c.started.Add(limit)
-	if c.callerEnds.IsZero() {
-		c.callerEnds = c.deadline
-	}
 	return nil
 }
 
@@ -231,23 +226,12 @@
 	c.writer.WriteHeader(failure.Status)
 }
 
-// retryAfter is when the caller is to come back, within what it still has.
+// retryAfter keeps the wait within what the caller still has.
 func (c *call) retryAfter(wanted time.Duration) time.Duration {
 	wait := max(wanted, minimumRetryAfter)
-	if c.callerEnds.IsZero() {
-		return wait
-	}
-	now := time.Now()
-	return c.handler.patience(c.route.Name).again.Wait(wait, c.callerEnds.Sub(now), now)
-}
-
-// noteReturn takes in how a caller that came back has fared.
-func (c *call) noteReturn() {
-	if !c.returning {
-		return
-	}
-	refused := c.failure != nil && c.failure.Outcome == outcome.NotRun
-	if refused || c.failure == nil {
-		c.handler.patience(c.route.Name).again.Observe(refused, time.Now())
+	if !c.deadline.IsZero() {
+		const useful = 4
+		wait = min(wait, max(time.Until(c.deadline)/useful, 0))
 	}
+	return wait
 }
--- a/internal/sidecar/egress/calllog.go
+++ b/internal/sidecar/egress/calllog.go
@@ -10,7 +10,6 @@
 
 // ended tells the observer and the log how the call went.
 func (c *call) ended() {
-	c.noteReturn()
 	name := ""
 	if c.route != nil {
 		name = c.route.Name
--- a/internal/sidecar/egress/patience.go
+++ b/internal/sidecar/egress/patience.go
@@ -3,16 +3,12 @@
 import (
 	"sync/atomic"
 	"time"
-
-	"github.com/kestrelstream/kestrelstream/internal/sidecar/choice"
 )
 
 // patience is how long callers of one route wait when they come for the first
 // time. One with notably less time has come back.
 type patience struct {
 	longest atomic.Int64
-	// again is how those that come back fare.
-	again choice.Returns
 }
 
 // returnShare is the part of the full time below which a caller has come back.
