What cannot come back after a refusal is of use until its deadline

Such a call has a deadline of three target latencies, no time to come back, and no worth of its own; yet it counted as late once its target latency was at risk, and went behind whatever could still be in time. Ruled out: its rank (that of its parents) and the order by length of work (it is the shortest).

--- a/internal/sidecar/choice/patience.go
+++ b/internal/sidecar/choice/patience.go
@@ -31,9 +31,10 @@
 )
 
 // Patience returns how long a request may wait for a slot, and in what time it
-// must have one for its answer to come within the target latency. A request
-// whose caller has no time to come back, or has come back already, may wait a
-// whole target latency: late is better than refused then.
+// must have one for its answer to be of full use. A request whose caller has
+// come back already may wait a whole target latency: late is better than refused
+// then. One whose caller has no time to come back, such as a call that a back end
+// makes while it works, is of use until its deadline.
 func Patience(request Request) (wait, slack time.Duration) {
 	most := time.Duration(float64(request.Remaining) * lateShare)
 	if request.Aim <= 0 {
@@ -42,8 +43,12 @@
 	least := time.Duration(float64(request.Aim) * earlyShare)
 	slack = request.Aim - request.Elapsed - time.Duration(float64(request.Expected)*workMargin)
 	slack = min(max(slack, least), most)
+	if request.Hurried() {
+		slack = min(max(request.Remaining-request.Expected, slack), most)
+		return slack, slack
+	}
 	wait = slack
-	if request.Returning || request.Hurried() {
+	if request.Returning {
 		wait = min(request.Aim, most)
 	}
 	return wait, slack
