A stopping node refuses what comes in its last moment

Change: once idle a node refuses everything on both sides as not run, then waits for what came in before, at most until the end of the stop; of two moments to refuse from the earlier holds. Stops have a file of their own. Before: without the wait two cases of TestAStopServesWhatCameInTheLastMoment fail, without the refusal TestAStoppingNodeTakesNothing hangs at its own bound. After: all pass, also with the race detector.

--- a/internal/sidecar/egress/stop.go
+++ b/internal/sidecar/egress/stop.go
@@ -5,8 +5,19 @@
 // Stop has answers close their connections from now on.
 func (h *Handler) Stop() { h.stopping.Store(true) }
 
-// RefuseFrom has calls refused that come at that moment or later.
-func (h *Handler) RefuseFrom(moment time.Time) { h.refuseFrom.Store(&moment) }
+// RefuseFrom has calls refused that come at that moment or later. Of several
+// moments the earliest holds.
+func (h *Handler) RefuseFrom(moment time.Time) {
+	for {
+		held := h.refuseFrom.Load()
+		if held != nil && !moment.Before(*held) {
+			return
+		}
+		if h.refuseFrom.CompareAndSwap(held, &moment) {
+			return
+		}
+	}
+}
 
 // refuses reports whether a call that came at that moment is refused.
 func (h *Handler) refuses(came time.Time) bool {
--- a/internal/sidecar/ingress/arrival.go
+++ b/internal/sidecar/ingress/arrival.go
@@ -22,6 +22,7 @@
 	errIdentity   = errors.New("a back end of another service is here")
 	errLeaving    = errors.New("the back end is leaving")
 	errNoCaller   = errors.New("the request did not come through a node")
+	errStopping   = errors.New("the node is stopping")
 )
 
 // readBodyLimit is how much of a body that waited for consent is read at once.
@@ -89,6 +90,9 @@
 		return outcome.Refusal(http.StatusBadRequest, outcome.StepRequest, 0, err)
 	}
 	a.told = told
+	if a.handler.refusing.Load() {
+		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepDrain, refusedWait, errStopping)
+	}
 	a.endpoint = a.handler.options.Endpoint()
 	if a.endpoint == nil {
 		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepIdentity, refusedWait, errNoEndpoint)
--- a/internal/sidecar/ingress/handler.go
+++ b/internal/sidecar/ingress/handler.go
@@ -70,6 +70,10 @@
 	// leaving; nil while it is not.
 	leaving  atomic.Pointer[leaving]
 	stopping atomic.Bool
+	// refusing: nothing is taken any more. inFlight is counted up before it is
+	// looked at, so that a request is either counted or refused.
+	refusing atomic.Bool
+	inFlight atomic.Int64
 	pace     choice.Pace
 	failures choice.Failures
 }
@@ -124,6 +128,12 @@
 // Stop has answers close their connections from now on.
 func (h *Handler) Stop() { h.stopping.Store(true) }
 
+// Refuse has whatever comes from now on refused: it has not run.
+func (h *Handler) Refuse() { h.refusing.Store(true) }
+
+// InFlight returns how many requests are under way.
+func (h *Handler) InFlight() int { return int(h.inFlight.Load()) }
+
 // Load returns the state of the back end's slots.
 func (h *Handler) Load() admission.Load { return h.gate.Load() }
 
@@ -138,6 +148,8 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.inFlight.Add(1)
+	defer h.inFlight.Add(-1)
 	if h.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/sidecar/ingress/handler_test.go
+++ b/internal/sidecar/ingress/handler_test.go
@@ -53,17 +53,22 @@
 // send passes one request through the handler and returns what the node says of
 // itself with the reply.
 func (p *played) send(t *testing.T, ctx context.Context) hop.Reply {
+	reply, err := hop.ParseReply(p.receive(ctx).Header().Get(hop.HeaderReply))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return reply
+}
+
+// receive passes one request through the handler and returns the answer.
+func (p *played) receive(ctx context.Context) *httptest.ResponseRecorder {
 	told := hop.Request{Service: "one", Caller: "two", Remaining: time.Minute, MaximumWait: time.Second, Expected: 10 * time.Millisecond}
 	req := httptest.NewRequestWithContext(ctx, http.MethodGet, "/a/", strings.NewReader(""))
 	req.Header.Set(hop.HeaderHop, told.Format())
 	req.Header.Set(vocabulary.RequestID, "r")
 	recorder := httptest.NewRecorder()
 	p.handler.ServeHTTP(recorder, req)
-	reply, err := hop.ParseReply(recorder.Header().Get(hop.HeaderReply))
-	if err != nil {
-		t.Fatal(err)
-	}
-	return reply
+	return recorder
 }
 
 // signed answers as a back end does that ran the request.
@@ -130,3 +135,29 @@
 		}
 	}
 }
+
+// TestAStoppingNodeTakesNothing that comes after it refuses, and finishes what
+// came before.
+func TestAStoppingNodeTakesNothing(t *testing.T) {
+	g := NewWithT(t)
+	made := play(t)
+	begun, finish := make(chan struct{}), make(chan struct{})
+	waiting := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		close(begun)
+		<-finish
+		signed(http.StatusOK)(w, r)
+	})
+	made.answer.Store(&waiting)
+	first := make(chan *httptest.ResponseRecorder)
+	go func() { first <- made.receive(t.Context()) }()
+	<-begun
+	made.handler.Refuse()
+	g.Expect(made.handler.InFlight()).To(Equal(1))
+	refused := made.receive(t.Context())
+	g.Expect(refused.Code).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(refused.Header().Get(outcome.HeaderOutcome)).To(BeEquivalentTo(outcome.NotRun))
+	g.Expect(refused.Header().Get("Retry-After")).NotTo(BeEmpty())
+	close(finish)
+	g.Expect((<-first).Code).To(Equal(http.StatusOK))
+	g.Expect(made.handler.InFlight()).To(BeZero())
+}
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -9,34 +9,10 @@
 
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/configuration"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/membership"
-	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 )
 
-const (
-	// sweepInterval is the time between two looks at idle connections.
-	sweepInterval = 2 * time.Second
-	// stopPoll is the time between two looks at whether a stop is done.
-	stopPoll = 50 * time.Millisecond
-	// stopLeast is how long a stopping node serves at least: so long the
-	// platform takes to lead callers elsewhere.
-	stopLeast = 2300 * time.Millisecond
-	// stopLeastGraceShare bounds that time where the grace time is short.
-	stopLeastGraceShare = 0.4
-	// stopQuiet is the time without a call after which no more are expected.
-	stopQuiet = 600 * time.Millisecond
-	// stopAnnounce is the part of the grace time after which peers are told to
-	// send no more requests: until then the back end's slots are still of use,
-	// since callers of this machine come for about as long.
-	stopAnnounce = 0.3
-	// stopTakes is the part of the grace time in which new calls are taken. The
-	// platform has led callers elsewhere before, unless most nodes of the zone are
-	// away; then the sooner this one is back the better.
-	stopTakes = 0.4
-	// stopEnd is how long before the forced end what is left is cut.
-	stopEnd = 900 * time.Millisecond
-	// withdrawTimeout bounds the last word to the store.
-	withdrawTimeout = 300 * time.Millisecond
-)
+// sweepInterval is the time between two looks at idle connections.
+const sweepInterval = 2 * time.Second
 
 // Run does the node's work in the background until the context ends.
 func (s *Sidecar) Run(ctx context.Context) {
@@ -75,81 +51,3 @@
 		}
 	}
 }
-
-// Drain brings the node to its planned stop: it is no longer ready, tells its
-// peers, and serves what still comes until nothing does or the time is nearly
-// over. The listeners are to be closed after that.
-func (s *Sidecar) Drain() {
-	started := time.Now()
-	s.stopping.Store(true)
-	s.egress.Stop()
-	s.ingress.Stop()
-	plan := stopPlan{grace: s.settings.Load().Grace}
-	s.egress.RefuseFrom(started.Add(plan.takes()))
-	announcement := time.AfterFunc(time.Duration(float64(plan.grace)*stopAnnounce), s.leave)
-	defer announcement.Stop()
-	s.logger.Info("stop begins", zap.Int("callsInFlight", s.egress.InFlight()), zap.Int("running", s.ingress.Load().Running))
-	for !plan.done(time.Since(started), s.idle(), time.Since(s.egress.LastCall())) {
-		time.Sleep(stopPoll)
-	}
-	s.egress.Cut()
-	s.withdraw()
-	s.logger.Info("stop ends", zap.Int("callsInFlight", s.egress.InFlight()),
-		zap.Int("running", s.ingress.Load().Running), zap.Duration("elapsed", time.Since(started)))
-}
-
-// leave tells the peers to send no more requests for the back end.
-func (s *Sidecar) leave() {
-	s.members.Update(func(record roster.Record) (roster.Record, bool) {
-		record.Leaving = true
-		return record, true
-	})
-	s.spread(context.Background())
-}
-
-// idle reports whether nothing is under way on either side.
-func (s *Sidecar) idle() bool {
-	load := s.ingress.Load()
-	return s.egress.InFlight() == 0 && load.Running+load.Waiting == 0
-}
-
-// stopPlan says what happens when in a planned stop. Times count from its
-// beginning.
-type stopPlan struct {
-	// grace is the time until the forced end.
-	grace time.Duration
-}
-
-// takes returns until when new calls are taken.
-func (p stopPlan) takes() time.Duration { return time.Duration(float64(p.grace) * stopTakes) }
-
-// least returns how long the node stays at least, for calls that still come.
-func (p stopPlan) least() time.Duration {
-	return min(stopLeast, time.Duration(float64(p.grace)*stopLeastGraceShare))
-}
-
-// done reports whether the stop is done after the elapsed time: nothing is under
-// way, and either no call has come for a while or all are refused anyhow. What
-// is still under way near the forced end is cut.
-func (p stopPlan) done(elapsed time.Duration, idle bool, sinceCall time.Duration) bool {
-	switch {
-	case elapsed >= p.grace-stopEnd:
-		return true
-	case !idle || elapsed < p.least():
-		return false
-	}
-	return sinceCall >= stopQuiet || elapsed >= p.takes()
-}
-
-// withdraw removes the node's key when its back end has ended: neither comes
-// back under this name.
-func (s *Sidecar) withdraw() {
-	if !s.members.Own().Gone() {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), withdrawTimeout)
-	defer cancel()
-	if err := s.publisher.Withdraw(ctx); err != nil {
-		s.logger.Warn("record not withdrawn", zap.Error(err))
-	}
-}
--- a/internal/sidecar/run_test.go
+++ b/internal/sidecar/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -37,3 +38,50 @@
 	g.Expect(plan.takes()).To(BeNumerically("<", 3*time.Second), "later ones would be broken off")
 	g.Expect(stopPlan{grace: time.Second}.done(100*ms, false, 0)).To(BeTrue(), "a short grace time leaves no time to wait")
 }
+
+// stoppingNode has nothing under way until it is found idle; in that moment a
+// request comes in that takes some time.
+type stoppingNode struct {
+	came    time.Time
+	late    time.Duration
+	refused time.Time
+	ends    time.Time
+}
+
+func (n *stoppingNode) lastCall() time.Time { return n.came }
+
+func (n *stoppingNode) refuse() {
+	n.refused = time.Now()
+	n.ends = n.refused.Add(n.late)
+}
+
+func (n *stoppingNode) underWay() int {
+	if time.Now().Before(n.ends) {
+		return 1
+	}
+	return 0
+}
+
+// TestAStopServesWhatCameInTheLastMoment: peers may send until all is refused.
+func TestAStopServesWhatCameInTheLastMoment(t *testing.T) {
+	cases := []struct {
+		name       string
+		late, ends time.Duration
+	}{
+		{"nothing came", 0, 2300 * ms},
+		{"one came", 800 * ms, 3100 * ms},
+		{"one came that lasts too long", time.Minute, 5100 * ms},
+	}
+	for _, played := range cases {
+		t.Run(played.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				started := time.Now()
+				node := &stoppingNode{came: started, late: played.late}
+				stopPlan{grace: 6 * time.Second}.await(started, node)
+				g.Expect(node.refused.Sub(started)).To(Equal(2300 * ms))
+				g.Expect(time.Since(started)).To(Equal(played.ends))
+			})
+		})
+	}
+}
