--- a/internal/sidecar/configuration/follower.go
+++ b/internal/sidecar/configuration/follower.go
@@ -22,11 +22,18 @@
 	turnInterval = 400 * time.Millisecond
 )
 
+// Reader is what a follower needs of the store.
+type Reader interface {
+	store.Reader
+	// GetAt is Get, with the store's revision at that moment.
+	GetAt(ctx context.Context, key string) (found store.KeyValue, at uint64, err error)
+}
+
 // Follow keeps the keeper at what the store has under the key until the context
 // ends. After every end of a watch the key is read anew: what was missed
 // meanwhile must not stay unheard. While reads returns false the store is left
 // alone, once there is a first version.
-func Follow(ctx context.Context, reader store.Reader, key string, keeper *Keeper, reads func() bool, logger *zap.Logger) {
+func Follow(ctx context.Context, reader Reader, key string, keeper *Keeper, reads func() bool, logger *zap.Logger) {
 	backoff := pause.Backoff{Base: pauseBase, Most: pauseMost}
 	healthy := true
 	reading := true
@@ -82,7 +89,7 @@
 
 // followOnce reads the key, then watches it until the watch ends. A nil error
 // means that the store had answered.
-func followOnce(ctx context.Context, reader store.Reader, key string, keeper *Keeper) error {
+func followOnce(ctx context.Context, reader Reader, key string, keeper *Keeper) error {
 	after, err := readOnce(ctx, reader, key, keeper)
 	if err != nil {
 		return err
@@ -101,11 +108,12 @@
 }
 
 // readOnce offers what is under the key now and returns the revision after
-// which nothing is missed.
-func readOnce(ctx context.Context, reader store.Reader, key string, keeper *Keeper) (after uint64, err error) {
+// which nothing is missed: that of the store, not that of the key, which may be
+// older than the history that a watch can begin in.
+func readOnce(ctx context.Context, reader Reader, key string, keeper *Keeper) (after uint64, err error) {
 	bounded, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	found, err := reader.Get(bounded, key)
+	found, after, err := reader.GetAt(bounded, key)
 	if errors.Is(err, store.ErrNotFound) {
 		_, after, err = reader.Range(bounded, key, key, 1)
 		return after, err
@@ -114,11 +122,11 @@
 		return 0, err
 	}
 	_ = keeper.Offer(found.Value, SourceRead)
-	return found.Revision, nil
+	return after, nil
 }
 
 // Refresh offers the keeper what the store has under the key now.
-func Refresh(ctx context.Context, reader store.Reader, key string, keeper *Keeper) error {
+func Refresh(ctx context.Context, reader Reader, key string, keeper *Keeper) error {
 	_, err := readOnce(ctx, reader, key, keeper)
 	return err
 }
--- /dev/null
+++ b/internal/sidecar/configuration/follower_test.go
@@ -0,0 +1,98 @@
+package configuration_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/configuration"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/route"
+	"github.com/kestrelstream/kestrelstream/internal/store"
+)
+
+const configurationKey = "configuration"
+
+// forgetfulStore holds one key that was written long ago. A watch that begins
+// before its history is refused. It is used by one goroutine at a time.
+type forgetfulStore struct {
+	written, history, now uint64
+	reads, watches        int
+	running               *openWatch
+}
+
+func (s *forgetfulStore) Get(ctx context.Context, key string) (store.KeyValue, error) {
+	found, _, err := s.GetAt(ctx, key)
+	return found, err
+}
+
+func (s *forgetfulStore) GetAt(context.Context, string) (store.KeyValue, uint64, error) {
+	s.reads++
+	if s.written == 0 {
+		return store.KeyValue{}, 0, store.ErrNotFound
+	}
+	return store.KeyValue{Key: configurationKey, Value: fmt.Append(nil, s.written), Revision: s.written}, s.now, nil
+}
+
+func (s *forgetfulStore) Range(context.Context, string, string, int) ([]store.KeyValue, uint64, error) {
+	s.reads++
+	return nil, s.now, nil
+}
+
+func (s *forgetfulStore) Watch(_ context.Context, _ string, after uint64) (store.Watch, error) {
+	s.watches++
+	if after < s.history {
+		return nil, store.ErrCompacted
+	}
+	s.running = &openWatch{events: make(chan store.Event, 1)}
+	return s.running, nil
+}
+
+// openWatch brings what the test puts in.
+type openWatch struct{ events chan store.Event }
+
+func (w *openWatch) Events() <-chan store.Event { return w.events }
+func (w *openWatch) Err() error                 { return nil }
+func (w *openWatch) Close()                     {}
+
+// decodeVersion takes the value for the document's version.
+func decodeVersion(raw []byte) (*route.Document, []string, error) {
+	document := &route.Document{}
+	_, err := fmt.Sscan(string(raw), &document.Version)
+	return document, nil, err
+}
+
+// TestAnOldConfigurationIsWatched: that the key was not written within the
+// store's history is no reason to read it over and over.
+func TestAnOldConfigurationIsWatched(t *testing.T) {
+	for name, written := range map[string]uint64{"written before the history": 5, "never written": 0} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				ctx, end := context.WithCancel(t.Context())
+				held := &forgetfulStore{written: written, history: 50, now: 100}
+				keeper := configuration.NewKeeper(decodeVersion, zap.NewNop())
+				followed := make(chan struct{})
+				go func() {
+					defer close(followed)
+					configuration.Follow(ctx, held, configurationKey, keeper, func() bool { return true }, zap.NewNop())
+				}()
+				time.Sleep(10 * time.Second)
+				synctest.Wait()
+				g.Expect(keeper.Version()).To(Equal(written))
+				g.Expect(held.reads).To(BeNumerically("<=", 2))
+				g.Expect(held.watches).To(Equal(1))
+				held.running.events <- store.Event{KeyValue: store.KeyValue{Key: configurationKey, Value: []byte("101"), Revision: 101}}
+				synctest.Wait()
+				g.Expect(keeper.Version()).To(BeEquivalentTo(101))
+				end()
+				close(held.running.events)
+				<-followed
+			})
+		})
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -29,6 +29,7 @@
 // Store is what a sidecar needs of the store.
 type Store interface {
 	membership.Store
+	configuration.Reader
 	// PaceWatches sets how long each call of a watch waits.
 	PaceWatches(wait func() time.Duration)
 }
