Begin pipelined requests as room comes free

Cause: read again: requests found while eight others were under way, or behind one that may not be overtaken, were noted and never begun early; long pipelines fell back to one after the other. Change: what may not be begun yet stays with the scanner, which looks again at each turn of the server. Before: TestRequestsBeyondTheBound fails (the tenth request is not begun when the first is answered); after: passes.

--- a/internal/pipelining/connection.go
+++ b/internal/pipelining/connection.go
@@ -43,7 +43,7 @@
 }
 
 func newConnection(accepted net.Conn, pipeline *Pipeline) *connection {
-	created := &connection{Conn: accepted, pipeline: pipeline, end: func() {}}
+	created := &connection{Conn: accepted, pipeline: pipeline, end: func() {}, ahead: map[int]*run{}}
 	created.changed = sync.NewCond(&created.mu)
 	return created
 }
@@ -162,22 +162,25 @@
 // scan begins the requests behind the one that the server is at, as far as they
 // may be.
 func (c *connection) scan() {
-	for c.busy() {
+	for c.busy() && c.mayBegin() {
 		next := c.scanner.next()
 		if next == nil {
 			return
 		}
 		number := c.found
 		c.note(next)
-		if c.barrier <= c.done && len(c.ahead) < aheadPerConnection {
-			if c.ahead == nil {
-				c.ahead = map[int]*run{}
-			}
+		if c.mayBegin() {
 			c.ahead[number] = begin(c, next)
 		}
 	}
 }
 
+// mayBegin reports whether the next request may be begun early: nothing that it
+// must not overtake is before it, and there is room.
+func (c *connection) mayBegin() bool {
+	return c.barrier <= c.done && len(c.ahead) < aheadPerConnection
+}
+
 // note counts a request.
 func (c *connection) note(r *http.Request) {
 	c.found++
@@ -208,6 +211,7 @@
 	}
 	begun := c.ahead[number]
 	delete(c.ahead, number)
+	defer c.scan()
 	if begun != nil && !same(begun.request, r) {
 		begun.cancel()
 		c.lose()
--- a/internal/pipelining/pipelining_test.go
+++ b/internal/pipelining/pipelining_test.go
@@ -308,6 +308,37 @@
 	}
 }
 
+// TestRequestsBeyondTheBound are begun early as well, once there is room, and so
+// are those behind one that was not to be overtaken.
+func TestRequestsBeyondTheBound(t *testing.T) {
+	served := start(t)
+	connected := served.connect()
+	var sent []string
+	for number := range 12 {
+		sent = append(sent, get(fmt.Sprintf("/free/%02d", number)))
+	}
+	connected.send(append(sent, get("/turn/12"), get("/free/13"), get("/free/14"))...)
+	// The first is served in its turn, eight are begun early.
+	begun := served.awaitBegun(9)
+	connected.g.Expect(begun).NotTo(ContainElement("/free/09"))
+	served.allow("/free/00")
+	connected.expect("/free/00")
+	connected.g.Expect(served.awaitBegun(1)).To(Equal([]string{"/free/09"}))
+	for number := 1; number < 12; number++ {
+		served.allow(fmt.Sprintf("/free/%02d", number))
+	}
+	for number := 1; number < 12; number++ {
+		connected.expect(fmt.Sprintf("/free/%02d", number))
+	}
+	connected.g.Expect(served.awaitBegun(3)).To(ConsistOf("/free/10", "/free/11", "/turn/12"))
+	served.allow("/turn/12")
+	connected.expect("/turn/12")
+	connected.g.Expect(served.awaitBegun(2)).To(ConsistOf("/free/13", "/free/14"))
+	served.allow("/free/14")
+	served.allow("/free/13")
+	connected.expect("/free/13", "/free/14")
+}
+
 // TestTheServersOwnBounds still hold: an idle connection ends, a head without an
 // end does too.
 func TestTheServersOwnBounds(t *testing.T) {
--- a/internal/pipelining/scanner.go
+++ b/internal/pipelining/scanner.go
@@ -19,9 +19,10 @@
 	lost bool
 }
 
-// pendingBytes bounds what waits for the server to come to it. More than that, or
-// a body without a length, ends the search.
-const pendingBytes = 16 << 10
+// pendingBytes bounds what waits for the server to come to it: what was read ahead
+// of it and what it holds itself. More than that, or a body without a length, ends
+// the search.
+const pendingBytes = 2 * unreadBytes
 
 var headEnd = []byte("\r\n\r\n")
 
