A stopping node gives up no send because its peer seems silent

Cause: a send is given up after three probes without an answer. Change: once a planned stop has begun, only an answer, an end of the connection or the deadline ends a send. What was not consented to is still given up at once, since it has provably not run.

--- a/internal/sidecar/egress/attempt.go
+++ b/internal/sidecar/egress/attempt.go
@@ -87,6 +87,16 @@
 	}
 }
 
+// lost gives the send up since its node did not answer several probes. A node that
+// stops gives up nothing: a busy peer looks like a lost one, and a request at which
+// a back end is at work must not be broken off by a planned stop. An end of the
+// connection or the deadline ends the send all the same.
+func (a *attempt) lost() {
+	if !a.call.handler.stopping.Load() {
+		a.lose()
+	}
+}
+
 // lose gives the send up.
 func (a *attempt) lose() { a.cancel(errSilent) }
 
--- a/internal/sidecar/egress/call_test.go
+++ b/internal/sidecar/egress/call_test.go
@@ -278,6 +278,20 @@
 	}
 }
 
+// TestAStoppingNodeGivesNothingUp: once its planned stop has begun, a node waits for
+// the answer of a peer that does not answer probes.
+func TestAStoppingNodeGivesNothingUp(t *testing.T) {
+	for stopping, want := range map[bool]int{true: http.StatusOK, false: http.StatusBadGateway} {
+		g := NewWithT(t)
+		handler := newHandler(t, &quiet{}, absentAtFirst(lostProbes), newPeer(t, late(answers)), newPeer(t, refuses))
+		if stopping {
+			handler.Stop()
+		}
+		status, _ := callThrough(t, handler, http.MethodGet, "/safe/1", "")
+		g.Expect(status).To(Equal(want))
+	}
+}
+
 // TestASlowNodeIsLeftAlone: one that answers the probe keeps its requests.
 func TestASlowNodeIsLeftAlone(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/sidecar/egress/silence.go
+++ b/internal/sidecar/egress/silence.go
@@ -26,7 +26,8 @@
 	silentProbes = 40
 	// lostProbes is after how many probes without an answer a send is given up.
 	// After the first it is only suspected: this node may be the slow one, and a
-	// request at which a back end is at work is not to be broken off for that.
+	// request at which a back end is at work is not to be broken off for that. In a
+	// planned stop nothing is given up for it.
 	lostProbes = 3
 )
 
@@ -146,7 +147,7 @@
 		case 1:
 			entry.attempt.suspect()
 		case lostProbes:
-			entry.attempt.lose()
+			entry.attempt.lost()
 		}
 	}
 }
