Bound every wait by an answer in time; newest first in groups by rank

There it is three target latencies, so that every caller passed for one that cannot come back and waited up to half of its time; refusals came after 0.4 to 0.6 s, and nearly all answers late. Changes: (1) the caller's own deadline decides whether it can come back; (2) who has come back waits no longer than for an answer in time; (3) the queue is kept in groups of one rank, the newest first in each, so that its work grows with the number of ranks and not with that of waiting requests. A request is not late and waiting any more, which removes the order of late ones, the overstay and one number of the line between nodes. Tests: TestTimeToComeBack and TestLeavingOverload (which plays the policy before as a baseline) failed before.

--- a/internal/sidecar/admission/admission.go
+++ b/internal/sidecar/admission/admission.go
@@ -1,6 +1,6 @@
 // Package admission bounds what a back end works on at once and orders what
-// waits for it: the more urgent first, then what has less time left. It knows
-// how long requests take and refuses early what would wait too long.
+// waits for it: the more urgent first, then the shorter, then the newest. It
+// knows how long requests take and refuses early what would wait too long.
 package admission
 
 import (
@@ -30,9 +30,8 @@
 	// urgency the much shorter go first: more of them are served, and calls that
 	// back ends make while they work are short.
 	Work time.Duration
-	// StartBy is when work must begin for the answer to have its full worth.
-	StartBy time.Time
-	// MaximumWait is how long the request may wait.
+	// MaximumWait is how long the request may wait: work that begins later comes too
+	// late for an answer in time.
 	MaximumWait time.Duration
 }
 
@@ -43,13 +42,12 @@
 	mutex   sync.Mutex // guards all below
 	slots   int
 	running int
-	waiting waiters
+	waiting queue
 	// service is the smoothed time a slot is held.
 	service time.Duration
 	// correction is how much longer requests wait than the work before them
 	// makes expect.
 	correction float64
-	order      uint64
 	reserve    reserve
 }
 
@@ -81,7 +79,7 @@
 func (g *Gate) Load() Load {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	return Load{Running: g.running, Waiting: len(g.waiting), Slots: g.slots, Service: g.service}
+	return Load{Running: g.running, Waiting: g.waiting.length, Slots: g.slots, Service: g.service}
 }
 
 // Slot is a held slot.
@@ -104,10 +102,6 @@
 	return &Slot{gate: g, started: g.now()}, nil
 }
 
-// overstay is how much longer than its maximum a request is left in the queue:
-// the estimate by which it was let in is a rough one.
-const overstay = 1.25
-
 // wait returns once the entry has a slot, or why it has none.
 func (g *Gate) wait(ctx context.Context, entry *waiter) error {
 	select {
@@ -115,7 +109,7 @@
 		return err
 	default:
 	}
-	timer := time.NewTimer(time.Duration(float64(entry.ticket.MaximumWait) * overstay))
+	timer := time.NewTimer(entry.ticket.MaximumWait)
 	defer timer.Stop()
 	select {
 	case err := <-entry.result:
@@ -135,15 +129,14 @@
 func (g *Gate) enter(ticket Ticket) (*waiter, error) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	g.order++
 	now := g.now()
 	g.reserve.note(ticket.Priority, now)
-	entry := &waiter{ticket: ticket, order: g.order, result: make(chan error, 1), entered: now}
-	if g.running < g.open(entry) && !g.yields(entry) {
+	entry := &waiter{ticket: ticket, work: g.workOf(ticket), result: make(chan error, 1), entered: now}
+	if g.running < g.open(ticket.Priority) && !g.yields(entry) {
 		g.start(entry)
 		return entry, nil
 	}
-	entry.predicted = g.expectedWait(entry)
+	entry.predicted = g.expectedWait(g.waiting.workBefore(rankOf(ticket)), ticket.Priority)
 	if entry.predicted > ticket.MaximumWait {
 		g.reserve.began(ticket.Priority, true, g.slots, now)
 		return nil, ErrTooLong
@@ -153,44 +146,38 @@
 	return entry, nil
 }
 
-// open returns how many slots there are for the entry.
-func (g *Gate) open(entry *waiter) int {
-	return g.slots - g.reserve.kept(entry.ticket.Priority, g.now())
-}
+// open returns how many slots there are for requests of the priority.
+func (g *Gate) open(priority int) int { return g.slots - g.reserve.kept(priority, g.now()) }
 
-// yields reports whether a request that waits comes before the entry.
+// yields reports whether a request that waits comes before the new entry.
 func (g *Gate) yields(entry *waiter) bool {
-	return len(g.waiting) > 0 && g.waiting.next(g.now()).before(entry, g.now())
+	next := g.waiting.next()
+	return next != nil && next.group.rank.compare(rankOf(entry.ticket)) < 0
 }
 
 // start gives the entry a slot.
 func (g *Gate) start(entry *waiter) {
-	now := g.now()
-	g.reserve.began(entry.ticket.Priority, entry.late(now) && now.After(entry.entered), g.slots, now)
+	g.reserve.began(entry.ticket.Priority, false, g.slots, g.now())
 	g.running++
 	entry.result <- nil
 }
 
-// expectedWait is the time until a slot for the entry: the work of those before
-// it, and of one that runs, over all slots. It is corrected by how long others
-// waited compared to what was expected of them, since back ends differ in pace
-// and more urgent requests keep coming.
-func (g *Gate) expectedWait(entry *waiter) time.Duration {
+// expectedWait is the time until a slot for a request with that work before it:
+// that, and the work of one that runs, over all slots. It is corrected by how
+// long others waited compared to what was expected of them, since back ends
+// differ in pace and more urgent requests keep coming.
+func (g *Gate) expectedWait(before time.Duration, priority int) time.Duration {
 	if g.slots == 0 {
 		return time.Hour
 	}
-	ahead, now := g.service, g.now()
-	for _, other := range g.waiting {
-		if other != entry && other.before(entry, now) {
-			ahead += g.workOf(other)
-		}
-	}
-	return time.Duration(float64(ahead) / float64(max(g.open(entry), 1)) * g.correction)
+	ahead := float64(g.service + before)
+	return time.Duration(ahead / float64(max(g.open(priority), 1)) * g.correction)
 }
 
-func (g *Gate) workOf(entry *waiter) time.Duration {
-	if entry.ticket.Work > 0 {
-		return entry.ticket.Work
+// workOf returns how long a request is expected to hold a slot.
+func (g *Gate) workOf(ticket Ticket) time.Duration {
+	if ticket.Work > 0 {
+		return ticket.Work
 	}
 	return g.service
 }
@@ -213,11 +200,12 @@
 }
 
 // displace refuses requests at the end of the queue that would now wait longer
-// than they may, since a more urgent one came before them.
+// than they may, since others came before them.
 func (g *Gate) displace() {
-	for len(g.waiting) > 1 {
-		last := g.waiting.last(g.now())
-		if g.now().Sub(last.entered)+g.expectedWait(last) <= last.ticket.MaximumWait {
+	for g.waiting.length > 1 {
+		last := g.waiting.last()
+		left := last.ticket.MaximumWait - g.now().Sub(last.entered)
+		if g.expectedWait(g.waiting.work()-last.work, last.ticket.Priority) <= left {
 			return
 		}
 		g.waiting.remove(last)
@@ -256,9 +244,9 @@
 
 // grant gives free slots to those that wait; the lock is held.
 func (g *Gate) grant() {
-	for len(g.waiting) > 0 {
-		next := g.waiting.next(g.now())
-		if g.running >= g.open(next) {
+	for g.waiting.length > 0 {
+		next := g.waiting.next()
+		if g.running >= g.open(next.ticket.Priority) {
 			return
 		}
 		g.waiting.remove(next)
--- /dev/null
+++ b/internal/sidecar/admission/overload_test.go
@@ -0,0 +1,143 @@
+package admission_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"gonum.org/v1/gonum/stat"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/admission"
+)
+
+// The load of TestLeavingOverload: three seconds at 1.8 times what the back end
+// can do, then a demand of nine tenths of it.
+const (
+	overloadSlots   = 12
+	overloadWork    = 100 * time.Millisecond
+	overloadAim     = 400 * time.Millisecond
+	overloadLast    = 3 * time.Second
+	overloadSeconds = 20
+	// overloadTries is how often a caller comes in all, overloadRest how long it
+	// rests after a refusal.
+	overloadTries = 3
+	overloadRest  = 150 * time.Millisecond
+)
+
+// overloadPolicy waits for a slot, at most as long as it allows, and returns how
+// to free it; nil when the request is refused.
+type overloadPolicy func(returning bool) (release func())
+
+// oldestFirst is the policy before: in the order of arrival, each waiting up to
+// half of the time in which its answer is of any use.
+func oldestFirst() overloadPolicy {
+	const maximumWait = 600 * time.Millisecond
+	slots := make(chan struct{}, overloadSlots)
+	return func(bool) func() {
+		select {
+		case slots <- struct{}{}: // those that wait are let in as they came
+			return func() { <-slots }
+		case <-time.After(maximumWait):
+			return nil
+		}
+	}
+}
+
+func newestFirst() overloadPolicy {
+	gate := admission.New(time.Now)
+	gate.Resize(overloadSlots)
+	return func(returning bool) func() {
+		slot, err := gate.Acquire(context.Background(), admission.Ticket{
+			Returning: returning, Work: overloadWork, MaximumWait: overloadAim - overloadWork*3/2,
+		})
+		if err != nil {
+			return nil
+		}
+		return func() { slot.Release(true) }
+	}
+}
+
+// inTimeBySecond plays the load and returns the share of the callers of each
+// second that had their answer within the target latency of their first try or,
+// after a refusal within a quarter of it, of the try that was served.
+func inTimeBySecond(acquire overloadPolicy, seed uint64) []float64 {
+	var (
+		mu      sync.Mutex
+		came    = make([]float64, overloadSeconds)
+		inTime  = make([]float64, overloadSeconds)
+		callers sync.WaitGroup
+	)
+	random := rand.New(rand.NewPCG(seed, 0))
+	capacity := float64(overloadSlots) / overloadWork.Seconds()
+	began := time.Now()
+	for time.Since(began) < overloadSeconds*time.Second {
+		second := int(time.Since(began) / time.Second)
+		work := overloadWork/2 + time.Duration(random.Int64N(int64(overloadWork)))
+		came[second]++
+		callers.Go(func() {
+			counted := time.Now()
+			for try := range overloadTries {
+				tried := time.Now()
+				release := acquire(try > 0)
+				if release != nil {
+					time.Sleep(work)
+					release()
+					break
+				}
+				if time.Since(tried) <= overloadAim/4 {
+					counted = time.Now().Add(overloadRest)
+				}
+				time.Sleep(overloadRest)
+				if try == overloadTries-1 {
+					return
+				}
+			}
+			if time.Since(counted) <= overloadAim {
+				mu.Lock()
+				inTime[second]++
+				mu.Unlock()
+			}
+		})
+		rate := capacity * 0.9
+		if time.Since(began) < overloadLast {
+			rate = capacity * 1.8
+		}
+		time.Sleep(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
+	}
+	callers.Wait()
+	for second := range came {
+		inTime[second] /= max(came[second], 1)
+	}
+	return inTime
+}
+
+// secondsToRecover returns how many seconds after the overload it takes until nine
+// tenths of a second's callers are in time again, and of all who come from then
+// on: arrivals are random, and a single later second may fall short.
+func secondsToRecover(shares []float64) int {
+	last := int(overloadLast / time.Second)
+	for second := last; second < len(shares); second++ {
+		if shares[second] >= 0.9 && stat.Mean(shares[second:], nil) >= 0.9 {
+			return second - last
+		}
+	}
+	return len(shares) - last
+}
+
+// TestLeavingOverload: the backlog of an overload goes within two seconds of its
+// end. The policy before does not get rid of it: everyone is served, too late.
+func TestLeavingOverload(t *testing.T) {
+	for seed := range uint64(5) {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			before := inTimeBySecond(oldestFirst(), seed)
+			g.Expect(secondsToRecover(before)).To(BeNumerically(">", 5), "the load shows the bad state: %.2f", before)
+			after := inTimeBySecond(newestFirst(), seed)
+			g.Expect(secondsToRecover(after)).To(BeNumerically("<=", 2), "%.2f", after)
+		})
+	}
+}
--- a/internal/sidecar/admission/queue.go
+++ b/internal/sidecar/admission/queue.go
@@ -1,94 +1,146 @@
 package admission
 
 import (
+	"cmp"
+	"container/list"
 	"math/bits"
+	"slices"
 	"time"
 )
 
 // waiter is a request in the queue.
 type waiter struct {
 	ticket Ticket
-	order  uint64
-	index  int
 	result chan error
 	// entered is when it joined the queue, predicted the wait expected then.
 	entered   time.Time
 	predicted time.Duration
+	// work is how long it is expected to hold a slot.
+	work time.Duration
+	// group is the one that it waits in, place its place there; nil while it does
+	// not wait.
+	group *group
+	place *list.Element
 }
 
-// before orders by priority, then what can still be answered in time before what
-// cannot, then what comes first before what comes back, then by the order of
-// magnitude of the work, then by the time to start by, then by arrival.
-func (w *waiter) before(other *waiter, now time.Time) bool {
-	if w.ticket.Priority != other.ticket.Priority {
-		return w.ticket.Priority < other.ticket.Priority
-	}
-	if late, othersLate := w.late(now), other.late(now); late != othersLate {
-		return othersLate
-	}
-	if w.ticket.Returning != other.ticket.Returning {
-		return other.ticket.Returning
-	}
-	if own, others := magnitude(w.ticket.Work), magnitude(other.ticket.Work); own != others {
-		return own < others
-	}
-	if !w.ticket.StartBy.Equal(other.ticket.StartBy) {
-		return w.ticket.StartBy.Before(other.ticket.StartBy)
-	}
-	return w.order < other.order
+// rank orders requests of different kinds.
+type rank struct {
+	priority  int
+	returning bool
+	magnitude int
 }
 
-// late reports whether work would begin too late for an answer in time. A
-// server that is behind serves everyone late when it takes such requests in the
-// order in which they came.
-func (w *waiter) late(now time.Time) bool { return now.After(w.ticket.StartBy) }
+// rankOf orders by priority, then what comes for the first time before what comes
+// back, then by the order of magnitude of the work.
+func rankOf(ticket Ticket) rank {
+	return rank{priority: ticket.Priority, returning: ticket.Returning, magnitude: magnitude(ticket.Work)}
+}
 
 // magnitude is the number of binary digits of the work in milliseconds.
 func magnitude(work time.Duration) int { return bits.Len64(uint64(max(work, 0) / time.Millisecond)) }
 
-// waiters are the requests in the queue, in no order: who is next changes with
-// time.
-type waiters []*waiter
+func (r rank) compare(other rank) int {
+	if order := cmp.Compare(r.priority, other.priority); order != 0 {
+		return order
+	}
+	if r.returning != other.returning {
+		if r.returning {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Compare(r.magnitude, other.magnitude)
+}
+
+// group holds the waiting requests of one rank.
+type group struct {
+	rank rank
+	// waiters are *waiter, the newest in front.
+	waiters *list.List
+	// work is the sum over the waiters.
+	work time.Duration
+}
+
+// queue holds the waiting requests: by rank, and within one the newest first. A
+// back end that is behind and takes the oldest first serves everyone at the last
+// moment, and late as soon as anything takes longer than expected; so it goes on
+// after the cause of the backlog has passed. Taking the newest first it serves
+// most at once and refuses the rest. Each operation takes time in proportion to
+// the number of ranks, which is small, and not to that of the requests.
+type queue struct {
+	// groups are ordered by rank; none is empty.
+	groups []*group
+	length int
+}
+
+// find returns the index of the rank's group, or where it belongs.
+func (q *queue) find(wanted rank) (int, bool) {
+	return slices.BinarySearchFunc(q.groups, wanted, func(held *group, wanted rank) int { return held.rank.compare(wanted) })
+}
 
 // add puts a request into the queue.
-func (w *waiters) add(entry *waiter) {
-	entry.index = len(*w)
-	*w = append(*w, entry)
+func (q *queue) add(entry *waiter) {
+	wanted := rankOf(entry.ticket)
+	index, found := q.find(wanted)
+	if !found {
+		q.groups = slices.Insert(q.groups, index, &group{rank: wanted, waiters: list.New()})
+	}
+	entry.group = q.groups[index]
+	entry.place = entry.group.waiters.PushFront(entry)
+	entry.group.work += entry.work
+	q.length++
 }
 
 // holds reports whether the request is still in the queue.
-func (w waiters) holds(entry *waiter) bool {
-	return entry.index >= 0 && entry.index < len(w) && w[entry.index] == entry
-}
+func (q *queue) holds(entry *waiter) bool { return entry.group != nil }
 
 // remove takes a request out of the queue, in which it is.
-func (w *waiters) remove(entry *waiter) {
-	last := len(*w) - 1
-	moved := (*w)[last]
-	(*w)[entry.index] = moved
-	moved.index = entry.index
-	(*w)[last] = nil
-	*w = (*w)[:last]
-	entry.index = -1
+func (q *queue) remove(entry *waiter) {
+	left := entry.group
+	left.waiters.Remove(entry.place)
+	left.work -= entry.work
+	entry.group, entry.place = nil, nil
+	q.length--
+	if left.waiters.Len() == 0 {
+		index, _ := q.find(left.rank)
+		q.groups = slices.Delete(q.groups, index, index+1)
+	}
 }
 
 // next returns the request that is served first, last the one that is served
-// after all others. The queue is not empty.
-func (w waiters) next(now time.Time) *waiter {
-	return w.extreme(func(a, b *waiter) bool { return a.before(b, now) })
+// after all others; nil when the queue is empty.
+func (q *queue) next() *waiter {
+	if q.length == 0 {
+		return nil
+	}
+	return q.groups[0].waiters.Front().Value.(*waiter)
 }
 
-func (w waiters) last(now time.Time) *waiter {
-	return w.extreme(func(a, b *waiter) bool { return b.before(a, now) })
+func (q *queue) last() *waiter {
+	if q.length == 0 {
+		return nil
+	}
+	return q.groups[len(q.groups)-1].waiters.Back().Value.(*waiter)
 }
 
-// extreme returns the request that comes before all others.
-func (w waiters) extreme(before func(a, b *waiter) bool) *waiter {
-	found := w[0]
-	for _, entry := range w[1:] {
-		if before(entry, found) {
-			found = entry
+// workBefore returns the work of the requests that are served before a new one
+// of that rank.
+func (q *queue) workBefore(wanted rank) time.Duration {
+	total := time.Duration(0)
+	for _, held := range q.groups {
+		if held.rank.compare(wanted) >= 0 {
+			break
 		}
+		total += held.work
+	}
+	return total
+}
+
+// work returns the work of all requests.
+func (q *queue) work() time.Duration {
+	total := time.Duration(0)
+	for _, held := range q.groups {
+		total += held.work
 	}
-	return found
+	return total
 }
--- a/internal/sidecar/choice/patience.go
+++ b/internal/sidecar/choice/patience.go
@@ -6,8 +6,12 @@
 type Request struct {
 	// Aim is the target latency; zero when there is none.
 	Aim time.Duration
-	// Remaining is the time until the answer is of no use.
+	// Remaining is the time until the answer is of no use or the route's time-out
+	// ends the request, whichever comes first.
 	Remaining time.Duration
+	// CallerTime is how long the caller itself waits for the answer and comes back
+	// after a refusal. The route's time-out does not shorten it.
+	CallerTime time.Duration
 	// Elapsed is the time since the request came in.
 	Elapsed time.Duration
 	// Expected is how long the back end will work on it.
@@ -25,34 +29,29 @@
 	lateShare = 0.5
 	// workMargin is how much longer than expected the work may take.
 	workMargin = 1.5
-	// returnRoom is how many target latencies a caller must have left for a
-	// refusal to be of use to it.
+	// returnRoom is how many target latencies a caller must wait in all for a
+	// refusal to be of use to it: it is refused, rests and is served anew.
 	returnRoom = 3
 )
 
-// Patience returns how long a request may wait for a slot, and in what time it
-// must have one for its answer to be of full use. A request whose caller has
-// come back already may wait a whole target latency: late is better than refused
-// then. One whose caller has no time to come back, such as a call that a back end
-// makes while it works, is of use until its deadline.
-func Patience(request Request) (wait, slack time.Duration) {
+// Patience returns how long a request may wait for a slot: as long as its answer
+// can still come in time, also when its caller was refused before, since who is
+// served late takes the slot of one who could be served in time. One whose caller
+// has no time to come back, such as a call that a back end makes while it works,
+// is of use until its deadline.
+func Patience(request Request) time.Duration {
 	most := time.Duration(float64(request.Remaining) * lateShare)
 	if request.Aim <= 0 {
-		return most, most
+		return most
 	}
 	least := time.Duration(float64(request.Aim) * earlyShare)
-	slack = request.Aim - request.Elapsed - time.Duration(float64(request.Expected)*workMargin)
-	slack = min(max(slack, least), most)
+	wait := request.Aim - request.Elapsed - time.Duration(float64(request.Expected)*workMargin)
+	wait = min(max(wait, least), most)
 	if request.Hurried() {
-		slack = min(max(request.Remaining-request.Expected, slack), most)
-		return slack, slack
+		wait = min(max(request.Remaining-request.Expected, wait), most)
 	}
-	wait = slack
-	if request.Returning {
-		wait = min(request.Aim, most)
-	}
-	return wait, slack
+	return wait
 }
 
 // Hurried reports whether the caller has no time to come back after a refusal.
-func (r Request) Hurried() bool { return r.Aim > 0 && r.Remaining < returnRoom*r.Aim }
+func (r Request) Hurried() bool { return r.Aim > 0 && r.CallerTime < returnRoom*r.Aim }
--- a/internal/sidecar/egress/call.go
+++ b/internal/sidecar/egress/call.go
@@ -48,7 +48,10 @@
 	service  string
 	context  context.Context
 	deadline time.Time
-	body     *forward.Body
+	// callerTime is how long the caller itself waits; the route's time-out does not
+	// shorten it.
+	callerTime time.Duration
+	body       *forward.Body
 	// visits are the nodes that the request was sent to.
 	visits visits
 	// runs counts the sends that may have reached a back end.
@@ -118,6 +121,7 @@
 // bound sets the deadline: the caller's, at most the route's time-out.
 func (c *call) bound() *outcome.Failure {
 	limit := defaultDeadline
+	c.callerTime = defaultDeadline
 	if c.route.Timeout > 0 {
 		limit = c.route.Timeout
 	}
@@ -125,6 +129,7 @@
 	if asked, valid := hop.Milliseconds(text); valid {
 		c.returning = c.handler.patience(c.route.Name).returns(asked)
 		limit = min(limit, asked)
+		c.callerTime = asked
 	}
 	if limit <= 0 {
 		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepDeadline, minimumRetryAfter, errLate)
--- /dev/null
+++ b/internal/sidecar/egress/comeback_test.go
@@ -0,0 +1,46 @@
+package egress
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/route"
+)
+
+// TestTimeToComeBack: whether a caller can come back after a refusal goes by its
+// own deadline. A route's time-out of about three target latencies once made
+// every caller one that cannot, so that all of them waited as long as possible.
+func TestTimeToComeBack(t *testing.T) {
+	const aim = 400 * time.Millisecond
+	cases := []struct {
+		name, deadline string
+		timeout        time.Duration
+		hurried        bool
+	}{
+		{"a long deadline, a short time-out", "2500", 3 * aim, false},
+		{"a long deadline, no time-out", "2500", 0, false},
+		{"a short deadline", "1000", 3 * aim, true},
+		{"a short deadline, no time-out", "1000", 0, true},
+		{"no deadline", "", 3 * aim, false},
+	}
+	for _, asked := range cases {
+		t.Run(asked.name, func(t *testing.T) {
+			g := NewWithT(t)
+			request := httptest.NewRequest(http.MethodGet, "/safe/", nil)
+			if asked.deadline != "" {
+				request.Header.Set("Deadline-Ms", asked.deadline)
+			}
+			made := &call{
+				handler: newHandler(t, &quiet{}, present), request: request, started: time.Now(),
+				route: &route.Matched{Route: route.Route{Name: "safe", TargetLatency: aim, Timeout: asked.timeout}},
+			}
+			g.Expect(made.bound()).To(BeNil())
+			described := made.described(time.Until(made.deadline), aim/4)
+			g.Expect(described.Hurried()).To(Equal(asked.hurried))
+		})
+	}
+}
--- a/internal/sidecar/egress/visit.go
+++ b/internal/sidecar/egress/visit.go
@@ -210,10 +210,9 @@
 	delete(header, "Expect")
 	remaining := time.Until(c.deadline)
 	request := c.described(remaining, a.seen.Work)
-	wait, slack := choice.Patience(request)
 	told := hop.Request{
 		Service: a.service, Caller: options.Caller(), Remaining: remaining, Priority: c.route.Priority,
-		MaximumWait: wait, Slack: slack, Expected: c.work().Mean(c.assumedWork()),
+		MaximumWait: choice.Patience(request), Expected: c.work().Mean(c.assumedWork()),
 		Returning: request.Returning && !request.Hurried(),
 	}
 	header[hop.HeaderHop] = []string{told.Format()}
@@ -233,10 +232,11 @@
 // described is what the choice needs to know of the request.
 func (c *call) described(remaining, expected time.Duration) choice.Request {
 	return choice.Request{
-		Aim:       c.route.TargetLatency,
-		Remaining: remaining,
-		Elapsed:   time.Since(c.started),
-		Expected:  expected,
-		Returning: c.returning,
+		Aim:        c.route.TargetLatency,
+		Remaining:  remaining,
+		CallerTime: c.callerTime,
+		Elapsed:    time.Since(c.started),
+		Expected:   expected,
+		Returning:  c.returning,
 	}
 }
--- a/internal/sidecar/hop/line.go
+++ b/internal/sidecar/hop/line.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -18,9 +19,8 @@
 	Remaining time.Duration
 	// Priority ranks requests; zero is the most urgent.
 	Priority int
-	// MaximumWait is how long the request may wait for a slot, Slack in what time
-	// it must have one for its answer to have its full worth.
-	MaximumWait, Slack time.Duration
+	// MaximumWait is how long the request may wait for a slot.
+	MaximumWait time.Duration
 	// Expected is how long back ends usually work on such a request.
 	Expected time.Duration
 	// Returning: the caller was refused before and has come back.
@@ -42,7 +42,7 @@
 	}
 	for _, number := range [...]int64{
 		max(r.Remaining.Microseconds(), 1), int64(r.Priority), max(r.MaximumWait.Microseconds(), 0),
-		max(r.Slack.Microseconds(), 0), max(r.Expected.Microseconds(), 0), returning,
+		max(r.Expected.Microseconds(), 0), returning,
 	} {
 		line = strconv.AppendInt(append(line, ' '), number, 10)
 	}
@@ -51,13 +51,19 @@
 
 const (
 	requestNames   = 2
-	requestNumbers = 6
+	requestNumbers = 5
 	replyNumbers   = 8
+	// slackPart is where the version before has its additional number.
+	slackPart = 5
 )
 
-// ParseRequest reads a request's header value.
+// ParseRequest reads a request's header value. Nodes of the version before tell
+// one more number, in what time the request must have a slot; it is left out.
 func ParseRequest(line string) (Request, error) {
 	parts := strings.Split(line, " ")
+	if len(parts) == requestNames+requestNumbers+1 {
+		parts = slices.Delete(parts, slackPart, slackPart+1)
+	}
 	if len(parts) != requestNames+requestNumbers || parts[0] == "" {
 		return Request{}, fmt.Errorf("%w: %d parts", ErrLine, len(parts))
 	}
@@ -68,7 +74,7 @@
 	return Request{
 		Service: parts[0], Caller: parts[1],
 		Remaining: microseconds(numbers[0]), Priority: int(numbers[1]), MaximumWait: microseconds(numbers[2]),
-		Slack: microseconds(numbers[3]), Expected: microseconds(numbers[4]), Returning: numbers[5] != 0,
+		Expected: microseconds(numbers[3]), Returning: numbers[4] != 0,
 	}, nil
 }
 
--- a/internal/sidecar/ingress/arrival.go
+++ b/internal/sidecar/ingress/arrival.go
@@ -135,7 +135,6 @@
 		Priority:    a.told.Priority,
 		Returning:   a.told.Returning,
 		Work:        a.told.Expected,
-		StartBy:     a.started.Add(a.told.Slack),
 		MaximumWait: a.told.MaximumWait,
 	})
 	a.waited = time.Since(a.started)
