--- /dev/null
+++ b/internal/sidecar/egress/bench_test.go
@@ -0,0 +1,37 @@
+package egress
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
+)
+
+// BenchmarkRefused is what one call costs the caller's node when every node that
+// it is sent to refuses it, the servers of those nodes included.
+func BenchmarkRefused(b *testing.B) {
+	refusing := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(outcome.HeaderOutcome, "not-run")
+		w.Header().Set(outcome.HeaderError, "step=admit")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	var peers []*peer
+	for range refusalsPerCall {
+		server := httptest.NewServer(refusing)
+		defer server.Close()
+		peers = append(peers, &peer{address: server.Listener.Addr().String()})
+	}
+	handler := newHandler(b, &quiet{}, present, peers...)
+	b.ReportAllocs()
+	for b.Loop() {
+		request := httptest.NewRequest(http.MethodGet, "/safe/1", nil)
+		request.Host = "h"
+		request.Header.Set("Deadline-Ms", "3000")
+		recorder := httptest.NewRecorder()
+		handler.ServeHTTP(recorder, request)
+		if recorder.Code != http.StatusServiceUnavailable {
+			b.Fatal(recorder.Code)
+		}
+	}
+}
--- a/internal/sidecar/egress/call_test.go
+++ b/internal/sidecar/egress/call_test.go
@@ -107,7 +107,7 @@
 // hangs says nothing until the caller goes.
 func hangs(_ *peer, _ net.Conn, reader *bufio.Reader) { _, _ = reader.ReadByte() }
 
-func newHandler(t *testing.T, observer Observer, probe Probe, peers ...*peer) *Handler {
+func newHandler(t testing.TB, observer Observer, probe Probe, peers ...*peer) *Handler {
 	table, err := route.Compile(&route.Document{
 		Version: 1,
 		Routes: []route.Route{
--- a/internal/telemetry/ring_test.go
+++ b/internal/telemetry/ring_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"os"
 	"strings"
 	"sync"
@@ -68,6 +69,36 @@
 	g.Expect(strings.Count(output.String(), "line\n")).To(BeNumerically(">=", 2))
 }
 
+// counted counts the writes that reach it.
+type counted struct {
+	gated
+	writes int
+}
+
+func (c *counted) Write(lines []byte) (int, error) {
+	n, err := c.gated.Write(lines)
+	c.writes++
+	return n, err
+}
+
+// TestRingWritesManyLinesAtOnce: what has gathered while the output was busy goes
+// out with one write, whole and in order.
+func TestRingWritesManyLinesAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	output := &counted{gated: gated{gate: make(chan struct{})}}
+	ring := telemetry.NewRing(output, 100, nil)
+	want := ""
+	for i := range 100 {
+		line := fmt.Sprintf("line %d\n", i)
+		want += line
+		_, _ = ring.Write([]byte(line))
+	}
+	close(output.gate)
+	ring.Close()
+	g.Expect(output.String()).To(Equal(want))
+	g.Expect(output.writes).To(BeNumerically("<=", 3))
+}
+
 // BenchmarkLine is what one decision costs whoever makes it.
 func BenchmarkLine(b *testing.B) {
 	null, err := os.OpenFile(os.DevNull, os.O_WRONLY, 0)
