Receive large bodies before a slot is taken, no more at once than the link carries in 0.1 s

Change: after consent a body of over 16 KiB is received before admission, first come first served, as many bytes at once as the link carries in a tenth of a second. Who would wait too long is refused before anything was sent. Tests: TestALargeBodyHoldsNoSlotWhileItComes failed before; TestTransfers.

--- a/internal/sidecar/ingress/arrival.go
+++ b/internal/sidecar/ingress/arrival.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -23,6 +24,7 @@
 	errLeaving    = errors.New("the back end is leaving")
 	errNoCaller   = errors.New("the request did not come through a node")
 	errStopping   = errors.New("the node is stopping")
+	errLink       = errors.New("the link has no room for the body in time")
 )
 
 // readBodyLimit is how much of a body that waited for consent is read at once.
@@ -52,13 +54,9 @@
 	a.context, cancel = context.WithDeadline(a.request.Context(), a.deadline)
 	defer cancel()
 	a.consented = len(a.request.Header["Expect"]) > 0
-	var body *forward.Body
-	if !a.consented {
-		read, err := a.readBody()
-		if err != nil {
-			return outcome.Refusal(http.StatusBadRequest, outcome.StepRequest, 0, err)
-		}
-		body = read
+	body, failure := a.bodyBefore()
+	if failure != nil {
+		return failure
 	}
 	slot, failure := a.admit()
 	if failure != nil {
@@ -66,10 +64,10 @@
 	}
 	served := false
 	defer func() { slot.Release(served) }()
-	if a.consented {
+	if body == nil {
 		// The first read tells the caller's node to send the body. Without the
 		// whole of it nothing is run.
-		read, err := a.readConsented()
+		read, err := a.readConsented(readBodyLimit)
 		if err != nil {
 			return outcome.Refusal(http.StatusBadRequest, outcome.StepRequest, 0, err)
 		}
@@ -80,6 +78,22 @@
 	return failure
 }
 
+// bodyBefore returns the body that is there before a slot is taken; nil when its
+// sender waits for the slot.
+func (a *arrival) bodyBefore() (*forward.Body, *outcome.Failure) {
+	switch {
+	case a.receivesFirst():
+		return a.receive()
+	case a.consented:
+		return nil, nil
+	}
+	body, err := a.readBody()
+	if err != nil {
+		return nil, outcome.Refusal(http.StatusBadRequest, outcome.StepRequest, 0, err)
+	}
+	return body, nil
+}
+
 func (a *arrival) check() *outcome.Failure {
 	line := a.request.Header.Get(hop.HeaderHop)
 	if line == "" {
@@ -112,21 +126,22 @@
 	return forward.ReadBody(a.context, a.writer, a.request, unlimited, "")
 }
 
-// readConsented reads a body whose sender waited for the slot. A short one is
-// read whole, so that one that breaks off is never run.
-func (a *arrival) readConsented() (*forward.Body, error) {
+// readConsented reads a body whose sender waited for consent. One shorter than the
+// limit is read whole, so that one that breaks off is never run.
+func (a *arrival) readConsented(limit int64) (*forward.Body, error) {
 	stop := context.AfterFunc(a.context, func() {
 		_ = http.NewResponseController(a.writer).SetReadDeadline(time.Unix(1, 0))
 	})
 	defer stop()
-	read, err := io.ReadAll(io.LimitReader(a.request.Body, readBodyLimit))
-	if err != nil {
+	known := min(max(a.request.ContentLength, 0), limit)
+	read := bytes.NewBuffer(make([]byte, 0, known+bytes.MinRead))
+	if _, err := read.ReadFrom(io.LimitReader(a.request.Body, limit+1)); err != nil {
 		return nil, err
 	}
-	if len(read) < readBodyLimit {
-		return forward.BufferedBody(read), nil
+	if int64(read.Len()) <= limit {
+		return forward.BufferedBody(read.Bytes()), nil
 	}
-	return forward.ContinuedBody(read, a.writer, a.request)
+	return forward.ContinuedBody(read.Bytes(), a.writer, a.request)
 }
 
 // admit waits for a slot of the back end.
--- a/internal/sidecar/ingress/handler.go
+++ b/internal/sidecar/ingress/handler.go
@@ -33,6 +33,8 @@
 	// DrainAfter is how long after a back end's word that it is leaving new
 	// work is still taken.
 	DrainAfter func() time.Duration
+	// LinkMbps is the speed of the machine's link in Mbit/s; zero when unknown.
+	LinkMbps int
 	// Dial opens connections to the back end.
 	Dial     forward.Dialer
 	Logger   *zap.Logger
@@ -66,6 +68,8 @@
 	options Options
 	pool    *forward.Pool
 	gate    *admission.Gate
+	// transfers bounds the large bodies on the link.
+	transfers *transfers
 	// leavingSince is when the back end with leavingID was first known to be
 	// leaving; nil while it is not.
 	leaving  atomic.Pointer[leaving]
@@ -95,7 +99,8 @@
 			ReplyHeaderBytes: replyHeaderBytes,
 			AllowUnframed:    true,
 		}, options.Dial),
-		gate: admission.New(time.Now),
+		gate:      admission.New(time.Now),
+		transfers: newTransfers(options.LinkMbps),
 	}
 }
 
--- a/internal/sidecar/ingress/handler_test.go
+++ b/internal/sidecar/ingress/handler_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -161,3 +163,46 @@
 	g.Expect((<-first).Code).To(Equal(http.StatusOK))
 	g.Expect(made.handler.InFlight()).To(BeZero())
 }
+
+// slowBody gives its bytes only after a while, and tells when it was first read.
+type slowBody struct {
+	io.Reader
+	begun func()
+}
+
+func (b *slowBody) Read(p []byte) (int, error) {
+	b.begun()
+	return b.Reader.Read(p)
+}
+
+// TestALargeBodyHoldsNoSlotWhileItComes: the body of an upload is received before a
+// slot is taken, so that the link's time is not the back end's.
+func TestALargeBodyHoldsNoSlotWhileItComes(t *testing.T) {
+	g := NewWithT(t)
+	made := play(t)
+	answer := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		content, _ := io.ReadAll(r.Body)
+		w.Header().Set("Length", strconv.Itoa(len(content)))
+		signed(http.StatusOK)(w, r)
+	})
+	made.answer.Store(&answer)
+	for length, running := range map[int]int{100: 1, 60_000: 0, 360_000: 0} {
+		told := hop.Request{Service: "one", Caller: "two", Remaining: time.Minute, MaximumWait: time.Second, Expected: 10 * time.Millisecond}
+		seen := -1
+		body := &slowBody{Reader: strings.NewReader(strings.Repeat("x", length)), begun: func() {
+			if seen < 0 {
+				seen = made.handler.Load().Running
+			}
+		}}
+		req := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/a/", body)
+		req.ContentLength = int64(length)
+		req.Header.Set(hop.HeaderHop, told.Format())
+		req.Header.Set(vocabulary.RequestID, "r")
+		req.Header.Set("Expect", "100-continue")
+		recorder := httptest.NewRecorder()
+		made.handler.ServeHTTP(recorder, req)
+		g.Expect(recorder.Code).To(Equal(http.StatusOK))
+		g.Expect(recorder.Header().Get("Length")).To(Equal(strconv.Itoa(length)))
+		g.Expect(seen).To(Equal(running))
+	}
+}
--- /dev/null
+++ b/internal/sidecar/ingress/transfer_test.go
@@ -0,0 +1,59 @@
+package ingress
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// TestTransfers: on a link of 10 Mbit/s as many bodies are received at once as it
+// carries in a tenth of a second, in the order in which they came; a longer one goes
+// alone, and on a fast link none waits.
+func TestTransfers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		slow := newTransfers(10)
+		var most, running int
+		ended := make(chan int, 6)
+		for i, length := range []int64{60_000, 60_000, 60_000, 400_000, 60_000, 60_000} {
+			go func() {
+				release, err := slow.acquire(t.Context(), length)
+				g.Expect(err).NotTo(HaveOccurred())
+				running++
+				most = max(most, running)
+				if length > slow.size {
+					g.Expect(running).To(Equal(1))
+				}
+				time.Sleep(50 * time.Millisecond)
+				running--
+				release()
+				ended <- i
+			}()
+			synctest.Wait()
+		}
+		synctest.Wait()
+		for want := range 6 {
+			got := <-ended
+			if want >= 2 && want <= 3 {
+				g.Expect(got).To(Equal(want))
+			}
+		}
+		g.Expect(most).To(Equal(2))
+
+		held, err := slow.acquire(t.Context(), slow.size)
+		g.Expect(err).NotTo(HaveOccurred())
+		impatient, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err = slow.acquire(impatient, 1)
+		g.Expect(err).To(MatchError(context.DeadlineExceeded))
+		held()
+
+		for range 100 {
+			_, err := newTransfers(0).acquire(t.Context(), 60_000)
+			g.Expect(err).NotTo(HaveOccurred())
+		}
+	})
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -143,6 +143,7 @@
 	s.ingress = ingress.New(ingress.Options{
 		Vocabulary: s.options.Vocabulary,
 		Address:    settings.BackendAddress,
+		LinkMbps:   settings.LinkMbps,
 		Endpoint:   func() *roster.Endpoint { return s.members.Own().Endpoint },
 		Identified: s.identified,
 		Version:    s.keeper.Version,
