Refuse what belongs to a part of a split without back ends

Cause: a request whose service has no known back end went to another service of its route. A part that is short of room may have its requests refused, but its share may not move. Ruled out: that a part without back ends is something else than one short of room; its requests would all move.

--- a/internal/sidecar/egress/choose.go
+++ b/internal/sidecar/egress/choose.go
@@ -12,9 +12,6 @@
 // request; nil when there is none.
 func (c *call) choose() *attempt {
 	view := c.handler.options.View()
-	if len(view.Service(c.service)) == 0 {
-		c.service = c.fallback(view)
-	}
 	now := time.Now()
 	described := c.candidates(view, now)
 	start := 0
@@ -76,17 +73,6 @@
 	return unknown
 }
 
-// fallback returns another service of the route that has back ends, or the one
-// that was chosen.
-func (c *call) fallback(view *roster.View) string {
-	for _, target := range c.route.Targets {
-		if target.Weight > 0 && len(view.Service(target.Service)) > 0 {
-			return target.Service
-		}
-	}
-	return c.service
-}
-
 func (c *call) visited(candidate *target) bool {
 	return slices.ContainsFunc(c.visits, func(seen visit) bool { return seen.target == candidate })
 }
