--- a/internal/sidecar/egress/attempt.go
+++ b/internal/sidecar/egress/attempt.go
@@ -36,7 +36,7 @@
 	interim *forward.Interim
 	// suspected is closed when the node did not answer a probe.
 	suspected chan struct{}
-	// consented: the node holds a slot and gets the body.
+	// consented: the node has a slot, or room for a large body, and gets the body.
 	consented atomic.Bool
 
 	// noted is the send's number among the call's visits once it was left behind,
