Name the test's body for what it does: it tells when it is read, and is not slow

Found in reading the change once more: the comment said what the type does not do. No behaviour and no assertion changed; the package's tests pass.

--- a/internal/sidecar/ingress/handler_test.go
+++ b/internal/sidecar/ingress/handler_test.go
@@ -164,13 +164,13 @@
 	g.Expect(made.handler.InFlight()).To(BeZero())
 }
 
-// slowBody gives its bytes only after a while, and tells when it was first read.
-type slowBody struct {
+// watchedBody tells each time it is read.
+type watchedBody struct {
 	io.Reader
 	begun func()
 }
 
-func (b *slowBody) Read(p []byte) (int, error) {
+func (b *watchedBody) Read(p []byte) (int, error) {
 	b.begun()
 	return b.Reader.Read(p)
 }
@@ -189,7 +189,7 @@
 	for length, running := range map[int]int{100: 1, 60_000: 0, 360_000: 0} {
 		told := hop.Request{Service: "one", Caller: "two", Remaining: time.Minute, MaximumWait: time.Second, Expected: 10 * time.Millisecond}
 		seen := -1
-		body := &slowBody{Reader: strings.NewReader(strings.Repeat("x", length)), begun: func() {
+		body := &watchedBody{Reader: strings.NewReader(strings.Repeat("x", length)), begun: func() {
 			if seen < 0 {
 				seen = made.handler.Load().Running
 			}
