Write a node's key once a life at most, read it with all others, let six nodes read for all

Change: at a start one read of all keys, the own one among them; no read before the first write where the whole system starts for the first time. A node reads again only when nobody was in touch with it after its write; any two groups that do not know each other are found by the last one that reads. The key is written anew only when it does not lead to the node any more or does not say whether its back end is leaving. Epochs rise by a step of each life's own, so that they need not be stored. Six nodes of all zones together read for the others, not four of each zone; a node that leaves does not read. Who is behind asks a peer first. A node that is refused and has a configuration waits up to 3 s. The absent configuration is read once.

--- a/internal/sidecar/configuration/follower.go
+++ b/internal/sidecar/configuration/follower.go
@@ -17,6 +17,9 @@
 	// pauseBase and pauseMost bound the wait after a failure of the store.
 	pauseBase = 100 * time.Millisecond
 	pauseMost = 800 * time.Millisecond
+	// refusedMost bounds it for a node that has a configuration: a newer one comes
+	// from its peers, and every refused call is paid for.
+	refusedMost = 3 * time.Second
 	// turnInterval is the time between two looks at whether it is the node's turn
 	// to read.
 	turnInterval = 400 * time.Millisecond
@@ -32,13 +35,13 @@
 // Follow keeps the keeper at what the store has under the key until the context
 // ends. After every end of a watch the key is read anew: what was missed
 // meanwhile must not stay unheard. While reads returns false the store is left
-// alone, once there is a first version.
+// alone.
 func Follow(ctx context.Context, reader Reader, key string, keeper *Keeper, reads func() bool, logger *zap.Logger) {
 	backoff := pause.Backoff{Base: pauseBase, Most: pauseMost}
 	healthy := true
 	reading := true
 	for ctx.Err() == nil {
-		if turn := keeper.Version() == 0 || reads(); turn != reading {
+		if turn := reads(); turn != reading {
 			reading = turn
 			logger.Info("turn to read the store", zap.Bool("reads", reading), zap.Uint64("inForce", keeper.Version()))
 		}
@@ -46,7 +49,7 @@
 			pause.Wait(ctx, turnInterval)
 			continue
 		}
-		turn, end := whileReading(ctx, keeper, reads)
+		turn, end := whileReading(ctx, reads)
 		err := followOnce(turn, reader, key, keeper)
 		ended := turn.Err() != nil
 		end()
@@ -69,17 +72,20 @@
 			logger.Warn("store lost", zap.String("key", key), zap.Error(err))
 		}
 		healthy = false
+		if backoff.Most = pauseMost; keeper.Version() > 0 {
+			backoff.Most = refusedMost
+		}
 		backoff.Failed(ctx)
 	}
 }
 
 // whileReading returns a context that ends when the node's turn to read does.
-func whileReading(ctx context.Context, keeper *Keeper, reads func() bool) (context.Context, context.CancelFunc) {
+func whileReading(ctx context.Context, reads func() bool) (context.Context, context.CancelFunc) {
 	turn, end := context.WithCancel(ctx)
 	go func() {
 		for turn.Err() == nil {
 			pause.Wait(turn, turnInterval)
-			if keeper.Version() > 0 && !reads() {
+			if !reads() {
 				end()
 			}
 		}
@@ -113,11 +119,10 @@
 func readOnce(ctx context.Context, reader Reader, key string, keeper *Keeper) (after uint64, err error) {
 	bounded, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	found, after, err := reader.GetAt(bounded, key)
-	if errors.Is(err, store.ErrNotFound) {
-		_, after, err = reader.Range(bounded, key, key, 1)
-		return after, err
+	if keeper.Version() == 0 {
+		return readFirst(bounded, reader, key, keeper)
 	}
+	found, after, err := reader.GetAt(bounded, key)
 	if err != nil {
 		return 0, err
 	}
@@ -125,6 +130,19 @@
 	return after, nil
 }
 
+// readFirst is readOnce for a key that may be absent: only a read of a range tells
+// the store's revision then.
+func readFirst(ctx context.Context, reader Reader, key string, keeper *Keeper) (after uint64, err error) {
+	found, after, err := reader.Range(ctx, key, key, 1)
+	if err != nil {
+		return 0, err
+	}
+	if len(found) > 0 && found[0].Key == key {
+		_ = keeper.Offer(found[0].Value, SourceRead)
+	}
+	return after, nil
+}
+
 // Refresh offers the keeper what the store has under the key now.
 func Refresh(ctx context.Context, reader Reader, key string, keeper *Keeper) error {
 	_, err := readOnce(ctx, reader, key, keeper)
--- a/internal/sidecar/egress/attempt.go
+++ b/internal/sidecar/egress/attempt.go
@@ -139,7 +139,7 @@
 	if err != nil {
 		return
 	}
-	a.target.learn(reply, a.record.Endpoint.Slots, now)
+	a.target.learn(reply, a.record, now)
 	a.worked = reply.Worked
 	if reply.Worked > 0 && response.StatusCode < http.StatusMultipleChoices {
 		a.call.work().Observe(reply.Worked)
--- a/internal/sidecar/egress/target.go
+++ b/internal/sidecar/egress/target.go
@@ -33,6 +33,9 @@
 // loadReport is what a reply said of the load there. It is immutable.
 type loadReport struct {
 	hop.Reply
+	// epoch is the node's life and endpoint the back end that the reply came from.
+	epoch    uint64
+	endpoint string
 	// others estimates how many requests there are not this node's.
 	others occupancy.Estimate
 	taken  time.Time
@@ -45,16 +48,23 @@
 	avoidMost = 2 * time.Second
 )
 
-// learn takes in the load that a reply carries.
-func (t *target) learn(load hop.Reply, slots int, now time.Time) {
+// of reports whether the report is of the back end and the life of the node that
+// the record tells of. After either has changed it says nothing any more.
+func (r *loadReport) of(record *roster.Record) bool {
+	return r.epoch == record.Epoch && r.endpoint == record.Endpoint.ID
+}
+
+// learn takes in the load that a reply carries. The record is the one that the
+// request was sent by.
+func (t *target) learn(load hop.Reply, record *roster.Record, now time.Time) {
 	others := float64(load.Running+load.Waiting) - float64(t.inFlight.Load())
 	for {
 		before := t.report.Load()
-		next := &loadReport{Reply: load, taken: now}
-		if before != nil {
+		next := &loadReport{Reply: load, epoch: record.Epoch, endpoint: record.Endpoint.ID, taken: now}
+		if before != nil && before.of(record) {
 			next.others = before.others
 		}
-		next.others = next.others.After(others, slots, load.Held, now)
+		next.others = next.others.After(others, record.Endpoint.Slots, load.Held, now)
 		if t.report.CompareAndSwap(before, next) {
 			return
 		}
@@ -111,7 +121,7 @@
 	case !described.SameZone:
 		described.RoundTrip = zoneCrossing
 	}
-	if report := t.report.Load(); report != nil {
+	if report := t.report.Load(); report != nil && report.of(record) {
 		age := now.Sub(report.taken)
 		described.Busy += report.others.Others(now)
 		described.Work = time.Duration(float64(usual) * choice.Faded(report.Factor, age))
--- a/internal/sidecar/egress/target_test.go
+++ b/internal/sidecar/egress/target_test.go
@@ -6,6 +6,8 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/choice"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 )
 
@@ -34,3 +36,35 @@
 		})
 	}
 }
+
+// TestAReportOfAnEarlierLife: what a node said of its load before it, or its back
+// end, started anew says nothing any more.
+func TestAReportOfAnEarlierLife(t *testing.T) {
+	g := NewWithT(t)
+	record := func(epoch uint64, id string) *roster.Record {
+		return &roster.Record{Node: "n", Epoch: epoch, Endpoint: &roster.Endpoint{ID: id, Slots: 4, State: roster.Ready}}
+	}
+	now := time.Now()
+	held := &target{}
+	held.learn(hop.Reply{Running: 3, Waiting: 2, Slots: 4, Factor: 7, Held: time.Second}, record(1, "a"), now)
+	described := func(of *roster.Record) choice.Candidate { return held.candidate(of, place{}, time.Second, now) }
+	g.Expect(described(record(1, "a")).Busy).To(Equal(5.0))
+	g.Expect(described(record(1, "a")).Work).To(Equal(7 * time.Second))
+	for _, later := range []*roster.Record{record(2, "a"), record(1, "b")} {
+		g.Expect(described(later).Busy).To(BeZero())
+		g.Expect(described(later).Work).To(Equal(time.Second))
+	}
+}
+
+// TestOwnRequestsAreNotOthers: of the requests that a reply tells of, the node's own
+// are counted by itself.
+func TestOwnRequestsAreNotOthers(t *testing.T) {
+	g := NewWithT(t)
+	record := &roster.Record{Node: "n", Epoch: 1, Endpoint: &roster.Endpoint{ID: "a", Slots: 4, State: roster.Ready}}
+	now := time.Now()
+	held := &target{}
+	held.inFlight.Store(2)
+	held.learn(hop.Reply{Running: 3, Slots: 4, Factor: 1, Held: time.Second}, record, now)
+	held.inFlight.Store(4)
+	g.Expect(held.candidate(record, place{}, time.Second, now).Busy).To(Equal(5.0))
+}
--- a/internal/sidecar/exchange/catchup.go
+++ b/internal/sidecar/exchange/catchup.go
@@ -21,9 +21,9 @@
 )
 
 // Behind catches up with a peer that has a newer configuration. A node that
-// reads the store mostly hears from it within a short time; then it asks the
-// store, and at last the peer. One that does not read takes it from the peer,
-// rather from one of its zone.
+// reads the store mostly hears from it within a short time; one that does not,
+// from a peer of its zone. Then it takes it from this peer, and at last from the
+// store: its calls are paid for.
 func (e *Exchanger) Behind(peer *roster.Record, version uint64) {
 	if peer == nil || version <= e.options.Configuration.Version() || !e.fetching.CompareAndSwap(false, true) {
 		return
@@ -41,7 +41,7 @@
 	if held.Version() > 0 {
 		time.Sleep(catchUpDelay(reads, near))
 	}
-	if held.Version() >= version || (reads && e.refreshed(version)) {
+	if held.Version() >= version {
 		return
 	}
 	err := e.fetch(peer)
@@ -53,9 +53,7 @@
 	}
 	e.options.Logger.Warn("configuration not fetched", zap.String("peer", peer.Node),
 		zap.Uint64("version", version), zap.Uint64("inForce", held.Version()), zap.Error(err))
-	if !reads {
-		e.refreshed(version)
-	}
+	e.refreshed(version)
 }
 
 // catchUpDelay is how long a node that is behind waits for what would come by
--- a/internal/sidecar/exchange/exchanger.go
+++ b/internal/sidecar/exchange/exchanger.go
@@ -68,6 +68,8 @@
 	options Options
 	client  *http.Client
 	lost    lostPeers
+	// met: another node was in touch with this one.
+	met atomic.Bool
 	// fetching keeps a node from fetching a configuration twice at once.
 	fetching atomic.Bool
 }
@@ -189,6 +191,9 @@
 	return asked
 }
 
+// Met reports whether another node was in touch with this one since it started.
+func (e *Exchanger) Met() bool { return e.met.Load() }
+
 // Usable reports whether a node has not failed to answer of late.
 func (e *Exchanger) Usable(record *roster.Record) bool { return !e.lost.holds(record.Node) }
 
@@ -206,6 +211,7 @@
 
 // take merges a peer's message and fetches its configuration when it is newer.
 func (e *Exchanger) take(received *Message) {
+	e.met.Store(true)
 	e.options.Roster.Merge(append([]*roster.Record{received.From}, received.Records...))
 	e.Behind(received.From, received.Version)
 }
--- a/internal/sidecar/exchange/spread.go
+++ b/internal/sidecar/exchange/spread.go
@@ -117,6 +117,7 @@
 
 // hear takes in a notice and passes news on when that is asked.
 func (e *Exchanger) hear(notice *Notice) {
+	e.met.Store(true)
 	news := e.options.Roster.Merge([]*roster.Record{notice.Record})
 	if sender := e.options.Roster.View().Record(notice.From); sender != nil {
 		e.Behind(sender, notice.Version)
@@ -156,6 +157,7 @@
 	if err != nil {
 		return err
 	}
+	e.met.Store(true)
 	return resp.Body.Close()
 }
 
--- a/internal/sidecar/membership/membership.go
+++ b/internal/sidecar/membership/membership.go
@@ -1,11 +1,13 @@
 // Package membership lets nodes find each other through the store: each node
-// writes one key with its own record and reads the keys of all others. The keys
-// bear no lease: that the store is silent says nothing about a node.
+// writes one key with its own record, once a life at most, and reads the keys of
+// all others when it starts. The keys bear no lease: that the store is silent says
+// nothing about a node.
 package membership
 
 import (
 	"context"
 	"encoding/json"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -24,48 +26,155 @@
 	pauseMost   = 1500 * time.Millisecond
 	// pageKeys is how many keys one read asks for.
 	pageKeys = 500
+	// settledInterval is the time between two reads of a node that reads the store
+	// for others. They may be seconds old; a change travels between the nodes
+	// themselves.
+	settledInterval = 20 * time.Second
+	// endpointPatience is how long the first write waits for the back end to make
+	// itself known, in heartbeats, so that one write is enough. The second one
+	// covers a heartbeat that is late.
+	endpointPatience = 2
+	// meetDelay is how long after its write a node waits for another one to be in
+	// touch with it before it reads the keys again, half of it at least. Where many
+	// nodes start together the first of them to read tell the others.
+	meetDelay = 1500 * time.Millisecond
+	// meetMost bounds the time between two such reads of a node that stays alone.
+	meetMost = settledInterval
 )
 
-// rangeFunction reads one page of keys.
-type rangeFunction func(ctx context.Context, prefix, from string, limit int) ([]store.KeyValue, uint64, error)
+// Store is what membership needs of the store.
+type Store interface {
+	store.Reader
+	store.Writer
+	// RangeStale is Range, but what it returns may be seconds old.
+	RangeStale(ctx context.Context, prefix, from string, limit int) ([]store.KeyValue, uint64, error)
+}
+
+// Options configure a membership.
+type Options struct {
+	Store   Store
+	Members *roster.Roster
+	// FirstStart: the whole system starts for the first time, no node has a key.
+	FirstStart bool
+	// HeartbeatInterval is the usual time between two heartbeats of a back end.
+	HeartbeatInterval time.Duration
+	// Joined is called after each read that looked for other nodes.
+	Joined func()
+	// Met reports whether another node was in touch with this one.
+	Met func() bool
+	// Reads reports whether the node reads the store for others.
+	Reads  func() bool
+	Logger *zap.Logger
+}
 
-// settling are the times between the first reads: nodes that start together
-// write their keys while the others read. Later reads may be seconds old; a
-// change travels between the nodes themselves.
-var settling = []time.Duration{time.Second, 3 * time.Second}
+// Membership keeps the node's key and finds the other nodes.
+type Membership struct {
+	options   Options
+	publisher *publisher
+}
 
-const settledInterval = 20 * time.Second
+// New returns a membership that Run starts.
+func New(options Options) *Membership {
+	return &Membership{options: options, publisher: newPublisher(&options)}
+}
 
-// Follow reads the records of all nodes from the store until the context ends.
-// joined is called after each read that succeeded while settling. While reads
-// returns false a node that has read once leaves the store alone: it is kept
-// level by its peers.
-func Follow(ctx context.Context, reader Store, members *roster.Roster, joined func(), reads func() bool, logger *zap.Logger) {
+// Run finds the other nodes and keeps the node's key until the context ends.
+//
+// A node reads all keys when it starts. Where nodes start together each may have
+// read before the others wrote. So a node that nobody was in touch with after its
+// write reads again: of any two groups of nodes that know nothing of each other,
+// the last to read would have seen a key of the other one.
+func (m *Membership) Run(ctx context.Context) {
+	if !m.options.FirstStart {
+		m.findUntilRead(ctx)
+	}
+	m.awaitEndpoint(ctx)
+	var running sync.WaitGroup
+	running.Go(func() { m.publisher.run(ctx) })
+	defer running.Wait()
+	select {
+	case <-m.publisher.written:
+	case <-ctx.Done():
+		return
+	}
+	m.meet(ctx)
+	m.refresh(ctx)
+}
+
+// Withdraw removes the own key: the node and its back end do not come back.
+func (m *Membership) Withdraw(ctx context.Context) error { return m.publisher.withdraw(ctx) }
+
+// findUntilRead reads all keys, the own one among them, until that succeeds.
+func (m *Membership) findUntilRead(ctx context.Context) {
 	backoff := pause.Backoff{Base: pauseBase, Most: pauseMost}
-	for rounds := 0; ctx.Err() == nil; {
-		read := reader.RangeStale
-		if rounds <= len(settling) {
-			read = reader.Range
+	for ctx.Err() == nil {
+		own, err := m.find(ctx)
+		if err == nil {
+			m.publisher.found(own)
+			return
 		}
-		if rounds == 0 || reads() {
-			if err := readAll(ctx, read, members, logger); err != nil {
-				backoff.Failed(ctx)
-				continue
-			}
-			backoff.Succeeded()
+		backoff.Failed(ctx)
+	}
+}
+
+// find reads all keys and returns the own one, nil when it is absent.
+func (m *Membership) find(ctx context.Context) (own *store.KeyValue, err error) {
+	name := KeyPrefix + m.options.Members.Own().Node
+	err = m.readAll(ctx, m.options.Store.Range, func(item store.KeyValue) {
+		if item.Key == name {
+			own = &item
 		}
-		interval := settledInterval
-		if rounds < len(settling) {
-			interval = settling[rounds]
-			joined()
+	})
+	if err == nil {
+		m.options.Joined()
+	}
+	return own, err
+}
+
+// awaitEndpoint waits until the back end is known, but not for ever.
+func (m *Membership) awaitEndpoint(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, endpointPatience*m.options.HeartbeatInterval)
+	defer cancel()
+	for ctx.Err() == nil && m.options.Members.Own().Endpoint == nil {
+		pause.Wait(ctx, pauseBase)
+	}
+}
+
+// meet returns once another node was in touch with this one.
+func (m *Membership) meet(ctx context.Context) {
+	for wait := meetDelay; ; wait = min(2*wait, meetMost) {
+		pause.Wait(ctx, wait)
+		if ctx.Err() != nil || m.options.Met() {
+			return
+		}
+		if _, err := m.find(ctx); err != nil {
+			m.options.Logger.Warn("other nodes not read", zap.Error(err))
+		}
+	}
+}
+
+// refresh reads all keys from time to time while the node reads for others: should
+// groups of nodes have lost each other, they find each other again.
+func (m *Membership) refresh(ctx context.Context) {
+	for {
+		pause.Wait(ctx, settledInterval)
+		if ctx.Err() != nil {
+			return
+		}
+		if !m.options.Reads() {
+			continue
+		}
+		if err := m.readAll(ctx, m.options.Store.RangeStale, func(store.KeyValue) {}); err != nil {
+			m.options.Logger.Warn("other nodes not read", zap.Error(err))
 		}
-		rounds++
-		pause.Wait(ctx, interval)
 	}
 }
 
-// readAll takes in every key.
-func readAll(ctx context.Context, read rangeFunction, members *roster.Roster, logger *zap.Logger) error {
+// rangeFunction reads one page of keys.
+type rangeFunction func(ctx context.Context, prefix, from string, limit int) ([]store.KeyValue, uint64, error)
+
+// readAll takes in every key; seen is told of each.
+func (m *Membership) readAll(ctx context.Context, read rangeFunction, seen func(store.KeyValue)) error {
 	from := KeyPrefix
 	for {
 		bounded, cancel := context.WithTimeout(ctx, callTimeout)
@@ -75,7 +184,8 @@
 			return err
 		}
 		for _, item := range found {
-			take(members, item, logger)
+			m.take(item)
+			seen(item)
 		}
 		if len(found) < pageKeys {
 			return nil
@@ -85,19 +195,11 @@
 }
 
 // take merges one item. What is not a record of ours is left alone.
-func take(members *roster.Roster, item store.KeyValue, logger *zap.Logger) {
+func (m *Membership) take(item store.KeyValue) {
 	record := &roster.Record{}
 	if err := json.Unmarshal(item.Value, record); err != nil || KeyPrefix+record.Node != item.Key {
-		logger.Warn("item of the store is no node's record", zap.String("key", item.Key), zap.Error(err))
+		m.options.Logger.Warn("item of the store is no node's record", zap.String("key", item.Key), zap.Error(err))
 		return
 	}
-	members.Merge([]*roster.Record{record})
-}
-
-// Store is what a publisher needs of the store.
-type Store interface {
-	store.Reader
-	store.Writer
-	// RangeStale is Range, but what it returns may be seconds old.
-	RangeStale(ctx context.Context, prefix, from string, limit int) ([]store.KeyValue, uint64, error)
+	m.options.Members.Merge([]*roster.Record{record})
 }
--- a/internal/sidecar/membership/publisher.go
+++ b/internal/sidecar/membership/publisher.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"sync"
+	"sync/atomic"
 
 	"go.uber.org/zap"
 
@@ -12,24 +14,30 @@
 	"github.com/kestrelstream/kestrelstream/internal/store"
 )
 
-// Publisher writes the node's own record.
-type Publisher struct {
+// publisher keeps the node's own key. All but withdraw is used by one goroutine.
+type publisher struct {
 	store   Store
 	members *roster.Roster
 	logger  *zap.Logger
 	wake    chan struct{}
-	// revision is that of the own key, as far as known.
-	revision uint64
-	known    bool
+	// written is closed once the key holds what the others need.
+	written chan struct{}
+	once    sync.Once
+	// known: revision and stored are those of the own key.
+	known bool
+	// revision is that of the own key, zero when it is absent or not known.
+	revision atomic.Uint64
 	stored   roster.Record
 }
 
-// NewPublisher returns a publisher that Run starts.
-func NewPublisher(target Store, members *roster.Roster, logger *zap.Logger) *Publisher {
-	created := &Publisher{store: target, members: members, logger: logger, wake: make(chan struct{}, 1)}
-	members.Observe(func(changed []*roster.Record) {
+func newPublisher(options *Options) *publisher {
+	created := &publisher{
+		store: options.Store, members: options.Members, logger: options.Logger, known: options.FirstStart,
+		wake: make(chan struct{}, 1), written: make(chan struct{}),
+	}
+	options.Members.Observe(func(changed []*roster.Record) {
 		for _, record := range changed {
-			if record.Node == members.Own().Node {
+			if record.Node == created.members.Own().Node {
 				created.signal()
 			}
 		}
@@ -37,15 +45,15 @@
 	return created
 }
 
-func (p *Publisher) signal() {
+func (p *publisher) signal() {
 	select {
 	case p.wake <- struct{}{}:
 	default:
 	}
 }
 
-// Run writes the record now and after each change, until the context ends.
-func (p *Publisher) Run(ctx context.Context) {
+// run brings the key up to date now and after each change, until the context ends.
+func (p *publisher) run(ctx context.Context) {
 	backoff := pause.Backoff{Base: pauseBase, Most: pauseMost}
 	for ctx.Err() == nil {
 		if err := p.publish(ctx); err != nil {
@@ -53,6 +61,7 @@
 			continue
 		}
 		backoff.Succeeded()
+		p.once.Do(func() { close(p.written) })
 		select {
 		case <-p.wake:
 		case <-ctx.Done():
@@ -60,10 +69,45 @@
 	}
 }
 
-// publish brings the own key to the own record. After an unknown outcome the
-// key is read first: a condition on its revision keeps a late write from
-// undoing a later one.
-func (p *Publisher) publish(ctx context.Context) error {
+// found takes in the own key from a read of all, nil when it is absent.
+func (p *publisher) found(item *store.KeyValue) {
+	p.known, p.stored = true, roster.Record{}
+	if item == nil {
+		p.revision.Store(0)
+		return
+	}
+	p.revision.Store(item.Revision)
+	record := &roster.Record{}
+	if err := json.Unmarshal(item.Value, record); err != nil || record.Node != p.members.Own().Node {
+		p.logger.Warn("the own key holds no record of this node, it will be replaced", zap.Error(err))
+		return
+	}
+	p.stored = *record
+}
+
+// outdated reports whether the stored record does not lead others to the node any
+// more, or does not say whether its back end is leaving. All else is told between
+// the nodes, and after a restart by the back end's next heartbeat. The epoch need
+// not be stored: a node goes above the one that it finds, by an amount that no two
+// lives share.
+func outdated(stored, own *roster.Record) bool {
+	if stored.Node != own.Node || stored.Address != own.Address || stored.PeerAddress != own.PeerAddress ||
+		stored.Zone != own.Zone || stored.Link != own.Link {
+		return true
+	}
+	held, now := stored.Endpoint, own.Endpoint
+	switch {
+	case now == nil:
+		return false
+	case held == nil:
+		return true
+	}
+	return held.Service != now.Service || (held.State == roster.Ready) != (now.State == roster.Ready)
+}
+
+// publish brings the own key up to date. After an unknown outcome the key is read
+// first: a condition on its revision keeps a late write from undoing a later one.
+func (p *publisher) publish(ctx context.Context) error {
 	bounded, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if !p.known {
@@ -72,7 +116,7 @@
 		}
 	}
 	own := *p.members.Own()
-	if own.Epoch == p.stored.Epoch && own.Counter == p.stored.Counter {
+	if !outdated(&p.stored, &own) {
 		return nil
 	}
 	value, err := json.Marshal(own)
@@ -80,40 +124,46 @@
 		return err
 	}
 	revision, err := p.store.CompareAndSwap(bounded, store.Swap{
-		Key: KeyPrefix + own.Node, ExpectedRevision: p.revision, Value: value,
+		Key: KeyPrefix + own.Node, ExpectedRevision: p.revision.Load(), Value: value,
 	})
 	if err != nil {
 		p.known = errors.Is(err, store.ErrRateLimited) || errors.Is(err, store.ErrUnavailable)
 		p.logger.Warn("record not stored", zap.Uint64("counter", own.Counter), zap.Error(err))
 		return err
 	}
-	p.revision, p.stored = revision, own
+	p.revision.Store(revision)
+	p.stored = own
 	return nil
 }
 
 // read learns the own key's revision and what an earlier life left there.
-func (p *Publisher) read(ctx context.Context) error {
-	own := p.members.Own()
-	found, err := p.store.Get(ctx, KeyPrefix+own.Node)
+func (p *publisher) read(ctx context.Context) error {
+	found, err := p.store.Get(ctx, KeyPrefix+p.members.Own().Node)
 	if errors.Is(err, store.ErrNotFound) {
-		p.known, p.revision, p.stored = true, 0, roster.Record{}
+		p.found(nil)
 		return nil
 	}
 	if err != nil {
 		return err
 	}
-	p.known, p.revision, p.stored = true, found.Revision, roster.Record{}
-	record := &roster.Record{}
-	if json.Unmarshal(found.Value, record) == nil && record.Node == own.Node {
-		p.stored = *record
-		p.members.Merge([]*roster.Record{record})
+	p.found(&found)
+	if p.stored.Node != "" {
+		remembered := p.stored
+		p.members.Merge([]*roster.Record{&remembered})
 	}
 	return nil
 }
 
-// Withdraw removes the own key: the node and its back end do not come back.
-func (p *Publisher) Withdraw(ctx context.Context) error {
-	found, err := p.store.Get(ctx, KeyPrefix+p.members.Own().Node)
+// withdraw removes the own key. Its revision is mostly known.
+func (p *publisher) withdraw(ctx context.Context) error {
+	own := KeyPrefix + p.members.Own().Node
+	if revision := p.revision.Load(); revision > 0 {
+		_, err := p.store.CompareAndSwap(ctx, store.Swap{Key: own, ExpectedRevision: revision, Delete: true})
+		if !errors.Is(err, store.ErrConflict) {
+			return err
+		}
+	}
+	found, err := p.store.Get(ctx, own)
 	if errors.Is(err, store.ErrNotFound) {
 		return nil
 	}
--- a/internal/sidecar/readers/readers.go
+++ b/internal/sidecar/readers/readers.go
@@ -14,23 +14,30 @@
 )
 
 const (
-	// least is how many nodes of a zone read at least: so many may be lost or cut
-	// off from the store at once without the others having to notice.
-	least = 4
-	// share is the number of nodes for each of which one reads.
-	share = 16
+	// least is how many nodes read at least, those of all zones together: where the
+	// store turns every third one away, all of them are among those in one of 700
+	// cases. A zone whose readers are lost or refused hears from those of others.
+	least = 6
+	// share is the number of a zone's nodes for each of which one reads: so many
+	// peers a reader tells of each change.
+	share = 32
 )
 
 // Usable reports whether a node is believed to be there.
 type Usable func(*roster.Record) bool
 
-// Count returns how many of that many nodes of a zone read.
-func Count(nodes int) int { return min(max(least, (nodes+share-1)/share), nodes) }
+// Count returns how many of that many nodes of a zone read, where there are that
+// many zones.
+func Count(nodes, zones int) int {
+	wanted := max((least+zones-1)/max(zones, 1), (nodes+share-1)/share)
+	return min(wanted, nodes)
+}
 
 // Zone divides the nodes of one zone: those that read, in order, and the others
 // in the order of their names. Nodes that are not usable are in neither. Of two
 // nodes the one with the faster link reads.
-func Zone(records []*roster.Record, usable Usable) (reading, others []*roster.Record) {
+func Zone(view *roster.View, zone string, usable Usable) (reading, others []*roster.Record) {
+	records := view.Zone(zone)
 	ranked := make([]*roster.Record, 0, len(records))
 	for _, record := range records {
 		if !record.Leaving && !record.Gone() && usable(record) {
@@ -40,23 +47,24 @@
 	slices.SortFunc(ranked, func(a, b *roster.Record) int {
 		return cmp.Or(cmp.Compare(b.Link, a.Link), cmp.Compare(xxhash.Sum64String(a.Node), xxhash.Sum64String(b.Node)))
 	})
-	count := Count(len(ranked))
+	count := Count(len(ranked), len(view.Zones()))
 	reading, others = ranked[:count], ranked[count:]
 	slices.SortFunc(others, func(a, b *roster.Record) int { return cmp.Compare(a.Node, b.Node) })
 	return reading, others
 }
 
-// Reads reports whether the node is among those of its zone that read. A node
-// that is leaving, or whose back end is gone, reads for itself.
+// Reads reports whether the node is among those of its zone that read. A node that
+// is leaving, or whose back end is gone, hears from its peers until its end, unless
+// there is none to read.
 func Reads(view *roster.View, own *roster.Record, usable Usable) bool {
-	reading, others := Zone(view.Zone(own.Zone), usable)
-	return slices.ContainsFunc(reading, own.Same) || !slices.ContainsFunc(others, own.Same)
+	reading, _ := Zone(view, own.Zone, usable)
+	return len(reading) == 0 || slices.ContainsFunc(reading, own.Same)
 }
 
 // Told returns the nodes that the given one is to tell of what it has read: of
 // those in its zone that do not read, each is told by one reader.
 func Told(view *roster.View, own *roster.Record, usable Usable) []*roster.Record {
-	reading, others := Zone(view.Zone(own.Zone), usable)
+	reading, others := Zone(view, own.Zone, usable)
 	rank := slices.IndexFunc(reading, own.Same)
 	if rank < 0 {
 		return nil
@@ -71,7 +79,7 @@
 // Teller returns the reader that tells the given node, nil when the node reads
 // itself.
 func Teller(view *roster.View, own *roster.Record, usable Usable) *roster.Record {
-	reading, others := Zone(view.Zone(own.Zone), usable)
+	reading, others := Zone(view, own.Zone, usable)
 	if place := slices.IndexFunc(others, own.Same); place >= 0 {
 		return reading[place%len(reading)]
 	}
@@ -81,9 +89,9 @@
 // Total returns how many nodes read in all zones, each counted as if all its
 // nodes were there.
 func Total(view *roster.View) int {
-	total := 0
-	for _, zone := range view.Zones() {
-		total += Count(len(view.Zone(zone)))
+	total, zones := 0, view.Zones()
+	for _, zone := range zones {
+		total += Count(len(view.Zone(zone)), len(zones))
 	}
 	return total
 }
--- a/internal/sidecar/roster/roster.go
+++ b/internal/sidecar/roster/roster.go
@@ -9,7 +9,9 @@
 // Roster merges records. It is safe for concurrent use; reads take no lock.
 type Roster struct {
 	self string
-	view atomic.Pointer[View]
+	// epochStep is how far above a remembered record's epoch the own one goes.
+	epochStep uint64
+	view      atomic.Pointer[View]
 
 	mutex     sync.Mutex // guards all below and the replacement of view
 	records   map[string]*Record
@@ -23,9 +25,20 @@
 	gone map[string]time.Time
 }
 
+// Option changes a new roster.
+type Option func(*Roster)
+
+// WithEpochStep has the own epoch rise by that much, one or more, above an earlier
+// life's. Two lives may find the same record of one before them; with steps of
+// their own their records never bear the same version.
+func WithEpochStep(step uint64) Option { return func(r *Roster) { r.epochStep = step } }
+
 // New returns a roster that holds the node's own first record.
-func New(own Record) *Roster {
-	created := &Roster{self: own.Node, records: map[string]*Record{own.Node: &own}, gone: map[string]time.Time{}}
+func New(own Record, options ...Option) *Roster {
+	created := &Roster{self: own.Node, epochStep: 1, records: map[string]*Record{own.Node: &own}, gone: map[string]time.Time{}}
+	for _, option := range options {
+		option(created)
+	}
 	created.publish()
 	return created
 }
@@ -107,7 +120,7 @@
 	if !remembered.Newer(&own) {
 		return nil
 	}
-	own.Epoch = remembered.Epoch + 1
+	own.Epoch = remembered.Epoch + r.epochStep
 	for _, id := range remembered.Ended {
 		if !own.HasEnded(id) {
 			own.Ended = appendEnded(own.Ended, id)
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -8,7 +8,6 @@
 	"go.uber.org/zap"
 
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/configuration"
-	"github.com/kestrelstream/kestrelstream/internal/sidecar/membership"
 )
 
 // sweepInterval is the time between two looks at idle connections.
@@ -19,12 +18,9 @@
 	var running sync.WaitGroup
 	work := []func(){
 		func() {
-			configuration.Follow(ctx, s.options.Store, s.options.ConfigurationKey, s.keeper, s.reads, s.logger)
+			configuration.Follow(ctx, s.options.Store, s.options.ConfigurationKey, s.keeper, s.follows, s.logger)
 		},
-		func() {
-			membership.Follow(ctx, s.options.Store, s.members, func() { go s.spread(ctx) }, s.reads, s.logger)
-		},
-		func() { s.publisher.Run(ctx) },
+		func() { s.membership.Run(ctx) },
 		func() { s.exchanger.Run(ctx) },
 		func() { s.sweep(ctx) },
 	}
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -28,6 +28,9 @@
 	MemoryBytes int64
 	// LinkMbps is the speed of the machine's link in Mbit/s; zero when unknown.
 	LinkMbps int
+	// FirstStart: the whole system starts for the first time, so that no node has
+	// left anything in the store.
+	FirstStart bool
 	// HeartbeatInterval is the usual time between two heartbeats of a back end.
 	HeartbeatInterval time.Duration
 	// DrainBound is how long after its word that it is leaving a back end may
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -50,6 +50,11 @@
 	// drainShare is the part of the drain bound after which a back end that is
 	// leaving gets no new work any more; the rest covers what is on its way.
 	drainShare = 0.5
+	// epochSteps is how many steps there are from one life's epoch to the next.
+	epochSteps = 1 << 16
+	// firstVersionPatience is how long, at the first start of the whole system, a
+	// node that is not one to read the configuration waits for a peer to bring it.
+	firstVersionPatience = 5 * time.Second
 	// peerSilence bounds connections to other nodes.
 	peerUnacknowledged = 1500 * time.Millisecond
 	peerIdle           = time.Second
@@ -69,15 +74,19 @@
 
 // Sidecar is one node. It is safe for concurrent use.
 type Sidecar struct {
-	options   Options
-	logger    *zap.Logger
-	members   *roster.Roster
-	keeper    *configuration.Keeper
-	publisher *membership.Publisher
-	exchanger *exchange.Exchanger
-	egress    *egress.Handler
-	ingress   *ingress.Handler
-	stopping  atomic.Bool
+	options Options
+	logger  *zap.Logger
+	members *roster.Roster
+	keeper  *configuration.Keeper
+	// membership finds the other nodes in the store.
+	membership *membership.Membership
+	exchanger  *exchange.Exchanger
+	egress     *egress.Handler
+	ingress    *ingress.Handler
+	stopping   atomic.Bool
+	// started is when the node was made; joined: the store was asked for other nodes.
+	started time.Time
+	joined  atomic.Bool
 	// settings are replaced at a reload.
 	settings atomic.Pointer[Settings]
 	// lastBeat is when a heartbeat was last heard, in nanoseconds of the Unix time;
@@ -109,9 +118,10 @@
 		members: roster.New(roster.Record{
 			Node: settings.Node, Epoch: 1, Counter: 1, Zone: settings.Zone,
 			Address: settings.Listen.Inbound, PeerAddress: settings.Listen.Peer, Link: settings.LinkMbps,
-		}),
-		keeper: configuration.NewKeeper(options.Decode, options.Logger),
-		claims: roster.Claims{Interval: settings.HeartbeatInterval},
+		}, roster.WithEpochStep(1+rand.Uint64N(epochSteps))),
+		started: time.Now(),
+		keeper:  configuration.NewKeeper(options.Decode, options.Logger),
+		claims:  roster.Claims{Interval: settings.HeartbeatInterval},
 	}
 	observed := newMetrics(options.Registry)
 	options.Store = newCountedStore(options.Store, options.Registry)
@@ -130,7 +140,11 @@
 		Suspect: created.egress.Suspect,
 		Logger:  options.Logger,
 	})
-	created.publisher = membership.NewPublisher(options.Store, created.members, options.Logger)
+	created.membership = membership.New(membership.Options{
+		Store: options.Store, Members: created.members,
+		FirstStart: settings.FirstStart, HeartbeatInterval: settings.HeartbeatInterval,
+		Joined: created.join, Met: created.exchanger.Met, Reads: created.reads, Logger: options.Logger,
+	})
 	created.members.Observe(created.follow)
 	created.keeper.Observe(created.apply)
 	created.watch(options.Registry)
@@ -258,6 +272,26 @@
 	return readers.Reads(s.members.View(), s.members.Own(), s.exchanger.Usable)
 }
 
+// follows reports whether this node is to follow the configuration in the store. One
+// that has none yet does, so that it serves soon. Only where the whole system starts
+// for the first time nobody comes so early: those read whose turn it is, once the
+// nodes know each other.
+func (s *Sidecar) follows() bool {
+	switch {
+	case s.keeper.Version() > 0:
+		return s.reads()
+	case s.options.Settings.FirstStart && time.Since(s.started) < firstVersionPatience:
+		return (s.joined.Load() || s.exchanger.Met()) && s.reads()
+	}
+	return true
+}
+
+// join tells the peers that were found in the store of this node.
+func (s *Sidecar) join() {
+	s.joined.Store(true)
+	go s.spread(context.Background())
+}
+
 func (s *Sidecar) limitConnections(table *route.Table, endpoint *roster.Endpoint) {
 	if table == nil || endpoint == nil {
 		return
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -133,7 +133,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), withdrawTimeout)
 	defer cancel()
-	if err := s.publisher.Withdraw(ctx); err != nil {
+	if err := s.membership.Withdraw(ctx); err != nil {
 		s.logger.Warn("record not withdrawn", zap.Error(err))
 	}
 }
