Know a slow back end by the requests that it has not ended; remember pace for as long as load

Cause: a back end's pace was learnt from requests that it had ended: one that became twelve times slower was known as such after twelve times the usual work. And every node forgot half of it in 3 s, although it hears of a back end every 0.4 s to 2.2 s.

Change: requests that run longer than expected count for what they have taken. A pace, and a share of failures, fade no faster than the report of the load that came with them.

--- a/internal/sidecar/choice/choice_test.go
+++ b/internal/sidecar/choice/choice_test.go
@@ -195,20 +195,45 @@
 
 func TestPace(t *testing.T) {
 	g := NewWithT(t)
-	pace := &choice.Pace{}
-	g.Expect(pace.Factor()).To(Equal(1.0))
+	pace, now := &choice.Pace{}, time.Unix(100, 0)
+	g.Expect(pace.Factor(now)).To(Equal(1.0))
 	pace.Observe(time.Hour, 0)
-	g.Expect(pace.Factor()).To(Equal(1.0), "nothing was expected")
+	g.Expect(pace.Factor(now)).To(Equal(1.0), "nothing was expected")
 	for range 200 {
 		pace.Observe(50*ms, 100*ms)
 	}
-	g.Expect(pace.Factor()).To(BeNumerically("~", 0.5, 0.01))
+	g.Expect(pace.Factor(now)).To(BeNumerically("~", 0.5, 0.01))
 	pace.Observe(time.Hour, 100*ms)
-	g.Expect(pace.Factor()).To(BeNumerically("<", 1.0), "one request alone says little")
-	g.Expect(choice.Faded(5, 0)).To(Equal(5.0))
-	g.Expect(choice.Faded(5, 3*time.Second)).To(BeNumerically("~", 3, 0.001))
-	g.Expect(choice.Faded(5, time.Hour)).To(BeNumerically("~", 1, 0.001))
-	g.Expect(choice.Faded(0, 0)).To(Equal(1.0))
+	g.Expect(pace.Factor(now)).To(BeNumerically("<", 1.0), "one request alone says little")
+	g.Expect(choice.Faded(5, 0, 0)).To(Equal(5.0))
+	g.Expect(choice.Faded(5, 3*time.Second, time.Second)).To(BeNumerically("~", 3, 0.001))
+	g.Expect(choice.Faded(5, time.Hour, time.Second)).To(BeNumerically("~", 1, 0.001))
+	g.Expect(choice.Faded(0, 0, 0)).To(Equal(1.0))
+	g.Expect(choice.Faded(5, 8*time.Second, 8*time.Second)).To(BeNumerically("~", 3, 0.001), "heard rarely")
+}
+
+// TestPaceOfRunningRequests: that a back end became slow shows before it ends the
+// first request, and a few that hang do not make it slow.
+func TestPaceOfRunningRequests(t *testing.T) {
+	g := NewWithT(t)
+	pace, now := &choice.Pace{}, time.Unix(100, 0)
+	for range 200 {
+		pace.Observe(100*ms, 100*ms)
+	}
+	var runs []*choice.Run
+	for range 8 {
+		runs = append(runs, pace.Begin(100*ms, now))
+	}
+	g.Expect(pace.Factor(now.Add(100*ms))).To(BeNumerically("~", 1, 0.01), "as expected")
+	g.Expect(pace.Factor(now.Add(300 * ms))).To(BeNumerically(">", 1.5))
+	g.Expect(pace.Factor(now.Add(600 * ms))).To(BeNumerically(">", 2.4))
+	g.Expect(pace.Factor(now.Add(time.Hour))).To(BeNumerically("<", 5), "bounded")
+	for _, run := range runs[1:] {
+		pace.End(run)
+	}
+	g.Expect(pace.Factor(now.Add(500*ms))).To(BeNumerically("<", 1.2), "one that hangs")
+	pace.End(runs[0])
+	g.Expect(pace.Factor(now.Add(500 * ms))).To(BeNumerically("~", 1, 0.01))
 }
 
 func TestWork(t *testing.T) {
@@ -232,5 +257,5 @@
 		failures.Observe(false)
 	}
 	g.Expect(failures.Share()).To(BeNumerically("<", 0.01))
-	g.Expect(choice.FadedShare(0.4, 3*time.Second)).To(BeNumerically("~", 0.2, 0.001))
+	g.Expect(choice.FadedShare(0.4, 3*time.Second, 0)).To(BeNumerically("~", 0.2, 0.001))
 }
--- a/internal/sidecar/choice/pace.go
+++ b/internal/sidecar/choice/pace.go
@@ -12,6 +12,14 @@
 	mutex   sync.Mutex // guards all below
 	factor  float64
 	samples float64
+	// running are the requests that it works on now.
+	running map[*Run]struct{}
+}
+
+// Run is one request that a back end works on. It is immutable.
+type Run struct {
+	began    time.Time
+	expected time.Duration
 }
 
 const (
@@ -19,11 +27,36 @@
 	paceSamples = 24
 	// A single request moves the factor by no more than these bounds allow.
 	lowestRatio, highestRatio = 0.1, 12
-	// paceHalfLife is how fast a factor that is not renewed is forgotten, so
-	// that a back end that was slow is tried again.
+	// usualFactor is that of a back end of which nothing is known.
+	usualFactor = 1
+	// priorSamples have the first requests count as if some usual ones had come
+	// before.
+	priorSamples = 3
+	// paceHalfLife is how fast a factor that is not renewed is forgotten at least,
+	// so that a back end that was slow is tried again.
 	paceHalfLife = 3 * time.Second
 )
 
+// Begin notes that the back end begins a request that is expected to take that
+// time. End is to be called with the result.
+func (p *Pace) Begin(expected time.Duration, now time.Time) *Run {
+	begun := &Run{began: now, expected: expected}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.running == nil {
+		p.running = map[*Run]struct{}{}
+	}
+	p.running[begun] = struct{}{}
+	return begun
+}
+
+// End notes that a request is not worked on any more.
+func (p *Pace) End(run *Run) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	delete(p.running, run)
+}
+
 // Observe takes in one request.
 func (p *Pace) Observe(worked, expected time.Duration) {
 	if expected <= 0 {
@@ -33,38 +66,50 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.samples = min(p.samples+1, paceSamples)
-	// The first requests count as if some usual ones had come before.
-	const prior = 3
 	if p.factor == 0 {
-		p.factor = 1
+		p.factor = usualFactor
 	}
-	p.factor += (ratio - p.factor) / (p.samples + prior)
+	p.factor += (ratio - p.factor) / (p.samples + priorSamples)
 }
 
-// Factor returns the factor, one before the first request.
-func (p *Pace) Factor() float64 {
+// Factor returns the factor, one before the first request. Requests that have
+// already taken longer than the factor makes expect count for what they have taken:
+// a back end that became slow is known as such before it ends the first of them.
+func (p *Pace) Factor(now time.Time) float64 {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if p.factor == 0 {
-		return 1
+	factor := p.factor
+	if factor == 0 {
+		factor = usualFactor
+	}
+	excess := 0.0
+	for run := range p.running {
+		if run.expected > 0 {
+			ratio := min(float64(now.Sub(run.began))/float64(run.expected), highestRatio)
+			excess += max(ratio-factor, 0)
+		}
 	}
-	return p.factor
+	return factor + excess/(p.samples+priorSamples)
 }
 
-// Faded returns what a factor of that age still says.
-func Faded(factor float64, age time.Duration) float64 {
+// Faded returns what a factor of that age still says. heard is the time in which
+// half of a report of the load is forgotten where it comes from: who hears of a back
+// end rarely remembers its pace for longer.
+func Faded(factor float64, age, heard time.Duration) float64 {
 	if factor <= 0 {
-		return 1
+		return usualFactor
 	}
-	return 1 + (factor-1)*fading(age)
+	return usualFactor + (factor-usualFactor)*fading(age, heard)
 }
 
 // FadedShare returns what a share of failures of that age still says: a back end
 // that was left alone is tried again.
-func FadedShare(share float64, age time.Duration) float64 { return share * fading(age) }
+func FadedShare(share float64, age, heard time.Duration) float64 { return share * fading(age, heard) }
 
 // fading is the part of a report that still counts after that time.
-func fading(age time.Duration) float64 { return math.Exp2(-float64(age) / float64(paceHalfLife)) }
+func fading(age, heard time.Duration) float64 {
+	return math.Exp2(-float64(age) / float64(max(paceHalfLife, heard)))
+}
 
 // Work is the usual time that requests of one route are worked on. It is safe
 // for concurrent use.
--- a/internal/sidecar/egress/target.go
+++ b/internal/sidecar/egress/target.go
@@ -124,9 +124,9 @@
 	if report := t.report.Load(); report != nil && report.of(record) {
 		age := now.Sub(report.taken)
 		described.Busy += report.others.Others(now)
-		described.Work = time.Duration(float64(usual) * choice.Faded(report.Factor, age))
+		described.Work = time.Duration(float64(usual) * choice.Faded(report.Factor, age, report.others.HalfLife()))
 		described.Held = report.Held
-		described.Failing = choice.FadedShare(report.Failing, age)
+		described.Failing = choice.FadedShare(report.Failing, age, report.others.HalfLife())
 	}
 	return described
 }
--- a/internal/sidecar/ingress/arrival.go
+++ b/internal/sidecar/ingress/arrival.go
@@ -76,6 +76,8 @@
 	if forward.CallerLeft(a.context) {
 		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepAdmit, 0, forward.ErrCallerLeft)
 	}
+	run := a.handler.pace.Begin(a.told.Expected, time.Now())
+	defer a.handler.pace.End(run)
 	failure = a.exchange(body)
 	served = failure == nil
 	return failure
@@ -193,7 +195,7 @@
 	reply := hop.Reply{
 		Version: a.handler.options.Version(),
 		Running: load.Running, Waiting: load.Waiting, Slots: load.Slots, Held: load.Service,
-		Factor: a.handler.pace.Factor(), Worked: worked, Failing: a.handler.failures.Share(),
+		Factor: a.handler.pace.Factor(time.Now()), Worked: worked, Failing: a.handler.failures.Share(),
 	}
 	header := a.writer.Header()
 	header[hop.HeaderReply] = []string{reply.Format()}
--- a/internal/sidecar/occupancy/occupancy.go
+++ b/internal/sidecar/occupancy/occupancy.go
@@ -64,3 +64,6 @@
 	}
 	return e.others * math.Exp2(-float64(now.Sub(e.taken))/float64(e.halfLife))
 }
+
+// HalfLife returns the time in which half of the report is forgotten.
+func (e Estimate) HalfLife() time.Duration { return e.halfLife }
