--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -21,7 +21,6 @@
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/ingress"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/membership"
-	"github.com/kestrelstream/kestrelstream/internal/sidecar/readers"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/route"
 )
@@ -52,9 +51,6 @@
 	drainShare = 0.5
 	// epochSteps is how many steps there are from one life's epoch to the next.
 	epochSteps = 1 << 16
-	// firstVersionPatience is how long, at the first start of the whole system, a
-	// node that is not one to read the configuration waits for a peer to bring it.
-	firstVersionPatience = 5 * time.Second
 	// peerSilence bounds connections to other nodes.
 	peerUnacknowledged = 1500 * time.Millisecond
 	peerIdle           = time.Second
@@ -64,12 +60,6 @@
 	// WatchPause is how long a watch of the store rests after an event: changes
 	// in quick succession come with one call.
 	WatchPause = 500 * time.Millisecond
-	// watchWaitPerReader, watchWaitLeast and watchWaitMost say how long one call
-	// of a watch waits at most: a watch may miss an event unheard, so that of all
-	// nodes that read some one should ask anew about three times a second.
-	watchWaitPerReader = 700 * time.Millisecond
-	watchWaitLeast     = 4 * time.Second
-	watchWaitMost      = 28 * time.Second
 )
 
 // Sidecar is one node. It is safe for concurrent use.
@@ -96,14 +86,6 @@
 	claims roster.Claims
 }
 
-// WatchWait returns how long the next call of a watch is to wait.
-func (s *Sidecar) WatchWait() time.Duration {
-	reading := time.Duration(readers.Total(s.members.View()))
-	wait := min(max(reading*watchWaitPerReader, watchWaitLeast), watchWaitMost)
-	const leastShare = 12
-	return wait/leastShare + rand.N(wait-wait/leastShare)
-}
-
 // StoreDialer returns the dialer for connections to the store.
 func StoreDialer() func(ctx context.Context, network, address string) (net.Conn, error) {
 	return dial.Dialer(storeDial, dial.Silence{Unacknowledged: storeSilence, Idle: peerIdle})
@@ -267,31 +249,6 @@
 	}
 }
 
-// reads reports whether this node reads the store.
-func (s *Sidecar) reads() bool {
-	return readers.Reads(s.members.View(), s.members.Own(), s.exchanger.Usable)
-}
-
-// follows reports whether this node is to follow the configuration in the store. One
-// that has none yet does, so that it serves soon. Only where the whole system starts
-// for the first time nobody comes so early: those read whose turn it is, once the
-// nodes know each other.
-func (s *Sidecar) follows() bool {
-	switch {
-	case s.keeper.Version() > 0:
-		return s.reads()
-	case s.options.Settings.FirstStart && time.Since(s.started) < firstVersionPatience:
-		return (s.joined.Load() || s.exchanger.Met()) && s.reads()
-	}
-	return true
-}
-
-// join tells the peers that were found in the store of this node.
-func (s *Sidecar) join() {
-	s.joined.Store(true)
-	go s.spread(context.Background())
-}
-
 func (s *Sidecar) limitConnections(table *route.Table, endpoint *roster.Endpoint) {
 	if table == nil || endpoint == nil {
 		return
