--- a/internal/sidecar/configuration/follower_test.go
+++ b/internal/sidecar/configuration/follower_test.go
@@ -99,3 +99,54 @@
 		})
 	}
 }
+
+// refusingStore turns every call away.
+type refusingStore struct {
+	forgetfulStore
+	calls int
+}
+
+func (s *refusingStore) refuse() error {
+	s.calls++
+	return store.ErrRateLimited
+}
+
+func (s *refusingStore) GetAt(context.Context, string) (store.KeyValue, uint64, error) {
+	return store.KeyValue{}, 0, s.refuse()
+}
+
+func (s *refusingStore) Range(context.Context, string, string, int) ([]store.KeyValue, uint64, error) {
+	return nil, 0, s.refuse()
+}
+
+// TestARefusedNodeAsksRarely: a node that has a configuration asks a store that
+// turns it away at most every one and a half seconds in the end; one that has none
+// asks more often, since it serves nobody.
+func TestARefusedNodeAsksRarely(t *testing.T) {
+	for name, held := range map[string]struct {
+		version     string
+		least, most int
+	}{"with a configuration": {"1", 20, 45}, "without": {"", 75, 160}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				ctx, end := context.WithCancel(t.Context())
+				refusing := &refusingStore{}
+				keeper := configuration.NewKeeper(decodeVersion, zap.NewNop())
+				if held.version != "" {
+					g.Expect(keeper.Offer([]byte(held.version), configuration.SourcePeer)).To(Succeed())
+				}
+				followed := make(chan struct{})
+				go func() {
+					defer close(followed)
+					configuration.Follow(ctx, refusing, configurationKey, keeper, func() bool { return true }, zap.NewNop())
+				}()
+				time.Sleep(time.Minute)
+				end()
+				<-followed
+				g.Expect(refusing.calls).To(BeNumerically(">=", held.least))
+				g.Expect(refusing.calls).To(BeNumerically("<=", held.most))
+			})
+		})
+	}
+}
