A starting node asks its peers for the configuration first; the whole of it goes compressed

Its link carries 1,000 Mbit/s: of 21 nodes looked at, one had it after 0.10 s, the others after 0.61 s to 1.07 s, most of them from a peer in the end; 295 calls were refused for want of a configuration at these nodes. At 1,000 nodes it would be 4 s.

Ruled out: the nodes' start itself and the roster (known 0.00 s to 0.26 s after the start).

Change: after it has read the other nodes' keys a node exchanges with three peers of its zone at once; those that are to read the store do so, the others wait 0.4 s for them before they read it as well. A document that goes whole between nodes is compressed, once a version. Nodes of the version before get and send it as it is.

--- a/internal/sidecar/configuration/follower.go
+++ b/internal/sidecar/configuration/follower.go
@@ -23,6 +23,8 @@
 	// turnInterval is the time between two looks at whether it is the node's turn
 	// to read.
 	turnInterval = 400 * time.Millisecond
+	// startInterval is that time while there is no configuration.
+	startInterval = 50 * time.Millisecond
 )
 
 // Reader is what a follower needs of the store.
@@ -46,7 +48,7 @@
 			logger.Info("turn to read the store", zap.Bool("reads", reading), zap.Uint64("inForce", keeper.Version()))
 		}
 		if !reading {
-			pause.Wait(ctx, turnInterval)
+			pause.Wait(ctx, interval(keeper))
 			continue
 		}
 		turn, end := whileReading(ctx, reads)
@@ -79,6 +81,14 @@
 	}
 }
 
+// interval is the time until the next look at whether it is the node's turn.
+func interval(keeper *Keeper) time.Duration {
+	if keeper.Version() == 0 {
+		return startInterval
+	}
+	return turnInterval
+}
+
 // whileReading returns a context that ends when the node's turn to read does.
 func whileReading(ctx context.Context, reads func() bool) (context.Context, context.CancelFunc) {
 	turn, end := context.WithCancel(ctx)
--- a/internal/sidecar/configuration/keeper.go
+++ b/internal/sidecar/configuration/keeper.go
@@ -4,6 +4,9 @@
 package configuration
 
 import (
+	"bytes"
+	"compress/gzip"
+	"encoding/json"
 	"errors"
 	"slices"
 	"strconv"
@@ -51,6 +54,8 @@
 	since time.Time
 	// past are the documents before, the newest last, at most remembered.
 	past []*route.Document
+	// whole returns the document as peers without one get it; made when first asked.
+	whole func() ([]byte, error)
 }
 
 // remembered is how many past documents are kept, to tell peers that have one of
@@ -89,6 +94,33 @@
 	return document.ChangeFrom(nil)
 }
 
+// Whole returns the change that leads from nothing to the version in force, as
+// compressed JSON: a document of thousands of routes is a tenth as long then, and
+// after a restart of many nodes it goes to all of them at once. It is nil before the
+// first version.
+func (k *Keeper) Whole() ([]byte, error) {
+	current := k.held.Load()
+	if current == nil {
+		return nil, nil
+	}
+	return current.whole()
+}
+
+// compressed returns the function that makes the whole of a document once.
+func compressed(document *route.Document) func() ([]byte, error) {
+	return sync.OnceValues(func() ([]byte, error) {
+		written := &bytes.Buffer{}
+		compressor := gzip.NewWriter(written)
+		if err := json.NewEncoder(compressor).Encode(document.ChangeFrom(nil)); err != nil {
+			return nil, trace.Wrap(err, "encode configuration")
+		}
+		if err := compressor.Close(); err != nil {
+			return nil, trace.Wrap(err, "compress configuration")
+		}
+		return written.Bytes(), nil
+	})
+}
+
 // Age returns how long the version has been in force.
 func (k *Keeper) Age() time.Duration {
 	if current := k.held.Load(); current != nil {
@@ -144,7 +176,7 @@
 	if err != nil {
 		return k.refuse(strconv.FormatUint(document.Version, 10), source, trace.Wrap(err, "compile configuration"))
 	}
-	next := &held{table: compiled, since: time.Now()}
+	next := &held{table: compiled, since: time.Now(), whole: compressed(document)}
 	if before != nil {
 		past := append(slices.Clone(before.past), before.table.Document())
 		next.past = past[max(0, len(past)-remembered):]
--- a/internal/sidecar/exchange/catchup.go
+++ b/internal/sidecar/exchange/catchup.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"errors"
@@ -104,6 +105,7 @@
 	if err != nil {
 		return err
 	}
+	req.Header.Set(headerAccept, compression)
 	resp, err := e.client.Do(req)
 	if err != nil {
 		return err
@@ -112,13 +114,25 @@
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("status %d", resp.StatusCode)
 	}
+	body, err := plainBody(resp)
+	if err != nil {
+		return err
+	}
 	change := &route.Change{}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, documentBytes)).Decode(change); err != nil {
+	if err := json.NewDecoder(io.LimitReader(body, documentBytes)).Decode(change); err != nil {
 		return err
 	}
 	return e.options.Configuration.Advance(change)
 }
 
+// plainBody returns the body of an answer that may be compressed.
+func plainBody(resp *http.Response) (io.Reader, error) {
+	if resp.Header.Get(headerEncoding) != compression {
+		return resp.Body, nil
+	}
+	return gzip.NewReader(resp.Body)
+}
+
 // Announce tells others that this node has read a newer configuration: the nodes
 // of its zone that take it from here, and one of each other zone, should none of
 // its nodes reach the store.
--- a/internal/sidecar/exchange/exchange_test.go
+++ b/internal/sidecar/exchange/exchange_test.go
@@ -199,3 +199,31 @@
 	first.exchanger.Behind(&roster.Record{Node: "second", PeerAddress: "127.0.0.1:1"}, 7)
 	g.Eventually(asked).WithTimeout(patience).Should(Receive())
 }
+
+// TestTheWholeConfiguration: a node without one gets it compressed, and from a peer
+// of the version before, or for one, as it is.
+func TestTheWholeConfiguration(t *testing.T) {
+	g := NewWithT(t)
+	first, second := newMember(t, "first"), newMember(t, "second")
+	g.Expect(second.keeper.Offer([]byte("7"), configuration.SourceWatch)).To(Succeed())
+	ask := func(accepts string) *http.Response {
+		request, err := http.NewRequest(http.MethodGet, "http://"+second.record.PeerAddress+PathRoot+pathConfiguration+"?after=0", nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		request.Header.Set("Accept-Encoding", accepts)
+		answer, err := http.DefaultTransport.RoundTrip(request)
+		g.Expect(err).NotTo(HaveOccurred())
+		t.Cleanup(func() { _ = answer.Body.Close() })
+		return answer
+	}
+	g.Expect(ask("gzip").Header.Get("Content-Encoding")).To(Equal("gzip"))
+	plain := ask("identity")
+	g.Expect(plain.Header.Get("Content-Encoding")).To(BeEmpty())
+	change := &route.Change{}
+	g.Expect(json.NewDecoder(plain.Body).Decode(change)).To(Succeed())
+	g.Expect(change.Version).To(BeEquivalentTo(7))
+
+	first.members.Merge([]*roster.Record{second.record})
+	first.exchanger.Greet(t.Context())
+	g.Eventually(first.keeper.Version).WithTimeout(patience).Should(BeEquivalentTo(7))
+	g.Expect(newMember(t, "third").keeper.Whole()).To(BeNil())
+}
--- a/internal/sidecar/exchange/server.go
+++ b/internal/sidecar/exchange/server.go
@@ -5,10 +5,18 @@
 	"strconv"
 
 	"github.com/emicklei/go-restful/v3"
+	"go.uber.org/zap"
 
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 )
 
+// Headers by which a peer asks for, and gets, a compressed answer.
+const (
+	headerAccept   = "Accept-Encoding"
+	headerEncoding = "Content-Encoding"
+	compression    = "gzip"
+)
+
 const (
 	// messageBytes bounds one message.
 	messageBytes = 4 << 20
@@ -96,5 +104,28 @@
 		_ = response.WriteErrorString(http.StatusNotFound, "configuration: none is in force")
 		return
 	}
+	if change.Base == 0 && acceptsCompressed(request.Request) {
+		e.answerWhole(response)
+		return
+	}
 	_ = response.WriteAsJson(change)
 }
+
+// acceptsCompressed reports whether the peer reads compressed answers. Nodes of the
+// version before do not ask for them.
+func acceptsCompressed(r *http.Request) bool { return r.Header.Get(headerAccept) == compression }
+
+// answerWhole answers the whole configuration, compressed.
+func (e *Exchanger) answerWhole(response *restful.Response) {
+	whole, err := e.options.Configuration.Whole()
+	if err != nil {
+		e.options.Logger.Error("configuration not sent", zap.Error(err))
+		_ = response.WriteErrorString(http.StatusInternalServerError, "configuration: cannot be encoded")
+		return
+	}
+	header := response.Header()
+	header.Set("Content-Type", restful.MIME_JSON)
+	header.Set(headerEncoding, compression)
+	header.Set("Content-Length", strconv.Itoa(len(whole)))
+	_, _ = response.Write(whole)
+}
--- a/internal/sidecar/exchange/spread.go
+++ b/internal/sidecar/exchange/spread.go
@@ -6,6 +6,7 @@
 	"sync"
 	"sync/atomic"
 
+	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
@@ -115,6 +116,23 @@
 	}
 }
 
+// greetings is how many peers a node that starts exchanges with at once.
+const greetings = 3
+
+// Greet exchanges with some peers of the zone at once: a node that has started gets
+// the configuration and what changed since from those that were there before.
+func (e *Exchanger) Greet(ctx context.Context) {
+	own, view := e.options.Roster.Own(), e.options.Roster.View()
+	peers := shuffled(e.peersOf(view.Zone(own.Zone)))
+	var group errgroup.Group
+	for _, peer := range peers[:min(len(peers), greetings)] {
+		group.Go(func() error { return e.With(ctx, peer) })
+	}
+	if err := group.Wait(); err != nil {
+		e.options.Logger.Info("peer not greeted", zap.Error(err))
+	}
+}
+
 // hear takes in a notice and passes news on when that is asked.
 func (e *Exchanger) hear(notice *Notice) {
 	e.met.Store(true)
--- a/internal/sidecar/reading.go
+++ b/internal/sidecar/reading.go
@@ -9,9 +9,15 @@
 )
 
 const (
-	// firstVersionPatience is how long, at the first start of the whole system, a
-	// node that is not one to read the configuration waits for a peer to bring it.
+	// firstVersionPatience is how long a node without a configuration leaves the store
+	// alone while it has found nobody, or while the whole system starts for the first
+	// time and it is not one to read.
 	firstVersionPatience = 5 * time.Second
+	// versionPatience is how long a node that has started, and has found others, waits
+	// for one of them to bring the configuration before it reads the store itself. A
+	// reader has it within some 0.1 s, and peers from it within 0.2 s, where the store
+	// would need 0.8 s to send 0.5 MB to each of 195 nodes over 1,000 Mbit/s.
+	versionPatience = 400 * time.Millisecond
 	// watchWaitPerReader, watchWaitLeast and watchWaitMost say how long one call
 	// of a watch waits at most: a watch may miss an event unheard, so that of all
 	// nodes that read some one should ask anew about three times a second.
@@ -25,24 +31,33 @@
 	return readers.Reads(s.members.View(), s.members.Own(), s.exchanger.Usable)
 }
 
-// follows reports whether this node is to follow the configuration in the store. One
-// that has none yet does, so that it serves soon. Only where the whole system starts
-// for the first time nobody comes so early: those read whose turn it is, once the
-// nodes know each other.
+// follows reports whether this node is to follow the configuration in the store:
+// while it has one, when it reads for others. One that has none yet waits a short
+// time for those; longer where the whole system starts for the first time, since
+// nobody calls so early.
 func (s *Sidecar) follows() bool {
+	if s.keeper.Version() > 0 {
+		return s.reads()
+	}
+	joined := s.joined.Load()
 	switch {
-	case s.keeper.Version() > 0:
+	case joined != nil && time.Since(*joined) >= versionPatience && !s.options.Settings.FirstStart:
+		return true
+	case time.Since(s.started) >= firstVersionPatience:
+		return true
+	case joined != nil:
 		return s.reads()
-	case s.options.Settings.FirstStart && time.Since(s.started) < firstVersionPatience:
-		return (s.joined.Load() || s.exchanger.Met()) && s.reads()
 	}
-	return true
+	return s.exchanger.Met() && s.reads()
 }
 
-// join tells the peers that were found in the store of this node.
+// join tells the peers that were found in the store of this node, and asks some of
+// them what they know.
 func (s *Sidecar) join() {
-	s.joined.Store(true)
+	now := time.Now()
+	s.joined.CompareAndSwap(nil, &now)
 	go s.spread(context.Background())
+	go s.exchanger.Greet(context.Background())
 }
 
 // WatchWait returns how long the next call of a watch is to wait.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -74,9 +74,10 @@
 	egress     *egress.Handler
 	ingress    *ingress.Handler
 	stopping   atomic.Bool
-	// started is when the node was made; joined: the store was asked for other nodes.
+	// started is when the node was made, joined when the store had first told of the
+	// other nodes; nil before.
 	started time.Time
-	joined  atomic.Bool
+	joined  atomic.Pointer[time.Time]
 	// settings are replaced at a reload.
 	settings atomic.Pointer[Settings]
 	// lastBeat is when a heartbeat was last heard, in nanoseconds of the Unix time;
