Tell two lives of a node apart whose records bear the same version; test membership

Ruled out: a random step of the epoch (two lives can still meet in the first epoch); a random first epoch (it may hide what the life before knew).

Change: a record bears a number drawn at each start, the last part of its version. A node that hears of its own record with the same epoch and counter and another number goes above it. A withdrawn key is not written again. The step of the epoch is gone: it is not needed any more.

--- a/internal/sidecar/membership/publisher.go
+++ b/internal/sidecar/membership/publisher.go
@@ -28,6 +28,8 @@
 	// revision is that of the own key, zero when it is absent or not known.
 	revision atomic.Uint64
 	stored   roster.Record
+	// withdrawn: the key is to be absent from now on.
+	withdrawn atomic.Bool
 }
 
 func newPublisher(options *Options) *publisher {
@@ -116,7 +118,7 @@
 		}
 	}
 	own := *p.members.Own()
-	if !outdated(&p.stored, &own) {
+	if p.withdrawn.Load() || !outdated(&p.stored, &own) {
 		return nil
 	}
 	value, err := json.Marshal(own)
@@ -156,6 +158,7 @@
 
 // withdraw removes the own key. Its revision is mostly known.
 func (p *publisher) withdraw(ctx context.Context) error {
+	p.withdrawn.Store(true)
 	own := KeyPrefix + p.members.Own().Node
 	if revision := p.revision.Load(); revision > 0 {
 		_, err := p.store.CompareAndSwap(ctx, store.Swap{Key: own, ExpectedRevision: revision, Delete: true})
--- a/internal/sidecar/roster/record.go
+++ b/internal/sidecar/roster/record.go
@@ -3,7 +3,10 @@
 // the published view, which is replaced whole.
 package roster
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+)
 
 // State is what a back end says of itself.
 type State string
@@ -33,6 +36,9 @@
 	// change within it.
 	Epoch   uint64 `json:"epoch"`
 	Counter uint64 `json:"counter"`
+	// Life is drawn at random at each start. It tells apart records of two lives
+	// that have come to the same epoch and counter, since neither knew of the other.
+	Life uint64 `json:"life,omitempty"`
 	// Address takes requests of other nodes, PeerAddress exchanges.
 	Address     string `json:"address"`
 	PeerAddress string `json:"peerAddress"`
@@ -49,10 +55,18 @@
 
 // Newer reports whether the record replaces the other one.
 func (r *Record) Newer(other *Record) bool {
-	if r.Epoch != other.Epoch {
-		return r.Epoch > other.Epoch
-	}
-	return r.Counter > other.Counter
+	return r.compare(other) > 0
+}
+
+// compare orders versions of one node's record.
+func (r *Record) compare(other *Record) int {
+	return cmp.Or(cmp.Compare(r.Epoch, other.Epoch), cmp.Compare(r.Counter, other.Counter), cmp.Compare(r.Life, other.Life))
+}
+
+// rivals reports whether the other record, of another life, bears the same version
+// otherwise.
+func (r *Record) rivals(other *Record) bool {
+	return r.Epoch == other.Epoch && r.Counter == other.Counter && r.Life != other.Life
 }
 
 // Same reports whether the other record is of the same node.
--- a/internal/sidecar/roster/roster.go
+++ b/internal/sidecar/roster/roster.go
@@ -9,9 +9,7 @@
 // Roster merges records. It is safe for concurrent use; reads take no lock.
 type Roster struct {
 	self string
-	// epochStep is how far above a remembered record's epoch the own one goes.
-	epochStep uint64
-	view      atomic.Pointer[View]
+	view atomic.Pointer[View]
 
 	mutex     sync.Mutex // guards all below and the replacement of view
 	records   map[string]*Record
@@ -25,20 +23,9 @@
 	gone map[string]time.Time
 }
 
-// Option changes a new roster.
-type Option func(*Roster)
-
-// WithEpochStep has the own epoch rise by that much, one or more, above an earlier
-// life's. Two lives may find the same record of one before them; with steps of
-// their own their records never bear the same version.
-func WithEpochStep(step uint64) Option { return func(r *Roster) { r.epochStep = step } }
-
 // New returns a roster that holds the node's own first record.
-func New(own Record, options ...Option) *Roster {
-	created := &Roster{self: own.Node, epochStep: 1, records: map[string]*Record{own.Node: &own}, gone: map[string]time.Time{}}
-	for _, option := range options {
-		option(created)
-	}
+func New(own Record) *Roster {
+	created := &Roster{self: own.Node, records: map[string]*Record{own.Node: &own}, gone: map[string]time.Time{}}
 	created.publish()
 	return created
 }
@@ -117,10 +104,10 @@
 // refute puts the own record above one that an earlier life left behind.
 func (r *Roster) refute(remembered *Record) []*Record {
 	own := *r.records[r.self]
-	if !remembered.Newer(&own) {
+	if !remembered.Newer(&own) && !remembered.rivals(&own) {
 		return nil
 	}
-	own.Epoch = remembered.Epoch + r.epochStep
+	own.Epoch = remembered.Epoch + 1
 	for _, id := range remembered.Ended {
 		if !own.HasEnded(id) {
 			own.Ended = appendEnded(own.Ended, id)
--- a/internal/sidecar/roster/roster_test.go
+++ b/internal/sidecar/roster/roster_test.go
@@ -237,3 +237,35 @@
 		}
 	})
 }
+
+// TestTwoLivesOfTheSameVersion: a life that has come to the epoch and the counter of
+// one that it had not heard of goes above it and takes over what that one knew; the
+// others agree on one of the two meanwhile, and see that they differ.
+func TestTwoLivesOfTheSameVersion(t *testing.T) {
+	g := NewWithT(t)
+	before, now := record("self", 2, 3), record("self", 2, 3)
+	before.Life, now.Life = 9, 5
+	before.Endpoint, before.Ended = endpoint("i-1", roster.Draining, 4), []string{"i-0"}
+	g.Expect(before.Newer(&now)).To(BeTrue())
+	g.Expect(now.Newer(&before)).To(BeFalse())
+
+	for _, order := range [][]*roster.Record{{&before, &now}, {&now, &before}} {
+		other := roster.New(record("other", 1, 1))
+		other.Merge(order)
+		g.Expect(other.View().Record("self").Life).To(BeEquivalentTo(9))
+	}
+	one, another := roster.New(record("other", 1, 1)), roster.New(record("other", 1, 1))
+	one.Merge([]*roster.Record{&before})
+	another.Merge([]*roster.Record{&now})
+	g.Expect(one.View().Digest()).NotTo(Equal(another.View().Digest()))
+
+	for _, lives := range [][2]uint64{{9, 5}, {5, 9}} {
+		remembered, own := before, now
+		remembered.Life, own.Life = lives[0], lives[1]
+		held := roster.New(own)
+		held.Merge([]*roster.Record{&remembered})
+		g.Expect(held.Own().Epoch).To(BeEquivalentTo(3))
+		g.Expect(held.Own().Endpoint).To(Equal(before.Endpoint))
+		g.Expect(held.Own().HasEnded("i-0")).To(BeTrue())
+	}
+}
--- a/internal/sidecar/roster/view.go
+++ b/internal/sidecar/roster/view.go
@@ -91,5 +91,10 @@
 	binary.LittleEndian.PutUint64(versions[:8], r.Epoch)
 	binary.LittleEndian.PutUint64(versions[8:], r.Counter)
 	_, _ = digest.Write(versions[:])
+	if r.Life != 0 {
+		var life [8]byte
+		binary.LittleEndian.PutUint64(life[:], r.Life)
+		_, _ = digest.Write(life[:])
+	}
 	return digest.Sum64()
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -49,8 +49,6 @@
 	// drainShare is the part of the drain bound after which a back end that is
 	// leaving gets no new work any more; the rest covers what is on its way.
 	drainShare = 0.5
-	// epochSteps is how many steps there are from one life's epoch to the next.
-	epochSteps = 1 << 16
 	// peerSilence bounds connections to other nodes.
 	peerUnacknowledged = 1500 * time.Millisecond
 	peerIdle           = time.Second
@@ -101,7 +99,8 @@
 		members: roster.New(roster.Record{
 			Node: settings.Node, Epoch: 1, Counter: 1, Zone: settings.Zone,
 			Address: settings.Listen.Inbound, PeerAddress: settings.Listen.Peer, Link: settings.LinkMbps,
-		}, roster.WithEpochStep(1+rand.Uint64N(epochSteps))),
+			Life: uint64(rand.Uint32()),
+		}),
 		started: time.Now(),
 		keeper:  configuration.NewKeeper(options.Decode, options.Logger),
 		claims:  roster.Claims{Interval: settings.HeartbeatInterval},
