Bound the pace and the share of failures that a peer may tell

A peer that tells a pace of any size would not have been chosen for minutes, since a pace fades by halves. Bounds of 24 times and of all requests; with tests that failed first. Names and comments.

--- a/internal/sidecar/choice/choice_test.go
+++ b/internal/sidecar/choice/choice_test.go
@@ -209,6 +209,7 @@
 	g.Expect(choice.Faded(5, 3*time.Second, time.Second)).To(BeNumerically("~", 3, 0.001))
 	g.Expect(choice.Faded(5, time.Hour, time.Second)).To(BeNumerically("~", 1, 0.001))
 	g.Expect(choice.Faded(0, 0, 0)).To(Equal(1.0))
+	g.Expect(choice.Faded(1e12, 0, 0)).To(Equal(24.0), "whatever is told")
 	g.Expect(choice.Faded(5, 8*time.Second, 8*time.Second)).To(BeNumerically("~", 3, 0.001), "heard rarely")
 }
 
@@ -257,5 +258,6 @@
 		failures.Observe(false)
 	}
 	g.Expect(failures.Share()).To(BeNumerically("<", 0.01))
+	g.Expect(choice.FadedShare(1e12, 0, 0)).To(Equal(1.0), "whatever is told")
 	g.Expect(choice.FadedShare(0.4, 3*time.Second, 0)).To(BeNumerically("~", 0.2, 0.001))
 }
--- a/internal/sidecar/choice/pace.go
+++ b/internal/sidecar/choice/pace.go
@@ -27,6 +27,9 @@
 	paceSamples = 24
 	// A single request moves the factor by no more than these bounds allow.
 	lowestRatio, highestRatio = 0.1, 12
+	// highestFactor bounds the factor that a peer may tell: a back end that is
+	// slower serves nobody in time either, and it must be forgotten some time.
+	highestFactor = 2 * highestRatio
 	// usualFactor is that of a back end of which nothing is known.
 	usualFactor = 1
 	// priorSamples have the first requests count as if some usual ones had come
@@ -89,7 +92,7 @@
 			excess += max(ratio-factor, 0)
 		}
 	}
-	return factor + excess/(p.samples+priorSamples)
+	return min(factor+excess/(p.samples+priorSamples), highestFactor)
 }
 
 // Faded returns what a factor of that age still says. heard is the time in which
@@ -99,12 +102,14 @@
 	if factor <= 0 {
 		return usualFactor
 	}
-	return usualFactor + (factor-usualFactor)*fading(age, heard)
+	return usualFactor + (min(factor, highestFactor)-usualFactor)*fading(age, heard)
 }
 
 // FadedShare returns what a share of failures of that age still says: a back end
 // that was left alone is tried again.
-func FadedShare(share float64, age, heard time.Duration) float64 { return share * fading(age, heard) }
+func FadedShare(share float64, age, heard time.Duration) float64 {
+	return min(share, 1) * fading(age, heard)
+}
 
 // fading is the part of a report that still counts after that time.
 func fading(age, heard time.Duration) float64 {
--- a/internal/sidecar/membership/membership.go
+++ b/internal/sidecar/membership/membership.go
@@ -1,7 +1,7 @@
 // Package membership lets nodes find each other through the store: each node
-// writes one key with its own record, once a life at most, and reads the keys of
-// all others when it starts. The keys bear no lease: that the store is silent says
-// nothing about a node.
+// writes one key with its own record, rarely more than once a life, and reads the
+// keys of all others when it starts. The keys bear no lease: that the store is
+// silent says nothing about a node.
 package membership
 
 import (
--- a/internal/sidecar/roster/record.go
+++ b/internal/sidecar/roster/record.go
@@ -63,9 +63,9 @@
 	return cmp.Or(cmp.Compare(r.Epoch, other.Epoch), cmp.Compare(r.Counter, other.Counter), cmp.Compare(r.Life, other.Life))
 }
 
-// rivals reports whether the other record, of another life, bears the same version
+// conflicts reports whether the other record, of another life, bears the same version
 // otherwise.
-func (r *Record) rivals(other *Record) bool {
+func (r *Record) conflicts(other *Record) bool {
 	return r.Epoch == other.Epoch && r.Counter == other.Counter && r.Life != other.Life
 }
 
--- a/internal/sidecar/roster/roster.go
+++ b/internal/sidecar/roster/roster.go
@@ -104,7 +104,7 @@
 // refute puts the own record above one that an earlier life left behind.
 func (r *Roster) refute(remembered *Record) []*Record {
 	own := *r.records[r.self]
-	if !remembered.Newer(&own) && !remembered.rivals(&own) {
+	if !remembered.Newer(&own) && !remembered.conflicts(&own) {
 		return nil
 	}
 	own.Epoch = remembered.Epoch + 1
