--- a/internal/sidecar/occupancy/fleet_test.go
+++ b/internal/sidecar/occupancy/fleet_test.go
@@ -284,11 +284,13 @@
 }
 
 var (
-	present = policy{"drawn, half-life by observed gaps", func() belief { return &estimated{} }, drawn}
-	// before is the policy that was fitted to 13 nodes.
-	before = policy{"cheapest of all, half-life 0.4 s", func() belief { return &fixed{halfLife: 400 * time.Millisecond} }, cheapestOfAll}
-	held   = policy{"cheapest of all, half-life by observed gaps", func() belief { return &estimated{} }, cheapestOfAll}
-	forgot = policy{"drawn, half-life 0.4 s", func() belief { return &fixed{halfLife: 400 * time.Millisecond} }, drawn}
+	// drawnByGaps is the policy of the product.
+	drawnByGaps = policy{"drawn, half-life by observed gaps", func() belief { return &estimated{} }, drawn}
+	// cheapestFixed is the one before it, which was fitted to 13 nodes.
+	cheapestFixed = policy{"cheapest of all, half-life 0.4 s", func() belief { return &fixed{halfLife: 400 * time.Millisecond} }, cheapestOfAll}
+	// The other two change one of the two alone.
+	cheapestByGaps = policy{"cheapest of all, half-life by observed gaps", func() belief { return &estimated{} }, cheapestOfAll}
+	drawnFixed     = policy{"drawn, half-life 0.4 s", func() belief { return &fixed{halfLife: 400 * time.Millisecond} }, drawn}
 )
 
 // mixed are paces as on an ordinary day, slow those of a service two fifths of
@@ -318,18 +320,19 @@
 				t.Logf("%-45s utilization %.2f: refused on the way %.4f, late or failed %.4f", of.name, utilization, result.refused(), result.bad())
 				return result
 			}
-			moderate := play(present, 0.55, mixed)
+			moderate := play(drawnByGaps, 0.55, mixed)
 			g.Expect(moderate.refused()).To(BeNumerically("<", 0.005))
 			g.Expect(moderate.bad()).To(BeNumerically("<", 0.015))
-			g.Expect(play(present, 0.7, mixed).bad()).To(BeNumerically("<", 0.1))
-			slowed := play(present, 0.5, slow)
+			g.Expect(play(drawnByGaps, 0.7, mixed).bad()).To(BeNumerically("<", 0.1))
+			slowed := play(drawnByGaps, 0.5, slow)
 			g.Expect(slowed.refused()).To(BeNumerically("<", 0.005))
 			g.Expect(slowed.bad()).To(BeNumerically("<", 0.03))
-			old := play(before, 0.55, mixed)
+			old := play(cheapestFixed, 0.55, mixed)
 			g.Expect(old.refused() > 0.1).To(Equal(size.beforeRefused))
-			play(held, 0.55, mixed)
-			play(held, 0.7, mixed)
-			play(forgot, 0.7, mixed)
+			// Each part alone, for the log of a verbose run.
+			play(cheapestByGaps, 0.55, mixed)
+			play(cheapestByGaps, 0.7, mixed)
+			play(drawnFixed, 0.7, mixed)
 		})
 	}
 }
