Know the software version and the warm-up that a heartbeat tells

Cause: a heartbeat names the version of its back end's software and how much longer it stays slow; the version was decoded and went no further, the warm-up was not decoded. Without the version nobody can tell which back ends an order to move to another version means.

A heartbeat with other software under the same id is a change that others are told.

--- a/internal/sidecar/roster/claims.go
+++ b/internal/sidecar/roster/claims.go
@@ -5,6 +5,8 @@
 // Heartbeat is what a back end says at one moment.
 type Heartbeat struct {
 	Endpoint
+	// WarmupLeft is how much longer the back end stays slow from its start.
+	WarmupLeft time.Duration
 }
 
 // Claims decides which id is the back end's when heartbeats bear several. A
@@ -66,7 +68,8 @@
 		return record, false
 	}
 	c.heard, c.rivalBeats = now, 0
-	changed = held.State != fresh.State || held.Slots != fresh.Slots || held.Service != fresh.Service
+	changed = held.State != fresh.State || held.Slots != fresh.Slots || held.Service != fresh.Service ||
+		held.Version != fresh.Version
 	record.Endpoint = &fresh
 	return record, changed
 }
--- a/internal/sidecar/roster/record.go
+++ b/internal/sidecar/roster/record.go
@@ -21,8 +21,10 @@
 
 // Endpoint is the back end beside a node.
 type Endpoint struct {
-	ID       string `json:"id"`
-	Service  string `json:"service"`
+	ID      string `json:"id"`
+	Service string `json:"service"`
+	// Version is that of the back end's software; empty when it is not known.
+	Version  string `json:"version,omitempty"`
 	Slots    int    `json:"slots"`
 	State    State  `json:"state"`
 	Sequence uint64 `json:"sequence"`
--- a/internal/sidecar/roster/roster_test.go
+++ b/internal/sidecar/roster/roster_test.go
@@ -269,3 +269,24 @@
 		g.Expect(held.Own().HasEnded("i-0")).To(BeTrue())
 	}
 }
+
+// TestANewVersionIsNews: a back end that comes back under its id with other software
+// is told to the others.
+func TestANewVersionIsNews(t *testing.T) {
+	g := NewWithT(t)
+	claims := roster.Claims{Interval: time.Second}
+	now := time.Unix(100, 0)
+	beat := roster.Heartbeat{Endpoint: *endpoint("i-1", roster.Ready, 1)}
+	beat.Version = "v1"
+	held, changed := claims.Beat(record("self", 1, 1), beat, now)
+	g.Expect(changed).To(BeTrue())
+	g.Expect(held.Endpoint.Version).To(Equal("v1"))
+	beat.Sequence++
+	held, changed = claims.Beat(held, beat, now)
+	g.Expect(changed).To(BeFalse())
+	beat.Version = "v2"
+	beat.Sequence++
+	held, changed = claims.Beat(held, beat, now)
+	g.Expect(changed).To(BeTrue())
+	g.Expect(held.Endpoint.Version).To(Equal("v2"))
+}
