--- a/internal/sidecar/backend.go
+++ b/internal/sidecar/backend.go
@@ -15,7 +15,11 @@
 // the call returns once another node knows, or after a short time: the word
 // must outlive this process.
 func (s *Sidecar) Heartbeat(ctx context.Context, beat roster.Heartbeat) {
-	s.lastBeat.Store(time.Now().UnixNano())
+	now := time.Now()
+	s.lastBeat.Store(now.UnixNano())
+	if beat.WarmupLeft > 0 {
+		s.warm.Store(now.Add(beat.WarmupLeft).UnixNano())
+	}
 	own, changed := s.members.Update(func(record roster.Record) (roster.Record, bool) {
 		return s.claims.Beat(record, beat, time.Now())
 	})
--- a/internal/sidecar/configuration/follower.go
+++ b/internal/sidecar/configuration/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -27,18 +28,30 @@
 	startInterval = 50 * time.Millisecond
 )
 
-// Reader is what a follower needs of the store.
-type Reader interface {
-	store.Reader
-	// GetAt is Get, with the store's revision at that moment.
-	GetAt(ctx context.Context, key string) (found store.KeyValue, at uint64, err error)
+// Place is where the store has what operators write.
+type Place struct {
+	// Key is that of the configuration. Prefix begins it, and the keys of all else that
+	// operators write: one watch brings everything.
+	Key, Prefix string
+	// Other takes in what lies under another key; nil takes nothing.
+	Other func(store.KeyValue)
+}
+
+// take offers an item to whom it concerns.
+func (p *Place) take(item store.KeyValue, keeper *Keeper, source Source) {
+	switch {
+	case item.Key == p.Key:
+		_ = keeper.Offer(item.Value, source)
+	case p.Other != nil:
+		p.Other(item)
+	}
 }
 
 // Follow keeps the keeper at what the store has under the key until the context
-// ends. After every end of a watch the key is read anew: what was missed
+// ends. After every end of a watch the place is read anew: what was missed
 // meanwhile must not stay unheard. While reads returns false the store is left
 // alone.
-func Follow(ctx context.Context, reader Reader, key string, keeper *Keeper, reads func() bool, logger *zap.Logger) {
+func Follow(ctx context.Context, reader store.Reader, place Place, keeper *Keeper, reads func() bool, logger *zap.Logger) {
 	backoff := pause.Backoff{Base: pauseBase, Most: pauseMost}
 	healthy := true
 	reading := true
@@ -52,7 +65,7 @@
 			continue
 		}
 		turn, end := whileReading(ctx, reads)
-		err := followOnce(turn, reader, key, keeper)
+		err := followOnce(turn, reader, &place, keeper)
 		ended := turn.Err() != nil
 		end()
 		if ctx.Err() != nil {
@@ -63,7 +76,7 @@
 		}
 		if err == nil || errors.Is(err, store.ErrCompacted) {
 			if !healthy {
-				logger.Info("store regained", zap.String("key", key))
+				logger.Info("store regained", zap.String("key", place.Key))
 			}
 			healthy = true
 			backoff.Succeeded()
@@ -71,7 +84,7 @@
 			continue
 		}
 		if healthy {
-			logger.Warn("store lost", zap.String("key", key), zap.Error(err))
+			logger.Warn("store lost", zap.String("key", place.Key), zap.Error(err))
 		}
 		healthy = false
 		if backoff.Most = pauseMost; keeper.Version() > 0 {
@@ -103,58 +116,55 @@
 	return turn, end
 }
 
-// followOnce reads the key, then watches it until the watch ends. A nil error
+// followOnce reads the place, then watches it until the watch ends. A nil error
 // means that the store had answered.
-func followOnce(ctx context.Context, reader Reader, key string, keeper *Keeper) error {
-	after, err := readOnce(ctx, reader, key, keeper)
+func followOnce(ctx context.Context, reader store.Reader, place *Place, keeper *Keeper) error {
+	after, err := readOnce(ctx, reader, place, keeper)
 	if err != nil {
 		return err
 	}
-	watch, err := reader.Watch(ctx, key, after)
+	watch, err := reader.Watch(ctx, place.Prefix, after)
 	if err != nil {
 		return err
 	}
 	defer watch.Close()
 	for event := range watch.Events() {
-		if event.Key == key && !event.Deleted {
-			_ = keeper.Offer(event.Value, SourceWatch)
+		if !event.Deleted {
+			place.take(event.KeyValue, keeper, SourceWatch)
 		}
 	}
 	return watch.Err()
 }
 
-// readOnce offers what is under the key now and returns the revision after
-// which nothing is missed: that of the store, not that of the key, which may be
-// older than the history that a watch can begin in.
-func readOnce(ctx context.Context, reader Reader, key string, keeper *Keeper) (after uint64, err error) {
+// itemsMost is how many items under the place one read asks for: the configuration and
+// what concerns single services.
+const itemsMost = 1000
+
+// readOnce takes in what lies at the place now and returns the revision after
+// which nothing is missed: that of the store, not that of a key, which may be
+// older than the history that a watch can begin in. What concerns single services comes
+// before the configuration: a node that serves knows all orders given before.
+func readOnce(ctx context.Context, reader store.Reader, place *Place, keeper *Keeper) (after uint64, err error) {
 	bounded, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	if keeper.Version() == 0 {
-		return readFirst(bounded, reader, key, keeper)
-	}
-	found, after, err := reader.GetAt(bounded, key)
+	found, after, err := reader.Range(bounded, place.Prefix, place.Prefix, itemsMost)
 	if err != nil {
 		return 0, err
 	}
-	_ = keeper.Offer(found.Value, SourceRead)
-	return after, nil
-}
-
-// readFirst is readOnce for a key that may be absent: only a read of a range tells
-// the store's revision then.
-func readFirst(ctx context.Context, reader Reader, key string, keeper *Keeper) (after uint64, err error) {
-	found, after, err := reader.Range(ctx, key, key, 1)
-	if err != nil {
-		return 0, err
+	isConfiguration := func(item store.KeyValue) bool { return item.Key == place.Key }
+	for _, item := range found {
+		if !isConfiguration(item) {
+			place.take(item, keeper, SourceRead)
+		}
 	}
-	if len(found) > 0 && found[0].Key == key {
-		_ = keeper.Offer(found[0].Value, SourceRead)
+	if index := slices.IndexFunc(found, isConfiguration); index >= 0 {
+		place.take(found[index], keeper, SourceRead)
 	}
 	return after, nil
 }
 
-// Refresh offers the keeper what the store has under the key now.
-func Refresh(ctx context.Context, reader Reader, key string, keeper *Keeper) error {
-	_, err := readOnce(ctx, reader, key, keeper)
+// Refresh takes in what the store has at the place now.
+func Refresh(ctx context.Context, reader store.Reader, place Place, keeper *Keeper) error {
+	_, err := readOnce(ctx, reader, &place, keeper)
 	return err
 }
--- a/internal/sidecar/configuration/follower_test.go
+++ b/internal/sidecar/configuration/follower_test.go
@@ -82,7 +82,7 @@
 				followed := make(chan struct{})
 				go func() {
 					defer close(followed)
-					configuration.Follow(ctx, held, configurationKey, keeper, func() bool { return true }, zap.NewNop())
+					configuration.Follow(ctx, held, configuration.Place{Key: configurationKey, Prefix: configurationKey}, keeper, func() bool { return true }, zap.NewNop())
 				}()
 				time.Sleep(10 * time.Second)
 				synctest.Wait()
@@ -139,7 +139,7 @@
 				followed := make(chan struct{})
 				go func() {
 					defer close(followed)
-					configuration.Follow(ctx, refusing, configurationKey, keeper, func() bool { return true }, zap.NewNop())
+					configuration.Follow(ctx, refusing, configuration.Place{Key: configurationKey, Prefix: configurationKey}, keeper, func() bool { return true }, zap.NewNop())
 				}()
 				time.Sleep(time.Minute)
 				end()
--- a/internal/sidecar/egress/attempt.go
+++ b/internal/sidecar/egress/attempt.go
@@ -39,6 +39,10 @@
 	// consented: the node has a slot, or room for a large body, and gets the body.
 	consented atomic.Bool
 
+	// compared: the back end is of a version that is compared with others. What it does
+	// says nothing of how long requests usually take.
+	compared bool
+
 	// noted is the send's number among the call's visits once it was left behind,
 	// zero before; the call's goroutine alone uses it.
 	noted int
@@ -60,6 +64,7 @@
 	now := time.Now()
 	a.target.outstanding.answered(entry, err == nil, now)
 	a.judge(response, err, now)
+	a.compare(now)
 	a.elapsed = time.Since(a.sent)
 	if a.failure != nil {
 		a.failure.Peer = a.target.address
@@ -141,7 +146,7 @@
 	}
 	a.target.learn(reply, a.record, now)
 	a.worked = reply.Worked
-	if reply.Worked > 0 && response.StatusCode < http.StatusMultipleChoices {
+	if reply.Worked > 0 && response.StatusCode < http.StatusMultipleChoices && !a.compared {
 		a.call.work().Observe(reply.Worked)
 	}
 	if reply.Version > a.call.table.Version() {
--- a/internal/sidecar/egress/choose.go
+++ b/internal/sidecar/egress/choose.go
@@ -6,12 +6,13 @@
 	"time"
 
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/choice"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
 )
 
 // choose returns a send, not begun yet, to the node whose back end is to take the
 // request; nil when there is none.
 func (c *call) choose() *attempt {
-	considered := c.considered(time.Now())
+	considered := c.considered(time.Now(), c.selected())
 	index, seen := choice.Draw(considered.pool(), c.route.TargetLatency, rand.IntN, c.handler.options.Weights)
 	if index < 0 {
 		return nil
@@ -21,6 +22,7 @@
 	return &attempt{
 		call: c, record: record, target: chosen, service: c.service,
 		seen: seen, reportAge: chosen.reportAge(considered.now),
+		compared: c.handler.compares(c.service, record),
 	}
 }
 
@@ -35,11 +37,25 @@
 	now   time.Time
 }
 
-// considered returns the back ends of the request's service.
-func (c *call) considered(now time.Time) *considered {
+// selected returns which back ends may take the next send. A send beyond the first is
+// not for a trial.
+func (c *call) selected() rollout.Selection {
+	plan := c.handler.plan(c.service)
+	if plan == nil {
+		return rollout.Every()
+	}
+	selected := plan.Select(len(c.visits) > 0)
+	if !c.handler.serves(c.service, selected) {
+		return plan.Otherwise()
+	}
+	return selected
+}
+
+// considered returns those back ends of the request's service that are selected.
+func (c *call) considered(now time.Time, selected rollout.Selection) *considered {
 	options := &c.handler.options
 	return &considered{
-		subset: c.handler.subset(options.View(), c.service),
+		subset: c.handler.subset(options.View(), c.service, selected),
 		call:   c,
 		near:   place{zone: options.Zone, regions: options.Regions},
 		usual:  c.work().Mean(c.assumedWork()),
--- a/internal/sidecar/egress/handler.go
+++ b/internal/sidecar/egress/handler.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +17,7 @@
 	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/choice"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/route"
 )
@@ -37,6 +37,9 @@
 	Regions map[string]string
 	// Caller names the service beside this node.
 	Caller func() string
+	// Plan returns how a service's requests are divided between versions of its
+	// software, nil when they are not.
+	Plan func(service string) *rollout.Plan
 	// Retries bound repeated sends.
 	Retries func() RetryLimits
 	// Weights price the choice of back ends.
@@ -105,6 +108,10 @@
 	// work and patiences hold what is learned by route name.
 	work, patiences sync.Map
 
+	// usual holds what the answers of versions in use are like, by service, while another
+	// version is compared with them.
+	usual sync.Map
+
 	mutex   sync.RWMutex // guards budgets
 	budgets map[string]*budget
 }
@@ -220,8 +227,7 @@
 	if table == nil {
 		return nil
 	}
-	path, _, _ := strings.Cut(r.RequestURI, "?")
-	return table.Match(r.Host, path)
+	return table.MatchRequest(r)
 }
 
 // ServeHTTP implements http.Handler.
--- a/internal/sidecar/egress/subset.go
+++ b/internal/sidecar/egress/subset.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 )
 
@@ -21,9 +22,12 @@
 // subsets holds, for one view, the back ends that a node considers by service.
 type subsets struct {
 	view      *roster.View
-	byService sync.Map // of string to *subset
+	byService sync.Map // of subsetKey to *subset
 }
 
+// subsetKey is a service with a selection of its back ends.
+type subsetKey struct{ service, selection string }
+
 // subset holds the back ends of one service that a node considers. It is
 // immutable.
 type subset struct {
@@ -33,22 +37,38 @@
 	near int
 }
 
-// subset returns the back ends of the service that the node considers. It is
-// computed once for each view.
-func (h *Handler) subset(view *roster.View, service string) *subset {
+// subset returns the back ends of the service that the node considers, of those that
+// are selected. It is computed once for each view and selection.
+func (h *Handler) subset(view *roster.View, service string, selected rollout.Selection) *subset {
 	held := h.subsets.Load()
 	if held == nil || held.view != view {
 		held = &subsets{view: view}
 		h.subsets.Store(held)
 	}
-	if found, known := held.byService.Load(service); known {
+	key := subsetKey{service: service, selection: selected.Key}
+	if found, known := held.byService.Load(key); known {
 		return found.(*subset)
 	}
-	chosen := chooseSubset(view.Service(service), h.options.Node, place{zone: h.options.Zone, regions: h.options.Regions})
-	held.byService.Store(service, chosen)
+	records := admitted(view.Service(service), selected)
+	chosen := chooseSubset(records, h.options.Node, place{zone: h.options.Zone, regions: h.options.Regions})
+	held.byService.Store(key, chosen)
 	return chosen
 }
 
+// admitted returns the records that are selected.
+func admitted(records []*roster.Record, selected rollout.Selection) []*roster.Record {
+	if selected.Admits == nil {
+		return records
+	}
+	var found []*roster.Record
+	for _, record := range records {
+		if selected.Admits(record) {
+			found = append(found, record)
+		}
+	}
+	return found
+}
+
 // ranked is a record with what its rank goes by.
 type ranked struct {
 	record *roster.Record
--- /dev/null
+++ b/internal/sidecar/egress/versions.go
@@ -0,0 +1,73 @@
+package egress
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+)
+
+// plan returns how a service's requests are divided between versions, nil when they
+// are not.
+func (h *Handler) plan(service string) *rollout.Plan {
+	if h.options.Plan == nil {
+		return nil
+	}
+	return h.options.Plan(service)
+}
+
+// serves reports whether one of the selected back ends is there to take requests.
+func (h *Handler) serves(service string, selected rollout.Selection) bool {
+	for _, record := range h.subset(h.options.View(), service, selected).records {
+		if record.AcceptsWork() && !h.targets.of(record).silent.Load() {
+			return true
+		}
+	}
+	return false
+}
+
+// compares reports whether the record's back end is of a version that is compared with
+// those in use.
+func (h *Handler) compares(service string, record *roster.Record) bool {
+	plan := h.plan(service)
+	return plan != nil && plan.Compares() && record.Endpoint.Version == plan.Version
+}
+
+// usualOf returns what is told with a request to a back end whose version is compared;
+// nil for all others.
+func (h *Handler) usualOf(service, route string, record *roster.Record) *rollout.Usual {
+	if !h.compares(service, record) {
+		return nil
+	}
+	usual := h.answersOf(service).Usual(route, time.Now())
+	return &usual
+}
+
+// answersOf returns what is remembered of the answers of a service's versions in use.
+func (h *Handler) answersOf(service string) *rollout.Record {
+	if held, found := h.usual.Load(service); found {
+		return held.(*rollout.Record)
+	}
+	held, _ := h.usual.LoadOrStore(service, &rollout.Record{})
+	return held.(*rollout.Record)
+}
+
+// compare takes in what the send shows of a version in use, while another one is
+// compared with it. Refusals and what the caller gave up show nothing.
+func (a *attempt) compare(now time.Time) {
+	plan := a.call.handler.plan(a.service)
+	if plan == nil || !plan.Compares() || a.compared || a.call.context.Err() != nil {
+		return
+	}
+	failed := a.response != nil && a.response.StatusCode >= http.StatusInternalServerError
+	if a.failure != nil {
+		if a.failure.Outcome != outcome.Unknown {
+			return
+		}
+		failed = true
+	}
+	slow := a.worked > rollout.SlowFactor*a.call.work().Mean(a.call.assumedWork())
+	a.call.handler.answersOf(a.service).Observe(a.call.route.Name, failed, slow, now)
+}
--- a/internal/sidecar/egress/visit.go
+++ b/internal/sidecar/egress/visit.go
@@ -175,7 +175,7 @@
 	}
 	reached := last.failure.Outcome != outcome.NotRun || last.failure.Step == outcome.StepShed
 	if !reached {
-		return len(c.visits) < refusalsPerCall && c.considered(time.Now()).worthwhile()
+		return len(c.visits) < refusalsPerCall && c.considered(time.Now(), c.selected()).worthwhile()
 	}
 	c.runs++
 	if last.failure.Outcome != outcome.NotRun {
@@ -216,6 +216,7 @@
 		Service: a.service, Caller: options.Caller(), Remaining: remaining, Priority: c.route.Priority,
 		MaximumWait: choice.Patience(request), Expected: c.work().Mean(c.assumedWork()),
 		Returning: request.Returning && !request.Hurried(),
+		Usual:     c.handler.usualOf(c.service, c.route.Name, a.record),
 	}
 	header[hop.HeaderHop] = []string{told.Format()}
 	outgoing := forward.NewRequest(a.traced(), c.request, a.record.Address, header, a.interim)
--- a/internal/sidecar/exchange/exchanger.go
+++ b/internal/sidecar/exchange/exchanger.go
@@ -17,6 +17,7 @@
 
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/configuration"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/readers"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 )
 
@@ -31,11 +32,21 @@
 	Refresh func(ctx context.Context) error
 	// Reads reports whether the node reads the store itself.
 	Reads func() bool
+	// Rollouts knows the moves to other versions; nil when there are none ever.
+	Rollouts Rollouts
 	// Suspect is told of nodes that do not answer.
 	Suspect func(*roster.Record)
 	Logger  *zap.Logger
 }
 
+// Rollouts are the moves to other versions that a node knows of.
+type Rollouts interface {
+	// Tell returns them; nil when there are none.
+	Tell() []rollout.Told
+	// Hear takes in a peer's and reports whether some of it is news.
+	Hear([]rollout.Told) (news bool)
+}
+
 const (
 	// DefaultInterval is the time between two exchanges that a node begins.
 	DefaultInterval = 800 * time.Millisecond
@@ -203,15 +214,32 @@
 // message is what every message of this node says.
 func (e *Exchanger) message() *Message {
 	return &Message{
-		From:    e.options.Roster.Own(),
-		Digest:  e.options.Roster.View().Digest(),
-		Version: e.options.Configuration.Version(),
+		From:     e.options.Roster.Own(),
+		Digest:   e.options.Roster.View().Digest(),
+		Version:  e.options.Configuration.Version(),
+		Rollouts: e.rollouts(),
+	}
+}
+
+func (e *Exchanger) rollouts() []rollout.Told {
+	if e.options.Rollouts == nil {
+		return nil
+	}
+	return e.options.Rollouts.Tell()
+}
+
+// hearRollouts takes in a peer's moves before its records: who knows of a new version
+// knows why it is there. News is passed on in the zone.
+func (e *Exchanger) hearRollouts(told []rollout.Told) {
+	if e.options.Rollouts != nil && len(told) > 0 && e.options.Rollouts.Hear(told) {
+		go e.tellZone()
 	}
 }
 
 // take merges a peer's message and fetches its configuration when it is newer.
 func (e *Exchanger) take(received *Message) {
 	e.met.Store(true)
+	e.hearRollouts(received.Rollouts)
 	e.options.Roster.Merge(append([]*roster.Record{received.From}, received.Records...))
 	e.Behind(received.From, received.Version)
 }
--- a/internal/sidecar/exchange/message.go
+++ b/internal/sidecar/exchange/message.go
@@ -3,7 +3,10 @@
 // version with another one. What the store does not tell a node, its peers do.
 package exchange
 
-import "github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+import (
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+)
 
 // Message is one side of an exchange.
 type Message struct {
@@ -22,6 +25,8 @@
 	// Records are the sender's in the differing parts, as far as the receiver
 	// needs them.
 	Records []*roster.Record `json:"records,omitempty"`
+	// Rollouts are the moves to other versions that the sender knows of.
+	Rollouts []rollout.Told `json:"rollouts,omitempty"`
 }
 
 // Notice tells a peer of one node's record. Nothing is answered.
@@ -33,6 +38,8 @@
 	Version uint64 `json:"version"`
 	// Relay asks the receiver to pass the news on in its zone.
 	Relay bool `json:"relay,omitempty"`
+	// Rollouts are the moves to other versions that the sender knows of.
+	Rollouts []rollout.Told `json:"rollouts,omitempty"`
 }
 
 const (
--- a/internal/sidecar/hop/hop_test.go
+++ b/internal/sidecar/hop/hop_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
 )
 
 func TestRequestLine(t *testing.T) {
@@ -45,6 +46,23 @@
 	g.Expect(received).To(Equal(sent))
 }
 
+// TestARequestThatIsCompared: what is usual travels with requests to a version on
+// trial, and with no others.
+func TestARequestThatIsCompared(t *testing.T) {
+	g := NewWithT(t)
+	sent := hop.Request{
+		Service: "one", Caller: "two", Remaining: time.Second, Priority: 1, MaximumWait: 20 * time.Millisecond,
+		Expected: 30 * time.Millisecond, Usual: &rollout.Usual{Failing: 0.25, Slow: 0.004},
+	}
+	received, err := hop.ParseRequest(sent.Format())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(received).To(Equal(sent))
+	sent.Usual = nil
+	received, err = hop.ParseRequest(sent.Format())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(received.Usual).To(BeNil())
+}
+
 func TestReplyOfTheVersionBefore(t *testing.T) {
 	g := NewWithT(t)
 	received, err := hop.ParseReply("1 2 3 4 5 6 7")
@@ -54,7 +72,7 @@
 }
 
 func TestLinesThatCannotBeRead(t *testing.T) {
-	for _, line := range []string{"", "one", " two 1 2 3 4 5 0", "one two 1 2 3 4", "one two 1 2 3 4 5 0 6", "one two -1 2 3 4 0", "one two x 2 3 4 0"} {
+	for _, line := range []string{"", "one", " two 1 2 3 4 5 0", "one two 1 2 3 4", "one two 1 2 3 4 0 6 7 8", "one two 1 2 3 4 0 6 x", "one two -1 2 3 4 0", "one two x 2 3 4 0"} {
 		_, err := hop.ParseRequest(line)
 		NewWithT(t).Expect(err).To(MatchError(hop.ErrLine), line)
 	}
--- a/internal/sidecar/hop/line.go
+++ b/internal/sidecar/hop/line.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
 )
 
 // Request is what the caller's node tells the arriving one beside the request
@@ -25,6 +27,9 @@
 	Expected time.Duration
 	// Returning: the caller was refused before and has come back.
 	Returning bool
+	// Usual is told with requests to a version that is compared with others: how often
+	// answers of those are bad. It is nil with all other requests.
+	Usual *rollout.Usual
 }
 
 // ErrLine says that a header between nodes cannot be read.
@@ -46,10 +51,17 @@
 	} {
 		line = strconv.AppendInt(append(line, ' '), number, 10)
 	}
+	if r.Usual != nil {
+		line = strconv.AppendInt(append(line, ' '), int64(r.Usual.Failing*shareUnits), 10)
+		line = strconv.AppendInt(append(line, ' '), int64(r.Usual.Slow*shareUnits), 10)
+	}
 	return string(line)
 }
 
 const (
+	// shareUnits make a whole number of a share.
+	shareUnits     = 1000
+	usualNumbers   = 2
 	requestNames   = 2
 	requestNumbers = 5
 	replyNumbers   = 8
@@ -64,18 +76,25 @@
 	if len(parts) == requestNames+requestNumbers+1 {
 		parts = slices.Delete(parts, slackPart, slackPart+1)
 	}
-	if len(parts) != requestNames+requestNumbers || parts[0] == "" {
+	compared := len(parts) == requestNames+requestNumbers+usualNumbers
+	if (len(parts) != requestNames+requestNumbers && !compared) || parts[0] == "" {
 		return Request{}, fmt.Errorf("%w: %d parts", ErrLine, len(parts))
 	}
 	numbers, err := parseNumbers(parts[requestNames:])
 	if err != nil {
 		return Request{}, err
 	}
-	return Request{
+	read := Request{
 		Service: parts[0], Caller: parts[1],
 		Remaining: microseconds(numbers[0]), Priority: int(numbers[1]), MaximumWait: microseconds(numbers[2]),
 		Expected: microseconds(numbers[3]), Returning: numbers[4] != 0,
-	}, nil
+	}
+	if compared {
+		read.Usual = &rollout.Usual{
+			Failing: min(float64(numbers[5])/shareUnits, 1), Slow: min(float64(numbers[6])/shareUnits, 1),
+		}
+	}
+	return read, nil
 }
 
 // Reply is what the arriving node tells of itself with each reply.
--- a/internal/sidecar/ingress/arrival.go
+++ b/internal/sidecar/ingress/arrival.go
@@ -23,6 +23,7 @@
 	errIdentity   = errors.New("a back end of another service is here")
 	errLeaving    = errors.New("the back end is leaving")
 	errNoCaller   = errors.New("the request did not come through a node")
+	errVersion    = errors.New("requests move away from the version of the back end")
 	errStopping   = errors.New("the node is stopping")
 	errLink       = errors.New("the link has no room for the body in time")
 )
@@ -122,6 +123,9 @@
 	if a.handler.leftBehind(a.endpoint.ID) {
 		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepDrain, refusedWait, errLeaving)
 	}
+	if judge := a.handler.options.Judge; judge != nil && judge.Refuses() {
+		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepDrain, refusedWait, errVersion)
+	}
 	a.deadline = a.started.Add(told.Remaining)
 	return nil
 }
--- a/internal/sidecar/ingress/exchange.go
+++ b/internal/sidecar/ingress/exchange.go
@@ -102,11 +102,22 @@
 	case failure.Step == outcome.StepIdentity || failure.Step == outcome.StepWrite:
 	case a.context.Err() == nil:
 		a.handler.failures.Observe(true)
+		a.judged(failure.Step != outcome.StepShed)
 	case a.told.Expected > 0 && time.Since(a.started)-a.waited > hangs*a.told.Expected:
 		a.handler.failures.Observe(true)
+		a.judged(true)
 	}
 }
 
+// judged passes on what the request showed of the back end's version.
+func (a *arrival) judged(failed bool) {
+	judge := a.handler.options.Judge
+	if judge == nil || a.told.Usual == nil || !judge.Judges() {
+		return
+	}
+	judge.Answered(a.request, failed, time.Since(a.started)-a.waited, a.told.Expected, *a.told.Usual)
+}
+
 // take judges an answer and passes it on when it is the one to this request.
 func (a *arrival) take(response *http.Response, sent *forward.Body) *outcome.Failure {
 	if failure := a.judge(response); failure != nil {
@@ -119,7 +130,9 @@
 		a.observe(failure)
 		return failure
 	}
-	a.handler.failures.Observe(response.StatusCode >= http.StatusInternalServerError)
+	failed := response.StatusCode >= http.StatusInternalServerError
+	a.handler.failures.Observe(failed)
+	a.judged(failed)
 	forward.RemoveHopByHop(response.Header)
 	outcome.StripMarkers(response.Header)
 	a.learn(response)
--- a/internal/sidecar/ingress/handler.go
+++ b/internal/sidecar/ingress/handler.go
@@ -15,6 +15,7 @@
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/admission"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/choice"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 )
 
@@ -33,6 +34,9 @@
 	// DrainAfter is how long after a back end's word that it is leaving new
 	// work is still taken.
 	DrainAfter func() time.Duration
+	// Judge takes in what the back end's answers show of its version; nil when nobody
+	// compares versions.
+	Judge Judge
 	// LinkMbps is the speed of the machine's link in Mbit/s; zero when unknown.
 	LinkMbps int
 	// Dial opens connections to the back end.
@@ -48,6 +52,16 @@
 	Arrived(result outcome.Outcome, step outcome.Step, elapsed, waited time.Duration)
 }
 
+// Judge compares the version of the back end with others.
+type Judge interface {
+	// Refuses reports whether the back end is to get nothing for its version.
+	Refuses() bool
+	// Judges reports whether its answers are evidence now.
+	Judges() bool
+	// Answered takes in what one request showed. The route is that of the request.
+	Answered(request *http.Request, failed bool, worked, expected time.Duration, usual rollout.Usual)
+}
+
 const (
 	// dialTimeout bounds the opening of a connection to the back end, which is
 	// on the same machine.
--- a/internal/sidecar/reload.go
+++ b/internal/sidecar/reload.go
@@ -9,7 +9,7 @@
 // reloadable are the fields of Settings that a running node takes over. The
 // others name what is bound or known to peers, and need a restart.
 var reloadable = map[string]bool{
-	"StoreAddress": true, "DrainBound": true, "Grace": true, "Retries": true, "ValueBytes": true,
+	"StoreAddress": true, "DrainBound": true, "Grace": true, "Retries": true, "ValueBytes": true, "Rollout": true,
 }
 
 // Reload takes in newer settings and logs what has changed. What a running node
--- a/internal/sidecar/reload_test.go
+++ b/internal/sidecar/reload_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/egress"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
 )
 
 func TestCompare(t *testing.T) {
@@ -29,7 +30,7 @@
 // TestReloadableNamesAreFields: a field that is renamed must not fall out.
 func TestReloadableNamesAreFields(t *testing.T) {
 	g := NewWithT(t)
-	held, next := Settings{}, Settings{StoreAddress: "x", DrainBound: 1, Grace: 1, Retries: egress.RetryLimits{Slack: 1}, ValueBytes: 1}
+	held, next := Settings{}, Settings{StoreAddress: "x", DrainBound: 1, Grace: 1, Retries: egress.RetryLimits{Slack: 1}, ValueBytes: 1, Rollout: rollout.Limits{Share: 1}}
 	changed, waiting := compare(&held, &next)
 	g.Expect(changed).To(HaveLen(len(reloadable)))
 	g.Expect(waiting).To(BeEmpty())
--- /dev/null
+++ b/internal/sidecar/rollout/controller/controller.go
@@ -0,0 +1,402 @@
+// Package controller carries out roll-outs on one node: it hears orders, divides the
+// requests of each service as the node's plan says, judges the own back end, and, on the
+// nodes that read the store, writes how far a move has come. Decisions are those of
+// package rollout.
+package controller
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+)
+
+// Options configure a controller.
+type Options struct {
+	Store   Store
+	Codec   Codec
+	Members *roster.Roster
+	Limits  func() rollout.Limits
+	// Readers returns the nodes that read the store. The earlier in the list, the sooner
+	// one acts.
+	Readers func() []*roster.Record
+	// Serving reports whether a configuration is in force: from then on the orders
+	// given before are known.
+	Serving func() bool
+	// Spread tells the peers of the moves, SpreadRecord of the node's own record.
+	Spread, SpreadRecord func()
+	Logger               *zap.Logger
+	Registry             prometheus.Registerer
+}
+
+const (
+	// tickInterval is the time between two looks at the moves that are under way.
+	tickInterval = 100 * time.Millisecond
+	// holdMost is how long a version that no order names gets nothing. New software
+	// without an order is somebody else's way to bring it in: after that time its back
+	// ends are used as all others are.
+	holdMost = 10 * time.Second
+	// settle is how long after all requests have moved the back ends of other versions
+	// still take what other nodes send that have not heard yet.
+	settle = 200 * time.Millisecond
+)
+
+// Controller carries out roll-outs. It is safe for concurrent use; what a request needs
+// takes no lock.
+type Controller struct {
+	options Options
+	metrics *metrics
+	wake    chan struct{}
+	plans   atomic.Pointer[map[string]*rollout.Plan]
+	// judging is of the back end that is judged now; nil while none is.
+	judging atomic.Pointer[judging]
+
+	mu    sync.Mutex // guards all below and the replacement of plans and judging
+	moves map[string]*carried
+	// versions holds the versions of each service that are in use, unheard those that
+	// no order names, with when they were first seen.
+	versions map[string]map[string]bool
+	unheard  map[string]map[string]time.Time
+	splits   map[string]*rollout.Split
+}
+
+// carried is a move with what the node has done for it. The controller's lock guards it.
+type carried struct {
+	rollout.Move
+	// order is the revision of the order that all below concerns.
+	order uint64
+	// began is when the node heard of the order, asked how many requests of the service
+	// it had divided then.
+	began time.Time
+	asked int64
+	// moved is when all requests went to the version, by this node; zero before.
+	moved time.Time
+	// recorded: the store is known to have the present phase.
+	recorded bool
+	// due is the phase that waits to be written, dueSince since when.
+	due      rollout.Phase
+	dueSince time.Time
+	// writing: a write is under way. failures counts those that failed in a row, and
+	// notBefore is when the next may follow.
+	writing   bool
+	failures  int
+	notBefore time.Time
+}
+
+// New returns a controller that Run starts.
+func New(options Options) *Controller {
+	created := &Controller{
+		options: options, metrics: newMetrics(options.Registry), wake: make(chan struct{}, 1),
+		moves: map[string]*carried{}, versions: map[string]map[string]bool{},
+		unheard: map[string]map[string]time.Time{}, splits: map[string]*rollout.Split{},
+	}
+	return created
+}
+
+// Run carries out moves until the context ends.
+func (c *Controller) Run(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		var ticks <-chan time.Time
+		if c.Active() {
+			ticks = ticker.C
+		}
+		select {
+		case <-ticks:
+		case <-c.wake:
+		case <-ctx.Done():
+			return
+		}
+		c.tick(ctx, time.Now())
+	}
+}
+
+// Active reports whether a move is under way or a version is held.
+func (c *Controller) Active() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.unheard) > 0 {
+		return true
+	}
+	for _, held := range c.moves {
+		if !held.Phase.Final() {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Controller) signal() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Plan returns how the service's requests are divided, nil when nothing divides them.
+func (c *Controller) Plan(service string) *rollout.Plan {
+	held := c.plans.Load()
+	if held == nil {
+		return nil
+	}
+	return (*held)[service]
+}
+
+// Ordered takes in an order that the store has.
+func (c *Controller) Ordered(order rollout.Order) {
+	now := time.Now()
+	if c.learn(rollout.Begin(order, now), now) {
+		c.options.Logger.Info("roll-out ordered", zap.String("service", order.Service), zap.String("software", order.Version),
+			zap.Uint64("revision", order.Revision), zap.Duration("duration", order.Duration))
+		c.options.Spread()
+	}
+}
+
+// Hear takes in what a peer tells of moves and reports whether some of it is news.
+func (c *Controller) Hear(told []rollout.Told) (news bool) {
+	now := time.Now()
+	for _, one := range told {
+		move, valid := one.Hear(now)
+		if !valid {
+			c.options.Logger.Warn("a peer tells of a roll-out that cannot be", zap.Any("told", one))
+			continue
+		}
+		news = c.learn(move, now) || news
+	}
+	return news
+}
+
+// Tell returns the moves as peers are told of them; nil when there are none.
+func (c *Controller) Tell() []rollout.Told {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.moves) == 0 {
+		return nil
+	}
+	now := time.Now()
+	told := make([]rollout.Told, 0, len(c.moves))
+	for _, service := range slices.Sorted(maps.Keys(c.moves)) {
+		told = append(told, c.moves[service].Tell(now))
+	}
+	return told
+}
+
+// learn merges a move and reports whether it is news.
+func (c *Controller) learn(move rollout.Move, now time.Time) (news bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	held := c.moves[move.Service]
+	if held == nil {
+		held = &carried{}
+		c.moves[move.Service] = held
+	}
+	merged, news := held.Merge(move)
+	held.Move = merged
+	if !news {
+		return false
+	}
+	if merged.Revision != held.order {
+		*held = carried{Move: merged, order: merged.Revision, began: now, asked: c.split(move.Service).Asked()}
+	}
+	// What a peer tells of was written by whoever began it, or will be.
+	held.recorded = merged.Phase != rollout.Condemned && merged.Phase != rollout.Trial
+	c.use(move.Service, move.Version)
+	c.entered(held, now)
+	c.publish(now)
+	c.signal()
+	return true
+}
+
+// use notes that a version is in use, or is known by an order.
+func (c *Controller) use(service, version string) {
+	if c.versions[service] == nil {
+		c.versions[service] = map[string]bool{}
+	}
+	c.versions[service][version] = true
+	delete(c.unheard[service], version)
+	if len(c.unheard[service]) == 0 {
+		delete(c.unheard, service)
+	}
+}
+
+// entered logs a move's phase and notes when the requests moved; the lock is held.
+func (c *Controller) entered(held *carried, now time.Time) {
+	if (held.Phase == rollout.Promoting || held.Phase == rollout.Completed) && held.moved.IsZero() {
+		held.moved = now
+	}
+	c.metrics.phase.WithLabelValues(held.Service).Set(float64(held.Phase))
+	tally := c.tally(held)
+	c.options.Logger.Info("roll-out phase", zap.String("service", held.Service), zap.String("software", held.Version),
+		zap.Stringer("phase", held.Phase), zap.String("cause", held.Cause), zap.Duration("left", held.Deadline.Sub(now)),
+		zap.Int("present", tally.Present), zap.Int("others", tally.Others),
+		zap.Int("answered", tally.Answered), zap.Int("faulty", tally.Faulty), zap.Float64("lean", tally.Lean))
+}
+
+// Follow takes in changed records: a version that no order names is held, since its
+// order may not have been heard yet.
+func (c *Controller) Follow(changed []*roster.Record) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	serving := c.options.Serving()
+	for _, record := range changed {
+		endpoint := record.Endpoint
+		if endpoint == nil || endpoint.Version == "" || c.versions[endpoint.Service][endpoint.Version] {
+			continue
+		}
+		if !serving || len(c.versions[endpoint.Service]) == 0 {
+			c.use(endpoint.Service, endpoint.Version)
+			continue
+		}
+		c.hold(endpoint.Service, endpoint.Version)
+	}
+}
+
+// hold has a version get nothing for a time; the lock is held.
+func (c *Controller) hold(service, version string) {
+	if c.unheard[service] == nil {
+		c.unheard[service] = map[string]time.Time{}
+	}
+	if _, known := c.unheard[service][version]; known {
+		return
+	}
+	now := time.Now()
+	c.unheard[service][version] = now
+	c.options.Logger.Warn("software that no order names gets no requests yet",
+		zap.String("service", service), zap.String("software", version), zap.Duration("atMost", holdMost))
+	c.publish(now)
+	c.signal()
+}
+
+// releaseHeld ends holds that have lasted long enough; the lock is held.
+func (c *Controller) releaseHeld(now time.Time) {
+	for service, held := range c.unheard {
+		for version, since := range held {
+			if now.Sub(since) >= holdMost {
+				c.options.Logger.Warn("software that no order names is used",
+					zap.String("service", service), zap.String("software", version))
+				c.use(service, version)
+			}
+		}
+	}
+}
+
+// tick looks at every move: what its back ends are called, who is on trial, and what is
+// due in the store.
+func (c *Controller) tick(ctx context.Context, now time.Time) {
+	c.mu.Lock()
+	c.releaseHeld(now)
+	news := false
+	for _, held := range c.moves {
+		judged, changed := held.Judged(c.tally(held), now)
+		if changed {
+			held.Move, held.recorded = judged, false
+			c.entered(held, now)
+			news = true
+		}
+		c.act(ctx, held, now)
+	}
+	c.publish(now)
+	c.mu.Unlock()
+	if news {
+		c.options.Spread()
+	}
+}
+
+// tally counts the back ends of a move's service; the lock is held.
+func (c *Controller) tally(held *carried) rollout.Tally {
+	var tally rollout.Tally
+	for _, record := range c.options.Members.View().Service(held.Service) {
+		switch {
+		case record.Endpoint.Version != held.Version:
+			if record.AcceptsWork() {
+				tally.Others++
+			}
+			continue
+		case record.AcceptsWork():
+			tally.Present++
+		}
+		if judgement := record.Judgement(); judgement != nil {
+			tally.Add(judgement.Answers, judgement.Faulty, judgement.Lean)
+		}
+	}
+	return tally
+}
+
+// candidates returns the nodes whose back ends may be on trial, in an order on which
+// all nodes agree, and how many back ends of other versions there are.
+func (c *Controller) candidates(held *carried) (nodes []string, others int) {
+	for _, record := range c.options.Members.View().Service(held.Service) {
+		judgement := record.Judgement()
+		switch {
+		case !record.AcceptsWork():
+		case record.Endpoint.Version != held.Version:
+			others++
+		case judgement == nil || !judgement.Faulty:
+			nodes = append(nodes, record.Node)
+		}
+	}
+	slices.SortFunc(nodes, func(a, b string) int {
+		return compareHashes(held.Version, a, b)
+	})
+	return nodes, others
+}
+
+func compareHashes(salt, a, b string) int {
+	first, second := xxhash.Sum64String(salt+"\x00"+a), xxhash.Sum64String(salt+"\x00"+b)
+	switch {
+	case first < second:
+		return -1
+	case first > second:
+		return 1
+	}
+	return 0
+}
+
+// publish makes the plans anew; the lock is held.
+func (c *Controller) publish(now time.Time) {
+	made := make(map[string]*rollout.Plan, len(c.moves)+len(c.unheard))
+	for service, held := range c.moves {
+		candidates, others := c.candidates(held)
+		stint := held.Stint(candidates, others, c.options.Limits(), c.pace(held, now), now)
+		made[service] = rollout.NewPlan(held.Move, stint, slices.Sorted(maps.Keys(c.unheard[service])), c.split(service))
+	}
+	for service, versions := range c.unheard {
+		if made[service] == nil {
+			made[service] = rollout.NewPlan(rollout.Move{}, rollout.Stint{}, slices.Sorted(maps.Keys(versions)), c.split(service))
+		}
+	}
+	if len(made) == 0 {
+		c.plans.Store(nil)
+		return
+	}
+	c.plans.Store(&made)
+}
+
+// paceKnown is how long requests are counted before their rate is used.
+const paceKnown = time.Second
+
+// pace is how often requests of a move's service come to this node; the lock is held.
+func (c *Controller) pace(held *carried, now time.Time) rollout.Pace {
+	pace := rollout.Pace{Members: c.options.Members.View().Present()}
+	if elapsed := now.Sub(held.began); elapsed >= paceKnown {
+		pace.PerSecond = float64(c.split(held.Service).Asked()-held.asked) / elapsed.Seconds()
+	}
+	return pace
+}
+
+func (c *Controller) split(service string) *rollout.Split {
+	if c.splits[service] == nil {
+		c.splits[service] = rollout.NewSplit()
+	}
+	return c.splits[service]
+}
--- /dev/null
+++ b/internal/sidecar/rollout/controller/controller_test.go
@@ -0,0 +1,429 @@
+package controller_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout/controller"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+	"github.com/kestrelstream/kestrelstream/internal/store"
+)
+
+const (
+	service  = "s"
+	fresh    = "v2"
+	duration = 14 * time.Second
+)
+
+// statuses is a store of one key. It is safe for concurrent use.
+type statuses struct {
+	mu       sync.Mutex // guards all below
+	value    []byte
+	revision uint64
+	calls    int
+	// written are the phases in the order in which they were written.
+	written []rollout.Phase
+	// fails says what becomes of the next call.
+	fails func() fault
+}
+
+// fault is what becomes of a call.
+type fault int
+
+const (
+	none fault = iota
+	// refused: nothing is done.
+	refused
+	// unanswered: it is done and not answered; late: it is done seconds later.
+	unanswered
+	late
+)
+
+const lateBy = 2 * time.Second
+
+func (s *statuses) next() fault {
+	s.calls++
+	if s.fails == nil {
+		return none
+	}
+	return s.fails()
+}
+
+// Get implements controller.Store.
+func (s *statuses) Get(context.Context, string) (store.KeyValue, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.next() != none:
+		return store.KeyValue{}, store.ErrUnavailable
+	case s.revision == 0:
+		return store.KeyValue{}, store.ErrNotFound
+	}
+	return store.KeyValue{Value: s.value, Revision: s.revision}, nil
+}
+
+// CompareAndSwap implements controller.Store.
+func (s *statuses) CompareAndSwap(_ context.Context, swap store.Swap) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch s.next() {
+	case refused:
+		return 0, store.ErrUnavailable
+	case unanswered:
+		_, _ = s.swap(swap)
+		return 0, store.ErrUnknownOutcome
+	case late:
+		time.AfterFunc(lateBy, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			_, _ = s.swap(swap)
+		})
+		return 0, store.ErrUnknownOutcome
+	}
+	return s.swap(swap)
+}
+
+func (s *statuses) swap(swap store.Swap) (uint64, error) {
+	if swap.ExpectedRevision != s.revision {
+		return 0, store.ErrConflict
+	}
+	s.revision++
+	s.value = swap.Value
+	status := controller.Status{}
+	if err := json.Unmarshal(swap.Value, &status); err != nil {
+		return 0, err
+	}
+	s.written = append(s.written, status.Phase)
+	return s.revision, nil
+}
+
+func (s *statuses) phase() rollout.Phase {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.written) == 0 {
+		return rollout.Trial
+	}
+	return s.written[len(s.written)-1]
+}
+
+// node is one node of the fleet.
+type node struct {
+	name    string
+	members *roster.Roster
+	// control is replaced at a restart.
+	control *controller.Controller
+	stop    context.CancelFunc
+	alive   bool
+}
+
+// fleet is a service whose back ends are of two versions, with a node beside each.
+// Everybody reads the store. It is used by one goroutine.
+type fleet struct {
+	store  *statuses
+	nodes  []*node
+	random *rand.Rand
+}
+
+const olds, news = 4, 4
+
+func newFleet(seed uint64) *fleet {
+	made := &fleet{store: &statuses{}, random: rand.New(rand.NewPCG(seed, 1))}
+	for i := range olds + news {
+		made.nodes = append(made.nodes, &node{name: fmt.Sprint("node-", i)})
+	}
+	for i := range made.nodes {
+		made.start(i)
+	}
+	made.share()
+	return made
+}
+
+func versionOf(index int) string {
+	if index < olds {
+		return "v1"
+	}
+	return fresh
+}
+
+// start starts a node's process, which remembers nothing.
+func (f *fleet) start(index int) {
+	started := f.nodes[index]
+	epoch := uint64(1)
+	if started.members != nil {
+		epoch = started.members.Own().Epoch + 1
+	}
+	started.members = roster.New(roster.Record{
+		Node: started.name, Epoch: epoch, Counter: 1, Address: started.name,
+		Endpoint: &roster.Endpoint{ID: "i-" + started.name, Service: service, Version: versionOf(index), Slots: 4, State: roster.Ready},
+	})
+	started.control = controller.New(controller.Options{
+		Store: f.store, Members: started.members,
+		Codec: controller.Codec{
+			StatusKey:    func(of string) string { return "status/" + of },
+			EncodeStatus: func(status controller.Status) ([]byte, error) { return json.Marshal(status) },
+			DecodeStatus: func(raw []byte) (status controller.Status, err error) {
+				err = json.Unmarshal(raw, &status)
+				return status, err
+			},
+		},
+		Limits:  rollout.DefaultLimits,
+		Readers: func() []*roster.Record { return started.members.View().Records() },
+		Serving: func() bool { return true },
+		Spread:  func() {}, SpreadRecord: func() {},
+		Logger: zap.NewNop(), Registry: prometheus.NewRegistry(),
+	})
+	started.members.Observe(started.control.Follow)
+	var ctx context.Context
+	ctx, started.stop = context.WithCancel(context.Background())
+	started.alive = true
+	go started.control.Run(ctx)
+}
+
+func (f *fleet) kill(index int) {
+	f.nodes[index].alive = false
+	f.nodes[index].stop()
+}
+
+func (f *fleet) end() {
+	for _, held := range f.nodes {
+		held.stop()
+	}
+}
+
+// share tells every node what all others know.
+func (f *fleet) share() {
+	for _, teller := range f.nodes {
+		if !teller.alive {
+			continue
+		}
+		own, told := teller.members.Own(), teller.control.Tell()
+		for _, listener := range f.nodes {
+			if listener != teller && listener.alive {
+				listener.control.Hear(told)
+				listener.members.Merge([]*roster.Record{own})
+			}
+		}
+	}
+}
+
+func (f *fleet) order(revision uint64) {
+	for _, held := range f.nodes {
+		if held.alive {
+			held.control.Ordered(rollout.Order{Service: service, Version: fresh, Revision: revision, Duration: duration})
+		}
+	}
+}
+
+// request sends one request through a node and returns which version took it; empty when
+// nobody did.
+func (f *fleet) request(bad func(*node) bool) string {
+	from := f.nodes[f.random.IntN(len(f.nodes))]
+	if !from.alive {
+		return ""
+	}
+	selected := rollout.Every()
+	if plan := from.control.Plan(service); plan != nil {
+		selected = plan.Select(false)
+	}
+	var candidates []int
+	for i, other := range f.nodes {
+		if record := from.members.View().Record(other.name); record != nil && (selected.Admits == nil || selected.Admits(record)) {
+			candidates = append(candidates, i)
+		}
+	}
+	if len(candidates) == 0 {
+		return ""
+	}
+	index := candidates[f.random.IntN(len(candidates))]
+	taker := f.nodes[index]
+	if !taker.alive || taker.control.Refuses() {
+		return ""
+	}
+	if taker.control.Judges() {
+		taker.control.Answered(rollout.Answer{Route: "r", Failed: bad(taker), Usual: rollout.Usual{Failing: 0.01, Slow: 0.01}})
+	}
+	return versionOf(index)
+}
+
+func never(*node) bool { return false }
+
+// play sends requests for a time and shares what nodes know ten times a second.
+func (f *fleet) play(length time.Duration, bad func(*node) bool) (counts map[string]int) {
+	const perSecond = 400
+	counts = map[string]int{}
+	until := time.Now().Add(length)
+	for number := 0; time.Now().Before(until); number++ {
+		counts[f.request(bad)]++
+		if number%(perSecond/10) == 0 {
+			f.share()
+		}
+		time.Sleep(time.Second / perSecond)
+	}
+	return counts
+}
+
+// TestAGoodVersion: it is on trial, then everything goes there, then it is done, by the
+// deadline, and few calls are made for it.
+func TestAGoodVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newFleet(1)
+		defer f.end()
+		f.order(7)
+		counts := f.play(12*time.Second, never)
+		g.Expect(f.store.phase()).To(Equal(rollout.Trial))
+		g.Expect(counts[fresh]).To(And(BeNumerically(">", 60), BeNumerically("<", 12*400/20)), "some 3 in 100 and the slack")
+		f.play(2*time.Second, never)
+		g.Expect(f.store.written).To(Equal([]rollout.Phase{rollout.Trial, rollout.Promoting, rollout.Completed}))
+		counts = f.play(time.Second, never)
+		g.Expect(counts["v1"]).To(BeZero())
+		g.Expect(f.store.calls).To(BeNumerically("<=", 2*3+len(f.nodes)), "a read and a write each, and one read of each that has its turn")
+	})
+}
+
+// TestABadVersion: it gets nothing after a few bad answers, whoever hears of it, and the
+// store learns that it was taken back.
+func TestABadVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newFleet(2)
+		defer f.end()
+		f.order(7)
+		shown := 0
+		counts := f.play(6*time.Second, func(*node) bool {
+			shown++
+			return shown%3 == 0
+		})
+		g.Expect(f.store.phase()).To(Equal(rollout.RolledBack))
+		g.Expect(shown).To(BeNumerically("<", 100))
+		g.Expect(counts[fresh]).To(Equal(shown))
+		counts = f.play(10*time.Second, never)
+		g.Expect(counts[fresh]).To(BeZero())
+		g.Expect(f.store.phase()).To(Equal(rollout.RolledBack))
+	})
+}
+
+// TestWithoutTheStore: a bad version gets nothing all the same, and a good one is not
+// promoted.
+func TestWithoutTheStore(t *testing.T) {
+	for name, bad := range map[string]func(*node) bool{"good": never, "bad": func(*node) bool { return true }} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				f := newFleet(3)
+				defer f.end()
+				f.order(7)
+				f.play(3*time.Second, never)
+				f.store.mu.Lock()
+				f.store.fails = func() fault { return refused }
+				f.store.mu.Unlock()
+				f.play(3*time.Second, bad)
+				counts := f.play(13*time.Second, bad)
+				g.Expect(f.store.written).To(Equal([]rollout.Phase{rollout.Trial}))
+				g.Expect(counts["v1"]).To(BeNumerically(">", 4500))
+				g.Expect(f.play(time.Second, bad)[fresh]).To(BeZero(), "without an end it is taken back after the deadline")
+				f.store.mu.Lock()
+				f.store.fails = nil
+				f.store.mu.Unlock()
+				f.play(3*time.Second, bad)
+				g.Expect(f.store.phase()).To(Equal(rollout.RolledBack))
+			})
+		})
+	}
+}
+
+// TestAnUnheardVersion: software that no order names gets nothing until one does, or until
+// it is taken for what operators brought in another way.
+func TestAnUnheardVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newFleet(4)
+		defer f.end()
+		counts := f.play(9*time.Second, never)
+		g.Expect(counts["v1"]).To(BeNumerically(">", 1500))
+		// A node counts the version that it met first as the one in use: beside half of the
+		// nodes that is the new one.
+		own := 0
+		for index, held := range f.nodes[:olds] {
+			plan := held.control.Plan(service)
+			g.Expect(plan).NotTo(BeNil(), f.nodes[index].name)
+			if !plan.Select(false).Admits(f.nodes[olds].members.Own()) {
+				own++
+			}
+		}
+		g.Expect(own).To(Equal(olds))
+		f.play(2*time.Second, never)
+		for _, held := range f.nodes {
+			g.Expect(held.control.Plan(service)).To(BeNil(), held.name)
+		}
+	})
+}
+
+// TestPromises plays moves with random evidence, faults of the store, and nodes that end
+// and start at any moment. Nothing is written after an end, there is an end soon after the
+// deadline when the store serves again, and after an end all nodes do as it says.
+func TestPromises(t *testing.T) {
+	for seed := range uint64(40) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				f := newFleet(seed)
+				defer f.end()
+				badShare := []float64{0, 0, 0.1, 0.4, 1}[f.random.IntN(5)]
+				bad := func(*node) bool { return f.random.Float64() < badShare }
+				faulty := f.random.Float64() * 0.6
+				f.store.fails = func() fault {
+					if f.random.Float64() >= faulty {
+						return none
+					}
+					return []fault{refused, unanswered, late}[f.random.IntN(3)]
+				}
+				f.order(7)
+				for range 16 {
+					f.play(time.Second, bad)
+					for i, held := range f.nodes {
+						switch {
+						case !held.alive:
+							f.start(i)
+							held.control.Ordered(rollout.Order{Service: service, Version: fresh, Revision: 7, Duration: duration})
+						case f.random.Float64() < 0.08:
+							f.kill(i)
+						}
+					}
+				}
+				f.store.mu.Lock()
+				f.store.fails = nil
+				f.store.mu.Unlock()
+				for i, held := range f.nodes {
+					if !held.alive {
+						f.start(i)
+						held.control.Ordered(rollout.Order{Service: service, Version: fresh, Revision: 7, Duration: duration})
+					}
+				}
+				f.play(12*time.Second, bad)
+				last := f.store.phase()
+				g.Expect(last.Final()).To(BeTrue(), "%v", f.store.written)
+				for i, phase := range f.store.written[:len(f.store.written)-1] {
+					g.Expect(phase.Final()).To(BeFalse(), "something follows on %s at %d: %v", phase, i, f.store.written)
+				}
+				counts := f.play(time.Second, bad)
+				other := "v1"
+				if last == rollout.RolledBack {
+					other = fresh
+				}
+				g.Expect(counts[other]).To(BeZero(), "%v", f.store.written)
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/sidecar/rollout/controller/judging.go
@@ -0,0 +1,134 @@
+package controller
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+)
+
+// judging is the judge of one back end.
+type judging struct {
+	id    string
+	judge *rollout.Judge
+
+	mu sync.Mutex // guards all below
+	// faulty is what others were last told, published when.
+	faulty    bool
+	published time.Time
+}
+
+// Judges reports whether answers of the own back end are evidence: its version is on
+// trial, or all requests have just moved to it.
+func (c *Controller) Judges() bool {
+	endpoint, plan := c.own()
+	return plan != nil && plan.Compares() && endpoint.Version == plan.Version
+}
+
+// own returns the own back end and the plan of its service; the plan is nil when nothing
+// divides the service's requests.
+func (c *Controller) own() (*roster.Endpoint, *rollout.Plan) {
+	if c.plans.Load() == nil {
+		return nil, nil
+	}
+	endpoint := c.options.Members.Own().Endpoint
+	if endpoint == nil {
+		return nil, nil
+	}
+	return endpoint, c.Plan(endpoint.Service)
+}
+
+// Refuses reports whether the own back end is to get nothing: its version was judged bad,
+// the back end itself was found faulty in the trial, or all requests have moved away from
+// its version.
+func (c *Controller) Refuses() bool {
+	endpoint, plan := c.own()
+	if plan == nil || plan.Version == "" {
+		return false
+	}
+	if endpoint.Version != plan.Version {
+		return plan.Moves() && c.settled(endpoint.Service)
+	}
+	switch plan.Phase {
+	case rollout.Condemned, rollout.RolledBack:
+		return true
+	case rollout.Trial:
+		judged := c.judging.Load()
+		return judged != nil && judged.id == endpoint.ID && judged.judge.Evidence(time.Now()).Faulty
+	}
+	return false
+}
+
+// settled reports whether all requests moved long enough ago.
+func (c *Controller) settled(service string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	held := c.moves[service]
+	return held != nil && !held.moved.IsZero() && time.Since(held.moved) >= settle
+}
+
+// Answered takes in what a request showed of the own back end, while Judges holds.
+func (c *Controller) Answered(answer rollout.Answer) {
+	endpoint, plan := c.own()
+	if plan == nil || !plan.Compares() || endpoint.Version != plan.Version {
+		return
+	}
+	judged := c.judgeOf(endpoint)
+	c.metrics.observe(endpoint.Version, answer)
+	now := time.Now()
+	evidence := judged.judge.Observe(answer, now)
+	if !judged.isDue(evidence, now) {
+		return
+	}
+	c.options.Logger.Info("back end judged", zap.String("endpoint", endpoint.ID), zap.String("service", endpoint.Service),
+		zap.String("software", endpoint.Version), zap.Bool("faulty", evidence.Faulty), zap.Float64("lean", evidence.Lean),
+		zap.Int("answers", evidence.Answers), zap.Int("failed", evidence.Failed), zap.Int("slow", evidence.Slow),
+		zap.String("route", answer.Route), zap.Float64("usualFailing", answer.Usual.Failing), zap.Float64("usualSlow", answer.Usual.Slow))
+	c.options.Members.Update(func(record roster.Record) (roster.Record, bool) {
+		record.Judged = &roster.Judgement{
+			ID: endpoint.ID, Answers: evidence.Answers, Faulty: evidence.Faulty, Lean: math.Round(evidence.Lean*leanUnits) / leanUnits,
+		}
+		return record, true
+	})
+	go c.options.SpreadRecord()
+	c.signal()
+}
+
+const (
+	// publishInterval is the least time between two accounts of the same back end that
+	// others are told, but for the one that it is faulty.
+	publishInterval = 500 * time.Millisecond
+	// leanUnits is how exactly a lean is told: in parts of one.
+	leanUnits = 10
+)
+
+// isDue reports whether others are to be told of the evidence now.
+func (j *judging) isDue(evidence rollout.Evidence, now time.Time) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if evidence.Faulty == j.faulty && now.Sub(j.published) < publishInterval {
+		return false
+	}
+	j.faulty, j.published = evidence.Faulty, now
+	return true
+}
+
+// judgeOf returns the judge of the back end, a new one for another back end. A back end is
+// of one version all its life, and each version is moved to once.
+func (c *Controller) judgeOf(endpoint *roster.Endpoint) *judging {
+	held := c.judging.Load()
+	if held != nil && held.id == endpoint.ID {
+		return held
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if held = c.judging.Load(); held == nil || held.id != endpoint.ID {
+		held = &judging{id: endpoint.ID, judge: &rollout.Judge{}}
+		c.judging.Store(held)
+	}
+	return held
+}
--- /dev/null
+++ b/internal/sidecar/rollout/controller/metrics.go
@@ -0,0 +1,39 @@
+package controller
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
+)
+
+// metrics tell of roll-outs. Services are those of the configuration that had an order;
+// versions are those that were on trial beside this node.
+type metrics struct {
+	phase   *prometheus.GaugeVec
+	answers *prometheus.CounterVec
+}
+
+func newMetrics(registry prometheus.Registerer) *metrics {
+	created := &metrics{
+		phase: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "kestrel_sidecar_rollout_phase",
+			Help: "Phase of a service's move: 0 trial, 1 promoting, 2 condemned, 3 completed, 4 rolled back.",
+		}, []string{"service"}),
+		answers: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "kestrel_sidecar_rollout_answers_total", Help: "Answers of the back end beside this node while its version was judged.",
+		}, []string{"version", "result"}),
+	}
+	registry.MustRegister(created.phase, created.answers)
+	return created
+}
+
+func (m *metrics) observe(version string, answer rollout.Answer) {
+	result := "good"
+	switch {
+	case answer.Failed:
+		result = "failed"
+	case answer.Slow:
+		result = "slow"
+	}
+	m.answers.WithLabelValues(version, result).Inc()
+}
--- /dev/null
+++ b/internal/sidecar/rollout/decide.go
@@ -0,0 +1,64 @@
+package rollout
+
+import "time"
+
+// Causes of a move that is taken back.
+const (
+	CauseFaulty = "several back ends of the version are faulty"
+	CauseLate   = "not done by the deadline"
+	CauseUnseen = "too little was seen of the version, or it has too few back ends"
+)
+
+// expiry is how long after its deadline a move of which no end was heard is taken for
+// taken back: news of an end takes that long to reach a node that hears it from its peers
+// alone.
+const expiry = 1500 * time.Millisecond
+
+// Judged returns the move after a look at what its back ends are called, and whether it
+// changed. Every node does this by itself; nobody waits for the store to stop sending.
+func (m Move) Judged(tally Tally, now time.Time) (Move, bool) {
+	if m.Phase >= Condemned {
+		return m, false
+	}
+	switch {
+	case tally.Condemns():
+		m.Phase, m.Cause = Condemned, CauseFaulty
+	case now.After(m.Deadline.Add(expiry)):
+		m.Phase, m.Cause = Condemned, CauseLate
+	default:
+		return m, false
+	}
+	return m, true
+}
+
+// Due returns the phase that is to be written to the store now, and whether one is.
+// recorded says that the store has the move's present phase.
+func (m Move) Due(tally Tally, recorded bool, limits Limits, now time.Time) (phase Phase, due bool) {
+	switch {
+	case m.Phase.Final():
+		return m.Phase, false
+	case m.Phase == Condemned || !now.Before(m.Deadline):
+		return RolledBack, true
+	case m.Phase == Promoting:
+		return Completed, !now.Before(m.CompleteAt(limits))
+	case !now.Before(m.CompleteAt(limits)):
+		// Too late to begin: what others work on would be broken off.
+		return RolledBack, true
+	case !now.Before(m.PromoteAt(limits)) && tally.Promotes():
+		return Promoting, true
+	}
+	return Trial, !recorded
+}
+
+// Reached returns the move in a phase that the store has.
+func (m Move) Reached(phase Phase) Move {
+	switch {
+	case phase != RolledBack || m.Cause != "":
+	case m.Phase == Trial:
+		m.Cause = CauseUnseen
+	default:
+		m.Cause = CauseLate
+	}
+	m.Phase = phase
+	return m
+}
--- /dev/null
+++ b/internal/sidecar/rollout/judge.go
@@ -0,0 +1,232 @@
+package rollout
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+// Usual is how often answers of the versions before are bad: the trouble that strikes
+// every version is not held against the new one.
+type Usual struct {
+	// Failing is the share of failures, Slow that of answers that took SlowFactor times
+	// as long as usual; both between zero and one.
+	Failing, Slow float64
+}
+
+// SlowFactor is how many times as long as usual an answer takes that counts as slow.
+// Times scatter: of good ones one of fifty takes four times the mean, of those on the
+// slowest back ends one of ten.
+const SlowFactor = 4
+
+// Answer is what one request showed of a back end.
+type Answer struct {
+	// Route names the request's route: a version may be bad on one alone.
+	Route string
+	// Failed: the answer is a failure, or none came. Slow: it took SlowFactor times as
+	// long as usual. A back end that warms up is not to be called slow.
+	Failed, Slow bool
+	Usual        Usual
+}
+
+// A judge runs Page's cumulative sum test (E. S. Page, "Continuous Inspection Schemes",
+// Biometrika 41, 1954) on the log-likelihood ratio of two shares of bad answers, for each
+// route and for all together, failures and slowness apart. It may be looked at after each
+// answer, and a version that turns bad late is found as fast as one that is bad at once.
+//
+// The sum raises the alarm and never says that a back end is good. For that the judge keeps
+// the same ratio without the floor, Wald's sequential test, as a lean that fades.
+const (
+	// usualFactor and usualMargin make the share that is still taken for usual.
+	usualFactor, usualMargin, usualMost = 1.5, 0.03, 0.6
+	// badMargin is how much greater the share is that the test looks for: a version of
+	// which a third of the answers is eight times as slow shows 0.3 of them as slow.
+	badMargin = 0.2
+	// alarm is the sum at which a back end is called faulty: four bad answers in a row.
+	alarm = 4.5
+	// leanMost bounds the lean of one back end: it is to be outweighed by others.
+	leanMost = 4.0
+	// leanHalfLife is the time in which half of a lean is forgotten: what a version did
+	// before it turned bad is not to vouch for it.
+	leanHalfLife = 4 * time.Second
+	// routesMost bounds the routes that are told apart.
+	routesMost = 64
+)
+
+// Judge gathers the evidence of one back end. It is safe for concurrent use; the zero
+// value has seen nothing.
+type Judge struct {
+	mu     sync.Mutex // guards all below
+	all    sums
+	routes map[string]*sums
+	seen   Evidence
+	// lean is above zero while answers speak against the back end.
+	lean float64
+	last time.Time
+}
+
+// sums are those of some routes.
+type sums struct{ failing, slow float64 }
+
+// Evidence is what a judge has seen and thinks.
+type Evidence struct {
+	Answers, Failed, Slow int
+	// Faulty: the back end fails, or is slow, more often than others are. It stays so.
+	Faulty bool
+	// Lean is how far the answers of late speak against the back end, or below zero for
+	// it, as the logarithm of odds.
+	Lean float64
+}
+
+// Evidence returns what was seen so far.
+func (j *Judge) Evidence(now time.Time) Evidence {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.evidence(now)
+}
+
+func (j *Judge) evidence(now time.Time) Evidence {
+	j.fade(now)
+	found := j.seen
+	found.Lean = j.lean
+	return found
+}
+
+// Observe takes in one answer and returns what the judge thinks then.
+func (j *Judge) Observe(answer Answer, now time.Time) Evidence {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.count(answer)
+	failing, slow := weight(answer.Failed, answer.Usual.Failing), weight(answer.Slow, answer.Usual.Slow)
+	loud := j.all.add(failing, slow)
+	loud = j.sumsOf(answer.Route).add(failing, slow) || loud
+	j.seen.Faulty = j.seen.Faulty || loud
+	j.fade(now)
+	j.lean = min(max(j.lean+strongest(failing, slow), -leanMost), leanMost)
+	return j.evidence(now)
+}
+
+func (j *Judge) count(answer Answer) {
+	j.seen.Answers++
+	if answer.Failed {
+		j.seen.Failed++
+	}
+	if answer.Slow {
+		j.seen.Slow++
+	}
+}
+
+// strongest returns what an answer says in all: bad in one way is bad, and good in two
+// ways is not twice as good.
+func strongest(failing, slow float64) float64 {
+	if failing > 0 || slow > 0 {
+		return max(failing, slow)
+	}
+	return (failing + slow) / 2
+}
+
+func (j *Judge) fade(now time.Time) {
+	if passed := now.Sub(j.last); !j.last.IsZero() && passed > 0 {
+		j.lean *= math.Exp2(-float64(passed) / float64(leanHalfLife))
+	}
+	j.last = now
+}
+
+func (j *Judge) sumsOf(route string) *sums {
+	if j.routes == nil {
+		j.routes = map[string]*sums{}
+	}
+	held := j.routes[route]
+	if held == nil && len(j.routes) >= routesMost {
+		return &j.all
+	}
+	if held == nil {
+		held = &sums{}
+		j.routes[route] = held
+	}
+	return held
+}
+
+// add takes in one answer and reports whether the alarm is raised.
+func (s *sums) add(failing, slow float64) bool {
+	s.failing = max(s.failing+failing, 0)
+	s.slow = max(s.slow+slow, 0)
+	return s.failing >= alarm || s.slow >= alarm
+}
+
+// weight is the log-likelihood ratio of one answer. usual is the share of bad answers
+// that the versions before give.
+func weight(bad bool, usual float64) float64 {
+	expected := min(max(usual, 0)*usualFactor+usualMargin, usualMost)
+	worse := expected + badMargin
+	if bad {
+		return math.Log(worse / expected)
+	}
+	return math.Log((1 - worse) / (1 - expected))
+}
+
+// Tally sums up what the back ends of a version show.
+type Tally struct {
+	// Present is how many back ends of the version take work, Others how many of other
+	// versions do.
+	Present, Others int
+	// Answered is how many have answered requests, Faulty how many of these are faulty,
+	// Against and For how many lean clearly that way.
+	Answered, Faulty, Against, For int
+	// Lean is the sum of theirs.
+	Lean float64
+}
+
+// clearLean is how far one back end leans clearly.
+const clearLean = 1.0
+
+// Add takes in what one back end shows.
+func (t *Tally) Add(answers int, faulty bool, lean float64) {
+	if answers == 0 {
+		return
+	}
+	t.Answered++
+	lean = min(max(lean, -leanMost), leanMost)
+	t.Lean += lean
+	switch {
+	case faulty:
+		t.Faulty++
+	case lean >= clearLean:
+		t.Against++
+	case lean <= -clearLean:
+		t.For++
+	}
+}
+
+const (
+	// severalBackEnds is how many back ends must agree: one may be bad by itself.
+	severalBackEnds = 2
+	// condemningLean and promotingLean are the sums of leans at which a version is
+	// condemned and promoted: odds of 55 to 1. Of simulated versions of which a third of
+	// the answers is eight times as slow from the middle of the trial on, 4 of 1,000 are
+	// promoted with 25 requests a second, and 9 with a lean of -2.5 (TestBadVersions).
+	condemningLean = 4.0
+	promotingLean  = -4.0
+	// roomShare is the least part of the other back ends that the version must have for
+	// all requests to move to it.
+	roomShare = 0.5
+)
+
+// several is how many back ends must agree, of a version with fewer all of them.
+func (t Tally) several() int { return min(severalBackEnds, max(t.Present, 1)) }
+
+// Condemns reports whether the version is bad: several back ends are faulty, and no fewer
+// than speak for it; or several speak against it, and all together do so clearly.
+func (t Tally) Condemns() bool {
+	if t.Faulty >= t.several() && t.Faulty >= t.For {
+		return true
+	}
+	return t.Faulty+t.Against >= t.several() && t.Lean >= condemningLean
+}
+
+// Promotes reports whether all requests may move: several back ends have answered, all
+// together they speak for the version, and there are enough of them.
+func (t Tally) Promotes() bool {
+	return !t.Condemns() && t.Present > 0 && t.Answered >= t.several() && t.Lean <= promotingLean &&
+		float64(t.Present) >= roomShare*float64(t.Others)
+}
--- /dev/null
+++ b/internal/sidecar/rollout/plan.go
@@ -0,0 +1,90 @@
+package rollout
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync/atomic"
+)
+
+// Plan says, for a short time, how the requests of one service are divided. It is
+// immutable but for its place in the sequence of requests.
+type Plan struct {
+	// Version is the one that a move concerns; empty while there is none and versions are
+	// held all the same.
+	Version string
+	Phase   Phase
+	Stint   Stint
+	// Held are versions besides that get no requests.
+	Held  []string
+	split *Split
+}
+
+// goldenStep is the fractional part of the golden ratio in units of 2^-64. Multiples of
+// it are spread evenly, so that every run of requests is divided nearly by the share.
+const goldenStep = 0x9e3779b97f4a7c15
+
+// Split divides the requests of one service and outlives its plans. It begins at a
+// random place, so that many nodes with few requests each are not all off in one
+// direction.
+type Split struct {
+	position atomic.Uint64
+	// asked counts the requests that were divided.
+	asked atomic.Int64
+}
+
+// Asked returns how many requests were divided.
+func (s *Split) Asked() int64 { return s.asked.Load() }
+
+// NewSplit returns a split.
+func NewSplit() *Split {
+	created := &Split{}
+	created.position.Store(rand.Uint64())
+	return created
+}
+
+// next returns the next place between zero and one.
+func (s *Split) next() float64 {
+	const scale = 1.0 / (1 << 53)
+	return float64(s.position.Add(goldenStep)>>11) * scale
+}
+
+// NewPlan returns a plan that goes on with a split.
+func NewPlan(move Move, stint Stint, held []string, split *Split) *Plan {
+	return &Plan{Version: move.Version, Phase: move.Phase, Stint: stint, Held: held, split: split}
+}
+
+// Moves reports whether all requests go to the version.
+func (p *Plan) Moves() bool { return p.Version != "" && (p.Phase == Promoting || p.Phase == Completed) }
+
+// Compares reports whether answers are compared by version.
+func (p *Plan) Compares() bool { return p.Version != "" && (p.Phase == Trial || p.Phase == Promoting) }
+
+// Select returns who may take a request. One that was sent before is not for a trial.
+func (p *Plan) Select(sentBefore bool) Selection {
+	if !sentBefore {
+		p.split.asked.Add(1)
+	}
+	switch {
+	case p.Moves():
+		return Only(p.Version)
+	case !sentBefore && len(p.Stint.BackEnds) > 0:
+		if place := p.split.next(); place < p.Stint.Share {
+			index := int(place / p.Stint.Share * float64(len(p.Stint.BackEnds)))
+			return Node(p.Stint.BackEnds[min(index, len(p.Stint.BackEnds)-1)], p.Version)
+		}
+	}
+	return p.others()
+}
+
+// others are the back ends that the move leaves alone.
+func (p *Plan) others() Selection { return Without(append(slices.Clone(p.Held), p.Version)...) }
+
+// Otherwise returns who takes a request when none of those selected is there. While a
+// version is on trial, or was judged bad, its back ends do not stand in for others: right
+// after a restart a node may know of no other ones for a moment.
+func (p *Plan) Otherwise() Selection {
+	if p.Moves() {
+		return Every()
+	}
+	return p.others()
+}
--- /dev/null
+++ b/internal/sidecar/rollout/rollout.go
@@ -0,0 +1,127 @@
+// Package rollout decides how the requests of a service move to back ends of another
+// software version: how many go there for a trial, whether what they show condemns
+// the version, when all others follow, and when the move is over. The package is pure:
+// it sees orders, evidence and the time, and does no I/O.
+package rollout
+
+import (
+	"cmp"
+	"time"
+)
+
+// Order asks that the requests of a service move to back ends of a version.
+type Order struct {
+	Service string
+	// Version is the one that requests are to move to.
+	Version string
+	// Revision is that of the store; of two orders for a service the higher one holds.
+	Revision uint64
+	// Duration is the time in which the move is to be done.
+	Duration time.Duration
+}
+
+// Phase is how far a move has come. Phases only follow on each other in the order in
+// which they are declared.
+type Phase int
+
+// The phases of a move.
+const (
+	// Trial: a part of the requests goes to the version.
+	Trial Phase = iota
+	// Promoting: all requests go there; what others work on is to end.
+	Promoting
+	// Condemned: the version was judged bad and gets no requests; the store may not
+	// know yet.
+	Condemned
+	// Completed: the store says that the move is done. Final.
+	Completed
+	// RolledBack: the store says that the move was taken back. Final.
+	RolledBack
+)
+
+// phaseNames are for logs and metrics.
+var phaseNames = [...]string{"trial", "promoting", "condemned", "completed", "rolled back"}
+
+// String names the phase.
+func (p Phase) String() string {
+	if p < Trial || p > RolledBack {
+		return "unknown"
+	}
+	return phaseNames[p]
+}
+
+// Final reports whether nothing follows on the phase.
+func (p Phase) Final() bool { return p >= Completed }
+
+// Move is what a node knows of an order that is carried out. It is a value.
+type Move struct {
+	Order
+	Phase Phase
+	// Deadline is when the move is to be over, by the node's own clock.
+	Deadline time.Time
+	// Cause says why the version was condemned or taken back; empty otherwise.
+	Cause string
+}
+
+// Begin returns the move of an order that was heard at that moment.
+func Begin(order Order, now time.Time) Move {
+	return Move{Order: order, Deadline: now.Add(order.Duration)}
+}
+
+// Merge returns what is known after another node's account of the service's move, and
+// whether that is news. The later order holds; of one order the later phase, and the
+// earlier deadline, since whoever heard late counts from then.
+func (m Move) Merge(other Move) (merged Move, news bool) {
+	switch order := cmp.Compare(other.Revision, m.Revision); {
+	case order > 0:
+		return other, true
+	case order < 0:
+		return m, false
+	}
+	if other.Deadline.Before(m.Deadline) {
+		m.Deadline = other.Deadline
+	}
+	if other.Phase <= m.Phase || m.Phase.Final() {
+		return m, false
+	}
+	m.Phase, m.Cause = other.Phase, other.Cause
+	return m, true
+}
+
+// Told is a move as one node tells it to another. Clocks differ, so that what is left
+// of the time is told and not when it ends.
+type Told struct {
+	Service    string `json:"service"`
+	Version    string `json:"version"`
+	Revision   uint64 `json:"revision"`
+	DurationMS int64  `json:"durationMs"`
+	LeftMS     int64  `json:"leftMs"`
+	Phase      Phase  `json:"phase"`
+	Cause      string `json:"cause,omitempty"`
+}
+
+// Tell returns the move as it is told at that moment.
+func (m Move) Tell(now time.Time) Told {
+	return Told{
+		Service: m.Service, Version: m.Version, Revision: m.Revision, DurationMS: m.Duration.Milliseconds(),
+		LeftMS: m.Deadline.Sub(now).Milliseconds(), Phase: m.Phase, Cause: m.Cause,
+	}
+}
+
+// longestMS bounds the times that a peer may tell, in milliseconds.
+const longestMS = int64(24 * time.Hour / time.Millisecond)
+
+// Hear returns the move that was told, and whether it is one.
+func (t Told) Hear(now time.Time) (Move, bool) {
+	if t.Service == "" || t.Version == "" || t.Revision == 0 || t.Phase < Trial || t.Phase > RolledBack ||
+		t.DurationMS <= 0 || t.DurationMS > longestMS || t.LeftMS > t.DurationMS || t.LeftMS < -longestMS {
+		return Move{}, false
+	}
+	return Move{
+		Order: Order{
+			Service: t.Service, Version: t.Version, Revision: t.Revision,
+			Duration: time.Duration(t.DurationMS) * time.Millisecond,
+		},
+		Phase: t.Phase, Deadline: now.Add(time.Duration(t.LeftMS) * time.Millisecond), Cause: t.Cause,
+	}, true
+}
--- /dev/null
+++ b/internal/sidecar/rollout/rollout_test.go
@@ -0,0 +1,335 @@
+package rollout_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+)
+
+var start = time.Unix(1000, 0)
+
+func order(revision uint64) rollout.Order {
+	return rollout.Order{Service: "s", Version: "v2", Revision: revision, Duration: 14 * time.Second}
+}
+
+func inPhase(phase rollout.Phase) rollout.Move {
+	move := rollout.Begin(order(5), start)
+	move.Phase = phase
+	return move
+}
+
+// TestMerge: the later order holds, of one order the later phase, and a move that is
+// over stays as it is.
+func TestMerge(t *testing.T) {
+	later := rollout.Begin(order(6), start)
+	cases := []struct {
+		name        string
+		held, other rollout.Move
+		want        rollout.Phase
+		revision    uint64
+		news        bool
+	}{
+		{"nothing was known", rollout.Move{}, inPhase(rollout.Trial), rollout.Trial, 5, true},
+		{"the same", inPhase(rollout.Trial), inPhase(rollout.Trial), rollout.Trial, 5, false},
+		{"a later phase", inPhase(rollout.Trial), inPhase(rollout.Promoting), rollout.Promoting, 5, true},
+		{"an earlier phase", inPhase(rollout.Promoting), inPhase(rollout.Trial), rollout.Promoting, 5, false},
+		{"condemned while it is promoted", inPhase(rollout.Promoting), inPhase(rollout.Condemned), rollout.Condemned, 5, true},
+		{"done, whoever condemned it", inPhase(rollout.Condemned), inPhase(rollout.Completed), rollout.Completed, 5, true},
+		{"nothing follows on done", inPhase(rollout.Completed), inPhase(rollout.RolledBack), rollout.Completed, 5, false},
+		{"nothing follows on taken back", inPhase(rollout.RolledBack), inPhase(rollout.Completed), rollout.RolledBack, 5, false},
+		{"a later order", inPhase(rollout.Completed), later, rollout.Trial, 6, true},
+		{"an earlier order", later, inPhase(rollout.Completed), rollout.Trial, 6, false},
+	}
+	for _, met := range cases {
+		t.Run(met.name, func(t *testing.T) {
+			g := NewWithT(t)
+			merged, news := met.held.Merge(met.other)
+			g.Expect(merged.Phase).To(Equal(met.want))
+			g.Expect(merged.Revision).To(Equal(met.revision))
+			g.Expect(news).To(Equal(met.news))
+		})
+	}
+}
+
+// TestTheEarlierDeadlineHolds: who heard late counts from then, who heard early is right.
+func TestTheEarlierDeadlineHolds(t *testing.T) {
+	g := NewWithT(t)
+	heardLate := rollout.Begin(order(5), start.Add(time.Second))
+	merged, news := heardLate.Merge(rollout.Begin(order(5), start))
+	g.Expect(news).To(BeFalse())
+	g.Expect(merged.Deadline).To(Equal(start.Add(14 * time.Second)))
+}
+
+// TestTold: a move is the same after it was told, by a clock that is elsewhere.
+func TestTold(t *testing.T) {
+	g := NewWithT(t)
+	move := inPhase(rollout.Condemned)
+	move.Cause = rollout.CauseFaulty
+	there := time.Unix(90000, 0)
+	heard, valid := move.Tell(start.Add(4 * time.Second)).Hear(there)
+	g.Expect(valid).To(BeTrue())
+	g.Expect(heard.Deadline).To(Equal(there.Add(10 * time.Second)))
+	heard.Deadline = move.Deadline
+	g.Expect(heard).To(Equal(move))
+}
+
+func TestToldThatCannotBe(t *testing.T) {
+	spoil := map[string]func(*rollout.Told){
+		"no service":               func(told *rollout.Told) { told.Service = "" },
+		"no version":               func(told *rollout.Told) { told.Version = "" },
+		"no order":                 func(told *rollout.Told) { told.Revision = 0 },
+		"a phase after the last":   func(told *rollout.Told) { told.Phase = rollout.RolledBack + 1 },
+		"a phase before the first": func(told *rollout.Told) { told.Phase = -1 },
+		"no time":                  func(told *rollout.Told) { told.DurationMS = 0 },
+		"more left than there was": func(told *rollout.Told) { told.LeftMS = told.DurationMS + 1 },
+		"a time that overflows":    func(told *rollout.Told) { told.DurationMS, told.LeftMS = 1<<62, 1<<61 },
+		"over for ever":            func(told *rollout.Told) { told.LeftMS = -1 << 62 },
+	}
+	for name, change := range spoil {
+		t.Run(name, func(t *testing.T) {
+			told := inPhase(rollout.Trial).Tell(start)
+			change(&told)
+			_, valid := told.Hear(start)
+			NewWithT(t).Expect(valid).To(BeFalse())
+		})
+	}
+}
+
+var several = []string{"a", "b", "c", "d", "e"}
+
+// exposure adds up what part of all requests a version gets between order and deadline,
+// in units of the whole, when it turns bad after the last moment at which that could be
+// noticed.
+func exposure(limits rollout.Limits, duration time.Duration, others int, pace rollout.Pace) float64 {
+	given := order(5)
+	given.Duration = duration
+	move := rollout.Begin(given, start)
+	const step = time.Millisecond
+	total := 0.0
+	for now := start; now.Before(move.Deadline); now = now.Add(step) {
+		if !now.Before(move.PromoteAt(limits)) {
+			total += step.Seconds()
+			continue
+		}
+		total += move.Stint(several, others, limits, pace, now).Share * step.Seconds()
+	}
+	return total / duration.Seconds()
+}
+
+// TestExposure: a version that shows nothing until the end gets less than is allowed,
+// however long the move takes and however many back ends there are, and more than half of
+// it, so that there is time for what others work on to end.
+func TestExposure(t *testing.T) {
+	for _, duration := range []time.Duration{5 * time.Second, 14 * time.Second, 16 * time.Second, 10 * time.Minute} {
+		for _, others := range []int{1, 4, 22, 34, 76, 500} {
+			g := NewWithT(t)
+			limits := rollout.Limits{Share: 0.1}
+			got := exposure(limits, duration, others, rollout.Pace{PerSecond: 10, Members: 80})
+			g.Expect(got).To(BeNumerically("<=", limits.Share), "%s, %d others", duration, others)
+			if duration < time.Minute {
+				g.Expect(got).To(BeNumerically(">=", limits.Share/2), "%s, %d others", duration, others)
+			}
+		}
+	}
+}
+
+// TestTheSlackBringsEvidence: where requests are few, the slack is used as well, but not
+// all of it.
+func TestTheSlackBringsEvidence(t *testing.T) {
+	g := NewWithT(t)
+	const members, perSecond, seconds = 48, 80.0, 14.0
+	limits := rollout.DefaultLimits()
+	got := exposure(limits, seconds*time.Second, 8, rollout.Pace{PerSecond: perSecond / members, Members: members})
+	allowed := limits.Share + limits.Slack/(perSecond*seconds)
+	g.Expect(got).To(BeNumerically("<=", allowed))
+	g.Expect(got).To(BeNumerically(">=", limits.Share+0.02), "some 25 requests more than by the share")
+}
+
+// TestStint: few back ends at a time are on trial, with the load that the others have,
+// and in turn.
+func TestStint(t *testing.T) {
+	g := NewWithT(t)
+	limits := rollout.Limits{Share: 0.1}
+	move := rollout.Begin(order(5), start)
+	seen := map[string]bool{}
+	for number := range 6 {
+		stint := move.Stint(several, 34, limits, rollout.Pace{}, start.Add(time.Duration(number)*time.Second))
+		g.Expect(stint.BackEnds).To(HaveLen(1))
+		g.Expect(stint.Share).To(BeNumerically("~", 1.0/34, 1e-9))
+		seen[stint.BackEnds[0]] = true
+	}
+	g.Expect(seen).To(HaveLen(3), "evidence gathers on few")
+	g.Expect(move.Stint(several, 100, limits, rollout.Pace{}, start).BackEnds).To(HaveLen(3))
+	g.Expect(move.Stint(nil, 34, limits, rollout.Pace{}, start)).To(Equal(rollout.Stint{}))
+	g.Expect(move.Stint(several, 0, limits, rollout.Pace{}, start)).To(Equal(rollout.Stint{}))
+	g.Expect(move.Stint(several, 34, limits, rollout.Pace{}, move.PromoteAt(limits))).To(Equal(rollout.Stint{}))
+	g.Expect(inPhase(rollout.Condemned).Stint(several, 34, limits, rollout.Pace{}, start)).To(Equal(rollout.Stint{}))
+}
+
+// good and bad are tallies of a version that is to be promoted and of one that is not.
+var (
+	good    = rollout.Tally{Present: 8, Others: 8, Answered: 3, For: 3, Lean: -9}
+	bad     = rollout.Tally{Present: 8, Others: 8, Answered: 2, Faulty: 2, Lean: 8}
+	unknown = rollout.Tally{Present: 8, Others: 8}
+)
+
+// TestDue: what is to be written when.
+func TestDue(t *testing.T) {
+	limits := rollout.Limits{Share: 0.1}
+	move := rollout.Begin(order(5), start)
+	promote, complete := move.PromoteAt(limits), move.CompleteAt(limits)
+	cases := []struct {
+		name     string
+		phase    rollout.Phase
+		tally    rollout.Tally
+		recorded bool
+		at       time.Time
+		want     rollout.Phase
+		due      bool
+	}{
+		{"an order that was just heard", rollout.Trial, unknown, false, start, rollout.Trial, true},
+		{"on trial", rollout.Trial, good, true, start.Add(9 * time.Second), rollout.Trial, false},
+		{"time to promote", rollout.Trial, good, true, promote, rollout.Promoting, true},
+		{"nothing was seen", rollout.Trial, unknown, true, promote, rollout.Trial, false},
+		{"nothing was seen for too long", rollout.Trial, unknown, true, complete, rollout.RolledBack, true},
+		{"too late to begin", rollout.Trial, good, true, complete, rollout.RolledBack, true},
+		{"others still work", rollout.Promoting, good, true, complete.Add(-time.Millisecond), rollout.Completed, false},
+		{"done", rollout.Promoting, good, true, complete, rollout.Completed, true},
+		{"the deadline has passed", rollout.Promoting, good, true, move.Deadline, rollout.RolledBack, true},
+		{"judged bad", rollout.Condemned, bad, false, start, rollout.RolledBack, true},
+		{"nothing follows on done", rollout.Completed, bad, true, move.Deadline, rollout.Completed, false},
+		{"nothing follows on taken back", rollout.RolledBack, good, true, move.Deadline, rollout.RolledBack, false},
+	}
+	for _, met := range cases {
+		t.Run(met.name, func(t *testing.T) {
+			g := NewWithT(t)
+			phase, due := inPhase(met.phase).Due(met.tally, met.recorded, limits, met.at)
+			g.Expect(due).To(Equal(met.due))
+			if due {
+				g.Expect(phase).To(Equal(met.want))
+			}
+		})
+	}
+}
+
+// TestJudged: a version is condemned by several back ends, without the store, and when no
+// end of the move was heard of.
+func TestJudged(t *testing.T) {
+	cases := []struct {
+		name  string
+		phase rollout.Phase
+		tally rollout.Tally
+		at    time.Duration
+		want  rollout.Phase
+	}{
+		{"nothing was seen", rollout.Trial, unknown, time.Second, rollout.Trial},
+		{"two are faulty", rollout.Trial, bad, time.Second, rollout.Condemned},
+		{"while it is promoted", rollout.Promoting, bad, 13500 * time.Millisecond, rollout.Condemned},
+		{"one of several is faulty", rollout.Trial, rollout.Tally{Present: 8, Others: 8, Answered: 2, Faulty: 1, For: 1}, time.Second, rollout.Trial},
+		{"the only one is faulty", rollout.Trial, rollout.Tally{Present: 1, Others: 8, Answered: 1, Faulty: 1, Lean: 4}, time.Second, rollout.Condemned},
+		{"two are faulty, and more are not", rollout.Trial, rollout.Tally{Present: 8, Others: 8, Answered: 5, Faulty: 2, For: 3, Lean: -4}, time.Second, rollout.Trial},
+		{"two lean against it", rollout.Trial, rollout.Tally{Present: 8, Others: 8, Answered: 2, Against: 2, Lean: 4}, time.Second, rollout.Condemned},
+		{"the deadline has just passed", rollout.Promoting, good, 14500 * time.Millisecond, rollout.Promoting},
+		{"no end was heard of", rollout.Promoting, good, 16 * time.Second, rollout.Condemned},
+		{"done stays done", rollout.Completed, bad, 16 * time.Second, rollout.Completed},
+	}
+	for _, met := range cases {
+		t.Run(met.name, func(t *testing.T) {
+			g := NewWithT(t)
+			judged, changed := inPhase(met.phase).Judged(met.tally, start.Add(met.at))
+			g.Expect(judged.Phase).To(Equal(met.want))
+			g.Expect(changed).To(Equal(met.want != met.phase))
+			g.Expect(judged.Cause != "").To(Equal(changed))
+		})
+	}
+}
+
+func TestPromotes(t *testing.T) {
+	cases := map[string]struct {
+		change func(*rollout.Tally)
+		want   bool
+	}{
+		"good":                          {func(*rollout.Tally) {}, true},
+		"one of several is faulty":      {func(tally *rollout.Tally) { tally.Faulty, tally.For = 1, 2 }, true},
+		"bad":                           {func(tally *rollout.Tally) { *tally = bad }, false},
+		"too little was seen":           {func(tally *rollout.Tally) { tally.Lean = -1 }, false},
+		"one alone has answered":        {func(tally *rollout.Tally) { tally.Answered = 1 }, false},
+		"too few back ends":             {func(tally *rollout.Tally) { tally.Present = 3 }, false},
+		"no back end":                   {func(tally *rollout.Tally) { tally.Present = 0 }, false},
+		"the only one, where one is it": {func(tally *rollout.Tally) { tally.Present, tally.Others, tally.Answered = 1, 1, 1 }, true},
+	}
+	for name, met := range cases {
+		t.Run(name, func(t *testing.T) {
+			tally := good
+			met.change(&tally)
+			NewWithT(t).Expect(tally.Promotes()).To(Equal(met.want))
+		})
+	}
+}
+
+// TestSelect: how many requests of many go where in each phase.
+func TestSelect(t *testing.T) {
+	fresh := &roster.Record{Node: "a", Endpoint: &roster.Endpoint{Version: "v2"}}
+	idle := &roster.Record{Node: "b", Endpoint: &roster.Endpoint{Version: "v2"}}
+	old := &roster.Record{Node: "c", Endpoint: &roster.Endpoint{Version: "v1"}}
+	nameless := &roster.Record{Node: "d", Endpoint: &roster.Endpoint{}}
+	stint := rollout.Stint{BackEnds: []string{"a"}, Share: 0.05}
+	const requests = 10000
+	cases := []struct {
+		name                  string
+		phase                 rollout.Phase
+		sentBefore            bool
+		fresh, idle, old, all int
+	}{
+		{"on trial", rollout.Trial, false, 500, 0, 9500, 0},
+		{"sent before", rollout.Trial, true, 0, 0, 10000, 0},
+		{"promoted", rollout.Promoting, false, 10000, 10000, 0, 0},
+		{"done", rollout.Completed, false, 10000, 10000, 0, 0},
+		{"judged bad", rollout.Condemned, false, 0, 0, 10000, 0},
+		{"taken back", rollout.RolledBack, false, 0, 0, 10000, 0},
+	}
+	for _, met := range cases {
+		t.Run(met.name, func(t *testing.T) {
+			g := NewWithT(t)
+			given := rollout.Stint{}
+			if met.phase == rollout.Trial {
+				given = stint
+			}
+			plan := rollout.NewPlan(inPhase(met.phase), given, nil, rollout.NewSplit())
+			counts := map[*roster.Record]int{}
+			for range requests {
+				selected := plan.Select(met.sentBefore)
+				for _, record := range []*roster.Record{fresh, idle, old, nameless} {
+					if selected.Admits(record) {
+						counts[record]++
+					}
+				}
+			}
+			g.Expect(counts[fresh]).To(BeNumerically("~", met.fresh, 10))
+			g.Expect(counts[idle]).To(BeNumerically("~", met.idle, 10))
+			g.Expect(counts[old]).To(BeNumerically("~", met.old, 10))
+			g.Expect(counts[nameless]).To(Equal(counts[old]), "who tells no version is none of the new ones")
+		})
+	}
+}
+
+// TestHeldVersions: versions whose order was not heard get nothing, also beside a move.
+func TestHeldVersions(t *testing.T) {
+	g := NewWithT(t)
+	record := func(version string) *roster.Record {
+		return &roster.Record{Endpoint: &roster.Endpoint{Version: version}}
+	}
+	for _, move := range []rollout.Move{{}, inPhase(rollout.RolledBack)} {
+		plan := rollout.NewPlan(move, rollout.Stint{}, []string{"v3"}, rollout.NewSplit())
+		g.Expect(plan.Moves()).To(BeFalse())
+		for _, selected := range []rollout.Selection{plan.Select(false), plan.Otherwise()} {
+			g.Expect(selected.Admits(record("v1"))).To(BeTrue())
+			g.Expect(selected.Admits(record("v3"))).To(BeFalse())
+			g.Expect(selected.Admits(record("v2"))).To(Equal(move.Version == ""))
+		}
+	}
+}
--- /dev/null
+++ b/internal/sidecar/rollout/schedule.go
@@ -0,0 +1,107 @@
+package rollout
+
+import "time"
+
+// Limits are what a version that turns out to be bad may get at most.
+type Limits struct {
+	// Share is the part of the service's requests between order and deadline, Slack is
+	// how many requests more there may be.
+	Share, Slack float64
+}
+
+// DefaultLimits hold where the settings say nothing.
+func DefaultLimits() Limits { return Limits{Share: 0.1, Slack: 50} }
+
+// How the allowed exposure is used. A version that turns bad after the last moment at
+// which it could be noticed has got trialPart of it in the trial and promotionPart
+// while and after all requests moved: 0.95 in all. With 14 s and a tenth allowed that
+// is 0.33 s worth of all requests in the trial and 0.98 s at the end.
+const (
+	trialPart     = 0.25
+	promotionPart = 0.7
+	// slackPart is the part of the slack that is used in the trial. Where requests are
+	// few it brings the evidence: of 80 a second for 14 s the share alone would send 28.
+	slackPart = 0.9
+	// promotionMost bounds the time in which all requests go to the version before the
+	// deadline: what others worked on when it began has ended by then.
+	promotionMost = 2 * time.Second
+	// completionPart is how long before the deadline the move is declared done, as a
+	// part of the promotion; it covers that the order was heard late and the way to
+	// the store and back.
+	completionPart = 0.35
+	// turn is how long one set of back ends is on trial before the next one is.
+	turn = time.Second
+	// trialBackEnds is how many back ends are on trial in turn. Evidence gathers on few,
+	// and one that is bad by itself is told from a bad version.
+	trialBackEnds = 3
+)
+
+// trialShare is the part of the requests that goes to the version during the trial, the
+// slack aside.
+func (l Limits) trialShare() float64 { return l.Share * trialPart }
+
+// Pace is how often requests of a service come to one of several nodes.
+type Pace struct {
+	// PerSecond is the node's own rate, zero while it is not known.
+	PerSecond float64
+	// Members is how many nodes share the slack.
+	Members int
+}
+
+// slackShare is the part of the node's requests by which its part of the slack is used
+// up at the deadline.
+func (m Move) slackShare(limits Limits, pace Pace) float64 {
+	expected := pace.PerSecond * m.Duration.Seconds()
+	if expected <= 0 {
+		return 0
+	}
+	return limits.Slack * slackPart / float64(max(pace.Members, 1)) / expected
+}
+
+// promotion is how long before the deadline all requests move.
+func (m Move) promotion(limits Limits) time.Duration {
+	return min(time.Duration(float64(m.Duration)*limits.Share*promotionPart), promotionMost)
+}
+
+// PromoteAt is when all requests are to move to the version.
+func (m Move) PromoteAt(limits Limits) time.Time { return m.Deadline.Add(-m.promotion(limits)) }
+
+// CompleteAt is when the move is to be declared done.
+func (m Move) CompleteAt(limits Limits) time.Time {
+	return m.Deadline.Add(-time.Duration(float64(m.promotion(limits)) * completionPart))
+}
+
+// Stint is who is on trial at a moment, and with what part of the service's requests.
+type Stint struct {
+	// BackEnds share the requests; empty while nobody is on trial.
+	BackEnds []string
+	Share    float64
+}
+
+// Stint returns who is on trial at a moment. candidates are the back ends of the version
+// that may be, in an order on which all nodes agree; others is how many back ends serve
+// the service besides.
+//
+// A version may be bad only under load. So the requests go to few back ends at a time,
+// as many as have the load that the others have; where one alone would have less, they go
+// there for a part of each turn only.
+func (m Move) Stint(candidates []string, others int, limits Limits, pace Pace, now time.Time) Stint {
+	candidates = candidates[:min(len(candidates), trialBackEnds)]
+	if len(candidates) == 0 || others == 0 || m.Phase != Trial || !now.Before(m.PromoteAt(limits)) {
+		return Stint{}
+	}
+	elapsed := max(m.Duration-m.Deadline.Sub(now), 0)
+	number, into := int(elapsed/turn), elapsed%turn
+	usual := 1 / float64(others)
+	together := min(max(int(limits.trialShare()/usual+0.5), 1), len(candidates))
+	share := min(float64(together)*usual, 1)
+	duty := (limits.trialShare() + m.slackShare(limits, pace)) / share
+	if float64(into) >= duty*float64(turn) {
+		return Stint{}
+	}
+	chosen := make([]string, together)
+	for i := range chosen {
+		chosen[i] = candidates[(number*together+i)%len(candidates)]
+	}
+	return Stint{BackEnds: chosen, Share: share}
+}
--- /dev/null
+++ b/internal/sidecar/rollouts.go
@@ -0,0 +1,83 @@
+package sidecar
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/configuration"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/readers"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout/controller"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+	"github.com/kestrelstream/kestrelstream/internal/store"
+)
+
+func (s *Sidecar) addRollouts() {
+	s.rollouts = controller.New(controller.Options{
+		Store: s.options.Store, Codec: s.options.Rollouts, Members: s.members,
+		Limits:       func() rollout.Limits { return s.settings.Load().Rollout },
+		Readers:      s.reading,
+		Serving:      func() bool { return s.keeper.Version() > 0 },
+		Spread:       func() { go s.spread(context.Background()) },
+		SpreadRecord: func() { s.spread(context.Background()) },
+		Logger:       s.logger,
+		Registry:     s.options.Registry,
+	})
+}
+
+// place is where the store has what operators write.
+func (s *Sidecar) place() configuration.Place {
+	return configuration.Place{Key: s.options.ConfigurationKey, Prefix: s.options.OperatorPrefix, Other: s.ordered}
+}
+
+// ordered takes in an item that operators wrote beside the configuration.
+func (s *Sidecar) ordered(item store.KeyValue) {
+	if !s.options.IsOrder(item.Key) {
+		return
+	}
+	order, err := s.options.DecodeOrder(item)
+	if err != nil {
+		s.logger.Error("order of a roll-out refused", zap.String("key", item.Key), zap.Error(err))
+		return
+	}
+	s.rollouts.Ordered(order)
+}
+
+// reading returns the nodes of all zones that read the store.
+func (s *Sidecar) reading() []*roster.Record {
+	view := s.members.View()
+	var all []*roster.Record
+	for _, zone := range view.Zones() {
+		reading, _ := readers.Zone(view, zone, s.exchanger.Usable)
+		all = slices.Concat(all, reading)
+	}
+	return all
+}
+
+// judge compares the back end's version with others by what the node sees of its
+// answers.
+type judge struct{ sidecar *Sidecar }
+
+// Refuses implements ingress.Judge.
+func (j *judge) Refuses() bool { return j.sidecar.rollouts.Refuses() }
+
+// Judges implements ingress.Judge.
+func (j *judge) Judges() bool { return j.sidecar.rollouts.Judges() }
+
+// Answered implements ingress.Judge. While the back end warms up it is slow whatever its
+// version is.
+func (j *judge) Answered(request *http.Request, failed bool, worked, expected time.Duration, usual rollout.Usual) {
+	answer := rollout.Answer{Failed: failed, Usual: usual}
+	if table := j.sidecar.keeper.Table(); table != nil {
+		if matched := table.MatchRequest(request); matched != nil {
+			answer.Route = matched.Name
+		}
+	}
+	warm := time.Now().UnixNano() >= j.sidecar.warm.Load()
+	answer.Slow = warm && expected > 0 && worked > rollout.SlowFactor*expected
+	j.sidecar.rollouts.Answered(answer)
+}
--- a/internal/sidecar/roster/record.go
+++ b/internal/sidecar/roster/record.go
@@ -51,10 +51,35 @@
 	Leaving bool `json:"leaving,omitempty"`
 	// Endpoint is nil until a back end has made itself known.
 	Endpoint *Endpoint `json:"endpoint,omitempty"`
+	// Judged is what the node thinks of its back end while a version of its software is on
+	// trial; nil otherwise.
+	Judged *Judgement `json:"judged,omitempty"`
 	// Ended lists the last ids that are final, the newest last.
 	Ended []string `json:"ended,omitempty"`
 }
 
+// Judgement is what a node that sees all answers of its back end thinks of them.
+type Judgement struct {
+	// ID is that of the back end.
+	ID string `json:"id"`
+	// Answers is how many were seen.
+	Answers int `json:"answers"`
+	// Faulty: it fails or is slow more often than others.
+	Faulty bool `json:"faulty,omitempty"`
+	// Lean is how far its answers of late speak against it, below zero for it, as the
+	// logarithm of odds.
+	Lean float64 `json:"lean"`
+}
+
+// Judgement returns what the node thinks of the present back end, nil when it thinks
+// nothing.
+func (r *Record) Judgement() *Judgement {
+	if r.Judged == nil || r.Endpoint == nil || r.Judged.ID != r.Endpoint.ID {
+		return nil
+	}
+	return r.Judged
+}
+
 // Newer reports whether the record replaces the other one.
 func (r *Record) Newer(other *Record) bool {
 	return cmp.Or(cmp.Compare(r.Epoch, other.Epoch), cmp.Compare(r.Counter, other.Counter), cmp.Compare(r.Life, other.Life)) > 0
--- a/internal/sidecar/route/table.go
+++ b/internal/sidecar/route/table.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"net/http"
 	"slices"
 	"strings"
 )
@@ -102,6 +103,12 @@
 	return nil
 }
 
+// MatchRequest finds the route of a request, or nil.
+func (t *Table) MatchRequest(r *http.Request) *Matched {
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	return t.Match(r.Host, path)
+}
+
 // normalizeHost brings a host into lower case, without port and trailing dot.
 func normalizeHost(host string) string {
 	if colon := strings.LastIndexByte(host, ':'); colon >= 0 && !strings.HasSuffix(host, "]") {
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -18,9 +18,10 @@
 	var running sync.WaitGroup
 	work := []func(){
 		func() {
-			configuration.Follow(ctx, s.options.Store, s.options.ConfigurationKey, s.keeper, s.follows, s.logger)
+			configuration.Follow(ctx, s.options.Store, s.place(), s.keeper, s.follows, s.logger)
 		},
 		func() { s.membership.Run(ctx) },
+		func() { s.rollouts.Run(ctx) },
 		func() { s.exchanger.Run(ctx) },
 		func() { s.sweep(ctx) },
 	}
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/egress"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
 )
 
 // Settings are what a sidecar is told before it starts.
@@ -40,6 +41,8 @@
 	Grace time.Duration
 	// Retries bound the repeated sends of all nodes together.
 	Retries egress.RetryLimits
+	// Rollout bounds what a version that turns out to be bad may get.
+	Rollout rollout.Limits
 }
 
 // Listen holds the addresses to bind, host:port.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -21,14 +21,17 @@
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/ingress"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/membership"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout/controller"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/route"
+	"github.com/kestrelstream/kestrelstream/internal/store"
 )
 
 // Store is what a sidecar needs of the store.
 type Store interface {
 	membership.Store
-	configuration.Reader
+	store.Writer
 	// PaceWatches sets how long each call of a watch waits.
 	PaceWatches(wait func() time.Duration)
 }
@@ -37,12 +40,17 @@
 type Options struct {
 	Settings   Settings
 	Vocabulary hop.Vocabulary
-	// ConfigurationKey is where the store has the configuration.
-	ConfigurationKey string
-	Decode           configuration.Decoder
-	Store            Store
-	Logger           *zap.Logger
-	Registry         prometheus.Registerer
+	// ConfigurationKey is where the store has the configuration, OperatorPrefix begins
+	// the keys of all that operators write.
+	ConfigurationKey, OperatorPrefix string
+	Decode                           configuration.Decoder
+	// IsOrder tells the keys of orders to roll a version out, DecodeOrder reads one.
+	IsOrder     func(key string) bool
+	DecodeOrder func(store.KeyValue) (rollout.Order, error)
+	Rollouts    controller.Codec
+	Store       Store
+	Logger      *zap.Logger
+	Registry    prometheus.Registerer
 }
 
 const (
@@ -69,6 +77,7 @@
 	// membership finds the other nodes in the store.
 	membership *membership.Membership
 	exchanger  *exchange.Exchanger
+	rollouts   *controller.Controller
 	egress     *egress.Handler
 	ingress    *ingress.Handler
 	stopping   atomic.Bool
@@ -81,6 +90,9 @@
 	// lastBeat is when a heartbeat was last heard, in nanoseconds of the Unix time;
 	// zero before the first.
 	lastBeat atomic.Int64
+	// warm is when the back end's warm-up is over, in nanoseconds of the Unix time; zero
+	// when it has told of none.
+	warm atomic.Int64
 	// claims is used under the roster's lock.
 	claims roster.Claims
 }
@@ -109,6 +121,7 @@
 	options.Store = newCountedStore(options.Store, options.Registry)
 	created.options.Store = options.Store
 	created.settings.Store(settings)
+	created.addRollouts()
 	created.addIngress(observed)
 	created.addEgress(observed)
 	created.exchanger = exchange.New(exchange.Options{
@@ -116,11 +129,12 @@
 		Configuration: created.keeper,
 		Dial:          dial.Dialer(exchangeDial, dial.Silence{Unacknowledged: peerUnacknowledged, Idle: peerIdle}),
 		Refresh: func(ctx context.Context) error {
-			return configuration.Refresh(ctx, options.Store, options.ConfigurationKey, created.keeper)
+			return configuration.Refresh(ctx, options.Store, created.place(), created.keeper)
 		},
-		Reads:   created.reads,
-		Suspect: created.egress.Suspect,
-		Logger:  options.Logger,
+		Rollouts: created.rollouts,
+		Reads:    created.reads,
+		Suspect:  created.egress.Suspect,
+		Logger:   options.Logger,
 	})
 	created.membership = membership.New(membership.Options{
 		Store: options.Store, Members: created.members,
@@ -140,6 +154,7 @@
 		Vocabulary: s.options.Vocabulary,
 		Address:    settings.BackendAddress,
 		LinkMbps:   settings.LinkMbps,
+		Judge:      &judge{sidecar: s},
 		Endpoint:   func() *roster.Endpoint { return s.members.Own().Endpoint },
 		Identified: s.identified,
 		Version:    s.keeper.Version,
@@ -161,6 +176,7 @@
 		Zone:       settings.Zone,
 		Regions:    settings.Regions,
 		Caller:     s.caller,
+		Plan:       s.rollouts.Plan,
 		Retries:    func() egress.RetryLimits { return s.settings.Load().Retries },
 		Weights:    choice.DefaultWeights(),
 		Dial:       dial.Dialer(exchangeDial, dial.Silence{Unacknowledged: peerUnacknowledged, Idle: peerIdle}),
@@ -217,6 +233,7 @@
 		}
 	}
 	s.egress.Follow(changed)
+	s.rollouts.Follow(changed)
 }
 
 func (s *Sidecar) logChange(record *roster.Record) {
--- a/internal/sidecar/storecalls.go
+++ b/internal/sidecar/storecalls.go
@@ -82,14 +82,6 @@
 	return found, err
 }
 
-// GetAt implements configuration.Reader.
-func (s *countedStore) GetAt(ctx context.Context, key string) (store.KeyValue, uint64, error) {
-	began := time.Now()
-	found, at, err := s.Store.GetAt(ctx, key)
-	s.count(callGet, began, err)
-	return found, at, err
-}
-
 // Range implements store.Reader.
 func (s *countedStore) Range(ctx context.Context, prefix, from string, limit int) ([]store.KeyValue, uint64, error) {
 	began := time.Now()
