Tell peers which phase of a roll-out the store has

Change: whether the store has a move's phase is part of the move and is told with it; it holds for that phase only.

--- a/internal/sidecar/rollout/controller/controller.go
+++ b/internal/sidecar/rollout/controller/controller.go
@@ -80,8 +80,6 @@
 	asked int64
 	// moved is when all requests went to the version, by this node; zero before.
 	moved time.Time
-	// recorded: the store is known to have the present phase.
-	recorded bool
 	// due is the phase that waits to be written, dueSince since when.
 	due      rollout.Phase
 	dueSince time.Time
@@ -208,8 +206,6 @@
 	if merged.Revision != held.order {
 		*held = carried{Move: merged, order: merged.Revision, began: now, asked: c.split(move.Service).Asked()}
 	}
-	// What a peer tells of was written by whoever began it, or will be.
-	held.recorded = merged.Phase != rollout.Condemned && merged.Phase != rollout.Trial
 	c.use(move.Service, move.Version)
 	c.entered(held, now)
 	c.publish(now)
@@ -299,7 +295,7 @@
 	for _, held := range c.moves {
 		judged, changed := held.Judged(c.tally(held), now)
 		if changed {
-			held.Move, held.recorded = judged, false
+			held.Move = judged
 			c.entered(held, now)
 			news = true
 		}
--- a/internal/sidecar/rollout/controller/writes.go
+++ b/internal/sidecar/rollout/controller/writes.go
@@ -56,7 +56,7 @@
 // held.
 func (c *Controller) act(ctx context.Context, held *carried, now time.Time) {
 	tally := c.tally(held)
-	phase, due := held.Due(tally, held.recorded, c.options.Limits(), now)
+	phase, due := held.Due(tally, c.options.Limits(), now)
 	if !due {
 		held.dueSince = time.Time{}
 		return
@@ -159,7 +159,7 @@
 		held.Deadline = deadline
 	}
 	merged, news := held.Merge(move)
-	held.Move, held.recorded = merged, merged.Phase == move.Phase
+	held.Move = merged
 	if news {
 		c.entered(held, now)
 		c.publish(now)
--- a/internal/sidecar/rollout/decide.go
+++ b/internal/sidecar/rollout/decide.go
@@ -22,9 +22,9 @@
 	}
 	switch {
 	case tally.Condemns():
-		m.Phase, m.Cause = Condemned, CauseFaulty
+		m.Phase, m.Recorded, m.Cause = Condemned, false, CauseFaulty
 	case now.After(m.Deadline.Add(expiry)):
-		m.Phase, m.Cause = Condemned, CauseLate
+		m.Phase, m.Recorded, m.Cause = Condemned, false, CauseLate
 	default:
 		return m, false
 	}
@@ -32,8 +32,7 @@
 }
 
 // Due returns the phase that is to be written to the store now, and whether one is.
-// recorded says that the store has the move's present phase.
-func (m Move) Due(tally Tally, recorded bool, limits Limits, now time.Time) (phase Phase, due bool) {
+func (m Move) Due(tally Tally, limits Limits, now time.Time) (phase Phase, due bool) {
 	switch {
 	case m.Phase.Final():
 		return m.Phase, false
@@ -47,7 +46,7 @@
 	case !now.Before(m.PromoteAt(limits)) && tally.Promotes():
 		return Promoting, true
 	}
-	return Trial, !recorded
+	return Trial, !m.Recorded
 }
 
 // Reached returns the move in a phase that the store has.
@@ -59,6 +58,6 @@
 	default:
 		m.Cause = CauseLate
 	}
-	m.Phase = phase
+	m.Phase, m.Recorded = phase, true
 	return m
 }
--- a/internal/sidecar/rollout/rollout.go
+++ b/internal/sidecar/rollout/rollout.go
@@ -57,6 +57,8 @@
 type Move struct {
 	Order
 	Phase Phase
+	// Recorded: the store is known to have the phase.
+	Recorded bool
 	// Deadline is when the move is to be over, by the node's own clock.
 	Deadline time.Time
 	// Cause says why the version was condemned or taken back; empty otherwise.
@@ -81,10 +83,13 @@
 	if other.Deadline.Before(m.Deadline) {
 		m.Deadline = other.Deadline
 	}
+	if other.Phase == m.Phase {
+		m.Recorded = m.Recorded || other.Recorded
+	}
 	if other.Phase <= m.Phase || m.Phase.Final() {
 		return m, false
 	}
-	m.Phase, m.Cause = other.Phase, other.Cause
+	m.Phase, m.Cause, m.Recorded = other.Phase, other.Cause, other.Recorded
 	return m, true
 }
 
@@ -97,6 +102,7 @@
 	DurationMS int64  `json:"durationMs"`
 	LeftMS     int64  `json:"leftMs"`
 	Phase      Phase  `json:"phase"`
+	Recorded   bool   `json:"recorded,omitempty"`
 	Cause      string `json:"cause,omitempty"`
 }
 
@@ -104,7 +110,7 @@
 func (m Move) Tell(now time.Time) Told {
 	return Told{
 		Service: m.Service, Version: m.Version, Revision: m.Revision, DurationMS: m.Duration.Milliseconds(),
-		LeftMS: m.Deadline.Sub(now).Milliseconds(), Phase: m.Phase, Cause: m.Cause,
+		LeftMS: m.Deadline.Sub(now).Milliseconds(), Phase: m.Phase, Recorded: m.Recorded, Cause: m.Cause,
 	}
 }
 
@@ -122,6 +128,6 @@
 			Service: t.Service, Version: t.Version, Revision: t.Revision,
 			Duration: time.Duration(t.DurationMS) * time.Millisecond,
 		},
-		Phase: t.Phase, Deadline: now.Add(time.Duration(t.LeftMS) * time.Millisecond), Cause: t.Cause,
+		Phase: t.Phase, Recorded: t.Recorded, Deadline: now.Add(time.Duration(t.LeftMS) * time.Millisecond), Cause: t.Cause,
 	}, true
 }
--- a/internal/sidecar/rollout/rollout_test.go
+++ b/internal/sidecar/rollout/rollout_test.go
@@ -64,11 +64,26 @@
 	g.Expect(merged.Deadline).To(Equal(start.Add(14 * time.Second)))
 }
 
+// TestWhatTheStoreHas: that a phase was written is known from any node that knows, and
+// holds for that phase only.
+func TestWhatTheStoreHas(t *testing.T) {
+	g := NewWithT(t)
+	written := inPhase(rollout.Trial)
+	written.Recorded = true
+	merged, news := inPhase(rollout.Trial).Merge(written)
+	g.Expect(news).To(BeFalse())
+	g.Expect(merged.Recorded).To(BeTrue())
+	merged, _ = merged.Merge(inPhase(rollout.Condemned))
+	g.Expect(merged.Recorded).To(BeFalse())
+	merged, _ = merged.Merge(written)
+	g.Expect(merged.Recorded).To(BeFalse())
+}
+
 // TestTold: a move is the same after it was told, by a clock that is elsewhere.
 func TestTold(t *testing.T) {
 	g := NewWithT(t)
 	move := inPhase(rollout.Condemned)
-	move.Cause = rollout.CauseFaulty
+	move.Cause, move.Recorded = rollout.CauseFaulty, true
 	there := time.Unix(90000, 0)
 	heard, valid := move.Tell(start.Add(4 * time.Second)).Hear(there)
 	g.Expect(valid).To(BeTrue())
@@ -207,7 +222,9 @@
 	for _, met := range cases {
 		t.Run(met.name, func(t *testing.T) {
 			g := NewWithT(t)
-			phase, due := inPhase(met.phase).Due(met.tally, met.recorded, limits, met.at)
+			held := inPhase(met.phase)
+			held.Recorded = met.recorded
+			phase, due := held.Due(met.tally, limits, met.at)
 			g.Expect(due).To(Equal(met.due))
 			if due {
 				g.Expect(phase).To(Equal(met.want))
