--- a/internal/sidecar/egress/versions.go
+++ b/internal/sidecar/egress/versions.go
@@ -71,3 +71,25 @@
 	slow := a.worked > rollout.SlowFactor*a.call.work().Mean(a.call.assumedWork())
 	a.call.handler.answersOf(a.service).Observe(a.call.route.Name, failed, slow, now)
 }
+
+// Load returns what part of the slots of a service's back ends is taken, those of one
+// version aside, by what their nodes last told; above one where requests wait, and one
+// where nothing is known.
+func (h *Handler) Load(service, asideVersion string) float64 {
+	now := time.Now()
+	near := place{zone: h.options.Zone, regions: h.options.Regions}
+	busy, slots := 0.0, 0
+	for _, record := range h.subset(h.options.View(), service, rollout.Without(asideVersion)).records {
+		found := h.targets.of(record)
+		if !record.AcceptsWork() || found.reportAge(now) < 0 {
+			continue
+		}
+		seen := found.candidate(record, near, 0, now)
+		busy += seen.Busy
+		slots += seen.Slots
+	}
+	if slots == 0 {
+		return 1
+	}
+	return busy / float64(slots)
+}
--- a/internal/sidecar/rollout/controller/controller.go
+++ b/internal/sidecar/rollout/controller/controller.go
@@ -26,6 +26,9 @@
 	Codec   Codec
 	Members *roster.Roster
 	Limits  func() rollout.Limits
+	// Load returns what part of the slots of a service's back ends of other versions than
+	// the given one is taken, above one where requests wait.
+	Load func(service, version string) float64
 	// Readers returns the nodes that read the store. The earlier in the list, the sooner
 	// one acts.
 	Readers func() []*roster.Record
@@ -235,7 +238,7 @@
 	c.options.Logger.Info("roll-out phase", zap.String("service", held.Service), zap.String("software", held.Version),
 		zap.Stringer("phase", held.Phase), zap.String("cause", held.Cause), zap.Duration("left", held.Deadline.Sub(now)),
 		zap.Int("present", tally.Present), zap.Int("others", tally.Others),
-		zap.Int("answered", tally.Answered), zap.Int("faulty", tally.Faulty), zap.Float64("lean", tally.Lean))
+		zap.Int("answered", tally.Answered), zap.Int("faulty", tally.Faulty), zap.Float64("lean", tally.Lean), zap.Float64("load", tally.Load))
 }
 
 // Follow takes in changed records: a version that no order names is held, since its
@@ -310,7 +313,7 @@
 
 // tally counts the back ends of a move's service; the lock is held.
 func (c *Controller) tally(held *carried) rollout.Tally {
-	var tally rollout.Tally
+	tally := rollout.Tally{Load: c.options.Load(held.Service, held.Version)}
 	for _, record := range c.options.Members.View().Service(held.Service) {
 		switch {
 		case record.Endpoint.Version != held.Version:
--- a/internal/sidecar/rollout/controller/controller_test.go
+++ b/internal/sidecar/rollout/controller/controller_test.go
@@ -178,6 +178,7 @@
 			},
 		},
 		Limits:  rollout.DefaultLimits,
+		Load:    func(string, string) float64 { return 0.5 },
 		Readers: func() []*roster.Record { return started.members.View().Records() },
 		Serving: func() bool { return true },
 		Spread:  func() {}, SpreadRecord: func() {},
--- a/internal/sidecar/rollout/judge.go
+++ b/internal/sidecar/rollout/judge.go
@@ -170,6 +170,8 @@
 	// Present is how many back ends of the version take work, Others how many of other
 	// versions do.
 	Present, Others int
+	// Load is what part of the slots of the others is taken, above one where requests wait.
+	Load float64
 	// Answered is how many have answered requests, Faulty how many of these are faulty,
 	// Against and For how many lean clearly that way.
 	Answered, Faulty, Against, For int
@@ -207,9 +209,13 @@
 	// promoted with 25 requests a second, and 9 with a lean of -2.5 (TestBadVersions).
 	condemningLean = 4.0
 	promotingLean  = -4.0
-	// roomShare is the least part of the other back ends that the version must have for
-	// all requests to move to it.
-	roomShare = 0.5
+	// headroom is how much more than the load of the others the version must have room
+	// for. Of as many back ends as others leastRoom must be there at any load, and no more
+	// than mostRoom need be. A version that had lost 8 of its 22 back ends to a scale-in
+	// and was promoted at full load left a third of the callers refused for the rest of
+	// the day.
+	headroom            = 1.2
+	leastRoom, mostRoom = 0.5, 0.9
 )
 
 // several is how many back ends must agree, of a version with fewer all of them.
@@ -227,6 +233,11 @@
 // Promotes reports whether all requests may move: several back ends have answered, all
 // together they speak for the version, and there are enough of them.
 func (t Tally) Promotes() bool {
-	return !t.Condemns() && t.Present > 0 && t.Answered >= t.several() && t.Lean <= promotingLean &&
-		float64(t.Present) >= roomShare*float64(t.Others)
+	return !t.Condemns() && t.Present > 0 && t.Answered >= t.several() && t.Lean <= promotingLean && t.hasRoom()
+}
+
+// hasRoom reports whether the version's back ends can take what the others do now.
+func (t Tally) hasRoom() bool {
+	needed := min(max(t.Load*headroom, leastRoom), mostRoom)
+	return float64(t.Present) >= needed*float64(t.Others)
 }
--- a/internal/sidecar/rollout/rollout_test.go
+++ b/internal/sidecar/rollout/rollout_test.go
@@ -276,6 +276,9 @@
 		"too little was seen":           {func(tally *rollout.Tally) { tally.Lean = -1 }, false},
 		"one alone has answered":        {func(tally *rollout.Tally) { tally.Answered = 1 }, false},
 		"too few back ends":             {func(tally *rollout.Tally) { tally.Present = 3 }, false},
+		"two thirds at a low load":      {func(tally *rollout.Tally) { tally.Present, tally.Others, tally.Load = 14, 21, 0.5 }, true},
+		"two thirds at full load":       {func(tally *rollout.Tally) { tally.Present, tally.Others, tally.Load = 14, 21, 0.95 }, false},
+		"nearly all at full load":       {func(tally *rollout.Tally) { tally.Present, tally.Others, tally.Load = 20, 22, 1.3 }, true},
 		"no back end":                   {func(tally *rollout.Tally) { tally.Present = 0 }, false},
 		"the only one, where one is it": {func(tally *rollout.Tally) { tally.Present, tally.Others, tally.Answered = 1, 1, 1 }, true},
 	}
--- a/internal/sidecar/rollouts.go
+++ b/internal/sidecar/rollouts.go
@@ -20,6 +20,7 @@
 	s.rollouts = controller.New(controller.Options{
 		Store: s.options.Store, Codec: s.options.Rollouts, Members: s.members,
 		Limits:       func() rollout.Limits { return s.settings.Load().Rollout },
+		Load:         func(service, version string) float64 { return s.egress.Load(service, version) },
 		Readers:      s.reading,
 		Serving:      func() bool { return s.keeper.Version() > 0 },
 		Spread:       func() { go s.spread(context.Background()) },
