--- a/internal/sidecar/choice/choice.go
+++ b/internal/sidecar/choice/choice.go
@@ -45,9 +45,12 @@
 	Avoided, Leaving, Silent, Repeated float64
 }
 
-// DefaultWeights prefer the zone until its back ends would answer late.
+// DefaultWeights prefer the zone until its back ends would answer late. With a price of
+// 0.18 of leaving it, two thirds of the bytes pass between zones that do with 0.1, at the same
+// number of answers in time where demand is near capacity; with 0.3 a third, but one in
+// a hundred answers is lost (docs/design/0010-the-shifted-work.md).
 func DefaultWeights() Weights {
-	return Weights{ForeignZone: 0.1, OtherRegion: 0.2, Avoided: 50, Leaving: 100, Silent: 200, Repeated: 400}
+	return Weights{ForeignZone: 0.18, OtherRegion: 0.2, Avoided: 50, Leaving: 100, Silent: 200, Repeated: 400}
 }
 
 const (
