An order for the version in use, and a node that has just started, leave nobody without back ends

Cause: found by reading. And a node that had just started took the version that it met first for the one in use: beside a new back end it would have held the old version for 10 s.

Change: where no other back end is known the version takes everything, and is judged and completed as always. A node holds versions only once it has served for 5 s.

--- a/internal/sidecar/rollout/controller/controller.go
+++ b/internal/sidecar/rollout/controller/controller.go
@@ -32,9 +32,9 @@
 	// Readers returns the nodes that read the store. The earlier in the list, the sooner
 	// one acts.
 	Readers func() []*roster.Record
-	// Serving reports whether a configuration is in force: from then on the orders
-	// given before are known.
-	Serving func() bool
+	// Settled reports whether the node has served for some time: it knows the orders given
+	// before, and the versions that are in use.
+	Settled func() bool
 	// Spread tells the peers of the moves, SpreadRecord of the node's own record.
 	Spread, SpreadRecord func()
 	Logger               *zap.Logger
@@ -245,13 +245,13 @@
 func (c *Controller) Follow(changed []*roster.Record) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	serving := c.options.Serving()
+	settled := c.options.Settled()
 	for _, record := range changed {
 		endpoint := record.Endpoint
 		if endpoint == nil || endpoint.Version == "" || c.versions[endpoint.Service][endpoint.Version] {
 			continue
 		}
-		if !serving || len(c.versions[endpoint.Service]) == 0 {
+		if !settled || len(c.versions[endpoint.Service]) == 0 {
 			c.use(endpoint.Service, endpoint.Version)
 			continue
 		}
@@ -366,11 +366,12 @@
 	for service, held := range c.moves {
 		candidates, others := c.candidates(held)
 		stint := held.Stint(candidates, others, c.options.Limits(), c.pace(held, now), now)
-		made[service] = rollout.NewPlan(held.Move, stint, slices.Sorted(maps.Keys(c.unheard[service])), c.split(service))
+		alone := c.options.Settled() && others == 0 && len(candidates) > 0
+		made[service] = rollout.NewPlan(held.Move, stint, slices.Sorted(maps.Keys(c.unheard[service])), alone, c.split(service))
 	}
 	for service, versions := range c.unheard {
 		if made[service] == nil {
-			made[service] = rollout.NewPlan(rollout.Move{}, rollout.Stint{}, slices.Sorted(maps.Keys(versions)), c.split(service))
+			made[service] = rollout.NewPlan(rollout.Move{}, rollout.Stint{}, slices.Sorted(maps.Keys(versions)), false, c.split(service))
 		}
 	}
 	if len(made) == 0 {
--- a/internal/sidecar/rollout/plan.go
+++ b/internal/sidecar/rollout/plan.go
@@ -15,7 +15,9 @@
 	Phase   Phase
 	Stint   Stint
 	// Held are versions besides that get no requests.
-	Held  []string
+	Held []string
+	// Alone: no back end of another version is there, so that the version is in use.
+	Alone bool
 	split *Split
 }
 
@@ -49,12 +51,14 @@
 }
 
 // NewPlan returns a plan that goes on with a split.
-func NewPlan(move Move, stint Stint, held []string, split *Split) *Plan {
-	return &Plan{Version: move.Version, Phase: move.Phase, Stint: stint, Held: held, split: split}
+func NewPlan(move Move, stint Stint, held []string, alone bool, split *Split) *Plan {
+	return &Plan{Version: move.Version, Phase: move.Phase, Stint: stint, Held: held, Alone: alone, split: split}
 }
 
 // Moves reports whether all requests go to the version.
-func (p *Plan) Moves() bool { return p.Version != "" && (p.Phase == Promoting || p.Phase == Completed) }
+func (p *Plan) Moves() bool {
+	return p.Version != "" && (p.Phase == Promoting || p.Phase == Completed || (p.Phase == Trial && p.Alone))
+}
 
 // Compares reports whether answers are compared by version.
 func (p *Plan) Compares() bool { return p.Version != "" && (p.Phase == Trial || p.Phase == Promoting) }
--- a/internal/sidecar/rollouts.go
+++ b/internal/sidecar/rollouts.go
@@ -22,7 +22,7 @@
 		Limits:       func() rollout.Limits { return s.settings.Load().Rollout },
 		Load:         func(service, version string) float64 { return s.egress.Load(service, version) },
 		Readers:      s.reading,
-		Serving:      func() bool { return s.keeper.Version() > 0 },
+		Settled:      s.settled,
 		Spread:       func() { go s.spread(context.Background()) },
 		SpreadRecord: func() { s.spread(context.Background()) },
 		Logger:       s.logger,
@@ -30,6 +30,16 @@
 	})
 }
 
+// settleTime is how long after its start a node takes the versions that it meets for those
+// in use: records of others come in any order then.
+const settleTime = 5 * time.Second
+
+// settled reports whether the node has a configuration, and with it the orders given
+// before, and knows the others for some time.
+func (s *Sidecar) settled() bool {
+	return s.keeper.Version() > 0 && time.Since(s.started) >= settleTime
+}
+
 // place is where the store has what operators write.
 func (s *Sidecar) place() configuration.Place {
 	return configuration.Place{Key: s.options.ConfigurationKey, Prefix: s.options.OperatorPrefix, Other: s.ordered}
