What the store has is the end of a roll-out; a version without another one beside it is not taken back for want of evidence

Change: an order for the only version in use is completed at once, by nodes that have settled; where no other version is left a move is completed at its end unless the version is bad. The store's end replaces a node's own belief, and between two writes is a pause. rollout.Record is now Baseline, which it is.

--- a/internal/sidecar/egress/handler.go
+++ b/internal/sidecar/egress/handler.go
@@ -108,9 +108,9 @@
 	// work and patiences hold what is learned by route name.
 	work, patiences sync.Map
 
-	// usual holds what the answers of versions in use are like, by service, while another
+	// baselines hold what the answers of versions in use are like, by service, while another
 	// version is compared with them.
-	usual sync.Map
+	baselines sync.Map
 
 	mutex   sync.RWMutex // guards budgets
 	budgets map[string]*budget
--- a/internal/sidecar/egress/versions.go
+++ b/internal/sidecar/egress/versions.go
@@ -41,17 +41,17 @@
 	if !h.compares(service, record) {
 		return nil
 	}
-	usual := h.answersOf(service).Usual(route, time.Now())
+	usual := h.baselineOf(service).Usual(route, time.Now())
 	return &usual
 }
 
-// answersOf returns what is remembered of the answers of a service's versions in use.
-func (h *Handler) answersOf(service string) *rollout.Record {
-	if held, found := h.usual.Load(service); found {
-		return held.(*rollout.Record)
+// baselineOf returns how the answers of a service's versions in use are.
+func (h *Handler) baselineOf(service string) *rollout.Baseline {
+	if held, found := h.baselines.Load(service); found {
+		return held.(*rollout.Baseline)
 	}
-	held, _ := h.usual.LoadOrStore(service, &rollout.Record{})
-	return held.(*rollout.Record)
+	held, _ := h.baselines.LoadOrStore(service, &rollout.Baseline{})
+	return held.(*rollout.Baseline)
 }
 
 // compare takes in what the send shows of a version in use, while another one is
@@ -69,7 +69,7 @@
 		failed = true
 	}
 	slow := a.worked > rollout.SlowFactor*a.call.work().Mean(a.call.assumedWork())
-	a.call.handler.answersOf(a.service).Observe(a.call.route.Name, failed, slow, now)
+	a.call.handler.baselineOf(a.service).Observe(a.call.route.Name, failed, slow, now)
 }
 
 // Load returns what part of the slots of a service's back ends is taken, those of one
--- a/internal/sidecar/rollout/usual.go
+++ b/internal/sidecar/rollout/baseline.go
@@ -14,9 +14,9 @@
 	priorAnswers, priorShare = 10.0, 0.02
 )
 
-// Record remembers how often answers of the versions before are bad, by route. It is
+// Baseline remembers how often answers of the versions in use are bad, by route. It is
 // safe for concurrent use; the zero value has seen none.
-type Record struct {
+type Baseline struct {
 	mu     sync.Mutex // guards routes
 	routes map[string]*shares
 }
@@ -28,19 +28,19 @@
 }
 
 // Observe takes in one answer.
-func (r *Record) Observe(route string, failed, slow bool, now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.routes == nil {
-		r.routes = map[string]*shares{}
+func (b *Baseline) Observe(route string, failed, slow bool, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.routes == nil {
+		b.routes = map[string]*shares{}
 	}
-	held := r.routes[route]
+	held := b.routes[route]
 	if held == nil {
-		if len(r.routes) >= routesMost {
+		if len(b.routes) >= routesMost {
 			return
 		}
 		held = &shares{last: now}
-		r.routes[route] = held
+		b.routes[route] = held
 	}
 	held.fade(now)
 	held.answers++
@@ -53,10 +53,10 @@
 }
 
 // Usual returns the shares of a route.
-func (r *Record) Usual(route string, now time.Time) Usual {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	held := r.routes[route]
+func (b *Baseline) Usual(route string, now time.Time) Usual {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	held := b.routes[route]
 	if held == nil {
 		return Usual{Failing: priorShare, Slow: priorShare}
 	}
--- a/internal/sidecar/rollout/controller/controller.go
+++ b/internal/sidecar/rollout/controller/controller.go
@@ -129,7 +129,7 @@
 		return true
 	}
 	for _, held := range c.moves {
-		if !held.Phase.Final() {
+		if !held.Phase.Final() || !held.Recorded {
 			return true
 		}
 	}
@@ -155,13 +155,22 @@
 // Ordered takes in an order that the store has.
 func (c *Controller) Ordered(order rollout.Order) {
 	now := time.Now()
-	if c.learn(rollout.Begin(order, now), now) {
+	if c.learn(c.begin(order, now), now) {
 		c.options.Logger.Info("roll-out ordered", zap.String("service", order.Service), zap.String("software", order.Version),
 			zap.Uint64("revision", order.Revision), zap.Duration("duration", order.Duration))
 		c.options.Spread()
 	}
 }
 
+// begin returns the move of an order. A node that has just started does not know yet whether
+// other versions are in use.
+func (c *Controller) begin(order rollout.Order, now time.Time) rollout.Move {
+	if !c.options.Settled() {
+		return rollout.Begin(order, now)
+	}
+	return rollout.Ordered(order, c.tally(order.Service, order.Version), now)
+}
+
 // Hear takes in what a peer tells of moves and reports whether some of it is news.
 func (c *Controller) Hear(told []rollout.Told) (news bool) {
 	now := time.Now()
@@ -233,7 +242,7 @@
 		held.moved = now
 	}
 	c.metrics.phase.WithLabelValues(held.Service).Set(float64(held.Phase))
-	tally := c.tally(held)
+	tally := c.tally(held.Service, held.Version)
 	c.options.Logger.Info("roll-out phase", zap.String("service", held.Service), zap.String("software", held.Version),
 		zap.Stringer("phase", held.Phase), zap.String("cause", held.Cause), zap.Duration("left", held.Deadline.Sub(now)),
 		zap.Int("present", tally.Present), zap.Int("others", tally.Others),
@@ -295,7 +304,7 @@
 	c.releaseHeld(now)
 	news := false
 	for _, held := range c.moves {
-		judged, changed := held.Judged(c.tally(held), now)
+		judged, changed := held.Judged(c.tally(held.Service, held.Version), now)
 		if changed {
 			held.Move = judged
 			c.entered(held, now)
@@ -310,12 +319,12 @@
 	}
 }
 
-// tally counts the back ends of a move's service; the lock is held.
-func (c *Controller) tally(held *carried) rollout.Tally {
-	tally := rollout.Tally{Load: c.options.Load(held.Service, held.Version)}
-	for _, record := range c.options.Members.View().Service(held.Service) {
+// tally counts the back ends of a service, and what those of a version show.
+func (c *Controller) tally(service, version string) rollout.Tally {
+	tally := rollout.Tally{Load: c.options.Load(service, version)}
+	for _, record := range c.options.Members.View().Service(service) {
 		switch {
-		case record.Endpoint.Version != held.Version:
+		case record.Endpoint.Version != version:
 			if record.AcceptsWork() {
 				tally.Others++
 			}
--- a/internal/sidecar/rollout/controller/controller_test.go
+++ b/internal/sidecar/rollout/controller/controller_test.go
@@ -126,8 +126,6 @@
 	control *controller.Controller
 	stop    context.CancelFunc
 	alive   bool
-	// fresh: the node has only just started.
-	fresh bool
 }
 
 // fleet is a service whose back ends are of two versions, with a node beside each.
@@ -146,7 +144,7 @@
 		made.nodes = append(made.nodes, &node{name: fmt.Sprint("node-", i)})
 	}
 	for i := range made.nodes {
-		made.start(i)
+		made.startAt(i, time.Now().Add(-settleTime))
 	}
 	made.share()
 	return made
@@ -159,19 +157,26 @@
 	return fresh
 }
 
+// settleTime is how long a node is new.
+const settleTime = 5 * time.Second
+
 // start starts a node's process, which remembers nothing.
-func (f *fleet) start(index int) {
+func (f *fleet) start(index int) { f.startAt(index, time.Now()) }
+
+// startAt starts a process that counts as started at that moment. What it runs with is its
+// own: the process before may be in its last step still.
+func (f *fleet) startAt(index int, moment time.Time) {
 	started := f.nodes[index]
 	epoch := uint64(1)
 	if started.members != nil {
 		epoch = started.members.Own().Epoch + 1
 	}
-	started.members = roster.New(roster.Record{
+	members := roster.New(roster.Record{
 		Node: started.name, Epoch: epoch, Counter: 1, Address: started.name,
 		Endpoint: &roster.Endpoint{ID: "i-" + started.name, Service: service, Version: versionOf(index), Slots: 4, State: roster.Ready},
 	})
-	started.control = controller.New(controller.Options{
-		Store: f.store, Members: started.members,
+	control := controller.New(controller.Options{
+		Store: f.store, Members: members,
 		Codec: controller.Codec{
 			StatusKey:    func(of string) string { return "status/" + of },
 			EncodeStatus: func(status controller.Status) ([]byte, error) { return json.Marshal(status) },
@@ -183,17 +188,16 @@
 		Limits: rollout.DefaultLimits,
 		Load:   func(string, string) float64 { return 0.5 },
 		Readers: func() []*roster.Record {
-			return slices.DeleteFunc(started.members.View().Records(), func(record *roster.Record) bool { return record.Gone() })
+			return slices.DeleteFunc(members.View().Records(), func(record *roster.Record) bool { return record.Gone() })
 		},
-		Settled: func() bool { return !started.fresh },
+		Settled: func() bool { return time.Since(moment) >= settleTime },
 		Spread:  func() {}, SpreadRecord: func() {},
 		Logger: zap.NewNop(), Registry: prometheus.NewRegistry(),
 	})
-	started.members.Observe(started.control.Follow)
-	var ctx context.Context
-	ctx, started.stop = context.WithCancel(context.Background())
-	started.alive = true
-	go started.control.Run(ctx)
+	members.Observe(control.Follow)
+	ctx, stop := context.WithCancel(context.Background())
+	started.members, started.control, started.stop, started.alive = members, control, stop, true
+	go control.Run(ctx)
 }
 
 func (f *fleet) kill(index int) {
@@ -387,7 +391,6 @@
 		f.play(2*time.Second, never)
 		started := f.nodes[olds]
 		f.kill(olds)
-		started.fresh = true
 		f.start(olds)
 		started.control.Hear(f.nodes[0].control.Tell())
 		started.members.Merge([]*roster.Record{f.nodes[olds+1].members.Own()})
@@ -396,8 +399,44 @@
 	})
 }
 
+// rest lets time pass without a request.
+func (f *fleet) rest(length time.Duration) {
+	for until := time.Now().Add(length); time.Now().Before(until); time.Sleep(100 * time.Millisecond) {
+		f.share()
+	}
+}
+
+// lose has all back ends of the version before end, with their nodes.
+func (f *fleet) lose() {
+	for index := range olds {
+		f.kill(index)
+		gone, _ := f.nodes[index].members.Own().End("i-" + f.nodes[index].name)
+		gone.Counter++
+		for _, held := range f.nodes[olds:] {
+			held.members.Merge([]*roster.Record{&gone})
+		}
+	}
+	f.nodes = f.nodes[olds:]
+}
+
+// TestTheLastVersionLeft: a version beside which no other one is left is not taken back for
+// want of evidence.
+func TestTheLastVersionLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newFleet(7)
+		defer f.end()
+		f.order(7)
+		f.rest(3 * time.Second)
+		f.lose()
+		f.rest(duration)
+		g.Expect(f.store.phase()).To(Equal(rollout.Completed))
+		g.Expect(f.play(time.Second, never)[""]).To(BeZero())
+	})
+}
+
 // TestARepeatedOrder: an order for the version that is in use leaves nobody without back
-// ends, whether it was brought in by an order or was always there.
+// ends, with requests and without, and whatever these show.
 func TestARepeatedOrder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
@@ -406,21 +445,16 @@
 		f.order(7)
 		f.play(duration, never)
 		g.Expect(f.store.phase()).To(Equal(rollout.Completed))
-		for index := range olds {
-			f.kill(index)
-			for _, held := range f.nodes[olds:] {
-				gone, _ := f.nodes[index].members.Own().End("i-" + f.nodes[index].name)
-				gone.Counter++
-				held.members.Merge([]*roster.Record{&gone})
-			}
-		}
-		f.nodes = f.nodes[olds:]
-		for revision := uint64(8); revision < 10; revision++ {
-			f.order(revision)
-			counts := f.play(duration+time.Second, never)
-			g.Expect(counts[""]).To(BeZero())
-			g.Expect(f.store.phase()).To(Equal(rollout.Completed))
-		}
+		f.lose()
+		f.order(8)
+		g.Expect(f.play(duration+time.Second, never)[""]).To(BeZero())
+		f.order(9)
+		f.rest(duration + time.Second)
+		g.Expect(f.play(time.Second, never)[""]).To(BeZero())
+		f.order(10)
+		g.Expect(f.play(duration+time.Second, func(*node) bool { return f.random.Float64() < 0.5 })[""]).To(BeZero())
+		g.Expect(f.store.phase()).To(Equal(rollout.Completed))
+		g.Expect(f.store.revision).To(BeEquivalentTo(3+3), "each order gets its status")
 	})
 }
 
--- a/internal/sidecar/rollout/controller/writes.go
+++ b/internal/sidecar/rollout/controller/writes.go
@@ -55,7 +55,7 @@
 // act begins to write the phase that is due, when it is this node's turn; the lock is
 // held.
 func (c *Controller) act(ctx context.Context, held *carried, now time.Time) {
-	tally := c.tally(held)
+	tally := c.tally(held.Service, held.Version)
 	phase, due := held.Due(tally, c.options.Limits(), now)
 	if !due {
 		held.dueSince = time.Time{}
@@ -67,7 +67,7 @@
 	if held.writing || now.Before(held.notBefore) || !c.turn(held, phase, now) {
 		return
 	}
-	held.writing = true
+	held.writing, held.notBefore = true, now.Add(retryBase)
 	next := held.Reached(phase)
 	go c.write(ctx, next)
 }
@@ -159,6 +159,11 @@
 		held.Deadline = deadline
 	}
 	merged, news := held.Merge(move)
+	if move.Phase.Final() {
+		// What the store has is the end, whatever this node took for it.
+		news = held.Phase != move.Phase
+		merged.Phase, merged.Cause, merged.Recorded = move.Phase, move.Cause, true
+	}
 	held.Move = merged
 	if news {
 		c.entered(held, now)
--- a/internal/sidecar/rollout/decide.go
+++ b/internal/sidecar/rollout/decide.go
@@ -23,7 +23,7 @@
 	switch {
 	case tally.Condemns():
 		m.Phase, m.Recorded, m.Cause = Condemned, false, CauseFaulty
-	case now.After(m.Deadline.Add(expiry)):
+	case now.After(m.Deadline.Add(expiry)) && !tally.last():
 		m.Phase, m.Recorded, m.Cause = Condemned, false, CauseLate
 	default:
 		return m, false
@@ -31,12 +31,26 @@
 	return m, true
 }
 
+// Ordered returns the move of an order that was heard at that moment. A version that is the
+// only one in use has nothing to be tried against: its move is over at once.
+func Ordered(order Order, tally Tally, now time.Time) Move {
+	begun := Begin(order, now)
+	if tally.last() {
+		begun.Phase = Completed
+	}
+	return begun
+}
+
 // Due returns the phase that is to be written to the store now, and whether one is.
 func (m Move) Due(tally Tally, limits Limits, now time.Time) (phase Phase, due bool) {
 	switch {
 	case m.Phase.Final():
-		return m.Phase, false
-	case m.Phase == Condemned || !now.Before(m.Deadline):
+		return m.Phase, !m.Recorded
+	case m.Phase == Condemned:
+		return RolledBack, true
+	case tally.last() && !now.Before(m.CompleteAt(limits)):
+		return Completed, true
+	case !now.Before(m.Deadline):
 		return RolledBack, true
 	case m.Phase == Promoting:
 		return Completed, !now.Before(m.CompleteAt(limits))
--- a/internal/sidecar/rollout/judge.go
+++ b/internal/sidecar/rollout/judge.go
@@ -179,6 +179,9 @@
 	Lean float64
 }
 
+// last reports whether no other version is left to go back to.
+func (t Tally) last() bool { return t.Present > 0 && t.Others == 0 }
+
 // clearLean is how far one back end leans clearly.
 const clearLean = 1.0
 
--- a/internal/sidecar/rollout/rollout_test.go
+++ b/internal/sidecar/rollout/rollout_test.go
@@ -232,6 +232,9 @@
 		{"done", rollout.Promoting, good, true, complete, rollout.Completed, true},
 		{"the deadline has passed", rollout.Promoting, good, true, move.Deadline, rollout.RolledBack, true},
 		{"judged bad", rollout.Condemned, bad, false, start, rollout.RolledBack, true},
+		{"done, and the store does not know", rollout.Completed, bad, false, start, rollout.Completed, true},
+		{"no other version is left", rollout.Trial, rollout.Tally{Present: 8}, true, complete, rollout.Completed, true},
+		{"no other version is left, and it is bad", rollout.Condemned, rollout.Tally{Present: 8}, false, complete, rollout.RolledBack, true},
 		{"nothing follows on done", rollout.Completed, bad, true, move.Deadline, rollout.Completed, false},
 		{"nothing follows on taken back", rollout.RolledBack, good, true, move.Deadline, rollout.RolledBack, false},
 	}
