Tell what was at work when a back end's process ended, and which requests ask for the same thing

Ruled out: nothing yet.

Change: a node notes what is at work at its back end. When a connection breaks it asks whether the process still listens, and logs one line with the requests at work then and what they ask for, as a digest of method, host, path with query and body, and one of that with the caller's service. Lines of calls bear the digests too. Two counters. No decision has changed.

Before: a failed call's line had its route only.

--- a/internal/proxy/forward/request.go
+++ b/internal/proxy/forward/request.go
@@ -24,6 +24,7 @@
 
 // Body is the body of a request on its way through a proxy.
 type Body struct {
+	// buffered is the whole body, or of one that streams the part that was read before.
 	buffered []byte
 	length   int64
 	trailer  http.Header
@@ -71,9 +72,13 @@
 		remaining: math.MaxInt64,
 		request:   request,
 	}
-	return &Body{length: request.ContentLength, trailer: request.Trailer, stream: stream}, nil
+	return &Body{buffered: read, length: request.ContentLength, trailer: request.Trailer, stream: stream}, nil
 }
 
+// Held returns the part from the beginning that is held, which must not be changed, and
+// the length of the whole body; below zero when that is not known.
+func (b *Body) Held() (beginning []byte, length int64) { return b.buffered, b.length }
+
 func readShortBody(ctx context.Context, w http.ResponseWriter, request *http.Request) (*Body, error) {
 	defer unblockOnDone(ctx, w)()
 	buffered := make([]byte, request.ContentLength)
--- a/internal/sidecar/egress/calllog.go
+++ b/internal/sidecar/egress/calllog.go
@@ -6,6 +6,8 @@
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/fingerprint"
 )
 
 // ended tells the observer and the log how the call went.
@@ -56,6 +58,10 @@
 	if !c.deadline.IsZero() {
 		fields = append(fields, zap.Duration("left", time.Until(c.deadline)))
 	}
+	if c.body != nil {
+		print := fingerprint.Of(c.request, options.Caller(), c.body)
+		fields = append(fields, zap.Stringer("content", print.Content), zap.Stringer("call", print.Call))
+	}
 	if c.failure == nil {
 		return fields
 	}
--- a/internal/sidecar/ingress/arrival.go
+++ b/internal/sidecar/ingress/arrival.go
@@ -44,6 +44,9 @@
 	context  context.Context
 	// consented: the caller's node waited for consent before it sent the body.
 	consented bool
+	// body and sent, when it was first sent to the back end, are set before it is at work.
+	body *forward.Body
+	sent time.Time
 }
 
 // serve carries the request through. A nil result means that it is answered.
@@ -77,7 +80,10 @@
 	if forward.CallerLeft(a.context) {
 		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepAdmit, 0, forward.ErrCallerLeft)
 	}
-	run := a.handler.pace.Begin(a.told.Expected, time.Now())
+	a.body, a.sent = body, time.Now()
+	a.handler.workplace.begin(a)
+	defer a.handler.workplace.end(a)
+	run := a.handler.pace.Begin(a.told.Expected, a.sent)
 	defer a.handler.pace.End(run)
 	failure = a.exchange(body)
 	served = failure == nil
--- /dev/null
+++ b/internal/sidecar/ingress/ends.go
@@ -0,0 +1,196 @@
+package ingress
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/fingerprint"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+)
+
+const (
+	// probeTimeout bounds the question whether the back end's process is still there.
+	// It is on the same machine: a process that has ended refuses at once.
+	probeTimeout = 50 * time.Millisecond
+	// endRemembered is how long after its connections broke a back end that comes back
+	// under another id is known to have ended then.
+	endRemembered = 10 * time.Second
+)
+
+// Ending is the unplanned end of the process of a back end.
+type Ending struct {
+	// Endpoint is the back end.
+	Endpoint *roster.Endpoint
+	// Running are the requests that were at work there when its first connection broke.
+	Running []Running
+}
+
+// Running is one request at work.
+type Running struct {
+	RequestID string
+	Print     fingerprint.Print
+	// For is how long it had been there.
+	For time.Duration
+}
+
+// MarshalLogObject implements zapcore.ObjectMarshaler.
+func (r Running) MarshalLogObject(encoder zapcore.ObjectEncoder) error {
+	encoder.AddString("request", r.RequestID)
+	encoder.AddString("content", r.Print.Content.String())
+	encoder.AddString("call", r.Print.Call.String())
+	encoder.AddDuration("for", r.For)
+	return nil
+}
+
+// workplace knows which requests are at work at the back end, and tells a process that
+// has ended from connections that broke. It is safe for concurrent use.
+type workplace struct {
+	mu       sync.Mutex // guards all below
+	arrivals map[*arrival]struct{}
+	// last is the newest break of connections, nil before the first.
+	last *breakage
+}
+
+// breakage is a moment at which connections to the back end broke.
+type breakage struct {
+	ending Ending
+	at     time.Time
+	// answered is closed when it is known whether the process has ended; ended is
+	// written before.
+	answered chan struct{}
+	ended    bool
+}
+
+// begin notes that a request goes to the back end.
+func (w *workplace) begin(a *arrival) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.arrivals == nil {
+		w.arrivals = map[*arrival]struct{}{}
+	}
+	w.arrivals[a] = struct{}{}
+}
+
+// end notes that a request is there no more.
+func (w *workplace) end(a *arrival) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.arrivals, a)
+}
+
+// broke returns the breakage that a request met whose connection broke, and whether it is
+// new. The first to come finds all others still at work.
+func (w *workplace) broke(a *arrival, now time.Time) (met *breakage, first bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.last != nil && w.last.ending.Endpoint.ID == a.endpoint.ID && (w.last.ended || !w.last.isAnswered()) {
+		return w.last, false
+	}
+	w.last = &breakage{ending: Ending{Endpoint: a.endpoint}, at: now, answered: make(chan struct{})}
+	for other := range w.arrivals {
+		if other.endpoint.ID == a.endpoint.ID {
+			w.last.ending.Running = append(w.last.ending.Running, other.running(now))
+		}
+	}
+	return w.last, true
+}
+
+func (b *breakage) isAnswered() bool {
+	select {
+	case <-b.answered:
+		return true
+	default:
+		return false
+	}
+}
+
+// replaced returns the breakage that the end of a process turns out to have been, now that
+// another back end is there; nil when there is none.
+func (w *workplace) replaced(id string, now time.Time) *breakage {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	last := w.last
+	if last == nil || !last.isAnswered() || last.ended || last.ending.Endpoint.ID == id || now.Sub(last.at) > endRemembered {
+		return nil
+	}
+	last.ended = true
+	return last
+}
+
+// planned takes in that a back end is to end: what broke before was no sign of it.
+func (w *workplace) planned(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.last != nil && w.last.ending.Endpoint.ID == id && w.last.isAnswered() {
+		w.last = nil
+	}
+}
+
+// settle notes whether the process has ended.
+func (w *workplace) settle(met *breakage, ended bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	met.ended = ended
+	close(met.answered)
+}
+
+// ended reports whether the process of the back end has ended under a request whose
+// connection broke. The first such request asks; what was at work is told then.
+func (h *Handler) ended(a *arrival) bool {
+	met, first := h.workplace.broke(a, time.Now())
+	if first {
+		ended := h.processEnded(a.context)
+		h.workplace.settle(met, ended)
+		if ended {
+			h.tellEnding(met)
+		}
+	}
+	<-met.answered
+	h.workplace.mu.Lock()
+	defer h.workplace.mu.Unlock()
+	return met.ended
+}
+
+// processEnded asks for a connection. A reset of connections leaves the listener; without
+// its process nobody listens.
+func (h *Handler) processEnded(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
+	defer cancel()
+	conn, err := h.options.Dial(ctx, "tcp", h.options.Address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	if err := conn.Close(); err != nil {
+		h.options.Logger.Debug("probe of the back end not closed", zap.Error(err))
+	}
+	return false
+}
+
+// tellEnding tells of a back end that has ended. One that was leaving was to end.
+func (h *Handler) tellEnding(met *breakage) {
+	endpoint := met.ending.Endpoint
+	if endpoint.State != roster.Ready {
+		return
+	}
+	h.options.Logger.Warn("back end ended", zap.String("endpoint", endpoint.ID), zap.String("service", endpoint.Service),
+		zap.String("software", endpoint.Version), zap.Objects("running", met.ending.Running))
+	h.options.Observer.BackendEnded(len(met.ending.Running))
+}
+
+// running describes the request for the end of its back end.
+func (a *arrival) running(now time.Time) Running {
+	return Running{
+		RequestID: a.request.Header.Get(a.handler.options.Vocabulary.RequestID),
+		Print:     a.print(),
+		For:       now.Sub(a.sent),
+	}
+}
+
+// print identifies what the request asks for.
+func (a *arrival) print() fingerprint.Print { return fingerprint.Of(a.request, a.told.Caller, a.body) }
--- a/internal/sidecar/ingress/exchange.go
+++ b/internal/sidecar/ingress/exchange.go
@@ -14,6 +14,7 @@
 
 // Causes of failed exchanges with the back end.
 var (
+	errEnded     = errors.New("the back end's process ended")
 	errOtherID   = errors.New("the back end has another id than the one last heard of")
 	errShed      = errors.New("the back end did not process the request")
 	errMisplaced = errors.New("the answer belongs to another request")
@@ -41,6 +42,9 @@
 		}
 		failure := a.failed(err)
 		a.observe(failure)
+		if failure.Outcome == outcome.Unknown {
+			a.seeEnd(failure)
+		}
 		again := failure.Outcome == outcome.NotRun && failure.Step == outcome.StepWrite && a.context.Err() == nil
 		if !again || send == sendsPerVisit || sent.Spent() {
 			return failure
@@ -90,6 +94,14 @@
 	return failure
 }
 
+// seeEnd adds to a failure whose connection broke whether the back end's process ended.
+// What the caller gave up broke the connection itself.
+func (a *arrival) seeEnd(failure *outcome.Failure) {
+	if a.context.Err() == nil && a.handler.ended(a) {
+		failure.Cause = errors.Join(errEnded, failure.Cause)
+	}
+}
+
 // hangs is how many times as long as expected a request must have been at the
 // back end for its end without an answer to be the back end's failure.
 const hangs = 4
@@ -128,6 +140,7 @@
 	if err := body.Gather(response); err != nil {
 		failure := a.unknown(errors.Join(errBrokenOff, err))
 		a.observe(failure)
+		a.seeEnd(failure)
 		return failure
 	}
 	failed := response.StatusCode >= http.StatusInternalServerError
--- a/internal/sidecar/ingress/handler.go
+++ b/internal/sidecar/ingress/handler.go
@@ -50,6 +50,9 @@
 	// Arrived: a request has its answer or was refused, after that time in all
 	// and that time in the queue.
 	Arrived(result outcome.Outcome, step outcome.Step, elapsed, waited time.Duration)
+	// BackendEnded: the process of the back end ended unplanned while so many requests
+	// were at work there.
+	BackendEnded(running int)
 }
 
 // Judge compares the version of the back end with others.
@@ -94,6 +97,8 @@
 	inFlight atomic.Int64
 	pace     choice.Pace
 	failures choice.Failures
+	// workplace holds what is at work at the back end.
+	workplace workplace
 }
 
 // leaving remembers since when a back end is leaving.
@@ -124,6 +129,12 @@
 	if endpoint == nil {
 		return
 	}
+	if met := h.workplace.replaced(endpoint.ID, time.Now()); met != nil {
+		go h.tellEnding(met) // the roster's lock is held
+	}
+	if endpoint.State != roster.Ready {
+		h.workplace.planned(endpoint.ID)
+	}
 	h.gate.Resize(max(endpoint.Slots, 1))
 	held := h.leaving.Load()
 	switch {
--- a/internal/sidecar/ingress/handler_test.go
+++ b/internal/sidecar/ingress/handler_test.go
@@ -31,6 +31,7 @@
 type silentObserver struct{}
 
 func (silentObserver) Arrived(outcome.Outcome, outcome.Step, time.Duration, time.Duration) {}
+func (silentObserver) BackendEnded(int)                                                    {}
 
 // played is a handler with a back end that answers as it is told.
 type played struct {
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -23,6 +23,9 @@
 	worked   prometheus.Histogram
 	silent   prometheus.Counter
 	overtook prometheus.Counter
+	// ended counts unplanned ends of the back end's process, running the requests that
+	// were at work then.
+	ended, running prometheus.Counter
 }
 
 // latencyBuckets are in seconds.
@@ -93,7 +96,13 @@
 	created.overtook = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "kestrel_sidecar_pipelined_total", Help: "Requests begun before the answers to earlier ones on their connection.",
 	})
-	registry.MustRegister(created.silent, created.overtook, created.calls, created.latency, created.hop, created.sends, created.arrivals, created.queued, created.worked)
+	created.ended = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "kestrel_sidecar_backend_ends_total", Help: "Unplanned ends of the back end's process under requests.",
+	})
+	created.running = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "kestrel_sidecar_backend_ends_running_total", Help: "Requests at work when the back end's process ended.",
+	})
+	registry.MustRegister(created.ended, created.running, created.silent, created.overtook, created.calls, created.latency, created.hop, created.sends, created.arrivals, created.queued, created.worked)
 	return created
 }
 
@@ -123,6 +132,12 @@
 	m.worked.Observe((elapsed - waited).Seconds())
 }
 
+// BackendEnded implements ingress.Observer.
+func (m *metrics) BackendEnded(running int) {
+	m.ended.Inc()
+	m.running.Add(float64(running))
+}
+
 // watch adds gauges that read the node's state.
 func (s *Sidecar) watch(registry prometheus.Registerer) {
 	gauge := func(name, help string, read func() float64) {
