--- a/internal/sidecar/backend.go
+++ b/internal/sidecar/backend.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/quarantine"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 )
 
@@ -42,6 +43,22 @@
 	}
 }
 
+// guard passes the ends of the back end on to the quarantine, and lets the next one that
+// makes itself known take its place at once.
+type guard struct {
+	*quarantine.Quarantine
+	sidecar *Sidecar
+}
+
+// Ended implements ingress.Quarantine.
+func (g *guard) Ended(crash roster.Crash) {
+	g.Quarantine.Ended(crash)
+	g.sidecar.members.Update(func(record roster.Record) (roster.Record, bool) {
+		g.sidecar.claims.Lost(record, crash.Endpoint)
+		return record, false
+	})
+}
+
 // Ended takes in that a back end ends for good.
 func (s *Sidecar) Ended(ctx context.Context, id string) {
 	_, changed := s.members.Update(func(record roster.Record) (roster.Record, bool) { return record.End(id) })
--- a/internal/sidecar/egress/call.go
+++ b/internal/sidecar/egress/call.go
@@ -8,6 +8,7 @@
 
 	"github.com/kestrelstream/kestrelstream/internal/proxy/forward"
 	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/fingerprint"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/route"
 )
@@ -23,6 +24,8 @@
 	errHeader     = errors.New("the header is longer than limits.headerBytes")
 	errBudget     = errors.New("the budget of repeats is spent")
 	errAttempts   = errors.New("the route's attempts are spent")
+	errHeld       = errors.New("the request ends the back ends that run it")
+	errCrashes    = errors.New("back ends ended under the request")
 )
 
 const (
@@ -54,8 +57,9 @@
 	body       *forward.Body
 	// visits are the nodes that the request was sent to.
 	visits visits
-	// runs counts the sends that may have reached a back end.
-	runs int
+	// runs counts the sends that may have reached a back end, crashes those under which
+	// one ended.
+	runs, crashes int
 	// results delivers the sends that ended; over is closed when nobody takes
 	// them any more.
 	results chan *attempt
@@ -101,6 +105,24 @@
 	return c.send()
 }
 
+// heldRetryAfter is told a caller whose request is held back: nothing that it could wait
+// for will change that.
+const heldRetryAfter = time.Minute
+
+// heldBack refuses a request that ends the back ends that run it, or returns nil.
+func (c *call) heldBack() *outcome.Failure {
+	quarantine := c.handler.options.Quarantine
+	if quarantine.Idle() || !quarantine.Holds(c.print()) {
+		return nil
+	}
+	return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepQuarantine, heldRetryAfter, errHeld)
+}
+
+// print identifies what the request asks for.
+func (c *call) print() fingerprint.Print {
+	return fingerprint.Of(c.request, c.handler.options.Caller(), c.body)
+}
+
 // headerBytes is the length of the request's header as it was sent, line ends
 // included.
 func headerBytes(r *http.Request) int {
@@ -151,6 +173,9 @@
 	c.body = body
 	defer body.UnblockOnDone(c.context, c.writer)()
 	c.service = c.route.NextService()
+	if failure := c.heldBack(); failure != nil {
+		return failure
+	}
 	c.results, c.over = make(chan *attempt), make(chan struct{})
 	defer close(c.over)
 	c.handler.budget(c.service).first(c.handler.options.Retries(), c.members(), time.Now())
@@ -206,6 +231,9 @@
 	}
 	if failure.Outcome == outcome.NotRun {
 		failure.Status = http.StatusServiceUnavailable
+		if failure.Step == outcome.StepQuarantine {
+			failure.RetryAfter = heldRetryAfter
+		}
 		return &failure
 	}
 	failure.RetryAfter = 0
@@ -240,6 +268,9 @@
 // retryAfter keeps the wait within what the caller still has.
 func (c *call) retryAfter(wanted time.Duration) time.Duration {
 	wait := max(wanted, minimumRetryAfter)
+	if wait >= heldRetryAfter {
+		return wait
+	}
 	if c.returning {
 		left := c.callerTime - time.Since(c.started)
 		return max(wait, time.Duration(float64(left)*returningShare))
--- a/internal/sidecar/egress/call_test.go
+++ b/internal/sidecar/egress/call_test.go
@@ -14,11 +14,13 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
 	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/choice"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/quarantine"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/route"
 )
@@ -112,6 +114,7 @@
 		Version: 1,
 		Routes: []route.Route{
 			{Name: "safe", Host: "h", PathPrefix: "/safe/", Repeatable: true, Attempts: 2, TargetLatency: 200 * time.Millisecond, Targets: []route.Target{{Service: "s", Weight: 1}}},
+			{Name: "often", Host: "h", PathPrefix: "/often/", Repeatable: true, Attempts: 4, TargetLatency: 200 * time.Millisecond, Targets: []route.Target{{Service: "s", Weight: 1}}},
 			{Name: "once", Host: "h", PathPrefix: "/once/", Attempts: 2, TargetLatency: 200 * time.Millisecond, Targets: []route.Target{{Service: "s", Weight: 1}}},
 		},
 		Services: []route.Service{{Name: "s"}},
@@ -145,6 +148,9 @@
 		Probe:      probe,
 		Logger:     zap.NewNop(),
 		Observer:   observer,
+		Quarantine: quarantine.New(quarantine.Options{
+			Members: members, Spread: func() {}, Logger: zap.NewNop(), Registry: prometheus.NewRegistry(),
+		}),
 	})
 	t.Cleanup(created.Cut)
 	return created
--- a/internal/sidecar/egress/calllog.go
+++ b/internal/sidecar/egress/calllog.go
@@ -6,8 +6,6 @@
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
-
-	"github.com/kestrelstream/kestrelstream/internal/sidecar/fingerprint"
 )
 
 // ended tells the observer and the log how the call went.
@@ -59,7 +57,7 @@
 		fields = append(fields, zap.Duration("left", time.Until(c.deadline)))
 	}
 	if c.body != nil {
-		print := fingerprint.Of(c.request, options.Caller(), c.body)
+		print := c.print()
 		fields = append(fields, zap.Stringer("content", print.Content), zap.Stringer("call", print.Call))
 	}
 	if c.failure == nil {
--- a/internal/sidecar/egress/handler.go
+++ b/internal/sidecar/egress/handler.go
@@ -16,6 +16,7 @@
 	"github.com/kestrelstream/kestrelstream/internal/proxy/forward"
 	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/choice"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/fingerprint"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
@@ -40,6 +41,8 @@
 	// Plan returns how a service's requests are divided between versions of its
 	// software, nil when they are not.
 	Plan func(service string) *rollout.Plan
+	// Quarantine knows which requests end back ends.
+	Quarantine Quarantine
 	// Retries bound repeated sends.
 	Retries func() RetryLimits
 	// Weights price the choice of back ends.
@@ -52,6 +55,14 @@
 	Observer Observer
 }
 
+// Quarantine knows which requests end the back ends that run them.
+type Quarantine interface {
+	// Idle reports whether there is none, not even a suspected one.
+	Idle() bool
+	// Holds reports whether no back end is to get the request.
+	Holds(fingerprint.Print) bool
+}
+
 // Observer is told how calls went.
 type Observer interface {
 	// CallEnded: the caller has its answer, or is gone.
--- a/internal/sidecar/egress/visit.go
+++ b/internal/sidecar/egress/visit.go
@@ -23,6 +23,9 @@
 	// last one alone waits for its whole time, and 0.862 of the worth was served in place of
 	// 0.879 with five (docs/design/0010-the-shifted-work.md).
 	refusalsPerCall = 5
+	// mostCrashes is under how many ends of back ends one request is repeated: its own node
+	// knows before the others that it may be what ends them.
+	mostCrashes = 2
 	// largeRefusals is that bound for large bodies, each refusal of which may have cost
 	// the links a transfer.
 	largeRefusals = 3
@@ -166,7 +169,7 @@
 		failure.RetryAfter = time.Duration(seconds * float64(time.Second))
 	}
 	switch {
-	case failure.Step == outcome.StepAdmit:
+	case failure.Step == outcome.StepAdmit || failure.Step == outcome.StepQuarantine:
 	case a.call.context.Err() == nil:
 		a.target.failed(now)
 	}
@@ -178,17 +181,27 @@
 	if last.target == nil || c.context.Err() != nil || c.body.Spent() {
 		return false
 	}
+	if last.failure.Step == outcome.StepQuarantine {
+		return false
+	}
 	reached := last.failure.Outcome != outcome.NotRun || last.failure.Step == outcome.StepShed
 	if !reached {
 		return len(c.visits) < c.refusals() && c.considered(time.Now(), c.selected()).worthwhile()
 	}
 	c.runs++
+	if last.failure.Step == outcome.StepCrash {
+		c.crashes++
+	}
 	if last.failure.Outcome != outcome.NotRun {
 		c.mayHaveRun = true
 		if !c.route.Repeatable {
 			return false
 		}
 	}
+	if c.crashes >= mostCrashes {
+		last.failure.Cause = errors.Join(errCrashes, last.failure.Cause)
+		return false
+	}
 	if c.runs >= c.route.Attempts {
 		last.failure.Cause = errors.Join(errAttempts, last.failure.Cause)
 		return false
@@ -221,6 +234,7 @@
 		Service: a.service, Caller: options.Caller(), Remaining: remaining, Priority: c.route.Priority,
 		MaximumWait: c.mostWait(request, a), Expected: c.work().Mean(c.assumedWork()),
 		Returning: request.Returning && !request.Hurried(),
+		Suspect:   c.crashes > 0,
 		Usual:     c.handler.usualOf(c.service, c.route.Name, a.record),
 	}
 	header[hop.HeaderHop] = []string{told.Format()}
--- a/internal/sidecar/fingerprint/fingerprint.go
+++ b/internal/sidecar/fingerprint/fingerprint.go
@@ -3,6 +3,7 @@
 package fingerprint
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/base64"
 	"errors"
@@ -22,9 +23,9 @@
 // Print is what is known of one request.
 type Print struct {
 	// Content is that of method, host, path with query, and body.
-	Content Digest
+	Content Digest `json:"content"`
 	// Call is that of the content and the service of the caller.
-	Call Digest
+	Call Digest `json:"call"`
 }
 
 // Body is a request's body as far as it was read before the request was sent on.
@@ -75,3 +76,6 @@
 	copy(d[:], read)
 	return nil
 }
+
+// Compare orders digests.
+func (d Digest) Compare(other Digest) int { return bytes.Compare(d[:], other[:]) }
--- a/internal/sidecar/hop/hop_test.go
+++ b/internal/sidecar/hop/hop_test.go
@@ -14,11 +14,15 @@
 	g := NewWithT(t)
 	sent := hop.Request{
 		Service: "one", Caller: "two", Remaining: 1234567 * time.Microsecond, Priority: 3,
-		MaximumWait: 90 * time.Millisecond, Expected: 36500 * time.Microsecond, Returning: true,
+		MaximumWait: 90 * time.Millisecond, Expected: 36500 * time.Microsecond, Returning: true, Suspect: true,
 	}
 	received, err := hop.ParseRequest(sent.Format())
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(received).To(Equal(sent))
+	sent.Returning = false
+	received, err = hop.ParseRequest(sent.Format())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(received).To(Equal(sent))
 	late := hop.Request{Service: "one", Remaining: -time.Second, MaximumWait: -1}
 	received, err = hop.ParseRequest(late.Format())
 	g.Expect(err).NotTo(HaveOccurred())
--- a/internal/sidecar/hop/line.go
+++ b/internal/sidecar/hop/line.go
@@ -27,6 +27,8 @@
 	Expected time.Duration
 	// Returning: the caller was refused before and has come back.
 	Returning bool
+	// Suspect: a back end ended under the request at an earlier send.
+	Suspect bool
 	// Usual is told with requests to a version that is compared with others: how often
 	// answers of those are bad. It is nil with all other requests.
 	Usual *rollout.Usual
@@ -41,13 +43,16 @@
 	line = append(line, r.Service...)
 	line = append(line, ' ')
 	line = append(line, r.Caller...)
-	returning := int64(0)
+	flags := int64(0)
 	if r.Returning {
-		returning = 1
+		flags |= flagReturning
+	}
+	if r.Suspect {
+		flags |= flagSuspect
 	}
 	for _, number := range [...]int64{
 		max(r.Remaining.Microseconds(), 1), int64(r.Priority), max(r.MaximumWait.Microseconds(), 0),
-		max(r.Expected.Microseconds(), 0), returning,
+		max(r.Expected.Microseconds(), 0), flags,
 	} {
 		line = strconv.AppendInt(append(line, ' '), number, 10)
 	}
@@ -65,6 +70,9 @@
 	requestNames   = 2
 	requestNumbers = 5
 	replyNumbers   = 8
+	// The flags of a request. Nodes of the version before take any of them for the first.
+	flagReturning = 1
+	flagSuspect   = 2
 	// slackPart is where the version before has its additional number.
 	slackPart = 5
 )
@@ -87,7 +95,7 @@
 	read := Request{
 		Service: parts[0], Caller: parts[1],
 		Remaining: microseconds(numbers[0]), Priority: int(numbers[1]), MaximumWait: microseconds(numbers[2]),
-		Expected: microseconds(numbers[3]), Returning: numbers[4] != 0,
+		Expected: microseconds(numbers[3]), Returning: numbers[4]&flagReturning != 0, Suspect: numbers[4]&flagSuspect != 0,
 	}
 	if compared {
 		read.Usual = &rollout.Usual{
--- a/internal/sidecar/ingress/arrival.go
+++ b/internal/sidecar/ingress/arrival.go
@@ -47,6 +47,8 @@
 	// body and sent, when it was first sent to the back end, are set before it is at work.
 	body *forward.Body
 	sent time.Time
+	// onTrial: the request is suspected of ending back ends and has the handler's trial.
+	onTrial bool
 }
 
 // serve carries the request through. A nil result means that it is answered.
@@ -57,11 +59,18 @@
 	var cancel context.CancelFunc
 	a.context, cancel = context.WithDeadline(a.request.Context(), a.deadline)
 	defer cancel()
+	defer a.endTrial()
 	a.consented = len(a.request.Header["Expect"]) > 0
 	body, failure := a.bodyBefore()
 	if failure != nil {
 		return failure
 	}
+	if body != nil {
+		a.body = body
+		if failure := a.examine(); failure != nil {
+			return failure
+		}
+	}
 	slot, failure := a.admit()
 	if failure != nil {
 		return failure
@@ -77,10 +86,15 @@
 		}
 		body = read
 	}
+	a.body = body
+	// What others told meanwhile counts.
+	if failure := a.examine(); failure != nil {
+		return failure
+	}
 	if forward.CallerLeft(a.context) {
 		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepAdmit, 0, forward.ErrCallerLeft)
 	}
-	a.body, a.sent = body, time.Now()
+	a.sent = time.Now()
 	a.handler.workplace.begin(a)
 	defer a.handler.workplace.end(a)
 	run := a.handler.pace.Begin(a.told.Expected, a.sent)
--- a/internal/sidecar/ingress/ends.go
+++ b/internal/sidecar/ingress/ends.go
@@ -1,8 +1,11 @@
 package ingress
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -21,6 +24,11 @@
 	// endRemembered is how long after its connections broke a back end that comes back
 	// under another id is known to have ended then.
 	endRemembered = 10 * time.Second
+	// breakTime is within which connections break together.
+	breakTime = 2 * probeTimeout
+	// gatherTimeout bounds the wait for the connections of all requests that were at work
+	// to break: one that provably was not sent is no suspect.
+	gatherTimeout = 20 * time.Millisecond
 )
 
 // Ending is the unplanned end of the process of a back end.
@@ -37,6 +45,8 @@
 	Print     fingerprint.Print
 	// For is how long it had been there.
 	For time.Duration
+	// Trial: it was suspected of ending back ends before.
+	Trial bool
 }
 
 // MarshalLogObject implements zapcore.ObjectMarshaler.
@@ -45,13 +55,16 @@
 	encoder.AddString("content", r.Print.Content.String())
 	encoder.AddString("call", r.Print.Call.String())
 	encoder.AddDuration("for", r.For)
+	if r.Trial {
+		encoder.AddBool("trial", true)
+	}
 	return nil
 }
 
 // workplace knows which requests are at work at the back end, and tells a process that
 // has ended from connections that broke. It is safe for concurrent use.
 type workplace struct {
-	mu       sync.Mutex // guards all below
+	mu       sync.Mutex // guards all below and the breakages
 	arrivals map[*arrival]struct{}
 	// last is the newest break of connections, nil before the first.
 	last *breakage
@@ -59,8 +72,14 @@
 
 // breakage is a moment at which connections to the back end broke.
 type breakage struct {
-	ending Ending
-	at     time.Time
+	endpoint *roster.Endpoint
+	at       time.Time
+	// running were at work then. One that provably was not sent is taken out.
+	running map[*arrival]Running
+	// open are those of them of which it is not known yet whether they were sent; known is
+	// closed when there are none any more.
+	open  map[*arrival]struct{}
+	known chan struct{}
 	// answered is closed when it is known whether the process has ended; ended is
 	// written before.
 	answered chan struct{}
@@ -82,6 +101,27 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	delete(w.arrivals, a)
+	w.last.resolve(a)
+}
+
+// unsent notes that a request provably was not sent: it ended nothing.
+func (w *workplace) unsent(a *arrival) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.last != nil {
+		delete(w.last.running, a)
+	}
+}
+
+// resolve notes that it is known of a request whether it was sent; the lock is held.
+func (b *breakage) resolve(a *arrival) {
+	if b == nil || len(b.open) == 0 {
+		return
+	}
+	delete(b.open, a)
+	if len(b.open) == 0 {
+		close(b.known)
+	}
 }
 
 // broke returns the breakage that a request met whose connection broke, and whether it is
@@ -89,15 +129,21 @@
 func (w *workplace) broke(a *arrival, now time.Time) (met *breakage, first bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.last != nil && w.last.ending.Endpoint.ID == a.endpoint.ID && (w.last.ended || !w.last.isAnswered()) {
+	if w.last != nil && w.last.endpoint.ID == a.endpoint.ID && (w.last.ended || now.Sub(w.last.at) < breakTime) {
+		w.last.resolve(a)
 		return w.last, false
 	}
-	w.last = &breakage{ending: Ending{Endpoint: a.endpoint}, at: now, answered: make(chan struct{})}
+	w.last = &breakage{
+		endpoint: a.endpoint, at: now, running: map[*arrival]Running{}, open: map[*arrival]struct{}{},
+		known: make(chan struct{}), answered: make(chan struct{}),
+	}
 	for other := range w.arrivals {
 		if other.endpoint.ID == a.endpoint.ID {
-			w.last.ending.Running = append(w.last.ending.Running, other.running(now))
+			w.last.running[other] = other.running(now)
+			w.last.open[other] = struct{}{}
 		}
 	}
+	w.last.resolve(a)
 	return w.last, true
 }
 
@@ -110,13 +156,23 @@
 	}
 }
 
+// ending returns the end of the process that the breakage was, the requests in the order in
+// which they began.
+func (w *workplace) ending(of *breakage) *Ending {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return &Ending{Endpoint: of.endpoint, Running: slices.SortedFunc(maps.Values(of.running), func(a, b Running) int {
+		return cmp.Or(cmp.Compare(b.For, a.For), cmp.Compare(a.RequestID, b.RequestID))
+	})}
+}
+
 // replaced returns the breakage that the end of a process turns out to have been, now that
 // another back end is there; nil when there is none.
 func (w *workplace) replaced(id string, now time.Time) *breakage {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	last := w.last
-	if last == nil || !last.isAnswered() || last.ended || last.ending.Endpoint.ID == id || now.Sub(last.at) > endRemembered {
+	if last == nil || !last.isAnswered() || last.ended || last.endpoint.ID == id || now.Sub(last.at) > endRemembered {
 		return nil
 	}
 	last.ended = true
@@ -127,7 +183,7 @@
 func (w *workplace) planned(id string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.last != nil && w.last.ending.Endpoint.ID == id && w.last.isAnswered() {
+	if w.last != nil && w.last.endpoint.ID == id && w.last.isAnswered() {
 		w.last = nil
 	}
 }
@@ -174,13 +230,30 @@
 
 // tellEnding tells of a back end that has ended. One that was leaving was to end.
 func (h *Handler) tellEnding(met *breakage) {
-	endpoint := met.ending.Endpoint
-	if endpoint.State != roster.Ready {
+	if met.endpoint.State != roster.Ready {
 		return
 	}
-	h.options.Logger.Warn("back end ended", zap.String("endpoint", endpoint.ID), zap.String("service", endpoint.Service),
-		zap.String("software", endpoint.Version), zap.Objects("running", met.ending.Running))
-	h.options.Observer.BackendEnded(len(met.ending.Running))
+	select {
+	case <-met.known:
+	case <-time.After(gatherTimeout):
+	}
+	ending := h.workplace.ending(met)
+	h.options.Logger.Warn("back end ended", zap.String("endpoint", ending.Endpoint.ID), zap.String("service", ending.Endpoint.Service),
+		zap.String("software", ending.Endpoint.Version), zap.Objects("running", ending.Running))
+	h.options.Observer.BackendEnded(len(ending.Running))
+	h.options.Quarantine.Ended(ending.crash())
+}
+
+// crash is the end as other nodes are told of it.
+func (e *Ending) crash() roster.Crash {
+	crash := roster.Crash{Endpoint: e.Endpoint.ID, Service: e.Endpoint.Service}
+	for _, running := range e.Running {
+		crash.Running = append(crash.Running, running.Print)
+		if running.Trial {
+			crash.Trial = &running.Print
+		}
+	}
+	return crash
 }
 
 // running describes the request for the end of its back end.
@@ -189,6 +262,7 @@
 		RequestID: a.request.Header.Get(a.handler.options.Vocabulary.RequestID),
 		Print:     a.print(),
 		For:       now.Sub(a.sent),
+		Trial:     a.onTrial,
 	}
 }
 
--- a/internal/sidecar/ingress/ends_test.go
+++ b/internal/sidecar/ingress/ends_test.go
@@ -22,12 +22,14 @@
 	server   *httptest.Server
 	endpoint atomic.Pointer[roster.Endpoint]
 	lines    *observer.ObservedLogs
+	// quarantine is what the handler asks and tells.
+	quarantine *scripted
 	// atWork delivers one for each request that has begun.
 	atWork chan struct{}
 }
 
 func playMortal(t *testing.T) *mortal {
-	made := &mortal{atWork: make(chan struct{}, 8)}
+	made := &mortal{atWork: make(chan struct{}, 8), quarantine: newScripted()}
 	made.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { (*made.answer.Load())(w, r) }))
 	t.Cleanup(made.server.Close)
 	core, lines := observer.New(zap.WarnLevel)
@@ -38,7 +40,7 @@
 		Endpoint:   func() *roster.Endpoint { return made.endpoint.Load() },
 		Identified: func(string) {}, Version: func() uint64 { return 1 },
 		DrainAfter: func() time.Duration { return time.Second },
-		Dial:       (&net.Dialer{}).DialContext, Logger: zap.New(core), Observer: silentObserver{},
+		Dial:       (&net.Dialer{}).DialContext, Logger: zap.New(core), Observer: silentObserver{}, Quarantine: made.quarantine,
 	})
 	made.handler.Follow(made.endpoint.Load())
 	return made
--- a/internal/sidecar/ingress/exchange.go
+++ b/internal/sidecar/ingress/exchange.go
@@ -44,6 +44,8 @@
 		a.observe(failure)
 		if failure.Outcome == outcome.Unknown {
 			a.seeEnd(failure)
+		} else {
+			a.handler.workplace.unsent(a)
 		}
 		again := failure.Outcome == outcome.NotRun && failure.Step == outcome.StepWrite && a.context.Err() == nil
 		if !again || send == sendsPerVisit || sent.Spent() {
@@ -94,11 +96,16 @@
 	return failure
 }
 
-// seeEnd adds to a failure whose connection broke whether the back end's process ended.
+// seeEnd finds out for a failure whose connection broke whether the back end's process ended.
 // What the caller gave up broke the connection itself.
 func (a *arrival) seeEnd(failure *outcome.Failure) {
 	if a.context.Err() == nil && a.handler.ended(a) {
+		failure.Step = outcome.StepCrash
 		failure.Cause = errors.Join(errEnded, failure.Cause)
+		if a.handler.options.Quarantine.Holds(a.print()) {
+			// The caller's node has not heard it yet and would send the request on.
+			failure.Step = outcome.StepQuarantine
+		}
 	}
 }
 
@@ -143,6 +150,7 @@
 		a.seeEnd(failure)
 		return failure
 	}
+	a.survived()
 	failed := response.StatusCode >= http.StatusInternalServerError
 	a.handler.failures.Observe(failed)
 	a.judged(failed)
--- a/internal/sidecar/ingress/handler.go
+++ b/internal/sidecar/ingress/handler.go
@@ -9,11 +9,13 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/kestrelstream/kestrelstream/internal/proxy/forward"
 	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/admission"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/choice"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/fingerprint"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
@@ -37,6 +39,8 @@
 	// Judge takes in what the back end's answers show of its version; nil when nobody
 	// compares versions.
 	Judge Judge
+	// Quarantine knows which requests end back ends.
+	Quarantine Quarantine
 	// LinkMbps is the speed of the machine's link in Mbit/s; zero when unknown.
 	LinkMbps int
 	// Dial opens connections to the back end.
@@ -55,6 +59,20 @@
 	BackendEnded(running int)
 }
 
+// Quarantine knows which requests end the back ends that run them.
+type Quarantine interface {
+	// Idle reports whether there is none, not even a suspected one.
+	Idle() bool
+	// Holds reports whether no back end is to get the request.
+	Holds(fingerprint.Print) bool
+	// Suspects reports whether the request may have ended a back end.
+	Suspects(fingerprint.Print) bool
+	// Ended takes in that the back end ended.
+	Ended(roster.Crash)
+	// Survived takes in that the back end has answered a request.
+	Survived(fingerprint.Print)
+}
+
 // Judge compares the version of the back end with others.
 type Judge interface {
 	// Refuses reports whether the back end is to get nothing for its version.
@@ -99,6 +117,9 @@
 	failures choice.Failures
 	// workplace holds what is at work at the back end.
 	workplace workplace
+	// trial is held by the suspected request that is at work there: one at a time, so that
+	// an end tells which it was.
+	trial *semaphore.Weighted
 }
 
 // leaving remembers since when a back end is leaving.
@@ -120,6 +141,7 @@
 		}, options.Dial),
 		gate:      admission.New(time.Now),
 		transfers: newTransfers(options.LinkMbps),
+		trial:     semaphore.NewWeighted(1),
 	}
 }
 
--- a/internal/sidecar/ingress/handler_test.go
+++ b/internal/sidecar/ingress/handler_test.go
@@ -37,6 +37,8 @@
 type played struct {
 	handler *ingress.Handler
 	answer  atomic.Pointer[http.HandlerFunc]
+	// told changes what the caller's node tells, nil for nothing.
+	told func(*hop.Request)
 }
 
 func play(t *testing.T) *played {
@@ -49,7 +51,7 @@
 		Endpoint:   func() *roster.Endpoint { return endpoint },
 		Identified: func(string) {}, Version: func() uint64 { return 1 },
 		DrainAfter: func() time.Duration { return time.Second },
-		Dial:       (&net.Dialer{}).DialContext, Logger: zap.NewNop(), Observer: silentObserver{},
+		Dial:       (&net.Dialer{}).DialContext, Logger: zap.NewNop(), Observer: silentObserver{}, Quarantine: newScripted(),
 	})
 	made.handler.Follow(endpoint)
 	return made
@@ -68,6 +70,9 @@
 // receive passes one request through the handler and returns the answer.
 func (p *played) receive(ctx context.Context) *httptest.ResponseRecorder {
 	told := hop.Request{Service: "one", Caller: "two", Remaining: time.Minute, MaximumWait: time.Second, Expected: 10 * time.Millisecond}
+	if p.told != nil {
+		p.told(&told)
+	}
 	req := httptest.NewRequestWithContext(ctx, http.MethodGet, "/a/", strings.NewReader(""))
 	req.Header.Set(hop.HeaderHop, told.Format())
 	req.Header.Set(vocabulary.RequestID, "r")
--- a/internal/sidecar/membership/membership_test.go
+++ b/internal/sidecar/membership/membership_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
 
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/fingerprint"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/membership"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 	"github.com/kestrelstream/kestrelstream/internal/store"
@@ -158,6 +159,34 @@
 	})
 }
 
+// TestWhatIsHeldBackIsWritten: the verdict on a request outlives an end of all nodes; what
+// is only suspected costs no write.
+func TestWhatIsHeldBackIsWritten(t *testing.T) {
+	play(t, func(t *testing.T, g *WithT, target *countingStore) {
+		node := begin(t, target, "a", true, true)
+		node.says("i-1", roster.Ready, 1)
+		knows := func(evidence *roster.Evidence) {
+			node.members.Update(func(record roster.Record) (roster.Record, bool) {
+				record.Evidence = evidence
+				return record, true
+			})
+			pass(time.Second)
+		}
+		knows(&roster.Evidence{Crashes: []roster.Crash{{Endpoint: "i-0", Running: []fingerprint.Print{{}}}}})
+		g.Expect(target.writes.Load()).To(BeEquivalentTo(1))
+		held := []roster.Held{{Digest: fingerprint.Digest{1}, Service: "s", Endpoints: []string{"i-0", "i-1"}}}
+		knows(&roster.Evidence{Held: held})
+		g.Expect(target.writes.Load()).To(BeEquivalentTo(2))
+		g.Expect(node.stored().Evidence.Held).To(Equal(held))
+		node.end()
+		next := begin(t, target, "a", false, false)
+		defer next.end()
+		pass(10 * time.Second)
+		g.Expect(next.members.Own().Evidence).NotTo(BeNil())
+		g.Expect(next.members.Own().Evidence.Held).To(Equal(held))
+	})
+}
+
 // TestABackEndThatSaysNothing does not keep its node from being found.
 func TestABackEndThatSaysNothing(t *testing.T) {
 	play(t, func(t *testing.T, g *WithT, target *countingStore) {
--- a/internal/sidecar/membership/publisher.go
+++ b/internal/sidecar/membership/publisher.go
@@ -88,13 +88,14 @@
 }
 
 // outdated reports whether the stored record does not lead others to the node any
-// more, or does not say whether its back end is leaving. All else is told between
+// more, or does not say whether its back end is leaving or which requests are held back:
+// that has to outlive an end of all nodes at once. All else is told between
 // the nodes, and after a restart by the back end's next heartbeat. The epoch need
 // not be stored: a node goes above the one that it finds, by an amount that no two
 // lives share.
 func outdated(stored, own *roster.Record) bool {
 	if stored.Node != own.Node || stored.Address != own.Address || stored.PeerAddress != own.PeerAddress ||
-		stored.Zone != own.Zone || stored.Link != own.Link {
+		stored.Zone != own.Zone || stored.Link != own.Link || !own.Evidence.HoldsSame(stored.Evidence) {
 		return true
 	}
 	held, now := stored.Endpoint, own.Endpoint
--- /dev/null
+++ b/internal/sidecar/quarantine/blame_test.go
@@ -0,0 +1,64 @@
+package quarantine
+
+import (
+	"strings"
+	"testing"
+	"unicode"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/fingerprint"
+)
+
+// digests returns one digest a letter.
+func digests(letters string) (all []fingerprint.Digest) {
+	for i := range len(letters) {
+		all = append(all, fingerprint.Digest{letters[i]})
+	}
+	return all
+}
+
+// TestBlame: which requests explain the ends, each given by what was at work.
+func TestBlame(t *testing.T) {
+	cases := []struct {
+		name string
+		// ends are what was at work at each, a capital for the one on trial.
+		ends []string
+		want string
+	}{
+		{"nothing ended", nil, ""},
+		{"one end has suspects only", []string{"abc"}, ""},
+		{"the only one at both, on trial at the second", []string{"abc", "Ade"}, "a"},
+		{"at both, never on trial", []string{"abc", "ade"}, ""},
+		{"at all that end together, never on trial", []string{"abc", "ade", "af", "ag"}, ""},
+		{"two at both: the next run of each tells", []string{"abc", "Abd"}, ""},
+		{"two at both, one of them on trial at a third", []string{"abc", "abd", "Ae"}, "a"},
+		{"two at three, one of them on trial", []string{"abc", "abd", "Abe"}, "a"},
+		{"ends for other reasons", []string{"ab", "Cd", "Ef", "gh"}, ""},
+		{"two harmful ones at two ends each: it may be something else", []string{"ax", "Ay", "bw", "Bz"}, ""},
+		{"two harmful ones at three each", []string{"ax", "Ay", "Av", "bw", "Bz", "Bu"}, "ab"},
+		{"two harmful ones, and one beside both", []string{"ax", "Ay", "bx", "Bz"}, ""},
+		{"two harmful ones, one at more ends", []string{"ax", "Ay", "Av", "bx", "Bz"}, "ab"},
+		{"back ends end without it as well", []string{"ax", "Ay", "v", "w"}, ""},
+		{"an end that is explained speaks against nobody else", []string{"ab", "Ac", "Ad", "Bd"}, "a"},
+		{"copies of one request at one back end are one end", []string{"aAb", "c"}, ""},
+	}
+	for _, played := range cases {
+		t.Run(played.name, func(t *testing.T) {
+			g := NewWithT(t)
+			var open []suspicion
+			for i, running := range played.ends {
+				crash := suspicion{endpoint: string(rune('0' + i)), digests: digests(strings.ToLower(running))}
+				if trial := strings.IndexFunc(running, unicode.IsUpper); trial >= 0 {
+					crash.trial = crash.digests[trial]
+				}
+				open = append(open, crash)
+			}
+			var blamed []fingerprint.Digest
+			for _, found := range blame(open) {
+				blamed = append(blamed, found.digest)
+			}
+			g.Expect(blamed).To(ConsistOf(digests(played.want)))
+		})
+	}
+}
--- /dev/null
+++ b/internal/sidecar/quarantine/quarantine.go
@@ -0,0 +1,341 @@
+// Package quarantine finds requests that end the back ends that run them, and holds them
+// back at every node. What a node sees travels in its record; each node comes to the same
+// verdict from the same records, without a leader. The verdicts of a node are kept in the
+// store with its record, so that they outlive an end of all nodes.
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/fingerprint"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+)
+
+// Options configure a quarantine.
+type Options struct {
+	Members *roster.Roster
+	// Spread tells the peers of the own record.
+	Spread   func()
+	Logger   *zap.Logger
+	Registry prometheus.Registerer
+}
+
+const (
+	// clearanceDelay is how long a clearance waits for more of them: the requests that were
+	// beside a harmful one come to their good ends within some milliseconds of each other.
+	clearanceDelay = 10 * time.Millisecond
+	// mostKnown bounds the verdicts of all nodes that a node keeps, in number.
+	mostKnown = 4096
+)
+
+// Quarantine is one node's view of harmful requests. It is safe for concurrent use.
+type Quarantine struct {
+	options Options
+	state   atomic.Pointer[state]
+	recent  recent
+	// spreading: news is about to be told.
+	spreading atomic.Bool
+
+	mu sync.Mutex // guards all below; taken under the roster's lock
+	// evidence is that of all nodes that have some.
+	evidence map[string]*roster.Evidence
+	// gone are those of them whose back end has ended for good: their records are
+	// forgotten after a while.
+	gone map[string]bool
+	// known are the verdicts so far. A verdict stays when its evidence goes.
+	known map[fingerprint.Digest]roster.Held
+}
+
+// state is what requests are compared with. It is immutable.
+type state struct {
+	held map[fingerprint.Digest]roster.Held
+	// suspects are the requests at work at ends that no verdict explains.
+	suspects map[fingerprint.Digest]bool
+}
+
+// New returns a quarantine that holds nothing back. The roster's observer is to call
+// Follow.
+func New(options Options) *Quarantine {
+	created := &Quarantine{
+		options: options, evidence: map[string]*roster.Evidence{}, gone: map[string]bool{},
+		known: map[fingerprint.Digest]roster.Held{},
+	}
+	created.state.Store(&state{})
+	created.register(options.Registry)
+	return created
+}
+
+func (q *Quarantine) register(registry prometheus.Registerer) {
+	registry.MustRegister(
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "kestrel_sidecar_quarantine_held", Help: "Requests that no back end is to get, by digest.",
+		}, func() float64 { return float64(len(q.state.Load().held)) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "kestrel_sidecar_quarantine_suspects", Help: "Digests of requests that were at work when back ends ended.",
+		}, func() float64 { return float64(len(q.state.Load().suspects)) }),
+	)
+}
+
+// Idle reports whether nothing is held back or suspected: requests need not be identified
+// then.
+func (q *Quarantine) Idle() bool {
+	now := q.state.Load()
+	return len(now.held)+len(now.suspects) == 0
+}
+
+// Holds reports whether a request is held back.
+func (q *Quarantine) Holds(print fingerprint.Print) bool {
+	held := q.state.Load().held
+	_, content := held[print.Content]
+	_, call := held[print.Call]
+	return content || call
+}
+
+// Suspects reports whether a request was at work when a back end ended, and it is open
+// which one ended it.
+func (q *Quarantine) Suspects(print fingerprint.Print) bool {
+	suspects := q.state.Load().suspects
+	return suspects[print.Content] || suspects[print.Call]
+}
+
+// Held returns all verdicts, by digest.
+func (q *Quarantine) Held() []roster.Held {
+	var all []roster.Held
+	for _, held := range q.state.Load().held {
+		all = append(all, held)
+	}
+	slices.SortFunc(all, func(a, b roster.Held) int { return a.Digest.Compare(b.Digest) })
+	return all
+}
+
+// Ended takes in the unplanned end of the back end beside this node. What came to a good
+// end here of late is not suspected.
+func (q *Quarantine) Ended(crash roster.Crash) {
+	crash.Running = q.recent.withoutServed(crash.Running, time.Now())
+	if len(crash.Running) == 0 {
+		return
+	}
+	q.update(func(own *roster.Evidence) bool {
+		if slices.ContainsFunc(own.Crashes, func(told roster.Crash) bool { return told.Endpoint == crash.Endpoint }) {
+			return false
+		}
+		own.Crashes = append(own.Crashes, crash)
+		return true
+	}, 0)
+}
+
+// Survived takes in that the back end beside this node has answered a request. One that is
+// suspected did not make the ends that are known now.
+func (q *Quarantine) Survived(print fingerprint.Print) {
+	q.recent.add(print, time.Now())
+	if !q.Suspects(print) {
+		return
+	}
+	endpoints := q.endsUnder(print)
+	if len(endpoints) == 0 {
+		return
+	}
+	q.update(func(own *roster.Evidence) bool {
+		own.Cleared = append(slices.DeleteFunc(own.Cleared, func(held roster.Clearance) bool {
+			return held.Call == print.Call
+		}), roster.Clearance{Print: print, Endpoints: endpoints})
+		return true
+	}, clearanceDelay)
+}
+
+// endsUnder returns the back ends under whose end the request was at work.
+func (q *Quarantine) endsUnder(print fingerprint.Print) (endpoints []string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, told := range q.evidence {
+		for _, crash := range told.Crashes {
+			if runs(crash, print) {
+				endpoints = append(endpoints, crash.Endpoint)
+			}
+		}
+	}
+	slices.Sort(endpoints)
+	return endpoints
+}
+
+func runs(crash roster.Crash, print fingerprint.Print) bool {
+	return slices.ContainsFunc(crash.Running, func(running fingerprint.Print) bool {
+		return running.Content == print.Content
+	})
+}
+
+// update changes the own evidence and tells the others after the delay at the latest.
+func (q *Quarantine) update(change func(own *roster.Evidence) bool, delay time.Duration) {
+	_, changed := q.options.Members.Update(func(record roster.Record) (roster.Record, bool) {
+		own := record.Evidence.Clone()
+		if !change(&own) {
+			return record, false
+		}
+		record.Evidence = own.Bounded()
+		return record, true
+	})
+	switch {
+	case !changed:
+	case delay == 0:
+		go q.options.Spread()
+	case q.spreading.CompareAndSwap(false, true):
+		time.AfterFunc(delay, func() {
+			q.spreading.Store(false)
+			q.options.Spread()
+		})
+	}
+}
+
+// Follow takes in changed records. The roster's lock is held.
+func (q *Quarantine) Follow(changed []*roster.Record) {
+	if !q.take(changed) {
+		return
+	}
+	for _, held := range q.judge() {
+		q.options.Logger.Warn("request held back", zap.Stringer("digest", held.Digest), zap.String("service", held.Service),
+			zap.Strings("ended", held.Endpoints))
+	}
+	go q.settle()
+}
+
+// take reports whether the records bring other evidence.
+func (q *Quarantine) take(changed []*roster.Record) (news bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, record := range changed {
+		if q.evidence[record.Node] == record.Evidence && !record.Gone() {
+			continue
+		}
+		news = news || record.Evidence != nil || q.evidence[record.Node] != nil
+		if record.Evidence == nil {
+			delete(q.evidence, record.Node)
+		} else {
+			q.evidence[record.Node] = record.Evidence
+		}
+		if record.Gone() && record.Evidence != nil {
+			q.gone[record.Node] = true
+		}
+	}
+	return news
+}
+
+// judge comes to the verdicts that the evidence allows, publishes the state, and returns
+// the new ones.
+func (q *Quarantine) judge() (fresh []roster.Held) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	before := len(q.known)
+	for _, told := range q.evidence {
+		for _, held := range told.Held {
+			fresh = q.learn(held, fresh)
+		}
+	}
+	// A content is judged before its callers: where all of them end back ends it is the
+	// content that does.
+	for _, digestOf := range []func(fingerprint.Print) fingerprint.Digest{content, call} {
+		open, services := q.open(digestOf)
+		for _, found := range blame(open) {
+			fresh = q.learn(roster.Held{Digest: found.digest, Service: services[found.endpoints[0]], Endpoints: found.endpoints}, fresh)
+		}
+	}
+	if len(q.known) > mostKnown {
+		q.options.Logger.Error("more requests held back than are kept in mind", zap.Int("held", len(q.known)), zap.Int("most", mostKnown))
+	}
+	q.publish(len(q.known) != before)
+	return fresh
+}
+
+func content(print fingerprint.Print) fingerprint.Digest { return print.Content }
+func call(print fingerprint.Print) fingerprint.Digest    { return print.Call }
+
+// learn adds a verdict, unless it is known or there are too many.
+func (q *Quarantine) learn(held roster.Held, fresh []roster.Held) []roster.Held {
+	if _, known := q.known[held.Digest]; known || len(q.known) > mostKnown {
+		return fresh
+	}
+	q.known[held.Digest] = held
+	return append(fresh, held)
+}
+
+// publish replaces the state; the lock is held.
+func (q *Quarantine) publish(verdicts bool) {
+	next := &state{held: q.state.Load().held, suspects: map[fingerprint.Digest]bool{}}
+	if verdicts {
+		next.held = make(map[fingerprint.Digest]roster.Held, len(q.known))
+		for digest, held := range q.known {
+			next.held[digest] = held
+		}
+	}
+	for _, digestOf := range []func(fingerprint.Print) fingerprint.Digest{content, call} {
+		open, _ := q.open(digestOf)
+		for _, crash := range open {
+			for _, digest := range crash.digests {
+				next.suspects[digest] = true
+			}
+		}
+	}
+	q.state.Store(next)
+}
+
+// open returns the ends that no verdict explains, with the requests that are not cleared,
+// and the services of the back ends. The lock is held.
+func (q *Quarantine) open(digestOf func(fingerprint.Print) fingerprint.Digest) (open []suspicion, services map[string]string) {
+	cleared := q.cleared(digestOf)
+	services = map[string]string{}
+	seen := map[string]bool{}
+	for _, told := range q.evidence {
+		for _, crash := range told.Crashes {
+			services[crash.Endpoint] = crash.Service
+			if seen[crash.Endpoint] || q.explained(crash) {
+				continue
+			}
+			seen[crash.Endpoint] = true
+			left := suspicion{endpoint: crash.Endpoint}
+			if crash.Trial != nil {
+				left.trial = digestOf(*crash.Trial)
+			}
+			for _, running := range crash.Running {
+				if digest := digestOf(running); !cleared[clearing{digest, crash.Endpoint}] {
+					left.digests = append(left.digests, digest)
+				}
+			}
+			open = append(open, left)
+		}
+	}
+	slices.SortFunc(open, func(a, b suspicion) int { return cmp.Compare(a.endpoint, b.endpoint) })
+	return open, services
+}
+
+// clearing is one request that did not make the end of one back end.
+type clearing struct {
+	digest   fingerprint.Digest
+	endpoint string
+}
+
+func (q *Quarantine) cleared(digestOf func(fingerprint.Print) fingerprint.Digest) map[clearing]bool {
+	cleared := map[clearing]bool{}
+	for _, told := range q.evidence {
+		for _, clearance := range told.Cleared {
+			for _, endpoint := range clearance.Endpoints {
+				cleared[clearing{digestOf(clearance.Print), endpoint}] = true
+			}
+		}
+	}
+	return cleared
+}
+
+// explained reports whether a request that is held back was at work at the end.
+func (q *Quarantine) explained(crash roster.Crash) bool {
+	return slices.ContainsFunc(crash.Running, func(running fingerprint.Print) bool {
+		_, byContent := q.known[running.Content]
+		_, byCall := q.known[running.Call]
+		return byContent || byCall
+	})
+}
--- /dev/null
+++ b/internal/sidecar/quarantine/settle.go
@@ -0,0 +1,106 @@
+package quarantine
+
+import (
+	"slices"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/fingerprint"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+)
+
+// settle brings the own evidence to what is still needed: the verdicts on requests that
+// ended back ends here or at nodes that have gone, the ends that are open, and what is
+// cleared of those.
+func (q *Quarantine) settle() {
+	heir := q.isHeir()
+	q.update(func(own *roster.Evidence) bool {
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		added := q.keepVerdicts(own)
+		if heir {
+			added = q.inherit(own) || added
+		}
+		pruned := q.prune(own)
+		return added || pruned
+	}, clearanceDelay)
+}
+
+// keepVerdicts adds the verdicts on requests that were at work at ends seen here.
+func (q *Quarantine) keepVerdicts(own *roster.Evidence) (added bool) {
+	for _, crash := range own.Crashes {
+		for _, running := range crash.Running {
+			for _, digest := range [...]fingerprint.Digest{running.Content, running.Call} {
+				if held, known := q.known[digest]; known {
+					added = keep(own, held) || added
+				}
+			}
+		}
+	}
+	return added
+}
+
+func keep(own *roster.Evidence, held roster.Held) bool {
+	if slices.ContainsFunc(own.Held, func(kept roster.Held) bool { return kept.Digest == held.Digest }) {
+		return false
+	}
+	own.Held = append(own.Held, held)
+	return true
+}
+
+// isHeir reports whether the node takes over what nodes knew that have gone: the first by
+// name that is there. Should two nodes think so, both do.
+func (q *Quarantine) isHeir() bool {
+	self := q.options.Members.Own().Node
+	for _, record := range q.options.Members.View().Records() {
+		if !record.Departed() && !record.Leaving {
+			return record.Node == self
+		}
+	}
+	return false
+}
+
+// inherit adds the verdicts of nodes that have gone.
+func (q *Quarantine) inherit(own *roster.Evidence) (added bool) {
+	for node := range q.gone {
+		for _, held := range q.evidence[node].Clone().Held {
+			added = !own.Full() && keep(own, held) || added
+		}
+	}
+	return added
+}
+
+// prune drops ends that are explained, requests that are cleared of an end, and clearances
+// that no end needs any more.
+func (q *Quarantine) prune(own *roster.Evidence) (pruned bool) {
+	before := size(own)
+	byContent, byCall := q.cleared(content), q.cleared(call)
+	own.Crashes = slices.DeleteFunc(own.Crashes, q.explained)
+	for i, crash := range own.Crashes {
+		own.Crashes[i].Running = slices.DeleteFunc(slices.Clone(crash.Running), func(running fingerprint.Print) bool {
+			return byContent[clearing{running.Content, crash.Endpoint}] && byCall[clearing{running.Call, crash.Endpoint}]
+		})
+	}
+	own.Crashes = slices.DeleteFunc(own.Crashes, func(crash roster.Crash) bool { return len(crash.Running) == 0 })
+	own.Cleared = slices.DeleteFunc(own.Cleared, func(clearance roster.Clearance) bool { return !q.needed(clearance) })
+	return size(own) != before
+}
+
+// needed reports whether a node still tells of an end with the request.
+func (q *Quarantine) needed(clearance roster.Clearance) bool {
+	for _, told := range q.evidence {
+		for _, crash := range told.Crashes {
+			if slices.Contains(clearance.Endpoints, crash.Endpoint) && runs(crash, clearance.Print) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// size is how many entries the evidence has.
+func size(own *roster.Evidence) int {
+	total := len(own.Cleared) + len(own.Held) + len(own.Crashes)
+	for _, crash := range own.Crashes {
+		total += len(crash.Running)
+	}
+	return total
+}
--- a/internal/sidecar/roster/claims.go
+++ b/internal/sidecar/roster/claims.go
@@ -80,6 +80,15 @@
 	return record
 }
 
+// Lost takes in that the process of a back end has ended: the next id to be heard takes its
+// place at once. Back ends are back some seconds after an end and were refused, as another
+// one than was known, for 1.4 to 1.7 s more, until their second heartbeat.
+func (c *Claims) Lost(record Record, id string) {
+	if record.Endpoint != nil && record.Endpoint.ID == id {
+		c.heard = time.Time{}
+	}
+}
+
 // Confirm takes in that the back end itself has given its id. A rival of that
 // id takes the place at once.
 func (c *Claims) Confirm(record Record, id string, now time.Time) (next Record, changed bool) {
--- /dev/null
+++ b/internal/sidecar/roster/evidence.go
@@ -0,0 +1,120 @@
+package roster
+
+import (
+	"slices"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/fingerprint"
+)
+
+// Evidence is what a node knows of requests that end the back ends that run them. It is
+// immutable.
+type Evidence struct {
+	// Crashes are the last unplanned ends of back ends beside the node, the newest last,
+	// as long as it is open which request made them.
+	Crashes []Crash `json:"crashes,omitempty"`
+	// Cleared are requests that came to an end here though a back end had ended under them.
+	Cleared []Clearance `json:"cleared,omitempty"`
+	// Held are requests that no back end is to get, the newest last. The node saw a back
+	// end end under each, or took it over from a node that has gone.
+	Held []Held `json:"held,omitempty"`
+}
+
+// Crash is the unplanned end of one back end.
+type Crash struct {
+	// Endpoint is the id of the back end, which no other ever bears.
+	Endpoint string `json:"endpoint"`
+	Service  string `json:"service"`
+	// Running is what was at work there.
+	Running []fingerprint.Print `json:"running"`
+	// Trial is the one of them that was suspected before it began, nil for none: a back end
+	// runs one such request at a time.
+	Trial *fingerprint.Print `json:"trial,omitempty"`
+}
+
+// Clearance says that a request that was at work when back ends ended did not end them.
+type Clearance struct {
+	fingerprint.Print
+	// Endpoints are the back ends whose ends were known when the request came to a good
+	// end.
+	Endpoints []string `json:"endpoints"`
+}
+
+// Held is a request that no back end is to get.
+type Held struct {
+	Digest  fingerprint.Digest `json:"digest"`
+	Service string             `json:"service"`
+	// Endpoints are back ends that ended under it.
+	Endpoints []string `json:"endpoints"`
+}
+
+// Bounds of the evidence of one node. A record with all of it has about 8 KB, which travels
+// with each exchange; without crashes it has none.
+const (
+	// crashesRemembered is how many ends are open at a node at most: more of them in a row
+	// than a request may cause.
+	crashesRemembered = 8
+	// runningRemembered bounds the requests of one end; back ends have fewer slots.
+	runningRemembered = 32
+	clearedRemembered = 32
+	// heldRemembered is how many verdicts a node keeps for all. Each costs its sender two
+	// back ends, so that nobody pushes one out cheaply.
+	heldRemembered = 64
+)
+
+// Full reports whether a further verdict would push out an earlier one.
+func (e *Evidence) Full() bool { return len(e.Held) >= heldRemembered }
+
+// Bounded returns the evidence cut down to its newest parts, nil when there is none.
+func (e Evidence) Bounded() *Evidence {
+	e.Crashes = newest(e.Crashes, crashesRemembered)
+	e.Cleared = newest(e.Cleared, clearedRemembered)
+	e.Held = newest(e.Held, heldRemembered)
+	for i, crash := range e.Crashes {
+		if len(crash.Running) > runningRemembered {
+			e.Crashes = slices.Clone(e.Crashes)
+			e.Crashes[i].Running = crash.Running[:runningRemembered]
+		}
+	}
+	if len(e.Crashes)+len(e.Cleared)+len(e.Held) == 0 {
+		return nil
+	}
+	return &e
+}
+
+func newest[T any](list []T, most int) []T { return list[max(0, len(list)-most):] }
+
+// Clone returns a copy whose lists can be changed; an empty one of nil.
+func (e *Evidence) Clone() Evidence {
+	if e == nil {
+		return Evidence{}
+	}
+	return Evidence{Crashes: slices.Clone(e.Crashes), Cleared: slices.Clone(e.Cleared), Held: slices.Clone(e.Held)}
+}
+
+// HoldsSame reports whether both hold back the same requests.
+func (e *Evidence) HoldsSame(other *Evidence) bool {
+	return slices.EqualFunc(e.Clone().Held, other.Clone().Held, func(a, b Held) bool { return a.Digest == b.Digest })
+}
+
+// inheritedEvidence is what a node knows once an earlier life's evidence came to light.
+func inheritedEvidence(own, remembered *Evidence) *Evidence {
+	if remembered == nil {
+		return own
+	}
+	merged := remembered.Clone()
+	now := own.Clone()
+	merged.Crashes = union(merged.Crashes, now.Crashes, func(a, b Crash) bool { return a.Endpoint == b.Endpoint })
+	merged.Cleared = union(merged.Cleared, now.Cleared, func(a, b Clearance) bool { return a.Call == b.Call })
+	merged.Held = union(merged.Held, now.Held, func(a, b Held) bool { return a.Digest == b.Digest })
+	return merged.Bounded()
+}
+
+// union appends what the first list lacks.
+func union[T any](first, second []T, same func(a, b T) bool) []T {
+	for _, item := range second {
+		if !slices.ContainsFunc(first, func(held T) bool { return same(held, item) }) {
+			first = append(first, item)
+		}
+	}
+	return first
+}
--- a/internal/sidecar/roster/record.go
+++ b/internal/sidecar/roster/record.go
@@ -54,6 +54,9 @@
 	// Judged is what the node thinks of its back end while a version of its software is on
 	// trial; nil otherwise.
 	Judged *Judgement `json:"judged,omitempty"`
+	// Evidence is what the node knows of requests that end back ends; nil when it knows of
+	// none.
+	Evidence *Evidence `json:"evidence,omitempty"`
 	// Ended lists the last ids that are final, the newest last.
 	Ended []string `json:"ended,omitempty"`
 }
--- a/internal/sidecar/roster/roster.go
+++ b/internal/sidecar/roster/roster.go
@@ -46,7 +46,7 @@
 
 // Merge takes in records of others. A record of this node from an earlier life,
 // or one that is ahead of it, raises the node's own epoch above it and hands
-// over what that life knew of the back end.
+// over what that life knew of the back end and of requests that end back ends.
 func (r *Roster) Merge(records []*Record) (changed []*Record) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -114,6 +114,7 @@
 		}
 	}
 	own.Endpoint = inherited(own, remembered.Endpoint)
+	own.Evidence = inheritedEvidence(own.Evidence, remembered.Evidence)
 	r.records[r.self] = &own
 	return []*Record{&own}
 }
--- a/internal/sidecar/roster/roster_test.go
+++ b/internal/sidecar/roster/roster_test.go
@@ -1,6 +1,7 @@
 package roster_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -8,6 +9,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/fingerprint"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 )
 
@@ -81,6 +83,47 @@
 	}
 }
 
+// TestEvidenceOutlivesItsNode: a life that starts takes over what the one before knew of
+// requests that end back ends, beside what it has seen itself.
+func TestEvidenceOutlivesItsNode(t *testing.T) {
+	g := NewWithT(t)
+	held := func(letter byte) roster.Held { return roster.Held{Digest: fingerprint.Digest{letter}} }
+	crash := func(endpoint string) roster.Crash {
+		return roster.Crash{Endpoint: endpoint, Running: []fingerprint.Print{{}}}
+	}
+	own := record("self", 1, 1)
+	own.Evidence = &roster.Evidence{Crashes: []roster.Crash{crash("i-1"), crash("i-2")}, Held: []roster.Held{held('a')}}
+	members := roster.New(own)
+	remembered := record("self", 4, 2)
+	remembered.Evidence = &roster.Evidence{
+		Crashes: []roster.Crash{crash("i-0"), crash("i-1")}, Cleared: []roster.Clearance{{Endpoints: []string{"i-0"}}},
+		Held: []roster.Held{held('b'), held('a')},
+	}
+	members.Merge([]*roster.Record{&remembered})
+	g.Expect(members.Own().Evidence).To(Equal(&roster.Evidence{
+		Crashes: []roster.Crash{crash("i-0"), crash("i-1"), crash("i-2")}, Cleared: remembered.Evidence.Cleared,
+		Held: []roster.Held{held('b'), held('a')},
+	}))
+}
+
+// TestEvidenceIsBounded: the newest stays, and none at all is nil.
+func TestEvidenceIsBounded(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(roster.Evidence{}.Bounded()).To(BeNil())
+	var much roster.Evidence
+	for i := range 200 {
+		much.Crashes = append(much.Crashes, roster.Crash{Endpoint: fmt.Sprint(i), Running: make([]fingerprint.Print, 200)})
+		much.Held = append(much.Held, roster.Held{Service: fmt.Sprint(i)})
+	}
+	bounded := much.Bounded()
+	encoded, err := json.Marshal(bounded)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(len(encoded)).To(BeNumerically("<", 32<<10))
+	g.Expect(bounded.Crashes[len(bounded.Crashes)-1].Endpoint).To(Equal("199"))
+	g.Expect(bounded.Held[len(bounded.Held)-1].Service).To(Equal("199"))
+	g.Expect(bounded.Full()).To(BeTrue())
+}
+
 // TestClaims plays heartbeats of several ids in the order in which they come.
 func TestClaims(t *testing.T) {
 	const interval = 1500 * time.Millisecond
@@ -116,6 +159,13 @@
 		{"a late heartbeat that came first gives way", []beat{
 			{0, "a", roster.Ready, 40, false, false}, {1, "b", roster.Ready, 1, false, false}, {interval, "b", roster.Ready, 2, false, false},
 		}, "b", roster.Ready},
+		{"an ended process gives way to the first heartbeat of the next one", []beat{
+			{0, "a", roster.Ready, 40, false, false}, {1, "a", "lost", 0, false, false}, {2, "b", roster.Ready, 1, false, false},
+		}, "b", roster.Ready},
+		{"a process that was taken for ended goes on", []beat{
+			{0, "a", roster.Ready, 40, false, false}, {1, "a", "lost", 0, false, false}, {2, "a", roster.Ready, 41, false, false},
+			{3, "b", roster.Ready, 1, false, false},
+		}, "a", roster.Ready},
 		{"and may not come back alone", []beat{
 			{0, "a", roster.Ready, 40, false, false}, {1, "b", roster.Ready, 1, false, false}, {interval, "b", roster.Ready, 2, false, false},
 			{interval + 1, "a", roster.Ready, 41, false, false},
@@ -139,6 +189,8 @@
 			for _, beat := range played.beats {
 				now := start.Add(beat.at)
 				switch {
+				case beat.state == "lost":
+					claims.Lost(own, beat.id)
 				case beat.end:
 					own, _ = own.End(beat.id)
 				case beat.confirm:
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -21,6 +21,7 @@
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/ingress"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/membership"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/quarantine"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout/controller"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
@@ -78,6 +79,7 @@
 	membership *membership.Membership
 	exchanger  *exchange.Exchanger
 	rollouts   *controller.Controller
+	quarantine *quarantine.Quarantine
 	egress     *egress.Handler
 	ingress    *ingress.Handler
 	stopping   atomic.Bool
@@ -121,6 +123,11 @@
 	options.Store = newCountedStore(options.Store, options.Registry)
 	created.options.Store = options.Store
 	created.settings.Store(settings)
+	created.quarantine = quarantine.New(quarantine.Options{
+		Members: created.members,
+		Spread:  func() { created.spread(context.Background()) },
+		Logger:  options.Logger, Registry: options.Registry,
+	})
 	created.addRollouts()
 	created.addIngress(observed)
 	created.addEgress(observed)
@@ -155,6 +162,7 @@
 		Address:    settings.BackendAddress,
 		LinkMbps:   settings.LinkMbps,
 		Judge:      &judge{sidecar: s},
+		Quarantine: &guard{Quarantine: s.quarantine, sidecar: s},
 		Endpoint:   func() *roster.Endpoint { return s.members.Own().Endpoint },
 		Identified: s.identified,
 		Version:    s.keeper.Version,
@@ -177,6 +185,7 @@
 		Regions:    settings.Regions,
 		Caller:     s.caller,
 		Plan:       s.rollouts.Plan,
+		Quarantine: s.quarantine,
 		Retries:    func() egress.RetryLimits { return s.settings.Load().Retries },
 		Weights:    choice.DefaultWeights(),
 		Dial:       dial.Dialer(exchangeDial, dial.Silence{Unacknowledged: peerUnacknowledged, Idle: peerIdle}),
@@ -232,6 +241,7 @@
 			s.limitConnections(s.keeper.Table(), record.Endpoint)
 		}
 	}
+	s.quarantine.Follow(changed)
 	s.egress.Follow(changed)
 	s.rollouts.Follow(changed)
 }
