Keep promises by a clock that counts suspensions of the machine

Cause: every age, deadline and bound of a node was reckoned by the runtime's clock, which stands still while the machine is suspended. A node that wakes passed on deadlines that were too late by that time, took new work for a back end that had left, and used connections that the other side had closed.

Change: a clock of the node's own, the runtime's with the suspensions added. It asks the kernel (CLOCK_BOOTTIME against CLOCK_MONOTONIC) only when the time of day has moved against the runtime's clock, and five times a second besides. After a suspension what should have ended ends, the rest ends in time, idle connections are closed, and the node asks peers and store what it has missed. What is read in the first 250 ms after it may have waited all the while, and gets as much less. Ages that were kept as time of day (avoided nodes, the last call and heartbeat, the warm-up) are kept by this clock too, so that steps of it do not matter.

Ruled out: asking the kernel each time (a system call, and there are eight a request); timers of the system, which the platform does not offer.

--- a/internal/sidecar/admission/admission.go
+++ b/internal/sidecar/admission/admission.go
@@ -51,7 +51,7 @@
 	reserve    reserve
 }
 
-// New returns a gate without slots. The clock is time.Now outside tests.
+// New returns a gate without slots. The clock is clock.Now outside tests.
 func New(now func() time.Time) *Gate { return &Gate{now: now, service: initialService, correction: 1} }
 
 const (
--- a/internal/sidecar/backend.go
+++ b/internal/sidecar/backend.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/quarantine"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 )
@@ -16,13 +17,13 @@
 // the call returns once another node knows, or after a short time: the word
 // must outlive this process.
 func (s *Sidecar) Heartbeat(ctx context.Context, beat roster.Heartbeat) {
-	now := time.Now()
-	s.lastBeat.Store(now.UnixNano())
+	now := clock.Now()
+	s.lastBeat.Store(clock.Stamp(now))
 	if beat.WarmupLeft > 0 {
-		s.warm.Store(now.Add(beat.WarmupLeft).UnixNano())
+		s.warm.Store(clock.Stamp(now.Add(beat.WarmupLeft)))
 	}
 	own, changed := s.members.Update(func(record roster.Record) (roster.Record, bool) {
-		return s.claims.Beat(record, beat, time.Now())
+		return s.claims.Beat(record, beat, clock.Now())
 	})
 	switch {
 	case !changed:
@@ -36,7 +37,7 @@
 // identified takes in the id that the back end itself gives.
 func (s *Sidecar) identified(id string) {
 	_, changed := s.members.Update(func(record roster.Record) (roster.Record, bool) {
-		return s.claims.Confirm(record, id, time.Now())
+		return s.claims.Confirm(record, id, clock.Now())
 	})
 	if changed {
 		go s.spread(context.Background())
@@ -82,5 +83,5 @@
 	if last == 0 {
 		return -1
 	}
-	return time.Since(time.Unix(0, last)).Seconds()
+	return clock.Since(clock.At(last)).Seconds()
 }
--- /dev/null
+++ b/internal/sidecar/clock/clock.go
@@ -0,0 +1,239 @@
+// Package clock is the time by which a node keeps its promises to others. The clock of the
+// Go runtime stands still while the machine is suspended, and others' clocks do not: a node
+// that wakes would pass on deadlines that are too late and take for fresh what is not. This
+// clock counts that time. Steps of the time of day do not matter to it.
+package clock
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// tolerance is the least suspension that counts. Two clocks that run alike are read
+	// one after the other.
+	tolerance = 20 * time.Millisecond
+	// WatchInterval is the time between two looks of Watch, and so how late a suspension is
+	// seen where nobody asks for the time.
+	WatchInterval = 200 * time.Millisecond
+	// uncertainFor is how long after a suspension a message may be read that came during it.
+	uncertainFor = 250 * time.Millisecond
+)
+
+// base is the zero of stamps.
+var base = time.Now()
+
+// shared is the clock of the process.
+var shared = newSource(readSuspended)
+
+// source is a clock. It is safe for concurrent use.
+type source struct {
+	// suspended is for how long it has been since the process started, in nanoseconds.
+	suspended atomic.Int64
+	// apart is how far time of day and the runtime's clock were apart when read was last
+	// called, in nanoseconds. Both a suspension and a step of the time of day change that.
+	apart atomic.Int64
+	// woke is the last suspension, nil before the first.
+	woke atomic.Pointer[wake]
+
+	mu sync.Mutex // guards all below
+	// read returns for how long the machine has been suspended since its start.
+	read func() (time.Duration, error)
+	// before is what read returned when the process started.
+	before    time.Duration
+	listeners map[*wakeListener]struct{}
+	deadlines map[*deadline]struct{}
+}
+
+// wakeListener is one function that OnWake was given.
+type wakeListener struct{ call func(slept time.Duration) }
+
+// wake is the end of a suspension.
+type wake struct {
+	at    time.Time
+	slept time.Duration
+}
+
+// deadline is one that is to be kept, with what ends at it.
+type deadline struct {
+	at     time.Time
+	cancel context.CancelFunc
+}
+
+func newSource(read func() (time.Duration, error)) *source {
+	created := &source{read: read, listeners: map[*wakeListener]struct{}{}, deadlines: map[*deadline]struct{}{}}
+	// Where the clocks cannot be read no suspension is ever seen, as before the first.
+	created.before, _ = read()
+	created.apart.Store(apart(time.Now()))
+	return created
+}
+
+// readSuspended compares the clock that counts suspensions with the one that does not.
+func readSuspended() (time.Duration, error) {
+	var steady, counting unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_MONOTONIC, &steady); err != nil {
+		return 0, err
+	}
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &counting); err != nil {
+		return 0, err
+	}
+	return time.Duration(counting.Nano() - steady.Nano()), nil
+}
+
+// apart is how far time of day and the runtime's clock are apart, in nanoseconds.
+func apart(now time.Time) int64 {
+	return now.Round(0).Sub(base.Round(0)).Nanoseconds() - now.Sub(base).Nanoseconds()
+}
+
+// Now returns the present time, for differences only: its time of day is not that of the
+// machine. It costs about 10 ns more than time.Now (BenchmarkNow); the kernel is asked only when
+// the time of day has moved against the runtime's clock.
+func Now() time.Time { return shared.now() }
+
+// Since returns the time since a moment of this clock.
+func Since(moment time.Time) time.Duration { return Now().Sub(moment) }
+
+// Until returns the time until a moment of this clock.
+func Until(moment time.Time) time.Duration { return moment.Sub(Now()) }
+
+// Stamp returns a moment of this clock as a number, in nanoseconds.
+func Stamp(moment time.Time) int64 { return moment.Sub(base).Nanoseconds() }
+
+// At returns the moment of a stamp.
+func At(stamp int64) time.Time { return base.Add(time.Duration(stamp)) }
+
+// Received returns from when on the time counts that a message grants that is read now. A
+// message that is read just after a suspension may have come at its beginning: a node that
+// slept must not lengthen anybody's time.
+func Received() time.Time { return shared.received() }
+
+// WithDeadline returns a context that ends at a moment of this clock: after a suspension,
+// once that is seen.
+func WithDeadline(parent context.Context, at time.Time) (context.Context, context.CancelFunc) {
+	return shared.withDeadline(parent, at)
+}
+
+// Use has another source tell for how long the machine has been suspended since its start,
+// from that moment on, until it is restored.
+func Use(read func() (time.Duration, error)) (restore func()) {
+	shared.replace(read)
+	return func() { shared.replace(readSuspended) }
+}
+
+// replace goes on by another source without a jump.
+func (s *source) replace(read func() (time.Duration, error)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.read = read
+	s.woke.Store(nil)
+	if started, err := read(); err == nil {
+		s.before = started - time.Duration(s.suspended.Load())
+	}
+}
+
+// Look looks for a suspension since the last look.
+func Look() { shared.look(time.Now()) }
+
+// Watch looks for suspensions until the context ends.
+func Watch(ctx context.Context) {
+	ticker := time.NewTicker(WatchInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			Look()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// OnWake has the function called after each suspension, with how long it was, until it is
+// removed. Who finds out first waits for it: it must be quick.
+func OnWake(call func(slept time.Duration)) (remove func()) {
+	added := &wakeListener{call: call}
+	shared.mu.Lock()
+	defer shared.mu.Unlock()
+	shared.listeners[added] = struct{}{}
+	return func() {
+		shared.mu.Lock()
+		defer shared.mu.Unlock()
+		delete(shared.listeners, added)
+	}
+}
+
+func (s *source) now() time.Time {
+	now := time.Now()
+	if moved := time.Duration(apart(now) - s.apart.Load()); moved > tolerance || moved < -tolerance {
+		s.look(now)
+	}
+	return now.Add(time.Duration(s.suspended.Load()))
+}
+
+// look asks whether the machine was suspended since the last look, and tells.
+func (s *source) look(now time.Time) {
+	slept, told := s.wakeUp(now)
+	for _, listener := range told {
+		listener.call(slept)
+	}
+}
+
+// wakeUp counts a suspension since the last look and returns who is to hear of it.
+func (s *source) wakeUp(now time.Time) (slept time.Duration, told []*wakeListener) {
+	s.apart.Store(apart(now))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	total, err := s.read()
+	if err != nil {
+		return 0, nil // the clock exists or does not; without it nothing is ever seen
+	}
+	counted := total - s.before
+	slept = counted - time.Duration(s.suspended.Load())
+	if slept < tolerance {
+		return 0, nil
+	}
+	s.suspended.Store(int64(counted))
+	s.woke.Store(&wake{at: now.Add(counted), slept: slept})
+	s.keepDeadlines(now.Add(counted))
+	return slept, slices.Collect(maps.Keys(s.listeners))
+}
+
+// keepDeadlines ends what should have ended meanwhile, and has the others end in time: the
+// runtime's timers did not count the suspension. The lock is held.
+func (s *source) keepDeadlines(now time.Time) {
+	for kept := range s.deadlines {
+		if left := kept.at.Sub(now); left > 0 {
+			time.AfterFunc(left, kept.cancel)
+		} else {
+			kept.cancel()
+		}
+	}
+}
+
+func (s *source) received() time.Time {
+	now := s.now()
+	if last := s.woke.Load(); last != nil && now.Sub(last.at) < uncertainFor {
+		return now.Add(-last.slept)
+	}
+	return now
+}
+
+func (s *source) withDeadline(parent context.Context, at time.Time) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(parent, at.Sub(s.now()))
+	kept := &deadline{at: at, cancel: cancel}
+	s.mu.Lock()
+	s.deadlines[kept] = struct{}{}
+	s.mu.Unlock()
+	return ctx, func() {
+		cancel()
+		s.mu.Lock()
+		delete(s.deadlines, kept)
+		s.mu.Unlock()
+	}
+}
--- a/internal/sidecar/configuration/keeper.go
+++ b/internal/sidecar/configuration/keeper.go
@@ -17,6 +17,7 @@
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/route"
 )
 
@@ -124,7 +125,7 @@
 // Age returns how long the version has been in force.
 func (k *Keeper) Age() time.Duration {
 	if current := k.held.Load(); current != nil {
-		return time.Since(current.since)
+		return clock.Since(current.since)
 	}
 	return 0
 }
@@ -176,7 +177,7 @@
 	if err != nil {
 		return k.refuse(strconv.FormatUint(document.Version, 10), source, trace.Wrap(err, "compile configuration"))
 	}
-	next := &held{table: compiled, since: time.Now(), whole: compressed(document)}
+	next := &held{table: compiled, since: clock.Now(), whole: compressed(document)}
 	if before != nil {
 		past := append(slices.Clone(before.past), before.table.Document())
 		next.past = past[max(0, len(past)-remembered):]
--- a/internal/sidecar/egress/attempt.go
+++ b/internal/sidecar/egress/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/body"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/choice"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 )
@@ -64,11 +65,11 @@
 	entry := a.call.handler.register(a)
 	response, err := a.target.pool.RoundTrip(a.call.outgoing(a))
 	a.interim.Stop()
-	now := time.Now()
+	now := clock.Now()
 	a.target.outstanding.answered(entry, err == nil, now)
 	a.judge(response, err, now)
 	a.compare(now)
-	a.elapsed = time.Since(a.sent)
+	a.elapsed = clock.Since(a.sent)
 	if a.failure != nil {
 		a.failure.Peer = a.target.address
 	}
--- a/internal/sidecar/egress/call.go
+++ b/internal/sidecar/egress/call.go
@@ -8,6 +8,7 @@
 
 	"github.com/kestrelstream/kestrelstream/internal/proxy/forward"
 	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/fingerprint"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/route"
@@ -99,7 +100,7 @@
 		return failure
 	}
 	var cancel context.CancelFunc
-	c.context, cancel = context.WithDeadline(c.request.Context(), c.deadline)
+	c.context, cancel = clock.WithDeadline(c.request.Context(), c.deadline)
 	defer cancel()
 	defer context.AfterFunc(c.handler.cutting, cancel)()
 	return c.send()
@@ -178,7 +179,7 @@
 	}
 	c.results, c.over = make(chan *attempt), make(chan struct{})
 	defer close(c.over)
-	c.handler.budget(c.service).first(c.handler.options.Retries(), c.members(), time.Now())
+	c.handler.budget(c.service).first(c.handler.options.Retries(), c.members(), clock.Now())
 	for {
 		result := c.visit()
 		if result.response != nil {
@@ -272,12 +273,12 @@
 		return wait
 	}
 	if c.returning {
-		left := c.callerTime - time.Since(c.started)
+		left := c.callerTime - clock.Since(c.started)
 		return max(wait, time.Duration(float64(left)*returningShare))
 	}
 	if !c.deadline.IsZero() {
 		const useful = 4
-		wait = min(wait, max(time.Until(c.deadline)/useful, 0))
+		wait = min(wait, max(clock.Until(c.deadline)/useful, 0))
 	}
 	return wait
 }
--- a/internal/sidecar/egress/calllog.go
+++ b/internal/sidecar/egress/calllog.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 )
@@ -14,7 +15,7 @@
 	if c.route != nil {
 		name = c.route.Name
 	}
-	elapsed := time.Since(c.started)
+	elapsed := clock.Since(c.started)
 	if c.failure != nil {
 		c.handler.options.Observer.CallEnded(name, c.status, c.failure.Outcome, c.failure.Step, elapsed)
 	} else {
@@ -54,7 +55,7 @@
 		zap.Array("visits", c.visits), zap.Duration("elapsed", elapsed),
 	}
 	if !c.deadline.IsZero() {
-		fields = append(fields, zap.Duration("left", time.Until(c.deadline)))
+		fields = append(fields, zap.Duration("left", clock.Until(c.deadline)))
 	}
 	if c.body != nil {
 		print := c.print()
--- a/internal/sidecar/egress/choose.go
+++ b/internal/sidecar/egress/choose.go
@@ -6,13 +6,14 @@
 	"time"
 
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/choice"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
 )
 
 // choose returns a send, not begun yet, to the node whose back end is to take the
 // request; nil when there is none.
 func (c *call) choose() *attempt {
-	considered := c.considered(time.Now(), c.selected())
+	considered := c.considered(clock.Now(), c.selected())
 	index, seen := choice.Draw(considered.pool(), c.route.TargetLatency, rand.IntN, c.handler.options.Weights)
 	if index < 0 {
 		return nil
--- a/internal/sidecar/egress/handler.go
+++ b/internal/sidecar/egress/handler.go
@@ -16,6 +16,7 @@
 	"github.com/kestrelstream/kestrelstream/internal/proxy/forward"
 	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/choice"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/fingerprint"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
@@ -204,7 +205,15 @@
 
 // Suspect has a node avoided that did not answer another question.
 func (h *Handler) Suspect(record *roster.Record) {
-	h.targets.of(record).failed(time.Now())
+	h.targets.of(record).failed(clock.Now())
+}
+
+// CloseIdle closes idle connections to other nodes: they may have closed them while the
+// machine was suspended.
+func (h *Handler) CloseIdle() {
+	for _, held := range h.targets.all() {
+		held.pool.CloseIdle()
+	}
 }
 
 // Sweep closes idle connections that are too old or broken.
@@ -248,8 +257,8 @@
 	if h.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	call := &call{handler: h, writer: w, request: r, started: time.Now()}
-	h.lastCall.Store(call.started.UnixNano())
+	call := &call{handler: h, writer: w, request: r, started: clock.Received()}
+	h.lastCall.Store(clock.Stamp(call.started))
 	if failure := call.serve(); failure != nil {
 		call.reply(failure)
 	}
--- a/internal/sidecar/egress/silence.go
+++ b/internal/sidecar/egress/silence.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 )
 
@@ -59,7 +60,7 @@
 	record, held := a.record, a.target
 	entry := &pending{attempt: a}
 	patience := max(time.Duration(float64(a.seen.Work)*suspicionFactor), suspicionLeast)
-	sent := time.Now()
+	sent := clock.Now()
 	waiting := &held.outstanding
 	waiting.mutex.Lock()
 	if waiting.visits == nil {
@@ -94,7 +95,7 @@
 		waiting.probing = true
 	}
 	if waits {
-		now := time.Now()
+		now := clock.Now()
 		entry.timer = time.AfterFunc(patience, func() { h.suspect(record, held, entry, now, patience) })
 	}
 	waiting.mutex.Unlock()
@@ -119,7 +120,7 @@
 		}
 		h.options.Observer.Silent(held.node, probes == 0)
 		held.silent.Store(true)
-		held.avoidUntil.Store(time.Now().Add(silentAvoid).UnixNano())
+		held.avoidUntil.Store(clock.Stamp(clock.Now().Add(silentAvoid)))
 		held.outstanding.miss()
 		time.Sleep(probeInterval)
 	}
@@ -128,7 +129,7 @@
 // regained ends the avoidance of a node that was silent.
 func (h *Handler) regained(held *target, wasSilent bool) {
 	held.outstanding.mutex.Lock()
-	held.outstanding.heard = time.Now()
+	held.outstanding.heard = clock.Now()
 	held.outstanding.mutex.Unlock()
 	if wasSilent {
 		held.succeeded()
--- a/internal/sidecar/egress/stop.go
+++ b/internal/sidecar/egress/stop.go
@@ -1,6 +1,10 @@
 package egress
 
-import "time"
+import (
+	"time"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
+)
 
 // Stop has answers close their connections from now on.
 func (h *Handler) Stop() { h.stopping.Store(true) }
@@ -32,4 +36,4 @@
 func (h *Handler) InFlight() int { return int(h.inFlight.Load()) }
 
 // LastCall returns when the last call came in.
-func (h *Handler) LastCall() time.Time { return time.Unix(0, h.lastCall.Load()) }
+func (h *Handler) LastCall() time.Time { return clock.At(h.lastCall.Load()) }
--- /dev/null
+++ b/internal/sidecar/egress/suspension_test.go
@@ -0,0 +1,91 @@
+package egress
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
+)
+
+// suspendable has the machine of the test suspended by the function that it returns.
+func suspendable(t *testing.T) (suspend func(slept time.Duration)) {
+	var total atomic.Int64
+	t.Cleanup(clock.Use(func() (time.Duration, error) { return time.Duration(total.Load()), nil }))
+	return func(slept time.Duration) {
+		total.Add(int64(slept))
+		clock.Look()
+	}
+}
+
+// tellingPeer is a node that tells how much time each request has left, and answers what the
+// function returns: whether it was run to a good end.
+func tellingPeer(t *testing.T, left chan<- time.Duration, served func() bool) *peer {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		told, err := hop.ParseRequest(r.Header.Get(hop.HeaderHop))
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		left <- told.Remaining
+		if !served() {
+			w.Header().Set(outcome.HeaderOutcome, string(outcome.Unknown))
+			w.Header().Set(outcome.HeaderError, "step=await")
+			w.WriteHeader(http.StatusBadGateway)
+		}
+	}))
+	t.Cleanup(server.Close)
+	return &peer{address: server.Listener.Addr().String()}
+}
+
+// TestARepeatAfterASuspension has what the caller still has, not what it had before.
+func TestARepeatAfterASuspension(t *testing.T) {
+	g := NewWithT(t)
+	suspend := suspendable(t)
+	const given, slept = 4 * time.Second, 3 * time.Second
+	left := make(chan time.Duration, 2)
+	var sends atomic.Int64
+	served := func() bool {
+		if sends.Add(1) > 1 {
+			return true
+		}
+		suspend(slept)
+		return false
+	}
+	handler := newHandler(t, &quiet{}, present, tellingPeer(t, left, served), tellingPeer(t, left, served))
+	g.Expect(callWithin(handler, given)).To(Equal(http.StatusOK))
+	g.Expect(<-left).To(BeNumerically("~", given, slept/2))
+	g.Expect(<-left).To(BeNumerically("<=", given-slept))
+}
+
+// TestARequestThatIsReadAfterASuspension may have waited all the while.
+func TestARequestThatIsReadAfterASuspension(t *testing.T) {
+	g := NewWithT(t)
+	suspend := suspendable(t)
+	const given, slept = 4 * time.Second, 3 * time.Second
+	left := make(chan time.Duration, 1)
+	handler := newHandler(t, &quiet{}, present, tellingPeer(t, left, func() bool { return true }))
+	suspend(slept)
+	g.Expect(callWithin(handler, given)).To(Equal(http.StatusOK))
+	g.Expect(<-left).To(BeNumerically("<=", given-slept))
+	suspend(given)
+	g.Expect(callWithin(handler, given)).To(Equal(http.StatusServiceUnavailable), "its caller is gone, or comes back")
+	g.Expect(left).To(BeEmpty())
+}
+
+// callWithin sends a request that may be repeated, whose caller waits that long, and returns
+// the status.
+func callWithin(handler *Handler, given time.Duration) int {
+	request := httptest.NewRequest(http.MethodGet, "/safe/", nil)
+	request.Host = "h"
+	request.Header.Set(handler.options.Vocabulary.Deadline, hop.FormatMilliseconds(given))
+	recorder := httptest.NewRecorder()
+	handler.ServeHTTP(recorder, request)
+	return recorder.Code
+}
--- a/internal/sidecar/egress/target.go
+++ b/internal/sidecar/egress/target.go
@@ -7,6 +7,7 @@
 
 	"github.com/kestrelstream/kestrelstream/internal/proxy/forward"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/choice"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/occupancy"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
@@ -20,7 +21,7 @@
 	pool    *forward.Pool
 	// inFlight counts this node's requests there.
 	inFlight atomic.Int64
-	// avoidUntil is Unix-like nanoseconds of the handler's clock.
+	// avoidUntil is a stamp of the node's clock; zero for never.
 	avoidUntil atomic.Int64
 	failures   atomic.Int32
 	// silent: the node has not answered the last probe.
@@ -78,7 +79,13 @@
 	if shift := count - 1; shift < 4 {
 		wait = min(avoidBase<<shift, avoidMost)
 	}
-	t.avoidUntil.Store(now.Add(wait).UnixNano())
+	t.avoidUntil.Store(clock.Stamp(now.Add(wait)))
+}
+
+// avoided reports whether the target is avoided.
+func (t *target) avoided(now time.Time) bool {
+	until := t.avoidUntil.Load()
+	return until != 0 && until > clock.Stamp(now)
 }
 
 // succeeded ends a target's bad record.
@@ -111,7 +118,7 @@
 		Slots:   record.Endpoint.Slots,
 		Work:    usual,
 		Held:    usual,
-		Avoid:   t.avoidUntil.Load() > now.UnixNano(),
+		Avoid:   t.avoided(now),
 		Leaving: !record.AcceptsWork(),
 		Silent:  t.silent.Load(),
 	}
--- a/internal/sidecar/egress/versions.go
+++ b/internal/sidecar/egress/versions.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 )
@@ -41,7 +42,7 @@
 	if !h.compares(service, record) {
 		return nil
 	}
-	usual := h.baselineOf(service).Usual(route, time.Now())
+	usual := h.baselineOf(service).Usual(route, clock.Now())
 	return &usual
 }
 
@@ -76,7 +77,7 @@
 // version aside, by what their nodes last told; above one where requests wait, and one
 // where nothing is known.
 func (h *Handler) Load(service, asideVersion string) float64 {
-	now := time.Now()
+	now := clock.Now()
 	near := place{zone: h.options.Zone, regions: h.options.Regions}
 	busy, slots := 0.0, 0
 	for _, record := range h.subset(h.options.View(), service, rollout.Without(asideVersion)).records {
--- a/internal/sidecar/egress/visit.go
+++ b/internal/sidecar/egress/visit.go
@@ -12,6 +12,7 @@
 	"github.com/kestrelstream/kestrelstream/internal/proxy/forward"
 	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/choice"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
 )
 
@@ -55,7 +56,7 @@
 	chosen.context, chosen.cancel = context.WithCancelCause(c.context)
 	chosen.interim = forward.NewInterim(c.writer, "")
 	chosen.suspected = make(chan struct{})
-	chosen.sent = time.Now()
+	chosen.sent = clock.Now()
 	go chosen.run()
 	return c.await(chosen)
 }
@@ -98,7 +99,7 @@
 	failure := &outcome.Failure{Outcome: outcome.Unknown, Step: outcome.StepAwait, Peer: current.target.address, Cause: errSilent}
 	c.visits = append(c.visits, visit{
 		target: current.target, seen: current.seen, reportAge: current.reportAge,
-		outcome: failure.Outcome, step: failure.Step, elapsed: time.Since(current.sent),
+		outcome: failure.Outcome, step: failure.Step, elapsed: clock.Since(current.sent),
 	})
 	return result{target: current.target, failure: failure}
 }
@@ -186,7 +187,7 @@
 	}
 	reached := last.failure.Outcome != outcome.NotRun || last.failure.Step == outcome.StepShed
 	if !reached {
-		return len(c.visits) < c.refusals() && c.considered(time.Now(), c.selected()).worthwhile()
+		return len(c.visits) < c.refusals() && c.considered(clock.Now(), c.selected()).worthwhile()
 	}
 	c.runs++
 	if last.failure.Step == outcome.StepCrash {
@@ -206,7 +207,7 @@
 		last.failure.Cause = errors.Join(errAttempts, last.failure.Cause)
 		return false
 	}
-	if !c.handler.budget(c.service).take(c.handler.options.Retries(), c.members(), time.Now()) {
+	if !c.handler.budget(c.service).take(c.handler.options.Retries(), c.members(), clock.Now()) {
 		last.failure.Cause = errors.Join(errBudget, last.failure.Cause)
 		return false
 	}
@@ -228,7 +229,7 @@
 	options := &c.handler.options
 	header := forward.RequestHeader(c.request.Header, markerCount)
 	delete(header, "Expect")
-	remaining := time.Until(c.deadline)
+	remaining := clock.Until(c.deadline)
 	request := c.described(remaining, a.seen.Work)
 	told := hop.Request{
 		Service: a.service, Caller: options.Caller(), Remaining: remaining, Priority: c.route.Priority,
@@ -280,7 +281,7 @@
 		Aim:        c.route.TargetLatency,
 		Remaining:  remaining,
 		CallerTime: c.callerTime,
-		Elapsed:    time.Since(c.started),
+		Elapsed:    clock.Since(c.started),
 		Expected:   expected,
 		Returning:  c.returning,
 	}
--- a/internal/sidecar/exchange/exchanger.go
+++ b/internal/sidecar/exchange/exchanger.go
@@ -15,6 +15,7 @@
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/configuration"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/readers"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
@@ -118,7 +119,7 @@
 
 // pick returns a random peer: often a lost one, mostly one of the zone.
 func (e *Exchanger) pick() *roster.Record {
-	if lost := e.lost.pick(e.options.Roster.View(), time.Now()); lost != nil {
+	if lost := e.lost.pick(e.options.Roster.View(), clock.Now()); lost != nil {
 		return lost
 	}
 	own, view := e.options.Roster.Own(), e.options.Roster.View()
@@ -209,7 +210,7 @@
 func (e *Exchanger) Usable(record *roster.Record) bool { return !e.lost.holds(record.Node) }
 
 // Lost notes that a node did not answer: it is looked for until it does.
-func (e *Exchanger) Lost(node string) { e.lost.add(node, time.Now()) }
+func (e *Exchanger) Lost(node string) { e.lost.add(node, clock.Now()) }
 
 // message is what every message of this node says.
 func (e *Exchanger) message() *Message {
--- a/internal/sidecar/ingress/arrival.go
+++ b/internal/sidecar/ingress/arrival.go
@@ -13,6 +13,7 @@
 	"github.com/kestrelstream/kestrelstream/internal/proxy/forward"
 	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/admission"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 )
@@ -57,7 +58,7 @@
 		return failure
 	}
 	var cancel context.CancelFunc
-	a.context, cancel = context.WithDeadline(a.request.Context(), a.deadline)
+	a.context, cancel = clock.WithDeadline(a.request.Context(), a.deadline)
 	defer cancel()
 	defer a.endTrial()
 	a.consented = len(a.request.Header["Expect"]) > 0
@@ -94,7 +95,7 @@
 	if forward.CallerLeft(a.context) {
 		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepAdmit, 0, forward.ErrCallerLeft)
 	}
-	a.sent = time.Now()
+	a.sent = clock.Now()
 	a.handler.workplace.begin(a)
 	defer a.handler.workplace.end(a)
 	run := a.handler.pace.Begin(a.told.Expected, a.sent)
@@ -181,7 +182,7 @@
 		Work:        a.told.Expected,
 		MaximumWait: a.told.MaximumWait,
 	})
-	a.waited = time.Since(a.started)
+	a.waited = clock.Since(a.started)
 	if err != nil {
 		return nil, outcome.Refusal(http.StatusServiceUnavailable, outcome.StepAdmit, a.retryAfter(), err)
 	}
@@ -219,7 +220,7 @@
 	reply := hop.Reply{
 		Version: a.handler.options.Version(),
 		Running: load.Running, Waiting: load.Waiting, Slots: load.Slots, Held: load.Service,
-		Factor: a.handler.pace.Factor(time.Now()), Worked: worked, Failing: a.handler.failures.Share(),
+		Factor: a.handler.pace.Factor(clock.Now()), Worked: worked, Failing: a.handler.failures.Share(),
 	}
 	header := a.writer.Header()
 	header[hop.HeaderReply] = []string{reply.Format()}
@@ -231,7 +232,7 @@
 
 func (a *arrival) ended(failure *outcome.Failure) {
 	options := &a.handler.options
-	elapsed := time.Since(a.started)
+	elapsed := clock.Since(a.started)
 	if failure == nil {
 		options.Observer.Arrived("", "", elapsed, a.waited)
 		return
--- a/internal/sidecar/ingress/ends.go
+++ b/internal/sidecar/ingress/ends.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/fingerprint"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 )
@@ -199,7 +200,7 @@
 // ended reports whether the process of the back end has ended under a request whose
 // connection broke. The first such request asks; what was at work is told then.
 func (h *Handler) ended(a *arrival) bool {
-	met, first := h.workplace.broke(a, time.Now())
+	met, first := h.workplace.broke(a, clock.Now())
 	if first {
 		ended := h.processEnded(a.context)
 		h.workplace.settle(met, ended)
--- a/internal/sidecar/ingress/exchange.go
+++ b/internal/sidecar/ingress/exchange.go
@@ -4,11 +4,11 @@
 	"context"
 	"errors"
 	"net/http"
-	"time"
 
 	"github.com/kestrelstream/kestrelstream/internal/proxy/forward"
 	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/body"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
 )
 
@@ -67,7 +67,7 @@
 	names := &a.handler.options.Vocabulary
 	header := forward.RequestHeader(a.request.Header, markerCount)
 	delete(header, "Expect")
-	remaining := time.Until(a.deadline)
+	remaining := clock.Until(a.deadline)
 	header[names.Deadline] = []string{hop.FormatMilliseconds(remaining)}
 	header[names.TargetInstance] = []string{a.endpoint.ID}
 	header[names.CallerService] = []string{a.told.Caller}
@@ -122,7 +122,7 @@
 	case a.context.Err() == nil:
 		a.handler.failures.Observe(true)
 		a.judged(failure.Step != outcome.StepShed)
-	case a.told.Expected > 0 && time.Since(a.started)-a.waited > hangs*a.told.Expected:
+	case a.told.Expected > 0 && clock.Since(a.started)-a.waited > hangs*a.told.Expected:
 		a.handler.failures.Observe(true)
 		a.judged(true)
 	}
@@ -134,7 +134,7 @@
 	if judge == nil || a.told.Usual == nil || !judge.Judges() {
 		return
 	}
-	judge.Answered(a.request, failed, time.Since(a.started)-a.waited, a.told.Expected, *a.told.Usual)
+	judge.Answered(a.request, failed, clock.Since(a.started)-a.waited, a.told.Expected, *a.told.Usual)
 }
 
 // take judges an answer and passes it on when it is the one to this request.
@@ -167,7 +167,7 @@
 // learn takes in how long the back end worked, compared to what the caller's
 // node expected, and marks the reply with it.
 func (a *arrival) learn(response *http.Response) {
-	worked := time.Since(a.started) - a.waited
+	worked := clock.Since(a.started) - a.waited
 	if response.StatusCode < http.StatusMultipleChoices {
 		a.handler.pace.Observe(worked, a.told.Expected)
 	}
--- a/internal/sidecar/ingress/handler.go
+++ b/internal/sidecar/ingress/handler.go
@@ -15,6 +15,7 @@
 	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/admission"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/choice"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/fingerprint"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
@@ -139,7 +140,7 @@
 			ReplyHeaderBytes: replyHeaderBytes,
 			AllowUnframed:    true,
 		}, options.Dial),
-		gate:      admission.New(time.Now),
+		gate:      admission.New(clock.Now),
 		transfers: newTransfers(options.LinkMbps),
 		trial:     semaphore.NewWeighted(1),
 	}
@@ -151,7 +152,7 @@
 	if endpoint == nil {
 		return
 	}
-	if met := h.workplace.replaced(endpoint.ID, time.Now()); met != nil {
+	if met := h.workplace.replaced(endpoint.ID, clock.Now()); met != nil {
 		go h.tellEnding(met) // the roster's lock is held
 	}
 	if endpoint.State != roster.Ready {
@@ -163,7 +164,7 @@
 	case endpoint.State == roster.Ready:
 		h.leaving.Store(nil)
 	case held == nil || held.id != endpoint.ID:
-		h.leaving.Store(&leaving{id: endpoint.ID, since: time.Now()})
+		h.leaving.Store(&leaving{id: endpoint.ID, since: clock.Now()})
 	}
 }
 
@@ -189,13 +190,17 @@
 // Load returns the state of the back end's slots.
 func (h *Handler) Load() admission.Load { return h.gate.Load() }
 
+// CloseIdle closes idle connections to the back end: it may have closed them itself while
+// the machine was suspended.
+func (h *Handler) CloseIdle() { h.pool.CloseIdle() }
+
 // Sweep closes idle connections that are too old or broken.
 func (h *Handler) Sweep(now time.Time) { h.pool.Sweep(now) }
 
 // leftBehind reports whether the back end takes no new work any more.
 func (h *Handler) leftBehind(id string) bool {
 	held := h.leaving.Load()
-	return held != nil && held.id == id && time.Since(held.since) >= h.options.DrainAfter()
+	return held != nil && held.id == id && clock.Since(held.since) >= h.options.DrainAfter()
 }
 
 // ServeHTTP implements http.Handler.
@@ -205,7 +210,7 @@
 	if h.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	arrival := &arrival{handler: h, writer: w, request: r, started: time.Now()}
+	arrival := &arrival{handler: h, writer: w, request: r, started: clock.Received()}
 	failure := arrival.serve()
 	if failure != nil {
 		arrival.reply(failure)
--- a/internal/sidecar/quarantine/quarantine.go
+++ b/internal/sidecar/quarantine/quarantine.go
@@ -14,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/fingerprint"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 )
@@ -118,7 +119,7 @@
 // Ended takes in the unplanned end of the back end beside this node. What came to a good
 // end here of late is not suspected.
 func (q *Quarantine) Ended(crash roster.Crash) {
-	crash.Running = q.recent.withoutServed(crash.Running, time.Now())
+	crash.Running = q.recent.withoutServed(crash.Running, clock.Now())
 	if len(crash.Running) == 0 {
 		return
 	}
@@ -134,7 +135,7 @@
 // Survived takes in that the back end beside this node has answered a request. One that is
 // suspected did not make the ends that are known now.
 func (q *Quarantine) Survived(print fingerprint.Print) {
-	q.recent.add(print, time.Now())
+	q.recent.add(print, clock.Now())
 	if !q.Suspects(print) {
 		return
 	}
--- a/internal/sidecar/reading.go
+++ b/internal/sidecar/reading.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/readers"
 )
 
@@ -41,9 +42,9 @@
 	}
 	joined := s.joined.Load()
 	switch {
-	case joined != nil && time.Since(*joined) >= versionPatience && !s.options.Settings.FirstStart:
+	case joined != nil && clock.Since(*joined) >= versionPatience && !s.options.Settings.FirstStart:
 		return true
-	case time.Since(s.started) >= firstVersionPatience:
+	case clock.Since(s.started) >= firstVersionPatience:
 		return true
 	case joined != nil:
 		return s.reads()
@@ -54,7 +55,7 @@
 // join tells the peers that were found in the store of this node, and asks some of
 // them what they know.
 func (s *Sidecar) join() {
-	now := time.Now()
+	now := clock.Now()
 	s.joined.CompareAndSwap(nil, &now)
 	go s.spread(context.Background())
 	go s.exchanger.Greet(context.Background())
--- a/internal/sidecar/rollout/controller/controller.go
+++ b/internal/sidecar/rollout/controller/controller.go
@@ -16,6 +16,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 )
@@ -116,7 +117,7 @@
 		case <-ctx.Done():
 			return
 		}
-		c.tick(ctx, time.Now())
+		c.tick(ctx, clock.Now())
 	}
 }
 
@@ -153,7 +154,7 @@
 
 // Ordered takes in an order that the store has.
 func (c *Controller) Ordered(order rollout.Order) {
-	now := time.Now()
+	now := clock.Now()
 	if c.learn(c.begin(order, now), now) {
 		c.options.Logger.Info("roll-out ordered", zap.String("service", order.Service), zap.String("software", order.Version),
 			zap.Uint64("revision", order.Revision), zap.Duration("duration", order.Duration))
@@ -172,7 +173,7 @@
 
 // Hear takes in what a peer tells of moves and reports whether some of it is news.
 func (c *Controller) Hear(told []rollout.Told) (news bool) {
-	now := time.Now()
+	now := clock.Now()
 	for _, one := range told {
 		move, valid := one.Hear(now)
 		if !valid {
@@ -191,7 +192,7 @@
 	if len(c.moves) == 0 {
 		return nil
 	}
-	now := time.Now()
+	now := clock.Now()
 	told := make([]rollout.Told, 0, len(c.moves))
 	for _, service := range slices.Sorted(maps.Keys(c.moves)) {
 		told = append(told, c.moves[service].Tell(now))
@@ -275,7 +276,7 @@
 	if _, known := c.unheard[service][version]; known {
 		return
 	}
-	now := time.Now()
+	now := clock.Now()
 	c.unheard[service][version] = now
 	c.options.Logger.Warn("software that no order names gets no requests yet",
 		zap.String("service", service), zap.String("software", version), zap.Duration("atMost", holdMost))
--- a/internal/sidecar/rollout/controller/judging.go
+++ b/internal/sidecar/rollout/controller/judging.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 )
@@ -58,7 +59,7 @@
 		return true
 	case rollout.Trial:
 		judged := c.judging.Load()
-		return judged != nil && judged.id == endpoint.ID && judged.judge.Evidence(time.Now()).Faulty
+		return judged != nil && judged.id == endpoint.ID && judged.judge.Evidence(clock.Now()).Faulty
 	}
 	return false
 }
@@ -68,7 +69,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	held := c.moves[service]
-	return held != nil && !held.moved.IsZero() && time.Since(held.moved) >= settle
+	return held != nil && !held.moved.IsZero() && clock.Since(held.moved) >= settle
 }
 
 // Answered takes in what a request showed of the own back end, while Judges holds.
@@ -79,7 +80,7 @@
 	}
 	judged := c.judgeOf(endpoint)
 	c.metrics.observe(endpoint.Version, answer)
-	now := time.Now()
+	now := clock.Now()
 	evidence := judged.judge.Observe(answer, now)
 	if !judged.isDue(evidence, now) {
 		return
--- a/internal/sidecar/rollout/controller/writes.go
+++ b/internal/sidecar/rollout/controller/writes.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
 	"github.com/kestrelstream/kestrelstream/internal/store"
 )
@@ -147,7 +148,7 @@
 // wrote takes in that the store has the phase. deadline is the one that the store had,
 // zero when this node has just written its own.
 func (c *Controller) wrote(move rollout.Move, deadline time.Time) {
-	now := time.Now()
+	now := clock.Now()
 	c.mu.Lock()
 	held := c.moves[move.Service]
 	if held == nil || held.Revision != move.Revision {
@@ -187,6 +188,6 @@
 		return
 	}
 	held.writing = false
-	held.notBefore = time.Now().Add(min(retryBase<<min(held.failures, 4), retryMost))
+	held.notBefore = clock.Now().Add(min(retryBase<<min(held.failures, 4), retryMost))
 	held.failures++
 }
--- a/internal/sidecar/rollouts.go
+++ b/internal/sidecar/rollouts.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/configuration"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/readers"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
@@ -37,7 +38,7 @@
 // settled reports whether the node has a configuration, and with it the orders given
 // before, and knows the others for some time.
 func (s *Sidecar) settled() bool {
-	return s.keeper.Version() > 0 && time.Since(s.started) >= settleTime
+	return s.keeper.Version() > 0 && clock.Since(s.started) >= settleTime
 }
 
 // place is where the store has what operators write.
@@ -88,7 +89,7 @@
 			answer.Route = matched.Name
 		}
 	}
-	warm := time.Now().UnixNano() >= j.sidecar.warm.Load()
+	warm := clock.Stamp(clock.Now()) >= j.sidecar.warm.Load()
 	answer.Slow = warm && expected > 0 && worked > rollout.SlowFactor*expected
 	j.sidecar.rollouts.Answered(answer)
 }
--- a/internal/sidecar/roster/publish.go
+++ b/internal/sidecar/roster/publish.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"maps"
 	"slices"
 	"time"
@@ -30,7 +31,7 @@
 // was replaced just before. A change of the own record never waits.
 func (r *Roster) publishSoon(changed []*Record) {
 	own := slices.ContainsFunc(changed, func(record *Record) bool { return record.Node == r.self })
-	since := time.Since(r.published)
+	since := clock.Since(r.published)
 	switch {
 	case own || r.View().Count() <= immediate || since >= publishPause:
 		r.publish()
@@ -49,7 +50,7 @@
 }
 
 func (r *Roster) publish() {
-	r.published, r.delayed = time.Now(), false
+	r.published, r.delayed = clock.Now(), false
 	view := &View{records: maps.Clone(r.records), services: map[string][]*Record{}, zones: map[string][]*Record{}}
 	for _, record := range view.Records() {
 		view.zones[record.Zone] = append(view.zones[record.Zone], record)
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -7,14 +7,20 @@
 
 	"go.uber.org/zap"
 
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/configuration"
 )
 
 // sweepInterval is the time between two looks at idle connections.
 const sweepInterval = 2 * time.Second
 
+// wakeRefreshTimeout bounds the read of the configuration after a suspension; the watch goes
+// on beside it.
+const wakeRefreshTimeout = time.Second
+
 // Run does the node's work in the background until the context ends.
 func (s *Sidecar) Run(ctx context.Context) {
+	defer clock.OnWake(s.woke)()
 	var running sync.WaitGroup
 	work := []func(){
 		func() {
@@ -24,6 +30,7 @@
 		func() { s.rollouts.Run(ctx) },
 		func() { s.exchanger.Run(ctx) },
 		func() { s.sweep(ctx) },
+		func() { clock.Watch(ctx) },
 	}
 	for _, task := range work {
 		running.Go(task)
@@ -31,6 +38,28 @@
 	running.Wait()
 }
 
+// woke takes in that the machine was suspended. Others may have closed connections, left and
+// changed the configuration meanwhile: nothing goes out on a connection from before, and the
+// node asks what it has missed.
+func (s *Sidecar) woke(slept time.Duration) {
+	s.logger.Warn("machine was suspended", zap.Duration("slept", slept), zap.Int("callsInFlight", s.egress.InFlight()))
+	s.egress.CloseIdle()
+	s.ingress.CloseIdle()
+	go s.exchanger.Greet(context.Background())
+	if s.reads() {
+		go s.refresh()
+	}
+}
+
+// refresh reads the configuration, which a watch from before may not bring any more.
+func (s *Sidecar) refresh() {
+	ctx, cancel := context.WithTimeout(context.Background(), wakeRefreshTimeout)
+	defer cancel()
+	if err := configuration.Refresh(ctx, s.options.Store, s.place(), s.keeper); err != nil {
+		s.logger.Warn("configuration not read after a suspension", zap.Error(err))
+	}
+}
+
 func (s *Sidecar) sweep(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -14,6 +14,7 @@
 	"github.com/kestrelstream/kestrelstream/internal/pipelining"
 	"github.com/kestrelstream/kestrelstream/internal/proxy/forward"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/choice"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/configuration"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/dial"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/egress"
@@ -89,10 +90,10 @@
 	joined  atomic.Pointer[time.Time]
 	// settings are replaced at a reload.
 	settings atomic.Pointer[Settings]
-	// lastBeat is when a heartbeat was last heard, in nanoseconds of the Unix time;
+	// lastBeat is when a heartbeat was last heard, as a stamp of the node's clock;
 	// zero before the first.
 	lastBeat atomic.Int64
-	// warm is when the back end's warm-up is over, in nanoseconds of the Unix time; zero
+	// warm is when the back end's warm-up is over, as a stamp of the node's clock; zero
 	// when it has told of none.
 	warm atomic.Int64
 	// claims is used under the roster's lock.
@@ -115,7 +116,7 @@
 			Address: settings.Listen.Inbound, PeerAddress: settings.Listen.Peer, Link: settings.LinkMbps,
 			Life: uint64(rand.Uint32()),
 		}),
-		started: time.Now(),
+		started: clock.Now(),
 		keeper:  configuration.NewKeeper(options.Decode, options.Logger),
 		claims:  roster.Claims{Interval: settings.HeartbeatInterval},
 	}
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 )
 
@@ -37,7 +38,7 @@
 // peers, and serves what still comes until nothing does or the time is nearly
 // over. The listeners are to be closed after that.
 func (s *Sidecar) Drain() {
-	started := time.Now()
+	started := clock.Now()
 	s.stopping.Store(true)
 	s.egress.Stop()
 	s.ingress.Stop()
@@ -50,7 +51,7 @@
 	s.egress.Cut()
 	s.withdraw()
 	s.logger.Info("stop ends", zap.Int("callsInFlight", s.egress.InFlight()),
-		zap.Int("running", s.ingress.Load().Running), zap.Duration("elapsed", time.Since(started)))
+		zap.Int("running", s.ingress.Load().Running), zap.Duration("elapsed", clock.Since(started)))
 }
 
 // leave tells the peers to send no more requests for the back end.
@@ -70,7 +71,7 @@
 
 // refuse has both sides refuse whatever comes from now on.
 func (s *Sidecar) refuse() {
-	s.egress.RefuseFrom(time.Now())
+	s.egress.RefuseFrom(clock.Now())
 	s.ingress.Refuse()
 }
 
@@ -116,11 +117,11 @@
 // the moment it is found idle everything is refused, and what came in before that
 // is still served.
 func (p stopPlan) await(started time.Time, node stopping) {
-	for !p.done(time.Since(started), node.underWay() == 0, time.Since(node.lastCall())) {
+	for !p.done(clock.Since(started), node.underWay() == 0, clock.Since(node.lastCall())) {
 		time.Sleep(stopPoll)
 	}
 	node.refuse()
-	for node.underWay() > 0 && time.Since(started) < p.end() {
+	for node.underWay() > 0 && clock.Since(started) < p.end() {
 		time.Sleep(stopPoll)
 	}
 }
