List and lift what is held back

Cause: a verdict on a request had no way back: neither an operator nor time ended it. An end by time would let a request that comes seldom end back ends again and again, so that an operator ends it, or nobody.

Change: the metrics listener lists the verdicts (/quarantine) and lifts one (POST /quarantine/lift?digest=). How often a request's verdicts were lifted is told like the rest; a verdict reached before that holds no more, at any node, and two further ends make another one. Tests: a verdict at all nodes, two callers of one content, verdicts that outlive the nodes that saw the ends, lifting.

Ruled out: lifting by the ends that a verdict rests on. Nodes reach it from different ends, so that one would have kept it and told it on again.

Conclusion: the way back is an operator's; it costs the next verdict two back ends.

--- a/internal/sidecar/assembly/providers.go
+++ b/internal/sidecar/assembly/providers.go
@@ -4,6 +4,7 @@
 
 import (
 	"net"
+	"net/http"
 	"os"
 	"strconv"
 	"time"
@@ -16,6 +17,7 @@
 	"github.com/kestrelstream/kestrelstream/internal/httpserver"
 	"github.com/kestrelstream/kestrelstream/internal/settings"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/quarantine"
 	"github.com/kestrelstream/kestrelstream/internal/telemetry"
 	"github.com/kestrelstream/kestrelstream/platform"
 )
@@ -108,6 +110,9 @@
 		}
 		return trace.Errorf("no configuration is in force, or the node is stopping")
 	})
+	held := node.Quarantine()
+	admin.AddPage(quarantine.PathHeld, "requests that no back end gets", func() any { return held.Held() })
+	admin.HandleCommand(quarantine.PathLift, http.HandlerFunc(held.ServeLift))
 	return admin
 }
 
--- a/internal/sidecar/quarantine/quarantine.go
+++ b/internal/sidecar/quarantine/quarantine.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -116,6 +117,23 @@
 	return all
 }
 
+// ErrNotHeld says that a request is not held back.
+var ErrNotHeld = errors.New("quarantine: no request with this digest is held back")
+
+// Lift ends a verdict at all nodes. Back ends get the request again; when two more end under
+// it, it is held back again.
+func (q *Quarantine) Lift(digest fingerprint.Digest) error {
+	held, known := q.state.Load().held[digest]
+	if !known {
+		return ErrNotHeld
+	}
+	q.update(func(own *roster.Evidence) bool {
+		own.Lifted = append(own.Lifted, roster.Lift{Digest: digest, Count: held.Lifts + 1})
+		return true
+	}, 0)
+	return nil
+}
+
 // Ended takes in the unplanned end of the back end beside this node. What came to a good
 // end here of late is not suspected.
 func (q *Quarantine) Ended(crash roster.Crash) {
@@ -232,7 +250,7 @@
 func (q *Quarantine) judge() (fresh []roster.Held) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	before := len(q.known)
+	changed := q.lift()
 	for _, told := range q.evidence {
 		for _, held := range told.Held {
 			fresh = q.learn(held, fresh)
@@ -243,22 +261,49 @@
 	for _, digestOf := range []func(fingerprint.Print) fingerprint.Digest{content, call} {
 		open, services := q.open(digestOf)
 		for _, found := range blame(open) {
-			fresh = q.learn(roster.Held{Digest: found.digest, Service: services[found.endpoints[0]], Endpoints: found.endpoints}, fresh)
+			fresh = q.learn(roster.Held{
+				Digest: found.digest, Service: services[found.endpoints[0]], Endpoints: found.endpoints, Lifts: q.lifts(found.digest),
+			}, fresh)
 		}
 	}
 	if len(q.known) > mostKnown {
 		q.options.Logger.Error("more requests held back than are kept in mind", zap.Int("held", len(q.known)), zap.Int("most", mostKnown))
 	}
-	q.publish(len(q.known) != before)
+	q.publish(changed || len(fresh) > 0)
 	return fresh
 }
 
+// lift forgets verdicts that were lifted, and reports whether there are some. The lock is
+// held.
+func (q *Quarantine) lift() (changed bool) {
+	for digest, held := range q.known {
+		if q.lifted(held) {
+			delete(q.known, digest)
+			changed = true
+			q.options.Logger.Warn("request not held back any more", zap.Stringer("digest", digest), zap.String("service", held.Service))
+		}
+	}
+	return changed
+}
+
+// lifted reports whether a verdict was lifted; the lock is held.
+func (q *Quarantine) lifted(held roster.Held) bool { return held.Lifts < q.lifts(held.Digest) }
+
+// lifts returns how often verdicts on a request were lifted, as some node tells; the lock is
+// held.
+func (q *Quarantine) lifts(digest fingerprint.Digest) (count int) {
+	for _, told := range q.evidence {
+		count = max(count, told.LiftsOf(digest))
+	}
+	return count
+}
+
 func content(print fingerprint.Print) fingerprint.Digest { return print.Content }
 func call(print fingerprint.Print) fingerprint.Digest    { return print.Call }
 
 // learn adds a verdict, unless it is known or there are too many.
 func (q *Quarantine) learn(held roster.Held, fresh []roster.Held) []roster.Held {
-	if _, known := q.known[held.Digest]; known || len(q.known) > mostKnown {
+	if _, known := q.known[held.Digest]; known || len(q.known) > mostKnown || q.lifted(held) {
 		return fresh
 	}
 	q.known[held.Digest] = held
--- /dev/null
+++ b/internal/sidecar/quarantine/quarantine_test.go
@@ -0,0 +1,173 @@
+package quarantine_test
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/fingerprint"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/quarantine"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+)
+
+// pass lets news go round.
+func pass() {
+	time.Sleep(100 * time.Millisecond)
+	synctest.Wait()
+}
+
+// crash tells of an end at a node, under a request on trial and another one.
+func (n *fleetNode) tell(endpoint string, trial *fingerprint.Print, beside ...fingerprint.Print) {
+	told := roster.Crash{Endpoint: endpoint, Service: "one", Running: beside, Trial: trial}
+	if trial != nil {
+		told.Running = append(told.Running, *trial)
+	}
+	n.quarantine.Ended(told)
+	pass()
+}
+
+// holders counts the nodes that hold a request back.
+func (f *fleet) holders(print fingerprint.Print) (count int) {
+	for _, node := range f.nodes {
+		if node.quarantine.Holds(print) {
+			count++
+		}
+	}
+	return count
+}
+
+// TestAVerdictReachesAll and rests with those that saw the ends; what was beside is cleared
+// by its good end, and nothing of it is told on.
+func TestAVerdictReachesAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newFleet(4, 1, 0)
+		harmful, harmless := printOf(1), printOf(2)
+		f.nodes[0].tell("i-0", nil, harmful, harmless)
+		for _, node := range f.nodes {
+			g.Expect(node.quarantine.Suspects(harmless)).To(BeTrue())
+			g.Expect(node.quarantine.Idle()).To(BeFalse())
+		}
+		f.nodes[2].quarantine.Survived(harmless)
+		pass()
+		g.Expect(f.nodes[3].quarantine.Suspects(harmless)).To(BeFalse())
+		g.Expect(f.holders(harmful)).To(BeZero())
+
+		f.nodes[1].tell("i-1", &harmful)
+		g.Expect(f.holders(harmful)).To(Equal(len(f.nodes)))
+		g.Expect(f.holders(harmless)).To(BeZero())
+		for i, node := range f.nodes {
+			evidence := node.members.Own().Evidence
+			if i > 1 {
+				g.Expect(evidence).To(BeNil())
+				continue
+			}
+			g.Expect(evidence.Crashes).To(BeEmpty())
+			// Of the content and of the call.
+			g.Expect(evidence.Held).NotTo(BeEmpty())
+		}
+	})
+}
+
+// TestTwoCallersOfOneContent: where it does harm for one of them only, the other is served.
+func TestTwoCallersOfOneContent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newFleet(3, 1, 0)
+		harmful, harmless := printOf(1), printOf(1)
+		harmless.Call = printOf(2).Call
+		f.nodes[0].tell("i-0", nil, harmful)
+		f.nodes[1].quarantine.Survived(harmless)
+		pass()
+		g.Expect(f.nodes[2].quarantine.Suspects(harmful)).To(BeTrue())
+		f.nodes[1].tell("i-1", &harmful)
+		g.Expect(f.holders(harmful)).To(Equal(len(f.nodes)))
+		g.Expect(f.holders(harmless)).To(BeZero())
+	})
+}
+
+// TestVerdictsOutliveTheirNodes: when both that saw the ends have gone, one of the others
+// tells who comes new.
+func TestVerdictsOutliveTheirNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newFleet(4, 1, 0)
+		for i, node := range f.nodes {
+			node.members.Update(func(record roster.Record) (roster.Record, bool) {
+				record.Endpoint = &roster.Endpoint{ID: string(rune('a' + i)), Service: "one", State: roster.Ready}
+				return record, true
+			})
+			node.spread()
+		}
+		pass()
+		harmful := printOf(1)
+		f.nodes[0].tell("a", nil, harmful)
+		f.nodes[1].tell("b", &harmful)
+		for i, node := range f.nodes[:2] {
+			node.members.Update(func(record roster.Record) (roster.Record, bool) { return record.End(string(rune('a' + i))) })
+			node.spread()
+		}
+		pass()
+		fresh := newFleet(1, 2, 0).nodes[0]
+		fresh.members.Merge(f.nodes[3].members.View().Records())
+		g.Expect(fresh.quarantine.Holds(harmful)).To(BeTrue())
+	})
+}
+
+// TestLifting ends a verdict at all nodes, also at one that has heard of the ends and not of
+// that; later ends make another one.
+func TestLifting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newFleet(3, 1, 0)
+		harmful := printOf(1)
+		f.nodes[0].tell("i-0", nil, harmful)
+		f.nodes[1].tell("i-1", &harmful)
+		late := f.nodes[0].members.View().Records()
+		g.Expect(f.holders(harmful)).To(Equal(len(f.nodes)))
+
+		for _, held := range f.nodes[2].quarantine.Held() {
+			g.Expect(f.nodes[2].lift(held.Digest.String())).To(Equal(http.StatusNoContent))
+		}
+		pass()
+		g.Expect(f.holders(harmful)).To(BeZero())
+		g.Expect(f.nodes[2].lift(harmful.Content.String())).To(Equal(http.StatusNotFound))
+		g.Expect(f.nodes[2].lift("x")).To(Equal(http.StatusBadRequest))
+		f.nodes[2].members.Merge(late)
+		pass()
+		g.Expect(f.holders(harmful)).To(BeZero())
+
+		f.nodes[0].tell("i-2", nil, harmful)
+		g.Expect(f.holders(harmful)).To(BeZero())
+		f.nodes[1].tell("i-3", &harmful)
+		g.Expect(f.holders(harmful)).To(Equal(len(f.nodes)))
+	})
+}
+
+// lift asks the node as an operator does, and returns the status.
+func (n *fleetNode) lift(digest string) int {
+	recorder := httptest.NewRecorder()
+	n.quarantine.ServeLift(recorder, httptest.NewRequest(http.MethodPost, quarantine.PathLift+"?digest="+digest, nil))
+	return recorder.Code
+}
+
+// TestEvidenceAsItTravels keeps its meaning.
+func TestEvidenceAsItTravels(t *testing.T) {
+	g := NewWithT(t)
+	harmful := printOf(1)
+	sent := &roster.Evidence{
+		Crashes: []roster.Crash{{Endpoint: "i-0", Service: "one", Running: []fingerprint.Print{harmful}, Trial: &harmful}},
+		Cleared: []roster.Clearance{{Print: harmful, Endpoints: []string{"i-0"}}},
+		Held:    []roster.Held{{Digest: harmful.Content, Service: "one", Endpoints: []string{"i-0"}}},
+	}
+	encoded, err := json.Marshal(sent)
+	g.Expect(err).NotTo(HaveOccurred())
+	received := &roster.Evidence{}
+	g.Expect(json.Unmarshal(encoded, received)).To(Succeed())
+	g.Expect(received).To(Equal(sent))
+}
--- a/internal/sidecar/quarantine/settle.go
+++ b/internal/sidecar/quarantine/settle.go
@@ -15,12 +15,14 @@
 	q.update(func(own *roster.Evidence) bool {
 		q.mu.Lock()
 		defer q.mu.Unlock()
-		added := q.keepVerdicts(own)
+		before := len(own.Held)
+		own.Held = slices.DeleteFunc(own.Held, q.lifted)
+		changed := len(own.Held) != before
+		changed = q.keepVerdicts(own) || changed
 		if heir {
-			added = q.inherit(own) || added
+			changed = q.inherit(own) || changed
 		}
-		pruned := q.prune(own)
-		return added || pruned
+		return q.prune(own) || changed
 	}, clearanceDelay)
 }
 
@@ -62,7 +64,7 @@
 func (q *Quarantine) inherit(own *roster.Evidence) (added bool) {
 	for node := range q.gone {
 		for _, held := range q.evidence[node].Clone().Held {
-			added = !own.Full() && keep(own, held) || added
+			added = !own.Full() && !q.lifted(held) && keep(own, held) || added
 		}
 	}
 	return added
@@ -98,7 +100,7 @@
 
 // size is how many entries the evidence has.
 func size(own *roster.Evidence) int {
-	total := len(own.Cleared) + len(own.Held) + len(own.Crashes)
+	total := len(own.Cleared) + len(own.Held) + len(own.Lifted) + len(own.Crashes)
 	for _, crash := range own.Crashes {
 		total += len(crash.Running)
 	}
--- a/internal/sidecar/roster/evidence.go
+++ b/internal/sidecar/roster/evidence.go
@@ -17,6 +17,8 @@
 	// Held are requests that no back end is to get, the newest last. The node saw a back
 	// end end under each, or took it over from a node that has gone.
 	Held []Held `json:"held,omitempty"`
+	// Lifted are requests whose verdicts an operator has lifted, the newest last.
+	Lifted []Lift `json:"lifted,omitempty"`
 }
 
 // Crash is the unplanned end of one back end.
@@ -45,6 +47,15 @@
 	Service string             `json:"service"`
 	// Endpoints are back ends that ended under it.
 	Endpoints []string `json:"endpoints"`
+	// Lifts is how often earlier verdicts on the request had been lifted when this one was
+	// reached; it does not hold once there are more.
+	Lifts int `json:"lifts,omitempty"`
+}
+
+// Lift says how often verdicts on a request were lifted.
+type Lift struct {
+	Digest fingerprint.Digest `json:"digest"`
+	Count  int                `json:"count"`
 }
 
 // Bounds of the evidence of one node. A record with all of it has about 8 KB, which travels
@@ -56,8 +67,8 @@
 	// runningRemembered bounds the requests of one end; back ends have fewer slots.
 	runningRemembered = 32
 	clearedRemembered = 32
-	// heldRemembered is how many verdicts a node keeps for all. Each costs its sender two
-	// back ends, so that nobody pushes one out cheaply.
+	// heldRemembered is how many verdicts a node keeps for all, and how many it has lifted.
+	// Each costs its sender two back ends, so that nobody pushes one out cheaply.
 	heldRemembered = 64
 )
 
@@ -69,13 +80,14 @@
 	e.Crashes = newest(e.Crashes, crashesRemembered)
 	e.Cleared = newest(e.Cleared, clearedRemembered)
 	e.Held = newest(e.Held, heldRemembered)
+	e.Lifted = newest(e.Lifted, heldRemembered)
 	for i, crash := range e.Crashes {
 		if len(crash.Running) > runningRemembered {
 			e.Crashes = slices.Clone(e.Crashes)
 			e.Crashes[i].Running = crash.Running[:runningRemembered]
 		}
 	}
-	if len(e.Crashes)+len(e.Cleared)+len(e.Held) == 0 {
+	if len(e.Crashes)+len(e.Cleared)+len(e.Held)+len(e.Lifted) == 0 {
 		return nil
 	}
 	return &e
@@ -88,12 +100,27 @@
 	if e == nil {
 		return Evidence{}
 	}
-	return Evidence{Crashes: slices.Clone(e.Crashes), Cleared: slices.Clone(e.Cleared), Held: slices.Clone(e.Held)}
+	return Evidence{
+		Crashes: slices.Clone(e.Crashes), Cleared: slices.Clone(e.Cleared),
+		Held: slices.Clone(e.Held), Lifted: slices.Clone(e.Lifted),
+	}
 }
 
 // HoldsSame reports whether both hold back the same requests.
 func (e *Evidence) HoldsSame(other *Evidence) bool {
-	return slices.EqualFunc(e.Clone().Held, other.Clone().Held, func(a, b Held) bool { return a.Digest == b.Digest })
+	return slices.EqualFunc(e.Clone().Held, other.Clone().Held, sameDigest)
+}
+
+func sameDigest(a, b Held) bool { return a.Digest == b.Digest }
+
+// LiftsOf returns how often the node knows verdicts on a request to have been lifted.
+func (e *Evidence) LiftsOf(digest fingerprint.Digest) (count int) {
+	for _, lifted := range e.Lifted {
+		if lifted.Digest == digest {
+			count = max(count, lifted.Count)
+		}
+	}
+	return count
 }
 
 // inheritedEvidence is what a node knows once an earlier life's evidence came to light.
@@ -105,7 +132,8 @@
 	now := own.Clone()
 	merged.Crashes = union(merged.Crashes, now.Crashes, func(a, b Crash) bool { return a.Endpoint == b.Endpoint })
 	merged.Cleared = union(merged.Cleared, now.Cleared, func(a, b Clearance) bool { return a.Call == b.Call })
-	merged.Held = union(merged.Held, now.Held, func(a, b Held) bool { return a.Digest == b.Digest })
+	merged.Held = union(merged.Held, now.Held, sameDigest)
+	merged.Lifted = union(merged.Lifted, now.Lifted, func(a, b Lift) bool { return a == b })
 	return merged.Bounded()
 }
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -304,5 +304,8 @@
 // Inbound returns the handler of the listener for other nodes.
 func (s *Sidecar) Inbound() http.Handler { return s.ingress }
 
+// Quarantine returns what the node knows of requests that end back ends.
+func (s *Sidecar) Quarantine() *quarantine.Quarantine { return s.quarantine }
+
 // Exchanger returns the node's exchanges with its peers.
 func (s *Sidecar) Exchanger() *exchange.Exchanger { return s.exchanger }
--- a/internal/telemetry/admin.go
+++ b/internal/telemetry/admin.go
@@ -83,6 +83,9 @@
 	a.mux.Handle("GET "+path, handler)
 }
 
+// HandleCommand adds a command, which changes something: it is posted.
+func (a *Admin) HandleCommand(path string, handler http.Handler) { a.mux.Handle("POST "+path, handler) }
+
 func (a *Admin) handleProfiles() {
 	a.Handle("/debug/pprof/", "profiles of the runtime", http.HandlerFunc(pprof.Index))
 	a.Handle("/debug/pprof/profile", "processor profile", http.HandlerFunc(pprof.Profile))
