--- a/internal/sidecar/clock/clock_test.go
+++ b/internal/sidecar/clock/clock_test.go
@@ -92,6 +92,18 @@
 	g.Expect(At(Stamp(now)).Sub(now)).To(BeZero())
 }
 
+// TestTimesOfDay: a moment that others are told does not move by suspensions before.
+func TestTimesOfDay(t *testing.T) {
+	g := NewWithT(t)
+	suspended := time.Duration(0)
+	defer Use(func() (time.Duration, error) { return suspended, nil })()
+	suspended = time.Hour
+	Look()
+	moment := Now().Add(time.Minute)
+	g.Expect(time.Until(TimeOfDay(moment))).To(BeNumerically("~", time.Minute, 10*time.Second))
+	g.Expect(Moment(TimeOfDay(moment))).To(BeTemporally("~", moment, time.Second))
+}
+
 // TestListenersHearOfASuspension once each.
 func TestListenersHearOfASuspension(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/sidecar/rollout/controller/writes.go
+++ b/internal/sidecar/rollout/controller/writes.go
@@ -102,7 +102,7 @@
 	defer cancel()
 	stored, revision, err := c.stored(bounded, next.Service)
 	if err == nil && stored.Revision == next.Revision && (stored.Phase.Final() || stored.Phase >= next.Phase) {
-		c.wrote(next.Reached(stored.Phase), stored.Deadline)
+		c.wrote(next.Reached(stored.Phase), clock.Moment(stored.Deadline))
 		return
 	}
 	if err == nil {
@@ -134,7 +134,7 @@
 
 func (c *Controller) swap(ctx context.Context, next rollout.Move, revision uint64) error {
 	value, err := c.options.Codec.EncodeStatus(Status{
-		Service: next.Service, Version: next.Version, Revision: next.Order.Revision, Phase: next.Phase, Deadline: next.Deadline,
+		Service: next.Service, Version: next.Version, Revision: next.Order.Revision, Phase: next.Phase, Deadline: clock.TimeOfDay(next.Deadline),
 	})
 	if err != nil {
 		return err
