--- a/internal/sidecar/egress/suspension_test.go
+++ b/internal/sidecar/egress/suspension_test.go
@@ -10,20 +10,10 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
-	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock/clocktest"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
 )
 
-// suspendable has the machine of the test suspended by the function that it returns.
-func suspendable(t *testing.T) (suspend func(slept time.Duration)) {
-	var total atomic.Int64
-	t.Cleanup(clock.Use(func() (time.Duration, error) { return time.Duration(total.Load()), nil }))
-	return func(slept time.Duration) {
-		total.Add(int64(slept))
-		clock.Look()
-	}
-}
-
 // tellingPeer is a node that tells how much time each request has left, and answers what the
 // function returns: whether it was run to a good end.
 func tellingPeer(t *testing.T, left chan<- time.Duration, served func() bool) *peer {
@@ -47,7 +37,7 @@
 // TestARepeatAfterASuspension has what the caller still has, not what it had before.
 func TestARepeatAfterASuspension(t *testing.T) {
 	g := NewWithT(t)
-	suspend := suspendable(t)
+	suspend := clocktest.Suspendable(t)
 	const given, slept = 4 * time.Second, 3 * time.Second
 	left := make(chan time.Duration, 2)
 	var sends atomic.Int64
@@ -67,7 +57,7 @@
 // TestARequestThatIsReadAfterASuspension may have waited all the while.
 func TestARequestThatIsReadAfterASuspension(t *testing.T) {
 	g := NewWithT(t)
-	suspend := suspendable(t)
+	suspend := clocktest.Suspendable(t)
 	const given, slept = 4 * time.Second, 3 * time.Second
 	left := make(chan time.Duration, 1)
 	handler := newHandler(t, &quiet{}, present, tellingPeer(t, left, func() bool { return true }))
--- a/internal/sidecar/ingress/suspension_test.go
+++ b/internal/sidecar/ingress/suspension_test.go
@@ -3,32 +3,21 @@
 import (
 	"net/http"
 	"strconv"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
-	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock/clocktest"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 )
 
-// suspendable has the machine of the test suspended by the function that it returns.
-func suspendable(t *testing.T) (suspend func(slept time.Duration)) {
-	var total atomic.Int64
-	t.Cleanup(clock.Use(func() (time.Duration, error) { return time.Duration(total.Load()), nil }))
-	return func(slept time.Duration) {
-		total.Add(int64(slept))
-		clock.Look()
-	}
-}
-
 // TestASuspendedNodeStillDrains: the time in which a back end that leaves gets new work goes
 // on while the machine is suspended.
 func TestASuspendedNodeStillDrains(t *testing.T) {
 	g := NewWithT(t)
-	suspend := suspendable(t)
+	suspend := clocktest.Suspendable(t)
 	made := playMortal(t)
 	answer := signed(http.StatusOK)
 	made.answer.Store(&answer)
@@ -45,7 +34,7 @@
 // passed on with what its caller still has.
 func TestADeadlineIsNotLengthened(t *testing.T) {
 	g := NewWithT(t)
-	suspend := suspendable(t)
+	suspend := clocktest.Suspendable(t)
 	made := playMortal(t)
 	const remaining, slept = 10 * time.Second, 4 * time.Second
 	made.told = func(told *hop.Request) { told.Remaining, told.MaximumWait = remaining, time.Minute }
--- a/internal/sidecar/quarantine/fleet_test.go
+++ b/internal/sidecar/quarantine/fleet_test.go
@@ -43,8 +43,10 @@
 	mu sync.Mutex // guards all below and the nodes' back ends
 	// sent counts the requests, heldHarmless those of the harmless that were held back.
 	sent, heldHarmless int
-	// harmfulEnds counts the back ends that ended under each harmful request.
+	// harmfulEnds counts the back ends that ended under each harmful request, marked those
+	// under all of them when mark was called.
 	harmfulEnds map[fingerprint.Print]int
+	marked      int
 }
 
 // fleetNode is one node with its back end.
@@ -88,6 +90,16 @@
 	return f.random.Float64()
 }
 
+// mark notes how many back ends have ended under harmful requests.
+func (f *fleet) mark() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.marked = 0
+	for _, count := range f.harmfulEnds {
+		f.marked += count
+	}
+}
+
 func (f *fleet) permutation() []int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -267,66 +279,104 @@
 	}
 }
 
-// TestEndsForOtherReasons: where up to a half of the back ends end three times a day,
-// together or one soon after the other, hardly any request is held back for it.
-func TestEndsForOtherReasons(t *testing.T) {
-	sent, held := 0, 0
-	for seed := range uint64(30) {
+// playDays plays a day of a fleet for each of 30 seeds: what is arranged happens beside the
+// traffic. It returns the fleets when all is quiet.
+func playDays(t *testing.T, lost float64, lasts time.Duration, arrange func(*fleet)) (played []*fleet) {
+	const days, size, perSecond = 30, 8, 250
+	for seed := range uint64(days) {
 		synctest.Test(t, func(*testing.T) {
-			f := newFleet(8, seed, 0.1)
-			until := time.Now().Add(12 * time.Second)
+			f := newFleet(size, seed, lost)
+			until := time.Now().Add(lasts)
 			for _, node := range f.nodes {
 				go node.exchange(until)
 			}
-			for _, within := range []time.Duration{0, 50 * time.Millisecond, 400 * time.Millisecond} {
-				at := time.Duration(2+f.chance()*6) * time.Second
-				// From a tenth to a half of the back ends.
-				ending := 1 + int(f.chance()*float64(len(f.nodes)/2))
-				for _, i := range f.permutation()[:ending] {
-					time.AfterFunc(at+time.Duration(f.chance()*float64(within)), f.nodes[i].crash)
-				}
-			}
-			f.traffic(until, 250)
+			arrange(f)
+			f.traffic(until, perSecond)
 			time.Sleep(10 * time.Second)
 			synctest.Wait()
-			sent, held = sent+f.sent, held+f.heldHarmless
+			played = append(played, f)
 		})
 	}
+	return played
+}
+
+// heldOf returns how many harmless requests were held back, of how many in all.
+func heldOf(played []*fleet) (held, sent int) {
+	for _, f := range played {
+		held, sent = held+f.heldHarmless, sent+f.sent
+	}
+	return held, sent
+}
+
+// mostHeld is the part of the harmless requests that may be held back.
+const mostHeld = 1e-4
+
+// TestEndsForOtherReasons: where up to a half of the back ends end three times a day,
+// together or one soon after the other, hardly any request is held back for it.
+func TestEndsForOtherReasons(t *testing.T) {
+	held, sent := heldOf(playDays(t, 0.1, 12*time.Second, func(f *fleet) {
+		for _, within := range []time.Duration{0, 50 * time.Millisecond, 400 * time.Millisecond} {
+			at := time.Duration(2+f.chance()*6) * time.Second
+			// From a tenth to a half of the back ends.
+			ending := 1 + int(f.chance()*float64(len(f.nodes)/2))
+			for _, i := range f.permutation()[:ending] {
+				time.AfterFunc(at+time.Duration(f.chance()*float64(within)), f.nodes[i].crash)
+			}
+		}
+	}))
 	t.Logf("%d of %d harmless requests held back", held, sent)
-	NewWithT(t).Expect(float64(held)).To(BeNumerically("<=", float64(sent)/10000))
+	NewWithT(t).Expect(float64(held)).To(BeNumerically("<=", mostHeld*float64(sent)))
 }
 
-// TestHarmfulRequests come to several nodes, at once and again later, while others end back
-// ends as well and a third of the news is lost: few back ends end under each.
-func TestHarmfulRequests(t *testing.T) {
+// TestCopiesAtOnce: a harmful request comes to several nodes in the same moment, before
+// anybody knows. Each copy may end two back ends; later ones end none.
+func TestCopiesAtOnce(t *testing.T) {
+	const copies, later = 3, 5
+	afterwards := 0
 	ends := map[int]int{}
-	sent, held := 0, 0
-	for seed := range uint64(30) {
-		synctest.Test(t, func(*testing.T) {
-			f := newFleet(8, seed, 0.3)
-			until := time.Now().Add(20 * time.Second)
-			for _, node := range f.nodes {
-				go node.exchange(until)
-			}
-			for harmful := range uint64(3) {
-				for visit := range 8 {
-					at := time.Duration(harmful)*4*time.Second + time.Duration(visit)*1500*time.Millisecond
-					time.AfterFunc(time.Second+at, func() { f.call(f.nodes[(int(harmful)+visit)%len(f.nodes)], printOf(harmful), true) })
-				}
-			}
-			f.traffic(until, 250)
-			time.Sleep(10 * time.Second)
-			synctest.Wait()
-			for _, count := range f.harmfulEnds {
-				ends[count]++
+	for _, f := range playDays(t, 0.3, 15*time.Second, func(f *fleet) {
+		for i := range copies {
+			time.AfterFunc(time.Second, func() { f.call(f.nodes[i], printOf(0), true) })
+		}
+		// Exchanges have brought the news to all.
+		time.AfterFunc(4*time.Second, func() { f.mark() })
+		for i := range later {
+			time.AfterFunc(time.Duration(5+i)*time.Second, func() { f.call(f.nodes[i], printOf(0), true) })
+		}
+	}) {
+		ends[f.harmfulEnds[printOf(0)]]++
+		afterwards += f.harmfulEnds[printOf(0)] - f.marked
+	}
+	t.Logf("back ends that ended under %d copies: %v; %d afterwards", copies, ends, afterwards)
+	g := NewWithT(t)
+	g.Expect(afterwards).To(BeZero())
+	for count := range ends {
+		g.Expect(count).To(BeNumerically("<=", 2*copies))
+	}
+}
+
+// TestHarmfulRequests come to one node after the other while a third of the news is lost: few
+// back ends end under each.
+func TestHarmfulRequests(t *testing.T) {
+	played := playDays(t, 0.3, 20*time.Second, func(f *fleet) {
+		for harmful := range uint64(3) {
+			for visit := range 8 {
+				at := time.Duration(harmful)*4*time.Second + time.Duration(visit)*1500*time.Millisecond
+				time.AfterFunc(time.Second+at, func() { f.call(f.nodes[(int(harmful)+visit)%len(f.nodes)], printOf(harmful), true) })
 			}
-			sent, held = sent+f.sent, held+f.heldHarmless
-		})
+		}
+	})
+	ends := map[int]int{}
+	for _, f := range played {
+		for _, count := range f.harmfulEnds {
+			ends[count]++
+		}
 	}
+	held, sent := heldOf(played)
 	t.Logf("harmful requests by the back ends that ended: %v; %d of %d harmless ones held back", ends, held, sent)
 	g := NewWithT(t)
 	for count := range ends {
 		g.Expect(count).To(BeNumerically("<=", 3))
 	}
-	g.Expect(float64(held)).To(BeNumerically("<=", float64(sent)/10000))
+	g.Expect(float64(held)).To(BeNumerically("<=", mostHeld*float64(sent)))
 }
