Say at the start when suspensions of the machine cannot be seen

Cause: found by reading the change as a newcomer. Where the kernel does not tell of suspensions the clock went on without them and without a word; and one condition of three parts with a fallback was hard to read.

Change: one line of the log at the start of a node.

--- a/internal/sidecar/clock/clock.go
+++ b/internal/sidecar/clock/clock.go
@@ -68,8 +68,9 @@
 
 func newSource(read func() (time.Duration, error)) *source {
 	created := &source{read: read, listeners: map[*wakeListener]struct{}{}, deadlines: map[*deadline]struct{}{}}
-	// Where the clocks cannot be read no suspension is ever seen, as before the first.
-	created.before, _ = read()
+	if before, err := read(); err == nil { // else see Check
+		created.before = before
+	}
 	created.apart.Store(apart(time.Now()))
 	return created
 }
@@ -143,6 +144,13 @@
 	}
 }
 
+// Check returns why suspensions of the machine cannot be seen, nil when they can. Whoever
+// starts a node says so; the clock goes on without them.
+func Check() error {
+	_, err := readSuspended()
+	return err
+}
+
 // Look looks for a suspension since the last look.
 func Look() { shared.look(time.Now()) }
 
@@ -197,7 +205,7 @@
 	defer s.mu.Unlock()
 	total, err := s.read()
 	if err != nil {
-		return 0, nil // the clock exists or does not; without it nothing is ever seen
+		return 0, nil // without the clocks no suspension is ever seen: see Check
 	}
 	counted := total - s.before
 	slept = counted - time.Duration(s.suspended.Load())
--- a/internal/sidecar/quarantine/settle.go
+++ b/internal/sidecar/quarantine/settle.go
@@ -64,7 +64,9 @@
 func (q *Quarantine) inherit(own *roster.Evidence) (added bool) {
 	for node := range q.gone {
 		for _, held := range q.evidence[node].Clone().Held {
-			added = !own.Full() && !q.lifted(held) && keep(own, held) || added
+			if !own.Full() && !q.lifted(held) && keep(own, held) {
+				added = true
+			}
 		}
 	}
 	return added
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -20,6 +20,9 @@
 
 // Run does the node's work in the background until the context ends.
 func (s *Sidecar) Run(ctx context.Context) {
+	if err := clock.Check(); err != nil {
+		s.logger.Warn("suspensions of the machine cannot be seen", zap.Error(err))
+	}
 	defer clock.OnWake(s.woke)()
 	var running sync.WaitGroup
 	work := []func(){
