--- a/internal/sidecar/quarantine/fleet_test.go
+++ b/internal/sidecar/quarantine/fleet_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -34,13 +33,13 @@
 )
 
 // fleet is a service on nodes that decide by the product's own code, on a virtual clock.
+// All that happens is an event of one queue, so that a seed gives the same day every time.
 type fleet struct {
 	random *rand.Rand
 	// lost is the share of the news that is lost on its way.
-	lost  float64
-	nodes []*fleetNode
-
-	mu sync.Mutex // guards all below and the nodes' back ends
+	lost   float64
+	nodes  []*fleetNode
+	events eventQueue
 	// sent counts the requests, heldHarmless those of the harmless that were held back.
 	sent, heldHarmless int
 	// harmfulEnds counts the back ends that ended under each harmful request, marked those
@@ -58,23 +57,32 @@
 	lives   int
 	down    bool
 	onTrial bool
-	running map[*work]bool
+	// running is what is at work at the back end, the longest first.
+	running []*flight
 }
 
-// work is one send of a request.
-type work struct {
-	print fingerprint.Print
-	trial bool
-	ended chan bool // true: the back end ended
+// flight is a request on its way: held back, or sent to some nodes, once more after an end.
+type flight struct {
+	from    *fleetNode
+	print   fingerprint.Print
+	harmful bool
+	// visits counts the nodes it was sent to, ends the back ends that ended under it.
+	visits, ends int
+	// at is the node where it is at work, nil when it is not; suspect says that it runs
+	// there alone of those that are suspected.
+	at      *fleetNode
+	suspect bool
+	// then is called when it is over.
+	then func()
 }
 
 func newFleet(size int, seed uint64, lost float64) *fleet {
 	f := &fleet{random: rand.New(rand.NewPCG(seed, 1)), lost: lost, harmfulEnds: map[fingerprint.Print]int{}}
 	for i := range size {
-		node := &fleetNode{fleet: f, running: map[*work]bool{}}
+		node := &fleetNode{fleet: f}
 		node.members = roster.New(roster.Record{Node: fmt.Sprintf("n-%03d", i), Epoch: 1, Counter: 1})
 		node.quarantine = quarantine.New(quarantine.Options{
-			Members: node.members, Spread: node.spread, Logger: zap.NewNop(), Registry: prometheus.NewRegistry(),
+			Members: node.members, Spread: node.spread, After: f.events.after, Logger: zap.NewNop(), Registry: prometheus.NewRegistry(),
 		})
 		node.members.Observe(node.quarantine.Follow)
 		f.nodes = append(f.nodes, node)
@@ -82,171 +90,157 @@
 	return f
 }
 
-// chance draws under the lock, so that the order of draws is that of the virtual clock as
-// far as goroutines do not run at the same instant.
-func (f *fleet) chance() float64 {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.random.Float64()
-}
-
 // mark notes how many back ends have ended under harmful requests.
 func (f *fleet) mark() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.marked = 0
 	for _, count := range f.harmfulEnds {
 		f.marked += count
 	}
 }
 
-func (f *fleet) permutation() []int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.random.Perm(len(f.nodes))
+// anyNode returns a node drawn at random.
+func (f *fleet) anyNode() *fleetNode { return f.nodes[f.random.IntN(len(f.nodes))] }
+
+// upTo returns a time drawn at random, below the most.
+func (f *fleet) upTo(most time.Duration) time.Duration {
+	return time.Duration(f.random.Float64() * float64(most))
 }
 
 // spread tells all others of the node's record, some in vain.
 func (n *fleetNode) spread() {
 	own := n.members.Own()
 	for _, other := range n.fleet.nodes {
-		if other != n && n.fleet.chance() >= n.fleet.lost {
-			delay := time.Millisecond + time.Duration(n.fleet.chance()*float64(20*time.Millisecond))
-			time.AfterFunc(delay, func() { other.members.Merge([]*roster.Record{own}) })
+		if other != n && n.fleet.random.Float64() >= n.fleet.lost {
+			delay := time.Millisecond + n.fleet.upTo(20*time.Millisecond)
+			n.fleet.events.after(delay, func() { other.members.Merge([]*roster.Record{own}) })
 		}
 	}
 }
 
 // exchange compares the node with others until the time is over.
 func (n *fleetNode) exchange(until time.Time) {
-	for time.Now().Before(until) {
-		time.Sleep(exchangeEvery/2 + time.Duration(n.fleet.chance()*float64(exchangeEvery)))
-		other := n.fleet.nodes[int(n.fleet.chance()*float64(len(n.fleet.nodes)))]
+	if !time.Now().Before(until) {
+		return
+	}
+	n.fleet.events.after(exchangeEvery/2+n.fleet.upTo(exchangeEvery), func() {
+		other := n.fleet.anyNode()
 		other.members.Merge(n.members.View().Records())
 		n.members.Merge(other.members.View().Records())
-	}
+		n.exchange(until)
+	})
 }
 
 func (n *fleetNode) endpoint() string { return fmt.Sprint(n.members.Own().Node, "-", n.lives) }
 
 // crash ends the node's back end under what is at work there.
 func (n *fleetNode) crash() {
-	n.fleet.mu.Lock()
 	if n.down {
-		n.fleet.mu.Unlock()
 		return
 	}
 	n.down = true
 	crash := roster.Crash{Endpoint: n.endpoint(), Service: "one"}
 	ended := n.running
-	n.running = map[*work]bool{}
-	for sent := range ended {
-		crash.Running = append(crash.Running, sent.print)
-		if sent.trial {
-			crash.Trial = &sent.print
+	n.running, n.onTrial = nil, false
+	for _, held := range ended {
+		held.at = nil
+		crash.Running = append(crash.Running, held.print)
+		if held.suspect {
+			crash.Trial = &held.print
 		}
 	}
-	n.fleet.mu.Unlock()
-	// In the order of the prints: maps have none.
-	slices.SortFunc(crash.Running, func(a, b fingerprint.Print) int { return a.Content.Compare(b.Content) })
 	n.quarantine.Ended(crash)
-	for sent := range ended {
-		sent.ended <- true
+	for _, held := range ended {
+		n.fleet.events.after(0, func() { n.fleet.crashed(n, held) })
 	}
-	time.AfterFunc(away, func() {
-		n.fleet.mu.Lock()
-		defer n.fleet.mu.Unlock()
+	n.fleet.events.after(away, func() {
 		n.lives++
 		n.down = false
 	})
 }
 
-// take begins a send at the node; nil when it has no room for it.
-func (n *fleetNode) take(print fingerprint.Print, suspect bool) *work {
-	n.fleet.mu.Lock()
-	defer n.fleet.mu.Unlock()
+// take begins a send at the node and reports whether it has room for it.
+func (n *fleetNode) take(held *flight) bool {
+	suspect := held.ends > 0 || n.quarantine.Suspects(held.print)
 	if n.down || len(n.running) >= slots || (suspect && n.onTrial) {
-		return nil
+		return false
 	}
-	sent := &work{print: print, trial: suspect, ended: make(chan bool, 1)}
-	n.running[sent] = true
+	held.at, held.suspect = n, suspect
+	n.running = append(n.running, held)
 	n.onTrial = n.onTrial || suspect
-	return sent
+	return true
 }
 
-// done ends a send at the node.
-func (n *fleetNode) done(sent *work, suspect bool) {
-	n.fleet.mu.Lock()
-	defer n.fleet.mu.Unlock()
-	delete(n.running, sent)
-	if suspect {
+// answer ends a send at the node.
+func (n *fleetNode) answer(held *flight) {
+	n.running = slices.DeleteFunc(n.running, func(other *flight) bool { return other == held })
+	if held.suspect {
 		n.onTrial = false
 	}
+	held.at = nil
+	n.quarantine.Survived(held.print)
+	held.over()
+}
+
+func (h *flight) over() {
+	if h.then != nil {
+		h.then()
+	}
 }
 
-// call carries a request through as nodes do: held back, or sent to some of them, once
-// more after an end.
-func (f *fleet) call(from *fleetNode, print fingerprint.Print, harmful bool) {
-	f.mu.Lock()
+// call carries a request through as nodes do.
+func (f *fleet) call(from *fleetNode, print fingerprint.Print, harmful bool, then func()) {
 	f.sent++
-	f.mu.Unlock()
-	ends := 0
-	for visits := 0; visits < mostVisits && ends < attempts; visits++ {
-		to := f.nodes[int(f.chance()*float64(len(f.nodes)))]
-		if from.quarantine.Holds(print) || to.quarantine.Holds(print) {
-			f.held(harmful)
-			return
-		}
-		suspect := ends > 0 || to.quarantine.Suspects(print)
-		sent := to.take(print, suspect)
-		if sent == nil {
-			continue
+	f.carry(&flight{from: from, print: print, harmful: harmful, then: then})
+}
+
+// carry sends a request to nodes until one takes it.
+func (f *fleet) carry(held *flight) {
+	for held.visits < mostVisits && held.ends < attempts {
+		held.visits++
+		to := f.anyNode()
+		if held.from.quarantine.Holds(held.print) || to.quarantine.Holds(held.print) {
+			if !held.harmful {
+				f.heldHarmless++
+			}
+			break
 		}
-		crashed := f.run(to, sent, harmful)
-		to.done(sent, suspect)
-		if !crashed {
-			to.quarantine.Survived(print)
+		if to.take(held) {
+			f.work(to, held)
 			return
 		}
-		ends++
 	}
+	held.over()
 }
 
-func (f *fleet) held(harmful bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if !harmful {
-		f.heldHarmless++
+// work has the node's back end work on a request until it answers or ends.
+func (f *fleet) work(at *fleetNode, held *flight) {
+	lasts, life := harmAfter, at.lives
+	if !held.harmful {
+		lasts = time.Duration(f.random.ExpFloat64() * float64(meanWork))
 	}
-}
-
-// run works on a request and reports whether the back end ended under it.
-func (f *fleet) run(at *fleetNode, sent *work, harmful bool) (crashed bool) {
-	lasts := time.Duration(f.exponential() * float64(meanWork))
-	if harmful {
-		lasts = harmAfter
-	}
-	select {
-	case <-sent.ended:
-		crashed = true
-	case <-time.After(lasts):
-		if harmful {
+	f.events.after(lasts, func() {
+		switch {
+		case held.at != at || at.lives != life: // the back end ended before
+		case held.harmful:
 			at.crash()
-			crashed = <-sent.ended
+		default:
+			at.answer(held)
 		}
-	}
-	if harmful {
-		f.mu.Lock()
-		f.harmfulEnds[sent.print]++
-		f.mu.Unlock()
-	}
-	return crashed
+	})
 }
 
-func (f *fleet) exponential() float64 {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.random.ExpFloat64()
+// crashed sends a request again under which a node's back end has ended, unless the node
+// answers that it holds the request back.
+func (f *fleet) crashed(at *fleetNode, held *flight) {
+	held.ends++
+	if held.harmful {
+		f.harmfulEnds[held.print]++
+	}
+	if at.quarantine.Holds(held.print) {
+		held.over()
+		return
+	}
+	f.carry(held)
 }
 
 // printOf returns the print of a request by its number.
@@ -261,22 +255,27 @@
 // own, a tenth for one and the same thing.
 func (f *fleet) traffic(until time.Time, perSecond float64) {
 	const common, commonShare = 7, 0.1
-	for number := uint64(1000); time.Now().Before(until); number++ {
-		time.Sleep(time.Duration(f.exponential() / perSecond * float64(time.Second)))
+	number := uint64(1000)
+	var next func()
+	next = func() {
+		if !time.Now().Before(until) {
+			return
+		}
+		number++
 		asked := number
-		if f.chance() < commonShare {
+		if f.random.Float64() < commonShare {
 			asked = common
 		}
-		from := f.nodes[int(f.chance()*float64(len(f.nodes)))]
-		go func() {
-			f.call(from, printOf(asked), false)
+		from := f.anyNode()
+		f.call(from, printOf(asked), false, func() {
 			// The caller comes back once.
-			if f.chance() < 0.5 {
-				time.Sleep(100 * time.Millisecond)
-				f.call(from, printOf(asked), false)
+			if f.random.Float64() < 0.5 {
+				f.events.after(100*time.Millisecond, func() { f.call(from, printOf(asked), false, nil) })
 			}
-		}()
+		})
+		f.events.after(time.Duration(f.random.ExpFloat64()/perSecond*float64(time.Second)), next)
 	}
+	f.events.after(0, next)
 }
 
 // playDays plays a day of a fleet for each of 30 seeds: what is arranged happens beside the
@@ -288,12 +287,11 @@
 			f := newFleet(size, seed, lost)
 			until := time.Now().Add(lasts)
 			for _, node := range f.nodes {
-				go node.exchange(until)
+				node.exchange(until)
 			}
 			arrange(f)
 			f.traffic(until, perSecond)
-			time.Sleep(10 * time.Second)
-			synctest.Wait()
+			f.events.run()
 			played = append(played, f)
 		})
 	}
@@ -316,11 +314,11 @@
 func TestEndsForOtherReasons(t *testing.T) {
 	held, sent := heldOf(playDays(t, 0.1, 12*time.Second, func(f *fleet) {
 		for _, within := range []time.Duration{0, 50 * time.Millisecond, 400 * time.Millisecond} {
-			at := time.Duration(2+f.chance()*6) * time.Second
+			at := time.Duration(2+f.random.Float64()*6) * time.Second
 			// From a tenth to a half of the back ends.
-			ending := 1 + int(f.chance()*float64(len(f.nodes)/2))
-			for _, i := range f.permutation()[:ending] {
-				time.AfterFunc(at+time.Duration(f.chance()*float64(within)), f.nodes[i].crash)
+			ending := 1 + f.random.IntN(len(f.nodes)/2)
+			for _, i := range f.random.Perm(len(f.nodes))[:ending] {
+				f.events.after(at+f.upTo(within), f.nodes[i].crash)
 			}
 		}
 	}))
@@ -336,12 +334,12 @@
 	ends := map[int]int{}
 	for _, f := range playDays(t, 0.3, 15*time.Second, func(f *fleet) {
 		for i := range copies {
-			time.AfterFunc(time.Second, func() { f.call(f.nodes[i], printOf(0), true) })
+			f.events.after(time.Second, func() { f.call(f.nodes[i], printOf(0), true, nil) })
 		}
 		// Exchanges have brought the news to all.
-		time.AfterFunc(4*time.Second, func() { f.mark() })
+		f.events.after(4*time.Second, f.mark)
 		for i := range later {
-			time.AfterFunc(time.Duration(5+i)*time.Second, func() { f.call(f.nodes[i], printOf(0), true) })
+			f.events.after(time.Duration(5+i)*time.Second, func() { f.call(f.nodes[i], printOf(0), true, nil) })
 		}
 	}) {
 		ends[f.harmfulEnds[printOf(0)]]++
@@ -362,7 +360,9 @@
 		for harmful := range uint64(3) {
 			for visit := range 8 {
 				at := time.Duration(harmful)*4*time.Second + time.Duration(visit)*1500*time.Millisecond
-				time.AfterFunc(time.Second+at, func() { f.call(f.nodes[(int(harmful)+visit)%len(f.nodes)], printOf(harmful), true) })
+				f.events.after(time.Second+at, func() {
+					f.call(f.nodes[(int(harmful)+visit)%len(f.nodes)], printOf(harmful), true, nil)
+				})
 			}
 		}
 	})
--- a/internal/sidecar/quarantine/quarantine.go
+++ b/internal/sidecar/quarantine/quarantine.go
@@ -24,7 +24,10 @@
 type Options struct {
 	Members *roster.Roster
 	// Spread tells the peers of the own record.
-	Spread   func()
+	Spread func()
+	// After runs something after a delay, in no goroutine that holds a lock; nil for the
+	// runtime's timers.
+	After    func(delay time.Duration, run func())
 	Logger   *zap.Logger
 	Registry prometheus.Registerer
 }
@@ -65,6 +68,9 @@
 // New returns a quarantine that holds nothing back. The roster's observer is to call
 // Follow.
 func New(options Options) *Quarantine {
+	if options.After == nil {
+		options.After = func(delay time.Duration, run func()) { time.AfterFunc(delay, run) }
+	}
 	created := &Quarantine{
 		options: options, evidence: map[string]*roster.Evidence{}, gone: map[string]bool{},
 		known: map[fingerprint.Digest]roster.Held{},
@@ -203,9 +209,9 @@
 	switch {
 	case !changed:
 	case delay == 0:
-		go q.options.Spread()
+		q.options.After(0, q.options.Spread)
 	case q.spreading.CompareAndSwap(false, true):
-		time.AfterFunc(delay, func() {
+		q.options.After(delay, func() {
 			q.spreading.Store(false)
 			q.options.Spread()
 		})
@@ -221,7 +227,7 @@
 		q.options.Logger.Warn("request held back", zap.Stringer("digest", held.Digest), zap.String("service", held.Service),
 			zap.Strings("ended", held.Endpoints))
 	}
-	go q.settle()
+	q.options.After(0, q.settle)
 }
 
 // take reports whether the records bring other evidence.
--- a/internal/sidecar/quarantine/quarantine_test.go
+++ b/internal/sidecar/quarantine/quarantine_test.go
@@ -16,10 +16,7 @@
 )
 
 // pass lets news go round.
-func pass() {
-	time.Sleep(100 * time.Millisecond)
-	synctest.Wait()
-}
+func (f *fleet) pass() { f.events.runFor(100 * time.Millisecond) }
 
 // crash tells of an end at a node, under a request on trial and another one.
 func (n *fleetNode) tell(endpoint string, trial *fingerprint.Print, beside ...fingerprint.Print) {
@@ -28,7 +25,7 @@
 		told.Running = append(told.Running, *trial)
 	}
 	n.quarantine.Ended(told)
-	pass()
+	n.fleet.pass()
 }
 
 // holders counts the nodes that hold a request back.
@@ -54,7 +51,7 @@
 			g.Expect(node.quarantine.Idle()).To(BeFalse())
 		}
 		f.nodes[2].quarantine.Survived(harmless)
-		pass()
+		f.pass()
 		g.Expect(f.nodes[3].quarantine.Suspects(harmless)).To(BeFalse())
 		g.Expect(f.holders(harmful)).To(BeZero())
 
@@ -83,7 +80,7 @@
 		harmless.Call = printOf(2).Call
 		f.nodes[0].tell("i-0", nil, harmful)
 		f.nodes[1].quarantine.Survived(harmless)
-		pass()
+		f.pass()
 		g.Expect(f.nodes[2].quarantine.Suspects(harmful)).To(BeTrue())
 		f.nodes[1].tell("i-1", &harmful)
 		g.Expect(f.holders(harmful)).To(Equal(len(f.nodes)))
@@ -104,7 +101,7 @@
 			})
 			node.spread()
 		}
-		pass()
+		f.pass()
 		harmful := printOf(1)
 		f.nodes[0].tell("a", nil, harmful)
 		f.nodes[1].tell("b", &harmful)
@@ -112,7 +109,7 @@
 			node.members.Update(func(record roster.Record) (roster.Record, bool) { return record.End(string(rune('a' + i))) })
 			node.spread()
 		}
-		pass()
+		f.pass()
 		fresh := newFleet(1, 2, 0).nodes[0]
 		fresh.members.Merge(f.nodes[3].members.View().Records())
 		g.Expect(fresh.quarantine.Holds(harmful)).To(BeTrue())
@@ -134,12 +131,12 @@
 		for _, held := range f.nodes[2].quarantine.Held() {
 			g.Expect(f.nodes[2].lift(held.Digest.String())).To(Equal(http.StatusNoContent))
 		}
-		pass()
+		f.pass()
 		g.Expect(f.holders(harmful)).To(BeZero())
 		g.Expect(f.nodes[2].lift(harmful.Content.String())).To(Equal(http.StatusNotFound))
 		g.Expect(f.nodes[2].lift("x")).To(Equal(http.StatusBadRequest))
 		f.nodes[2].members.Merge(late)
-		pass()
+		f.pass()
 		g.Expect(f.holders(harmful)).To(BeZero())
 
 		f.nodes[0].tell("i-2", nil, harmful)
