Tell a held request by its step, identify a request once at the back end's node

Cause: found by reading the change again. The wait of a held request was known by its length, so that a queue's wait of a minute was not cut to what the caller has left either; and it was set in two places.

Change: the step decides, in one place; the arrival keeps what it found. The kinds of digests are listed once.

Before -> after: a wait of two minutes with 2 s left is told as 0.5 s (new expectation, failed before: 120 s). The suites of egress, ingress and quarantine pass with the race detector.

--- a/internal/sidecar/egress/call.go
+++ b/internal/sidecar/egress/call.go
@@ -116,7 +116,7 @@
 	if quarantine.Idle() || !quarantine.Holds(c.print()) {
 		return nil
 	}
-	return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepQuarantine, heldRetryAfter, errHeld)
+	return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepQuarantine, 0, errHeld)
 }
 
 // print identifies what the request asks for.
@@ -232,9 +232,6 @@
 	}
 	if failure.Outcome == outcome.NotRun {
 		failure.Status = http.StatusServiceUnavailable
-		if failure.Step == outcome.StepQuarantine {
-			failure.RetryAfter = heldRetryAfter
-		}
 		return &failure
 	}
 	failure.RetryAfter = 0
@@ -250,8 +247,8 @@
 	c.status, c.failure = failure.Status, failure
 	defer forward.PrepareOwnReply(c.context, c.writer, c.request, c.body)()
 	header := c.writer.Header()
-	if failure.RetryAfter > 0 {
-		header["Retry-After"] = []string{hop.FormatSeconds(c.retryAfter(failure.RetryAfter))}
+	if wait := c.comeBackAfter(failure); wait > 0 {
+		header["Retry-After"] = []string{hop.FormatSeconds(wait)}
 	}
 	if names := &c.handler.options.Vocabulary; c.request.Header.Get(names.RequestID) != "" {
 		header[names.RequestID] = []string{c.request.Header.Get(names.RequestID)}
@@ -266,12 +263,20 @@
 // again, and as many were served in time (docs/design/0010-the-shifted-work.md).
 const returningShare = 0.3
 
+// comeBackAfter is how long the caller is told to wait, zero for nothing.
+func (c *call) comeBackAfter(failure *outcome.Failure) time.Duration {
+	switch {
+	case failure.Step == outcome.StepQuarantine && failure.Outcome == outcome.NotRun:
+		return heldRetryAfter
+	case failure.RetryAfter > 0:
+		return c.retryAfter(failure.RetryAfter)
+	}
+	return 0
+}
+
 // retryAfter keeps the wait within what the caller still has.
 func (c *call) retryAfter(wanted time.Duration) time.Duration {
 	wait := max(wanted, minimumRetryAfter)
-	if wait >= heldRetryAfter {
-		return wait
-	}
 	if c.returning {
 		left := c.callerTime - clock.Since(c.started)
 		return max(wait, time.Duration(float64(left)*returningShare))
--- a/internal/sidecar/egress/comeback_test.go
+++ b/internal/sidecar/egress/comeback_test.go
@@ -56,6 +56,7 @@
 		g := NewWithT(t)
 		g.Expect(made.retryAfter(queue)).To(Equal(queue))
 		g.Expect(made.retryAfter(time.Millisecond)).To(Equal(minimumRetryAfter))
+		g.Expect(made.retryAfter(2*heldRetryAfter)).To(Equal(500*time.Millisecond), "a quarter of the time left")
 		made.returning = true
 		g.Expect(made.retryAfter(queue)).To(And(Equal(900*time.Millisecond), BeNumerically("<", left/3)))
 		time.Sleep(time.Second)
--- a/internal/sidecar/ingress/arrival.go
+++ b/internal/sidecar/ingress/arrival.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -14,6 +15,7 @@
 	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/admission"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/fingerprint"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 )
@@ -32,7 +34,7 @@
 // readBodyLimit is how much of a body that waited for consent is read at once.
 const readBodyLimit = 64 << 10
 
-// arrival is one request of a node. It is used by one goroutine.
+// arrival is one request of a node. It is used by one goroutine, but for print.
 type arrival struct {
 	handler  *Handler
 	writer   http.ResponseWriter
@@ -48,6 +50,8 @@
 	// body and sent, when it was first sent to the back end, are set before it is at work.
 	body *forward.Body
 	sent time.Time
+	// identified is what the request asks for, nil until somebody wants to know.
+	identified atomic.Pointer[fingerprint.Print]
 	// onTrial: the request is suspected of ending back ends and has the handler's trial.
 	onTrial bool
 }
--- a/internal/sidecar/ingress/ends.go
+++ b/internal/sidecar/ingress/ends.go
@@ -267,5 +267,13 @@
 	}
 }
 
-// print identifies what the request asks for.
-func (a *arrival) print() fingerprint.Print { return fingerprint.Of(a.request, a.told.Caller, a.body) }
+// print identifies what the request asks for. The body is known by then. Who sees a back end
+// end asks for the others that were at work there.
+func (a *arrival) print() fingerprint.Print {
+	if known := a.identified.Load(); known != nil {
+		return *known
+	}
+	print := fingerprint.Of(a.request, a.told.Caller, a.body)
+	a.identified.Store(&print)
+	return print
+}
--- a/internal/sidecar/quarantine/quarantine.go
+++ b/internal/sidecar/quarantine/quarantine.go
@@ -282,9 +282,7 @@
 			fresh = q.learn(held, fresh)
 		}
 	}
-	// A content is judged before its callers: where all of them end back ends it is the
-	// content that does.
-	for _, digestOf := range []func(fingerprint.Print) fingerprint.Digest{content, call} {
+	for _, digestOf := range digestKinds {
 		open, services := q.open(digestOf)
 		for _, found := range blame(open) {
 			fresh = q.learn(roster.Held{
@@ -324,6 +322,10 @@
 	return count
 }
 
+// digestKinds are the digests of a request that are judged, in this order: where all callers
+// of a content end back ends it is the content that does.
+var digestKinds = [...]func(fingerprint.Print) fingerprint.Digest{content, call}
+
 func content(print fingerprint.Print) fingerprint.Digest { return print.Content }
 func call(print fingerprint.Print) fingerprint.Digest    { return print.Call }
 
@@ -345,7 +347,8 @@
 			next.held[digest] = held
 		}
 	}
-	for _, digestOf := range []func(fingerprint.Print) fingerprint.Digest{content, call} {
+	// A verdict on one kind of digest explains ends for both: what is open is known only now.
+	for _, digestOf := range digestKinds {
 		open, _ := q.open(digestOf)
 		for _, crash := range open {
 			for _, digest := range crash.digests {
