A panic that input sets off does not end a node

A request that meets a fault of our code comes again at the next node; a document, an order or a peer's record that does reaches all of them at once, and first of all again when they start anew. Servers recover from panics of handlers; sends, the watch of the store, exchanges, the keys of the store, evidence and moves run in goroutines of their own, where a panic ends the process.

Ruled out, as far as looked: that such input is known.

Change: package contain; the input is left out as one that cannot be read is, with a line of the log.

--- a/internal/sidecar/configuration/follower.go
+++ b/internal/sidecar/configuration/follower.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/contain"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/pause"
 	"github.com/kestrelstream/kestrelstream/internal/store"
 )
@@ -37,13 +38,14 @@
 	Other func(store.KeyValue)
 }
 
-// take offers an item to whom it concerns.
+// take offers an item to whom it concerns. One that sets off a panic is left out, as one
+// that cannot be read is: the error is in the log.
 func (p *Place) take(item store.KeyValue, keeper *Keeper, source Source) {
 	switch {
 	case item.Key == p.Key:
 		_ = keeper.Offer(item.Value, source)
 	case p.Other != nil:
-		p.Other(item)
+		_ = contain.Run("order", keeper.logger, func() { p.Other(item) })
 	}
 }
 
--- a/internal/sidecar/configuration/follower_test.go
+++ b/internal/sidecar/configuration/follower_test.go
@@ -150,3 +150,44 @@
 		})
 	}
 }
+
+// TestADocumentThatSetsOffAPanic is refused as one that cannot be read: every node reads it, and
+// reads it again when it starts anew. The one before stays in force, and later ones are taken.
+func TestADocumentThatSetsOffAPanic(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, end := context.WithCancel(t.Context())
+		const harmful = 7
+		decode := func(raw []byte) (*route.Document, []string, error) {
+			document, notes, err := decodeVersion(raw)
+			if document.Version == harmful {
+				panic("a fault of the node")
+			}
+			return document, notes, err
+		}
+		held := &forgetfulStore{written: 5, now: 100}
+		keeper := configuration.NewKeeper(decode, zap.NewNop())
+		orders := 0
+		place := configuration.Place{Key: configurationKey, Prefix: configurationKey, Other: func(store.KeyValue) {
+			orders++
+			panic("a fault of the node")
+		}}
+		go configuration.Follow(ctx, held, place, keeper, func() bool { return true }, zap.NewNop())
+		time.Sleep(time.Second)
+		synctest.Wait()
+		g.Expect(keeper.Version()).To(BeEquivalentTo(5))
+
+		told := func(key string, version int) {
+			held.running.events <- store.Event{KeyValue: store.KeyValue{Key: key, Value: fmt.Append(nil, version), Revision: 101}}
+			synctest.Wait()
+		}
+		told(configurationKey, harmful)
+		g.Expect(keeper.Version()).To(BeEquivalentTo(5))
+		told(configurationKey+"/order", 1)
+		g.Expect(orders).To(Equal(1))
+		told(configurationKey, harmful+1)
+		g.Expect(keeper.Version()).To(BeEquivalentTo(harmful + 1))
+		end()
+		close(held.running.events)
+	})
+}
--- a/internal/sidecar/configuration/keeper.go
+++ b/internal/sidecar/configuration/keeper.go
@@ -18,6 +18,7 @@
 	"go.uber.org/zap"
 
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/contain"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/route"
 )
 
@@ -141,10 +142,19 @@
 var ErrNotNewer = errors.New("the version is not above the one in force")
 
 // Offer puts a document in force when it is valid and newer. Otherwise the one
-// before stays in force, whole.
-func (k *Keeper) Offer(raw []byte, source Source) error {
+// before stays in force, whole, also when a document sets off a panic: every node reads it,
+// and reads it again after a restart.
+func (k *Keeper) Offer(raw []byte, source Source) (err error) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
+	if fault := contain.Run("configuration", k.logger, func() { err = k.offer(raw, source) }); fault != nil {
+		return k.refuse(string(raw), source, fault)
+	}
+	return err
+}
+
+// offer is Offer; the lock is held.
+func (k *Keeper) offer(raw []byte, source Source) error {
 	document, notes, err := k.decode(raw)
 	if err != nil {
 		return k.refuse(string(raw), source, trace.Wrap(err, "decode configuration"))
--- /dev/null
+++ b/internal/sidecar/contain/contain.go
@@ -0,0 +1,47 @@
+// Package contain keeps work on input from outside from ending the process. What ends one
+// node ends all: the same document, record or order reaches every node, a request comes again
+// at the next one, and a node that starts anew gets them first of all.
+package contain
+
+import (
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// stackInterval is the least time between two lines of the log that bear a stack: requests
+// that come fast must not fill the log with it.
+const stackInterval = time.Second
+
+// process is the origin of lastStack: a step of the time of day does not matter.
+var process = time.Now()
+
+// lastStack is when a stack was last logged, in nanoseconds since the process began; zero
+// before the first.
+var lastStack atomic.Int64
+
+// Run does the work. A panic of it is logged with the kind of input and returned as an
+// error; what the work had done until then stays. The work releases its locks by defer.
+func Run(input string, logger *zap.Logger, work func()) (err error) {
+	defer func() {
+		if fault := recover(); fault != nil {
+			err = fmt.Errorf("step=%s: panic: %v", input, fault)
+			log(input, logger, err)
+		}
+	}()
+	work()
+	return nil
+}
+
+// log writes a line for a panic, with its stack when there was none for a while.
+func log(input string, logger *zap.Logger, err error) {
+	fields := []zap.Field{zap.String("input", input), zap.Error(err)}
+	now := int64(time.Since(process)) + 1
+	last := lastStack.Load()
+	if (last == 0 || now-last >= int64(stackInterval)) && lastStack.CompareAndSwap(last, now) {
+		fields = append(fields, zap.Stack("stack"))
+	}
+	logger.Error("panic contained", fields...)
+}
--- a/internal/sidecar/egress/attempt.go
+++ b/internal/sidecar/egress/attempt.go
@@ -13,6 +13,7 @@
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/body"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/choice"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/contain"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 )
@@ -62,7 +63,25 @@
 // run sends the request and delivers the result.
 func (a *attempt) run() {
 	defer a.target.inFlight.Add(-1)
+	// Outside the server's goroutine nothing else keeps a request that sets off a panic
+	// here from ending one node after the other.
+	if err := contain.Run("request", a.call.handler.options.Logger, a.exchange); err != nil {
+		if a.response != nil {
+			_ = a.response.Body.Close()
+			a.response = nil
+		}
+		a.failure = &outcome.Failure{Outcome: outcome.Unknown, Step: outcome.StepAwait, Cause: err}
+	}
+	if a.failure != nil {
+		a.failure.Peer = a.target.address
+	}
+	a.deliver()
+}
+
+// exchange sends the request and judges what comes of it.
+func (a *attempt) exchange() {
 	entry := a.call.handler.register(a)
+	defer a.target.outstanding.answered(entry, false, a.sent)
 	response, err := a.target.pool.RoundTrip(a.call.outgoing(a))
 	a.interim.Stop()
 	now := clock.Now()
@@ -70,10 +89,6 @@
 	a.judge(response, err, now)
 	a.compare(now)
 	a.elapsed = clock.Since(a.sent)
-	if a.failure != nil {
-		a.failure.Peer = a.target.address
-	}
-	a.deliver()
 }
 
 // deliver hands the result to the call, or drops it when the call has ended.
--- a/internal/sidecar/exchange/catchup.go
+++ b/internal/sidecar/exchange/catchup.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/configuration"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/contain"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/readers"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/route"
@@ -31,7 +32,7 @@
 	}
 	go func() {
 		defer e.fetching.Store(false)
-		e.catchUp(peer, version)
+		_ = contain.Run("peer's configuration", e.options.Logger, func() { e.catchUp(peer, version) })
 	}()
 }
 
--- a/internal/sidecar/exchange/exchange_test.go
+++ b/internal/sidecar/exchange/exchange_test.go
@@ -227,3 +227,22 @@
 	g.Eventually(first.keeper.Version).WithTimeout(patience).Should(BeEquivalentTo(7))
 	g.Expect(newMember(t, "third").keeper.Whole()).To(BeNil())
 }
+
+// TestARecordThatSetsOffAPanic does not end the node that hears it, and the next one is taken:
+// a record reaches all nodes.
+func TestARecordThatSetsOffAPanic(t *testing.T) {
+	g := NewWithT(t)
+	hearing, telling := newMember(t, "hearing"), newMember(t, "telling")
+	hearing.members.Observe(func(changed []*roster.Record) {
+		for _, record := range changed {
+			if record.Node == "harmful" {
+				panic("a fault of the node")
+			}
+		}
+	})
+	telling.members.Merge([]*roster.Record{{Node: "harmful", Epoch: 1, Counter: 1}})
+	g.Expect(hearing.exchanger.With(t.Context(), telling.record)).To(MatchError(ContainSubstring("panic: a fault of the node")))
+	telling.members.Merge([]*roster.Record{{Node: "harmless", Epoch: 1, Counter: 1}})
+	g.Expect(hearing.exchanger.With(t.Context(), telling.record)).To(Succeed())
+	g.Expect(hearing.members.View().Record("harmless")).NotTo(BeNil())
+}
--- a/internal/sidecar/exchange/exchanger.go
+++ b/internal/sidecar/exchange/exchanger.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -17,6 +18,7 @@
 
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/configuration"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/contain"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/readers"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
@@ -159,8 +161,13 @@
 }
 
 // With exchanges with one peer: digests first, and where they differ the records
-// of the parts that do.
-func (e *Exchanger) With(ctx context.Context, peer *roster.Record) error {
+// of the parts that do. What the peer says cannot end this node.
+func (e *Exchanger) With(ctx context.Context, peer *roster.Record) (err error) {
+	fault := contain.Run("exchange", e.options.Logger, func() { err = e.with(ctx, peer) })
+	return errors.Join(err, fault)
+}
+
+func (e *Exchanger) with(ctx context.Context, peer *roster.Record) error {
 	answer, err := e.post(ctx, peer, e.message())
 	if err != nil {
 		if ctx.Err() == nil {
--- a/internal/sidecar/membership/membership.go
+++ b/internal/sidecar/membership/membership.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/contain"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/pause"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 	"github.com/kestrelstream/kestrelstream/internal/store"
@@ -190,7 +191,8 @@
 			return err
 		}
 		for _, item := range found {
-			m.take(item)
+			// A record that sets off a panic is left out; the log names it.
+			_ = contain.Run("record", m.options.Logger.With(zap.String("key", item.Key)), func() { m.take(item) })
 			seen(item)
 		}
 		if len(found) < pageKeys {
--- a/internal/sidecar/quarantine/quarantine.go
+++ b/internal/sidecar/quarantine/quarantine.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/contain"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/fingerprint"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 )
@@ -71,7 +72,9 @@
 // Follow.
 func New(options Options) *Quarantine {
 	if options.After == nil {
-		options.After = func(delay time.Duration, run func()) { time.AfterFunc(delay, run) }
+		options.After = func(delay time.Duration, run func()) {
+			time.AfterFunc(delay, func() { _ = contain.Run("evidence", options.Logger, run) })
+		}
 	}
 	created := &Quarantine{
 		options: options, evidence: map[string]*roster.Evidence{}, gone: map[string]bool{},
--- a/internal/sidecar/rollout/controller/controller.go
+++ b/internal/sidecar/rollout/controller/controller.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/contain"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 )
@@ -117,7 +118,7 @@
 		case <-ctx.Done():
 			return
 		}
-		c.tick(ctx, clock.Now())
+		_ = contain.Run("roll-out", c.options.Logger, func() { c.tick(ctx, clock.Now()) })
 	}
 }
 
