One sequence divides requests for routes and roll-outs; a move is tallied once a tick; no lock on arrivals

The same sequence stood in two packages with a constant of the same name; each tick added up the same tally twice a move; an arrival at a back end of an old version took the controller's lock while all requests had moved.

Change: package evenly; the tally is passed on; the plan says since when all requests go to the version. No decision changes.

After: the suites of route, rollout and its controller with the race detector; a test of the sequence (at most three off in any run).

--- /dev/null
+++ b/internal/sidecar/evenly/evenly_test.go
@@ -0,0 +1,30 @@
+package evenly_test
+
+import (
+	"math"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/evenly"
+)
+
+// TestEveryRunIsDivided: of each run of requests, wherever it begins, a share goes one way that
+// is at most three requests off.
+func TestEveryRunIsDivided(t *testing.T) {
+	g := NewWithT(t)
+	for _, share := range []float64{0.01, 0.1, 0.5, 0.9} {
+		sequence := evenly.NewSequence()
+		for _, run := range []int{1, 10, 100, 1000} {
+			taken := 0
+			for range run {
+				place := sequence.NextShare()
+				g.Expect(place).To(And(BeNumerically(">=", 0), BeNumerically("<", 1)))
+				if place < share {
+					taken++
+				}
+			}
+			g.Expect(math.Abs(float64(taken)-share*float64(run))).To(BeNumerically("<=", 3), "%v of %d", share, run)
+		}
+	}
+}
--- a/internal/sidecar/rollout/controller/controller.go
+++ b/internal/sidecar/rollout/controller/controller.go
@@ -305,13 +305,14 @@
 	c.releaseHeld(now)
 	news := false
 	for _, held := range c.moves {
-		judged, changed := held.Judged(c.tally(held.Service, held.Version), now)
+		tally := c.tally(held.Service, held.Version)
+		judged, changed := held.Judged(tally, now)
 		if changed {
 			held.Move = judged
 			c.entered(held, now)
 			news = true
 		}
-		c.act(ctx, held, now)
+		c.act(ctx, held, tally, now)
 	}
 	c.publish(now)
 	c.mu.Unlock()
@@ -377,7 +378,9 @@
 		candidates, others := c.candidates(held)
 		stint := held.Stint(candidates, others, c.options.Limits(), c.pace(held, now), now)
 		alone := c.options.Settled() && others == 0 && len(candidates) > 0
-		made[service] = rollout.NewPlan(held.Move, stint, slices.Sorted(maps.Keys(c.unheard[service])), alone, c.split(service))
+		plan := rollout.NewPlan(held.Move, stint, slices.Sorted(maps.Keys(c.unheard[service])), alone, c.split(service))
+		plan.Moved = held.moved
+		made[service] = plan
 	}
 	for service, versions := range c.unheard {
 		if made[service] == nil {
--- a/internal/sidecar/rollout/controller/judging.go
+++ b/internal/sidecar/rollout/controller/judging.go
@@ -52,7 +52,7 @@
 		return false
 	}
 	if endpoint.Version != plan.Version {
-		return plan.Moves() && c.settled(endpoint.Service)
+		return plan.Moves() && !plan.Moved.IsZero() && clock.Since(plan.Moved) >= settle
 	}
 	switch plan.Phase {
 	case rollout.Condemned, rollout.RolledBack:
@@ -64,14 +64,6 @@
 	return false
 }
 
-// settled reports whether all requests moved long enough ago.
-func (c *Controller) settled(service string) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	held := c.moves[service]
-	return held != nil && !held.moved.IsZero() && clock.Since(held.moved) >= settle
-}
-
 // Answered takes in what a request showed of the own back end, while Judges holds.
 func (c *Controller) Answered(answer rollout.Answer) {
 	endpoint, plan := c.own()
--- a/internal/sidecar/rollout/controller/writes.go
+++ b/internal/sidecar/rollout/controller/writes.go
@@ -55,8 +55,7 @@
 
 // act begins to write the phase that is due, when it is this node's turn; the lock is
 // held.
-func (c *Controller) act(ctx context.Context, held *carried, now time.Time) {
-	tally := c.tally(held.Service, held.Version)
+func (c *Controller) act(ctx context.Context, held *carried, tally rollout.Tally, now time.Time) {
 	phase, due := held.Due(tally, c.options.Limits(), now)
 	if !due {
 		held.dueSince = time.Time{}
--- a/internal/sidecar/rollout/plan.go
+++ b/internal/sidecar/rollout/plan.go
@@ -1,9 +1,11 @@
 package rollout
 
 import (
-	"math/rand/v2"
 	"slices"
 	"sync/atomic"
+	"time"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/evenly"
 )
 
 // Plan says, for a short time, how the requests of one service are divided. It is
@@ -18,18 +20,14 @@
 	Held []string
 	// Alone: no back end of another version is there, so that the version is in use.
 	Alone bool
+	// Moved is since when all requests go to the version, zero while they do not.
+	Moved time.Time
 	split *Split
 }
 
-// goldenStep is the fractional part of the golden ratio in units of 2^-64. Multiples of
-// it are spread evenly, so that every run of requests is divided nearly by the share.
-const goldenStep = 0x9e3779b97f4a7c15
-
-// Split divides the requests of one service and outlives its plans. It begins at a
-// random place, so that many nodes with few requests each are not all off in one
-// direction.
+// Split divides the requests of one service and outlives its plans.
 type Split struct {
-	position atomic.Uint64
+	sequence *evenly.Sequence
 	// asked counts the requests that were divided.
 	asked atomic.Int64
 }
@@ -38,17 +36,7 @@
 func (s *Split) Asked() int64 { return s.asked.Load() }
 
 // NewSplit returns a split.
-func NewSplit() *Split {
-	created := &Split{}
-	created.position.Store(rand.Uint64())
-	return created
-}
-
-// next returns the next place between zero and one.
-func (s *Split) next() float64 {
-	const scale = 1.0 / (1 << 53)
-	return float64(s.position.Add(goldenStep)>>11) * scale
-}
+func NewSplit() *Split { return &Split{sequence: evenly.NewSequence()} }
 
 // NewPlan returns a plan that goes on with a split.
 func NewPlan(move Move, stint Stint, held []string, alone bool, split *Split) *Plan {
@@ -72,7 +60,7 @@
 	case p.Moves():
 		return Only(p.Version)
 	case !sentBefore && len(p.Stint.BackEnds) > 0:
-		if place := p.split.next(); place < p.Stint.Share {
+		if place := p.split.sequence.NextShare(); place < p.Stint.Share {
 			index := int(place / p.Stint.Share * float64(len(p.Stint.BackEnds)))
 			return Node(p.Stint.BackEnds[min(index, len(p.Stint.BackEnds)-1)], p.Version)
 		}
