The end of a back end's process is one failure of its version

Cause: in the soak good versions are taken back amid requests that end back ends and crashes.

Change: of the requests at work when a process ends one counts as a failure of the version; a connection that nobody takes counts as none. All count for the back end's share of failures as before.

--- a/internal/sidecar/ingress/arrival.go
+++ b/internal/sidecar/ingress/arrival.go
@@ -52,6 +52,8 @@
 	sent time.Time
 	// identified is what the request asks for, nil until somebody wants to know.
 	identified atomic.Pointer[fingerprint.Print]
+	// besideEnd: the back end's process ended, and another request has told so.
+	besideEnd bool
 	// onTrial: the request is suspected of ending back ends and has the handler's trial.
 	onTrial bool
 }
--- a/internal/sidecar/ingress/ends.go
+++ b/internal/sidecar/ingress/ends.go
@@ -198,7 +198,7 @@
 // ended reports whether the process of the back end has ended under a request whose
 // connection broke. The first such request asks and tells what was at work; the others wait
 // for it, so that each knows whether it is held back before its caller's node is answered.
-func (h *Handler) ended(a *arrival) bool {
+func (h *Handler) ended(a *arrival) (ended, first bool) {
 	met, first := h.workplace.broke(a, clock.Now())
 	if first {
 		ended := h.processEnded(a.context)
@@ -211,7 +211,7 @@
 	<-met.answered
 	h.workplace.mu.Lock()
 	defer h.workplace.mu.Unlock()
-	return met.ended
+	return met.ended, first
 }
 
 // processEnded asks for a connection. A reset of connections leaves the listener; without
--- a/internal/sidecar/ingress/exchange.go
+++ b/internal/sidecar/ingress/exchange.go
@@ -41,12 +41,12 @@
 			return a.take(response, sent)
 		}
 		failure := a.failed(err)
-		a.observe(failure)
 		if failure.Outcome == outcome.Unknown {
 			a.seeEnd(failure)
 		} else {
 			a.handler.workplace.unsent(a)
 		}
+		a.observe(failure)
 		again := failure.Outcome == outcome.NotRun && failure.Step == outcome.StepWrite && a.context.Err() == nil
 		if !again || send == sendsPerVisit || sent.Spent() {
 			return failure
@@ -99,13 +99,19 @@
 // seeEnd finds out for a failure whose connection broke whether the back end's process ended.
 // What the caller gave up broke the connection itself.
 func (a *arrival) seeEnd(failure *outcome.Failure) {
-	if a.context.Err() == nil && a.handler.ended(a) {
-		failure.Step = outcome.StepCrash
-		failure.Cause = errors.Join(errEnded, failure.Cause)
-		if a.handler.options.Quarantine.Holds(a.print()) {
-			// The caller's node has not heard it yet and would send the request on.
-			failure.Step = outcome.StepQuarantine
-		}
+	if a.context.Err() != nil {
+		return
+	}
+	ended, first := a.handler.ended(a)
+	if !ended {
+		return
+	}
+	a.besideEnd = !first
+	failure.Step = outcome.StepCrash
+	failure.Cause = errors.Join(errEnded, failure.Cause)
+	if a.handler.options.Quarantine.Holds(a.print()) {
+		// The caller's node has not heard it yet and would send the request on.
+		failure.Step = outcome.StepQuarantine
 	}
 }
 
@@ -121,17 +127,21 @@
 	case failure.Step == outcome.StepIdentity || failure.Step == outcome.StepWrite:
 	case a.context.Err() == nil:
 		a.handler.failures.Observe(true)
-		a.judged(failure.Step != outcome.StepShed)
+		if failure.Step != outcome.StepConnect { // nobody was there to be asked
+			a.judged(failure.Step != outcome.StepShed)
+		}
 	case a.told.Expected > 0 && clock.Since(a.started)-a.waited > hangs*a.told.Expected:
 		a.handler.failures.Observe(true)
 		a.judged(true)
 	}
 }
 
-// judged passes on what the request showed of the back end's version.
+// judged passes on what the request showed of the back end's version. The end of a process is
+// one failure and not as many as requests were at work: one request may have ended it, and
+// that is no sign of bad software.
 func (a *arrival) judged(failed bool) {
 	judge := a.handler.options.Judge
-	if judge == nil || a.told.Usual == nil || !judge.Judges() {
+	if judge == nil || a.besideEnd || a.told.Usual == nil || !judge.Judges() {
 		return
 	}
 	judge.Answered(a.request, failed, clock.Since(a.started)-a.waited, a.told.Expected, *a.told.Usual)
@@ -146,8 +156,8 @@
 	}
 	if err := body.Gather(response); err != nil {
 		failure := a.unknown(errors.Join(errBrokenOff, err))
-		a.observe(failure)
 		a.seeEnd(failure)
+		a.observe(failure)
 		return failure
 	}
 	a.survived()
