A good version of a single back end is promoted

Cause: found by reading the change. One back end's lean goes to -4 at most, and since the promoting lean is -5 a version of a single back end would have been taken back for ever. With -4 it took a moment at which nothing had faded.

Change: a version of one back end is promoted at a lean of -3.5.

Before -> after: the new test fails (a lean of -3.9 and no promotion), now passes; versions of several back ends as before.

--- a/internal/sidecar/rollout/judge.go
+++ b/internal/sidecar/rollout/judge.go
@@ -238,6 +238,9 @@
 	// 997 and 645 (TestBadVersions, TestFewRequests).
 	condemningLean = 4.0
 	promotingLean  = -5.0
+	// loneLean is the lean at which a version of one back end is promoted: more than leanMost
+	// that one cannot say, and it fades between two answers.
+	loneLean = -3.5
 	// headroom is how much more than the load of the others the version must have room
 	// for. Of as many back ends as others leastRoom must be there at any load, and no more
 	// than mostRoom need be. A version that had lost 8 of its 22 back ends to a scale-in
@@ -262,7 +265,14 @@
 // Promotes reports whether all requests may move: several back ends have answered, all
 // together they speak for the version, and there are enough of them.
 func (t Tally) Promotes() bool {
-	return !t.Condemns() && t.Present > 0 && t.Answered >= t.several() && t.Lean <= promotingLean && t.hasRoom()
+	return !t.Condemns() && t.Present > 0 && t.Answered >= t.several() && t.Lean <= t.promotingLean() && t.hasRoom()
+}
+
+func (t Tally) promotingLean() float64 {
+	if t.Present == 1 {
+		return loneLean
+	}
+	return promotingLean
 }
 
 // hasRoom reports whether the version's back ends can take what the others do now.
--- a/internal/sidecar/rollout/judge_test.go
+++ b/internal/sidecar/rollout/judge_test.go
@@ -213,6 +213,22 @@
 	}
 }
 
+// TestALoneBackEnd: a good version of a single back end is promoted, though no single one can
+// say as much as several.
+func TestALoneBackEnd(t *testing.T) {
+	const perSecond, answers = 8, 80
+	judge := &rollout.Judge{}
+	now := start
+	for range answers {
+		judge.Observe(rollout.Answer{Route: "first"}, now)
+		now = now.Add(time.Second / perSecond)
+	}
+	seen := judge.Evidence(now)
+	tally := rollout.Tally{Present: 1, Others: 1}
+	tally.Add(seen.Answers, seen.Faulty, seen.Lean)
+	NewWithT(t).Expect(tally.Promotes()).To(BeTrue(), "lean %v", seen.Lean)
+}
+
 // TestFewRequests: how many of a thousand versions are promoted where few requests are on
 // trial. Bad ones go first: of the good ones some are taken back for want of evidence.
 func TestFewRequests(t *testing.T) {
--- a/internal/sidecar/rollout/rollout_test.go
+++ b/internal/sidecar/rollout/rollout_test.go
@@ -303,6 +303,7 @@
 		"two thirds at full load":       {func(tally *rollout.Tally) { tally.Present, tally.Others, tally.Load = 14, 21, 0.95 }, false},
 		"nearly all at full load":       {func(tally *rollout.Tally) { tally.Present, tally.Others, tally.Load = 20, 22, 1.3 }, true},
 		"no back end":                   {func(tally *rollout.Tally) { tally.Present = 0 }, false},
+		"two, and one has spoken":       {func(tally *rollout.Tally) { tally.Present, tally.Others, tally.Answered, tally.Lean = 2, 2, 2, -4 }, false},
 		"the only one, where one is it": {func(tally *rollout.Tally) { tally.Present, tally.Others, tally.Answered = 1, 1, 1 }, true},
 	}
 	for name, met := range cases {
