Log what a node hears of newer configurations, whom it asks and what it passes over

Change: three log lines, one a version heard of, one an attempt, one when the node is level again, with how long it was behind, who told first and how many hints it left aside. No decision changes.

--- a/internal/sidecar/exchange/catchup.go
+++ b/internal/sidecar/exchange/catchup.go
@@ -15,6 +15,7 @@
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/configuration"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/contain"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/readers"
@@ -27,7 +28,12 @@
 // from a peer of its zone. Then it takes it from this peer, and at last from the
 // store: its calls are paid for.
 func (e *Exchanger) Behind(peer *roster.Record, version uint64) {
-	if peer == nil || version <= e.options.Configuration.Version() || !e.fetching.CompareAndSwap(false, true) {
+	if peer == nil || version <= e.options.Configuration.Version() {
+		return
+	}
+	e.news.hear(peer, version, e.options.Configuration.Version(), e.options.Logger)
+	if !e.fetching.CompareAndSwap(false, true) {
+		e.news.unheeded()
 		return
 	}
 	go func() {
@@ -46,7 +52,10 @@
 	if held.Version() >= version {
 		return
 	}
+	began := clock.Now()
 	err := e.fetch(peer)
+	e.options.Logger.Info("configuration asked for", zap.String("peer", peer.Node), zap.Uint64("version", version),
+		zap.Uint64("inForce", held.Version()), zap.Duration("elapsed", clock.Since(began)), zap.Error(err))
 	if err == nil {
 		if !near {
 			e.tellZone()
--- a/internal/sidecar/exchange/exchanger.go
+++ b/internal/sidecar/exchange/exchanger.go
@@ -22,6 +22,7 @@
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/readers"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/route"
 )
 
 // Options configure an exchanger.
@@ -84,6 +85,8 @@
 	lost    lostPeers
 	// met: another node was in touch with this one.
 	met atomic.Bool
+	// news is what the node has heard of newer configurations.
+	news news
 	// fetching keeps a node from fetching a configuration twice at once.
 	fetching atomic.Bool
 }
@@ -99,7 +102,11 @@
 		MaxIdleConnsPerHost: idlePerPeer,
 		IdleConnTimeout:     peerIdleTimeout,
 	}
-	return &Exchanger{options: options, client: &http.Client{Transport: transport}}
+	created := &Exchanger{options: options, client: &http.Client{Transport: transport}}
+	options.Configuration.Observe(func(table *route.Table, source configuration.Source) {
+		created.news.inForce(table.Version(), source, options.Logger)
+	})
+	return created
 }
 
 // Run begins an exchange with one peer after the other until the context ends.
