A node that is behind neither refuses for good nor has moved requests run

Where nobody says so the answer is 503 with Retry-After, since a 404 is final for callers. Nodes of the version before do not tell, and are served as before.

Tests: both sides over sockets, the six outcomes of a node that is behind, a request that is given back again and again.

--- a/internal/proxy/outcome/outcome.go
+++ b/internal/proxy/outcome/outcome.go
@@ -68,6 +68,8 @@
 	StepShed      Step = "shed"      // the back end itself declared it not run
 	StepIdentity  Step = "identity"  // another back end than the one meant is there
 	StepBody      Step = "body"      // passing on the reply's body
+	// StepMoved: a newer configuration leads the request elsewhere.
+	StepMoved Step = "moved"
 	// StepCrash: the back end's process ended under the request.
 	StepCrash Step = "crash"
 	// StepQuarantine: the request ends the back ends that run it, so that none gets it.
--- a/internal/sidecar/egress/attempt.go
+++ b/internal/sidecar/egress/attempt.go
@@ -58,6 +58,8 @@
 	failure  *outcome.Failure
 	worked   time.Duration
 	elapsed  time.Duration
+	// version is that of the configuration in force at the node, zero when it did not say.
+	version uint64
 }
 
 // run sends the request and delivers the result.
@@ -164,7 +166,7 @@
 		return
 	}
 	a.target.learn(reply, a.record, now)
-	a.worked = reply.Worked
+	a.worked, a.version = reply.Worked, reply.Version
 	if reply.Worked > 0 && response.StatusCode < http.StatusMultipleChoices && !a.compared {
 		a.call.work().Observe(reply.Worked)
 	}
--- a/internal/sidecar/egress/call.go
+++ b/internal/sidecar/egress/call.go
@@ -65,6 +65,8 @@
 	// them any more.
 	results chan *attempt
 	over    chan struct{}
+	// moves counts how often a node gave the request back since it is to go elsewhere.
+	moves int
 	// behind counts the sends whose node seems silent, which go on.
 	behind int
 	// returning: the caller was refused before and has come back.
@@ -92,9 +94,8 @@
 	if most := c.table.Document().Limits.HeaderBytes; most > 0 && headerBytes(c.request) > most {
 		return outcome.Refusal(http.StatusRequestHeaderFieldsTooLarge, outcome.StepRequest, 0, errHeader)
 	}
-	c.route = match(c.table, c.request)
-	if c.route == nil {
-		return outcome.Refusal(http.StatusNotFound, outcome.StepMatch, 0, errNoRoute)
+	if failure := c.findRoute(); failure != nil {
+		return failure
 	}
 	if failure := c.bound(); failure != nil {
 		return failure
@@ -185,7 +186,15 @@
 		if result.response != nil {
 			return c.pass(result)
 		}
-		if c.again(result) {
+		if result.moved() {
+			again, failure := c.routeAnew(result)
+			if again {
+				continue
+			}
+			if failure != nil {
+				return failure
+			}
+		} else if c.again(result) {
 			continue
 		}
 		if late, answered := c.awaitBehind(); answered {
--- a/internal/sidecar/egress/handler.go
+++ b/internal/sidecar/egress/handler.go
@@ -46,6 +46,9 @@
 	Quarantine Quarantine
 	// Retries bound repeated sends.
 	Retries func() RetryLimits
+	// Level makes sure that the configuration in force is the newest; nil when there is
+	// nobody to ask.
+	Level Level
 	// Weights price the choice of back ends.
 	Weights choice.Weights
 	// Dial opens connections to other nodes.
@@ -137,6 +140,9 @@
 		ReplyHeaderBytes: replyHeaderBytes,
 		ConsentTimeout:   consentTimeout,
 	}
+	if options.Level == nil {
+		options.Level = alone{}
+	}
 	cutting, cut := context.WithCancelCause(context.Background())
 	return &Handler{
 		options: options,
--- /dev/null
+++ b/internal/sidecar/egress/level_test.go
@@ -0,0 +1,161 @@
+package egress
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/route"
+)
+
+// lagging is a node whose configuration is older than that of others.
+type lagging struct {
+	table *route.Table
+	// next is the newest configuration; the node gets it when it may.
+	next *route.Table
+	may  bool
+	// confirms and catches count the questions.
+	confirms, catches int
+}
+
+func (l *lagging) Confirm(context.Context) bool {
+	l.confirms++
+	return l.advance()
+}
+
+func (l *lagging) CatchUp(context.Context, string, uint64) bool {
+	l.catches++
+	return l.advance()
+}
+
+func (l *lagging) advance() bool {
+	if l.may && l.next != nil {
+		l.table = l.next
+	}
+	return l.may
+}
+
+// leading returns a configuration with one route, which leads to the service; without a service
+// there is none.
+func leading(t *testing.T, version uint64, service string) *route.Table {
+	document := &route.Document{Version: version, Services: []route.Service{{Name: "s"}, {Name: "s2"}}}
+	if service != "" {
+		document.Routes = []route.Route{{
+			Name: "r", Host: "h", PathPrefix: "/r/", Repeatable: true, Attempts: 2, TargetLatency: 200 * time.Millisecond,
+			Targets: []route.Target{{Service: service, Weight: 1}},
+		}}
+	}
+	table, err := route.Compile(document, nil)
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	return table
+}
+
+// givesBack refuses a request since a newer configuration leads it elsewhere.
+func givesBack(_ *peer, connection net.Conn, _ *bufio.Reader) {
+	_, _ = fmt.Fprintf(connection, "HTTP/1.1 503 X\r\nKestrel-Reply: 2 0 0 8 50000 1000 1000\r\n%s: %s\r\n%s: step=%s\r\nRetry-After: 0.1\r\nContent-Length: 0\r\n\r\n",
+		outcome.HeaderOutcome, outcome.NotRun, outcome.HeaderError, outcome.StepMoved)
+}
+
+// playLate returns a handler of a late node with a peer of each of two services.
+func playLate(t *testing.T, held *lagging, first, second *peer) *Handler {
+	handler := newHandler(t, &quiet{}, present)
+	members := roster.New(roster.Record{Node: "self", Epoch: 1, Zone: "z"})
+	for service, at := range map[string]*peer{"s": first, "s2": second} {
+		members.Merge([]*roster.Record{{
+			Node: "beside-" + service, Epoch: 1, Address: at.address, Zone: "z",
+			Endpoint: &roster.Endpoint{ID: "i", Service: service, Slots: 8, State: roster.Ready},
+		}})
+	}
+	handler.options.View = members.View
+	handler.options.Table = func() *route.Table { return held.table }
+	handler.options.Level = held
+	return handler
+}
+
+// TestANodeThatIsBehind: it neither refuses for good what a newer configuration allows, nor has
+// a request run where a newer one does not lead it.
+func TestANodeThatIsBehind(t *testing.T) {
+	cases := []struct {
+		name              string
+		before, after     string // the service of the route, empty for no route
+		may               bool
+		status            int
+		atFirst, atSecond int64
+	}{
+		{"an added route is served", "", "s", true, 200, 1, 0},
+		{"a route that nobody knows", "", "", true, 404, 0, 0},
+		{"a route of which nobody says anything", "", "", false, 503, 0, 0},
+		{"a moved route is served where it leads now", "s2", "s", true, 200, 1, 1},
+		{"a moved route, and no way to catch up", "s2", "s", false, 503, 0, 1},
+		{"a dropped route", "s2", "", true, 404, 0, 1},
+	}
+	for _, played := range cases {
+		t.Run(played.name, func(t *testing.T) {
+			g := NewWithT(t)
+			served, given := newPeer(t, answers), newPeer(t, givesBack)
+			held := &lagging{table: leading(t, 1, played.before), next: leading(t, 2, played.after), may: played.may}
+			status, wait := callThrough(t, playLate(t, held, served, given), "GET", "/r/x", "")
+			g.Expect(status).To(Equal(played.status))
+			g.Expect(served.requests.Load()).To(Equal(played.atFirst))
+			g.Expect(given.requests.Load()).To(Equal(played.atSecond))
+			g.Expect(wait != "").To(Equal(played.status == 503), "who is refused unrun is told when to come back")
+		})
+	}
+}
+
+// TestARequestIsNotRoutedAnewForEver: while it is given back again and again it is refused
+// after a few times.
+func TestARequestIsNotRoutedAnewForEver(t *testing.T) {
+	g := NewWithT(t)
+	first, second := newPeer(t, givesBack), newPeer(t, givesBack)
+	held := &lagging{table: leading(t, 1, "s"), next: leading(t, 2, "s"), may: true}
+	status, _ := callThrough(t, playLate(t, held, first, second), "GET", "/r/x", "")
+	g.Expect(status).To(Equal(503))
+	g.Expect(held.catches).To(BeNumerically("<=", mostMoves))
+}
+
+// TestTheVersionIsToldWithARequest, by which the arriving node knows whether the sender is behind.
+func TestTheVersionIsToldWithARequest(t *testing.T) {
+	g := NewWithT(t)
+	seen := make(chan string, 1)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer listener.Close()
+	go func() {
+		connection, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer connection.Close()
+		reader := bufio.NewReader(connection)
+		for line := ""; line != "\r\n"; {
+			if line, err = reader.ReadString('\n'); err != nil {
+				return
+			}
+			if version, found := cutHeader(line, "Kestrel-Version"); found {
+				seen <- version
+			}
+		}
+		_, _ = io.WriteString(connection, replyOK)
+	}()
+	held := &lagging{table: leading(t, 7, "s"), may: true}
+	status, _ := callThrough(t, playLate(t, held, &peer{address: listener.Addr().String()}, newPeer(t, answers)), "GET", "/r/x", "")
+	g.Expect(status).To(Equal(200))
+	g.Expect(<-seen).To(Equal("7"))
+}
+
+// cutHeader returns the value of a header's line.
+func cutHeader(line, name string) (value string, found bool) {
+	if len(line) < len(name)+2 || line[:len(name)] != name {
+		return "", false
+	}
+	return line[len(name)+2 : len(line)-2], true
+}
--- a/internal/sidecar/egress/visit.go
+++ b/internal/sidecar/egress/visit.go
@@ -18,7 +18,7 @@
 
 const (
 	// markerCount is how many headers the node adds at most.
-	markerCount = 2
+	markerCount = 3
 	// refusalsPerCall bounds how many nodes may refuse one request. A refusal
 	// costs no back end anything. The first sends are brief; with three sends in all the
 	// last one alone waits for its whole time, and 0.862 of the worth was served in place of
@@ -37,6 +37,8 @@
 	target   *target
 	response *http.Response
 	failure  *outcome.Failure
+	// version is that of the configuration in force at the node, zero when it did not say.
+	version uint64
 }
 
 // visit chooses a node, sends the request there once and waits for what comes of
@@ -89,7 +91,7 @@
 		c.handler.options.Observer.Carried(ended.elapsed, ended.worked)
 	}
 	c.note(ended)
-	return result{target: ended.target, response: ended.response, failure: ended.failure}
+	return result{target: ended.target, response: ended.response, failure: ended.failure, version: ended.version}
 }
 
 // leaveBehind turns away from a send that goes on.
@@ -171,7 +173,7 @@
 		failure.RetryAfter = time.Duration(seconds * float64(time.Second))
 	}
 	switch {
-	case failure.Step == outcome.StepAdmit || failure.Step == outcome.StepQuarantine:
+	case failure.Step == outcome.StepAdmit || failure.Step == outcome.StepQuarantine || failure.Step == outcome.StepMoved:
 	case a.call.context.Err() == nil:
 		a.target.failed(now)
 	}
@@ -234,6 +236,7 @@
 		Usual:     c.handler.usualOf(c.service, c.route.Name, a.record),
 	}
 	header[hop.HeaderHop] = []string{told.Format()}
+	header[hop.HeaderVersion] = []string{strconv.FormatUint(c.table.Version(), 10)}
 	outgoing := forward.NewRequest(a.traced(), c.request, a.record.Address, header, a.interim)
 	forward.KeepTarget(outgoing, c.request)
 	c.body.Attach(outgoing)
--- a/internal/sidecar/exchange/catchup.go
+++ b/internal/sidecar/exchange/catchup.go
@@ -85,11 +85,11 @@
 	if peer == nil || version <= e.options.Configuration.Version() {
 		return
 	}
-	e.behind.hear(peer, version)
+	e.behind.hear(peer, version, e.catchUpDelay(peer))
 }
 
-// hear notes that a peer holds a newer version.
-func (c *catchUp) hear(peer *roster.Record, version uint64) {
+// hear notes that a peer holds a newer version. The peer is not asked before the delay is over.
+func (c *catchUp) hear(peer *roster.Record, version uint64, delay time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now, held := clock.Now(), c.exchanger.options.Configuration.Version()
@@ -97,24 +97,24 @@
 		return
 	}
 	if !c.running {
-		c.begin(peer, now)
+		c.begin(peer, now, delay)
 	}
 	if version > c.newest {
 		c.newest = version
 		c.logger.Info("newer configuration announced", zap.String("peer", peer.Node),
 			zap.Uint64("version", version), zap.Uint64("inForce", held))
 	}
-	c.peers.hear(peer, version, now, c.exchanger.catchUpDelay(peer))
+	c.peers.hear(peer, version, now, delay)
 	c.signal()
 }
 
 // begin starts to catch up; the lock is held.
-func (c *catchUp) begin(peer *roster.Record, now time.Time) {
+func (c *catchUp) begin(peer *roster.Record, now time.Time, delay time.Duration) {
 	c.running = true
 	c.newest = 0
 	c.since, c.first = now, peer.Node
 	c.asked = time.Time{}
-	c.storeDue, c.storePause = now.Add(c.exchanger.catchUpDelay(peer)+storeDelay), storeBase
+	c.storeDue, c.storePause = now.Add(delay+storeDelay), storeBase
 	c.peers.clear()
 	go func() {
 		_ = contain.Run("catching up", c.logger, c.run)
--- a/internal/sidecar/exchange/catchup_test.go
+++ b/internal/sidecar/exchange/catchup_test.go
@@ -183,7 +183,7 @@
 		g.Expect(proven).To(BeFalse())
 		peer.keeper.Proven(7, time.Now())
 		time.Sleep(time.Second)
-		g.Expect(late.exchanger.level.ask(t.Context(), peer.record)).To(Succeed())
+		g.Expect(late.exchanger.level.ask(t.Context(), peer.record, 0)).To(Succeed())
 		age, proven := late.keeper.ProofAge()
 		g.Expect(proven).To(BeTrue())
 		g.Expect(age).To(Equal(time.Second))
--- a/internal/sidecar/exchange/level.go
+++ b/internal/sidecar/exchange/level.go
@@ -71,7 +71,7 @@
 			continue
 		}
 		if reader := l.pick(); reader != nil {
-			go func() { _ = l.ask(ctx, reader) }()
+			go func() { _ = l.ask(ctx, reader, l.exchanger.catchUpDelay(reader)) }()
 		}
 	}
 }
@@ -107,8 +107,8 @@
 	})
 }
 
-// ask asks one reader and takes in its answer.
-func (l *levelCheck) ask(ctx context.Context, reader *roster.Record) error {
+// ask asks one reader and takes in its answer. What is newer is fetched after the delay.
+func (l *levelCheck) ask(ctx context.Context, reader *roster.Record, delay time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, levelTimeout)
 	defer cancel()
 	l.unanswered.Store(reader.Node, nil)
@@ -128,7 +128,9 @@
 		l.confirmed.set(clock.Now())
 	}
 	l.prove(answer.Version, answer.ProofAge, asked)
-	l.exchanger.Behind(reader, answer.Version)
+	if answer.Version > l.exchanger.options.Configuration.Version() {
+		l.exchanger.behind.hear(reader, answer.Version, delay)
+	}
 	return nil
 }
 
@@ -169,6 +171,21 @@
 	}
 }
 
+// CatchUp has the node catch up with a version that a peer holds, at once, and reports whether
+// it did within a short time.
+func (e *Exchanger) CatchUp(ctx context.Context, peer *roster.Record, version uint64) bool {
+	if version <= e.options.Configuration.Version() {
+		return true
+	}
+	if peer == nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	e.behind.hear(peer, version, 0)
+	return e.level.awaitLevel(ctx)
+}
+
 // confirm is Confirm for all that wait.
 func (l *levelCheck) confirm() bool {
 	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
@@ -182,7 +199,7 @@
 		if reader == nil {
 			return false
 		}
-		go func() { answered <- l.ask(ctx, reader) }()
+		go func() { answered <- l.ask(ctx, reader, 0) }()
 		return true
 	}
 	if !askOne() {
--- a/internal/sidecar/exchange/sources.go
+++ b/internal/sidecar/exchange/sources.go
@@ -47,6 +47,9 @@
 		s.all[peer.Node] = held
 	}
 	held.peer, held.version, held.told = peer, max(held.version, version), now
+	if due := now.Add(delay); held.failures == 0 && due.Before(held.due) {
+		held.due = due
+	}
 }
 
 // next returns the peer to be asked now, nil when there is none: of those with the fewest
--- a/internal/sidecar/hop/hop.go
+++ b/internal/sidecar/hop/hop.go
@@ -15,6 +15,9 @@
 	// since what passes between zones is paid for by the byte.
 	HeaderHop   = "Kestrel-Hop"
 	HeaderReply = "Kestrel-Reply"
+	// HeaderVersion carries the version of the configuration by which a request was routed.
+	// Nodes of the version before do not tell it, and leave it aside.
+	HeaderVersion = "Kestrel-Version"
 )
 
 // LargeBody is from what length on, in bytes, a body is received by the arriving node
--- a/internal/sidecar/ingress/arrival.go
+++ b/internal/sidecar/ingress/arrival.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -27,6 +28,7 @@
 	errLeaving    = errors.New("the back end is leaving")
 	errNoCaller   = errors.New("the request did not come through a node")
 	errVersion    = errors.New("requests move away from the version of the back end")
+	errMoved      = errors.New("a newer configuration leads the request elsewhere")
 	errStopping   = errors.New("the node is stopping")
 	errLink       = errors.New("the link has no room for the body in time")
 )
@@ -147,6 +149,9 @@
 	if a.endpoint.Service != told.Service {
 		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepIdentity, refusedWait, errIdentity)
 	}
+	if a.moved() {
+		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepMoved, refusedWait, errMoved)
+	}
 	if a.handler.leftBehind(a.endpoint.ID) {
 		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepDrain, refusedWait, errLeaving)
 	}
@@ -157,6 +162,18 @@
 	return nil
 }
 
+// moved reports whether the request was routed by a configuration that is older than the one
+// in force here, and is to go to another service by this one. It is given back unrun: its node
+// is behind, and learns so. Without that a node that is behind has requests run by a service
+// that they have left for as long as it is.
+func (a *arrival) moved() bool {
+	version, err := strconv.ParseUint(a.request.Header.Get(hop.HeaderVersion), 10, 64)
+	if err != nil || a.handler.options.Serves == nil {
+		return false // nodes of the version before do not tell
+	}
+	return !a.handler.options.Serves(a.request, a.endpoint.Service, version)
+}
+
 func (a *arrival) readBody() (*forward.Body, error) {
 	const unlimited = 1 << 40
 	return forward.ReadBody(a.context, a.writer, a.request, unlimited, "")
--- a/internal/sidecar/ingress/handler.go
+++ b/internal/sidecar/ingress/handler.go
@@ -34,6 +34,9 @@
 	Identified func(id string)
 	// Version returns the version of the configuration in force.
 	Version func() uint64
+	// Serves reports whether a configuration newer than the given version, if there is one in
+	// force, leads the request to the service; nil when nobody can tell.
+	Serves func(request *http.Request, service string, version uint64) bool
 	// DrainAfter is how long after a back end's word that it is leaving new
 	// work is still taken.
 	DrainAfter func() time.Duration
--- a/internal/sidecar/ingress/handler_test.go
+++ b/internal/sidecar/ingress/handler_test.go
@@ -39,6 +39,8 @@
 	answer  atomic.Pointer[http.HandlerFunc]
 	// told changes what the caller's node tells, nil for nothing.
 	told func(*hop.Request)
+	// serves says whether a newer configuration leads a request here, nil for always.
+	serves func(request *http.Request, service string, version uint64) bool
 }
 
 func play(t *testing.T) *played {
@@ -52,6 +54,9 @@
 		Identified: func(string) {}, Version: func() uint64 { return 1 },
 		DrainAfter: func() time.Duration { return time.Second },
 		Dial:       (&net.Dialer{}).DialContext, Logger: zap.NewNop(), Observer: silentObserver{}, Quarantine: newScripted(),
+		Serves: func(request *http.Request, service string, version uint64) bool {
+			return made.serves == nil || made.serves(request, service, version)
+		},
 	})
 	made.handler.Follow(endpoint)
 	return made
--- /dev/null
+++ b/internal/sidecar/ingress/moved_test.go
@@ -0,0 +1,67 @@
+package ingress_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
+)
+
+// TestARequestOfANodeThatIsBehind is given back unrun when the configuration in force here
+// leads it elsewhere; otherwise, and from nodes that do not tell their version, it runs.
+func TestARequestOfANodeThatIsBehind(t *testing.T) {
+	cases := []struct {
+		name, version string
+		serves        bool
+		ran           bool
+	}{
+		{"led here by both", "7", true, true},
+		{"led elsewhere by the newer one", "7", false, false},
+		{"of a node that does not tell", "", false, true},
+		{"of a version that cannot be read", "x", false, true},
+	}
+	for _, held := range cases {
+		t.Run(held.name, func(t *testing.T) {
+			g := NewWithT(t)
+			made := play(t)
+			var ran atomic.Int64
+			answer := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				ran.Add(1)
+				signed(http.StatusOK)(w, r)
+			})
+			made.answer.Store(&answer)
+			var asked uint64
+			made.serves = func(_ *http.Request, service string, version uint64) bool {
+				g.Expect(service).To(Equal("one"))
+				asked = version
+				return held.serves
+			}
+			told := hop.Request{Service: "one", Caller: "two", Remaining: time.Minute, MaximumWait: time.Second}
+			request := httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/a/", strings.NewReader(""))
+			request.Header.Set(hop.HeaderHop, told.Format())
+			request.Header.Set(vocabulary.RequestID, "r")
+			if held.version != "" {
+				request.Header.Set(hop.HeaderVersion, held.version)
+			}
+			recorder := httptest.NewRecorder()
+			made.handler.ServeHTTP(recorder, request)
+			g.Expect(ran.Load() == 1).To(Equal(held.ran))
+			if held.version == "7" {
+				g.Expect(asked).To(BeEquivalentTo(7))
+			}
+			if !held.ran {
+				g.Expect(recorder.Code).To(Equal(http.StatusServiceUnavailable))
+				g.Expect(recorder.Header().Get(outcome.HeaderOutcome)).To(Equal(string(outcome.NotRun)))
+				g.Expect(recorder.Header().Get(outcome.HeaderError)).To(Equal("step=" + string(outcome.StepMoved)))
+				g.Expect(recorder.Header().Get("Retry-After")).NotTo(BeEmpty())
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/sidecar/level.go
@@ -0,0 +1,28 @@
+package sidecar
+
+import (
+	"context"
+	"net/http"
+)
+
+// serves reports whether the configuration in force leads the request to the service. One
+// that is not newer than that by which the request was routed says nothing.
+func (s *Sidecar) serves(request *http.Request, service string, version uint64) bool {
+	table := s.keeper.Table()
+	if table.Version() <= version {
+		return true
+	}
+	matched := table.MatchRequest(request)
+	return matched != nil && matched.Leads(service)
+}
+
+// level makes sure that the node is level, for its egress.
+type level Sidecar
+
+// Confirm implements egress.Level.
+func (l *level) Confirm(ctx context.Context) bool { return l.exchanger.Confirm(ctx) }
+
+// CatchUp implements egress.Level.
+func (l *level) CatchUp(ctx context.Context, node string, version uint64) bool {
+	return l.exchanger.CatchUp(ctx, l.members.View().Record(node), version)
+}
--- a/internal/sidecar/route/table.go
+++ b/internal/sidecar/route/table.go
@@ -28,6 +28,11 @@
 	return m.split.next(m.Targets)
 }
 
+// Leads reports whether some of the route's requests go to the service.
+func (m *Matched) Leads(service string) bool {
+	return slices.ContainsFunc(m.Targets, func(target Target) bool { return target.Service == service })
+}
+
 // Compile validates the document and builds its table. A split keeps its place
 // in the sequence when the previous table, which may be nil, has the same one.
 func Compile(document *Document, previous *Table) (*Table, error) {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -168,6 +168,7 @@
 		Endpoint:   func() *roster.Endpoint { return s.members.Own().Endpoint },
 		Identified: s.identified,
 		Version:    s.keeper.Version,
+		Serves:     s.serves,
 		DrainAfter: func() time.Duration { return time.Duration(float64(s.settings.Load().DrainBound) * drainShare) },
 		Dial:       forward.Dialer((&net.Dialer{}).DialContext),
 		Logger:     s.logger,
@@ -190,6 +191,7 @@
 		Quarantine: s.quarantine,
 		Retries:    func() egress.RetryLimits { return s.settings.Load().Retries },
 		Weights:    choice.DefaultWeights(),
+		Level:      (*level)(s),
 		Dial:       dial.Dialer(exchangeDial, dial.Silence{Unacknowledged: peerUnacknowledged, Idle: peerIdle}),
 		Probe: func(ctx context.Context, record *roster.Record) error {
 			return s.exchanger.Ping(ctx, record)
