A back end that starts again under its id is another one; words of other writers name none

Cause: the id alone named a start. One that came again under its id with counts that start anew was taken for old until its sequence passed the one before, or for good once the id had said that it ends; what was known of the start before (load, pace of a trial, ends under requests) was held against it.

Change: a start is named by id and moment of birth wherever starts are told apart: claims, final words, load reports, trials, ends of processes. The later birth takes the place at once; an earlier one is a late word unless it is heard again and again while the present one is silent or gone, as after a clock that was set back. A last word may tell its birth. Platforms that tell none are served as before.

Records in the store are checked field by field; the own key is replaced.

--- a/internal/sidecar/backend.go
+++ b/internal/sidecar/backend.go
@@ -4,6 +4,9 @@
 	"context"
 	"time"
 
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/quarantine"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
@@ -15,8 +18,13 @@
 
 // Heartbeat takes in what the back end says. When it says that it is leaving,
 // the call returns once another node knows, or after a short time: the word
-// must outlive this process.
-func (s *Sidecar) Heartbeat(ctx context.Context, beat roster.Heartbeat) {
+// must outlive this process. An error says that the word is not of the back end.
+func (s *Sidecar) Heartbeat(ctx context.Context, beat roster.Heartbeat) error {
+	if !s.knows(beat.Service) {
+		err := trace.BadParameter("info.service: %q is neither this machine's service nor one of the configuration", beat.Service)
+		s.logger.Warn("heartbeat refused", zap.String("endpoint", beat.ID), zap.Error(err))
+		return err
+	}
 	now := clock.Now()
 	s.lastBeat.Store(clock.Stamp(now))
 	if beat.WarmupLeft > 0 {
@@ -32,6 +40,17 @@
 	default:
 		s.spread(ctx)
 	}
+	return nil
+}
+
+// knows reports whether a back end of the service may be beside this node.
+func (s *Sidecar) knows(service string) bool {
+	own := s.options.Settings.Service
+	if own == "" || service == own {
+		return true
+	}
+	table := s.keeper.Table()
+	return table != nil && table.Service(service) != nil
 }
 
 // identified takes in the id that the back end itself gives.
@@ -61,8 +80,8 @@
 }
 
 // Ended takes in that a back end ends for good.
-func (s *Sidecar) Ended(ctx context.Context, id string) {
-	_, changed := s.members.Update(func(record roster.Record) (roster.Record, bool) { return record.End(id) })
+func (s *Sidecar) Ended(ctx context.Context, ended roster.Incarnation) {
+	_, changed := s.members.Update(func(record roster.Record) (roster.Record, bool) { return record.End(ended) })
 	if changed {
 		s.spread(ctx)
 	}
--- a/internal/sidecar/egress/target.go
+++ b/internal/sidecar/egress/target.go
@@ -36,7 +36,7 @@
 	hop.Reply
 	// epoch is the node's life and endpoint the back end that the reply came from.
 	epoch    uint64
-	endpoint string
+	endpoint roster.Incarnation
 	// others estimates how many requests there are not this node's.
 	others occupancy.Estimate
 	taken  time.Time
@@ -52,7 +52,7 @@
 // of reports whether the report is of the back end and the life of the node that
 // the record tells of. After either has changed it says nothing any more.
 func (r *loadReport) of(record *roster.Record) bool {
-	return r.epoch == record.Epoch && r.endpoint == record.Endpoint.ID
+	return r.epoch == record.Epoch && r.endpoint == record.Endpoint.Incarnation()
 }
 
 // learn takes in the load that a reply carries. The record is the one that the
@@ -61,7 +61,7 @@
 	others := float64(load.Running+load.Waiting) - float64(t.inFlight.Load())
 	for {
 		before := t.report.Load()
-		next := &loadReport{Reply: load, epoch: record.Epoch, endpoint: record.Endpoint.ID, taken: now}
+		next := &loadReport{Reply: load, epoch: record.Epoch, endpoint: record.Endpoint.Incarnation(), taken: now}
 		if before != nil && before.of(record) {
 			next.others = before.others
 		}
--- a/internal/sidecar/ingress/arrival.go
+++ b/internal/sidecar/ingress/arrival.go
@@ -152,7 +152,7 @@
 	if a.moved() {
 		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepMoved, refusedWait, errMoved)
 	}
-	if a.handler.leftBehind(a.endpoint.ID) {
+	if a.handler.leftBehind(a.endpoint.Incarnation()) {
 		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepDrain, refusedWait, errLeaving)
 	}
 	if judge := a.handler.options.Judge; judge != nil && judge.Refuses() {
@@ -209,7 +209,7 @@
 	if err != nil {
 		return nil, outcome.Refusal(http.StatusServiceUnavailable, outcome.StepAdmit, a.retryAfter(), err)
 	}
-	if a.handler.leftBehind(a.endpoint.ID) {
+	if a.handler.leftBehind(a.endpoint.Incarnation()) {
 		slot.Release(false)
 		return nil, outcome.Refusal(http.StatusServiceUnavailable, outcome.StepDrain, refusedWait, errLeaving)
 	}
--- a/internal/sidecar/ingress/ends.go
+++ b/internal/sidecar/ingress/ends.go
@@ -129,7 +129,7 @@
 func (w *workplace) broke(a *arrival, now time.Time) (met *breakage, first bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.last != nil && w.last.endpoint.ID == a.endpoint.ID && (w.last.ended || now.Sub(w.last.at) < breakTime) {
+	if w.last != nil && w.last.endpoint.Incarnation() == a.endpoint.Incarnation() && (w.last.ended || now.Sub(w.last.at) < breakTime) {
 		w.last.resolve(a)
 		return w.last, false
 	}
@@ -138,7 +138,7 @@
 		known: make(chan struct{}), answered: make(chan struct{}),
 	}
 	for other := range w.arrivals {
-		if other.endpoint.ID == a.endpoint.ID {
+		if other.endpoint.Incarnation() == a.endpoint.Incarnation() {
 			w.last.running[other] = other.running(now)
 			w.last.open[other] = struct{}{}
 		}
@@ -168,11 +168,11 @@
 
 // replaced returns the breakage that the end of a process turns out to have been, now that
 // another back end is there; nil when there is none.
-func (w *workplace) replaced(id string, now time.Time) *breakage {
+func (w *workplace) replaced(of roster.Incarnation, now time.Time) *breakage {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	last := w.last
-	if last == nil || !last.isAnswered() || last.ended || last.endpoint.ID == id || now.Sub(last.at) > endRemembered {
+	if last == nil || !last.isAnswered() || last.ended || last.endpoint.Incarnation() == of || now.Sub(last.at) > endRemembered {
 		return nil
 	}
 	last.ended = true
@@ -180,10 +180,10 @@
 }
 
 // planned takes in that a back end is to end: what broke before was no sign of it.
-func (w *workplace) planned(id string) {
+func (w *workplace) planned(of roster.Incarnation) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.last != nil && w.last.endpoint.ID == id && w.last.isAnswered() {
+	if w.last != nil && w.last.endpoint.Incarnation() == of && w.last.isAnswered() {
 		w.last = nil
 	}
 }
@@ -247,7 +247,7 @@
 
 // crash is the end as other nodes are told of it.
 func (e *Ending) crash() roster.Crash {
-	crash := roster.Crash{Endpoint: e.Endpoint.ID, Service: e.Endpoint.Service}
+	crash := roster.Crash{Endpoint: e.Endpoint.Incarnation().String(), Service: e.Endpoint.Service}
 	for _, running := range e.Running {
 		crash.Running = append(crash.Running, running.Print)
 		if running.Trial {
--- a/internal/sidecar/ingress/handler.go
+++ b/internal/sidecar/ingress/handler.go
@@ -109,8 +109,7 @@
 	gate    *admission.Gate
 	// transfers bounds the large bodies on the link.
 	transfers *transfers
-	// leavingSince is when the back end with leavingID was first known to be
-	// leaving; nil while it is not.
+	// leaving is since when the back end is known to be leaving; nil while it is not.
 	leaving  atomic.Pointer[leaving]
 	stopping atomic.Bool
 	// refusing: nothing is taken any more. inFlight is counted up before it is
@@ -128,7 +127,7 @@
 
 // leaving remembers since when a back end is leaving.
 type leaving struct {
-	id    string
+	of    roster.Incarnation
 	since time.Time
 }
 
@@ -155,19 +154,19 @@
 	if endpoint == nil {
 		return
 	}
-	if met := h.workplace.replaced(endpoint.ID, clock.Now()); met != nil {
+	if met := h.workplace.replaced(endpoint.Incarnation(), clock.Now()); met != nil {
 		go h.tellEnding(met) // the roster's lock is held
 	}
 	if endpoint.State != roster.Ready {
-		h.workplace.planned(endpoint.ID)
+		h.workplace.planned(endpoint.Incarnation())
 	}
 	h.gate.Resize(max(endpoint.Slots, 1))
 	held := h.leaving.Load()
 	switch {
 	case endpoint.State == roster.Ready:
 		h.leaving.Store(nil)
-	case held == nil || held.id != endpoint.ID:
-		h.leaving.Store(&leaving{id: endpoint.ID, since: clock.Now()})
+	case held == nil || held.of != endpoint.Incarnation():
+		h.leaving.Store(&leaving{of: endpoint.Incarnation(), since: clock.Now()})
 	}
 }
 
@@ -201,9 +200,9 @@
 func (h *Handler) Sweep(now time.Time) { h.pool.Sweep(now) }
 
 // leftBehind reports whether the back end takes no new work any more.
-func (h *Handler) leftBehind(id string) bool {
+func (h *Handler) leftBehind(of roster.Incarnation) bool {
 	held := h.leaving.Load()
-	return held != nil && held.id == id && clock.Since(held.since) >= h.options.DrainAfter()
+	return held != nil && held.of == of && clock.Since(held.since) >= h.options.DrainAfter()
 }
 
 // ServeHTTP implements http.Handler.
--- a/internal/sidecar/membership/membership.go
+++ b/internal/sidecar/membership/membership.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/contain"
@@ -202,12 +203,25 @@
 	}
 }
 
-// take merges one item. What is not a record of ours is left alone.
+// take merges one item. What is not a record of ours is left alone: another writer may have
+// put it there.
 func (m *Membership) take(item store.KeyValue) {
-	record := &roster.Record{}
-	if err := json.Unmarshal(item.Value, record); err != nil || KeyPrefix+record.Node != item.Key {
+	record, err := readRecord(item)
+	if err != nil {
 		m.options.Logger.Warn("item of the store is no node's record", zap.String("key", item.Key), zap.Error(err))
 		return
 	}
 	m.options.Members.Merge([]*roster.Record{record})
 }
+
+// readRecord reads the record that an item holds.
+func readRecord(item store.KeyValue) (*roster.Record, error) {
+	record := &roster.Record{}
+	if err := json.Unmarshal(item.Value, record); err != nil {
+		return nil, trace.Wrap(err, "read %s", item.Key)
+	}
+	if KeyPrefix+record.Node != item.Key {
+		return nil, trace.BadParameter("node: %q is not the key's", record.Node)
+	}
+	return record, record.Validate()
+}
--- a/internal/sidecar/membership/publisher.go
+++ b/internal/sidecar/membership/publisher.go
@@ -79,8 +79,8 @@
 		return
 	}
 	p.revision.Store(item.Revision)
-	record := &roster.Record{}
-	if err := json.Unmarshal(item.Value, record); err != nil || record.Node != p.members.Own().Node {
+	record, err := readRecord(*item)
+	if err != nil {
 		p.logger.Warn("the own key holds no record of this node, it will be replaced", zap.Error(err))
 		return
 	}
--- a/internal/sidecar/quarantine/quarantine_test.go
+++ b/internal/sidecar/quarantine/quarantine_test.go
@@ -106,7 +106,9 @@
 		f.nodes[0].tell("a", nil, harmful)
 		f.nodes[1].tell("b", &harmful)
 		for i, node := range f.nodes[:2] {
-			node.members.Update(func(record roster.Record) (roster.Record, bool) { return record.End(string(rune('a' + i))) })
+			node.members.Update(func(record roster.Record) (roster.Record, bool) {
+				return record.End(roster.Incarnation{ID: string(rune('a' + i))})
+			})
 			node.spread()
 		}
 		f.pass()
--- a/internal/sidecar/rollout/controller/judging.go
+++ b/internal/sidecar/rollout/controller/judging.go
@@ -14,8 +14,8 @@
 
 // judging is the judge of one back end.
 type judging struct {
-	id    string
-	judge *rollout.Judge
+	incarnation roster.Incarnation
+	judge       *rollout.Judge
 
 	mu sync.Mutex // guards all below
 	// faulty is what others were last told, published when.
@@ -59,7 +59,7 @@
 		return true
 	case rollout.Trial:
 		judged := c.judging.Load()
-		return judged != nil && judged.id == endpoint.ID && judged.judge.Evidence(clock.Now()).Faulty
+		return judged != nil && judged.incarnation == endpoint.Incarnation() && judged.judge.Evidence(clock.Now()).Faulty
 	}
 	return false
 }
@@ -83,7 +83,7 @@
 		zap.String("route", answer.Route), zap.Float64("usualFailing", answer.Usual.Failing), zap.Float64("usualSlow", answer.Usual.Slow))
 	c.options.Members.Update(func(record roster.Record) (roster.Record, bool) {
 		record.Judged = &roster.Judgement{
-			ID: endpoint.ID, Answers: evidence.Answers, Faulty: evidence.Faulty, Lean: math.Round(evidence.Lean*leanUnits) / leanUnits,
+			ID: endpoint.Incarnation().String(), Answers: evidence.Answers, Faulty: evidence.Faulty, Lean: math.Round(evidence.Lean*leanUnits) / leanUnits,
 		}
 		return record, true
 	})
@@ -114,13 +114,13 @@
 // of one version all its life, and each version is moved to once.
 func (c *Controller) judgeOf(endpoint *roster.Endpoint) *judging {
 	held := c.judging.Load()
-	if held != nil && held.id == endpoint.ID {
+	if held != nil && held.incarnation == endpoint.Incarnation() {
 		return held
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if held = c.judging.Load(); held == nil || held.id != endpoint.ID {
-		held = &judging{id: endpoint.ID, judge: &rollout.Judge{}}
+	if held = c.judging.Load(); held == nil || held.incarnation != endpoint.Incarnation() {
+		held = &judging{incarnation: endpoint.Incarnation(), judge: &rollout.Judge{}}
 		c.judging.Store(held)
 	}
 	return held
--- a/internal/sidecar/roster/claims.go
+++ b/internal/sidecar/roster/claims.go
@@ -9,43 +9,59 @@
 	WarmupLeft time.Duration
 }
 
-// Claims decides which id is the back end's when heartbeats bear several. A
+// Claims decides which incarnation is the back end's when heartbeats bear several. A
 // heartbeat may come seconds late, from a back end that is no more: one alone
-// does not take the place of an id that is heard from.
+// does not take the place of one that is heard from, unless it started later.
 type Claims struct {
 	// Interval is the usual time between two heartbeats.
 	Interval time.Duration
-	// heard is when the current id was last heard in this life.
+	// heard is when the current incarnation was last heard in this life.
 	heard time.Time
-	// rival is another id heard since then, that often.
+	// rival is another incarnation heard since then, that often.
 	rival      Endpoint
 	rivalBeats int
 }
 
 const (
-	// silentIntervals is how long the current id may be silent before another
+	// silentIntervals is how long the current incarnation may be silent before another
 	// one takes its place at once.
 	silentIntervals = 3
 	// rivalBeatsNeeded is how often a rival must be heard in a row.
 	rivalBeatsNeeded = 2
 )
 
-// Beat returns the record after a heartbeat, and whether it changed. A final id
-// stays final, and the highest sequence of an id wins.
+// Beat returns the record after a heartbeat, and whether it changed. A final incarnation
+// stays final, and the highest sequence of one wins. One that says nothing of its start, while
+// the back end does, is not the back end's.
 func (c *Claims) Beat(record Record, beat Heartbeat, now time.Time) (next Record, changed bool) {
+	if record.HasEnded(beat.Incarnation()) {
+		return record, false
+	}
 	held := record.Endpoint
+	if held == nil {
+		return c.install(record, beat.Endpoint, now), true
+	}
+	current, told := held.Incarnation(), beat.Incarnation()
+	takes := false
 	switch {
-	case record.HasEnded(beat.ID):
-		return record, false
-	case held != nil && held.ID == beat.ID:
+	case current == told:
 		return c.renew(record, beat.Endpoint, now)
-	case held == nil || held.State == Gone || c.silent(now) || c.prevails(beat.Endpoint):
-		return c.install(record, beat.Endpoint, now), true
+	case told.Born == 0 && current.Born != 0:
+	case current.before(told):
+		takes = true
+	case told.before(current):
+		// A late word of an earlier start, unless the clock was set back.
+		takes = c.prevails(beat.Endpoint) && (held.State == Gone || c.silent(now))
+	default:
+		takes = held.State == Gone || c.silent(now) || c.prevails(beat.Endpoint)
+	}
+	if !takes {
+		return record, false
 	}
-	return record, false
+	return c.install(record, beat.Endpoint, now), true
 }
 
-// silent reports whether the current id has not been heard for too long, or not
+// silent reports whether the current incarnation has not been heard for too long, or not
 // at all in this life.
 func (c *Claims) silent(now time.Time) bool {
 	return c.heard.IsZero() || now.Sub(c.heard) > silentIntervals*c.Interval
@@ -54,7 +70,7 @@
 // prevails counts a rival's heartbeat and reports whether it was heard often
 // enough.
 func (c *Claims) prevails(rival Endpoint) bool {
-	if c.rival.ID != rival.ID {
+	if c.rival.Incarnation() != rival.Incarnation() {
 		c.rivalBeats = 0
 	}
 	c.rivalBeats++
@@ -80,11 +96,11 @@
 	return record
 }
 
-// Lost takes in that the process of a back end has ended: the next id to be heard takes its
+// Lost takes in that the process of a back end has ended: the next one to be heard takes its
 // place at once. Back ends are back some seconds after an end and were refused, as another
 // one than was known, for 1.4 to 1.7 s more, until their second heartbeat.
-func (c *Claims) Lost(record Record, id string) {
-	if record.Endpoint != nil && record.Endpoint.ID == id {
+func (c *Claims) Lost(record Record, incarnation string) {
+	if record.Endpoint != nil && record.Endpoint.Incarnation().String() == incarnation {
 		c.heard = time.Time{}
 	}
 }
@@ -93,7 +109,7 @@
 // id takes the place at once.
 func (c *Claims) Confirm(record Record, id string, now time.Time) (next Record, changed bool) {
 	held := record.Endpoint
-	if held == nil || held.ID == id || c.rival.ID != id || record.HasEnded(id) {
+	if held == nil || held.ID == id || c.rival.ID != id || record.HasEnded(c.rival.Incarnation()) {
 		return record, false
 	}
 	return c.install(record, c.rival, now), true
--- a/internal/sidecar/roster/evidence.go
+++ b/internal/sidecar/roster/evidence.go
@@ -23,7 +23,7 @@
 
 // Crash is the unplanned end of one back end.
 type Crash struct {
-	// Endpoint is the id of the back end, which no other ever bears.
+	// Endpoint names the incarnation of the back end.
 	Endpoint string `json:"endpoint"`
 	Service  string `json:"service"`
 	// Running is what was at work there.
--- a/internal/sidecar/roster/record.go
+++ b/internal/sidecar/roster/record.go
@@ -21,7 +21,9 @@
 
 // Endpoint is the back end beside a node.
 type Endpoint struct {
-	ID      string `json:"id"`
+	ID string `json:"id"`
+	// Born is as in Incarnation.
+	Born    int64  `json:"born,omitempty"`
 	Service string `json:"service"`
 	// Version is that of the back end's software; empty when it is not known.
 	Version  string `json:"version,omitempty"`
@@ -57,13 +59,13 @@
 	// Evidence is what the node knows of requests that end back ends; nil when it knows of
 	// none.
 	Evidence *Evidence `json:"evidence,omitempty"`
-	// Ended lists the last ids that are final, the newest last.
+	// Ended names the last incarnations that are final, the newest last.
 	Ended []string `json:"ended,omitempty"`
 }
 
 // Judgement is what a node that sees all answers of its back end thinks of them.
 type Judgement struct {
-	// ID is that of the back end.
+	// ID names the back end's incarnation.
 	ID string `json:"id"`
 	// Answers is how many were seen.
 	Answers int `json:"answers"`
@@ -77,7 +79,7 @@
 // Judgement returns what the node thinks of the present back end, nil when it thinks
 // nothing.
 func (r *Record) Judgement() *Judgement {
-	if r.Judged == nil || r.Endpoint == nil || r.Judged.ID != r.Endpoint.ID {
+	if r.Judged == nil || r.Endpoint == nil || r.Judged.ID != r.Endpoint.Incarnation().String() {
 		return nil
 	}
 	return r.Judged
@@ -108,28 +110,37 @@
 	return !r.Leaving && r.Endpoint != nil && r.Endpoint.State == Ready
 }
 
-// endedRemembered is how many final ids a record carries. A late heartbeat
+// endedRemembered is how many final incarnations a record carries. A late heartbeat
 // concerns one of the last few.
 const endedRemembered = 16
 
-// HasEnded reports whether the id is final.
-func (r *Record) HasEnded(id string) bool { return slices.Contains(r.Ended, id) }
+// HasEnded reports whether the incarnation is final.
+func (r *Record) HasEnded(incarnation Incarnation) bool {
+	return slices.Contains(r.Ended, incarnation.String())
+}
 
-// End returns the record after a back end has said that it ends.
-func (r Record) End(id string) (next Record, changed bool) {
-	if r.HasEnded(id) {
+// End returns the record after a back end has said that it ends. Without its start the word
+// is taken for that of the present one. The word of a later start says that those before have
+// ended too.
+func (r Record) End(ended Incarnation) (next Record, changed bool) {
+	held := r.Endpoint
+	same := held != nil && held.ID == ended.ID
+	if same && ended.Born == 0 {
+		ended.Born = held.Born
+	}
+	if r.HasEnded(ended) {
 		return r, false
 	}
-	r.Ended = appendEnded(r.Ended, id)
-	if r.Endpoint != nil && r.Endpoint.ID == id {
-		gone := *r.Endpoint
+	r.Ended = appendEnded(r.Ended, ended.String())
+	if same && !ended.before(held.Incarnation()) {
+		gone := *held
 		gone.State = Gone
 		r.Endpoint = &gone
 	}
 	return r, true
 }
 
-func appendEnded(ended []string, id string) []string {
-	kept := append(slices.Clone(ended), id)
+func appendEnded(ended []string, incarnation string) []string {
+	kept := append(slices.Clone(ended), incarnation)
 	return kept[max(0, len(kept)-endedRemembered):]
 }
--- a/internal/sidecar/roster/roster.go
+++ b/internal/sidecar/roster/roster.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -108,9 +109,9 @@
 		return nil
 	}
 	own.Epoch = remembered.Epoch + 1
-	for _, id := range remembered.Ended {
-		if !own.HasEnded(id) {
-			own.Ended = appendEnded(own.Ended, id)
+	for _, ended := range remembered.Ended {
+		if !slices.Contains(own.Ended, ended) {
+			own.Ended = appendEnded(own.Ended, ended)
 		}
 	}
 	own.Endpoint = inherited(own, remembered.Endpoint)
@@ -129,9 +130,11 @@
 		return held
 	case held == nil:
 		return remembered
-	case held.ID == remembered.ID && (remembered.Sequence > held.Sequence || remembered.State == Gone):
+	case held.Incarnation() == remembered.Incarnation() && (remembered.Sequence > held.Sequence || remembered.State == Gone):
 		return remembered
-	case own.HasEnded(held.ID):
+	case held.ID == remembered.ID && held.Incarnation().before(remembered.Incarnation()):
+		return remembered
+	case own.HasEnded(held.Incarnation()):
 		gone := *held
 		gone.State = Gone
 		return &gone
--- a/internal/sidecar/roster/roster_test.go
+++ b/internal/sidecar/roster/roster_test.go
@@ -195,7 +195,7 @@
 				case beat.state == "lost":
 					claims.Lost(own, beat.id)
 				case beat.end:
-					own, _ = own.End(beat.id)
+					own, _ = own.End(roster.Incarnation{ID: beat.id})
 				case beat.confirm:
 					own, _ = claims.Confirm(own, beat.id, now)
 				default:
@@ -227,10 +227,10 @@
 	g := NewWithT(t)
 	own := record("self", 1, 1)
 	for number := range 100 {
-		own, _ = own.End(string(rune('A' + number)))
+		own, _ = own.End(roster.Incarnation{ID: string(rune('A' + number))})
 	}
 	g.Expect(len(own.Ended)).To(BeNumerically("<=", 16))
-	g.Expect(own.HasEnded(string(rune('A' + 99)))).To(BeTrue())
+	g.Expect(own.HasEnded(roster.Incarnation{ID: string(rune('A' + 99))})).To(BeTrue())
 }
 
 // TestNodesThatLeftAreForgotten after a while, and do not come back by way of a
@@ -321,7 +321,7 @@
 		held.Merge([]*roster.Record{&remembered})
 		g.Expect(held.Own().Epoch).To(BeEquivalentTo(3))
 		g.Expect(held.Own().Endpoint).To(Equal(before.Endpoint))
-		g.Expect(held.Own().HasEnded("i-0")).To(BeTrue())
+		g.Expect(held.Own().HasEnded(roster.Incarnation{ID: "i-0"})).To(BeTrue())
 	}
 }
 
--- /dev/null
+++ b/internal/sidecar/roster/validate.go
@@ -0,0 +1,54 @@
+package roster
+
+import (
+	"net"
+
+	"github.com/gravitational/trace"
+)
+
+const (
+	// mostEpoch bounds epochs and counters: a node goes above those that it finds.
+	mostEpoch = 1 << 60
+	// mostSlots bounds the slots of a back end.
+	mostSlots = 1 << 20
+)
+
+// Validate names the field of a record that no node writes so, and why. Records lie where
+// others may write too.
+func (r *Record) Validate() error {
+	switch {
+	case r.Node == "":
+		return trace.BadParameter("node: is empty")
+	case r.Epoch > mostEpoch || r.Counter > mostEpoch:
+		return trace.BadParameter("epoch, counter: above %d", uint64(mostEpoch))
+	case r.Zone == "":
+		return trace.BadParameter("zone: is empty")
+	case r.Link < 0:
+		return trace.BadParameter("link: is below zero")
+	}
+	for name, address := range map[string]string{"address": r.Address, "peerAddress": r.PeerAddress} {
+		if _, _, err := net.SplitHostPort(address); err != nil {
+			return trace.BadParameter("%s: %v", name, err)
+		}
+	}
+	if r.Endpoint == nil {
+		return nil
+	}
+	return r.Endpoint.validate()
+}
+
+func (e *Endpoint) validate() error {
+	switch {
+	case e.ID == "":
+		return trace.BadParameter("endpoint.id: is empty")
+	case e.Born < 0:
+		return trace.BadParameter("endpoint.born: is below zero")
+	case e.Service == "":
+		return trace.BadParameter("endpoint.service: is empty")
+	case e.Slots < 1 || e.Slots > mostSlots:
+		return trace.BadParameter("endpoint.slots: is not from 1 to %d", mostSlots)
+	case e.State != Ready && e.State != Draining && e.State != Gone:
+		return trace.BadParameter("endpoint.state: %q is no state", e.State)
+	}
+	return nil
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -260,7 +260,7 @@
 		zap.Bool("leaving", record.Leaving),
 	}
 	if record.Endpoint != nil {
-		fields = append(fields, zap.String("endpoint", record.Endpoint.ID), zap.String("service", record.Endpoint.Service), zap.String("software", record.Endpoint.Version),
+		fields = append(fields, zap.String("endpoint", record.Endpoint.Incarnation().String()), zap.String("service", record.Endpoint.Service), zap.String("software", record.Endpoint.Version),
 			zap.String("state", string(record.Endpoint.State)), zap.Uint64("sequence", record.Endpoint.Sequence))
 	}
 	entry.Write(fields...)
