--- a/scripts/play-days.sh
+++ b/scripts/play-days.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Plays the days under scripts/days on site files with the users' bench, and
+# Plays the days under deploy/days on site files with the users' bench, and
 # fails when one breaks a rule. Usage: scripts/play-days.sh BENCH SITE...
 set -euo pipefail
 bench=${1:?usage: scripts/play-days.sh BENCH SITE...}
@@ -7,7 +7,7 @@
 cd "$(dirname "$0")/.."
 broken=0
 for site in "$@"; do
-  for day in scripts/days/*.toml; do
+  for day in deploy/days/*.toml; do
     output=$("$bench" run "$site" "$day" 2>&1) || true
     if unknown=$(grep -oE 'contract [a-z]+ is not open' <<<"$output"); then
       printf '%s %s passed over: %s\n' "$(basename "$site" .toml)" "$(basename "$day" .toml)" "$unknown"
--- a/scripts/play-kinds.sh
+++ b/scripts/play-kinds.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Plays every kind of trouble of scripts/days/kinds.txt, each in a day of its own, on
+# Plays every kind of trouble of scripts/kinds.txt, each in a day of its own, on
 # a site file with the users' bench: twice in the day, the first time at second 0,
 # with changes of the configuration near it, and a full restart at the end. Fails
 # when a rule is broken. With a pattern only the lines that match it are played.
@@ -28,7 +28,7 @@
 plan = [ $planned { at = 0.5, kind = "config_change", how = "route" }, { at = 15.0, kind = "config_storm", for_s = 3.0, gap_s = 0.25 } ]
 faults = [ $sudden ]
 DAY
-done < <(grep -v '^#' scripts/days/kinds.txt | grep -E "$pattern")
+done < <(grep -v '^#' scripts/kinds.txt | grep -E "$pattern")
 play() {
   output=$("$1" run "$2" "$3" 2>&1) || true
   line=$(grep -E '^kind-[0-9]+ ' <<<"$output" | head -1 || true)
