An exchange that is given up resets its connection: a full link does not carry it on

What lies in the send buffer, up to a whole upload, is still sent, and the end of the connection comes behind it: over a full link the receiving node has a whole request whose caller has been gone for 0.7 s.

Ruled out: that the receiving node reads the end late; its run was cut 2 ms after it began, as soon as the end was there.

Change: a connection whose exchange's context has ended is reset when it is closed, which drops what was written and not sent. One that rests, or breaks for another reason, closes in order as before.

--- a/internal/proxy/forward/conn.go
+++ b/internal/proxy/forward/conn.go
@@ -5,6 +5,7 @@
 package forward
 
 import (
+	"context"
 	"net"
 	"sync/atomic"
 )
@@ -26,10 +27,31 @@
 type trackedConn struct {
 	net.Conn
 	state atomic.Int32
+	// exchange is the context of the current exchange, nil between two.
+	exchange atomic.Pointer[context.Context]
 }
 
-// begin starts an exchange; the connection must be idle.
-func (c *trackedConn) begin() { c.state.Store(writeNone) }
+// begin starts an exchange within a context; the connection must be idle.
+func (c *trackedConn) begin(ctx context.Context) {
+	c.state.Store(writeNone)
+	c.exchange.Store(&ctx)
+}
+
+// rest ends an exchange that is whole.
+func (c *trackedConn) rest() { c.exchange.Store(nil) }
+
+// Close implements net.Conn. A connection whose exchange was given up is reset: what lies in
+// the send buffer is dropped. Over a link that is full the peer would otherwise get a whole
+// large body, and learn only behind it that nobody waits for the answer any more: uploads ran
+// 0.7 s after their callers had left.
+func (c *trackedConn) Close() error {
+	if ctx := c.exchange.Load(); ctx != nil && (*ctx).Err() != nil {
+		if resettable, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+			_ = resettable.SetLinger(0) // without it the connection closes in order
+		}
+	}
+	return c.Conn.Close()
+}
 
 // Write implements net.Conn. After seal it writes nothing.
 func (c *trackedConn) Write(data []byte) (int, error) {
--- a/internal/proxy/forward/conn_test.go
+++ b/internal/proxy/forward/conn_test.go
@@ -48,7 +48,7 @@
 				}
 				return sealed.result, sealed.err
 			}}}
-			tracked.begin()
+			tracked.begin(t.Context())
 			if !sealed.skip {
 				_, err := tracked.Write([]byte("data"))
 				g.Expect(err == nil).To(Equal(sealed.err == nil))
--- a/internal/proxy/forward/exchange.go
+++ b/internal/proxy/forward/exchange.go
@@ -59,7 +59,7 @@
 	if err != nil {
 		return nil, p.notRun(outcome.StepConnect, err)
 	}
-	taken.tracked.begin()
+	taken.tracked.begin(request.Context())
 	response, err := taken.client.RoundTrip(request)
 	if err != nil {
 		if taken.reused && request.Context().Err() == nil {
--- a/internal/proxy/forward/pool.go
+++ b/internal/proxy/forward/pool.go
@@ -242,6 +242,7 @@
 
 // put takes back a connection whose exchange is whole.
 func (p *Pool) put(returned *connection, now time.Time) {
+	returned.tracked.rest()
 	returned.idleSince = now
 	returned.reused = true
 	p.mutex.Lock()
