--- a/internal/sidecar/configuration/keeper.go
+++ b/internal/sidecar/configuration/keeper.go
@@ -144,13 +144,18 @@
 var ErrNotNewer = errors.New("the version is not above the one in force")
 
 // Offer puts a document in force when it is valid and newer. Otherwise the one
-// before stays in force, whole, also when a document sets off a panic: every node reads it,
-// and reads it again after a restart.
-func (k *Keeper) Offer(raw []byte, source Source) (err error) {
+// before stays in force, whole.
+func (k *Keeper) Offer(raw []byte, source Source) error {
+	return k.contained(string(raw), source, func() error { return k.offer(raw, source) })
+}
+
+// contained takes in a document under the lock. One that sets off a panic is refused: every
+// node gets it, and gets it again after a restart.
+func (k *Keeper) contained(document string, source Source, take func() error) (err error) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	if fault := contain.Run("configuration", k.logger, func() { err = k.offer(raw, source) }); fault != nil {
-		return k.refuse(string(raw), source, fault)
+	if fault := contain.Run("configuration", k.logger, func() { err = take() }); fault != nil {
+		return k.refuse(document, source, fault)
 	}
 	return err
 }
@@ -167,8 +172,11 @@
 // Advance puts in force what a peer's change makes of the document in force. The
 // error is route.ErrBase when it starts from another one.
 func (k *Keeper) Advance(change *route.Change) error {
-	k.mutex.Lock()
-	defer k.mutex.Unlock()
+	return k.contained(strconv.FormatUint(change.Version, 10), SourcePeer, func() error { return k.advance(change) })
+}
+
+// advance is Advance; the lock is held.
+func (k *Keeper) advance(change *route.Change) error {
 	if change.Version <= k.Version() {
 		return ErrNotNewer
 	}
--- a/internal/sidecar/contain/contain.go
+++ b/internal/sidecar/contain/contain.go
@@ -5,22 +5,18 @@
 
 import (
 	"fmt"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 )
 
 // stackInterval is the least time between two lines of the log that bear a stack: requests
 // that come fast must not fill the log with it.
 const stackInterval = time.Second
 
-// process is the origin of lastStack: a step of the time of day does not matter.
-var process = time.Now()
-
-// lastStack is when a stack was last logged, in nanoseconds since the process began; zero
-// before the first.
-var lastStack atomic.Int64
+// stacks says when a line may bear one.
+var stacks = rate.Sometimes{First: 1, Interval: stackInterval}
 
 // Run does the work. A panic of it is logged with the kind of input and returned as an
 // error; what the work had done until then stays. The work releases its locks by defer.
@@ -38,10 +34,6 @@
 // log writes a line for a panic, with its stack when there was none for a while.
 func log(input string, logger *zap.Logger, err error) {
 	fields := []zap.Field{zap.String("input", input), zap.Error(err)}
-	now := int64(time.Since(process)) + 1
-	last := lastStack.Load()
-	if (last == 0 || now-last >= int64(stackInterval)) && lastStack.CompareAndSwap(last, now) {
-		fields = append(fields, zap.Stack("stack"))
-	}
+	stacks.Do(func() { fields = append(fields, zap.Stack("stack")) })
 	logger.Error("panic contained", fields...)
 }
--- a/internal/sidecar/membership/membership.go
+++ b/internal/sidecar/membership/membership.go
@@ -193,7 +193,7 @@
 		}
 		for _, item := range found {
 			// A record that sets off a panic is left out; the log names it.
-			_ = contain.Run("record", m.options.Logger.With(zap.String("key", item.Key)), func() { m.take(item) })
+			_ = contain.Run("record "+item.Key, m.options.Logger, func() { m.take(item) })
 			seen(item)
 		}
 		if len(found) < pageKeys {
