Catching up: an old answer of the store says nothing of newer words; a panic ends nothing for good

Cause, found by reading and by the race detector: the store's answer to a question for one version took the node for level although a newer one had been heard of meanwhile; a question read its peer while another word replaced it; a panic in the loop would have left it marked as running.

Change: the answer counts for what had been heard of when the store was asked; the peer is fixed with the question; the mark is taken back. The lines of catching up tell how old the node's proof is.

Tests: the first fails without the change; the exchange's tests run clean under the race detector, six times.

--- a/internal/sidecar/exchange/catchup.go
+++ b/internal/sidecar/exchange/catchup.go
@@ -115,7 +115,7 @@
 	if version > c.newest {
 		c.newest = version
 		c.logger.Info("newer configuration announced", zap.String("peer", peer.Node),
-			zap.Uint64("version", version), zap.Uint64("inForce", held))
+			zap.Uint64("version", version), zap.Uint64("inForce", held), c.proofAge())
 	}
 	c.peers.hear(peer, version, now, delay)
 	c.signal()
@@ -129,7 +129,11 @@
 	c.storeDue, c.storePause = now.Add(delay+storeDelay), storeBase
 	c.peers.clear()
 	go func() {
-		_ = contain.Run("catching up", c.logger, c.run)
+		if contain.Run("catching up", c.logger, c.run) != nil {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.running = false // the next word begins anew
+		}
 	}()
 }
 
@@ -223,7 +227,16 @@
 	behind := now.Sub(c.since)
 	c.exchanger.observer.CaughtUp(behind)
 	c.logger.Info("configuration caught up", zap.Uint64("version", held), zap.Duration("behind", behind),
-		zap.String("first", c.first), zap.Strings("told", c.peers.names()))
+		zap.String("first", c.first), zap.Strings("told", c.peers.names()), c.proofAge())
+}
+
+// proofAge is how old the node's proof is that it held the newest version, for the log.
+func (c *catchUp) proofAge() zap.Field {
+	age, proven := c.exchanger.options.Configuration.ProofAge()
+	if !proven {
+		return zap.Skip()
+	}
+	return zap.Duration("proofAge", age)
 }
 
 // ask begins a question to a peer; the lock is held.
@@ -236,10 +249,11 @@
 	under.heard.set(now)
 	from.asking = true
 	c.questions = append(c.questions, under)
+	peer := from.peer
 	go func() {
 		defer cancel()
 		var err error
-		fault := contain.Run("peer's configuration", c.logger, func() { err = c.exchanger.fetch(ctx, from.peer, func() { c.hears(under) }) })
+		fault := contain.Run("peer's configuration", c.logger, func() { err = c.exchanger.fetch(ctx, peer, func() { c.hears(under) }) })
 		if fault != nil {
 			err = fault
 		}
@@ -306,18 +320,19 @@
 // askStore begins a question to the store; the lock is held.
 func (c *catchUp) askStore() {
 	c.asksStore = true
+	wanted := c.newest
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 		defer cancel()
 		began := clock.Now()
 		err := c.exchanger.options.Refresh(ctx)
-		c.storeAnswered(began, err)
+		c.storeAnswered(wanted, began, err)
 	}()
 }
 
-// storeAnswered takes in what the store said. It has every version that there is: one that it
-// does not have was claimed wrongly.
-func (c *catchUp) storeAnswered(began time.Time, err error) {
+// storeAnswered takes in what the store said when it was asked for a version. It has every version
+// that there is: one that had been heard of then and that it does not have was claimed wrongly.
+func (c *catchUp) storeAnswered(wanted uint64, began time.Time, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now, held := clock.Now(), c.exchanger.options.Configuration.Version()
@@ -329,7 +344,7 @@
 		c.logger.Warn("configuration behind a peer's", zap.Uint64("version", c.newest), zap.Uint64("inForce", held),
 			zap.Duration("behind", now.Sub(c.since)), zap.Duration("elapsed", now.Sub(began)), zap.Error(err))
 	}
-	if err == nil {
+	if err == nil && c.newest <= wanted {
 		c.newest = held
 	}
 	c.signal()
--- a/internal/sidecar/exchange/catchup_test.go
+++ b/internal/sidecar/exchange/catchup_test.go
@@ -69,10 +69,10 @@
 func TestNewsThatComesMeanwhileIsNotLost(t *testing.T) {
 	play(t, func(t *testing.T, g *WithT, late, peer *virtualMember, in *network) {
 		answer := in.nodes[peer.record.PeerAddress]
-		in.nodes[peer.record.PeerAddress] = func(connection net.Conn) {
+		in.set(peer.record.PeerAddress, func(connection net.Conn) {
 			time.Sleep(40 * time.Millisecond)
 			answer(connection)
-		}
+		})
 		peer.offer(t, 8)
 		late.exchanger.Behind(peer.record, 8)
 		time.Sleep(20 * time.Millisecond)
@@ -124,12 +124,35 @@
 	})
 }
 
+// TestAnOldAnswerOfTheStore says nothing of a version that was heard of after the question.
+func TestAnOldAnswerOfTheStore(t *testing.T) {
+	play(t, func(t *testing.T, g *WithT, late, peer *virtualMember, in *network) {
+		asked := make(chan struct{}, 1)
+		late.refresh = func(context.Context) error {
+			asked <- struct{}{}
+			time.Sleep(time.Second)
+			return nil
+		}
+		late.exchanger.Behind(&roster.Record{Node: "nobody", Zone: "near", PeerAddress: "nobody:1"}, 8)
+		<-asked
+		answer := in.nodes[peer.record.PeerAddress]
+		in.set(peer.record.PeerAddress, nil)
+		late.exchanger.Behind(peer.record, 9)
+		time.Sleep(1100 * time.Millisecond)
+		g.Expect(late.exchanger.behind.level()).To(BeFalse())
+		peer.offer(t, 9)
+		in.set(peer.record.PeerAddress, answer)
+		time.Sleep(2 * retryMost)
+		g.Expect(late.keeper.Version()).To(BeEquivalentTo(9))
+	})
+}
+
 // TestCatchingUpIsLogged: who told first, and how long the node was behind.
 func TestCatchingUpIsLogged(t *testing.T) {
 	play(t, func(t *testing.T, g *WithT, late, peer *virtualMember, in *network) {
 		core, logged := observer.New(zap.InfoLevel)
 		late.exchanger.behind.logger = zap.New(core)
-		in.nodes["quiet:1"] = silent
+		in.set("quiet:1", silent)
 		peer.offer(t, 8)
 		late.exchanger.Behind(&roster.Record{Node: "quiet", Zone: "near", PeerAddress: "quiet:1"}, 8)
 		time.Sleep(10 * time.Millisecond)
@@ -153,7 +176,7 @@
 				known := []*roster.Record{peer.record}
 				for i := range hanging {
 					address := "hanging-" + strconv.Itoa(i) + ":1"
-					in.nodes[address] = silent
+					in.set(address, silent)
 					known = append(known, &roster.Record{Node: "hanging-" + strconv.Itoa(i), Epoch: 1, Counter: 1, Zone: "near", PeerAddress: address})
 				}
 				late.exchanger.options.Roster.Merge(known)
@@ -211,7 +234,7 @@
 		g.Expect(late.keeper.Version()).To(BeEquivalentTo(8))
 
 		time.Sleep(time.Minute)
-		in.nodes[peer.record.PeerAddress] = silent
+		in.set(peer.record.PeerAddress, silent)
 		in.close()
 		began := time.Now()
 		g.Expect(late.exchanger.Confirm(t.Context())).To(BeFalse())
--- a/internal/sidecar/exchange/silent_test.go
+++ b/internal/sidecar/exchange/silent_test.go
@@ -23,21 +23,31 @@
 
 // network connects nodes in memory, so that a test's clock may stand still.
 type network struct {
+	mu    sync.Mutex // guards all below
 	nodes map[string]func(net.Conn)
+	open  []net.Conn
+}
 
-	mu   sync.Mutex // guards open
-	open []net.Conn
+// set has a node behave so from now on; nil takes it away.
+func (n *network) set(address string, accept func(net.Conn)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if accept == nil {
+		delete(n.nodes, address)
+		return
+	}
+	n.nodes[address] = accept
 }
 
 // dial returns a connection to the node at the address.
 func (n *network) dial(_ context.Context, _, address string) (net.Conn, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	accept, found := n.nodes[address]
 	if !found {
 		return nil, errors.New("connection refused")
 	}
 	near, far := net.Pipe()
-	n.mu.Lock()
-	defer n.mu.Unlock()
 	n.open = append(n.open, near, far)
 	go accept(far)
 	return near, nil
@@ -111,7 +121,7 @@
 		Logger:  zap.NewNop(),
 	})
 	made.container.Add(made.exchanger.Service())
-	in.nodes[made.record.PeerAddress] = made.serve
+	in.set(made.record.PeerAddress, made.serve)
 	return made
 }
 
@@ -161,7 +171,7 @@
 	healthy.offer(t, 8)
 	for i := range quiet {
 		address := "silent-" + strconv.Itoa(i) + ":1"
-		in.nodes[address] = accept
+		in.set(address, accept)
 		late.exchanger.Behind(&roster.Record{Node: "silent-" + strconv.Itoa(i), Zone: zone, PeerAddress: address}, 8)
 	}
 	const pause = 50 * time.Millisecond
--- a/internal/sidecar/exchange/slow_test.go
+++ b/internal/sidecar/exchange/slow_test.go
@@ -151,10 +151,10 @@
 // TestAPeerThatStopsInTheMiddle of an answer holds nobody back either.
 func TestAPeerThatStopsInTheMiddle(t *testing.T) {
 	play(t, func(t *testing.T, g *WithT, late, peer *virtualMember, in *network) {
-		in.nodes["stops:1"] = func(connection net.Conn) {
+		in.set("stops:1", func(connection net.Conn) {
 			go silent(connection)
 			_, _ = connection.Write([]byte("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 90\r\n\r\n{\"version\":"))
-		}
+		})
 		peer.offer(t, 8)
 		late.exchanger.Behind(&roster.Record{Node: "stops", Zone: "near", PeerAddress: "stops:1"}, 8)
 		time.Sleep(10 * time.Millisecond)
--- a/internal/sidecar/exchange/spread_test.go
+++ b/internal/sidecar/exchange/spread_test.go
@@ -124,7 +124,7 @@
 func TestAZoneIsToldBesidePeersThatHang(t *testing.T) {
 	play(t, func(t *testing.T, g *WithT, teller, first *virtualMember, in *network) {
 		second := newVirtualMember(in, "second", "near")
-		in.nodes["hanging:1"] = silent
+		in.set("hanging:1", silent)
 		hanging := &roster.Record{Node: "hanging", PeerAddress: "hanging:1"}
 		heard := &listeners{}
 		began := time.Now()
