--- a/internal/sidecar/exchange/exchanger.go
+++ b/internal/sidecar/exchange/exchanger.go
@@ -112,15 +112,6 @@
 	}}
 }
 
-// unobserved is the observer of nobody.
-type unobserved struct{}
-
-// CaughtUp implements Observer.
-func (unobserved) CaughtUp(time.Duration) {}
-
-// Asked implements Observer.
-func (unobserved) Asked(string, error) {}
-
 // Run begins an exchange with one peer after the other, and asks whether the node is level,
 // until the context ends.
 func (e *Exchanger) Run(ctx context.Context) {
--- a/internal/sidecar/exchange/level.go
+++ b/internal/sidecar/exchange/level.go
@@ -71,6 +71,7 @@
 			continue
 		}
 		if reader := l.pick(); reader != nil {
+			// What fails shows in the age of the proof; another reader is asked soon.
 			go func() { _ = l.ask(ctx, reader, l.exchanger.catchUpDelay(reader)) }()
 		}
 	}
