A test's peer says that it closes the connection behind its answer

Its peer closed the connection behind each answer without saying so, and the handler's next request crossed the close: an unknown outcome, as it has to be.

The expectation stays as it was.

--- a/internal/sidecar/egress/level_test.go
+++ b/internal/sidecar/egress/level_test.go
@@ -60,7 +60,7 @@
 
 // givesBack refuses a request since a newer configuration leads it elsewhere.
 func givesBack(_ *peer, connection net.Conn, _ *bufio.Reader) {
-	_, _ = fmt.Fprintf(connection, "HTTP/1.1 503 X\r\nKestrel-Reply: 2 0 0 8 50000 1000 1000\r\n%s: %s\r\n%s: step=%s\r\nRetry-After: 0.1\r\nContent-Length: 0\r\n\r\n",
+	_, _ = fmt.Fprintf(connection, "HTTP/1.1 503 X\r\nKestrel-Reply: 2 0 0 8 50000 1000 1000\r\n%s: %s\r\n%s: step=%s\r\nRetry-After: 0.1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
 		outcome.HeaderOutcome, outcome.NotRun, outcome.HeaderError, outcome.StepMoved)
 }
 
