A node whose readers all owe an answer is not alone: it says 503, not 404

Cause, found while a test of the whole path was written: a reader that was asked and has not answered is not asked again, and where all of them owed an answer the node took itself for the only one, and a 404 without a word of anybody.

Change: it is alone when it knows of no other reader at all.

--- a/internal/sidecar/exchange/catchup_test.go
+++ b/internal/sidecar/exchange/catchup_test.go
@@ -239,6 +239,7 @@
 		began := time.Now()
 		g.Expect(late.exchanger.Confirm(t.Context())).To(BeFalse())
 		g.Expect(time.Since(began)).To(Equal(confirmTimeout))
+		g.Expect(late.exchanger.Confirm(t.Context())).To(BeFalse(), "the only reader still owes the answer before")
 		time.Sleep(time.Second)
 	})
 }
--- a/internal/sidecar/exchange/level.go
+++ b/internal/sidecar/exchange/level.go
@@ -99,6 +99,17 @@
 	return all[rand.N(len(all))]
 }
 
+// alone reports whether no other node is known that reads the store. One that owes an answer
+// is one.
+func (l *levelCheck) alone() bool {
+	e := l.exchanger
+	view := e.options.Roster.View()
+	return !slices.ContainsFunc(view.Zones(), func(zone string) bool {
+		reading, _ := readers.Zone(view, zone, e.Usable)
+		return len(e.peersOf(reading)) > 0
+	})
+}
+
 // readersOf returns the other nodes of a zone that read the store and owe no answer.
 func (l *levelCheck) readersOf(zone string) []*roster.Record {
 	reading, _ := readers.Zone(l.exchanger.options.Roster.View(), zone, l.exchanger.Usable)
@@ -195,17 +206,15 @@
 	hedge := time.NewTicker(confirmHedge)
 	defer hedge.Stop()
 	answered := make(chan error, int(confirmTimeout/confirmHedge)+1)
-	askOne := func() bool {
-		reader := l.pick()
-		if reader == nil {
-			return false
+	askOne := func() {
+		if reader := l.pick(); reader != nil {
+			go func() { answered <- l.ask(ctx, reader, 0) }()
 		}
-		go func() { answered <- l.ask(ctx, reader, 0) }()
-		return true
 	}
-	if !askOne() {
+	if l.alone() {
 		return true
 	}
+	askOne()
 	for !l.confirmed.after(began) {
 		select {
 		case err := <-answered:
