--- a/internal/sidecar/configuration/follower_test.go
+++ b/internal/sidecar/configuration/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -191,3 +192,49 @@
 		close(held.running.events)
 	})
 }
+
+// TestWhatTheStoreProves: a read, and the word of a watch how far it has come, prove that the
+// node is level; not one that left a document out.
+func TestWhatTheStoreProves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, end := context.WithCancel(t.Context())
+		decode := func(raw []byte) (*route.Document, []string, error) {
+			document, notes, err := decodeVersion(raw)
+			if document.Version == 9 {
+				return nil, nil, errors.New("cannot be read")
+			}
+			return document, notes, err
+		}
+		held := &forgetfulStore{written: 5, now: 100}
+		keeper := configuration.NewKeeper(decode, zap.NewNop())
+		go configuration.Follow(ctx, held, configuration.Place{Key: configurationKey, Prefix: configurationKey}, keeper, func() bool { return true }, zap.NewNop())
+		synctest.Wait()
+		expectAge := func(want time.Duration) {
+			synctest.Wait()
+			age, proven := keeper.ProofAge()
+			g.Expect(proven).To(BeTrue())
+			g.Expect(age).To(Equal(want))
+		}
+		expectAge(0)
+		time.Sleep(3 * time.Second)
+		expectAge(3 * time.Second)
+		held.running.events <- store.Event{Current: time.Now().Add(-time.Second)}
+		expectAge(time.Second)
+		told := func(version int, current time.Time) {
+			held.running.events <- store.Event{
+				KeyValue: store.KeyValue{Key: configurationKey, Value: fmt.Append(nil, version), Revision: 101}, Current: current,
+			}
+		}
+		told(7, time.Now())
+		expectAge(0)
+		g.Expect(keeper.Version()).To(BeEquivalentTo(7))
+		time.Sleep(time.Second)
+		told(9, time.Now())
+		expectAge(time.Second)
+		held.running.events <- store.Event{Current: time.Now()}
+		expectAge(time.Second)
+		end()
+		close(held.running.events)
+	})
+}
