Tenants: callers are identified by their keys

Change: tenants are part of the document and of the changes that nodes send each other. The node where a request begins looks its key up (one map look-up), withholds it, and names the tenant to whoever runs the request, whatever the caller said. A tenant's priority goes before the route's. Before a 401 a reader is asked, as before a 404. A node that holds a newer configuration gives back, unrun, requests of tenants that have lost a key since the version by which they were routed. Keys print as a placeholder by every verb and are in no log line (tests).

--- a/internal/proxy/outcome/outcome.go
+++ b/internal/proxy/outcome/outcome.go
@@ -57,6 +57,7 @@
 	StepRequest   Step = "request"   // the request itself is refused
 	StepSnapshot  Step = "snapshot"  // no configuration is in force yet
 	StepMatch     Step = "match"     // no route
+	StepIdentify  Step = "identify"  // nobody is known by the caller's key
 	StepDrain     Step = "drain"     // the proxy is leaving
 	StepDeadline  Step = "deadline"  // the time was over before work began
 	StepAdmit     Step = "admit"     // limits of route, service or endpoint
--- a/internal/sidecar/configuration/keeper.go
+++ b/internal/sidecar/configuration/keeper.go
@@ -59,6 +59,8 @@
 	// the past versions to it; each is made when first asked.
 	whole   func() (*Encoded, error)
 	changes map[uint64]func() (*Encoded, error)
+	// lostKeys holds, for each of the past versions, the tenants that have lost a key since.
+	lostKeys map[uint64]map[string]bool
 }
 
 // remembered is how many past documents are kept, to tell peers that have one of
@@ -110,6 +112,12 @@
 	return current.whole()
 }
 
+// LostKey reports whether the tenant is known to have lost a key since a past version.
+func (k *Keeper) LostKey(version uint64, tenant string) bool {
+	current := k.held.Load()
+	return current != nil && current.lostKeys[version][tenant]
+}
+
 // Age returns how long the version has been in force.
 func (k *Keeper) Age() time.Duration {
 	if current := k.held.Load(); current != nil {
@@ -187,8 +195,10 @@
 		past := append(slices.Clone(before.past), before.table.Document())
 		next.past = past[max(0, len(past)-remembered):]
 		next.changes = make(map[uint64]func() (*Encoded, error), remembered)
+		next.lostKeys = make(map[uint64]map[string]bool, remembered)
 		for _, base := range next.past {
 			next.changes[base.Version] = encoded(document, base)
+			next.lostKeys[base.Version] = base.LostKeys(document)
 		}
 	}
 	old := k.Version()
--- a/internal/sidecar/egress/call.go
+++ b/internal/sidecar/egress/call.go
@@ -47,8 +47,10 @@
 	request *http.Request
 	started time.Time
 
-	table    *route.Table
-	route    *route.Matched
+	table *route.Table
+	route *route.Matched
+	// tenant is the one whose key the caller has; nil without one.
+	tenant   *route.Tenant
 	service  string
 	context  context.Context
 	deadline time.Time
--- a/internal/sidecar/egress/calllog.go
+++ b/internal/sidecar/egress/calllog.go
@@ -44,12 +44,12 @@
 	options := &c.handler.options
 	priority := -1
 	if c.route != nil {
-		priority = c.route.Priority
+		priority = c.priority()
 	}
 	fields := []zap.Field{
 		zap.String("request", c.request.Header.Get(options.Vocabulary.RequestID)),
 		zap.String("caller", c.request.RemoteAddr),
-		zap.String("route", name), zap.Int("priority", priority),
+		zap.String("route", name), zap.Int("priority", priority), zap.String("tenant", c.tenantName()),
 		zap.Uint64("version", c.table.Version()), zap.Duration("versionAge", options.TableAge()),
 		zap.Bool("returning", c.returning), zap.Int("status", c.status),
 		zap.Array("visits", c.visits), zap.Duration("elapsed", elapsed),
--- a/internal/sidecar/egress/level.go
+++ b/internal/sidecar/egress/level.go
@@ -28,29 +28,35 @@
 // CatchUp implements Level.
 func (alone) CatchUp(context.Context, string, uint64) bool { return false }
 
-var errUnconfirmed = errors.New("no route for this host and path, and nobody says whether there is a newer configuration")
+var errUnconfirmed = errors.New("no route for this host and path, or no tenant with this key, and nobody says whether there is a newer configuration")
 
 // mostMoves bounds how often one request is routed anew: changes come in quick succession, and
 // it has not run in between.
 const mostMoves = 3
 
-// findRoute finds the request's route. That there is none is final for the caller, so the node
-// first makes sure that it is level: one that is behind would refuse what others serve.
+// findRoute finds the request's route and its tenant. That there is none is final for the
+// caller, so the node first makes sure that it is level: one that is behind would refuse what
+// others serve.
 func (c *call) findRoute() *outcome.Failure {
-	c.route = match(c.table, c.request)
-	if c.route != nil {
+	if c.match() == nil {
 		return nil
 	}
 	level := c.handler.options.Level.Confirm(c.request.Context())
 	c.table = c.handler.options.Table()
-	c.route = match(c.table, c.request)
-	switch {
-	case c.route != nil:
-		return nil
-	case !level:
-		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepMatch, defaultRetryAfter, errUnconfirmed)
+	failure := c.match()
+	if failure == nil || level {
+		return failure
+	}
+	return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepMatch, defaultRetryAfter, errUnconfirmed)
+}
+
+// match finds the route and the tenant by the call's table.
+func (c *call) match() *outcome.Failure {
+	c.tenant = nil
+	if c.route = match(c.table, c.request); c.route == nil {
+		return outcome.Refusal(http.StatusNotFound, outcome.StepMatch, 0, errNoRoute)
 	}
-	return outcome.Refusal(http.StatusNotFound, outcome.StepMatch, 0, errNoRoute)
+	return c.identify()
 }
 
 // moved reports whether a node has given the request back since a newer configuration leads it
@@ -72,11 +78,10 @@
 		return false, nil
 	}
 	c.table = c.handler.options.Table()
-	found := match(c.table, c.request)
-	if found == nil {
-		return false, outcome.Refusal(http.StatusNotFound, outcome.StepMatch, 0, errNoRoute)
+	if failure := c.match(); failure != nil {
+		return false, failure
 	}
-	c.route, c.service = found, found.NextService()
+	c.service = c.route.NextService()
 	c.handler.budget(c.service).first(c.handler.options.Retries(), c.members(), clock.Now())
 	return true, nil
 }
--- /dev/null
+++ b/internal/sidecar/egress/tenant_test.go
@@ -0,0 +1,186 @@
+package egress
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/route"
+)
+
+const (
+	keyHeader    = "Api-Key"
+	tenantHeader = "Tenant"
+)
+
+// keyed returns a configuration of one tenant with the keys, with a route that asks for a key
+// and one that does not.
+func keyed(t *testing.T, version uint64, tenant route.Tenant) *route.Table {
+	document := &route.Document{
+		Version: version, Services: []route.Service{{Name: "s"}},
+		Tenants: []route.Tenant{tenant, {Name: "another", Keys: []route.Key{"of-another"}}},
+	}
+	for _, name := range []string{"closed", "open"} {
+		document.Routes = append(document.Routes, route.Route{
+			Name: name, Host: "h", PathPrefix: "/" + name + "/", Repeatable: true, Attempts: 2, Priority: 5, Open: name == "open",
+			TargetLatency: 200 * time.Millisecond, Targets: []route.Target{{Service: "s", Weight: 1}},
+		})
+	}
+	table, err := route.Compile(document, nil)
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	return table
+}
+
+// arriving is a node that notes what arrives there.
+type arriving struct {
+	*httptest.Server
+	headers []http.Header
+	hops    []hop.Request
+}
+
+func newArriving(t *testing.T) *arriving {
+	created := &arriving{}
+	created.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		told, err := hop.ParseRequest(r.Header.Get(hop.HeaderHop))
+		if err != nil {
+			t.Error(err)
+		}
+		created.headers, created.hops = append(created.headers, r.Header), append(created.hops, told)
+		w.Header().Set(hop.HeaderReply, "1 0 0 8 50000 1000 1000")
+		w.Header().Set("Connection", "close")
+	}))
+	t.Cleanup(created.Close)
+	return created
+}
+
+// keyedHandler returns a handler whose one back end is beside the arriving node.
+func keyedHandler(t *testing.T, held *lagging, at *arriving) *Handler {
+	handler := newHandler(t, &quiet{}, present)
+	members := roster.New(roster.Record{Node: "self", Epoch: 1, Zone: "z"})
+	members.Merge([]*roster.Record{{
+		Node: "a", Epoch: 1, Address: at.Listener.Addr().String(), Zone: "z",
+		Endpoint: &roster.Endpoint{ID: "i", Service: "s", Slots: 8, State: roster.Ready},
+	}})
+	handler.options.View = members.View
+	handler.options.Vocabulary.APIKey, handler.options.Vocabulary.Tenant = keyHeader, tenantHeader
+	handler.options.Table = func() *route.Table { return held.table }
+	handler.options.Level = held
+	return handler
+}
+
+// request sends one request with the headers through the handler.
+func request(t *testing.T, handler *Handler, path string, header http.Header) *httptest.ResponseRecorder {
+	sent := httptest.NewRequestWithContext(t.Context(), http.MethodGet, path, http.NoBody)
+	sent.Host, sent.Header = "h", header
+	recorder := httptest.NewRecorder()
+	handler.ServeHTTP(recorder, sent)
+	return recorder
+}
+
+// TestTenants: who has no tenant's key is refused once the node knows that it is level, the
+// key goes no further, and what a caller says of its tenant counts for nothing.
+func TestTenants(t *testing.T) {
+	cases := []struct {
+		name, path, key string
+		before, after   route.Key // the tenant's key in the version in force, and in the newest
+		may             bool      // the node can catch up
+		status          int
+		tenant          string
+	}{
+		{"a key", "/closed/", "k", "k", "k", true, 200, "acme"},
+		{"another tenant's key", "/closed/", "of-another", "k", "k", true, 200, "another"},
+		{"no key", "/closed/", "", "k", "k", true, 401, ""},
+		{"an unknown key", "/closed/", "x", "k", "k", true, 401, ""},
+		{"a key that was just added", "/closed/", "new", "k", "new", true, 200, "acme"},
+		{"an unknown key, and nobody who says whether it is new", "/closed/", "x", "k", "k", false, 503, ""},
+		{"an open route without a key", "/open/", "", "k", "k", true, 200, ""},
+		{"an open route with an unknown key", "/open/", "x", "k", "k", true, 200, ""},
+		{"an open route with a key", "/open/", "k", "k", "k", true, 200, "acme"},
+		{"no route", "/none/", "k", "k", "k", true, 404, ""},
+	}
+	for _, played := range cases {
+		t.Run(played.name, func(t *testing.T) {
+			g := NewWithT(t)
+			at := newArriving(t)
+			rank := 1
+			tenant := route.Tenant{Name: "acme", Keys: []route.Key{played.before}, Priority: &rank}
+			held := &lagging{table: keyed(t, 1, tenant), may: played.may}
+			tenant.Keys = []route.Key{played.after}
+			held.next = keyed(t, 2, tenant)
+			header := http.Header{"Deadline-Ms": {"3000"}, tenantHeader: {"forged"}}
+			if played.key != "" {
+				header[keyHeader] = []string{played.key}
+			}
+			handler := keyedHandler(t, held, at)
+			g.Expect(request(t, handler, played.path, header).Code).To(Equal(played.status))
+			if played.status != http.StatusOK {
+				g.Expect(at.headers).To(BeEmpty())
+				return
+			}
+			g.Expect(at.headers).To(HaveLen(1))
+			g.Expect(at.headers[0]).NotTo(HaveKey(keyHeader))
+			g.Expect(at.headers[0].Get(tenantHeader)).To(Equal(played.tenant))
+			priority := 5
+			if played.tenant == "acme" {
+				priority = rank
+			}
+			g.Expect(at.hops[0].Priority).To(Equal(priority), "a tenant's priority goes before the route's")
+		})
+	}
+}
+
+// TestWithoutTenants nobody needs a key.
+func TestWithoutTenants(t *testing.T) {
+	g := NewWithT(t)
+	at := newArriving(t)
+	handler := keyedHandler(t, &lagging{table: leading(t, 1, "s"), may: true}, at)
+	g.Expect(request(t, handler, "/r/", http.Header{"Deadline-Ms": {"3000"}, tenantHeader: {"forged"}}).Code).To(Equal(http.StatusOK))
+	g.Expect(at.headers[0]).NotTo(HaveKey(tenantHeader))
+}
+
+// TestAKeyThatWasTakenAway: a request that was routed before is given back by a node that has
+// the newer configuration, and refused.
+func TestAKeyThatWasTakenAway(t *testing.T) {
+	g := NewWithT(t)
+	given := newPeer(t, givesBack)
+	held := &lagging{
+		table: keyed(t, 1, route.Tenant{Name: "acme", Keys: []route.Key{"old"}}),
+		next:  keyed(t, 2, route.Tenant{Name: "acme", Keys: []route.Key{"new"}}), may: true,
+	}
+	handler := playLate(t, held, given, given)
+	handler.options.Vocabulary.APIKey, handler.options.Vocabulary.Tenant = keyHeader, tenantHeader
+	header := http.Header{"Deadline-Ms": {"3000"}, keyHeader: {"old"}}
+	g.Expect(request(t, handler, "/closed/", header).Code).To(Equal(http.StatusUnauthorized))
+	g.Expect(given.requests.Load()).To(BeEquivalentTo(1))
+}
+
+// TestNoKeyInTheLog whatever becomes of a request.
+func TestNoKeyInTheLog(t *testing.T) {
+	g := NewWithT(t)
+	core, logged := observer.New(zapcore.DebugLevel)
+	at := newArriving(t)
+	tenant := route.Tenant{Name: "acme", Keys: []route.Key{"secret-known"}}
+	handler := keyedHandler(t, &lagging{table: keyed(t, 1, tenant), may: true}, at)
+	handler.options.Logger, handler.served = zap.New(core), zap.New(core)
+	for _, key := range []string{"secret-known", "secret-unknown"} {
+		request(t, handler, "/closed/", http.Header{"Deadline-Ms": {"3000"}, keyHeader: {key}})
+	}
+	g.Expect(logged.Len()).To(Equal(2))
+	encoder := zapcore.NewJSONEncoder(zapcore.EncoderConfig{})
+	for _, entry := range logged.All() {
+		line, err := encoder.EncodeEntry(entry.Entry, entry.Context)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(line.String()).NotTo(ContainSubstring("secret"))
+	}
+	steps := logged.FilterField(zap.String("step", string(outcome.StepIdentify)))
+	g.Expect(steps.Len()).To(Equal(1))
+}
--- a/internal/sidecar/egress/visit.go
+++ b/internal/sidecar/egress/visit.go
@@ -18,7 +18,7 @@
 
 const (
 	// markerCount is how many headers the node adds at most.
-	markerCount = 3
+	markerCount = 4
 	// refusalsPerCall bounds how many nodes may refuse one request. A refusal
 	// costs no back end anything. The first sends are brief; with three sends in all the
 	// last one alone waits for its whole time, and 0.862 of the worth was served in place of
@@ -226,10 +226,11 @@
 	options := &c.handler.options
 	header := forward.RequestHeader(c.request.Header, markerCount)
 	delete(header, "Expect")
+	c.setTenant(header)
 	remaining := clock.Until(c.deadline)
 	request := c.described(remaining, a.seen.Work)
 	told := hop.Request{
-		Service: a.service, Caller: options.Caller(), Remaining: remaining, Priority: c.route.Priority,
+		Service: a.service, Caller: options.Caller(), Remaining: remaining, Priority: c.priority(),
 		MaximumWait: c.mostWait(request, a), Expected: c.work().Mean(c.assumedWork()),
 		Returning: request.Returning && !request.Hurried(),
 		Suspect:   c.crashes > 0,
--- a/internal/sidecar/hop/hop.go
+++ b/internal/sidecar/hop/hop.go
@@ -41,6 +41,13 @@
 	NotProcessed string
 	// Signature stands on every answer of a back end that ran the request.
 	Signature string
+	// APIKey carries a caller's key. It ends at the node where the request begins.
+	APIKey string
+	// Tenant names, to back ends, whose key the caller has. Nodes alone set it.
+	Tenant string
+	// WarmupLeft, on the answer to a health check, is for how many more milliseconds the back
+	// end is cold.
+	WarmupLeft string
 }
 
 // Milliseconds reads a whole number of milliseconds above or equal to zero.
--- a/internal/sidecar/level.go
+++ b/internal/sidecar/level.go
@@ -6,12 +6,17 @@
 )
 
 // serves reports whether the configuration in force leads the request to the service. One
-// that is not newer than that by which the request was routed says nothing.
+// that is not newer than that by which the request was routed says nothing. Of a tenant that
+// has lost a key since then nobody here can tell whether the request came with that one: its
+// own node is to look again.
 func (s *Sidecar) serves(request *http.Request, service string, version uint64) bool {
 	table := s.keeper.Table()
 	if table.Version() <= version {
 		return true
 	}
+	if tenant := request.Header.Get(s.options.Vocabulary.Tenant); tenant != "" && s.keeper.LostKey(version, tenant) {
+		return false
+	}
 	matched := table.MatchRequest(request)
 	return matched != nil && matched.Leads(service)
 }
--- a/internal/sidecar/route/change.go
+++ b/internal/sidecar/route/change.go
@@ -21,9 +21,13 @@
 	Places []string `json:"places,omitempty"`
 	Gone   []string `json:"gone,omitempty"`
 	Limits Limits   `json:"limits"`
-	// RouteCount and ServiceCount are those of the later version.
+	// Tenants are those that are new or differ, GoneTenants the names of those that are gone.
+	Tenants     []Tenant `json:"tenants,omitempty"`
+	GoneTenants []string `json:"goneTenants,omitempty"`
+	// RouteCount, ServiceCount and TenantCount are those of the later version.
 	RouteCount   int `json:"routeCount"`
 	ServiceCount int `json:"serviceCount"`
+	TenantCount  int `json:"tenantCount,omitempty"`
 }
 
 // ErrBase says that a change does not start from the document it is applied to.
@@ -38,15 +42,17 @@
 // ChangeFrom returns what leads from the base, which may be nil, to the document.
 func (d *Document) ChangeFrom(base *Document) *Change {
 	change := &Change{
-		Version: d.Version, Limits: d.Limits, RouteCount: len(d.Routes), ServiceCount: len(d.Services),
+		Version: d.Version, Limits: d.Limits,
+		RouteCount: len(d.Routes), ServiceCount: len(d.Services), TenantCount: len(d.Tenants),
 	}
 	if base == nil {
-		change.Routes, change.Services = d.Routes, d.Services
+		change.Routes, change.Services, change.Tenants = d.Routes, d.Services, d.Tenants
 		return change
 	}
 	change.Base = base.Version
 	change.Routes, change.Places = differing(base.Routes, d.Routes, (*Route).place)
 	change.Services, change.Gone = differing(base.Services, d.Services, (*Service).name)
+	change.Tenants, change.GoneTenants = differing(base.Tenants, d.Tenants, (*Tenant).name)
 	return change
 }
 
@@ -56,14 +62,15 @@
 	document := &Document{Version: c.Version, Limits: c.Limits}
 	switch {
 	case c.Base == 0:
-		document.Routes, document.Services = c.Routes, c.Services
+		document.Routes, document.Services, document.Tenants = c.Routes, c.Services, c.Tenants
 	case base == nil || base.Version != c.Base:
 		return nil, ErrBase
 	default:
 		document.Routes = replaced(base.Routes, c.Routes, c.Places, (*Route).place)
 		document.Services = replaced(base.Services, c.Services, c.Gone, (*Service).name)
+		document.Tenants = replaced(base.Tenants, c.Tenants, c.GoneTenants, (*Tenant).name)
 	}
-	if len(document.Routes) != c.RouteCount || len(document.Services) != c.ServiceCount {
+	if len(document.Routes) != c.RouteCount || len(document.Services) != c.ServiceCount || len(document.Tenants) != c.TenantCount {
 		return nil, ErrBase
 	}
 	return document, nil
--- a/internal/sidecar/route/document.go
+++ b/internal/sidecar/route/document.go
@@ -15,7 +15,9 @@
 	Version  uint64
 	Routes   []Route
 	Services []Service
-	Limits   Limits
+	// Tenants are empty where callers need no key.
+	Tenants []Tenant
+	Limits  Limits
 }
 
 // Route sends requests of one host and path prefix to services.
@@ -37,6 +39,10 @@
 	TargetLatency time.Duration
 	// Priority ranks requests of one service; zero is the most urgent.
 	Priority int
+	// Open routes serve callers without a key.
+	Open bool `json:",omitempty"`
+	// AllowedRegions are those in which requests may be served; empty means all.
+	AllowedRegions []string `json:",omitempty"`
 }
 
 // Target is one service of a route with its share.
@@ -53,6 +59,10 @@
 	// MaximumConnections bounds the connections to one back end from all
 	// callers together.
 	MaximumConnections int
+	// WarmupTime is how long a back end stays cold after its start, WarmupRate how many
+	// requests a second it bears meanwhile; zero where it bears any number.
+	WarmupTime time.Duration `json:",omitempty"`
+	WarmupRate float64       `json:",omitempty"`
 }
 
 // Limits bound what a caller may send and how long it may take.
@@ -85,8 +95,14 @@
 		if service.Name == "" {
 			return refuse("services", "a service has no name")
 		}
+		if service.WarmupTime < 0 || !(service.WarmupRate >= 0) {
+			return refuse("services."+service.Name+".warmup", "a time or rate is below zero")
+		}
 		declared[service.Name] = true
 	}
+	if err := validateTenants(d.Tenants); err != nil {
+		return err
+	}
 	places := make(map[string]string, len(d.Routes))
 	for index := range d.Routes {
 		route := &d.Routes[index]
--- a/internal/sidecar/route/table.go
+++ b/internal/sidecar/route/table.go
@@ -12,6 +12,8 @@
 	document *Document
 	hosts    map[string]map[string]*Matched
 	services map[string]*Service
+	// tenants holds each tenant by each of its keys.
+	tenants map[Key]*Tenant
 }
 
 // Matched is a route in force, with the state of its split.
@@ -43,6 +45,13 @@
 		document: document,
 		hosts:    map[string]map[string]*Matched{},
 		services: make(map[string]*Service, len(document.Services)),
+		tenants:  make(map[Key]*Tenant, len(document.Tenants)),
+	}
+	for index := range document.Tenants {
+		tenant := &document.Tenants[index]
+		for _, key := range tenant.Keys {
+			compiled.tenants[key] = tenant
+		}
 	}
 	for index := range document.Services {
 		compiled.services[document.Services[index].Name] = &document.Services[index]
--- /dev/null
+++ b/internal/sidecar/route/tenant_test.go
@@ -0,0 +1,90 @@
+package route_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/route"
+)
+
+// TestTenantsOfADocument: what is refused is named by field, and no error shows a key.
+func TestTenantsOfADocument(t *testing.T) {
+	below := -1
+	cases := []struct {
+		name    string
+		tenants []route.Tenant
+		says    string
+	}{
+		{"good", []route.Tenant{{Name: "a", Keys: []route.Key{"secret"}}, {Name: "b", Keys: []route.Key{"other"}}}, ""},
+		{"no name", []route.Tenant{{Keys: []route.Key{"secret"}}}, "tenants: "},
+		{"a name twice", []route.Tenant{{Name: "a"}, {Name: "a"}}, "tenants.a: "},
+		{"a key of two", []route.Tenant{{Name: "a", Keys: []route.Key{"secret"}}, {Name: "b", Keys: []route.Key{"secret"}}}, "tenants.b.keys: "},
+		{"an empty key", []route.Tenant{{Name: "a", Keys: []route.Key{""}}}, "tenants.a.keys: "},
+		{"a rate below zero", []route.Tenant{{Name: "a", Rate: -1}}, "tenants.a.rate: "},
+		{"a burst below zero", []route.Tenant{{Name: "a", Burst: -1}}, "tenants.a.burst: "},
+		{"a priority below zero", []route.Tenant{{Name: "a", Priority: &below}}, "tenants.a.priority: "},
+	}
+	for _, played := range cases {
+		t.Run(played.name, func(t *testing.T) {
+			g := NewWithT(t)
+			err := (&route.Document{Version: 1, Tenants: played.tenants}).Validate()
+			if played.says == "" {
+				g.Expect(err).NotTo(HaveOccurred())
+				return
+			}
+			g.Expect(err).To(MatchError(ContainSubstring(played.says)))
+			g.Expect(err.Error()).NotTo(ContainSubstring("secret"))
+		})
+	}
+}
+
+// TestAKeyIsNotPrinted by any verb.
+func TestAKeyIsNotPrinted(t *testing.T) {
+	g := NewWithT(t)
+	tenant := route.Tenant{Name: "a", Keys: []route.Key{"secret"}}
+	for _, verb := range []string{"%v", "%+v", "%#v", "%s", "%q", "%x"} {
+		g.Expect(fmt.Sprintf(verb, tenant)).NotTo(ContainSubstring("secret"), verb)
+		g.Expect(fmt.Sprintf(verb, tenant.Keys)).NotTo(ContainSubstring("736563726574"), verb)
+	}
+}
+
+// TestTenantsTravel with a change, as the few that differ.
+func TestTenantsTravel(t *testing.T) {
+	g := NewWithT(t)
+	tenant := func(name string, keys ...route.Key) route.Tenant {
+		return route.Tenant{Name: name, Keys: keys, Rate: 3}
+	}
+	base := &route.Document{Version: 1, Tenants: []route.Tenant{tenant("stays", "s"), tenant("goes", "g"), tenant("differs", "d1", "d2")}}
+	next := &route.Document{Version: 2, Tenants: []route.Tenant{tenant("stays", "s"), tenant("differs", "d2"), tenant("comes", "c")}}
+	encoded, err := json.Marshal(next.ChangeFrom(base))
+	g.Expect(err).NotTo(HaveOccurred())
+	change := &route.Change{}
+	g.Expect(json.Unmarshal(encoded, change)).To(Succeed())
+	g.Expect(change.Tenants).To(HaveLen(2))
+	made, err := change.Apply(base)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(made.Tenants).To(ConsistOf(next.Tenants))
+	g.Expect(base.LostKeys(next)).To(Equal(map[string]bool{"goes": true, "differs": true}))
+	g.Expect(next.LostKeys(next)).To(BeEmpty())
+}
+
+// BenchmarkHolder: from a key to its tenant among 2,000, 20 ns and no allocation.
+func BenchmarkHolder(b *testing.B) {
+	document := &route.Document{Version: 1}
+	for i := range 2000 {
+		document.Tenants = append(document.Tenants, route.Tenant{Name: fmt.Sprint(i), Keys: []route.Key{route.Key(fmt.Sprint("key-of-", i))}})
+	}
+	table, err := route.Compile(document, nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if table.Holder("key-of-77") == nil {
+			b.Fatal("not found")
+		}
+	}
+}
