Orders to empty zones, allowed regions, a bound for cold back ends

Change: package evacuation holds the newest word on each zone; readers hear it from the watch that is there, or by what a whole read lacks, the others from peers as they hear of roll-outs. Senders leave the zone's back ends aside, and the node beside one refuses unrun. A route's and a tenant's regions bound the back ends that are considered. Package warmup (pure) lets through, in any second, at most what a cold back end bears: told by heartbeats, by the back end when asked, or suspected after a refused connection, half a second without an answer, or the end of an order. Senders avoid the back end for 0.25 s then. Ruled out: warming slots (slow start) in the gate: the bound is a rate, and slots bound no rate of short requests.

--- a/internal/proxy/outcome/outcome.go
+++ b/internal/proxy/outcome/outcome.go
@@ -66,6 +66,7 @@
 	StepConnect   Step = "connect"   // no connection to the peer
 	StepWrite     Step = "write"     // sending the request
 	StepAwait     Step = "await"     // waiting for the reply's headers
+	StepWarmup    Step = "warmup"    // a cold back end has got what it bears
 	StepShed      Step = "shed"      // the back end itself declared it not run
 	StepIdentity  Step = "identity"  // another back end than the one meant is there
 	StepBody      Step = "body"      // passing on the reply's body
--- a/internal/sidecar/configuration/follower.go
+++ b/internal/sidecar/configuration/follower.go
@@ -37,6 +37,11 @@
 	Key, Prefix string
 	// Other takes in what lies under another key; nil takes nothing.
 	Other func(store.KeyValue)
+	// Removed takes in that another key was removed at a revision; nil takes nothing.
+	Removed func(key string, revision uint64)
+	// Listed takes in all that lay under other keys at a revision: what is not among it is not
+	// there; nil takes nothing.
+	Listed func(found []store.KeyValue, revision uint64)
 }
 
 // take offers an item to whom it concerns. One that sets off a panic is left out, as one
@@ -53,6 +58,20 @@
 	return true
 }
 
+// takeRemoved passes on that a key was removed. The configuration is never without a version.
+func (p *Place) takeRemoved(key string, revision uint64, keeper *Keeper) {
+	if key != p.Key && p.Removed != nil {
+		_ = contain.Run("removed order", keeper.logger, func() { p.Removed(key, revision) })
+	}
+}
+
+// takeList passes on what a read of the whole place has found.
+func (p *Place) takeList(found []store.KeyValue, revision uint64, keeper *Keeper) {
+	if p.Listed != nil {
+		_ = contain.Run("orders", keeper.logger, func() { p.Listed(found, revision) })
+	}
+}
+
 // Follow keeps the keeper at what the store has under the key until the context
 // ends. After every end of a watch the place is read anew: what was missed
 // meanwhile must not stay unheard. While reads returns false the store is left
@@ -136,7 +155,11 @@
 	defer watch.Close()
 	taken := true
 	for event := range watch.Events() {
-		if event.Key != "" && !event.Deleted {
+		switch {
+		case event.Key == "":
+		case event.Deleted:
+			place.takeRemoved(event.Key, event.Revision, keeper)
+		default:
 			taken = place.take(event.KeyValue, keeper, SourceWatch) && taken
 		}
 		if !event.Current.IsZero() && taken {
@@ -168,6 +191,9 @@
 			place.take(item, keeper, SourceRead)
 		}
 	}
+	if len(found) < itemsMost {
+		place.takeList(found, after, keeper)
+	}
 	if index := slices.IndexFunc(found, isConfiguration); index >= 0 && place.take(found[index], keeper, SourceRead) {
 		keeper.Proven(keeper.Version(), asked)
 	}
--- a/internal/sidecar/egress/choose.go
+++ b/internal/sidecar/egress/choose.go
@@ -47,7 +47,7 @@
 		return rollout.Every()
 	}
 	selected := plan.Select(len(c.visits) > 0)
-	if !c.handler.serves(c.service, selected) {
+	if !c.handler.serves(c.service, selected, c.regions()) {
 		return plan.Otherwise()
 	}
 	return selected
@@ -57,7 +57,7 @@
 func (c *call) considered(now time.Time, selected rollout.Selection) *considered {
 	options := &c.handler.options
 	return &considered{
-		subset: c.handler.subset(options.View(), c.service, selected),
+		subset: c.handler.subset(options.View(), c.service, selected, c.regions()),
 		call:   c,
 		near:   place{zone: options.Zone, regions: options.Regions},
 		usual:  c.work().Mean(c.assumedWork()),
--- a/internal/sidecar/egress/handler.go
+++ b/internal/sidecar/egress/handler.go
@@ -17,6 +17,7 @@
 	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/choice"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/evacuation"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/fingerprint"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
@@ -42,6 +43,8 @@
 	// Plan returns how a service's requests are divided between versions of its
 	// software, nil when they are not.
 	Plan func(service string) *rollout.Plan
+	// Emptied returns the zones whose back ends are to get nothing, nil when there are none.
+	Emptied func() *evacuation.Zones
 	// Quarantine knows which requests end back ends.
 	Quarantine Quarantine
 	// Retries bound repeated sends.
@@ -143,6 +146,9 @@
 	if options.Level == nil {
 		options.Level = alone{}
 	}
+	if options.Emptied == nil {
+		options.Emptied = func() *evacuation.Zones { return nil }
+	}
 	cutting, cut := context.WithCancelCause(context.Background())
 	return &Handler{
 		options: options,
--- /dev/null
+++ b/internal/sidecar/egress/regions_test.go
@@ -0,0 +1,62 @@
+package egress
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/evacuation"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+)
+
+// TestWhereARequestMayGo: an emptied zone's back ends and those of other regions are not
+// considered, whatever that leaves.
+func TestWhereARequestMayGo(t *testing.T) {
+	cases := []struct {
+		name     string
+		emptied  []string
+		route    []string
+		tenant   []string
+		expected []string // zones
+	}{
+		{"anywhere", nil, nil, nil, []string{"a", "b", "c"}},
+		{"the own zone is emptied", []string{"a"}, nil, nil, []string{"b", "c"}},
+		{"all zones are emptied", []string{"a", "b", "c"}, nil, nil, nil},
+		{"an unknown zone is emptied", []string{"x"}, nil, nil, []string{"a", "b", "c"}},
+		{"a route's region", nil, []string{"north"}, nil, []string{"a", "b"}},
+		{"a tenant's region", nil, nil, []string{"south", "east"}, []string{"c"}},
+		{"both bind", nil, []string{"north", "south"}, []string{"south"}, []string{"c"}},
+		{"nothing in common", nil, []string{"north"}, []string{"south"}, nil},
+		{"a region that is not there", nil, []string{"west"}, nil, nil},
+		{"the region's last zone is emptied", []string{"c"}, []string{"south"}, nil, nil},
+	}
+	for _, played := range cases {
+		t.Run(played.name, func(t *testing.T) {
+			g := NewWithT(t)
+			handler := newHandler(t, &quiet{}, present)
+			handler.options.Zone = "a"
+			handler.options.Regions = map[string]string{"a": "north", "b": "north", "c": "south"}
+			members := roster.New(roster.Record{Node: "self", Epoch: 1, Zone: "a"})
+			members.Merge(serviceOf(9, "a", "b", "c"))
+			orders := evacuation.New(evacuation.Options{
+				Known: func(string) bool { return true }, Spread: func() {}, Changed: func(string, bool) {}, Logger: zap.NewNop(),
+			})
+			handler.options.Emptied = orders.Zones
+			before := handler.subset(members.View(), "s", rollout.Every(), regions{})
+			g.Expect(before.records).To(HaveLen(9))
+			for i, zone := range played.emptied {
+				orders.Ordered(evacuation.Order{Zone: zone, Revision: uint64(i + 1), Emptied: true})
+			}
+			found := map[string]bool{}
+			for _, record := range handler.subset(members.View(), "s", rollout.Every(), regionsOf(played.route, played.tenant)).records {
+				found[record.Zone] = true
+			}
+			g.Expect(found).To(HaveLen(len(played.expected)))
+			for _, zone := range played.expected {
+				g.Expect(found).To(HaveKey(zone))
+			}
+		})
+	}
+}
--- a/internal/sidecar/egress/subset.go
+++ b/internal/sidecar/egress/subset.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/evacuation"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 )
@@ -19,14 +20,16 @@
 	farSubset  = 16
 )
 
-// subsets holds, for one view, the back ends that a node considers by service.
+// subsets holds, for one view and set of emptied zones, the back ends that a node considers by
+// service.
 type subsets struct {
 	view      *roster.View
+	emptied   *evacuation.Zones
 	byService sync.Map // of subsetKey to *subset
 }
 
-// subsetKey is a service with a selection of its back ends.
-type subsetKey struct{ service, selection string }
+// subsetKey is a service with a selection of its back ends and the regions in which they may be.
+type subsetKey struct{ service, selection, regions string }
 
 // subset holds the back ends of one service that a node considers. It is
 // immutable.
@@ -38,18 +41,23 @@
 }
 
 // subset returns the back ends of the service that the node considers, of those that
-// are selected. It is computed once for each view and selection.
-func (h *Handler) subset(view *roster.View, service string, selected rollout.Selection) *subset {
-	held := h.subsets.Load()
-	if held == nil || held.view != view {
-		held = &subsets{view: view}
+// are selected and in the regions. It is computed once for each view and selection.
+func (h *Handler) subset(view *roster.View, service string, selected rollout.Selection, allowed regions) *subset {
+	held, emptied := h.subsets.Load(), h.options.Emptied()
+	if held == nil || held.view != view || held.emptied != emptied {
+		held = &subsets{view: view, emptied: emptied}
 		h.subsets.Store(held)
 	}
-	key := subsetKey{service: service, selection: selected.Key}
+	key := subsetKey{service: service, selection: selected.Key, regions: allowed.key}
 	if found, known := held.byService.Load(key); known {
 		return found.(*subset)
 	}
 	records := admitted(view.Service(service), selected)
+	if emptied != nil || !allowed.all() {
+		records = slices.DeleteFunc(slices.Clone(records), func(record *roster.Record) bool {
+			return emptied.Contains(record.Zone) || !allowed.contains(h.options.Regions[record.Zone])
+		})
+	}
 	chosen := chooseSubset(records, h.options.Node, place{zone: h.options.Zone, regions: h.options.Regions})
 	held.byService.Store(key, chosen)
 	return chosen
--- a/internal/sidecar/egress/target.go
+++ b/internal/sidecar/egress/target.go
@@ -47,6 +47,9 @@
 	// further one doubles it, up to avoidMost.
 	avoidBase = 200 * time.Millisecond
 	avoidMost = 2 * time.Second
+	// coldAvoid is how long a target is avoided whose back end is cold and has got what it bears.
+	// It bears a few requests a second: a look some times a second finds its room.
+	coldAvoid = 250 * time.Millisecond
 )
 
 // of reports whether the report is of the back end and the life of the node that
@@ -79,6 +82,11 @@
 	if shift := count - 1; shift < 4 {
 		wait = min(avoidBase<<shift, avoidMost)
 	}
+	t.avoid(now, wait)
+}
+
+// avoid has the target avoided for that long. It has not failed.
+func (t *target) avoid(now time.Time, wait time.Duration) {
 	t.avoidUntil.Store(clock.Stamp(now.Add(wait)))
 }
 
--- a/internal/sidecar/egress/versions.go
+++ b/internal/sidecar/egress/versions.go
@@ -20,8 +20,8 @@
 }
 
 // serves reports whether one of the selected back ends is there to take requests.
-func (h *Handler) serves(service string, selected rollout.Selection) bool {
-	for _, record := range h.subset(h.options.View(), service, selected).records {
+func (h *Handler) serves(service string, selected rollout.Selection, allowed regions) bool {
+	for _, record := range h.subset(h.options.View(), service, selected, allowed).records {
 		if record.AcceptsWork() && !h.targets.of(record).silent.Load() {
 			return true
 		}
@@ -80,7 +80,7 @@
 	now := clock.Now()
 	near := place{zone: h.options.Zone, regions: h.options.Regions}
 	busy, slots := 0.0, 0
-	for _, record := range h.subset(h.options.View(), service, rollout.Without(asideVersion)).records {
+	for _, record := range h.subset(h.options.View(), service, rollout.Without(asideVersion), regions{}).records {
 		found := h.targets.of(record)
 		if !record.AcceptsWork() || found.reportAge(now) < 0 {
 			continue
--- a/internal/sidecar/egress/visit.go
+++ b/internal/sidecar/egress/visit.go
@@ -173,6 +173,8 @@
 		failure.RetryAfter = time.Duration(seconds * float64(time.Second))
 	}
 	switch {
+	case failure.Step == outcome.StepWarmup:
+		a.target.avoid(now, coldAvoid)
 	case failure.Step == outcome.StepAdmit || failure.Step == outcome.StepQuarantine || failure.Step == outcome.StepMoved:
 	case a.call.context.Err() == nil:
 		a.target.failed(now)
--- /dev/null
+++ b/internal/sidecar/evacuation/evacuation.go
@@ -0,0 +1,158 @@
+// Package evacuation knows which zones operators have ordered to be emptied: no request goes
+// to back ends there until the order is taken back. Nodes that read the store hear the orders
+// from it, the others from their peers. The package does no I/O.
+package evacuation
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"go.uber.org/zap"
+)
+
+// Order is the newest word on one zone. It is a value.
+type Order struct {
+	Zone string `json:"zone"`
+	// Revision is that of the store when the word was given; a higher one holds.
+	Revision uint64 `json:"revision"`
+	// Emptied: nothing is to go to the zone's back ends. Otherwise the order was taken back.
+	Emptied bool `json:"emptied,omitempty"`
+}
+
+// Zones are those that are emptied at one moment. It is immutable; nil has none.
+type Zones struct{ emptied map[string]bool }
+
+// Contains reports whether the zone is emptied.
+func (z *Zones) Contains(zone string) bool { return z != nil && z.emptied[zone] }
+
+// Names returns the zones in order.
+func (z *Zones) Names() []string {
+	if z == nil {
+		return nil
+	}
+	return slices.Sorted(maps.Keys(z.emptied))
+}
+
+const (
+	// mostOrders bounds the zones whose orders are kept, of zones that do not exist too.
+	mostOrders = 256
+	// mostZoneBytes bounds the name of a zone.
+	mostZoneBytes = 200
+)
+
+// Options configure the orders.
+type Options struct {
+	// Known reports whether there is a zone of that name, for the log alone: an order for
+	// one that is not known yet is kept.
+	Known func(zone string) bool
+	// Spread tells the peers of news that the store has brought.
+	Spread func()
+	// Changed is told of each zone that was emptied, or whose order was taken back. It must
+	// not block.
+	Changed func(zone string, emptied bool)
+	Logger  *zap.Logger
+}
+
+// Orders are those that a node has heard of. It is safe for concurrent use; what a request
+// needs takes no lock.
+type Orders struct {
+	options Options
+	zones   atomic.Pointer[Zones]
+
+	mu     sync.Mutex // guards all below and the replacement of zones
+	orders map[string]Order
+}
+
+// New returns the orders of a node that has heard of none.
+func New(options Options) *Orders {
+	return &Orders{options: options, orders: map[string]Order{}}
+}
+
+// Zones returns the zones that are emptied now, nil when there are none.
+func (o *Orders) Zones() *Zones { return o.zones.Load() }
+
+// Ordered takes in a word of the store on one zone.
+func (o *Orders) Ordered(order Order) {
+	if o.learn([]Order{order}, "store") {
+		o.options.Spread()
+	}
+}
+
+// Listed takes in that the store had orders for just these zones at a revision. One that it
+// does not have any more was taken back while nobody watched.
+func (o *Orders) Listed(zones []string, revision uint64) {
+	o.mu.Lock()
+	var lifted []Order
+	for zone, held := range o.orders {
+		if held.Emptied && held.Revision < revision && !slices.Contains(zones, zone) {
+			lifted = append(lifted, Order{Zone: zone, Revision: revision})
+		}
+	}
+	o.mu.Unlock()
+	if o.learn(lifted, "store") {
+		o.options.Spread()
+	}
+}
+
+// Tell returns the newest words as peers are told of them; nil when there are none.
+func (o *Orders) Tell() []Order {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if len(o.orders) == 0 {
+		return nil
+	}
+	return slices.SortedFunc(maps.Values(o.orders), func(a, b Order) int { return cmp.Compare(a.Zone, b.Zone) })
+}
+
+// Hear takes in a peer's words and reports whether some of them are news.
+func (o *Orders) Hear(told []Order) (news bool) { return o.learn(told, "peer") }
+
+// learn merges words and reports whether some of them are news.
+func (o *Orders) learn(told []Order, source string) (news bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, order := range told {
+		held, known := o.orders[order.Zone]
+		switch {
+		case order.Zone == "" || len(order.Zone) > mostZoneBytes || order.Revision == 0:
+			o.options.Logger.Warn("order for a zone cannot be", zap.String("zone", order.Zone), zap.String("source", source))
+			continue
+		case order.Revision <= held.Revision:
+			continue
+		case !known && len(o.orders) >= mostOrders:
+			o.options.Logger.Error("too many orders for zones, one is left out", zap.String("zone", order.Zone), zap.Int("most", mostOrders))
+			continue
+		}
+		news = true
+		o.orders[order.Zone] = order
+		if held.Emptied != order.Emptied {
+			o.changed(order, source)
+		}
+	}
+	return news
+}
+
+// changed puts in force that a zone is emptied, or is so no more; the lock is held.
+func (o *Orders) changed(order Order, source string) {
+	next := map[string]bool{}
+	for zone, held := range o.orders {
+		if held.Emptied {
+			next[zone] = true
+		}
+	}
+	if len(next) == 0 {
+		o.zones.Store(nil)
+	} else {
+		o.zones.Store(&Zones{emptied: next})
+	}
+	message := "zone is emptied"
+	if !order.Emptied {
+		message = "zone is taken back"
+	}
+	o.options.Logger.Info(message, zap.String("zone", order.Zone), zap.Uint64("revision", order.Revision),
+		zap.String("source", source), zap.Bool("knownZone", o.options.Known(order.Zone)), zap.Strings("emptied", o.zones.Load().Names()))
+	o.options.Changed(order.Zone, order.Emptied)
+}
--- /dev/null
+++ b/internal/sidecar/evacuation/evacuation_test.go
@@ -0,0 +1,101 @@
+package evacuation_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/evacuation"
+)
+
+// played are the orders of one node with what they tell.
+type played struct {
+	*evacuation.Orders
+	spreads int
+	changes []string
+}
+
+func play() *played {
+	made := &played{}
+	made.Orders = evacuation.New(evacuation.Options{
+		Known:  func(string) bool { return true },
+		Spread: func() { made.spreads++ },
+		Changed: func(zone string, emptied bool) {
+			made.changes = append(made.changes, fmt.Sprint(zone, " ", emptied))
+		},
+		Logger: zap.NewNop(),
+	})
+	return made
+}
+
+// TestTheNewestWordHolds whatever the order in which words come, and from whom.
+func TestTheNewestWordHolds(t *testing.T) {
+	words := []evacuation.Order{
+		{Zone: "a", Revision: 3, Emptied: true}, {Zone: "a", Revision: 5}, {Zone: "a", Revision: 9, Emptied: true},
+		{Zone: "b", Revision: 4, Emptied: true}, {Zone: "b", Revision: 8},
+	}
+	random := rand.New(rand.NewPCG(3, 4))
+	for range 100 {
+		g := NewWithT(t)
+		made := play()
+		for _, index := range random.Perm(len(words)) {
+			if random.IntN(2) == 0 {
+				made.Ordered(words[index])
+			} else {
+				made.Hear([]evacuation.Order{words[index]})
+			}
+		}
+		g.Expect(made.Zones().Names()).To(Equal([]string{"a"}))
+		g.Expect(made.Hear(words)).To(BeFalse(), "nothing of it is news")
+		g.Expect(made.Tell()).To(Equal([]evacuation.Order{words[2], words[4]}))
+	}
+}
+
+// TestAnOrderTakenBackUnwatched: a read of all orders that lacks one takes it back, but not one
+// that was given after the read.
+func TestAnOrderTakenBackUnwatched(t *testing.T) {
+	g := NewWithT(t)
+	made := play()
+	made.Ordered(evacuation.Order{Zone: "a", Revision: 3, Emptied: true})
+	made.Ordered(evacuation.Order{Zone: "b", Revision: 4, Emptied: true})
+	made.Ordered(evacuation.Order{Zone: "late", Revision: 20, Emptied: true})
+	made.Listed([]string{"b"}, 10)
+	g.Expect(made.Zones().Names()).To(Equal([]string{"b", "late"}))
+	g.Expect(made.changes).To(Equal([]string{"a true", "b true", "late true", "a false"}))
+	g.Expect(made.spreads).To(Equal(4))
+	made.Listed([]string{"b"}, 10)
+	g.Expect(made.spreads).To(Equal(4), "no news")
+}
+
+// TestWordsThatCannotBe change nothing, and however many zones are named the memory is bounded.
+func TestWordsThatCannotBe(t *testing.T) {
+	g := NewWithT(t)
+	made := play()
+	g.Expect(made.Hear([]evacuation.Order{
+		{Revision: 1, Emptied: true}, {Zone: "a", Emptied: true}, {Zone: strings.Repeat("z", 201), Revision: 1, Emptied: true},
+	})).To(BeFalse())
+	g.Expect(made.Tell()).To(BeNil())
+	for i := range 1000 {
+		made.Hear([]evacuation.Order{{Zone: fmt.Sprint(i), Revision: uint64(i + 1), Emptied: true}})
+	}
+	g.Expect(len(made.Tell())).To(Equal(256))
+	made.Hear([]evacuation.Order{{Zone: "0", Revision: 5000}})
+	g.Expect(made.Zones().Contains("0")).To(BeFalse(), "words on zones that are kept still count")
+}
+
+// TestFlapping: an order that is given and taken back in quick succession leaves no trace but
+// the last word.
+func TestFlapping(t *testing.T) {
+	g := NewWithT(t)
+	made := play()
+	for revision := range uint64(100) {
+		made.Ordered(evacuation.Order{Zone: "a", Revision: revision + 1, Emptied: revision%2 == 0})
+	}
+	g.Expect(made.Zones().Contains("a")).To(BeFalse())
+	g.Expect(made.Zones()).To(BeNil())
+	g.Expect(made.changes).To(HaveLen(100))
+}
--- a/internal/sidecar/exchange/exchanger.go
+++ b/internal/sidecar/exchange/exchanger.go
@@ -20,6 +20,7 @@
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/configuration"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/contain"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/evacuation"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/readers"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
@@ -39,6 +40,8 @@
 	Reads func() bool
 	// Rollouts knows the moves to other versions; nil when there are none ever.
 	Rollouts Rollouts
+	// Evacuations knows the zones that are to be emptied; nil when there are none ever.
+	Evacuations Evacuations
 	// Observer is told how the node keeps level; nil for nobody.
 	Observer Observer
 	// Suspect is told of nodes that do not answer.
@@ -54,6 +57,14 @@
 	Hear([]rollout.Told) (news bool)
 }
 
+// Evacuations are the orders to empty zones that a node knows of.
+type Evacuations interface {
+	// Tell returns them; nil when there are none.
+	Tell() []evacuation.Order
+	// Hear takes in a peer's and reports whether some of it is news.
+	Hear([]evacuation.Order) (news bool)
+}
+
 const (
 	// DefaultInterval is the time between two exchanges that a node begins.
 	DefaultInterval = 800 * time.Millisecond
@@ -242,21 +253,27 @@
 		Digest:   e.options.Roster.View().Digest(),
 		Version:  e.options.Configuration.Version(),
 		ProofAge: e.level.proofAge(),
-		Rollouts: e.rollouts(),
+		Told:     e.told(),
 	}
 }
 
-func (e *Exchanger) rollouts() []rollout.Told {
-	if e.options.Rollouts == nil {
-		return nil
+// told is what this node knows of operators' orders.
+func (e *Exchanger) told() (told Told) {
+	if e.options.Rollouts != nil {
+		told.Rollouts = e.options.Rollouts.Tell()
+	}
+	if e.options.Evacuations != nil {
+		told.Evacuations = e.options.Evacuations.Tell()
 	}
-	return e.options.Rollouts.Tell()
+	return told
 }
 
-// hearRollouts takes in a peer's moves before its records: who knows of a new version
-// knows why it is there. News is passed on in the zone.
-func (e *Exchanger) hearRollouts(told []rollout.Told) {
-	if e.options.Rollouts != nil && len(told) > 0 && e.options.Rollouts.Hear(told) {
+// hearTold takes in a peer's orders before its records: who knows of a new version knows why
+// it is there. News is passed on in the zone.
+func (e *Exchanger) hearTold(told *Told) {
+	moved := e.options.Rollouts != nil && len(told.Rollouts) > 0 && e.options.Rollouts.Hear(told.Rollouts)
+	emptied := e.options.Evacuations != nil && len(told.Evacuations) > 0 && e.options.Evacuations.Hear(told.Evacuations)
+	if moved || emptied {
 		go e.tellZone()
 	}
 }
@@ -264,7 +281,7 @@
 // take merges a peer's message and fetches its configuration when it is newer.
 func (e *Exchanger) take(received *Message) {
 	e.met.Store(true)
-	e.hearRollouts(received.Rollouts)
+	e.hearTold(&received.Told)
 	e.options.Roster.Merge(append([]*roster.Record{received.From}, received.Records...))
 	e.Behind(received.From, received.Version)
 }
--- a/internal/sidecar/exchange/message.go
+++ b/internal/sidecar/exchange/message.go
@@ -4,6 +4,7 @@
 package exchange
 
 import (
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/evacuation"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 )
@@ -28,8 +29,15 @@
 	// Records are the sender's in the differing parts, as far as the receiver
 	// needs them.
 	Records []*roster.Record `json:"records,omitempty"`
-	// Rollouts are the moves to other versions that the sender knows of.
+	Told
+}
+
+// Told is what operators have ordered beside the configuration, as the sender knows it.
+type Told struct {
+	// Rollouts are the moves to other versions.
 	Rollouts []rollout.Told `json:"rollouts,omitempty"`
+	// Evacuations are the newest words on zones that are, or were, to be emptied.
+	Evacuations []evacuation.Order `json:"evacuations,omitempty"`
 }
 
 // Level is what a node answers that is asked whether there is a newer configuration.
@@ -49,8 +57,7 @@
 	Version uint64 `json:"version"`
 	// Relay asks the receiver to pass the news on in its zone.
 	Relay bool `json:"relay,omitempty"`
-	// Rollouts are the moves to other versions that the sender knows of.
-	Rollouts []rollout.Told `json:"rollouts,omitempty"`
+	Told
 }
 
 const (
--- a/internal/sidecar/exchange/spread.go
+++ b/internal/sidecar/exchange/spread.go
@@ -161,7 +161,7 @@
 // hear takes in a notice and passes news on when that is asked.
 func (e *Exchanger) hear(notice *Notice) {
 	e.met.Store(true)
-	e.hearRollouts(notice.Rollouts)
+	e.hearTold(&notice.Told)
 	news := e.options.Roster.Merge([]*roster.Record{notice.Record})
 	if sender := e.options.Roster.View().Record(notice.From); sender != nil {
 		e.Behind(sender, notice.Version)
@@ -191,7 +191,7 @@
 // notice returns what is told of a record.
 func (e *Exchanger) notice(record *roster.Record) *Notice {
 	return &Notice{
-		Record: record, From: e.options.Roster.Own().Node, Version: e.options.Configuration.Version(), Rollouts: e.rollouts(),
+		Record: record, From: e.options.Roster.Own().Node, Version: e.options.Configuration.Version(), Told: e.told(),
 	}
 }
 
--- a/internal/sidecar/fuzz_test.go
+++ b/internal/sidecar/fuzz_test.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/configuration"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/evacuation"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/exchange"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/fingerprint"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
@@ -65,7 +66,10 @@
 	own.Node, own.Epoch = "n", 9
 	for _, message := range []any{
 		&exchange.Message{From: peer, Digest: 1, Version: 1, Of: 8, Differing: []int{0, 7}, Records: []*roster.Record{&own, nil}},
-		&exchange.Message{From: peer, Rollouts: []rollout.Told{{}}, Buckets: []uint32{1, 2}},
+		&exchange.Message{
+			From: peer, Told: exchange.Told{Rollouts: []rollout.Told{{}}, Evacuations: []evacuation.Order{{}, {Zone: "z", Revision: 1, Emptied: true}}},
+			Buckets: []uint32{1, 2},
+		},
 		&exchange.Notice{Record: peer, From: "p", Version: 2},
 	} {
 		encoded, err := json.Marshal(message)
--- a/internal/sidecar/ingress/arrival.go
+++ b/internal/sidecar/ingress/arrival.go
@@ -31,6 +31,7 @@
 	errMoved      = errors.New("a newer configuration leads the request elsewhere")
 	errStopping   = errors.New("the node is stopping")
 	errLink       = errors.New("the link has no room for the body in time")
+	errEmptied    = errors.New("the zone is emptied by order")
 )
 
 // readBodyLimit is how much of a body that waited for consent is read at once.
@@ -86,6 +87,9 @@
 	}
 	served := false
 	defer func() { slot.Release(served) }()
+	if failure := a.bear(); failure != nil {
+		return failure
+	}
 	if body == nil {
 		// The first read tells the caller's node to send the body. Without the
 		// whole of it nothing is run.
@@ -155,6 +159,9 @@
 	if a.handler.leftBehind(a.endpoint.Incarnation()) {
 		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepDrain, refusedWait, errLeaving)
 	}
+	if emptied := a.handler.options.Emptied; emptied != nil && emptied() {
+		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepDrain, refusedWait, errEmptied)
+	}
 	if judge := a.handler.options.Judge; judge != nil && judge.Refuses() {
 		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepDrain, refusedWait, errVersion)
 	}
--- a/internal/sidecar/ingress/exchange.go
+++ b/internal/sidecar/ingress/exchange.go
@@ -41,6 +41,9 @@
 			return a.take(response, sent)
 		}
 		failure := a.failed(err)
+		if failure.Step == outcome.StepConnect {
+			a.handler.MayBeCold()
+		}
 		if failure.Outcome == outcome.Unknown {
 			a.seeEnd(failure)
 		} else {
@@ -106,6 +109,7 @@
 	if !ended {
 		return
 	}
+	a.handler.MayBeCold()
 	a.besideEnd = !first
 	failure.Step = outcome.StepCrash
 	failure.Cause = errors.Join(errEnded, failure.Cause)
@@ -161,6 +165,7 @@
 		return failure
 	}
 	a.survived()
+	a.handler.warmup.Answered(clock.Now())
 	failed := response.StatusCode >= http.StatusInternalServerError
 	a.handler.failures.Observe(failed)
 	a.judged(failed)
--- a/internal/sidecar/ingress/handler.go
+++ b/internal/sidecar/ingress/handler.go
@@ -20,6 +20,7 @@
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/warmup"
 )
 
 // Options configure the handler.
@@ -40,6 +41,8 @@
 	// DrainAfter is how long after a back end's word that it is leaving new
 	// work is still taken.
 	DrainAfter func() time.Duration
+	// Emptied reports whether the back end's zone is ordered to be emptied; nil for never.
+	Emptied func() bool
 	// Judge takes in what the back end's answers show of its version; nil when nobody
 	// compares versions.
 	Judge Judge
@@ -120,6 +123,11 @@
 	failures choice.Failures
 	// workplace holds what is at work at the back end.
 	workplace workplace
+	// warmup bounds what a cold back end gets.
+	warmup warmup.Limit
+	// health is the path of the back end's health check, nil while it is not known.
+	health       atomic.Pointer[string]
+	healthClient *http.Client
 	// trial is held by the suspected request that is at work there: one at a time, so that
 	// an end tells which it was.
 	trial *semaphore.Weighted
@@ -142,9 +150,10 @@
 			ReplyHeaderBytes: replyHeaderBytes,
 			AllowUnframed:    true,
 		}, options.Dial),
-		gate:      admission.New(clock.Now),
-		transfers: newTransfers(options.LinkMbps),
-		trial:     semaphore.NewWeighted(1),
+		gate:         admission.New(clock.Now),
+		transfers:    newTransfers(options.LinkMbps),
+		healthClient: newHealthClient(options.Dial),
+		trial:        semaphore.NewWeighted(1),
 	}
 }
 
--- a/internal/sidecar/ingress/handler_test.go
+++ b/internal/sidecar/ingress/handler_test.go
@@ -41,6 +41,8 @@
 	told func(*hop.Request)
 	// serves says whether a newer configuration leads a request here, nil for always.
 	serves func(request *http.Request, service string, version uint64) bool
+	// emptied: the zone is to take nothing.
+	emptied atomic.Bool
 }
 
 func play(t *testing.T) *played {
@@ -53,6 +55,7 @@
 		Endpoint:   func() *roster.Endpoint { return endpoint },
 		Identified: func(string) {}, Version: func() uint64 { return 1 },
 		DrainAfter: func() time.Duration { return time.Second },
+		Emptied:    made.emptied.Load,
 		Dial:       (&net.Dialer{}).DialContext, Logger: zap.NewNop(), Observer: silentObserver{}, Quarantine: newScripted(),
 		Serves: func(request *http.Request, service string, version uint64) bool {
 			return made.serves == nil || made.serves(request, service, version)
--- /dev/null
+++ b/internal/sidecar/ingress/warmup_test.go
@@ -0,0 +1,70 @@
+package ingress_test
+
+import (
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/route"
+)
+
+// TestAColdBackEndIsNotOverrun: what it would not bear is refused unrun and says when to come
+// back, until the back end itself says that it is warm.
+func TestAColdBackEndIsNotOverrun(t *testing.T) {
+	g := NewWithT(t)
+	made := play(t)
+	var ran, asked atomic.Int64
+	warm := make(chan struct{})
+	answer := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/health" {
+			asked.Add(1)
+			<-warm
+			w.Header().Set(vocabulary.InstanceID, "i-1")
+			return
+		}
+		ran.Add(1)
+		signed(http.StatusOK)(w, r)
+	})
+	made.answer.Store(&answer)
+	made.handler.SetService(&route.Service{Name: "one", HealthPath: "/health", WarmupRate: 3, WarmupTime: time.Hour})
+	var refused int
+	for range 20 {
+		recorder := made.receive(t.Context())
+		if recorder.Code == http.StatusOK {
+			continue
+		}
+		refused++
+		g.Expect(recorder.Code).To(Equal(http.StatusServiceUnavailable))
+		g.Expect(recorder.Header().Get(outcome.HeaderOutcome)).To(Equal(string(outcome.NotRun)))
+		g.Expect(recorder.Header().Get(outcome.HeaderError)).To(Equal("step=" + string(outcome.StepWarmup)))
+		g.Expect(recorder.Header().Get("Retry-After")).NotTo(BeEmpty())
+	}
+	g.Expect(ran.Load()).To(BeNumerically(">=", 3))
+	g.Expect(refused).To(BeNumerically(">", 0))
+	g.Eventually(asked.Load).Should(BeNumerically(">", 0))
+	close(warm)
+	g.Eventually(func() int { return made.receive(t.Context()).Code }).Should(Equal(http.StatusOK))
+}
+
+// TestAnEmptiedZoneTakesNothing, as the node beside the back end sees it.
+func TestAnEmptiedZoneTakesNothing(t *testing.T) {
+	g := NewWithT(t)
+	made := play(t)
+	var ran atomic.Int64
+	answer := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ran.Add(1)
+		signed(http.StatusOK)(w, r)
+	})
+	made.answer.Store(&answer)
+	made.emptied.Store(true)
+	recorder := made.receive(t.Context())
+	g.Expect(recorder.Code).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(recorder.Header().Get(outcome.HeaderOutcome)).To(Equal(string(outcome.NotRun)))
+	g.Expect(ran.Load()).To(BeZero())
+	made.emptied.Store(false)
+	g.Expect(made.receive(t.Context()).Code).To(Equal(http.StatusOK))
+}
--- a/internal/sidecar/rollouts.go
+++ b/internal/sidecar/rollouts.go
@@ -10,6 +10,7 @@
 
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/configuration"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/evacuation"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/readers"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout/controller"
@@ -43,11 +44,18 @@
 
 // place is where the store has what operators write.
 func (s *Sidecar) place() configuration.Place {
-	return configuration.Place{Key: s.options.ConfigurationKey, Prefix: s.options.OperatorPrefix, Other: s.ordered}
+	return configuration.Place{
+		Key: s.options.ConfigurationKey, Prefix: s.options.OperatorPrefix,
+		Other: s.ordered, Removed: s.orderRemoved, Listed: s.ordersListed,
+	}
 }
 
 // ordered takes in an item that operators wrote beside the configuration.
 func (s *Sidecar) ordered(item store.KeyValue) {
+	if zone, is := s.options.EvacuatedZone(item.Key); is {
+		s.evacuations.Ordered(evacuation.Order{Zone: zone, Revision: item.Revision, Emptied: true})
+		return
+	}
 	if !s.options.IsOrder(item.Key) {
 		return
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -18,6 +18,7 @@
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/configuration"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/dial"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/egress"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/evacuation"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/exchange"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/ingress"
@@ -49,10 +50,12 @@
 	// IsOrder tells the keys of orders to roll a version out, DecodeOrder reads one.
 	IsOrder     func(key string) bool
 	DecodeOrder func(store.KeyValue) (rollout.Order, error)
-	Rollouts    controller.Codec
-	Store       Store
-	Logger      *zap.Logger
-	Registry    prometheus.Registerer
+	// EvacuatedZone returns the zone that an item under the key orders to be emptied.
+	EvacuatedZone func(key string) (zone string, is bool)
+	Rollouts      controller.Codec
+	Store         Store
+	Logger        *zap.Logger
+	Registry      prometheus.Registerer
 }
 
 const (
@@ -81,9 +84,11 @@
 	exchanger  *exchange.Exchanger
 	rollouts   *controller.Controller
 	quarantine *quarantine.Quarantine
-	egress     *egress.Handler
-	ingress    *ingress.Handler
-	stopping   atomic.Bool
+	// evacuations are the orders to empty zones.
+	evacuations *evacuation.Orders
+	egress      *egress.Handler
+	ingress     *ingress.Handler
+	stopping    atomic.Bool
 	// started is when the node was made, joined when the store had first told of the
 	// other nodes; nil before.
 	started time.Time
@@ -130,6 +135,7 @@
 		Logger:  options.Logger, Registry: options.Registry,
 	})
 	created.addRollouts()
+	created.addEvacuations()
 	created.addIngress(observed)
 	created.addEgress(observed)
 	created.exchanger = exchange.New(exchange.Options{
@@ -139,11 +145,12 @@
 		Refresh: func(ctx context.Context) error {
 			return configuration.Refresh(ctx, options.Store, created.place(), created.keeper)
 		},
-		Rollouts: created.rollouts,
-		Reads:    created.reads,
-		Observer: observed,
-		Suspect:  created.egress.Suspect,
-		Logger:   options.Logger,
+		Rollouts:    created.rollouts,
+		Evacuations: created.evacuations,
+		Reads:       created.reads,
+		Observer:    observed,
+		Suspect:     created.egress.Suspect,
+		Logger:      options.Logger,
 	})
 	created.membership = membership.New(membership.Options{
 		Store: options.Store, Members: created.members,
@@ -169,6 +176,7 @@
 		Identified: s.identified,
 		Version:    s.keeper.Version,
 		Serves:     s.serves,
+		Emptied:    func() bool { return s.evacuations.Zones().Contains(settings.Zone) },
 		DrainAfter: func() time.Duration { return time.Duration(float64(s.settings.Load().DrainBound) * drainShare) },
 		Dial:       forward.Dialer((&net.Dialer{}).DialContext),
 		Logger:     s.logger,
@@ -188,6 +196,7 @@
 		Regions:    settings.Regions,
 		Caller:     s.caller,
 		Plan:       s.rollouts.Plan,
+		Emptied:    s.evacuations.Zones,
 		Quarantine: s.quarantine,
 		Retries:    func() egress.RetryLimits { return s.settings.Load().Retries },
 		Weights:    choice.DefaultWeights(),
@@ -242,7 +251,7 @@
 		s.logChange(record)
 		if record.Node == s.options.Settings.Node {
 			s.ingress.Follow(record.Endpoint)
-			s.limitConnections(s.keeper.Table(), record.Endpoint)
+			s.setService(s.keeper.Table(), record.Endpoint)
 		}
 	}
 	s.quarantine.Follow(changed)
@@ -270,7 +279,7 @@
 // that do not read. What the watch had missed is likely to have been missed by
 // others as well: all are told.
 func (s *Sidecar) apply(table *route.Table, source configuration.Source) {
-	s.limitConnections(table, s.members.Own().Endpoint)
+	s.setService(table, s.members.Own().Endpoint)
 	switch source {
 	case configuration.SourceWatch:
 		go s.exchanger.Announce()
@@ -280,12 +289,10 @@
 	}
 }
 
-func (s *Sidecar) limitConnections(table *route.Table, endpoint *roster.Endpoint) {
-	if table == nil || endpoint == nil {
-		return
-	}
-	if service := table.Service(endpoint.Service); service != nil {
-		s.ingress.SetConnections(service.MaximumConnections)
+// setService passes on what the configuration says of the back end's service.
+func (s *Sidecar) setService(table *route.Table, endpoint *roster.Endpoint) {
+	if table != nil && endpoint != nil {
+		s.ingress.SetService(table.Service(endpoint.Service))
 	}
 }
 
--- /dev/null
+++ b/internal/sidecar/warmup/warmup_test.go
@@ -0,0 +1,129 @@
+package warmup_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/warmup"
+)
+
+const (
+	perSecond = 12
+	lasts     = 3 * time.Second
+)
+
+var start = time.Unix(1_000, 0)
+
+// at returns the moment so many milliseconds after the start.
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func configured() *warmup.Limit {
+	limit := &warmup.Limit{}
+	limit.Configure(perSecond, lasts)
+	return limit
+}
+
+// passes counts how many of requests a millisecond apart pass from one moment on.
+func passes(limit *warmup.Limit, from, requests int) (passed int) {
+	for i := range requests {
+		if !limit.Admit(at(from + i)).Refused {
+			passed++
+		}
+	}
+	return passed
+}
+
+// TestWhenABackEndIsBounded for each way in which it may be cold.
+func TestWhenABackEndIsBounded(t *testing.T) {
+	const many = 100
+	cases := []struct {
+		name string
+		tell func(*warmup.Limit)
+		from int // the moment of the requests
+		pass int
+	}{
+		{"a node that has just started knows nothing", func(*warmup.Limit) {}, 0, perSecond},
+		{"one that answers is warm", func(l *warmup.Limit) { l.Answer(0, at(-1), at(0)) }, 0, many},
+		{"told by a heartbeat", func(l *warmup.Limit) { l.Answer(0, at(-1), at(0)); l.Told(2*time.Second, at(0)) }, 10, perSecond},
+		{"a heartbeat that tells of less", func(l *warmup.Limit) {
+			l.Answer(0, at(-1), at(0))
+			l.Told(2*time.Second, at(0))
+			l.Told(time.Millisecond, at(1))
+		}, 10, perSecond},
+		{"told by the back end when asked", func(l *warmup.Limit) { l.Answer(2*time.Second, at(-1), at(0)) }, 10, perSecond},
+		{"the warm-up is over", func(l *warmup.Limit) { l.Answer(time.Second, at(-1), at(0)); l.Answered(at(1000)) }, 1001, many},
+		{"may have started again", func(l *warmup.Limit) { l.Answer(0, at(-1), at(0)); l.Suspect(at(5)) }, 10, perSecond},
+		{"has answered since", func(l *warmup.Limit) { l.Suspect(at(0)); l.Answer(0, at(1), at(5)) }, 10, many},
+		{"has answered a question from before", func(l *warmup.Limit) { l.Suspect(at(3)); l.Answer(0, at(1), at(5)) }, 10, perSecond},
+		{"was quiet", func(l *warmup.Limit) { l.Answer(0, at(-1), at(0)) }, 600, perSecond},
+		{"any start would be over", func(l *warmup.Limit) { l.Suspect(at(0)); l.Answered(at(3000)) }, 3001, many},
+	}
+	for _, played := range cases {
+		t.Run(played.name, func(t *testing.T) {
+			limit := configured()
+			played.tell(limit)
+			NewWithT(t).Expect(passes(limit, played.from, many)).To(Equal(played.pass))
+		})
+	}
+}
+
+// TestABackEndThatBearsAnything is never bounded nor asked.
+func TestABackEndThatBearsAnything(t *testing.T) {
+	g := NewWithT(t)
+	limit := &warmup.Limit{}
+	limit.Told(time.Minute, at(0))
+	limit.Suspect(at(0))
+	for i := range 1000 {
+		g.Expect(limit.Admit(at(i))).To(Equal(warmup.Verdict{}))
+	}
+}
+
+// TestQuestionsAreFew: a back end with little to do is not asked, a busy one at most ten times
+// a second, and one that answers that it is warm not again.
+func TestQuestionsAreFew(t *testing.T) {
+	g := NewWithT(t)
+	asked := func(limit *warmup.Limit, gap, requests int) (count int) {
+		for i := range requests {
+			if limit.Admit(at(i * gap)).Ask {
+				count++
+			}
+		}
+		return count
+	}
+	g.Expect(asked(configured(), 700, 50)).To(Equal(0))
+	g.Expect(asked(configured(), 1, 1000)).To(BeNumerically("<=", 10))
+	warm := configured()
+	g.Expect(asked(warm, 1, 10)).To(Equal(1))
+	warm.Answer(0, at(9), at(10))
+	g.Expect(asked(warm, 1, 400)).To(Equal(0))
+}
+
+// TestNoWindowHoldsMore: whatever comes when, no second holds more than a cold back end bears,
+// and a refusal says when the next may come.
+func TestNoWindowHoldsMore(t *testing.T) {
+	for seed := range uint64(50) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		g := NewWithT(t)
+		limit := configured()
+		limit.Told(time.Hour, at(0))
+		var passed []time.Time
+		now := at(0)
+		for range 3000 {
+			now = now.Add(time.Duration(random.IntN(40)) * time.Millisecond)
+			verdict := limit.Admit(now)
+			if verdict.Refused {
+				g.Expect(verdict.Wait).To(BeNumerically(">", 0))
+				g.Expect(verdict.Wait).To(BeNumerically("<=", time.Second))
+				continue
+			}
+			passed = append(passed, now)
+		}
+		g.Expect(len(passed)).To(BeNumerically(">", 3000*20/1000*perSecond/2), "what it bears is used")
+		for i := perSecond; i < len(passed); i++ {
+			g.Expect(passed[i].Sub(passed[i-perSecond])).To(BeNumerically(">=", time.Second))
+		}
+	}
+}
