Quotas over all nodes: shares that are lent to granters

Change: package quota. Each node owns an equal share of a tenant's rate and lends it to one granter at a time, under a lease; the granter gives out tokens at the rate of the shares that it holds. Tokens last 0.5 s; one that is due within 0.1 s is given out and waited for. Above the limit: 429 at once, with the time until there is room; where nobody can tell: 503. What did not run gives its token back, a repeated run takes another one. Weighed: (a) equal shares, used alone: at 69 nodes a tenant of 5 requests a second has 0.07 a second a node, refused by arithmetic almost always; it is what a node falls back to while nobody grants. (b) built: granters by rendezvous hash. (c) grants from the store: a priced call for what comes 1,800 times a second, and nothing while it is down. (d) counts in the exchanges: late by 0.8 s and more, and no bound while the network is split. After a cut the whole rate within 2 s.

--- a/internal/proxy/outcome/outcome.go
+++ b/internal/proxy/outcome/outcome.go
@@ -62,6 +62,7 @@
 	StepDeadline  Step = "deadline"  // the time was over before work began
 	StepAdmit     Step = "admit"     // limits of route, service or endpoint
 	StepDuplicate Step = "duplicate" // second arrival of a call
+	StepQuota     Step = "quota"     // the tenant's rate limit
 	StepChoose    Step = "choose"    // no usable endpoint
 	StepConnect   Step = "connect"   // no connection to the peer
 	StepWrite     Step = "write"     // sending the request
--- a/internal/sidecar/egress/call.go
+++ b/internal/sidecar/egress/call.go
@@ -11,6 +11,7 @@
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/fingerprint"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/quota"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/route"
 )
 
@@ -50,7 +51,9 @@
 	table *route.Table
 	route *route.Matched
 	// tenant is the one whose key the caller has; nil without one.
-	tenant   *route.Tenant
+	tenant *route.Tenant
+	// token is the request's place within its tenant's limit.
+	token    quota.Token
 	service  string
 	context  context.Context
 	deadline time.Time
@@ -180,6 +183,9 @@
 	if failure := c.heldBack(); failure != nil {
 		return failure
 	}
+	if failure := c.spend(); failure != nil {
+		return failure
+	}
 	c.results, c.over = make(chan *attempt), make(chan struct{})
 	defer close(c.over)
 	c.handler.budget(c.service).first(c.handler.options.Retries(), c.members(), clock.Now())
@@ -241,6 +247,7 @@
 	if c.mayHaveRun {
 		failure.Outcome = outcome.Unknown
 	}
+	c.unspent(&failure)
 	if failure.Outcome == outcome.NotRun {
 		failure.Status = http.StatusServiceUnavailable
 		return &failure
@@ -279,6 +286,8 @@
 	switch {
 	case failure.Step == outcome.StepQuarantine && failure.Outcome == outcome.NotRun:
 		return heldRetryAfter
+	case failure.Step == outcome.StepQuota:
+		return failure.RetryAfter // sooner there is no room
 	case failure.RetryAfter > 0:
 		return c.retryAfter(failure.RetryAfter)
 	}
--- a/internal/sidecar/egress/handler.go
+++ b/internal/sidecar/egress/handler.go
@@ -47,6 +47,8 @@
 	Emptied func() *evacuation.Zones
 	// Quarantine knows which requests end back ends.
 	Quarantine Quarantine
+	// Quota keeps tenants within their limits; nil keeps none.
+	Quota Quota
 	// Retries bound repeated sends.
 	Retries func() RetryLimits
 	// Level makes sure that the configuration in force is the newest; nil when there is
@@ -146,6 +148,9 @@
 	if options.Level == nil {
 		options.Level = alone{}
 	}
+	if options.Quota == nil {
+		options.Quota = unlimited{}
+	}
 	if options.Emptied == nil {
 		options.Emptied = func() *evacuation.Zones { return nil }
 	}
--- /dev/null
+++ b/internal/sidecar/egress/quota.go
@@ -0,0 +1,72 @@
+package egress
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/quota"
+)
+
+// Quota keeps tenants within their limits.
+type Quota interface {
+	// Take spends one request of a tenant that has a limit. The error is quota.ErrSpent when the
+	// limit is reached, otherwise nobody can tell.
+	Take(ctx context.Context, tenant string) (quota.Token, error)
+	// Again spends one more run of a request and reports whether it may.
+	Again(tenant string) bool
+	// Return gives back the token of a request that did not run.
+	Return(quota.Token)
+}
+
+// unlimited is the Quota of a node that keeps no limits.
+type unlimited struct{}
+
+// Take implements Quota.
+func (unlimited) Take(context.Context, string) (quota.Token, error) { return quota.Token{}, nil }
+
+// Again implements Quota.
+func (unlimited) Again(string) bool { return true }
+
+// Return implements Quota.
+func (unlimited) Return(quota.Token) {}
+
+// spend takes the request's place within its tenant's limit, or refuses it: as one too many when
+// the limit is reached, otherwise as one that cannot be served now.
+func (c *call) spend() *outcome.Failure {
+	if !c.tenant.Limited() {
+		return nil
+	}
+	token, err := c.handler.options.Quota.Take(c.context, c.tenant.Name)
+	switch {
+	case errors.Is(err, quota.ErrSpent):
+		return outcome.Refusal(http.StatusTooManyRequests, outcome.StepQuota, token.Wait, err)
+	case err != nil:
+		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepQuota, token.Wait, err)
+	}
+	c.token = token
+	c.awaitToken(token.Wait)
+	return nil
+}
+
+// awaitToken waits until the token may be spent, at most a tenth of a second.
+func (c *call) awaitToken(wait time.Duration) {
+	if wait <= 0 {
+		return
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-c.context.Done():
+	}
+}
+
+// unspent gives the token back when the request provably did not run.
+func (c *call) unspent(failure *outcome.Failure) {
+	if c.tenant.Limited() && failure.Outcome == outcome.NotRun && c.runs == 0 {
+		c.handler.options.Quota.Return(c.token)
+	}
+}
--- a/internal/sidecar/egress/visit.go
+++ b/internal/sidecar/egress/visit.go
@@ -14,6 +14,7 @@
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/choice"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/quota"
 )
 
 const (
@@ -206,6 +207,10 @@
 		last.failure.Cause = errors.Join(errAttempts, last.failure.Cause)
 		return false
 	}
+	if c.tenant.Limited() && !c.handler.options.Quota.Again(c.tenant.Name) {
+		last.failure.Cause = errors.Join(quota.ErrSpent, last.failure.Cause)
+		return false
+	}
 	if !c.handler.budget(c.service).take(c.handler.options.Retries(), c.members(), clock.Now()) {
 		last.failure.Cause = errors.Join(errBudget, last.failure.Cause)
 		return false
--- a/internal/sidecar/exchange/exchanger.go
+++ b/internal/sidecar/exchange/exchanger.go
@@ -21,6 +21,7 @@
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/configuration"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/contain"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/evacuation"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/quota"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/readers"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
@@ -42,6 +43,8 @@
 	Rollouts Rollouts
 	// Evacuations knows the zones that are to be emptied; nil when there are none ever.
 	Evacuations Evacuations
+	// Quota answers questions about tenants' limits; nil when there are none ever.
+	Quota Quota
 	// Observer is told how the node keeps level; nil for nobody.
 	Observer Observer
 	// Suspect is told of nodes that do not answer.
@@ -65,6 +68,11 @@
 	Hear([]evacuation.Order) (news bool)
 }
 
+// Quota is a node as the granter of others.
+type Quota interface {
+	Serve(*quota.Ask) *quota.Answer
+}
+
 const (
 	// DefaultInterval is the time between two exchanges that a node begins.
 	DefaultInterval = 800 * time.Millisecond
--- a/internal/sidecar/exchange/message.go
+++ b/internal/sidecar/exchange/message.go
@@ -97,6 +97,7 @@
 	pathPing          = "/ping"
 	pathConfiguration = "/configuration"
 	pathLevel         = "/level"
+	pathQuota         = "/quota"
 	// queryAfter names the version that a node has when it asks for a later one.
 	queryAfter = "after"
 )
--- /dev/null
+++ b/internal/sidecar/exchange/quota.go
@@ -0,0 +1,43 @@
+package exchange
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/emicklei/go-restful/v3"
+	"github.com/gravitational/trace"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/quota"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+)
+
+// AskQuota sends a node's question about tenants' limits to a peer.
+func (e *Exchanger) AskQuota(ctx context.Context, peer *roster.Record, asked *quota.Ask) (*quota.Answer, error) {
+	resp, err := e.send(ctx, peer, pathQuota, asked)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	answer := &quota.Answer{}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, messageBytes)).Decode(answer); err != nil {
+		return nil, trace.Wrap(err, "ask %s for tokens", peer.Node)
+	}
+	return answer, nil
+}
+
+// serveQuota answers a peer's question about tenants' limits.
+func (e *Exchanger) serveQuota(request *restful.Request, response *restful.Response) {
+	request.Request.Body = http.MaxBytesReader(response.ResponseWriter, request.Request.Body, messageBytes)
+	asked := &quota.Ask{}
+	err := request.ReadEntity(asked)
+	if err == nil {
+		err = asked.Validate()
+	}
+	if err != nil {
+		_ = response.WriteErrorString(http.StatusBadRequest, err.Error())
+		return
+	}
+	_ = response.WriteAsJson(e.options.Quota.Serve(asked))
+}
--- a/internal/sidecar/exchange/server.go
+++ b/internal/sidecar/exchange/server.go
@@ -34,6 +34,9 @@
 	service.Route(service.GET(pathLevel).Produces(restful.MIME_JSON).To(func(_ *restful.Request, response *restful.Response) {
 		_ = response.WriteAsJson(&Level{Version: e.options.Configuration.Version(), ProofAge: e.level.proofAge()})
 	}))
+	if e.options.Quota != nil {
+		service.Route(service.POST(pathQuota).Consumes(restful.MIME_JSON).Produces(restful.MIME_JSON).To(e.serveQuota))
+	}
 	service.Route(service.GET(pathPing).To(func(_ *restful.Request, response *restful.Response) {
 		response.WriteHeader(http.StatusNoContent)
 	}))
--- /dev/null
+++ b/internal/sidecar/quota/granters.go
@@ -0,0 +1,49 @@
+package quota
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/readers"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+)
+
+const (
+	// membersPerGranter is how many nodes there are for each granter, mostGranters the most
+	// granters. Each node keeps its shares lent to all of them.
+	membersPerGranter = 16
+	mostGranters      = 16
+)
+
+// Granters returns the nodes that give out tokens, by their names: those with the fastest links.
+// The package is right whatever each node takes for granters; where they agree no share is idle.
+func Granters(view *roster.View, usable readers.Usable) []*roster.Record {
+	var able []*roster.Record
+	for _, record := range view.Records() {
+		if !record.Leaving && !record.Gone() && record.PeerAddress != "" && usable(record) {
+			able = append(able, record)
+		}
+	}
+	count := min((len(able)+membersPerGranter-1)/membersPerGranter, mostGranters)
+	slices.SortFunc(able, func(a, b *roster.Record) int {
+		return cmp.Or(cmp.Compare(b.Link, a.Link), cmp.Compare(xxhash.Sum64String(a.Node), xxhash.Sum64String(b.Node)))
+	})
+	chosen := able[:count]
+	slices.SortFunc(chosen, func(a, b *roster.Record) int { return cmp.Compare(a.Node, b.Node) })
+	return chosen
+}
+
+// granterOf returns the one of the granters that gives out a tenant's tokens, nil when there are
+// none. When one goes, the others keep their tenants.
+func granterOf(tenant string, granters []*roster.Record) *roster.Record {
+	var best *roster.Record
+	highest := uint64(0)
+	for _, granter := range granters {
+		if hash := xxhash.Sum64String(tenant + "\x00" + granter.Node); best == nil || hash > highest {
+			best, highest = granter, hash
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/sidecar/quota/quota_test.go
@@ -0,0 +1,536 @@
+package quota_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/quota"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+)
+
+var bounds = quota.Bounds{Window: 5 * time.Second, Overage: 0.1, Slack: 20}
+
+// fleet plays the quotas of nodes on a virtual clock: requests at random moments, messages that
+// take time and get lost, groups of nodes that are cut off from each other.
+type fleet struct {
+	t       *testing.T
+	nodes   []*member
+	members *roster.Roster
+	tenants []string
+
+	mu     sync.Mutex // guards all below
+	random *rand.Rand
+	limits map[string]quota.Limit
+	// group is in which part of the network a node is.
+	group map[string]int
+	loss  float64
+	// spent are when requests of each tenant ran, unknown and refused how many did not.
+	spent            map[string][]time.Time
+	unknown, refused map[string]int
+	// demand is how many requests a second come of each tenant.
+	demand map[string]float64
+}
+
+// member is one node. A restart replaces its quota.
+type member struct {
+	name   string
+	mu     sync.Mutex // guards all below
+	quota  *quota.Quota
+	end    context.CancelFunc
+	dead   bool
+	frozen time.Time
+	lost   map[string]time.Time
+}
+
+func newFleet(t *testing.T, seed uint64, size int, limits map[string]quota.Limit) *fleet {
+	f := &fleet{
+		t: t, random: rand.New(rand.NewPCG(seed, 7)), limits: limits, group: map[string]int{},
+		spent: map[string][]time.Time{}, unknown: map[string]int{}, refused: map[string]int{}, demand: map[string]float64{},
+		members: roster.New(roster.Record{Node: "n0", Epoch: 1, Zone: "z", Address: "a:1", PeerAddress: "n0", Endpoint: &roster.Endpoint{ID: "i", Slots: 1}}),
+	}
+	for tenant := range limits {
+		f.tenants = append(f.tenants, tenant)
+	}
+	slices.Sort(f.tenants)
+	for i := range size {
+		name := fmt.Sprint("n", i)
+		f.members.Merge([]*roster.Record{{
+			Node: name, Epoch: 1, Zone: "z", Address: "a:1", PeerAddress: name, Endpoint: &roster.Endpoint{ID: "i", Service: "s", Slots: 1},
+		}})
+		f.nodes = append(f.nodes, &member{name: name, lost: map[string]time.Time{}})
+	}
+	for _, node := range f.nodes {
+		f.start(node)
+	}
+	return f
+}
+
+// start begins a life of the node, which knows nothing of an earlier one.
+func (f *fleet) start(node *member) {
+	ctx, end := context.WithCancel(context.Background())
+	made := quota.New(quota.Options{
+		Node: node.name, View: f.members.View,
+		Usable: func(record *roster.Record) bool {
+			node.mu.Lock()
+			defer node.mu.Unlock()
+			return time.Since(node.lost[record.Node]) > time.Second
+		},
+		Known: func() bool { return true },
+		Limit: func(tenant string) (quota.Limit, bool) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			limit, found := f.limits[tenant]
+			return limit, found
+		},
+		Tenants: func() []string { return f.tenants },
+		Bounds:  func() quota.Bounds { return bounds },
+		Send: func(ctx context.Context, to *roster.Record, asked *quota.Ask) (*quota.Answer, error) {
+			return f.send(ctx, node, to, asked)
+		},
+		Lost: func(name string) {
+			node.mu.Lock()
+			defer node.mu.Unlock()
+			node.lost[name] = time.Now()
+		},
+		Logger: zap.NewNop(), Registry: prometheus.NewRegistry(),
+	})
+	node.mu.Lock()
+	if node.quota != nil && !node.dead {
+		node.mu.Unlock()
+		end() // another trouble has started it already
+		return
+	}
+	node.quota, node.end, node.dead = made, end, false
+	node.mu.Unlock()
+	go made.Run(ctx)
+}
+
+// kill ends the node's process; lives are separate.
+func (f *fleet) kill(node *member) {
+	node.mu.Lock()
+	defer node.mu.Unlock()
+	node.dead = true
+	node.end()
+}
+
+// thaw waits until the node is not suspended.
+func (m *member) thaw() {
+	m.mu.Lock()
+	until := m.frozen
+	m.mu.Unlock()
+	if wait := time.Until(until); wait > 0 {
+		time.Sleep(wait)
+	}
+}
+
+func (f *fleet) named(name string) *member {
+	return f.nodes[slices.IndexFunc(f.nodes, func(node *member) bool { return node.name == name })]
+}
+
+// reaches draws whether a message arrives.
+func (f *fleet) reaches(from, to string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.group[from] == f.group[to] && f.random.Float64() >= f.loss
+}
+
+func (f *fleet) delay() {
+	f.mu.Lock()
+	delay := time.Duration(200+f.random.IntN(2000)) * time.Microsecond
+	f.mu.Unlock()
+	time.Sleep(delay)
+}
+
+func (f *fleet) send(ctx context.Context, from *member, to *roster.Record, asked *quota.Ask) (*quota.Answer, error) {
+	if err := asked.Validate(); err != nil {
+		f.t.Error(err)
+	}
+	f.delay()
+	other := f.named(to.Node)
+	if !f.reaches(from.name, to.Node) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	other.thaw()
+	other.mu.Lock()
+	serving, dead := other.quota, other.dead
+	other.mu.Unlock()
+	if dead {
+		return nil, fmt.Errorf("connect: %w", syscall.ECONNREFUSED)
+	}
+	answer := serving.Serve(asked)
+	f.delay()
+	if !f.reaches(to.Node, from.name) || ctx.Err() != nil {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	from.thaw()
+	return answer, nil
+}
+
+// play has requests come until the time is over.
+func (f *fleet) play(lasts time.Duration) {
+	end := time.Now().Add(lasts)
+	var running sync.WaitGroup
+	for _, tenant := range f.tenants {
+		running.Go(func() {
+			for {
+				f.mu.Lock()
+				gap := time.Duration(f.random.ExpFloat64() / max(f.demand[tenant], 0.01) * float64(time.Second))
+				node := f.nodes[f.random.IntN(len(f.nodes))]
+				f.mu.Unlock()
+				time.Sleep(min(gap, 500*time.Millisecond))
+				if !time.Now().Before(end) {
+					return
+				}
+				if gap <= 500*time.Millisecond {
+					running.Go(func() { f.request(node, tenant) })
+				}
+			}
+		})
+	}
+	running.Wait()
+}
+
+// request plays one request: it runs a little after it got a token.
+func (f *fleet) request(node *member, tenant string) {
+	node.thaw()
+	node.mu.Lock()
+	serving, dead := node.quota, node.dead
+	node.mu.Unlock()
+	if dead {
+		return
+	}
+	token, err := serving.Take(context.Background(), tenant)
+	if err == nil {
+		time.Sleep(token.Wait)
+	}
+	node.thaw()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case err == nil:
+		f.spent[tenant] = append(f.spent[tenant], time.Now())
+	case errors.Is(err, quota.ErrSpent):
+		f.refused[tenant]++
+	default:
+		f.unknown[tenant]++
+	}
+}
+
+// stop ends all nodes.
+func (f *fleet) stop() {
+	for _, node := range f.nodes {
+		node.end()
+	}
+	time.Sleep(time.Minute)
+}
+
+// most returns the most requests that ran within one window.
+func most(spent []time.Time) (count int) {
+	slices.SortFunc(spent, time.Time.Compare)
+	first := 0
+	for last := range spent {
+		for spent[last].Sub(spent[first]) >= bounds.Window {
+			first++
+		}
+		count = max(count, last-first+1)
+	}
+	return count
+}
+
+// allowed is how many a window may hold.
+func allowed(limit quota.Limit) int {
+	return int((limit.Rate*bounds.Window.Seconds()+limit.Burst)*(1+bounds.Overage) + bounds.Slack)
+}
+
+// TestDemandBelowTheLimit: where all is well at most one in a thousand is refused, at any size and
+// however little a tenant sends from each node.
+func TestDemandBelowTheLimit(t *testing.T) {
+	for _, size := range []int{1, 13, 88, 300} {
+		t.Run(fmt.Sprint(size, " nodes"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				limits := map[string]quota.Limit{"small": {Rate: 5, Burst: 5}, "middle": {Rate: 40, Burst: 40}, "large": {Rate: 600, Burst: 600}}
+				f := newFleet(t, uint64(size), size, limits)
+				time.Sleep(4 * time.Second)
+				for tenant, limit := range limits {
+					f.demand[tenant] = limit.Rate / 1.6
+				}
+				f.play(10 * time.Second)
+				f.stop()
+				for tenant := range limits {
+					g.Expect(f.unknown[tenant]+f.refused[tenant]).To(BeNumerically("<=", 1+len(f.spent[tenant])/1000), tenant)
+				}
+			})
+		})
+	}
+}
+
+// TestDemandAboveTheLimit: no window holds more than the limit allows, and 0.95 of the rate is
+// used, whatever the limit's burst.
+func TestDemandAboveTheLimit(t *testing.T) {
+	for _, size := range []int{13, 88} {
+		t.Run(fmt.Sprint(size, " nodes"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				limits := map[string]quota.Limit{"small": {Rate: 5, Burst: 5}, "no burst": {Rate: 200}, "large": {Rate: 300, Burst: 300}}
+				f := newFleet(t, uint64(size), size, limits)
+				time.Sleep(4 * time.Second)
+				for tenant, limit := range limits {
+					f.demand[tenant] = limit.Rate * 5
+				}
+				f.play(15 * time.Second)
+				f.stop()
+				for tenant, limit := range limits {
+					g.Expect(most(f.spent[tenant])).To(BeNumerically("<=", allowed(limit)), tenant)
+					used := float64(len(f.spent[tenant])) / (limit.Rate * 15)
+					g.Expect(used).To(BeNumerically(">=", 0.95), tenant)
+				}
+			})
+		})
+	}
+}
+
+// trouble is one thing that goes wrong for a time.
+type trouble func(f *fleet, random *rand.Rand)
+
+// troubles are drawn by TestNeverAboveTheLimit.
+var troubles = map[string]trouble{
+	"part cut off": func(f *fleet, random *rand.Rand) {
+		f.mu.Lock()
+		for _, node := range f.nodes {
+			f.group[node.name] = random.IntN(3)
+		}
+		f.mu.Unlock()
+		time.Sleep(time.Duration(500+random.IntN(5000)) * time.Millisecond)
+		f.mu.Lock()
+		clear(f.group)
+		f.mu.Unlock()
+	},
+	"each alone": func(f *fleet, random *rand.Rand) {
+		f.mu.Lock()
+		for i, node := range f.nodes {
+			f.group[node.name] = i
+		}
+		f.mu.Unlock()
+		time.Sleep(time.Duration(1000+random.IntN(9000)) * time.Millisecond)
+		f.mu.Lock()
+		clear(f.group)
+		f.mu.Unlock()
+	},
+	"messages lost": func(f *fleet, random *rand.Rand) {
+		f.mu.Lock()
+		f.loss = 0.3
+		f.mu.Unlock()
+		time.Sleep(time.Duration(500+random.IntN(3000)) * time.Millisecond)
+		f.mu.Lock()
+		f.loss = 0
+		f.mu.Unlock()
+	},
+	"some end and start anew": func(f *fleet, random *rand.Rand) {
+		var ended []*member
+		for _, node := range f.nodes {
+			if random.IntN(3) == 0 {
+				f.kill(node)
+				ended = append(ended, node)
+			}
+		}
+		time.Sleep(time.Duration(50+random.IntN(2000)) * time.Millisecond)
+		for _, node := range ended {
+			f.start(node)
+		}
+	},
+	"all end and start anew": func(f *fleet, random *rand.Rand) {
+		for _, node := range f.nodes {
+			f.kill(node)
+		}
+		time.Sleep(time.Duration(50+random.IntN(1000)) * time.Millisecond)
+		for _, node := range f.nodes {
+			f.start(node)
+		}
+	},
+	"some suspended": func(f *fleet, random *rand.Rand) {
+		until := time.Now().Add(time.Duration(500+random.IntN(5000)) * time.Millisecond)
+		for _, node := range f.nodes {
+			if random.IntN(4) == 0 {
+				node.mu.Lock()
+				node.frozen = until
+				node.mu.Unlock()
+			}
+		}
+		time.Sleep(time.Until(until))
+	},
+}
+
+// neverSeeds is how many plays there are; 200 were made by hand.
+const neverSeeds = 9
+
+// TestNeverAboveTheLimit whatever goes wrong, several things at a time: no window holds more
+// than the limit allows, the machines that are cut off, suspended or just started included.
+func TestNeverAboveTheLimit(t *testing.T) {
+	names := make([]string, 0, len(troubles))
+	for name := range troubles {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for seed := range uint64(neverSeeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				limits := map[string]quota.Limit{"small": {Rate: 5, Burst: 5}, "middle": {Rate: 40, Burst: 40}, "no burst": {Rate: 100}}
+				f := newFleet(t, seed, []int{13, 30, 88}[seed%3], limits)
+				time.Sleep(3 * time.Second)
+				for tenant, limit := range limits {
+					f.demand[tenant] = limit.Rate * 4
+				}
+				var running sync.WaitGroup
+				for side := range uint64(2) {
+					random := rand.New(rand.NewPCG(seed, side))
+					running.Go(func() {
+						for end := time.Now().Add(15 * time.Second); time.Now().Before(end); {
+							time.Sleep(time.Duration(random.IntN(2000)) * time.Millisecond)
+							troubles[names[random.IntN(len(names))]](f, random)
+						}
+					})
+				}
+				running.Go(func() { f.play(20 * time.Second) })
+				running.Wait()
+				f.stop()
+				for tenant, limit := range limits {
+					g.Expect(most(f.spent[tenant])).To(BeNumerically("<=", allowed(limit)), tenant)
+				}
+			})
+		})
+	}
+}
+
+// TestAfterACut the whole rate is used again within 2 s of its end.
+func TestAfterACut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		limits := map[string]quota.Limit{"t": {Rate: 100, Burst: 100}}
+		f := newFleet(t, 5, 60, limits)
+		time.Sleep(3 * time.Second)
+		f.demand["t"] = 400
+		go func() {
+			f.mu.Lock()
+			for i, node := range f.nodes {
+				f.group[node.name] = i % 2
+			}
+			f.mu.Unlock()
+			time.Sleep(5 * time.Second)
+			f.mu.Lock()
+			clear(f.group)
+			f.mu.Unlock()
+		}()
+		began := time.Now()
+		f.play(12 * time.Second)
+		f.stop()
+		after := 0
+		for _, at := range f.spent["t"] {
+			if since := at.Sub(began); since >= 7*time.Second && since < 12*time.Second {
+				after++
+			}
+		}
+		g.Expect(after).To(BeNumerically(">=", 0.95*100*5))
+	})
+}
+
+// TestALowerLimit binds one window after it came.
+func TestALowerLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newFleet(t, 6, 30, map[string]quota.Limit{"t": {Rate: 200, Burst: 200}})
+		time.Sleep(3 * time.Second)
+		f.demand["t"] = 150
+		lower := quota.Limit{Rate: 15, Burst: 15}
+		var lowered time.Time
+		go func() {
+			time.Sleep(3 * time.Second)
+			f.mu.Lock()
+			f.limits["t"] = lower
+			f.mu.Unlock()
+			lowered = time.Now()
+		}()
+		f.play(15 * time.Second)
+		f.stop()
+		var after []time.Time
+		for _, at := range f.spent["t"] {
+			if at.Sub(lowered) >= bounds.Window {
+				after = append(after, at)
+			}
+		}
+		g.Expect(most(after)).To(BeNumerically("<=", allowed(lower)))
+		g.Expect(float64(len(after))).To(BeNumerically(">", 0.8*lower.Rate*(15-3-bounds.Window.Seconds())))
+	})
+}
+
+// TestAGranterThatStops hands its tenants over without a time in which all are refused.
+func TestAGranterThatStops(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		limits := map[string]quota.Limit{}
+		for i := range 20 {
+			limits[fmt.Sprint("t", i)] = quota.Limit{Rate: 20, Burst: 20}
+		}
+		f := newFleet(t, 8, 48, limits)
+		time.Sleep(3 * time.Second)
+		for tenant := range limits {
+			f.demand[tenant] = 20 / 1.6
+		}
+		granters := quota.Granters(f.members.View(), func(*roster.Record) bool { return true })
+		go func() {
+			time.Sleep(2 * time.Second)
+			stops := f.named(granters[0].Node)
+			stops.quota.Close()
+			leaving := *f.members.View().Record(stops.name)
+			leaving.Leaving, leaving.Counter = true, 2
+			f.members.Merge([]*roster.Record{&leaving})
+		}()
+		f.play(6 * time.Second)
+		f.stop()
+		refused, ran := 0, 0
+		for tenant := range limits {
+			refused += f.refused[tenant] + f.unknown[tenant]
+			ran += len(f.spent[tenant])
+		}
+		g.Expect(float64(refused) / float64(ran)).To(BeNumerically("<", 0.03))
+	})
+}
+
+// TestSharesOfAll: the shares that a fleet counts with add up to the whole, and so do the whole
+// tokens that its nodes can save up alone.
+func TestSharesOfAll(t *testing.T) {
+	for _, members := range []int{1, 13, 88, 1000} {
+		g := NewWithT(t)
+		limit := quota.Limit{Rate: 30, Burst: 30}
+		now := time.Unix(1000, 0)
+		alone := 0
+		for i := range members {
+			holder := quota.NewHolder(fmt.Sprint("n", i))
+			holder.TakeOwn("t", limit, bounds, members, now)
+			for {
+				if _, found := holder.TakeOwn("t", limit, bounds, members, now.Add(time.Hour)); !found {
+					break
+				}
+				alone++
+			}
+		}
+		saved := float64(allowed(limit)) - limit.Rate*bounds.Window.Seconds()
+		g.Expect(float64(alone)).To(BeNumerically("<=", saved*(1+3/math.Sqrt(saved))), "%d nodes", members)
+	}
+}
--- /dev/null
+++ b/internal/sidecar/quotas.go
@@ -0,0 +1,43 @@
+package sidecar
+
+import (
+	"context"
+	"time"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/quota"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+)
+
+// metLongEnough is how long after its start a node that others are in touch with, but that has not
+// read who is there, takes what it has heard for about all of them.
+const metLongEnough = 2 * time.Second
+
+// knowsOthers reports whether the node knows about all others.
+func (s *Sidecar) knowsOthers() bool {
+	return s.joined.Load() != nil || (s.exchanger.Met() && clock.Since(s.started) >= metLongEnough)
+}
+
+func (s *Sidecar) addQuota() {
+	s.quota = quota.New(quota.Options{
+		Node:   s.options.Settings.Node,
+		View:   s.members.View,
+		Usable: func(record *roster.Record) bool { return s.exchanger.Usable(record) },
+		Known:  s.knowsOthers,
+		Limit: func(name string) (quota.Limit, bool) {
+			tenant := s.keeper.Table().Limited(name)
+			if tenant == nil {
+				return quota.Limit{}, false
+			}
+			return quota.Limit{Rate: tenant.Rate, Burst: tenant.Burst}, true
+		},
+		Tenants: func() []string { return s.keeper.Table().LimitedNames() },
+		Bounds:  func() quota.Bounds { return s.settings.Load().Quota },
+		Send: func(ctx context.Context, to *roster.Record, asked *quota.Ask) (*quota.Answer, error) {
+			return s.exchanger.AskQuota(ctx, to, asked)
+		},
+		Lost:     func(node string) { s.exchanger.Lost(node) },
+		Logger:   s.logger,
+		Registry: s.options.Registry,
+	})
+}
--- a/internal/sidecar/route/table.go
+++ b/internal/sidecar/route/table.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -14,6 +15,9 @@
 	services map[string]*Service
 	// tenants holds each tenant by each of its keys.
 	tenants map[Key]*Tenant
+	// limited holds the tenants that have a limit by name, in limitedNames ordered.
+	limited      map[string]*Tenant
+	limitedNames []string
 }
 
 // Matched is a route in force, with the state of its split.
@@ -46,13 +50,18 @@
 		hosts:    map[string]map[string]*Matched{},
 		services: make(map[string]*Service, len(document.Services)),
 		tenants:  make(map[Key]*Tenant, len(document.Tenants)),
+		limited:  map[string]*Tenant{},
 	}
 	for index := range document.Tenants {
 		tenant := &document.Tenants[index]
 		for _, key := range tenant.Keys {
 			compiled.tenants[key] = tenant
 		}
+		if tenant.Limited() {
+			compiled.limited[tenant.Name] = tenant
+		}
 	}
+	compiled.limitedNames = slices.Sorted(maps.Keys(compiled.limited))
 	for index := range document.Services {
 		compiled.services[document.Services[index].Name] = &document.Services[index]
 	}
--- a/internal/sidecar/route/tenant.go
+++ b/internal/sidecar/route/tenant.go
@@ -125,3 +125,20 @@
 	}
 	return t.tenants[Key(key)]
 }
+
+// Limited returns the tenant of that name when it has a limit, otherwise nil; nil for a nil table.
+func (t *Table) Limited(name string) *Tenant {
+	if t == nil {
+		return nil
+	}
+	return t.limited[name]
+}
+
+// LimitedNames returns the names of the tenants that have a limit, in order. The list is not to be
+// modified.
+func (t *Table) LimitedNames() []string {
+	if t == nil {
+		return nil
+	}
+	return t.limitedNames
+}
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -32,6 +32,7 @@
 		func() { s.membership.Run(ctx) },
 		func() { s.rollouts.Run(ctx) },
 		func() { s.exchanger.Run(ctx) },
+		func() { s.quota.Run(ctx) },
 		func() { s.sweep(ctx) },
 		func() { clock.Watch(ctx) },
 	}
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/egress"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/quota"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
 )
 
@@ -41,6 +42,8 @@
 	Grace time.Duration
 	// Retries bound the repeated sends of all nodes together.
 	Retries egress.RetryLimits
+	// Quota says what tenants' limits bind to.
+	Quota quota.Bounds
 	// Rollout bounds what a version that turns out to be bad may get.
 	Rollout rollout.Limits
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -24,6 +24,7 @@
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/ingress"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/membership"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/quarantine"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/quota"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout/controller"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
@@ -86,6 +87,7 @@
 	quarantine *quarantine.Quarantine
 	// evacuations are the orders to empty zones.
 	evacuations *evacuation.Orders
+	quota       *quota.Quota
 	egress      *egress.Handler
 	ingress     *ingress.Handler
 	stopping    atomic.Bool
@@ -136,6 +138,7 @@
 	})
 	created.addRollouts()
 	created.addEvacuations()
+	created.addQuota()
 	created.addIngress(observed)
 	created.addEgress(observed)
 	created.exchanger = exchange.New(exchange.Options{
@@ -147,6 +150,7 @@
 		},
 		Rollouts:    created.rollouts,
 		Evacuations: created.evacuations,
+		Quota:       created.quota,
 		Reads:       created.reads,
 		Observer:    observed,
 		Suspect:     created.egress.Suspect,
@@ -198,6 +202,7 @@
 		Plan:       s.rollouts.Plan,
 		Emptied:    s.evacuations.Zones,
 		Quarantine: s.quarantine,
+		Quota:      s.quota,
 		Retries:    func() egress.RetryLimits { return s.settings.Load().Retries },
 		Weights:    choice.DefaultWeights(),
 		Level:      (*level)(s),
