The store that comes back older: revisions rise over its eras

Cause: every place took a revision for a moment in time: a watch after the return began at a number that means something else, a compare-and-swap could match a number given out again, a roll-out's order written again was another order, an order to empty a zone that the copy lacks was taken for taken back, and nobody looked after lost keys and statuses (read, and shown by the tests). Change: the adapter reads Store-Era in every answer and puts the era before the store's own counter, so that revisions rise over the store's whole life and none is given out twice; a watch or expectation of an earlier era is over, an answer of an earlier one says nothing. Who meets a later era tells it with every message. Nodes look after their own keys over 2 ms a node (500 a second), roll-outs write what was decided again, an order with the same words in a later era is the same order, and an order to empty a zone is kept for 10 s without being written again. Weighed: a type of era and revision in every signature (the compiler shows each place): 5 interfaces and all their fakes for the same order of the same numbers; one number that is never given out twice needs no place to change.

--- a/internal/sidecar/evacuation/evacuation.go
+++ b/internal/sidecar/evacuation/evacuation.go
@@ -9,8 +9,11 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/kestrelstream/kestrelstream/internal/store"
 )
 
 // Order is the newest word on one zone. It is a value.
@@ -64,11 +67,13 @@
 
 	mu     sync.Mutex // guards all below and the replacement of zones
 	orders map[string]Order
+	// missing holds since when the store, come back from a copy, lacks an order.
+	missing map[string]time.Time
 }
 
 // New returns the orders of a node that has heard of none.
 func New(options Options) *Orders {
-	return &Orders{options: options, orders: map[string]Order{}}
+	return &Orders{options: options, orders: map[string]Order{}, missing: map[string]time.Time{}}
 }
 
 // Zones returns the zones that are emptied now, nil when there are none.
@@ -81,20 +86,40 @@
 	}
 }
 
+// RewritePatience is how long an order that a store which came back from an older copy lacks is
+// still kept: operators write it again.
+const RewritePatience = 10 * time.Second
+
 // Listed takes in that the store had orders for just these zones at a revision. One that it
-// does not have any more was taken back while nobody watched.
-func (o *Orders) Listed(zones []string, revision uint64) {
+// does not have any more was taken back while nobody watched. One that it may have lost, since it
+// has come back from an older copy, is kept for RewritePatience; Listed then reports that the
+// store is to be read again after that time.
+func (o *Orders) Listed(zones []string, revision uint64, now time.Time) (again bool) {
 	o.mu.Lock()
 	var lifted []Order
 	for zone, held := range o.orders {
-		if held.Emptied && held.Revision < revision && !slices.Contains(zones, zone) {
-			lifted = append(lifted, Order{Zone: zone, Revision: revision})
+		if !held.Emptied || held.Revision >= revision || slices.Contains(zones, zone) {
+			delete(o.missing, zone)
+			continue
+		}
+		if store.EraOf(revision) > store.EraOf(held.Revision) {
+			since, known := o.missing[zone]
+			if !known {
+				o.missing[zone] = now
+			}
+			if !known || now.Sub(since) < RewritePatience {
+				again = true
+				continue
+			}
 		}
+		delete(o.missing, zone)
+		lifted = append(lifted, Order{Zone: zone, Revision: revision})
 	}
 	o.mu.Unlock()
 	if o.learn(lifted, "store") {
 		o.options.Spread()
 	}
+	return again
 }
 
 // Tell returns the newest words as peers are told of them; nil when there are none.
--- a/internal/sidecar/evacuations.go
+++ b/internal/sidecar/evacuations.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/evacuation"
 	"github.com/kestrelstream/kestrelstream/internal/store"
 )
@@ -42,5 +44,7 @@
 			zones = append(zones, zone)
 		}
 	}
-	s.evacuations.Listed(zones, revision)
+	if s.evacuations.Listed(zones, revision, clock.Now()) {
+		time.AfterFunc(evacuation.RewritePatience, s.refresh)
+	}
 }
--- a/internal/sidecar/exchange/exchanger.go
+++ b/internal/sidecar/exchange/exchanger.go
@@ -39,6 +39,8 @@
 	Refresh func(ctx context.Context) error
 	// Reads reports whether the node reads the store itself.
 	Reads func() bool
+	// Store knows how often the store has come back from a copy; nil when it never does.
+	Store Eras
 	// Rollouts knows the moves to other versions; nil when there are none ever.
 	Rollouts Rollouts
 	// Evacuations knows the zones that are to be emptied; nil when there are none ever.
@@ -52,6 +54,12 @@
 	Logger  *zap.Logger
 }
 
+// Eras know how often the store has come back from an older copy.
+type Eras interface {
+	Era() uint64
+	LearnEra(era uint64)
+}
+
 // Rollouts are the moves to other versions that a node knows of.
 type Rollouts interface {
 	// Tell returns them; nil when there are none.
@@ -267,6 +275,9 @@
 
 // told is what this node knows of operators' orders.
 func (e *Exchanger) told() (told Told) {
+	if e.options.Store != nil {
+		told.Era = e.options.Store.Era()
+	}
 	if e.options.Rollouts != nil {
 		told.Rollouts = e.options.Rollouts.Tell()
 	}
@@ -276,9 +287,24 @@
 	return told
 }
 
+// hearEra takes in a peer's era of the store. What a peer of an earlier one takes for recorded
+// there may be gone.
+func (e *Exchanger) hearEra(told *Told) {
+	if e.options.Store == nil {
+		return
+	}
+	e.options.Store.LearnEra(told.Era)
+	if told.Era < e.options.Store.Era() {
+		for i := range told.Rollouts {
+			told.Rollouts[i].Recorded = false
+		}
+	}
+}
+
 // hearTold takes in a peer's orders before its records: who knows of a new version knows why
 // it is there. News is passed on in the zone.
 func (e *Exchanger) hearTold(told *Told) {
+	e.hearEra(told)
 	moved := e.options.Rollouts != nil && len(told.Rollouts) > 0 && e.options.Rollouts.Hear(told.Rollouts)
 	emptied := e.options.Evacuations != nil && len(told.Evacuations) > 0 && e.options.Evacuations.Hear(told.Evacuations)
 	if moved || emptied {
--- a/internal/sidecar/exchange/message.go
+++ b/internal/sidecar/exchange/message.go
@@ -34,6 +34,8 @@
 
 // Told is what operators have ordered beside the configuration, as the sender knows it.
 type Told struct {
+	// Era is how often the store has come back from an older copy.
+	Era uint64 `json:"era,omitempty"`
 	// Rollouts are the moves to other versions.
 	Rollouts []rollout.Told `json:"rollouts,omitempty"`
 	// Evacuations are the newest words on zones that are, or were, to be emptied.
--- a/internal/sidecar/membership/membership.go
+++ b/internal/sidecar/membership/membership.go
@@ -103,6 +103,10 @@
 	m.refresh(ctx)
 }
 
+// Restored takes in that the store has come back from an older copy: the own key is looked after
+// again.
+func (m *Membership) Restored() { m.publisher.restored() }
+
 // Withdraw removes the own key: the node and its back end do not come back.
 func (m *Membership) Withdraw(ctx context.Context) error { return m.publisher.withdraw(ctx) }
 
--- a/internal/sidecar/membership/publisher.go
+++ b/internal/sidecar/membership/publisher.go
@@ -4,8 +4,10 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -25,6 +27,8 @@
 	once    sync.Once
 	// known: revision and stored are those of the own key.
 	known bool
+	// lost: the key is to be read again, since the store may have lost it.
+	lost atomic.Bool
 	// revision is that of the own key, zero when it is absent or not known.
 	revision atomic.Uint64
 	stored   roster.Record
@@ -47,6 +51,17 @@
 	return created
 }
 
+// restoredPerNode is the time over which nodes look after their keys when the store has come back
+// from a copy, for each of them: 500 nodes a second, each with a read and a write.
+const restoredPerNode = 2 * time.Millisecond
+
+// restored has the key read, and written again when it is gone or old, in the node's own time: all
+// nodes hear of it at once.
+func (p *publisher) restored() {
+	p.lost.Store(true)
+	time.AfterFunc(rand.N(time.Duration(p.members.View().Count()+1)*restoredPerNode), p.signal)
+}
+
 func (p *publisher) signal() {
 	select {
 	case p.wake <- struct{}{}:
@@ -113,6 +128,9 @@
 func (p *publisher) publish(ctx context.Context) error {
 	bounded, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	if p.lost.Swap(false) {
+		p.known = false
+	}
 	if !p.known {
 		if err := p.read(bounded); err != nil {
 			return err
--- a/internal/sidecar/rollout/controller/controller.go
+++ b/internal/sidecar/rollout/controller/controller.go
@@ -172,6 +172,18 @@
 	return rollout.Ordered(order, c.tally(order.Service, order.Version), now)
 }
 
+// Restored takes in that the store has come back from an older copy: no status is known to be there.
+// The end of a move that was told stays its end, and is written again.
+func (c *Controller) Restored() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, held := range c.moves {
+		held.Recorded = false
+		held.failures, held.notBefore = 0, time.Time{}
+	}
+	c.signal()
+}
+
 // Hear takes in what a peer tells of moves and reports whether some of it is news.
 func (c *Controller) Hear(told []rollout.Told) (news bool) {
 	now := clock.Now()
@@ -210,12 +222,16 @@
 		held = &carried{}
 		c.moves[move.Service] = held
 	}
+	rewritten := held.Rewritten(move)
 	merged, news := held.Merge(move)
 	held.Move = merged
 	if !news {
 		return false
 	}
-	if merged.Revision != held.order {
+	switch {
+	case rewritten:
+		held.order = merged.Revision
+	case merged.Revision != held.order:
 		*held = carried{Move: merged, order: merged.Revision, began: now, asked: c.split(move.Service).Asked()}
 	}
 	c.use(move.Service, move.Version)
--- a/internal/sidecar/rollout/controller/controller_test.go
+++ b/internal/sidecar/rollout/controller/controller_test.go
@@ -510,3 +510,79 @@
 		})
 	}
 }
+
+// restore has the store come back from an older copy, with what it held when it had written so many
+// statuses, and operators write the order again.
+func (f *fleet) restore(era uint64, value []byte, counter uint64) {
+	f.store.mu.Lock()
+	f.store.value, f.store.revision = value, store.RevisionIn(era, counter)
+	if counter == 0 {
+		f.store.revision = 0
+	}
+	f.store.mu.Unlock()
+	for _, held := range f.nodes {
+		if held.alive {
+			held.control.Restored()
+		}
+	}
+	f.order(store.RevisionIn(era, 3))
+}
+
+// TestTheStoreComesBackOlder at any step of a move, up to three times, from a copy of any age: what
+// was decided stays decided, is written again, and the move ends as it would have.
+func TestTheStoreComesBackOlder(t *testing.T) {
+	for seed := range uint64(rewindSeeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				f := newFleet(seed)
+				defer f.end()
+				bad := never
+				if seed%3 == 0 {
+					bad = func(*node) bool { return f.random.Float64() < 0.4 }
+				}
+				f.order(store.RevisionIn(1, 500))
+				type copied struct {
+					value   []byte
+					counter uint64
+				}
+				copies := []copied{{}}
+				decided := rollout.Trial
+				restores := 1 + f.random.IntN(3)
+				for second := range 18 {
+					f.play(time.Second, bad)
+					f.store.mu.Lock()
+					copies = append(copies, copied{value: f.store.value, counter: store.CounterOf(f.store.revision)})
+					f.store.mu.Unlock()
+					if phase := f.store.phase(); phase.Final() && !decided.Final() {
+						decided = phase
+					}
+					if restores > 0 && f.random.IntN(18-second) < restores {
+						from := copies[max(0, len(copies)-1-f.random.IntN(5))]
+						f.restore(uint64(5-restores), from.value, from.counter)
+						restores--
+					}
+				}
+				f.play(3*time.Second, bad)
+				last := f.store.phase()
+				g.Expect(last.Final()).To(BeTrue(), "%v", f.store.written)
+				if decided.Final() {
+					g.Expect(last).To(Equal(decided), "%v", f.store.written)
+				}
+				f.store.mu.Lock()
+				held := controller.Status{}
+				g.Expect(json.Unmarshal(f.store.value, &held)).To(Succeed())
+				f.store.mu.Unlock()
+				g.Expect(held.Phase).To(Equal(last), "the store has the end")
+				other := "v1"
+				if last == rollout.RolledBack {
+					other = fresh
+				}
+				g.Expect(f.play(time.Second, bad)[other]).To(BeZero())
+			})
+		})
+	}
+}
+
+// rewindSeeds is how many moves are played; 1,000 were by hand.
+const rewindSeeds = 30
--- a/internal/sidecar/rollout/rollout.go
+++ b/internal/sidecar/rollout/rollout.go
@@ -7,6 +7,8 @@
 import (
 	"cmp"
 	"time"
+
+	"github.com/kestrelstream/kestrelstream/internal/store"
 )
 
 // Order asks that the requests of a service move to back ends of a version.
@@ -75,6 +77,8 @@
 // earlier deadline, since whoever heard late counts from then.
 func (m Move) Merge(other Move) (merged Move, news bool) {
 	switch order := cmp.Compare(other.Revision, m.Revision); {
+	case order > 0 && m.Rewritten(other):
+		return m.adopted(other), true
 	case order > 0:
 		return other, true
 	case order < 0:
@@ -93,6 +97,27 @@
 	return m, true
 }
 
+// Rewritten reports whether the other move is of the same order, which operators have written again
+// since the store came back from an older copy. Within one era the same words are another order.
+func (m Move) Rewritten(other Move) bool {
+	return store.EraOf(other.Revision) > store.EraOf(m.Revision) &&
+		other.Service == m.Service && other.Version == m.Version && other.Duration == m.Duration
+}
+
+// adopted returns the move under the revision of its order that was written again. What was decided
+// stays decided, whatever the store has lost; of two ends the one that this node knows stays.
+func (m Move) adopted(other Move) Move {
+	m.Revision = other.Revision
+	if other.Deadline.Before(m.Deadline) {
+		m.Deadline = other.Deadline
+	}
+	m.Recorded = false
+	if other.Phase > m.Phase && !m.Phase.Final() {
+		m.Phase, m.Cause, m.Recorded = other.Phase, other.Cause, other.Recorded
+	}
+	return m
+}
+
 // Told is a move as one node tells it to another. Clocks differ, so that what is left
 // of the time is told and not when it ends.
 type Told struct {
--- a/internal/sidecar/rollout/rollout_test.go
+++ b/internal/sidecar/rollout/rollout_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+	"github.com/kestrelstream/kestrelstream/internal/store"
 )
 
 var start = time.Unix(1000, 0)
@@ -388,3 +389,42 @@
 		g.Expect(plan.Select(false).Admits(fresh)).To(Equal(takes), phase.String())
 	}
 }
+
+// TestAnOrderThatIsWrittenAgain since the store came back from an older copy is the same order: what
+// was decided stays. Within one era the same words are another order.
+func TestAnOrderThatIsWrittenAgain(t *testing.T) {
+	now := time.Unix(1000, 0)
+	order := func(era, counter uint64) rollout.Order {
+		return rollout.Order{Service: "s", Version: "v2", Revision: store.RevisionIn(era, counter), Duration: time.Minute}
+	}
+	cases := []struct {
+		name   string
+		held   rollout.Move
+		other  rollout.Order
+		phase  rollout.Phase
+		news   bool
+		stored bool
+	}{
+		{"of a later era", rollout.Move{Order: order(1, 500), Phase: rollout.Completed, Recorded: true}, order(2, 3), rollout.Completed, true, false},
+		{"under way", rollout.Move{Order: order(1, 500), Phase: rollout.Promoting, Recorded: true}, order(2, 3), rollout.Promoting, true, false},
+		{"of an earlier era", rollout.Move{Order: order(2, 3), Phase: rollout.Completed, Recorded: true}, order(1, 500), rollout.Completed, false, true},
+		{"of the same era", rollout.Move{Order: order(2, 3), Phase: rollout.Completed, Recorded: true}, order(2, 9), rollout.Trial, true, false},
+		{"for another version", rollout.Move{Order: rollout.Order{Service: "s", Version: "v1", Revision: store.RevisionIn(1, 500), Duration: time.Minute}, Phase: rollout.Completed}, order(2, 3), rollout.Trial, true, false},
+	}
+	for _, played := range cases {
+		t.Run(played.name, func(t *testing.T) {
+			g := NewWithT(t)
+			played.held.Deadline = now.Add(time.Second)
+			merged, news := played.held.Merge(rollout.Begin(played.other, now))
+			g.Expect(news).To(Equal(played.news))
+			g.Expect(merged.Phase).To(Equal(played.phase))
+			g.Expect(merged.Recorded).To(Equal(played.stored))
+			if played.news {
+				g.Expect(merged.Revision).To(Equal(played.other.Revision))
+			}
+			again, news := merged.Merge(rollout.Begin(played.other, now))
+			g.Expect(news).To(BeFalse())
+			g.Expect(again).To(Equal(merged))
+		})
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -36,6 +36,12 @@
 type Store interface {
 	membership.Store
 	store.Writer
+	// Era is how often the store has come back from an older copy, as far as known; LearnEra
+	// takes in what another node knows.
+	Era() uint64
+	LearnEra(era uint64)
+	// OnEra has the function told of each such return. It must not block.
+	OnEra(func(era uint64))
 	// PaceWatches sets how long each call of a watch waits.
 	PaceWatches(wait func() time.Duration)
 }
@@ -148,6 +154,7 @@
 		Refresh: func(ctx context.Context) error {
 			return configuration.Refresh(ctx, options.Store, created.place(), created.keeper)
 		},
+		Store:       options.Store,
 		Rollouts:    created.rollouts,
 		Evacuations: created.evacuations,
 		Quota:       created.quota,
@@ -165,6 +172,7 @@
 	created.keeper.Observe(created.apply)
 	created.watch(options.Registry)
 	options.Store.PaceWatches(created.WatchWait)
+	options.Store.OnEra(created.restored)
 	return created
 }
 
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -10,7 +10,8 @@
 	"time"
 )
 
-// KeyValue is one key with the revision that last wrote it.
+// KeyValue is one key with the revision that last wrote it. An implementation whose store may
+// come back from an older copy gives revisions as RevisionIn makes them.
 type KeyValue struct {
 	Key      string `json:"key"`
 	Value    []byte `json:"value"`
