--- a/internal/sidecar/membership/membership.go
+++ b/internal/sidecar/membership/membership.go
@@ -48,6 +48,7 @@
 type Store interface {
 	store.Reader
 	store.Writer
+	store.Batcher
 	// RangeStale is Range, but what it returns may be seconds old.
 	RangeStale(ctx context.Context, prefix, from string, limit int) ([]store.KeyValue, uint64, error)
 }
@@ -65,8 +66,11 @@
 	// Met reports whether another node was in touch with this one.
 	Met func() bool
 	// Reads reports whether the node reads the store for others.
-	Reads  func() bool
-	Logger *zap.Logger
+	Reads func() bool
+	// CompactRank is the node's place among those that keep the snapshot of all records, from
+	// zero; false when it is none of them.
+	CompactRank func() (rank int, ranked bool)
+	Logger      *zap.Logger
 }
 
 // Membership keeps the node's key and finds the other nodes.
@@ -93,6 +97,7 @@
 	m.awaitEndpoint(ctx)
 	var running sync.WaitGroup
 	running.Go(func() { m.publisher.run(ctx) })
+	running.Go(func() { m.compact(ctx) })
 	defer running.Wait()
 	select {
 	case <-m.publisher.written:
@@ -114,9 +119,10 @@
 func (m *Membership) findUntilRead(ctx context.Context) {
 	backoff := pause.Backoff{Base: pauseBase, Most: pauseMost}
 	for ctx.Err() == nil {
-		own, err := m.find(ctx)
+		own, remembered, err := m.find(ctx)
 		if err == nil {
 			m.publisher.found(own)
+			m.publisher.remembered(remembered)
 			return
 		}
 		m.notRead(err)
@@ -124,18 +130,36 @@
 	}
 }
 
-// find reads all keys and returns the own one, nil when it is absent.
-func (m *Membership) find(ctx context.Context) (own *store.KeyValue, err error) {
-	name := KeyPrefix + m.options.Members.Own().Node
+// find reads all keys and returns the own one, and the own record of the snapshot; nil when they
+// are absent.
+func (m *Membership) find(ctx context.Context) (own *store.KeyValue, remembered *roster.Record, err error) {
+	node := m.options.Members.Own().Node
 	err = m.readAll(ctx, m.options.Store.Range, func(item store.KeyValue) {
-		if item.Key == name {
+		switch item.Key {
+		case KeyPrefix + node:
 			own = &item
+		case SnapshotKey:
+			remembered = m.inSnapshot(item, node)
 		}
 	})
 	if err == nil {
 		m.options.Joined()
 	}
-	return own, err
+	return own, remembered, err
+}
+
+// inSnapshot returns a node's record in a snapshot, nil when it has none.
+func (m *Membership) inSnapshot(item store.KeyValue, node string) *roster.Record {
+	records, err := decodeSnapshot(item.Value)
+	if err != nil {
+		return nil // logged where the records are taken in
+	}
+	for _, record := range records {
+		if record.Node == node {
+			return record
+		}
+	}
+	return nil
 }
 
 // awaitEndpoint waits until the back end is known, but not for ever.
@@ -154,7 +178,7 @@
 		if ctx.Err() != nil || m.options.Met() {
 			return
 		}
-		if _, err := m.find(ctx); err != nil {
+		if _, _, err := m.find(ctx); err != nil {
 			m.notRead(err)
 		}
 	}
@@ -187,10 +211,10 @@
 
 // readAll takes in every key; seen is told of each.
 func (m *Membership) readAll(ctx context.Context, read rangeFunction, seen func(store.KeyValue)) error {
-	from := KeyPrefix
+	from := readPrefix
 	for {
 		bounded, cancel := context.WithTimeout(ctx, callTimeout)
-		found, _, err := read(bounded, KeyPrefix, from, pageKeys)
+		found, _, err := read(bounded, readPrefix, from, pageKeys)
 		cancel()
 		if err != nil {
 			return err
@@ -210,6 +234,15 @@
 // take merges one item. What is not a record of ours is left alone: another writer may have
 // put it there.
 func (m *Membership) take(item store.KeyValue) {
+	if item.Key == SnapshotKey {
+		records, err := decodeSnapshot(item.Value)
+		if err != nil {
+			m.options.Logger.Warn("snapshot of nodes cannot be read", zap.Error(err))
+			return
+		}
+		m.options.Members.Merge(records)
+		return
+	}
 	record, err := readRecord(item)
 	if err != nil {
 		m.options.Logger.Warn("item of the store is no node's record", zap.String("key", item.Key), zap.Error(err))
--- a/internal/sidecar/membership/membership_test.go
+++ b/internal/sidecar/membership/membership_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"math/rand/v2"
 	"sync/atomic"
 	"testing"
@@ -70,6 +71,31 @@
 	return s.Store.CompareAndSwap(ctx, swap)
 }
 
+// Apply applies the swaps one by one: the tests' stores have one writer at a time.
+func (s *countingStore) Apply(ctx context.Context, swaps []store.Swap) (uint64, error) {
+	s.writes.Add(1)
+	if err := s.failing(); err != nil {
+		return 0, err
+	}
+	for _, swap := range swaps {
+		found, err := s.Store.Get(ctx, swap.Key)
+		if err != nil && !errors.Is(err, store.ErrNotFound) {
+			return 0, err
+		}
+		if found.Revision != swap.ExpectedRevision {
+			return 0, store.ErrConflict
+		}
+	}
+	revision := uint64(0)
+	for _, swap := range swaps {
+		var err error
+		if revision, err = s.Store.CompareAndSwap(ctx, swap); err != nil {
+			return 0, err
+		}
+	}
+	return revision, nil
+}
+
 // life is one run of a node's membership.
 type life struct {
 	t       *testing.T
@@ -77,7 +103,9 @@
 	members *roster.Roster
 	node    *membership.Membership
 	met     atomic.Bool
-	end     func()
+	// compacts: the node keeps the snapshot.
+	compacts atomic.Bool
+	end      func()
 }
 
 func begin(t *testing.T, target *countingStore, node string, firstStart, met bool) *life {
@@ -87,6 +115,7 @@
 	begun.node = membership.New(membership.Options{
 		Store: target, Members: begun.members, FirstStart: firstStart, HeartbeatInterval: heartbeat,
 		Joined: func() {}, Met: begun.met.Load, Reads: func() bool { return false }, Logger: zap.NewNop(),
+		CompactRank: func() (int, bool) { return 0, begun.compacts.Load() },
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan struct{})
--- a/internal/sidecar/membership/publisher.go
+++ b/internal/sidecar/membership/publisher.go
@@ -102,6 +102,14 @@
 	p.stored = *record
 }
 
+// remembered takes in the own record of the snapshot, nil when it has none: where there is no own
+// key, it is what the store has.
+func (p *publisher) remembered(record *roster.Record) {
+	if record != nil && p.stored.Node == "" {
+		p.stored = *record
+	}
+}
+
 // outdated reports whether the stored record does not lead others to the node any
 // more, or does not say whether its back end is leaving or which requests are held back:
 // that has to outlive an end of all nodes at once. All else is told between
--- /dev/null
+++ b/internal/sidecar/membership/snapshot.go
@@ -0,0 +1,154 @@
+package membership
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/contain"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/pause"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+	"github.com/kestrelstream/kestrelstream/internal/store"
+)
+
+const (
+	// SnapshotKey holds the records of all nodes as one of them knew them. It lies before the nodes'
+	// keys, which are newer words than it has: one read brings both.
+	SnapshotKey = "kestrel/members"
+	// readPrefix begins the snapshot's key and the nodes' keys.
+	readPrefix = "kestrel/"
+)
+
+const (
+	// compactFrom is how many nodes' keys make a snapshot worth its calls. 984 keys are 0.4 MB and
+	// two calls for each node that starts: 0.39 GB where all start at once, 3 s of the store's link.
+	// A snapshot of as many has 0.03 MB.
+	compactFrom = 64
+	// compactInterval is the time between two looks at whether there are so many, compactTurn how
+	// much later each further node looks, should the ones before not.
+	compactInterval = 6 * time.Second
+	compactTurn     = 4 * time.Second
+	// snapshotBytes bounds a snapshot once it is read.
+	snapshotBytes = 64 << 20
+)
+
+// encodeSnapshot returns the records as they are stored.
+func encodeSnapshot(records []*roster.Record) ([]byte, error) {
+	written := &bytes.Buffer{}
+	compressor := gzip.NewWriter(written)
+	if err := json.NewEncoder(compressor).Encode(records); err != nil {
+		return nil, trace.Wrap(err, "encode the snapshot of nodes")
+	}
+	if err := compressor.Close(); err != nil {
+		return nil, trace.Wrap(err, "compress the snapshot of nodes")
+	}
+	return written.Bytes(), nil
+}
+
+// decodeSnapshot reads what encodeSnapshot wrote. Another writer may have put something else there:
+// records that no node writes so are left out.
+func decodeSnapshot(raw []byte) (records []*roster.Record, err error) {
+	decompressor, err := gzip.NewReader(bytes.NewReader(raw))
+	if err != nil {
+		return nil, trace.Wrap(err, "decompress the snapshot of nodes")
+	}
+	var read []*roster.Record
+	if err := json.NewDecoder(io.LimitReader(decompressor, snapshotBytes)).Decode(&read); err != nil {
+		return nil, trace.Wrap(err, "decode the snapshot of nodes")
+	}
+	for _, record := range read {
+		if record != nil && record.Validate() == nil {
+			records = append(records, record)
+		}
+	}
+	return records, nil
+}
+
+// compactor moves what the nodes' keys say into the snapshot. It is used by one goroutine.
+type compactor struct {
+	options *Options
+	// found are the nodes' keys, snapshot the revision of the snapshot's, as they were last read.
+	found    []store.KeyValue
+	snapshot uint64
+}
+
+// run compacts when there is need and it is the node's turn, until the context ends.
+func (m *Membership) compact(ctx context.Context) {
+	for last := clock.Now(); ctx.Err() == nil; {
+		pause.Wait(ctx, compactInterval/2)
+		rank, ranked := m.options.CompactRank()
+		if !ranked || clock.Since(last) < compactInterval+time.Duration(rank)*compactTurn {
+			continue
+		}
+		last = clock.Now()
+		err := contain.Run("snapshot of nodes", m.options.Logger, func() { m.compactOnce(ctx) })
+		if err != nil {
+			m.options.Logger.Error("snapshot of nodes not written", zap.Error(err))
+		}
+	}
+}
+
+// compactOnce looks for nodes' keys and moves them into the snapshot when there are many.
+func (m *Membership) compactOnce(ctx context.Context) {
+	one := &compactor{options: &m.options}
+	err := m.readAll(ctx, m.options.Store.Range, func(item store.KeyValue) {
+		if item.Key == SnapshotKey {
+			one.snapshot = item.Revision
+			return
+		}
+		one.found = append(one.found, item)
+	})
+	if err == nil && len(one.found) >= compactFrom {
+		err = one.write(ctx)
+	}
+	switch {
+	case err == nil:
+	case errors.Is(err, store.ErrConflict):
+		// A node has changed its key meanwhile, or another one compacts.
+		m.options.Logger.Info("snapshot of nodes left to another look", zap.Error(err))
+	default:
+		m.notRead(err)
+	}
+}
+
+// write writes the snapshot and takes the keys away that it holds, some at a time. A key that was
+// written again meanwhile stays, and ends the work.
+func (c *compactor) write(ctx context.Context) error {
+	records := c.options.Members.View().Records()
+	present := make([]*roster.Record, 0, len(records))
+	for _, record := range records {
+		if !record.Gone() {
+			present = append(present, record)
+		}
+	}
+	value, err := encodeSnapshot(present)
+	if err != nil {
+		return err
+	}
+	swaps := []store.Swap{{Key: SnapshotKey, ExpectedRevision: c.snapshot, Value: value}}
+	for _, item := range c.found {
+		swaps = append(swaps, store.Swap{Key: item.Key, ExpectedRevision: item.Revision, Delete: true})
+	}
+	calls := 0
+	for ; len(swaps) > 0; calls++ {
+		part := swaps[:min(len(swaps), store.MostSwaps)]
+		swaps = swaps[len(part):]
+		bounded, cancel := context.WithTimeout(ctx, callTimeout)
+		_, err := c.options.Store.Apply(bounded, part)
+		cancel()
+		if err != nil {
+			return trace.Wrap(err, "write the snapshot of nodes after %d calls", calls)
+		}
+	}
+	c.options.Logger.Info("snapshot of nodes written", zap.Int("nodes", len(present)), zap.Int("bytes", len(value)),
+		zap.Int("keys", len(c.found)), zap.Int("calls", calls))
+	return nil
+}
--- /dev/null
+++ b/internal/sidecar/membership/snapshot_test.go
@@ -0,0 +1,134 @@
+package membership_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/membership"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+	"github.com/kestrelstream/kestrelstream/internal/store"
+	"github.com/kestrelstream/kestrelstream/internal/store/memory"
+)
+
+// fill has so many nodes' keys in the store.
+func fill(t *testing.T, target *countingStore, nodes int) {
+	for i := range nodes {
+		record := &roster.Record{
+			Node: fmt.Sprintf("node-%04d", i), Epoch: 3, Counter: 2, Life: uint64(i + 1), Zone: "z",
+			Address: fmt.Sprintf("node-%04d:1", i), PeerAddress: fmt.Sprintf("node-%04d:2", i),
+			Endpoint: &roster.Endpoint{ID: fmt.Sprintf("i-%x", 0xfc2bf3ef*(i+1)), Service: "service", Version: "v1", Slots: 14, State: roster.Ready, Sequence: 7},
+		}
+		value, err := json.Marshal(record)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := target.Store.CompareAndSwap(t.Context(), store.Swap{Key: membership.KeyPrefix + record.Node, Value: value}); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// keys returns how many nodes' keys there are, and the length of the snapshot.
+func keys(t *testing.T, target *countingStore) (count, snapshot int) {
+	found, _, err := target.Store.Range(t.Context(), "kestrel/", "kestrel/", 10_000)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, item := range found {
+		if strings.HasPrefix(item.Key, membership.KeyPrefix) {
+			count++
+		} else {
+			snapshot = len(item.Value)
+		}
+	}
+	return count, snapshot
+}
+
+// TestTheSnapshot: many keys become one, which a node that starts reads with one call, whatever the
+// size; few stay as they are. A snapshot of 984 nodes has less than a tenth of the bytes.
+func TestTheSnapshot(t *testing.T) {
+	cases := []struct {
+		nodes, keysLeft int
+		reads           int64
+	}{{40, 41, 1}, {100, 0, 1}, {984, 0, 1}, {2000, 0, 1}}
+	for _, played := range cases {
+		t.Run(fmt.Sprint(played.nodes, " nodes"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				target := &countingStore{Store: memory.New(memory.Options{})}
+				fill(t, target, played.nodes)
+				keeper := begin(t, target, "keeper", false, true)
+				keeper.compacts.Store(true)
+				keeper.says("i-k", roster.Ready, 1)
+				pass(15 * time.Second)
+				keeper.end()
+				left, bytes := keys(t, target)
+				g.Expect(left).To(Equal(played.keysLeft))
+				g.Expect(bytes).To(BeNumerically("<=", 40*played.nodes))
+
+				target.gets.Store(0)
+				target.ranges.Store(0)
+				target.writes.Store(0)
+				begun := begin(t, target, "node-0007", false, true)
+				pass(15 * time.Second)
+				g.Expect(begun.members.View().Count()).To(Equal(played.nodes+1), "it knows all nodes")
+				g.Expect(begun.members.Own().Endpoint.ID).To(Equal("i-"+fmt.Sprintf("%x", 0xfc2bf3ef*8)), "and its own back end")
+				g.Expect(target.calls()).To(Equal([]int64{0, played.reads, 0}), "one read, and no write while nothing is new")
+				begun.end()
+			})
+		})
+	}
+}
+
+// TestAWordAfterTheSnapshot: what a node says later lies beside the snapshot and goes before it.
+func TestAWordAfterTheSnapshot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		target := &countingStore{Store: memory.New(memory.Options{})}
+		fill(t, target, 100)
+		keeper := begin(t, target, "keeper", false, true)
+		keeper.compacts.Store(true)
+		keeper.says("i-k", roster.Ready, 1)
+		pass(15 * time.Second)
+		defer keeper.end()
+
+		leaving := begin(t, target, "node-0007", false, true)
+		pass(4 * time.Second)
+		leaving.says(leaving.members.Own().Endpoint.ID, roster.Draining, 9)
+		leaving.end()
+		g.Expect(leaving.stored().Endpoint.State).To(Equal(roster.Draining))
+		again := begin(t, target, "node-0007", false, true)
+		pass(4 * time.Second)
+		g.Expect(again.members.Own().Endpoint.State).To(Equal(roster.Draining))
+		again.end()
+		other := begin(t, target, "node-0008", false, true)
+		pass(4 * time.Second)
+		g.Expect(other.members.View().Record("node-0007").Endpoint.State).To(Equal(roster.Draining))
+		other.end()
+	})
+}
+
+// TestASnapshotOfAnotherWriter names no node, and does not end one.
+func TestASnapshotOfAnotherWriter(t *testing.T) {
+	for name, value := range map[string]string{"no compressed text": "{}", "cut off": "\x1f\x8b\x08\x00", "empty": ""} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				target := &countingStore{Store: memory.New(memory.Options{})}
+				fill(t, target, 3)
+				_, err := target.Store.CompareAndSwap(t.Context(), store.Swap{Key: membership.SnapshotKey, Value: []byte(value)})
+				g.Expect(err).NotTo(HaveOccurred())
+				begun := begin(t, target, "node-0001", false, true)
+				pass(10 * time.Second)
+				g.Expect(begun.members.View().Count()).To(Equal(3))
+				begun.end()
+			})
+		})
+	}
+}
--- a/internal/sidecar/reading.go
+++ b/internal/sidecar/reading.go
@@ -1,12 +1,15 @@
 package sidecar
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/readers"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 )
 
 const (
@@ -32,6 +35,20 @@
 	return readers.Reads(s.members.View(), s.members.Own(), s.exchanger.Usable)
 }
 
+// compactors is how many of the nodes that read the store keep the snapshot of all records, one
+// after the other.
+const compactors = 3
+
+// compactRank is the node's place among them: those that read, in an order on which nodes with the
+// same view agree.
+func (s *Sidecar) compactRank() (rank int, ranked bool) {
+	own := s.members.Own()
+	reading := s.reading()
+	slices.SortFunc(reading, func(a, b *roster.Record) int { return cmp.Compare(a.Node, b.Node) })
+	rank = slices.IndexFunc(reading, own.Same)
+	return rank, rank >= 0 && rank < compactors
+}
+
 // follows reports whether this node is to follow the configuration in the store:
 // while it has one, when it reads for others. One that has none yet waits a short
 // time for those; longer where the whole system starts for the first time, since
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -167,6 +167,7 @@
 		Store: options.Store, Members: created.members,
 		FirstStart: settings.FirstStart, HeartbeatInterval: settings.HeartbeatInterval,
 		Joined: created.join, Met: created.exchanger.Met, Reads: created.reads, Logger: options.Logger,
+		CompactRank: created.compactRank,
 	})
 	created.members.Observe(created.follow)
 	created.keeper.Observe(created.apply)
--- a/internal/sidecar/storecalls.go
+++ b/internal/sidecar/storecalls.go
@@ -74,6 +74,14 @@
 	s.seconds.WithLabelValues(kind).Observe(time.Since(began).Seconds())
 }
 
+// Apply implements store.Batcher.
+func (s *countedStore) Apply(ctx context.Context, swaps []store.Swap) (uint64, error) {
+	began := time.Now()
+	revision, err := s.Store.Apply(ctx, swaps)
+	s.count(callWrite, began, err)
+	return revision, err
+}
+
 // Get implements store.Reader.
 func (s *countedStore) Get(ctx context.Context, key string) (store.KeyValue, error) {
 	began := time.Now()
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -84,6 +84,16 @@
 	CompareAndSwap(ctx context.Context, swap Swap) (uint64, error)
 }
 
+// MostSwaps is how many swaps one Apply takes at most.
+const MostSwaps = 16
+
+// Batcher is the write side of a store that applies several swaps at once.
+type Batcher interface {
+	// Apply applies all swaps, at most MostSwaps, or none, and returns the new revision. The errors
+	// are those of CompareAndSwap.
+	Apply(ctx context.Context, swaps []Swap) (uint64, error)
+}
+
 // Leaser grants and keeps leases.
 type Leaser interface {
 	Grant(ctx context.Context, timeToLive time.Duration) (Lease, error)
