A node that starts again goes on with the record that it had left; fewer read where all start

Cause: at a start of all each node's record got a new epoch, a record of each for each to pass on; each said so to 42 peers, of whom relays told 8 others each; a node without a configuration read it itself 0.4 s after it knew others, whatever their number (0.25 MB each); at the very first start nearly each node took itself for one that reads, since it knew few others; each record that a start read replaced the view, of as many records. Change: a node that has said nothing yet and whose machine is as its earlier life had said resumes that record; its first news bears the life of its own, so that two lives are told apart. It tells 8 peers that it is there. Patience for the configuration grows by 1 ms a known node; the first readers of a first start read after a heartbeat's interval and a second; waits before a first read of all keys are drawn from a ramp. What a start reads replaces the view once. The test of a next life asked for a record above the earlier one's; now it asks for the same one while nothing is new, for one above with the first news, and for lives that differ.

--- a/internal/sidecar/exchange/spread.go
+++ b/internal/sidecar/exchange/spread.go
@@ -141,6 +141,20 @@
 	}
 }
 
+// appearPeers is how many nodes of its zone a node tells that it is there again, without news of it.
+const appearPeers = 8
+
+// Appear tells some peers of the zone that the node is there: who has lost it need not look for it.
+func (e *Exchanger) Appear(ctx context.Context) {
+	own, view := e.options.Roster.Own(), e.options.Roster.View()
+	peers := shuffled(e.peersOf(view.Zone(own.Zone)))
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	var group errgroup.Group
+	e.tell(ctx, &group, &listeners{}, peers[:min(len(peers), appearPeers)], e.notice(own))
+	_ = group.Wait()
+}
+
 // greetings is how many peers a node that starts exchanges with at once.
 const greetings = 3
 
@@ -161,6 +175,9 @@
 // hear takes in a notice and passes news on when that is asked.
 func (e *Exchanger) hear(notice *Notice) {
 	e.met.Store(true)
+	if notice.From == notice.Record.Node {
+		e.lost.remove(notice.From)
+	}
 	e.hearTold(&notice.Told)
 	news := e.options.Roster.Merge([]*roster.Record{notice.Record})
 	if sender := e.options.Roster.View().Record(notice.From); sender != nil {
--- a/internal/sidecar/membership/membership.go
+++ b/internal/sidecar/membership/membership.go
@@ -7,6 +7,9 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -61,8 +64,9 @@
 	FirstStart bool
 	// HeartbeatInterval is the usual time between two heartbeats of a back end.
 	HeartbeatInterval time.Duration
-	// Joined is called after each read that looked for other nodes.
-	Joined func()
+	// Joined is called after each read that looked for other nodes. resumed says that the node goes
+	// on with the record that an earlier life of it left: it has no news for others.
+	Joined func(resumed bool)
 	// Met reports whether another node was in touch with this one.
 	Met func() bool
 	// Reads reports whether the node reads the store for others.
@@ -119,10 +123,10 @@
 func (m *Membership) findUntilRead(ctx context.Context) {
 	backoff := pause.Backoff{Base: pauseBase, Most: pauseMost}
 	for ctx.Err() == nil {
-		own, remembered, err := m.find(ctx)
+		left, err := m.find(ctx)
 		if err == nil {
-			m.publisher.found(own)
-			m.publisher.remembered(remembered)
+			m.publisher.found(left.item)
+			m.publisher.remembered(left.snapshot)
 			return
 		}
 		m.notRead(err)
@@ -130,36 +134,53 @@
 	}
 }
 
-// find reads all keys and returns the own one, and the own record of the snapshot; nil when they
-// are absent.
-func (m *Membership) find(ctx context.Context) (own *store.KeyValue, remembered *roster.Record, err error) {
-	node := m.options.Members.Own().Node
-	err = m.readAll(ctx, m.options.Store.Range, func(item store.KeyValue) {
-		switch item.Key {
-		case KeyPrefix + node:
-			own = &item
-		case SnapshotKey:
-			remembered = m.inSnapshot(item, node)
+// left is what an earlier life of the node left in the store.
+type left struct {
+	// item is the own key, with the record that it holds; snapshot the own record of the snapshot.
+	// All are nil when they are absent.
+	item             *store.KeyValue
+	record, snapshot *roster.Record
+}
+
+// records returns those that there are.
+func (l *left) records() (found []*roster.Record) {
+	for _, record := range []*roster.Record{l.snapshot, l.record} {
+		if record != nil {
+			found = append(found, record)
 		}
-	})
-	if err == nil {
-		m.options.Joined()
 	}
-	return own, remembered, err
+	return found
 }
 
-// inSnapshot returns a node's record in a snapshot, nil when it has none.
-func (m *Membership) inSnapshot(item store.KeyValue, node string) *roster.Record {
-	records, err := decodeSnapshot(item.Value)
-	if err != nil {
-		return nil // logged where the records are taken in
+// find reads all keys and returns what there is of the own node, which goes on where an earlier life
+// of it ended.
+func (m *Membership) find(ctx context.Context) (own left, err error) {
+	if err := m.readAll(ctx, m.options.Store.Range, func(item store.KeyValue) { m.look(item, &own) }); err != nil {
+		return left{}, err
 	}
-	for _, record := range records {
-		if record.Node == node {
-			return record
+	resumed := m.options.Members.Resume(own.records())
+	m.options.Joined(resumed)
+	return own, nil
+}
+
+// look takes in an item in so far as it is of the own node.
+func (m *Membership) look(item store.KeyValue, own *left) {
+	node := m.options.Members.Own().Node
+	switch item.Key {
+	case KeyPrefix + node:
+		own.item = &item
+		if record, err := readRecord(item); err == nil {
+			own.record = record
+		}
+	case SnapshotKey:
+		records, err := decodeSnapshot(item.Value)
+		if err != nil {
+			return // logged where the others are taken in
+		}
+		if index := slices.IndexFunc(records, func(record *roster.Record) bool { return record.Node == node }); index >= 0 {
+			own.snapshot = records[index]
 		}
 	}
-	return nil
 }
 
 // awaitEndpoint waits until the back end is known, but not for ever.
@@ -173,17 +194,34 @@
 
 // meet returns once another node was in touch with this one.
 func (m *Membership) meet(ctx context.Context) {
-	for wait := meetDelay; ; wait = min(2*wait, meetMost) {
+	for wait := m.firstMeetDelay(); ; wait = min(2*max(wait, meetDelay), meetMost) {
 		pause.Wait(ctx, wait)
 		if ctx.Err() != nil || m.options.Met() {
 			return
 		}
-		if _, _, err := m.find(ctx); err != nil {
+		if _, err := m.find(ctx); err != nil {
 			m.notRead(err)
 		}
 	}
 }
 
+// rampGrowth says how much more likely a node is to read at the end of its first wait than at the
+// beginning, as the exponent of e: of a thousand nodes some three read in the first seventh.
+const rampGrowth = 7
+
+// firstMeetDelay is how long a node waits after its write to be met, before it reads the keys. Where
+// the whole system starts for the first time nobody calls yet, and keys come over a heartbeat's
+// interval. Few nodes read early in it and meet the others: about half of the reads of waits that are
+// drawn evenly over 0.75 s (TestAFirstStartOfMany).
+func (m *Membership) firstMeetDelay() time.Duration {
+	if !m.options.FirstStart {
+		return meetDelay
+	}
+	most := max(m.options.HeartbeatInterval, meetDelay).Seconds()
+	drawn := most * math.Log1p(rand.Float64()*math.Expm1(rampGrowth)) / rampGrowth
+	return meetDelay + time.Duration(drawn*float64(time.Second))
+}
+
 // refresh reads all keys from time to time while the node reads for others: should
 // groups of nodes have lost each other, they find each other again.
 func (m *Membership) refresh(ctx context.Context) {
@@ -219,11 +257,13 @@
 		if err != nil {
 			return err
 		}
-		for _, item := range found {
-			// A record that sets off a panic is left out; the log names it.
-			_ = contain.Run("record "+item.Key, m.options.Logger, func() { m.take(item) })
-			seen(item)
-		}
+		m.options.Members.Together(func() {
+			for _, item := range found {
+				// A record that sets off a panic is left out; the log names it.
+				_ = contain.Run("record "+item.Key, m.options.Logger, func() { m.take(item) })
+				seen(item)
+			}
+		})
 		if len(found) < pageKeys {
 			return nil
 		}
@@ -240,7 +280,7 @@
 			m.options.Logger.Warn("snapshot of nodes cannot be read", zap.Error(err))
 			return
 		}
-		m.options.Members.Merge(records)
+		m.options.Members.Merge(m.ofOthers(records...))
 		return
 	}
 	record, err := readRecord(item)
@@ -248,7 +288,13 @@
 		m.options.Logger.Warn("item of the store is no node's record", zap.String("key", item.Key), zap.Error(err))
 		return
 	}
-	m.options.Members.Merge([]*roster.Record{record})
+	m.options.Members.Merge(m.ofOthers(record))
+}
+
+// ofOthers leaves the own records out: what an earlier life has left is taken in as one.
+func (m *Membership) ofOthers(records ...*roster.Record) []*roster.Record {
+	own := m.options.Members.Own()
+	return slices.DeleteFunc(records, own.Same)
 }
 
 // readRecord reads the record that an item holds.
--- a/internal/sidecar/membership/membership_test.go
+++ b/internal/sidecar/membership/membership_test.go
@@ -105,7 +105,9 @@
 	met     atomic.Bool
 	// compacts: the node keeps the snapshot.
 	compacts atomic.Bool
-	end      func()
+	// joined is called after each read that looked for others; tests that do not need it leave it.
+	joined func()
+	end    func()
 }
 
 func begin(t *testing.T, target *countingStore, node string, firstStart, met bool) *life {
@@ -114,20 +116,25 @@
 	begun.members = roster.New(roster.Record{Node: node, Epoch: 1, Counter: 1, Address: node + ":1", PeerAddress: node + ":2", Zone: "z", Life: rand.Uint64()})
 	begun.node = membership.New(membership.Options{
 		Store: target, Members: begun.members, FirstStart: firstStart, HeartbeatInterval: heartbeat,
-		Joined: func() {}, Met: begun.met.Load, Reads: func() bool { return false }, Logger: zap.NewNop(),
+		Joined: func(bool) {}, Met: begun.met.Load, Reads: func() bool { return false }, Logger: zap.NewNop(),
 		CompactRank: func() (int, bool) { return 0, begun.compacts.Load() },
 	})
-	ctx, cancel := context.WithCancel(t.Context())
+	begun.run()
+	return begun
+}
+
+// run runs the membership until end is called.
+func (l *life) run() {
+	ctx, cancel := context.WithCancel(l.t.Context())
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		begun.node.Run(ctx)
+		l.node.Run(ctx)
 	}()
-	begun.end = func() {
+	l.end = func() {
 		cancel()
 		<-ended
 	}
-	return begun
 }
 
 // says has the back end say something of itself.
@@ -227,8 +234,8 @@
 	})
 }
 
-// TestANextLife: one read, no write, above the life before and knowing its back end;
-// of two lives that found the same record none looks like the other.
+// TestANextLife: one read, no write, and knowing its back end. While it has nothing to say it goes on
+// as the life before ended; what it says then is above that and does not look like it.
 func TestANextLife(t *testing.T) {
 	play(t, func(t *testing.T, g *WithT, target *countingStore) {
 		before := begin(t, target, "a", true, true)
@@ -240,7 +247,33 @@
 		defer next.end()
 		pass(time.Minute)
 		g.Expect(target.calls()).To(Equal([]int64{0, 1, 0}))
+		g.Expect(next.members.Own()).To(Equal(before.members.Own()))
+		g.Expect(next.members.View().Digest()).To(Equal(before.members.View().Digest()))
+		g.Expect(next.members.Own().Endpoint.ID).To(Equal("i-1"))
+		next.says("i-1", roster.Draining, 9)
+		g.Expect(next.members.Own().Newer(before.members.Own())).To(BeTrue())
+		g.Expect(next.members.Own().Life).NotTo(Equal(before.members.Own().Life))
+	})
+}
+
+// TestANextLifeThatDiffers, on another address after one that was leaving, goes above the life before.
+func TestANextLifeThatDiffers(t *testing.T) {
+	play(t, func(t *testing.T, g *WithT, target *countingStore) {
+		before := begin(t, target, "a", true, true)
+		before.says("i-1", roster.Ready, 7)
+		before.members.Update(func(record roster.Record) (roster.Record, bool) {
+			record.Leaving = true
+			record.Address = "elsewhere:1"
+			return record, true
+		})
+		pass(time.Minute)
+		before.end()
+		next := begin(t, target, "a", false, true)
+		defer next.end()
+		pass(time.Minute)
 		g.Expect(next.members.Own().Newer(before.members.Own())).To(BeTrue())
+		g.Expect(next.members.Own().Leaving).To(BeFalse())
+		g.Expect(next.members.Own().Address).To(Equal("a:1"))
 		g.Expect(next.members.Own().Endpoint.ID).To(Equal("i-1"))
 	})
 }
--- a/internal/sidecar/reading.go
+++ b/internal/sidecar/reading.go
@@ -22,6 +22,15 @@
 	// a restart of 195 nodes most had 0.5 MB of it within 0.42 s of their start so; the
 	// store needs 0.8 s to send that to each over 1,000 Mbit/s.
 	versionPatience = 400 * time.Millisecond
+	// versionPatiencePerNode is added to it for each node that is known: the store needs 2 ms to
+	// send 0.25 MB to one over 1,000 Mbit/s, so that where all start and all read the last one has it
+	// no sooner than that.
+	versionPatiencePerNode = time.Millisecond
+	// firstHeartbeats is within how many heartbeat intervals, and firstMargin more, nodes know each
+	// other where the whole system starts for the first time: back ends make themselves known within
+	// one. Before that nearly each node takes itself for one that reads.
+	firstHeartbeats = 1
+	firstMargin     = time.Second
 	// watchWaitPerReader, watchWaitLeast and watchWaitMost say how long one call
 	// of a watch waits at most: a watch may miss an event unheard, so that of all
 	// nodes that read some one should ask anew about three times a second.
@@ -57,12 +66,16 @@
 	if s.keeper.Version() > 0 {
 		return s.reads()
 	}
-	joined := s.joined.Load()
+	settings, joined, age := &s.options.Settings, s.joined.Load(), clock.Since(s.started)
+	first := firstHeartbeats*settings.HeartbeatInterval + firstMargin
+	patience := versionPatience + time.Duration(s.members.View().Count())*versionPatiencePerNode
 	switch {
-	case joined != nil && clock.Since(*joined) >= versionPatience && !s.options.Settings.FirstStart:
+	case joined != nil && clock.Since(*joined) >= patience && !settings.FirstStart:
 		return true
-	case clock.Since(s.started) >= firstVersionPatience:
+	case age >= max(firstVersionPatience, 2*first):
 		return true
+	case settings.FirstStart && age < first:
+		return false
 	case joined != nil:
 		return s.reads()
 	}
@@ -70,11 +83,16 @@
 }
 
 // join tells the peers that were found in the store of this node, and asks some of
-// them what they know.
-func (s *Sidecar) join() {
+// them what they know. A node that goes on as an earlier life of it ended has nothing to tell; some
+// peers hear that it is there.
+func (s *Sidecar) join(resumed bool) {
 	now := clock.Now()
 	s.joined.CompareAndSwap(nil, &now)
-	go s.spread(context.Background())
+	if resumed {
+		go s.exchanger.Appear(context.Background())
+	} else {
+		go s.spread(context.Background())
+	}
 	go s.exchanger.Greet(context.Background())
 }
 
--- a/internal/sidecar/roster/publish.go
+++ b/internal/sidecar/roster/publish.go
@@ -16,6 +16,21 @@
 	publishPause = 50 * time.Millisecond
 )
 
+// Together has the changes that the function makes replace the view once, at its end: a node that
+// reads 1,000 records one by one otherwise replaces views of up to as many for each.
+func (r *Roster) Together(change func()) {
+	r.mutex.Lock()
+	r.together++
+	r.mutex.Unlock()
+	defer func() {
+		r.mutex.Lock()
+		defer r.mutex.Unlock()
+		r.together--
+		r.publish()
+	}()
+	change()
+}
+
 // announce publishes the view and tells the observers; the lock is held.
 func (r *Roster) announce(changed []*Record) {
 	if len(changed) == 0 {
@@ -30,6 +45,9 @@
 // publishSoon replaces the view now, or within publishPause when it is large and
 // was replaced just before. A change of the own record never waits.
 func (r *Roster) publishSoon(changed []*Record) {
+	if r.together > 0 {
+		return
+	}
 	own := slices.ContainsFunc(changed, func(record *Record) bool { return record.Node == r.self })
 	since := clock.Since(r.published)
 	switch {
--- a/internal/sidecar/roster/record.go
+++ b/internal/sidecar/roster/record.go
@@ -99,6 +99,18 @@
 // Same reports whether the other record is of the same node.
 func (r *Record) Same(other *Record) bool { return r.Node == other.Node }
 
+// fresh reports whether the record says nothing but where its node is.
+func (r *Record) fresh() bool {
+	return r.Epoch == 1 && r.Counter == 1 && r.Endpoint == nil && r.Evidence == nil && r.Judged == nil && !r.Leaving
+}
+
+// continuedBy reports whether the record, of an earlier life, says what the fresh record of a new
+// one would.
+func (r *Record) continuedBy(fresh *Record) bool {
+	return !r.Leaving && r.Judged == nil && !r.Gone() && r.Zone == fresh.Zone && r.Link == fresh.Link &&
+		r.Address == fresh.Address && r.PeerAddress == fresh.PeerAddress
+}
+
 // Departed reports whether the node's back end has ended for good.
 func (r *Record) Departed() bool { return r.Endpoint == nil || r.Endpoint.State == Gone }
 
--- a/internal/sidecar/roster/roster.go
+++ b/internal/sidecar/roster/roster.go
@@ -10,6 +10,8 @@
 // Roster merges records. It is safe for concurrent use; reads take no lock.
 type Roster struct {
 	self string
+	// life is that of this process.
+	life uint64
 	view atomic.Pointer[View]
 
 	mutex     sync.Mutex // guards all below and the replacement of view
@@ -19,6 +21,8 @@
 	// to be done after changes.
 	published time.Time
 	delayed   bool
+	// together counts the callers of Together: each of them replaces the view at its end.
+	together int
 	// gone says since when a record is known to be of a node that does not come
 	// back; used by Forget alone.
 	gone map[string]time.Time
@@ -26,7 +30,7 @@
 
 // New returns a roster that holds the node's own first record.
 func New(own Record) *Roster {
-	created := &Roster{self: own.Node, records: map[string]*Record{own.Node: &own}, gone: map[string]time.Time{}}
+	created := &Roster{self: own.Node, life: own.Life, records: map[string]*Record{own.Node: &own}, gone: map[string]time.Time{}}
 	created.publish()
 	return created
 }
@@ -102,13 +106,39 @@
 	return forgotten
 }
 
+// Resume takes in what an earlier life of the node left, the newest of several records. A node that
+// has said nothing yet goes on with that record unchanged, where nothing about its machine is
+// new: where all nodes start again from what they had left, none has news for another, in place of
+// a record of each for each. It reports whether the node did; otherwise Merge's rules hold.
+func (r *Roster) Resume(remembered []*Record) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	var newest *Record
+	for _, record := range remembered {
+		if record.Node == r.self && (newest == nil || record.Newer(newest)) {
+			newest = record
+		}
+	}
+	if newest == nil {
+		return false
+	}
+	if own := r.records[r.self]; !own.fresh() || !newest.continuedBy(own) {
+		r.announce(r.refute(newest))
+		return false
+	}
+	resumed := *newest
+	r.records[r.self] = &resumed
+	r.announce([]*Record{&resumed})
+	return true
+}
+
 // refute puts the own record above one that an earlier life left behind.
 func (r *Roster) refute(remembered *Record) []*Record {
 	own := *r.records[r.self]
 	if !remembered.Newer(&own) && !remembered.conflicts(&own) {
 		return nil
 	}
-	own.Epoch = remembered.Epoch + 1
+	own.Epoch, own.Life = remembered.Epoch+1, r.life
 	for _, ended := range remembered.Ended {
 		if !slices.Contains(own.Ended, ended) {
 			own.Ended = appendEnded(own.Ended, ended)
@@ -150,6 +180,7 @@
 	next, changed := change(*r.records[r.self])
 	if changed {
 		next.Counter++
+		next.Life = r.life
 	}
 	r.records[r.self] = &next
 	if changed {
--- a/internal/sidecar/roster/roster_test.go
+++ b/internal/sidecar/roster/roster_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -345,3 +346,53 @@
 	g.Expect(changed).To(BeTrue())
 	g.Expect(held.Endpoint.Version).To(Equal("v2"))
 }
+
+// TestAFleetThatStartsAgain from what it had left has no news: its nodes' digests are equal at once. A
+// word of the earlier life that the store lacks is found and gone above.
+func TestAFleetThatStartsAgain(t *testing.T) {
+	for _, size := range []int{100, 1000, 2000} {
+		g := NewWithT(t)
+		var left []*roster.Record
+		for i := range size {
+			left = append(left, &roster.Record{
+				Node: fmt.Sprint("n", i), Epoch: 4, Counter: 3, Life: uint64(i), Zone: "z", Address: "a:1", PeerAddress: "a:2",
+				Endpoint: &roster.Endpoint{ID: fmt.Sprint("i-", i), Service: "s", Slots: 4, State: roster.Ready},
+			})
+		}
+		start := func(index int) *roster.Roster {
+			made := roster.New(roster.Record{Node: left[index].Node, Epoch: 1, Counter: 1, Life: 1 << 40, Zone: "z", Address: "a:1", PeerAddress: "a:2"})
+			made.Merge(slices.DeleteFunc(slices.Clone(left), made.Own().Same))
+			g.Expect(made.Resume([]*roster.Record{left[index]})).To(BeTrue())
+			return made
+		}
+		first, second := start(0), start(1)
+		g.Expect(first.View().Digest()).To(Equal(second.View().Digest()))
+		// The earlier life had said more than the store has.
+		unheard := *left[0]
+		unheard.Counter++
+		unheard.Endpoint = &roster.Endpoint{ID: "i-0", Service: "s", Slots: 4, State: roster.Draining, Sequence: 9}
+		g.Expect(first.Merge([]*roster.Record{&unheard})).To(HaveLen(1))
+		g.Expect(first.Own().Newer(&unheard)).To(BeTrue())
+		g.Expect(first.Own().Endpoint.State).To(Equal(roster.Draining))
+		g.Expect(first.Own().Life).To(BeEquivalentTo(1 << 40))
+	}
+}
+
+// TestTogether: many records replace the view once, and what others see meanwhile is whole.
+func TestTogether(t *testing.T) {
+	g := NewWithT(t)
+	made := roster.New(roster.Record{Node: "self", Epoch: 1, Counter: 1})
+	before := made.View()
+	told := 0
+	made.Observe(func(changed []*roster.Record) { told += len(changed) })
+	made.Together(func() {
+		for i := range 300 {
+			made.Merge([]*roster.Record{{Node: fmt.Sprint("n", i), Epoch: 1, Zone: "z"}})
+			g.Expect(made.View()).To(BeIdenticalTo(before))
+		}
+	})
+	g.Expect(made.View().Count()).To(Equal(301))
+	g.Expect(told).To(Equal(300))
+	made.Merge([]*roster.Record{{Node: "later", Epoch: 1, Zone: "z"}})
+	g.Expect(made.View().Count()).To(Equal(302))
+}
