Long messages between nodes are compressed

Cause: an exchange between nodes whose rosters differ passes the records of whole parts, up to all of them: 0.2 MB at 984 nodes, some of it between zones, over links of 20 Mbit/s, at the first start and after a start of all. Change: what the configuration did already is a package of its own (encoded) and serves exchanges too, from 4 KB on.

--- a/internal/sidecar/configuration/keeper.go
+++ b/internal/sidecar/configuration/keeper.go
@@ -16,6 +16,7 @@
 
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/contain"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/encoded"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/route"
 )
 
@@ -57,8 +58,8 @@
 	past []*route.Document
 	// whole returns the document as peers without one get it, changes what leads from each of
 	// the past versions to it; each is made when first asked.
-	whole   func() (*Encoded, error)
-	changes map[uint64]func() (*Encoded, error)
+	whole   func() (*encoded.Body, error)
+	changes map[uint64]func() (*encoded.Body, error)
 	// lostKeys holds, for each of the past versions, the tenants that have lost a key since.
 	lostKeys map[uint64]map[string]bool
 }
@@ -101,7 +102,7 @@
 
 // EncodedSince is Since as it goes to peers, nil before the first version. It is made once, since
 // many ask for the same.
-func (k *Keeper) EncodedSince(version uint64) (*Encoded, error) {
+func (k *Keeper) EncodedSince(version uint64) (*encoded.Body, error) {
 	current := k.held.Load()
 	if current == nil {
 		return nil, nil
@@ -190,14 +191,14 @@
 	if err != nil {
 		return k.refuse(strconv.FormatUint(document.Version, 10), source, trace.Wrap(err, "compile configuration"))
 	}
-	next := &held{table: compiled, since: clock.Now(), whole: encoded(document, nil)}
+	next := &held{table: compiled, since: clock.Now(), whole: encodedChange(document, nil)}
 	if before != nil {
 		past := append(slices.Clone(before.past), before.table.Document())
 		next.past = past[max(0, len(past)-remembered):]
-		next.changes = make(map[uint64]func() (*Encoded, error), remembered)
+		next.changes = make(map[uint64]func() (*encoded.Body, error), remembered)
 		next.lostKeys = make(map[uint64]map[string]bool, remembered)
 		for _, base := range next.past {
-			next.changes[base.Version] = encoded(document, base)
+			next.changes[base.Version] = encodedChange(document, base)
 			next.lostKeys[base.Version] = base.LostKeys(document)
 		}
 	}
--- /dev/null
+++ b/internal/sidecar/encoded/encoded_test.go
@@ -0,0 +1,48 @@
+package encoded_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/encoded"
+)
+
+// TestABodyReadsAsItWasWritten, compressed from the length that was asked for on.
+func TestABodyReadsAsItWasWritten(t *testing.T) {
+	cases := []struct {
+		name       string
+		length     int
+		from       int
+		compressed bool
+	}{{"short", 10, encoded.Long, false}, {"long", 2 * encoded.Long, encoded.Long, true}, {"always", 10, 0, true}}
+	for _, played := range cases {
+		t.Run(played.name, func(t *testing.T) {
+			g := NewWithT(t)
+			value := strings.Repeat("a", played.length)
+			body, err := encoded.JSON(value, played.from)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(body.Compressed).To(Equal(played.compressed))
+			header := http.Header{}
+			body.Mark(header)
+			plain, err := encoded.Reader(header, bytes.NewReader(body.Bytes))
+			g.Expect(err).NotTo(HaveOccurred())
+			var read string
+			g.Expect(json.NewDecoder(plain).Decode(&read)).To(Succeed())
+			g.Expect(read).To(Equal(value))
+		})
+	}
+}
+
+// TestABodyThatIsNotWhatItSays is an error.
+func TestABodyThatIsNotWhatItSays(t *testing.T) {
+	g := NewWithT(t)
+	_, err := encoded.Reader(http.Header{"Content-Encoding": {"gzip"}}, strings.NewReader("{}"))
+	g.Expect(err).To(HaveOccurred())
+	_, err = encoded.JSON(func() {}, 0)
+	g.Expect(err).To(HaveOccurred())
+}
--- a/internal/sidecar/exchange/exchanger.go
+++ b/internal/sidecar/exchange/exchanger.go
@@ -20,6 +20,7 @@
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/configuration"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/contain"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/encoded"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/evacuation"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/quota"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/readers"
@@ -330,7 +331,11 @@
 	}
 	defer resp.Body.Close()
 	received := &Message{}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, messageBytes)).Decode(received); err != nil {
+	plain, err := encoded.Reader(resp.Header, resp.Body)
+	if err == nil {
+		err = json.NewDecoder(io.LimitReader(plain, messageBytes)).Decode(received)
+	}
+	if err != nil {
 		return nil, trace.Wrap(err, "exchange with %s", peer.Node)
 	}
 	if received.From == nil {
@@ -342,15 +347,17 @@
 // send posts a value to a peer. The body of the response, which has a status of
 // success, is to be closed.
 func (e *Exchanger) send(ctx context.Context, peer *roster.Record, path string, value any) (*http.Response, error) {
-	encoded, err := json.Marshal(value)
+	body, err := encoded.JSON(value, encoded.Long)
 	if err != nil {
 		return nil, trace.Wrap(err, "exchange")
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+peer.PeerAddress+PathRoot+path, bytes.NewReader(encoded))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+peer.PeerAddress+PathRoot+path, bytes.NewReader(body.Bytes))
 	if err != nil {
 		return nil, trace.Wrap(err, "exchange")
 	}
 	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(headerAccept, encoded.Compression)
+	body.Mark(req.Header)
 	resp, err := e.client.Do(req)
 	if err != nil {
 		return nil, trace.Wrap(err, "exchange with %s", peer.Node)
--- a/internal/sidecar/exchange/fetch.go
+++ b/internal/sidecar/exchange/fetch.go
@@ -1,7 +1,6 @@
 package exchange
 
 import (
-	"compress/gzip"
 	"context"
 	"encoding/json"
 	"errors"
@@ -13,6 +12,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/configuration"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/encoded"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/route"
 )
@@ -57,7 +57,7 @@
 	if err != nil {
 		return nil, err
 	}
-	req.Header.Set(headerAccept, compression)
+	req.Header.Set(headerAccept, encoded.Compression)
 	resp, err := e.client.Do(req)
 	if err != nil {
 		return nil, err
@@ -71,11 +71,7 @@
 
 // plainBody returns the body of an answer that may be compressed.
 func plainBody(resp *http.Response, heard func()) (io.Reader, error) {
-	body := &noticedReader{Reader: resp.Body, heard: heard}
-	if resp.Header.Get(headerEncoding) != compression {
-		return body, nil
-	}
-	return gzip.NewReader(body)
+	return encoded.Reader(resp.Header, &noticedReader{Reader: resp.Body, heard: heard})
 }
 
 // noticedReader tells whenever it brings something.
--- a/internal/sidecar/exchange/server.go
+++ b/internal/sidecar/exchange/server.go
@@ -1,21 +1,19 @@
 package exchange
 
 import (
+	"math"
 	"net/http"
 	"strconv"
 
 	"github.com/emicklei/go-restful/v3"
 	"go.uber.org/zap"
 
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/encoded"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 )
 
-// Headers by which a peer asks for, and gets, a compressed answer.
-const (
-	headerAccept   = "Accept-Encoding"
-	headerEncoding = "Content-Encoding"
-	compression    = "gzip"
-)
+// headerAccept asks for a compressed answer.
+const headerAccept = "Accept-Encoding"
 
 const (
 	// messageBytes bounds one message.
@@ -50,7 +48,17 @@
 		_ = response.WriteErrorString(http.StatusBadRequest, "from: no exchange message")
 		return
 	}
-	_ = response.WriteAsJson(e.answer(received))
+	compressFrom := math.MaxInt
+	if acceptsCompressed(request.Request) {
+		compressFrom = encoded.Long
+	}
+	body, err := encoded.JSON(e.answer(received), compressFrom)
+	if err != nil {
+		e.options.Logger.Error("exchange not answered", zap.Error(err))
+		_ = response.WriteErrorString(http.StatusInternalServerError, "exchange: cannot be encoded")
+		return
+	}
+	answerBody(response, body)
 }
 
 func (e *Exchanger) serveNotice(request *restful.Request, response *restful.Response) {
@@ -123,7 +131,7 @@
 
 // acceptsCompressed reports whether the peer reads compressed answers. Nodes of the
 // version before do not ask for them.
-func acceptsCompressed(r *http.Request) bool { return r.Header.Get(headerAccept) == compression }
+func acceptsCompressed(r *http.Request) bool { return r.Header.Get(headerAccept) == encoded.Compression }
 
 // answerEncoded answers what leads from a version to the one in force, compressed when it is
 // long.
@@ -138,11 +146,14 @@
 		noneInForce(response)
 		return
 	}
+	answerBody(response, change)
+}
+
+// answerBody answers with a body.
+func answerBody(response *restful.Response, body *encoded.Body) {
 	header := response.Header()
 	header.Set("Content-Type", restful.MIME_JSON)
-	if change.Compressed {
-		header.Set(headerEncoding, compression)
-	}
-	header.Set("Content-Length", strconv.Itoa(len(change.Body)))
-	_, _ = response.Write(change.Body)
+	body.Mark(header)
+	header.Set("Content-Length", strconv.Itoa(len(body.Bytes)))
+	_, _ = response.Write(body.Bytes)
 }
--- a/internal/sidecar/exchange/slow_test.go
+++ b/internal/sidecar/exchange/slow_test.go
@@ -114,7 +114,7 @@
 	})
 	change, err := held[1].keeper.EncodedSince(7)
 	g.Expect(err).NotTo(HaveOccurred())
-	alone := time.Duration(len(change.Body)) * time.Second / time.Duration(over.bytesPerSecond)
+	alone := time.Duration(len(change.Bytes)) * time.Second / time.Duration(over.bytesPerSecond)
 	began := time.Now()
 	for late.keeper.Version() < 8 && time.Since(began) < time.Minute {
 		for _, peer := range held[1:] {
@@ -123,7 +123,7 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 	g.Expect(time.Since(began)).To(BeNumerically("<=", alone+100*time.Millisecond))
-	g.Expect(over.carried).To(BeNumerically("<", len(change.Body)*3/2), "one copy, and some words")
+	g.Expect(over.carried).To(BeNumerically("<", len(change.Bytes)*3/2), "one copy, and some words")
 }
 
 // TestALargeChangeIsSmallOnTheWay, a small one goes as it is.
@@ -139,7 +139,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(large.Compressed).To(BeTrue())
 	g.Expect(len(plain)).To(BeNumerically(">", 250_000))
-	g.Expect(len(large.Body)).To(BeNumerically("<", len(plain)/10))
+	g.Expect(len(large.Bytes)).To(BeNumerically("<", len(plain)/10))
 	small, err := keeper.EncodedSince(8)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(small.Compressed).To(BeFalse())
