--- a/internal/sidecar/exchange/exchanger.go
+++ b/internal/sidecar/exchange/exchanger.go
@@ -358,13 +358,19 @@
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set(headerAccept, encoded.Compression)
 	body.Mark(req.Header)
+	resp, err := e.do(req)
+	return resp, trace.Wrap(err, "exchange with %s", peer.Node)
+}
+
+// do sends a request. The body of the response, which has a status of success, is to be closed.
+func (e *Exchanger) do(req *http.Request) (*http.Response, error) {
 	resp, err := e.client.Do(req)
 	if err != nil {
-		return nil, trace.Wrap(err, "exchange with %s", peer.Node)
+		return nil, err
 	}
 	if resp.StatusCode >= http.StatusMultipleChoices {
 		_ = resp.Body.Close()
-		return nil, trace.Wrap(fmt.Errorf("status %d", resp.StatusCode), "exchange with %s", peer.Node)
+		return nil, fmt.Errorf("status %d", resp.StatusCode)
 	}
 	return resp, nil
 }
--- a/internal/sidecar/exchange/fetch.go
+++ b/internal/sidecar/exchange/fetch.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -58,15 +57,7 @@
 		return nil, err
 	}
 	req.Header.Set(headerAccept, encoded.Compression)
-	resp, err := e.client.Do(req)
-	if err != nil {
-		return nil, err
-	}
-	if resp.StatusCode != http.StatusOK {
-		_ = resp.Body.Close()
-		return nil, fmt.Errorf("status %d", resp.StatusCode)
-	}
-	return resp, nil
+	return e.do(req)
 }
 
 // plainBody returns the body of an answer that may be compressed.
--- a/internal/sidecar/exchange/level.go
+++ b/internal/sidecar/exchange/level.go
@@ -82,17 +82,13 @@
 func (l *levelCheck) pick() *roster.Record {
 	e := l.exchanger
 	own, view := e.options.Roster.Own(), e.options.Roster.View()
-	near := l.readersOf(own.Zone)
+	near, _ := readers.Zone(view, own.Zone, e.Usable)
+	near = l.askable(near)
 	age, proven := e.options.Configuration.ProofAge()
 	if len(near) > 0 && proven && age < levelStale {
 		return near[rand.N(len(near))]
 	}
-	all := near
-	for _, zone := range view.Zones() {
-		if zone != own.Zone {
-			all = append(all, l.readersOf(zone)...)
-		}
-	}
+	all := l.askable(readers.All(view, e.Usable))
 	if len(all) == 0 {
 		return nil
 	}
@@ -103,16 +99,11 @@
 // is one.
 func (l *levelCheck) alone() bool {
 	e := l.exchanger
-	view := e.options.Roster.View()
-	return !slices.ContainsFunc(view.Zones(), func(zone string) bool {
-		reading, _ := readers.Zone(view, zone, e.Usable)
-		return len(e.peersOf(reading)) > 0
-	})
+	return len(e.peersOf(readers.All(e.options.Roster.View(), e.Usable))) == 0
 }
 
-// readersOf returns the other nodes of a zone that read the store and owe no answer.
-func (l *levelCheck) readersOf(zone string) []*roster.Record {
-	reading, _ := readers.Zone(l.exchanger.options.Roster.View(), zone, l.exchanger.Usable)
+// askable returns those of the nodes that are others and owe no answer.
+func (l *levelCheck) askable(reading []*roster.Record) []*roster.Record {
 	return slices.DeleteFunc(l.exchanger.peersOf(reading), func(record *roster.Record) bool {
 		_, waits := l.unanswered.Load(record.Node)
 		return waits
--- a/internal/sidecar/exchange/ping.go
+++ b/internal/sidecar/exchange/ping.go
@@ -44,7 +44,7 @@
 	if err != nil {
 		return trace.Wrap(err, "ping %s", peer.Node)
 	}
-	answer, err := e.client.Do(request)
+	answer, err := e.do(request)
 	if err != nil {
 		return trace.Wrap(err, "ping %s", peer.Node)
 	}
--- a/internal/sidecar/readers/readers.go
+++ b/internal/sidecar/readers/readers.go
@@ -33,26 +33,46 @@
 	return min(wanted, nodes)
 }
 
+// ranked is a node with the hash of its name, which is worked out once: a node ranks its zone four
+// times a second and more.
+type ranked struct {
+	record *roster.Record
+	hash   uint64
+}
+
 // Zone divides the nodes of one zone: those that read, in order, and the others
 // in the order of their names. Nodes that are not usable are in neither. Of two
 // nodes the one with the faster link reads.
 func Zone(view *roster.View, zone string, usable Usable) (reading, others []*roster.Record) {
 	records := view.Zone(zone)
-	ranked := make([]*roster.Record, 0, len(records))
+	ranking := make([]ranked, 0, len(records))
 	for _, record := range records {
 		if !record.Leaving && !record.Gone() && usable(record) {
-			ranked = append(ranked, record)
+			ranking = append(ranking, ranked{record: record, hash: xxhash.Sum64String(record.Node)})
 		}
 	}
-	slices.SortFunc(ranked, func(a, b *roster.Record) int {
-		return cmp.Or(cmp.Compare(b.Link, a.Link), cmp.Compare(xxhash.Sum64String(a.Node), xxhash.Sum64String(b.Node)))
+	slices.SortFunc(ranking, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.record.Link, a.record.Link), cmp.Compare(a.hash, b.hash))
 	})
-	count := Count(len(ranked), len(view.Zones()))
-	reading, others = ranked[:count], ranked[count:]
+	all := make([]*roster.Record, len(ranking))
+	for i := range ranking {
+		all[i] = ranking[i].record
+	}
+	count := Count(len(all), len(view.Zones()))
+	reading, others = all[:count], all[count:]
 	slices.SortFunc(others, func(a, b *roster.Record) int { return cmp.Compare(a.Node, b.Node) })
 	return reading, others
 }
 
+// All returns the nodes of all zones that read.
+func All(view *roster.View, usable Usable) (reading []*roster.Record) {
+	for _, zone := range view.Zones() {
+		near, _ := Zone(view, zone, usable)
+		reading = append(reading, near...)
+	}
+	return reading
+}
+
 // Reads reports whether the node is among those of its zone that read. A node that
 // is leaving, or whose back end is gone, hears from its peers until its end, unless
 // there is none to read.
--- a/internal/sidecar/rollouts.go
+++ b/internal/sidecar/rollouts.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -69,13 +68,7 @@
 
 // reading returns the nodes of all zones that read the store.
 func (s *Sidecar) reading() []*roster.Record {
-	view := s.members.View()
-	var all []*roster.Record
-	for _, zone := range view.Zones() {
-		reading, _ := readers.Zone(view, zone, s.exchanger.Usable)
-		all = slices.Concat(all, reading)
-	}
-	return all
+	return readers.All(s.members.View(), s.exchanger.Usable)
 }
 
 // judge compares the back end's version with others by what the node sees of its
