A view costs by what has changed

Change: views share the lists of zones and services in which nothing changed; a list that did is copied. A subset stays while its service's list is the same. A view is built whole when a quarter of the records change together. Ruled out: a persistent map from a library: no list is asked for by node on a request's path; a search in six sorted lists does.

--- a/internal/sidecar/egress/handler.go
+++ b/internal/sidecar/egress/handler.go
@@ -123,8 +123,10 @@
 	cutting context.Context
 	cut     context.CancelCauseFunc
 
-	// subsets are those of the last view.
-	subsets atomic.Pointer[subsets]
+	// subsets holds the back ends that are considered, by subsetKey; subsetCount is how often one was
+	// chosen since it was last emptied.
+	subsets     sync.Map
+	subsetCount atomic.Int64
 	// work and patiences hold what is learned by route name.
 	work, patiences sync.Map
 
--- a/internal/sidecar/egress/subset.go
+++ b/internal/sidecar/egress/subset.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"sync"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -20,14 +19,6 @@
 	farSubset  = 16
 )
 
-// subsets holds, for one view and set of emptied zones, the back ends that a node considers by
-// service.
-type subsets struct {
-	view      *roster.View
-	emptied   *evacuation.Zones
-	byService sync.Map // of subsetKey to *subset
-}
-
 // subsetKey is a service with a selection of its back ends and the regions in which they may be.
 type subsetKey struct{ service, selection, regions string }
 
@@ -38,28 +29,44 @@
 	records []*roster.Record
 	// near is how many are in the node's zone, ready how many of all take work.
 	near, ready int
+	// of are the service's records that it was chosen from, emptied the zones left out.
+	of      []*roster.Record
+	emptied *evacuation.Zones
+}
+
+// chosenFrom reports whether the subset was chosen from that list, and not one like it.
+func (s *subset) chosenFrom(list []*roster.Record, emptied *evacuation.Zones) bool {
+	if s.emptied != emptied || len(s.of) != len(list) {
+		return false
+	}
+	return len(list) == 0 || &s.of[0] == &list[0]
 }
 
+// mostSubsets bounds the subsets that are kept: selections and regions come and go.
+const mostSubsets = 512
+
 // subset returns the back ends of the service that the node considers, of those that
-// are selected and in the regions. It is computed once for each view and selection.
+// are selected and in the regions. It is chosen anew when a record of the service, or an emptied zone,
+// has changed: a change of another service's record costs nothing.
 func (h *Handler) subset(view *roster.View, service string, selected rollout.Selection, allowed regions) *subset {
-	held, emptied := h.subsets.Load(), h.options.Emptied()
-	if held == nil || held.view != view || held.emptied != emptied {
-		held = &subsets{view: view, emptied: emptied}
-		h.subsets.Store(held)
-	}
+	of, emptied := view.Service(service), h.options.Emptied()
 	key := subsetKey{service: service, selection: selected.Key, regions: allowed.key}
-	if found, known := held.byService.Load(key); known {
+	if found, known := h.subsets.Load(key); known && found.(*subset).chosenFrom(of, emptied) {
 		return found.(*subset)
 	}
-	records := admitted(view.Service(service), selected)
+	records := admitted(of, selected)
 	if emptied != nil || !allowed.all() {
 		records = slices.DeleteFunc(slices.Clone(records), func(record *roster.Record) bool {
 			return emptied.Contains(record.Zone) || !allowed.contains(h.options.Regions[record.Zone])
 		})
 	}
 	chosen := chooseSubset(records, h.options.Node, place{zone: h.options.Zone, regions: h.options.Regions})
-	held.byService.Store(key, chosen)
+	chosen.of, chosen.emptied = of, emptied
+	if h.subsetCount.Add(1) > mostSubsets {
+		h.subsets.Clear()
+		h.subsetCount.Store(0)
+	}
+	h.subsets.Store(key, chosen)
 	return chosen
 }
 
--- a/internal/sidecar/roster/publish.go
+++ b/internal/sidecar/roster/publish.go
@@ -67,19 +67,20 @@
 	}
 }
 
+// rebuildShare is the part of the records from which on, when they change together, a view is built
+// anew: lists are cheaper sorted once than changed in many places.
+const rebuildShare = 4
+
+// publish replaces the view. It costs by what has changed: the lists of the zones and services
+// concerned are copied, all others shared with the view before. One change among 984 records in 6
+// zones and 3 services takes 16 microseconds and 5 KB, among 2,000 28 and 9 KB (BenchmarkOneChange).
+// Built whole each time it is 268 and 612 microseconds, 64 and 126 KB (BenchmarkWholeView).
 func (r *Roster) publish() {
 	r.published, r.delayed = clock.Now(), false
-	view := &View{records: maps.Clone(r.records), services: map[string][]*Record{}, zones: map[string][]*Record{}}
-	for _, record := range view.Records() {
-		view.zones[record.Zone] = append(view.zones[record.Zone], record)
-		if !record.Gone() {
-			view.digest ^= record.digest()
-			view.present++
-		}
-		if record.Endpoint != nil {
-			service := record.Endpoint.Service
-			view.services[service] = append(view.services[service], record)
-		}
+	if len(r.dirty)*rebuildShare >= len(r.records) {
+		r.view.Store(newView(slices.Collect(maps.Values(r.records))))
+	} else {
+		r.view.Store(r.View().with(r.dirty, r.records))
 	}
-	r.view.Store(view)
+	clear(r.dirty)
 }
--- a/internal/sidecar/roster/roster.go
+++ b/internal/sidecar/roster/roster.go
@@ -14,8 +14,10 @@
 	life uint64
 	view atomic.Pointer[View]
 
-	mutex     sync.Mutex // guards all below and the replacement of view
-	records   map[string]*Record
+	mutex   sync.Mutex // guards all below and the replacement of view
+	records map[string]*Record
+	// dirty are the nodes whose records the view does not show as they are.
+	dirty     map[string]struct{}
 	observers []func(changed []*Record)
 	// published is when the view was last replaced, delayed whether that is still
 	// to be done after changes.
@@ -30,11 +32,19 @@
 
 // New returns a roster that holds the node's own first record.
 func New(own Record) *Roster {
-	created := &Roster{self: own.Node, life: own.Life, records: map[string]*Record{own.Node: &own}, gone: map[string]time.Time{}}
+	created := &Roster{self: own.Node, life: own.Life, records: map[string]*Record{}, dirty: map[string]struct{}{}, gone: map[string]time.Time{}}
+	created.view.Store(newView(nil))
+	created.set(&own)
 	created.publish()
 	return created
 }
 
+// set replaces a node's record; the lock is held.
+func (r *Roster) set(record *Record) {
+	r.records[record.Node] = record
+	r.dirty[record.Node] = struct{}{}
+}
+
 // View returns the current state.
 func (r *Roster) View() *View { return r.view.Load() }
 
@@ -68,7 +78,7 @@
 			continue // forgotten, or never to be known
 		}
 		if held == nil || record.Newer(held) {
-			r.records[record.Node] = record
+			r.set(record)
 			changed = append(changed, record)
 		}
 	}
@@ -97,6 +107,7 @@
 		case now.Sub(since) >= goneKept:
 			delete(r.gone, node)
 			delete(r.records, node)
+			r.dirty[node] = struct{}{}
 			forgotten = append(forgotten, node)
 		}
 	}
@@ -127,7 +138,7 @@
 		return false
 	}
 	resumed := *newest
-	r.records[r.self] = &resumed
+	r.set(&resumed)
 	r.announce([]*Record{&resumed})
 	return true
 }
@@ -146,7 +157,7 @@
 	}
 	own.Endpoint = inherited(own, remembered.Endpoint)
 	own.Evidence = inheritedEvidence(own.Evidence, remembered.Evidence)
-	r.records[r.self] = &own
+	r.set(&own)
 	return []*Record{&own}
 }
 
@@ -182,7 +193,7 @@
 		next.Counter++
 		next.Life = r.life
 	}
-	r.records[r.self] = &next
+	r.set(&next)
 	if changed {
 		r.announce([]*Record{&next})
 	}
