--- a/internal/sidecar/membership/snapshot.go
+++ b/internal/sidecar/membership/snapshot.go
@@ -32,9 +32,11 @@
 	// two calls for each node that starts: 0.39 GB where all start at once, 3 s of the store's link.
 	// A snapshot of as many has 0.03 MB.
 	compactFrom = 64
-	// compactInterval is the time between two looks at whether there are so many, compactTurn how
-	// much later each further node looks, should the ones before not.
+	// compactInterval is the time between two looks at whether there are so many, compactRest that
+	// after one which found few, compactTurn how much later each further node looks, should the ones
+	// before not.
 	compactInterval = 6 * time.Second
+	compactRest     = 30 * time.Second
 	compactTurn     = 4 * time.Second
 	// snapshotBytes bounds a snapshot once it is read.
 	snapshotBytes = 64 << 20
@@ -80,24 +82,31 @@
 	snapshot uint64
 }
 
-// run compacts when there is need and it is the node's turn, until the context ends.
+// compact keeps the snapshot when it is the node's turn, until the context ends.
 func (m *Membership) compact(ctx context.Context) {
+	interval := compactInterval
 	for last := clock.Now(); ctx.Err() == nil; {
 		pause.Wait(ctx, compactInterval/2)
 		rank, ranked := m.options.CompactRank()
-		if !ranked || clock.Since(last) < compactInterval+time.Duration(rank)*compactTurn {
+		few := m.options.Members.View().Count() < compactFrom
+		if few || !ranked || clock.Since(last) < interval+time.Duration(rank)*compactTurn {
 			continue
 		}
-		last = clock.Now()
-		err := contain.Run("snapshot of nodes", m.options.Logger, func() { m.compactOnce(ctx) })
+		last, interval = clock.Now(), compactRest
+		err := contain.Run("snapshot of nodes", m.options.Logger, func() {
+			if m.compactOnce(ctx) {
+				interval = compactInterval
+			}
+		})
 		if err != nil {
 			m.options.Logger.Error("snapshot of nodes not written", zap.Error(err))
 		}
 	}
 }
 
-// compactOnce looks for nodes' keys and moves them into the snapshot when there are many.
-func (m *Membership) compactOnce(ctx context.Context) {
+// compactOnce looks for nodes' keys and moves them into the snapshot when there are many. It reports
+// whether there were, or nobody knows.
+func (m *Membership) compactOnce(ctx context.Context) (many bool) {
 	one := &compactor{options: &m.options}
 	err := m.readAll(ctx, m.options.Store.Range, func(item store.KeyValue) {
 		if item.Key == SnapshotKey {
@@ -106,7 +115,7 @@
 		}
 		one.found = append(one.found, item)
 	})
-	if err == nil && len(one.found) >= compactFrom {
+	if many = err != nil || len(one.found) >= compactFrom; err == nil && many {
 		err = one.write(ctx)
 	}
 	switch {
@@ -117,6 +126,7 @@
 	default:
 		m.notRead(err)
 	}
+	return many
 }
 
 // write writes the snapshot and takes the keys away that it holds, some at a time. A key that was
