A lost peer that speaks is lost no more

Cause: who starts among the first of many takes the others for lost, 30 s long, and asks one of them in 0.8 s; a zone's readers are chosen among those that are not lost, so that views of who reads differ (read from the code). Change: an exchange that a peer begins, and its word of itself, end that, as its answer does.

--- a/internal/sidecar/exchange/exchanger.go
+++ b/internal/sidecar/exchange/exchanger.go
@@ -316,6 +316,7 @@
 // take merges a peer's message and fetches its configuration when it is newer.
 func (e *Exchanger) take(received *Message) {
 	e.met.Store(true)
+	e.lost.remove(received.From.Node) // it is there, whoever began
 	e.hearTold(&received.Told)
 	e.options.Roster.Merge(append([]*roster.Record{received.From}, received.Records...))
 	e.Behind(received.From, received.Version)
--- a/internal/sidecar/exchange/lost_test.go
+++ b/internal/sidecar/exchange/lost_test.go
@@ -52,3 +52,19 @@
 		})
 	}
 }
+
+// TestALostPeerThatSpeaksIsLostNoMore, whether it begins an exchange or tells of itself: where all start
+// together the first to come take the others for lost, and ask one of them in 0.8 s.
+func TestALostPeerThatSpeaksIsLostNoMore(t *testing.T) {
+	g := NewWithT(t)
+	first, second := newMember(t, "first"), newMember(t, "second")
+	lost := func() bool { return !first.exchanger.Usable(second.record) }
+	first.exchanger.Lost("second")
+	g.Expect(lost()).To(BeTrue())
+	g.Expect(second.exchanger.With(t.Context(), first.record)).To(Succeed())
+	g.Expect(lost()).To(BeFalse())
+	first.exchanger.Lost("second")
+	second.members.Merge([]*roster.Record{first.record})
+	second.exchanger.Appear(t.Context())
+	g.Expect(lost()).To(BeFalse())
+}
