--- a/internal/sidecar/exchange/catchup.go
+++ b/internal/sidecar/exchange/catchup.go
@@ -51,8 +51,9 @@
 	wake chan struct{}
 
 	mu sync.Mutex // guards all below
-	// running: a goroutine is at work.
+	// running: a goroutine is at work. ended is closed when it is done.
 	running bool
+	ended   chan struct{}
 	// newest is the highest version heard of.
 	newest uint64
 	// since is when the node first heard that it is behind, and first from whom; of use while
@@ -105,7 +106,7 @@
 
 // begin starts to catch up; the lock is held.
 func (c *catchUp) begin(peer *roster.Record, now time.Time, delay time.Duration) {
-	c.running = true
+	c.running, c.ended = true, make(chan struct{})
 	c.newest = 0
 	c.since, c.first = now, peer.Node
 	c.storeDue, c.storePause = now.Add(delay+storeDelay), storeBase
@@ -114,7 +115,7 @@
 		if contain.Run("catching up", c.logger, c.run) != nil {
 			c.mu.Lock()
 			defer c.mu.Unlock()
-			c.running = false // the next word begins anew
+			c.stop() // the next word begins anew
 		}
 	}()
 }
@@ -202,7 +203,7 @@
 
 // end notes that the node is level; the lock is held.
 func (c *catchUp) end(now time.Time, held uint64) {
-	c.running = false
+	c.stop()
 	for _, under := range c.questions {
 		under.cancel()
 	}
@@ -254,9 +255,34 @@
 	c.signal()
 }
 
+// stop notes that nothing is at work any more; the lock is held.
+func (c *catchUp) stop() {
+	if c.running {
+		c.running = false
+		close(c.ended)
+	}
+}
+
 // level reports whether the node has every version that it has heard of.
 func (c *catchUp) level() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return !c.running || c.exchanger.options.Configuration.Version() >= c.newest
 }
+
+// await waits until the node has every version that it has heard of, and reports whether it has
+// before the context ended.
+func (c *catchUp) await(ctx context.Context) bool {
+	if c.level() {
+		return true
+	}
+	c.mu.Lock()
+	ended := c.ended
+	c.mu.Unlock()
+	select {
+	case <-ended:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/sidecar/exchange/level.go
+++ b/internal/sidecar/exchange/level.go
@@ -186,7 +186,7 @@
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	e.behind.hear(peer, version, 0)
-	return e.level.awaitLevel(ctx)
+	return e.level.exchanger.behind.await(ctx)
 }
 
 // confirm is Confirm for all that wait.
@@ -210,7 +210,7 @@
 		select {
 		case err := <-answered:
 			if err == nil {
-				return l.awaitLevel(ctx)
+				return l.exchanger.behind.await(ctx)
 			}
 		case <-hedge.C:
 			askOne()
@@ -222,18 +222,3 @@
 	}
 	return true
 }
-
-// awaitLevel waits until the node has caught up with what it has heard of.
-func (l *levelCheck) awaitLevel(ctx context.Context) bool {
-	const look = 5 * time.Millisecond
-	for !l.exchanger.behind.level() {
-		timer := time.NewTimer(look)
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
-			return false
-		}
-	}
-	return true
-}
--- a/internal/sidecar/roster/validate.go
+++ b/internal/sidecar/roster/validate.go
@@ -26,10 +26,11 @@
 	case r.Link < 0:
 		return trace.BadParameter("link: is below zero")
 	}
-	for name, address := range map[string]string{"address": r.Address, "peerAddress": r.PeerAddress} {
-		if _, _, err := net.SplitHostPort(address); err != nil {
-			return trace.BadParameter("%s: %v", name, err)
-		}
+	if _, _, err := net.SplitHostPort(r.Address); err != nil {
+		return trace.BadParameter("address: %v", err)
+	}
+	if _, _, err := net.SplitHostPort(r.PeerAddress); err != nil {
+		return trace.BadParameter("peerAddress: %v", err)
 	}
 	if r.Endpoint == nil {
 		return nil
