--- a/internal/sidecar/membership/firststart_test.go
+++ b/internal/sidecar/membership/firststart_test.go
@@ -48,7 +48,9 @@
 					begun.run()
 				}
 				for _, begun := range lives {
+					mu.Lock()
 					wait := time.Duration(random.Int64N(int64(5 * time.Second)))
+					mu.Unlock()
 					time.AfterFunc(wait, func() {
 						begun.members.Update(func(record roster.Record) (roster.Record, bool) {
 							record.Endpoint = &roster.Endpoint{ID: "i", Service: "s", Slots: 1, State: roster.Ready}
