--- a/internal/sidecar/reading.go
+++ b/internal/sidecar/reading.go
@@ -25,12 +25,12 @@
 	// versionPatiencePerNode is added to it for each node that is known: the store needs 2 ms to
 	// send 0.25 MB to one over 1,000 Mbit/s, so that where all start and all read the last one has it
 	// no sooner than that.
-	versionPatiencePerNode = time.Millisecond
-	// firstHeartbeats is within how many heartbeat intervals, and firstMargin more, nodes know each
-	// other where the whole system starts for the first time: back ends make themselves known within
-	// one. Before that nearly each node takes itself for one that reads.
-	firstHeartbeats = 1
-	firstMargin     = time.Second
+	versionPatiencePerNode = 2 * time.Millisecond
+	// firstMargin is how much longer than a heartbeat's interval, within which all back ends make
+	// themselves known, nodes take to know each other where the whole system starts for the first
+	// time. Before that nearly each node takes itself for one that reads. After as long again a node
+	// without a configuration reads in any case.
+	firstMargin = 2500 * time.Millisecond
 	// watchWaitPerReader, watchWaitLeast and watchWaitMost say how long one call
 	// of a watch waits at most: a watch may miss an event unheard, so that of all
 	// nodes that read some one should ask anew about three times a second.
@@ -67,12 +67,12 @@
 		return s.reads()
 	}
 	settings, joined, age := &s.options.Settings, s.joined.Load(), clock.Since(s.started)
-	first := firstHeartbeats*settings.HeartbeatInterval + firstMargin
+	first := settings.HeartbeatInterval + firstMargin
 	patience := versionPatience + time.Duration(s.members.View().Count())*versionPatiencePerNode
 	switch {
 	case joined != nil && clock.Since(*joined) >= patience && !settings.FirstStart:
 		return true
-	case age >= max(firstVersionPatience, 2*first):
+	case age >= max(firstVersionPatience, first+firstMargin):
 		return true
 	case settings.FirstStart && age < first:
 		return false
