--- a/internal/sidecar/membership/membership.go
+++ b/internal/sidecar/membership/membership.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -81,6 +82,8 @@
 type Membership struct {
 	options   Options
 	publisher *publisher
+	// ownInSnapshot is the own record of the last snapshot that had one.
+	ownInSnapshot atomic.Pointer[roster.Record]
 }
 
 // New returns a membership that Run starts.
@@ -155,32 +158,23 @@
 // find reads all keys and returns what there is of the own node, which goes on where an earlier life
 // of it ended.
 func (m *Membership) find(ctx context.Context) (own left, err error) {
-	if err := m.readAll(ctx, m.options.Store.Range, func(item store.KeyValue) { m.look(item, &own) }); err != nil {
-		return left{}, err
-	}
-	resumed := m.options.Members.Resume(own.records())
-	m.options.Joined(resumed)
-	return own, nil
-}
-
-// look takes in an item in so far as it is of the own node.
-func (m *Membership) look(item store.KeyValue, own *left) {
-	node := m.options.Members.Own().Node
-	switch item.Key {
-	case KeyPrefix + node:
+	name := KeyPrefix + m.options.Members.Own().Node
+	err = m.readAll(ctx, m.options.Store.Range, func(item store.KeyValue) {
+		if item.Key != name {
+			return
+		}
 		own.item = &item
 		if record, err := readRecord(item); err == nil {
 			own.record = record
 		}
-	case SnapshotKey:
-		records, err := decodeSnapshot(item.Value)
-		if err != nil {
-			return // logged where the others are taken in
-		}
-		if index := slices.IndexFunc(records, func(record *roster.Record) bool { return record.Node == node }); index >= 0 {
-			own.snapshot = records[index]
-		}
+	})
+	if err != nil {
+		return left{}, err
 	}
+	own.snapshot = m.ownInSnapshot.Load()
+	resumed := m.options.Members.Resume(own.records())
+	m.options.Joined(resumed)
+	return own, nil
 }
 
 // awaitEndpoint waits until the back end is known, but not for ever.
@@ -280,6 +274,9 @@
 			m.options.Logger.Warn("snapshot of nodes cannot be read", zap.Error(err))
 			return
 		}
+		if own := slices.IndexFunc(records, m.options.Members.Own().Same); own >= 0 {
+			m.ownInSnapshot.Store(records[own])
+		}
 		m.options.Members.Merge(m.ofOthers(records...))
 		return
 	}
