--- a/internal/sidecar/exchange/spread.go
+++ b/internal/sidecar/exchange/spread.go
@@ -27,8 +27,8 @@
 	// relayPeers is how many nodes of its zone a relay passes news on to.
 	relayPeers = 8
 	// leavingPeers is how many nodes of its zone each node tells that hears that another one takes no
-	// work any more. It is told once by each, so that it ends by itself; in a zone of 167 nodes all but
-	// 2 in 100 hear it within some messages after each other, and the others by exchanges 0.8 s apart.
+	// work any more. It is told once by each, so that it ends by itself; in a zone of 334 nodes all but
+	// 3 in 100 at most hear it within some messages after each other, and the others by exchanges 0.8 s apart.
 	// Without it the number of those that wait for exchanges grows with the zone
 	// (TestThatANodeLeavesReachesAZone). Any other news is not worth the messages.
 	leavingPeers = 4
