The requests under an end are answered once the peers know of it

Cause: the news of a back end's end was told beside, and the caller of the harmful request was answered before any peer had heard. Ruled out: the silent store. Change: Ended returns when the peers that are told have heard, or 0.25 s later. Requests under an end wait for one message each way.

--- a/internal/sidecar/backend.go
+++ b/internal/sidecar/backend.go
@@ -96,6 +96,28 @@
 	s.exchanger.BroadcastToOne(ctx)
 }
 
+// tellTimeout bounds how long the requests under which a back end has ended wait until the
+// peers know. Peers in touch hear within some milliseconds.
+const tellTimeout = 250 * time.Millisecond
+
+// tell tells the peers of the own record and returns when all that are told know, or after
+// tellTimeout. The telling goes on then.
+func (s *Sidecar) tell() {
+	told := make(chan struct{})
+	go func() {
+		defer close(told)
+		ctx, cancel := context.WithTimeout(context.Background(), spreadTimeout)
+		defer cancel()
+		s.exchanger.Broadcast(ctx)
+	}()
+	timer := time.NewTimer(tellTimeout)
+	defer timer.Stop()
+	select {
+	case <-told:
+	case <-timer.C:
+	}
+}
+
 // heartbeatAge returns the seconds since the last heartbeat, below zero before
 // the first.
 func (s *Sidecar) heartbeatAge() float64 {
--- a/internal/sidecar/quarantine/quarantine.go
+++ b/internal/sidecar/quarantine/quarantine.go
@@ -26,6 +26,9 @@
 	Members *roster.Roster
 	// Spread tells the peers of the own record.
 	Spread func()
+	// Tell is Spread, but returns when the peers have heard, or a short time later; nil to have
+	// Spread run beside.
+	Tell func()
 	// After runs something after a delay, in no goroutine that holds a lock; nil for the
 	// runtime's timers.
 	After    func(delay time.Duration, run func())
@@ -80,6 +83,9 @@
 		options: options, evidence: map[string]*roster.Evidence{}, gone: map[string]bool{},
 		learnt: map[string]time.Time{}, known: map[fingerprint.Digest]roster.Held{},
 	}
+	if options.Tell == nil {
+		created.options.Tell = func() { created.options.After(0, options.Spread) }
+	}
 	created.state.Store(&state{})
 	created.register(options.Registry)
 	return created
@@ -138,27 +144,33 @@
 	if !known {
 		return ErrNotHeld
 	}
-	q.update(func(own *roster.Evidence) bool {
+	if q.update(func(own *roster.Evidence) bool {
 		own.Lifted = append(own.Lifted, roster.Lift{Digest: digest, Count: held.Lifts + 1})
 		return true
-	}, 0)
+	}) {
+		q.options.After(0, q.options.Spread)
+	}
 	return nil
 }
 
 // Ended takes in the unplanned end of the back end beside this node. What came to a good
-// end here of late is not suspected.
+// end here of late is not suspected. It returns when the peers have heard, or a short time
+// later: a caller that is answered sooner comes back to a node that does not suspect its
+// request yet, and ends two more back ends.
 func (q *Quarantine) Ended(crash roster.Crash) {
 	crash.Running = q.recent.withoutServed(crash.Running, clock.Now())
 	if len(crash.Running) == 0 {
 		return
 	}
-	q.update(func(own *roster.Evidence) bool {
+	if q.update(func(own *roster.Evidence) bool {
 		if slices.ContainsFunc(own.Crashes, func(told roster.Crash) bool { return told.Endpoint == crash.Endpoint }) {
 			return false
 		}
 		own.Crashes = append(own.Crashes, crash)
 		return true
-	}, 0)
+	}) {
+		q.options.Tell()
+	}
 }
 
 // Survived takes in that the back end beside this node has answered a request. One that is
@@ -172,12 +184,14 @@
 	if len(endpoints) == 0 {
 		return
 	}
-	q.update(func(own *roster.Evidence) bool {
+	if q.update(func(own *roster.Evidence) bool {
 		own.Cleared = append(slices.DeleteFunc(own.Cleared, func(held roster.Clearance) bool {
 			return held.Call == print.Call
 		}), roster.Clearance{Print: print, Endpoints: endpoints})
 		return true
-	}, clearanceDelay)
+	}) {
+		q.spreadSoon()
+	}
 }
 
 // endsUnder returns the back ends under whose end the request was at work.
@@ -201,9 +215,9 @@
 	})
 }
 
-// update changes the own evidence and tells the others after the delay at the latest.
-func (q *Quarantine) update(change func(own *roster.Evidence) bool, delay time.Duration) {
-	_, changed := q.options.Members.Update(func(record roster.Record) (roster.Record, bool) {
+// update changes the own evidence and reports whether it did.
+func (q *Quarantine) update(change func(own *roster.Evidence) bool) (changed bool) {
+	_, changed = q.options.Members.Update(func(record roster.Record) (roster.Record, bool) {
 		own := record.Evidence.Clone()
 		if !change(&own) {
 			return record, false
@@ -211,16 +225,18 @@
 		record.Evidence = own.Bounded()
 		return record, true
 	})
-	switch {
-	case !changed:
-	case delay == 0:
-		q.options.After(0, q.options.Spread)
-	case q.spreading.CompareAndSwap(false, true):
-		q.options.After(delay, func() {
-			q.spreading.Store(false)
-			q.options.Spread()
-		})
+	return changed
+}
+
+// spreadSoon tells the others after clearanceDelay, once for all that changes meanwhile.
+func (q *Quarantine) spreadSoon() {
+	if !q.spreading.CompareAndSwap(false, true) {
+		return
 	}
+	q.options.After(clearanceDelay, func() {
+		q.spreading.Store(false)
+		q.options.Spread()
+	})
 }
 
 // Follow takes in changed records. The roster's lock is held.
--- a/internal/sidecar/quarantine/quarantine_test.go
+++ b/internal/sidecar/quarantine/quarantine_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
 
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/fingerprint"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/quarantine"
@@ -71,6 +73,25 @@
 	})
 }
 
+// TestAnEndIsToldBeforeItsRequestsAreAnswered: whoever waits for the end's evidence goes on when
+// the peers have heard of it. Notices that took 0.4 s had the next try of a harmful request run at
+// a node that did not suspect it, and end a fourth back end.
+func TestAnEndIsToldBeforeItsRequestsAreAnswered(t *testing.T) {
+	g := NewWithT(t)
+	members := roster.New(roster.Record{Node: "n-1", Epoch: 1, Counter: 1})
+	var told []roster.Crash
+	held := quarantine.New(quarantine.Options{
+		Members: members, Spread: func() {}, Logger: zap.NewNop(), Registry: prometheus.NewRegistry(),
+		Tell: func() { told = members.Own().Evidence.Crashes },
+	})
+	held.Ended(roster.Crash{Endpoint: "i-1", Service: "one", Running: []fingerprint.Print{printOf(1)}})
+	g.Expect(told).To(HaveLen(1))
+
+	told = nil
+	held.Ended(roster.Crash{Endpoint: "i-1", Service: "one", Running: []fingerprint.Print{printOf(1)}})
+	g.Expect(told).To(BeNil(), "it is no news")
+}
+
 // TestTwoCallersOfOneContent: where it does harm for one of them only, the other is served.
 func TestTwoCallersOfOneContent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/sidecar/quarantine/settle.go
+++ b/internal/sidecar/quarantine/settle.go
@@ -12,7 +12,7 @@
 // cleared of those.
 func (q *Quarantine) settle() {
 	heir := q.isHeir()
-	q.update(func(own *roster.Evidence) bool {
+	if q.update(func(own *roster.Evidence) bool {
 		q.mu.Lock()
 		defer q.mu.Unlock()
 		before := len(own.Held)
@@ -23,7 +23,9 @@
 			changed = q.inherit(own) || changed
 		}
 		return q.prune(own) || changed
-	}, clearanceDelay)
+	}) {
+		q.spreadSoon()
+	}
 }
 
 // keepVerdicts adds the verdicts on requests that were at work at ends seen here.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -140,6 +140,7 @@
 	created.quarantine = quarantine.New(quarantine.Options{
 		Members: created.members,
 		Spread:  func() { created.spread(context.Background()) },
+		Tell:    created.tell,
 		Logger:  options.Logger, Registry: options.Registry,
 	})
 	created.addRollouts()
