Overload control: design, nested calls, one order of requests, and when it is on

Cause: what is refused where is decided one queue at a time; a call of a running request is taken for a client's by arithmetic of times. Nothing decides by them yet but the wire flags.

--- a/cmd/kestrel-sidecar/main.go
+++ b/cmd/kestrel-sidecar/main.go
@@ -12,17 +12,19 @@
 	"github.com/kestrelstream/kestrelstream/internal/lifecycle"
 	"github.com/kestrelstream/kestrelstream/internal/settings"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/assembly"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/contention"
 	"github.com/kestrelstream/kestrelstream/platform"
 )
 
 // flags are the command line.
 type flags struct {
-	Settings      string `short:"c" required:"" placeholder:"FILE" env:"${settings_variable}" help:"The platform's settings file (JSON)."`
-	MetricsPort   int    `placeholder:"PORT" help:"Serve metrics at this port; 0 serves none."`
-	LogLevel      string `default:"info" enum:"debug,info,warn,error" help:"Lowest level that is logged."`
-	CheckSettings bool   `help:"Check the settings, list every error, and exit."`
-	PrintSettings bool   `help:"Print the settings in force and exit."`
-	Version       bool   `help:"Print the version and exit."`
+	Settings        string `short:"c" required:"" placeholder:"FILE" env:"${settings_variable}" help:"The platform's settings file (JSON)."`
+	MetricsPort     int    `placeholder:"PORT" help:"Serve metrics at this port; 0 serves none."`
+	LogLevel        string `default:"info" enum:"debug,info,warn,error" help:"Lowest level that is logged."`
+	OverloadControl string `default:"auto" enum:"auto,on,off" help:"Whether nodes refuse, share and place requests together when room is short; auto: where the configuration names tenants or back ends share their machines."`
+	CheckSettings   bool   `help:"Check the settings, list every error, and exit."`
+	PrintSettings   bool   `help:"Print the settings in force and exit."`
+	Version         bool   `help:"Print the version and exit."`
 }
 
 func main() {
@@ -45,6 +47,7 @@
 	if err != nil {
 		return err
 	}
+	loaded.OverloadControl = contention.Mode(given.OverloadControl)
 	if given.CheckSettings {
 		_, err := fmt.Println("settings: no errors")
 		return err
--- a/internal/sidecar/assembly/providers.go
+++ b/internal/sidecar/assembly/providers.go
@@ -74,6 +74,7 @@
 		Decode:           platform.DecodeConfiguration,
 		IsOrder:          platform.IsRolloutOrder,
 		DecodeOrder:      platform.DecodeRolloutOrder,
+		DecodeLoad:       platform.DecodeLoad,
 		EvacuatedZone:    platform.EvacuatedZone,
 		Rollouts:         platform.RolloutCodec(),
 		Store:            store,
--- /dev/null
+++ b/internal/sidecar/contention.go
@@ -0,0 +1,29 @@
+package sidecar
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/contention"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/nested"
+)
+
+// loadTold takes in what the back end tells of its load.
+func (s *Sidecar) loadTold(load hop.BackendLoad) {
+	if load.Factor > 0 && s.contention.SetShared() {
+		s.logger.Info("the back end shares its machine", zap.Float64("factor", load.Factor), zap.Bool("overloadControl", s.contention.On()))
+	}
+}
+
+// nestedCalls tells calls of back ends where requests compete for room.
+type nestedCalls struct {
+	contention *contention.Switch
+	recognizer *nested.Recognizer
+}
+
+// Nested implements egress.Nested.
+func (n *nestedCalls) Nested(route string, deadline time.Time, identified bool, now time.Time) bool {
+	return n.contention.On() && n.recognizer.Nested(route, deadline, identified, now)
+}
--- /dev/null
+++ b/internal/sidecar/contention/contention.go
@@ -0,0 +1,65 @@
+// Package contention decides whether the requests of a deployment compete for room: whether nodes
+// refuse, share and place them together, or each queue by itself as elsewhere. The package is pure.
+package contention
+
+import (
+	"fmt"
+	"sync/atomic"
+)
+
+// Mode is what the settings say.
+type Mode string
+
+// Modes.
+const (
+	// Auto: on where the configuration names tenants or some back end tells that it shares its
+	// machine with others.
+	Auto Mode = "auto"
+	On   Mode = "on"
+	Off  Mode = "off"
+)
+
+// Validate names the value that is no mode.
+func (m Mode) Validate() error {
+	switch m {
+	case Auto, On, Off:
+		return nil
+	}
+	return fmt.Errorf("overload control: %q is not auto, on or off", string(m))
+}
+
+// Switch is safe for concurrent use.
+type Switch struct {
+	mode Mode
+	// tenants and shared are what is known of the deployment.
+	tenants, shared atomic.Bool
+}
+
+// NewSwitch returns a switch that knows of no reason. An empty mode is Auto.
+func NewSwitch(mode Mode) *Switch {
+	if mode == "" {
+		mode = Auto
+	}
+	return &Switch{mode: mode}
+}
+
+// SetTenants takes in whether the configuration in force names tenants.
+func (s *Switch) SetTenants(named bool) { s.tenants.Store(named) }
+
+// SetShared takes in that a back end shares its machine with others, and reports whether that is
+// news. It holds for the life of the process.
+func (s *Switch) SetShared() (news bool) { return s.shared.CompareAndSwap(false, true) }
+
+// Shared reports whether some back end is known to share its machine.
+func (s *Switch) Shared() bool { return s.shared.Load() }
+
+// On reports whether requests compete for room.
+func (s *Switch) On() bool {
+	switch s.mode {
+	case On:
+		return true
+	case Off:
+		return false
+	}
+	return s.tenants.Load() || s.shared.Load()
+}
--- a/internal/sidecar/egress/call.go
+++ b/internal/sidecar/egress/call.go
@@ -76,6 +76,8 @@
 	behind int
 	// returning: the caller was refused before and has come back.
 	returning bool
+	// nested: the back end beside the node makes the call while it works on another one.
+	nested bool
 	// rejectedWithRoom: the last send was rejected by a back end that had slots free.
 	rejectedWithRoom bool
 	// mayHaveRun: a send ended with an unknown outcome.
@@ -161,6 +163,9 @@
 		c.returning = c.handler.patience(c.route.Name).returns(asked)
 		limit = min(limit, asked)
 		c.callerTime = asked
+		if known := c.handler.options.Nested; known != nil {
+			c.nested = known.Nested(c.route.Name, c.started.Add(asked), c.tenant != nil, c.started)
+		}
 	}
 	if limit <= 0 {
 		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepDeadline, minimumRetryAfter, errLate)
--- a/internal/sidecar/egress/handler.go
+++ b/internal/sidecar/egress/handler.go
@@ -54,6 +54,9 @@
 	// Level makes sure that the configuration in force is the newest; nil when there is
 	// nobody to ask.
 	Level Level
+	// Nested tells which requests are calls of what the back end beside the node works on; nil
+	// where nobody asks.
+	Nested Nested
 	// Weights price the choice of back ends.
 	Weights choice.Weights
 	// Dial opens connections to other nodes.
@@ -64,6 +67,13 @@
 	Observer Observer
 }
 
+// Nested tells calls that the back end beside the node makes while it works.
+type Nested interface {
+	// Nested takes in a request that begins here and reports whether it is one. identified says
+	// that its caller has a tenant's key.
+	Nested(route string, deadline time.Time, identified bool, now time.Time) bool
+}
+
 // Quarantine knows which requests end the back ends that run them.
 type Quarantine interface {
 	// Idle reports whether there is none, not even a suspected one.
--- a/internal/sidecar/egress/visit.go
+++ b/internal/sidecar/egress/visit.go
@@ -242,6 +242,7 @@
 		MaximumWait: c.mostWait(request, a), Expected: c.work().Mean(c.assumedWork()),
 		Returning: request.Returning && !request.Hurried(),
 		Suspect:   c.crashes > 0,
+		Nested:    c.nested,
 		Usual:     c.handler.usualOf(c.service, c.route.Name, a.record),
 	}
 	header[hop.HeaderHop] = []string{told.Format()}
--- a/internal/sidecar/exchange/exchanger.go
+++ b/internal/sidecar/exchange/exchanger.go
@@ -46,6 +46,8 @@
 	Rollouts Rollouts
 	// Evacuations knows the zones that are to be emptied; nil when there are none ever.
 	Evacuations Evacuations
+	// Contention knows whether back ends share their machines; nil when nobody asks.
+	Contention Contention
 	// Quota answers questions about tenants' limits; nil when there are none ever.
 	Quota Quota
 	// Observer is told how the node keeps level; nil for nobody.
@@ -77,6 +79,13 @@
 	Hear([]evacuation.Order) (news bool)
 }
 
+// Contention knows whether some back end shares its machine with others.
+type Contention interface {
+	Shared() bool
+	// SetShared takes in that one does.
+	SetShared() (news bool)
+}
+
 // Quota is a node as the granter of others.
 type Quota interface {
 	Serve(*quota.Ask) *quota.Answer
@@ -285,6 +294,9 @@
 	if e.options.Evacuations != nil {
 		told.Evacuations = e.options.Evacuations.Tell()
 	}
+	if e.options.Contention != nil {
+		told.SharedMachines = e.options.Contention.Shared()
+	}
 	return told
 }
 
@@ -308,6 +320,9 @@
 	e.hearEra(told)
 	moved := e.options.Rollouts != nil && len(told.Rollouts) > 0 && e.options.Rollouts.Hear(told.Rollouts)
 	emptied := e.options.Evacuations != nil && len(told.Evacuations) > 0 && e.options.Evacuations.Hear(told.Evacuations)
+	if told.SharedMachines && e.options.Contention != nil {
+		e.options.Contention.SetShared()
+	}
 	if moved || emptied {
 		go e.tellZone()
 	}
--- a/internal/sidecar/exchange/message.go
+++ b/internal/sidecar/exchange/message.go
@@ -32,7 +32,8 @@
 	Told
 }
 
-// Told is what operators have ordered beside the configuration, as the sender knows it.
+// Told is what operators have ordered beside the configuration, and what holds for the whole
+// deployment, as the sender knows it.
 type Told struct {
 	// Era is how often the store has come back from an older copy.
 	Era uint64 `json:"era,omitempty"`
@@ -40,6 +41,8 @@
 	Rollouts []rollout.Told `json:"rollouts,omitempty"`
 	// Evacuations are the newest words on zones that are, or were, to be emptied.
 	Evacuations []evacuation.Order `json:"evacuations,omitempty"`
+	// SharedMachines: some back end shares its machine with others, and tells how long work takes.
+	SharedMachines bool `json:"sharedMachines,omitempty"`
 }
 
 // Level is what a node answers that is asked whether there is a newer configuration.
--- a/internal/sidecar/hop/hop.go
+++ b/internal/sidecar/hop/hop.go
@@ -48,6 +48,8 @@
 	// WarmupLeft, on the answer to a health check, is for how many more milliseconds the back
 	// end is cold.
 	WarmupLeft string
+	// Load, on answers of a back end, is its load.
+	Load string
 }
 
 // Milliseconds reads a whole number of milliseconds above or equal to zero.
--- a/internal/sidecar/hop/line.go
+++ b/internal/sidecar/hop/line.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/precedence"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
 )
 
@@ -29,6 +30,8 @@
 	Returning bool
 	// Suspect: a back end ended under the request at an earlier send.
 	Suspect bool
+	// Nested and OverShare are as in precedence.Precedence.
+	Nested, OverShare bool
 	// Usual is told with requests to a version that is compared with others: how often
 	// answers of those are bad. It is nil with all other requests.
 	Usual *rollout.Usual
@@ -50,6 +53,12 @@
 	if r.Suspect {
 		flags |= flagSuspect
 	}
+	if r.Nested {
+		flags |= flagNested
+	}
+	if r.OverShare {
+		flags |= flagOverShare
+	}
 	for _, number := range [...]int64{
 		max(r.Remaining.Microseconds(), 1), int64(r.Priority), max(r.MaximumWait.Microseconds(), 0),
 		max(r.Expected.Microseconds(), 0), flags,
@@ -73,10 +82,17 @@
 	// The flags of a request. Nodes of the version before take any of them for the first.
 	flagReturning = 1
 	flagSuspect   = 2
+	flagNested    = 4
+	flagOverShare = 8
 	// slackPart is where the version before has its additional number.
 	slackPart = 5
 )
 
+// Precedence is the request's when there is not room for all.
+func (r *Request) Precedence() precedence.Precedence {
+	return precedence.Precedence{Nested: r.Nested, Priority: r.Priority, OverShare: r.OverShare, Returning: r.Returning}
+}
+
 // ParseRequest reads a request's header value. Nodes of the version before tell
 // one more number, in what time the request must have a slot; it is left out.
 func ParseRequest(line string) (Request, error) {
@@ -96,6 +112,7 @@
 		Service: parts[0], Caller: parts[1],
 		Remaining: microseconds(numbers[0]), Priority: int(numbers[1]), MaximumWait: microseconds(numbers[2]),
 		Expected: microseconds(numbers[3]), Returning: numbers[4]&flagReturning != 0, Suspect: numbers[4]&flagSuspect != 0,
+		Nested: numbers[4]&flagNested != 0, OverShare: numbers[4]&flagOverShare != 0,
 	}
 	if compared {
 		read.Usual = &rollout.Usual{
--- a/internal/sidecar/ingress/arrival.go
+++ b/internal/sidecar/ingress/arrival.go
@@ -110,6 +110,9 @@
 	a.sent = clock.Now()
 	a.handler.workplace.begin(a)
 	defer a.handler.workplace.end(a)
+	if work := a.handler.options.Work; work != nil {
+		defer work.Begin(a.deadline)()
+	}
 	run := a.handler.pace.Begin(a.told.Expected, a.sent)
 	defer a.handler.pace.End(run)
 	failure = a.exchange(body)
--- a/internal/sidecar/ingress/exchange.go
+++ b/internal/sidecar/ingress/exchange.go
@@ -5,6 +5,8 @@
 	"errors"
 	"net/http"
 
+	"go.uber.org/zap"
+
 	"github.com/kestrelstream/kestrelstream/internal/proxy/forward"
 	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/body"
@@ -165,6 +167,7 @@
 		return failure
 	}
 	a.survived()
+	a.hearLoad(response)
 	a.handler.warmup.Answered(clock.Now())
 	failed := response.StatusCode >= http.StatusInternalServerError
 	a.handler.failures.Observe(failed)
@@ -179,6 +182,21 @@
 	return nil
 }
 
+// hearLoad takes in what the back end tells of its load.
+func (a *arrival) hearLoad(response *http.Response) {
+	options := &a.handler.options
+	header := response.Header.Get(options.Vocabulary.Load)
+	if header == "" || options.DecodeLoad == nil {
+		return
+	}
+	load, err := options.DecodeLoad(header)
+	if err != nil {
+		options.Logger.Info("load of the back end not read", zap.String("endpoint", a.endpoint.ID), zap.Error(err))
+		return
+	}
+	options.Told(load)
+}
+
 // learn takes in how long the back end worked, compared to what the caller's
 // node expected, and marks the reply with it.
 func (a *arrival) learn(response *http.Response) {
--- a/internal/sidecar/ingress/handler.go
+++ b/internal/sidecar/ingress/handler.go
@@ -18,6 +18,7 @@
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/fingerprint"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/nested"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/warmup"
@@ -48,6 +49,12 @@
 	Judge Judge
 	// Quarantine knows which requests end back ends.
 	Quarantine Quarantine
+	// Work is told what the back end works on; nil where nobody asks.
+	Work *nested.Work
+	// DecodeLoad reads what the back end tells of its load; nil when it tells nothing. Told takes
+	// it in.
+	DecodeLoad func(header string) (hop.BackendLoad, error)
+	Told       func(hop.BackendLoad)
 	// LinkMbps is the speed of the machine's link in Mbit/s; zero when unknown.
 	LinkMbps int
 	// Dial opens connections to the back end.
--- /dev/null
+++ b/internal/sidecar/nested/nested.go
@@ -0,0 +1,118 @@
+// Package nested tells the calls that a back end makes while it works on a request from the
+// requests of clients. A nested call ends with the request that it serves: its deadline is that
+// request's. So a request whose deadline is later than those of all that is at work at the back end
+// of the machine where it begins is a client's. Routes are learned by that: where it never
+// happens, back ends call. The package is pure: the caller brings the time.
+package nested
+
+import (
+	"sync"
+	"time"
+)
+
+// Work knows until when what a back end works on is of use. It is safe for concurrent use.
+type Work struct {
+	mu sync.Mutex // guards runs
+	// runs holds the requests at work by when their deadline is.
+	runs map[*run]struct{}
+}
+
+type run struct{ deadline time.Time }
+
+// Begin notes a request that is of use until the deadline. The result notes its end.
+func (w *Work) Begin(deadline time.Time) (end func()) {
+	begun := &run{deadline: deadline}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.runs == nil {
+		w.runs = map[*run]struct{}{}
+	}
+	w.runs[begun] = struct{}{}
+	return func() { w.end(begun) }
+}
+
+func (w *Work) end(ended *run) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.runs, ended)
+}
+
+// Latest returns the latest deadline of what is at work, the zero time when nothing is.
+func (w *Work) Latest() (latest time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for begun := range w.runs {
+		if begun.deadline.After(latest) {
+			latest = begun.deadline
+		}
+	}
+	return latest
+}
+
+const (
+	// readDelay is how much later than it was sent a call may be read: a busy machine takes that
+	// long, and its deadline counts from then.
+	readDelay = 100 * time.Millisecond
+	// leastSeen is how many requests of a route say something of it.
+	leastSeen = 8
+	// strayShare is the part of a called route's requests that may seem to be clients': calls
+	// that cross the end of the request that they serve.
+	strayShare = 0.02
+	// remembered is how many requests of a route count: older ones fade.
+	remembered = 256
+	// settleTime is how long after its start a node does not know what its back end works on.
+	settleTime = time.Second
+)
+
+// Recognizer learns which routes back ends call. It is safe for concurrent use.
+type Recognizer struct {
+	work    *Work
+	started time.Time
+	routes  sync.Map // of *seen by route name
+}
+
+// seen counts the requests of one route.
+type seen struct {
+	mu sync.Mutex // guards all below
+	// total counts them, clients those that were certainly a client's.
+	total, clients float64
+}
+
+// NewRecognizer returns one that knows nothing yet of the node's back end, which started then.
+func NewRecognizer(work *Work, started time.Time) *Recognizer {
+	return &Recognizer{work: work, started: started}
+}
+
+// Nested takes in a request that begins at this machine and reports whether it is a call of what
+// its back end works on. identified says that the request bears what only clients have.
+func (r *Recognizer) Nested(route string, deadline time.Time, identified bool, now time.Time) bool {
+	if now.Sub(r.started) < settleTime {
+		return false
+	}
+	client := identified || deadline.After(r.work.Latest().Add(readDelay))
+	called := r.of(route).add(client)
+	return called && !client
+}
+
+func (r *Recognizer) of(route string) *seen {
+	if held, found := r.routes.Load(route); found {
+		return held.(*seen)
+	}
+	held, _ := r.routes.LoadOrStore(route, &seen{})
+	return held.(*seen)
+}
+
+// add counts one request and reports whether back ends call the route.
+func (s *seen) add(client bool) (called bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.total++
+	if client {
+		s.clients++
+	}
+	if s.total > remembered {
+		s.total /= 2
+		s.clients /= 2
+	}
+	return s.total >= leastSeen && s.clients <= s.total*strayShare
+}
--- /dev/null
+++ b/internal/sidecar/nested/nested_test.go
@@ -0,0 +1,98 @@
+package nested_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/nested"
+)
+
+// TestCallsAreTold: a full back end works on requests of 3 s, clients come with 2.5 to 3 s left, and
+// each request calls with at most its own deadline.
+func TestCallsAreTold(t *testing.T) {
+	g := NewWithT(t)
+	random := rand.New(rand.NewPCG(1, 2))
+	start := time.Unix(1000, 0)
+	work := &nested.Work{}
+	told := nested.NewRecognizer(work, start)
+	now := start.Add(2 * time.Second)
+	var deadlines []time.Time
+	var ends []func()
+	calls, callsTold, clientsTold := 0, 0, 0
+	for range 2000 {
+		now = now.Add(20 * time.Millisecond)
+		asked := now.Add(2500*time.Millisecond + time.Duration(random.IntN(500))*time.Millisecond)
+		if told.Nested("client", asked, false, now) {
+			clientsTold++
+		}
+		deadlines, ends = append(deadlines, asked), append(ends, work.Begin(asked))
+		if len(ends) > 6 {
+			ends[0]()
+			deadlines, ends = deadlines[1:], ends[1:]
+		}
+		parent := deadlines[random.IntN(len(deadlines))]
+		own := now.Add(400 * time.Millisecond)
+		if parent.Before(own) {
+			own = parent
+		}
+		calls++
+		if told.Nested("call", own.Add(time.Duration(random.IntN(50))*time.Millisecond), false, now) {
+			callsTold++
+		}
+	}
+	g.Expect(callsTold).To(BeNumerically(">=", calls-10))
+	g.Expect(clientsTold).To(BeZero())
+}
+
+func TestWhatIsNoCall(t *testing.T) {
+	start := time.Unix(1000, 0)
+	later := start.Add(10 * time.Second)
+	cases := []struct {
+		name       string
+		work       time.Duration
+		left       time.Duration
+		identified bool
+		now        time.Time
+		nested     bool
+	}{
+		{"within the deadline of what is at work", time.Second, 400 * time.Millisecond, false, later, true},
+		{"nothing is at work", 0, 400 * time.Millisecond, false, later, false},
+		{"later than all that is at work", time.Second, 2 * time.Second, false, later, false},
+		{"it bears what clients have", time.Second, 400 * time.Millisecond, true, later, false},
+		{"the node has just started", time.Second, 400 * time.Millisecond, false, start.Add(time.Millisecond), false},
+	}
+	for _, moment := range cases {
+		t.Run(moment.name, func(t *testing.T) {
+			work := &nested.Work{}
+			if moment.work > 0 {
+				work.Begin(moment.now.Add(moment.work))
+			}
+			told := nested.NewRecognizer(work, start)
+			last := false
+			for range 20 {
+				last = told.Nested("r", moment.now.Add(moment.left), moment.identified, moment.now)
+			}
+			NewWithT(t).Expect(last).To(Equal(moment.nested))
+		})
+	}
+}
+
+// TestARouteThatClientsUseToo is a client's, whatever single requests look like.
+func TestARouteThatClientsUseToo(t *testing.T) {
+	g := NewWithT(t)
+	start := time.Unix(1000, 0)
+	now := start.Add(time.Minute)
+	work := &nested.Work{}
+	work.Begin(now.Add(time.Second))
+	told := nested.NewRecognizer(work, start)
+	for i := range 200 {
+		left := 400 * time.Millisecond
+		if i%10 == 0 {
+			left = 3 * time.Second
+		}
+		g.Expect(told.Nested("r", now.Add(left), false, now) && i > 20).To(BeFalse())
+	}
+}
--- /dev/null
+++ b/internal/sidecar/precedence/precedence.go
@@ -0,0 +1,40 @@
+// Package precedence orders requests that compete for room which is not enough for all. Callers'
+// nodes and nodes beside back ends go by the same order, so that none of them serves what another
+// refuses room to. The package is pure.
+package precedence
+
+import "cmp"
+
+// Precedence is what of a request decides when it gets room.
+type Precedence struct {
+	// Nested: a request that is at work waits for it. Refused, it would throw away what that has
+	// worked.
+	Nested bool
+	// Priority is that of the route or tenant; zero is the most urgent.
+	Priority int
+	// OverShare: the request's tenant has more than its share of the service's room.
+	OverShare bool
+	// Returning: the caller was refused before and has come back.
+	Returning bool
+}
+
+// perPriority is how many levels there are for each priority.
+const perPriority = 4
+
+// Level is a precedence as one number; zero comes first.
+func (p Precedence) Level() int {
+	if p.Nested {
+		return 0
+	}
+	level := 1 + p.Priority*perPriority
+	if p.OverShare {
+		level += 2
+	}
+	if p.Returning {
+		level++
+	}
+	return level
+}
+
+// Compare is below zero when the request comes before the other one.
+func (p Precedence) Compare(other Precedence) int { return cmp.Compare(p.Level(), other.Level()) }
--- /dev/null
+++ b/internal/sidecar/precedence/precedence_test.go
@@ -0,0 +1,28 @@
+package precedence_test
+
+import (
+	"slices"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/precedence"
+)
+
+func TestOrder(t *testing.T) {
+	g := NewWithT(t)
+	ordered := []precedence.Precedence{
+		{Nested: true, Priority: 2},
+		{},
+		{Returning: true},
+		{OverShare: true},
+		{OverShare: true, Returning: true},
+		{Priority: 1},
+		{Priority: 1, Returning: true},
+	}
+	g.Expect(slices.IsSortedFunc(ordered, precedence.Precedence.Compare)).To(BeTrue())
+	for i, one := range ordered {
+		g.Expect(one.Level()).To(Equal(i))
+	}
+	g.Expect(precedence.Precedence{Nested: true}.Compare(precedence.Precedence{Nested: true, Priority: 3})).To(BeZero())
+}
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/contention"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/egress"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/quota"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
@@ -44,6 +45,8 @@
 	Retries egress.RetryLimits
 	// Quota says what tenants' limits bind to.
 	Quota quota.Bounds
+	// OverloadControl says whether requests compete for room (contention.Auto when empty).
+	OverloadControl contention.Mode
 	// Rollout bounds what a version that turns out to be bad may get.
 	Rollout rollout.Limits
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -16,6 +16,7 @@
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/choice"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/configuration"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/contention"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/dial"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/egress"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/evacuation"
@@ -23,6 +24,7 @@
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/ingress"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/membership"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/nested"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/quarantine"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/quota"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
@@ -60,9 +62,11 @@
 	// EvacuatedZone returns the zone that an item under the key orders to be emptied.
 	EvacuatedZone func(key string) (zone string, is bool)
 	Rollouts      controller.Codec
-	Store         Store
-	Logger        *zap.Logger
-	Registry      prometheus.Registerer
+	// DecodeLoad reads what a back end tells of its load.
+	DecodeLoad func(header string) (hop.BackendLoad, error)
+	Store      Store
+	Logger     *zap.Logger
+	Registry   prometheus.Registerer
 }
 
 const (
@@ -94,9 +98,12 @@
 	// evacuations are the orders to empty zones.
 	evacuations *evacuation.Orders
 	quota       *quota.Quota
-	egress      *egress.Handler
-	ingress     *ingress.Handler
-	stopping    atomic.Bool
+	// contention says whether requests compete for room, work what the back end works on.
+	contention *contention.Switch
+	work       *nested.Work
+	egress     *egress.Handler
+	ingress    *ingress.Handler
+	stopping   atomic.Bool
 	// started is when the node was made, joined when the store had first told of the
 	// other nodes; nil before.
 	started time.Time
@@ -129,9 +136,11 @@
 			Address: settings.Listen.Inbound, PeerAddress: settings.Listen.Peer, Link: settings.LinkMbps,
 			Life: uint64(rand.Uint32()),
 		}),
-		started: clock.Now(),
-		keeper:  configuration.NewKeeper(options.Decode, options.Logger),
-		claims:  roster.Claims{Interval: settings.HeartbeatInterval},
+		started:    clock.Now(),
+		keeper:     configuration.NewKeeper(options.Decode, options.Logger),
+		contention: contention.NewSwitch(settings.OverloadControl),
+		work:       &nested.Work{},
+		claims:     roster.Claims{Interval: settings.HeartbeatInterval},
 	}
 	observed := newMetrics(options.Registry)
 	options.Store = newCountedStore(options.Store, options.Registry)
@@ -159,6 +168,7 @@
 		Rollouts:    created.rollouts,
 		Evacuations: created.evacuations,
 		Quota:       created.quota,
+		Contention:  created.contention,
 		Reads:       created.reads,
 		Observer:    observed,
 		Suspect:     created.egress.Suspect,
@@ -184,6 +194,9 @@
 		Vocabulary: s.options.Vocabulary,
 		Address:    settings.BackendAddress,
 		LinkMbps:   settings.LinkMbps,
+		Work:       s.work,
+		DecodeLoad: s.options.DecodeLoad,
+		Told:       s.loadTold,
 		Judge:      &judge{sidecar: s},
 		Quarantine: &guard{Quarantine: s.quarantine, sidecar: s},
 		Endpoint:   func() *roster.Endpoint { return s.members.Own().Endpoint },
@@ -213,6 +226,7 @@
 		Emptied:    s.evacuations.Zones,
 		Quarantine: s.quarantine,
 		Quota:      s.quota,
+		Nested:     &nestedCalls{contention: s.contention, recognizer: nested.NewRecognizer(s.work, s.started)},
 		Retries:    func() egress.RetryLimits { return s.settings.Load().Retries },
 		Weights:    choice.DefaultWeights(),
 		Level:      (*level)(s),
@@ -295,6 +309,7 @@
 // others as well: all are told.
 func (s *Sidecar) apply(table *route.Table, source configuration.Source) {
 	s.setService(table, s.members.Own().Endpoint)
+	s.contention.SetTenants(len(table.Document().Tenants) > 0)
 	switch source {
 	case configuration.SourceWatch:
 		go s.exchanger.Announce()
