The queue goes by the common precedence; nested calls come first where they are told

Cause: the queue had an order of its own. Change: its rank is the precedence and the order of magnitude of the work; nested calls may have all slots. Where nothing is told of nested calls and shares the order is as before (TestOrder of admission).

--- a/internal/sidecar/admission/admission.go
+++ b/internal/sidecar/admission/admission.go
@@ -8,6 +8,8 @@
 	"errors"
 	"sync"
 	"time"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/precedence"
 )
 
 // Refusals. A refused request has not run.
@@ -26,6 +28,8 @@
 	// the first time: a server that is behind would otherwise serve everyone
 	// late for as long as callers come back.
 	Returning bool
+	// Nested and OverShare are as in precedence.Precedence.
+	Nested, OverShare bool
 	// Work is how long the back end is expected to work on the request. Of equal
 	// urgency the much shorter go first: more of them are served, and calls that
 	// back ends make while they work are short.
@@ -35,6 +39,11 @@
 	MaximumWait time.Duration
 }
 
+// precedence is the request's among those that compete for slots.
+func (t Ticket) precedence() precedence.Precedence {
+	return precedence.Precedence{Nested: t.Nested, Priority: t.Priority, OverShare: t.OverShare, Returning: t.Returning}
+}
+
 // Gate hands out slots. It is safe for concurrent use.
 type Gate struct {
 	now func() time.Time
@@ -132,11 +141,11 @@
 	now := g.now()
 	g.reserve.note(ticket.Priority, now)
 	entry := &waiter{ticket: ticket, work: g.workOf(ticket), result: make(chan error, 1), entered: now}
-	if g.running < g.open(ticket.Priority) && !g.yields(entry) {
+	if g.running < g.open(ticket) && !g.yields(entry) {
 		g.start(entry)
 		return entry, nil
 	}
-	entry.predicted = g.expectedWait(g.waiting.workBefore(rankOf(ticket)), ticket.Priority)
+	entry.predicted = g.expectedWait(g.waiting.workBefore(rankOf(ticket)), ticket)
 	if entry.predicted > ticket.MaximumWait {
 		g.reserve.began(ticket.Priority, true, g.slots, now)
 		return nil, ErrTooLong
@@ -146,8 +155,14 @@
 	return entry, nil
 }
 
-// open returns how many slots there are for requests of the priority.
-func (g *Gate) open(priority int) int { return g.slots - g.reserve.kept(priority, g.now()) }
+// open returns how many slots there are for such requests. Nested calls may have all: requests that
+// are at work wait for them.
+func (g *Gate) open(ticket Ticket) int {
+	if ticket.Nested {
+		return g.slots
+	}
+	return g.slots - g.reserve.kept(ticket.Priority, g.now())
+}
 
 // yields reports whether a request that waits comes before the new entry.
 func (g *Gate) yields(entry *waiter) bool {
@@ -166,12 +181,12 @@
 // that, and the work of one that runs, over all slots. It is corrected by how
 // long others waited compared to what was expected of them, since back ends
 // differ in pace and more urgent requests keep coming.
-func (g *Gate) expectedWait(before time.Duration, priority int) time.Duration {
+func (g *Gate) expectedWait(before time.Duration, ticket Ticket) time.Duration {
 	if g.slots == 0 {
 		return time.Hour
 	}
 	ahead := float64(g.service + before)
-	return time.Duration(ahead / float64(max(g.open(priority), 1)) * g.correction)
+	return time.Duration(ahead / float64(max(g.open(ticket), 1)) * g.correction)
 }
 
 // workOf returns how long a request is expected to hold a slot.
@@ -205,7 +220,7 @@
 	for g.waiting.length > 1 {
 		last := g.waiting.last()
 		left := last.ticket.MaximumWait - g.now().Sub(last.entered)
-		if g.expectedWait(g.waiting.work()-last.work, last.ticket.Priority) <= left {
+		if g.expectedWait(g.waiting.work()-last.work, last.ticket) <= left {
 			return
 		}
 		g.waiting.remove(last)
@@ -246,7 +261,7 @@
 func (g *Gate) grant() {
 	for g.waiting.length > 0 {
 		next := g.waiting.next()
-		if g.running >= g.open(next.ticket.Priority) {
+		if g.running >= g.open(next.ticket) {
 			return
 		}
 		g.waiting.remove(next)
--- a/internal/sidecar/admission/admission_test.go
+++ b/internal/sidecar/admission/admission_test.go
@@ -25,7 +25,7 @@
 		gate.Resize(1)
 		first, err := gate.Acquire(t.Context(), ticket(0, time.Second))
 		g.Expect(err).NotTo(HaveOccurred())
-		served := make(chan string, 9)
+		served := make(chan string, 11)
 		waiters := []struct {
 			name   string
 			ticket admission.Ticket
@@ -33,6 +33,8 @@
 			{"least urgent", ticket(2, time.Minute)},
 			{"long", admission.Ticket{Priority: 1, Work: 120 * time.Millisecond, MaximumWait: time.Minute}},
 			{"as long, newer", admission.Ticket{Priority: 1, Work: 70 * time.Millisecond, MaximumWait: time.Minute}},
+			{"nested", admission.Ticket{Priority: 2, Nested: true, Work: 120 * time.Millisecond, MaximumWait: time.Minute}},
+			{"over its share", admission.Ticket{Priority: 1, OverShare: true, MaximumWait: time.Minute}},
 			{"came back", admission.Ticket{Priority: 1, Returning: true, MaximumWait: time.Minute}},
 			{"came back later", admission.Ticket{Priority: 1, Returning: true, MaximumWait: time.Minute}},
 			{"long, came back", admission.Ticket{Priority: 1, Returning: true, Work: 120 * time.Millisecond, MaximumWait: time.Minute}},
@@ -50,7 +52,7 @@
 			synctest.Wait()
 		}
 		first.Release(true)
-		for _, want := range []string{"most urgent", "newer", "older", "as long, newer", "long", "came back later", "came back", "long, came back", "least urgent"} {
+		for _, want := range []string{"nested", "most urgent", "newer", "older", "as long, newer", "long", "came back later", "came back", "long, came back", "over its share", "least urgent"} {
 			g.Expect(<-served).To(Equal(want))
 		}
 	})
--- a/internal/sidecar/admission/queue.go
+++ b/internal/sidecar/admission/queue.go
@@ -25,31 +25,21 @@
 
 // rank orders requests of different kinds.
 type rank struct {
-	priority  int
-	returning bool
+	// level is that of the precedence.
+	level     int
 	magnitude int
 }
 
-// rankOf orders by priority, then what comes for the first time before what comes
-// back, then by the order of magnitude of the work.
+// rankOf orders by precedence, then by the order of magnitude of the work.
 func rankOf(ticket Ticket) rank {
-	return rank{priority: ticket.Priority, returning: ticket.Returning, magnitude: magnitude(ticket.Work)}
+	return rank{level: ticket.precedence().Level(), magnitude: magnitude(ticket.Work)}
 }
 
 // magnitude is the number of binary digits of the work in milliseconds.
 func magnitude(work time.Duration) int { return bits.Len64(uint64(max(work, 0) / time.Millisecond)) }
 
 func (r rank) compare(other rank) int {
-	if order := cmp.Compare(r.priority, other.priority); order != 0 {
-		return order
-	}
-	if r.returning != other.returning {
-		if r.returning {
-			return 1
-		}
-		return -1
-	}
-	return cmp.Compare(r.magnitude, other.magnitude)
+	return cmp.Or(cmp.Compare(r.level, other.level), cmp.Compare(r.magnitude, other.magnitude))
 }
 
 // group holds the waiting requests of one rank.
--- a/internal/sidecar/ingress/arrival.go
+++ b/internal/sidecar/ingress/arrival.go
@@ -212,6 +212,8 @@
 	slot, err := a.handler.gate.Acquire(a.context, admission.Ticket{
 		Priority:    a.told.Priority,
 		Returning:   a.told.Returning,
+		Nested:      a.told.Nested,
+		OverShare:   a.told.OverShare,
 		Work:        a.told.Expected,
 		MaximumWait: a.told.MaximumWait,
 	})
