The pace of a back end follows what it tells of its machine

Cause: back ends of some services tell with each answer how long work takes there at the moment. Nobody read it; an average of 24 requests stood in for it. Change: choice.Pace is the product of what is learned, with the told factor divided out, and of the last word, which is worth its average after some tenths of a second.

--- a/internal/sidecar/choice/choice_test.go
+++ b/internal/sidecar/choice/choice_test.go
@@ -237,6 +237,47 @@
 	g.Expect(pace.Factor(now.Add(500 * ms))).To(BeNumerically("~", 1, 0.01))
 }
 
+// TestToldPace: what a back end tells of its machine counts at once, and is no part of what is
+// learned beside it; an old word is worth its average, a very old one nothing.
+func TestToldPace(t *testing.T) {
+	g := NewWithT(t)
+	pace, now := &choice.Pace{}, time.Unix(100, 0)
+	answer := func(worked time.Duration, told float64) {
+		now = now.Add(40 * ms)
+		pace.Tell(told, now)
+		pace.Observe(worked, 100*ms)
+	}
+	for range 400 {
+		answer(80*ms, 0.8)
+	}
+	g.Expect(pace.Factor(now)).To(BeNumerically("~", 0.8, 0.01))
+	answer(200*ms, 2)
+	g.Expect(pace.Factor(now)).To(BeNumerically("~", 2, 0.02), "told just now")
+	g.Expect(pace.Factor(now.Add(300*ms))).To(BeNumerically("~", 1.4, 0.02), "half way to the average")
+	g.Expect(pace.Factor(now.Add(5*time.Second))).To(BeNumerically("~", 0.8, 0.02), "the average")
+	told, age := pace.Told(now.Add(time.Second))
+	g.Expect(told).To(Equal(2.0))
+	g.Expect(age).To(Equal(time.Second))
+	g.Expect(pace.Factor(now.Add(time.Minute))).To(BeNumerically("~", 1, 0.02), "too old")
+	told, _ = pace.Told(now)
+	g.Expect(told).To(BeZero())
+}
+
+// TestToldPaceOfALiar: what a back end tells falsely all the time, work corrects.
+func TestToldPaceOfALiar(t *testing.T) {
+	g := NewWithT(t)
+	pace, now := &choice.Pace{}, time.Unix(100, 0)
+	for range 400 {
+		pace.Tell(0.5, now)
+		pace.Observe(150*ms, 100*ms)
+	}
+	g.Expect(pace.Factor(now)).To(BeNumerically("~", 1.5, 0.02))
+	pace.Tell(1e9, now)
+	g.Expect(pace.Factor(now)).To(BeNumerically("<=", 24), "whatever is told")
+	pace.Tell(0, now)
+	g.Expect(pace.Factor(now)).To(BeNumerically("~", 3, 0.02), "it tells no more")
+}
+
 func TestWork(t *testing.T) {
 	g := NewWithT(t)
 	work := &choice.Work{}
--- a/internal/sidecar/choice/pace.go
+++ b/internal/sidecar/choice/pace.go
@@ -7,11 +7,15 @@
 )
 
 // Pace is how much longer one back end works than the callers' nodes expect of
-// its service. It is safe for concurrent use.
+// its service. Where the back end tells how long work takes there at the moment, that is
+// divided out of what is learned: what is learned moves slowly, what is told at once. It is
+// safe for concurrent use.
 type Pace struct {
-	mutex   sync.Mutex // guards all below
+	mutex sync.Mutex // guards all below
+	// factor is what is learned, beside what the back end tells.
 	factor  float64
 	samples float64
+	told    told
 	// running are the requests that it works on now.
 	running map[*Run]struct{}
 }
@@ -40,6 +44,28 @@
 	paceHalfLife = 3 * time.Second
 )
 
+// Tell takes in how much longer work takes at the back end at the moment than usually, as it
+// says itself. Zero has what it said forgotten: the back end does not tell.
+func (p *Pace) Tell(factor float64, now time.Time) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if factor <= 0 {
+		p.told = told{}
+		return
+	}
+	p.told = p.told.after(min(max(factor, lowestRatio), highestRatio), now)
+}
+
+// Told returns what the back end last said and how old that is; zero when it never did.
+func (p *Pace) Told(now time.Time) (factor float64, age time.Duration) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.told.factor == 0 {
+		return 0, 0
+	}
+	return p.told.factor, now.Sub(p.told.at)
+}
+
 // Begin notes that the back end begins a request that is expected to take that
 // time. End is to be called with the result.
 func (p *Pace) Begin(expected time.Duration, now time.Time) *Run {
@@ -65,9 +91,10 @@
 	if expected <= 0 {
 		return
 	}
-	ratio := min(max(float64(worked)/float64(expected), lowestRatio), highestRatio)
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	ratio := float64(worked) / float64(expected) / p.told.last()
+	ratio = min(max(ratio, lowestRatio), highestRatio)
 	p.samples = min(p.samples+1, paceSamples)
 	if p.factor == 0 {
 		p.factor = usualFactor
@@ -85,6 +112,10 @@
 	if factor == 0 {
 		factor = usualFactor
 	}
+	if now.Sub(p.told.at) > toldMost {
+		p.told = told{}
+	}
+	factor *= p.told.believed(now)
 	excess := 0.0
 	for run := range p.running {
 		if run.expected > 0 {
--- a/internal/sidecar/contention.go
+++ b/internal/sidecar/contention.go
@@ -10,11 +10,13 @@
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/nested"
 )
 
-// loadTold takes in what the back end tells of its load.
-func (s *Sidecar) loadTold(load hop.BackendLoad) {
+// loadTold takes in what the back end tells of its load, and reports whether requests compete for
+// room, so that it counts.
+func (s *Sidecar) loadTold(load hop.BackendLoad) (counts bool) {
 	if load.Factor > 0 && s.contention.SetShared() {
 		s.logger.Info("the back end shares its machine", zap.Float64("factor", load.Factor), zap.Bool("overloadControl", s.contention.On()))
 	}
+	return s.contention.On()
 }
 
 // nestedCalls tells calls of back ends where requests compete for room.
--- a/internal/sidecar/ingress/exchange.go
+++ b/internal/sidecar/ingress/exchange.go
@@ -194,7 +194,9 @@
 		options.Logger.Info("load of the back end not read", zap.String("endpoint", a.endpoint.ID), zap.Error(err))
 		return
 	}
-	options.Told(load)
+	if options.Told(load) {
+		a.handler.pace.Tell(load.Factor, clock.Now())
+	}
 }
 
 // learn takes in how long the back end worked, compared to what the caller's
--- a/internal/sidecar/ingress/handler.go
+++ b/internal/sidecar/ingress/handler.go
@@ -52,9 +52,9 @@
 	// Work is told what the back end works on; nil where nobody asks.
 	Work *nested.Work
 	// DecodeLoad reads what the back end tells of its load; nil when it tells nothing. Told takes
-	// it in.
+	// it in and reports whether it counts.
 	DecodeLoad func(header string) (hop.BackendLoad, error)
-	Told       func(hop.BackendLoad)
+	Told       func(hop.BackendLoad) (counts bool)
 	// LinkMbps is the speed of the machine's link in Mbit/s; zero when unknown.
 	LinkMbps int
 	// Dial opens connections to the back end.
@@ -208,6 +208,14 @@
 // Load returns the state of the back end's slots.
 func (h *Handler) Load() admission.Load { return h.gate.Load() }
 
+// Pace returns how much longer the back end works than others of its service do, and what it last
+// said of that itself, with its age; zero when it says nothing.
+func (h *Handler) Pace() (factor, told float64, age time.Duration) {
+	now := clock.Now()
+	told, age = h.pace.Told(now)
+	return h.pace.Factor(now), told, age
+}
+
 // CloseIdle closes idle connections to the back end: it may have closed them itself while
 // the machine was suspended.
 func (h *Handler) CloseIdle() { h.pool.CloseIdle() }
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -186,6 +186,18 @@
 		return 0
 	})
 	gauge("kestrel_sidecar_members", "Nodes in the roster.", func() float64 { return float64(s.members.View().Count()) })
+	gauge("kestrel_sidecar_pace", "How much longer the local back end works than others of its service do.", func() float64 {
+		factor, _, _ := s.ingress.Pace()
+		return factor
+	})
+	gauge("kestrel_sidecar_pace_told", "How much longer work takes at the local back end by its own last word, 0 without one.", func() float64 {
+		_, told, _ := s.ingress.Pace()
+		return told
+	})
+	gauge("kestrel_sidecar_pace_told_age_seconds", "Age of that word.", func() float64 {
+		_, _, age := s.ingress.Pace()
+		return age.Seconds()
+	})
 	gauge("kestrel_sidecar_running", "Requests at the local back end.", func() float64 { return float64(s.ingress.Load().Running) })
 	gauge("kestrel_sidecar_waiting", "Requests that wait for a slot.", func() float64 { return float64(s.ingress.Load().Waiting) })
 	gauge("kestrel_sidecar_calls_in_flight", "Calls under way.", func() float64 { return float64(s.egress.InFlight()) })
