Back ends are chosen by what is there already, where requests compete for room

Cause: the price of a back end is the chance of a late answer. With queues everywhere it is the same for all, so that requests are spread blindly when room is short; and a back end not heard of for a while looks idle to all callers. Change: choice.DrawBalanced goes by the square of requests for each slot and the work; reports fade to the average of their service and zone; the time for a large body on the machine's link counts.

--- a/internal/sidecar/choice/choice.go
+++ b/internal/sidecar/choice/choice.go
@@ -95,22 +95,27 @@
 	share := float64(Expected(candidate)) / float64(aim)
 	cost := lateness / (1 + math.Pow(typical*share, -steepness))
 	cost += slowness*share + max(candidate.Failing-usualFailing, 0)
-	if !candidate.SameZone {
+	return candidate.added(cost, weights)
+}
+
+// added returns the cost with the prices of what cannot be measured in time.
+func (c Candidate) added(cost float64, weights Weights) float64 {
+	if !c.SameZone {
 		cost += weights.ForeignZone
 	}
-	if candidate.OtherRegion {
+	if c.OtherRegion {
 		cost += weights.OtherRegion
 	}
-	if candidate.Avoid {
+	if c.Avoid {
 		cost += weights.Avoided
 	}
-	if candidate.Leaving {
+	if c.Leaving {
 		cost += weights.Leaving
 	}
-	if candidate.Silent {
+	if c.Silent {
 		cost += weights.Silent
 	}
-	if candidate.Tried {
+	if c.Tried {
 		cost += weights.Repeated
 	}
 	return cost
--- a/internal/sidecar/choice/choice_test.go
+++ b/internal/sidecar/choice/choice_test.go
@@ -77,6 +77,14 @@
 // drawFrom draws from candidates in any order and returns the place of the chosen
 // one in it.
 func drawFrom(candidates []choice.Candidate, aim time.Duration, random *rand.Rand) int {
+	return chosenFrom(choice.Draw, candidates, aim, random)
+}
+
+// drawFunc is Draw or DrawBalanced.
+type drawFunc func(choice.Pool, time.Duration, func(int) int, choice.Weights) (int, choice.Candidate)
+
+// chosenFrom is drawFrom with another choice.
+func chosenFrom(draw drawFunc, candidates []choice.Candidate, aim time.Duration, random *rand.Rand) int {
 	var places []int
 	near := 0
 	for place, candidate := range candidates {
@@ -90,7 +98,7 @@
 	pool := choice.Pool{Near: near, Far: len(candidates) - near, Describe: func(index int) choice.Candidate {
 		return candidates[places[index]]
 	}}
-	index, _ := choice.Draw(pool, aim, random.IntN, choice.DefaultWeights())
+	index, _ := draw(pool, aim, random.IntN, choice.DefaultWeights())
 	if index < 0 {
 		return index
 	}
@@ -143,6 +151,77 @@
 	})
 }
 
+// TestDrawBalanced: where requests compete for room they go where least is there for each slot and
+// work is shortest, and leave the zone once that is worth its price.
+func TestDrawBalanced(t *testing.T) {
+	near := choice.Candidate{SameZone: true, Slots: 8, Busy: 4, Work: 80 * ms, Held: 80 * ms}
+	far := choice.Candidate{Slots: 8, Busy: 4, Work: 80 * ms, Held: 80 * ms, RoundTrip: 2 * ms}
+	with := func(from choice.Candidate, change func(*choice.Candidate)) choice.Candidate {
+		change(&from)
+		return from
+	}
+	busy := func(from choice.Candidate, count float64) choice.Candidate {
+		return with(from, func(c *choice.Candidate) { c.Busy = count })
+	}
+	slow := func(from choice.Candidate, times time.Duration) choice.Candidate {
+		return with(from, func(c *choice.Candidate) { c.Work *= times })
+	}
+	cases := []struct {
+		name       string
+		candidates []choice.Candidate
+		aim        time.Duration
+		want       int
+	}{
+		{"none", nil, 300 * ms, -1},
+		{"the zone", []choice.Candidate{far, near}, 300 * ms, 1},
+		{"the zone, although more is there", []choice.Candidate{far, busy(near, 7)}, 300 * ms, 1},
+		{"another zone when this one's queues are long", []choice.Candidate{far, busy(near, 24)}, 300 * ms, 0},
+		{"the zone when queues are as long elsewhere", []choice.Candidate{busy(far, 24), busy(near, 24)}, 300 * ms, 1},
+		{"less there", []choice.Candidate{near, busy(near, 2)}, 300 * ms, 1},
+		{"less there, though both are far beyond the target", []choice.Candidate{busy(near, 200), busy(near, 150)}, 300 * ms, 1},
+		{"the faster one", []choice.Candidate{slow(near, 2), near}, 300 * ms, 1},
+		{"the faster one for as much there, by slot", []choice.Candidate{
+			with(near, func(c *choice.Candidate) { c.Slots = 4 }), near,
+		}, 300 * ms, 1},
+		{"another zone when an idle one alone would be late", []choice.Candidate{busy(slow(near, 12), 0), far}, 300 * ms, 1},
+		{"the region, although another one has more room", []choice.Candidate{
+			with(busy(far, 0), func(c *choice.Candidate) { c.OtherRegion = true }), far,
+		}, 300 * ms, 1},
+		{"another region when this one has no room", []choice.Candidate{
+			with(far, func(c *choice.Candidate) { c.OtherRegion = true }), busy(far, 40),
+		}, 300 * ms, 0},
+		{"not the one at which many fail", []choice.Candidate{
+			with(near, func(c *choice.Candidate) { c.Failing = 0.4 }), busy(near, 9),
+		}, 300 * ms, 1},
+		{"not the one that failed", []choice.Candidate{far, with(near, func(c *choice.Candidate) { c.Avoid = true })}, 300 * ms, 0},
+		{"one that failed before one that leaves", []choice.Candidate{
+			with(near, func(c *choice.Candidate) { c.Leaving = true }), with(far, func(c *choice.Candidate) { c.Avoid = true }),
+		}, 300 * ms, 1},
+		{"a silent one before one that was tried", []choice.Candidate{
+			with(near, func(c *choice.Candidate) { c.Tried = true }), with(far, func(c *choice.Candidate) { c.Silent = true }),
+		}, 300 * ms, 1},
+		{"a route without a target", []choice.Candidate{busy(near, 7), near}, 0, 1},
+		{"a back end that tells no slots", []choice.Candidate{with(near, func(c *choice.Candidate) { c.Slots = 0 }), near}, 300 * ms, 1},
+	}
+	random := rand.New(rand.NewPCG(3, 4))
+	for _, drawn := range cases {
+		t.Run(drawn.name, func(t *testing.T) {
+			g := NewWithT(t)
+			for range 20 {
+				g.Expect(chosenFrom(choice.DrawBalanced, drawn.candidates, drawn.aim, random)).To(Equal(drawn.want))
+			}
+		})
+	}
+	t.Run("the only usable one of many", func(t *testing.T) {
+		g := NewWithT(t)
+		for place := range 40 {
+			candidates := slices.Repeat([]choice.Candidate{with(near, func(c *choice.Candidate) { c.Leaving = true })}, 40)
+			candidates[place] = near
+			g.Expect(chosenFrom(choice.DrawBalanced, candidates, 300*ms, random)).To(Equal(place))
+		}
+	})
+}
+
 func TestWorthwhile(t *testing.T) {
 	g := NewWithT(t)
 	for _, left := range []choice.Candidate{{Tried: true}, {Leaving: true}, {Silent: true}} {
--- a/internal/sidecar/choice/draw.go
+++ b/internal/sidecar/choice/draw.go
@@ -35,7 +35,7 @@
 	near, far := newUrn(0, pool.Near), newUrn(pool.Near, pool.Far)
 	index, lowest := -1, 0.0
 	for draw := 1; len(near)+len(far) > 0; draw++ {
-		for _, next := range append(near.take(intN), far.take(intN)...) {
+		for _, next := range append(near.take(drawnTogether, intN), far.take(drawnTogether, intN)...) {
 			candidate := pool.Describe(next)
 			cost := Cost(candidate, aim, weights)
 			if index < 0 || cost < lowest {
@@ -60,10 +60,10 @@
 	return indices
 }
 
-// take draws up to drawnTogether indices without putting them back.
-func (u *urn) take(intN func(n int) int) []int {
+// take draws up to count indices without putting them back.
+func (u *urn) take(count int, intN func(n int) int) []int {
 	held := *u
-	left := max(len(held)-drawnTogether, 0)
+	left := max(len(held)-count, 0)
 	for last := len(held) - 1; last >= left; last-- {
 		picked := intN(last + 1)
 		held[picked], held[last] = held[last], held[picked]
--- a/internal/sidecar/egress/attempt.go
+++ b/internal/sidecar/egress/attempt.go
@@ -167,7 +167,10 @@
 	if err != nil {
 		return
 	}
-	a.target.learn(reply, a.record, now)
+	others := a.target.learn(reply, a.record, now)
+	if a.call.handler.competes() {
+		a.learnZone(others, now)
+	}
 	a.worked, a.version = reply.Worked, reply.Version
 	a.room = reply.Running+reply.Waiting < reply.Slots
 	if reply.Worked > 0 && response.StatusCode < http.StatusMultipleChoices && !a.compared {
--- a/internal/sidecar/egress/choose.go
+++ b/internal/sidecar/egress/choose.go
@@ -8,18 +8,22 @@
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/choice"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 )
 
 // choose returns a send, not begun yet, to the node whose back end is to take the
 // request; nil when there is none.
 func (c *call) choose() *attempt {
 	considered := c.considered(clock.Now(), c.selected())
-	index, seen := choice.Draw(considered.pool(), c.route.TargetLatency, rand.IntN, c.handler.options.Weights)
+	index, seen := considered.draw()
 	if index < 0 {
 		return nil
 	}
 	record := considered.records[index]
 	chosen := c.handler.targets.of(record)
+	if considered.competes {
+		c.handler.zoneLoads.of(record).sent.Add(1)
+	}
 	return &attempt{
 		call: c, record: record, target: chosen, service: c.service,
 		seen: seen, reportAge: chosen.reportAge(considered.now),
@@ -37,6 +41,17 @@
 	// usual is how long back ends of the service work on such a request.
 	usual time.Duration
 	now   time.Time
+	// competes: requests compete for room.
+	competes bool
+}
+
+// draw returns the index of the back end that is to take the request, and what is known of it.
+func (s *considered) draw() (index int, seen choice.Candidate) {
+	draw := choice.Draw
+	if s.competes {
+		draw = choice.DrawBalanced
+	}
+	return draw(s.pool(), s.call.route.TargetLatency, rand.IntN, s.call.handler.options.Weights)
 }
 
 // selected returns which back ends may take the next send. A send beyond the first is
@@ -62,6 +77,8 @@
 		near:   place{zone: options.Zone, regions: options.Regions},
 		usual:  c.work().Mean(c.assumedWork()),
 		now:    now,
+
+		competes: c.handler.competes(),
 	}
 }
 
@@ -70,10 +87,24 @@
 	record := s.records[index]
 	found := s.call.handler.targets.of(record)
 	described := found.candidate(record, s.near, s.usual, s.now)
+	if s.competes {
+		described.RoundTrip += s.call.transfer(record)
+		described.Busy += s.call.handler.zoneLoads.others(record, s.now) * found.unheard(record, s.now)
+	}
 	described.Tried = s.call.visited(found)
 	return described
 }
 
+// transfer is how long the link of the record's machine works on the request's body, where it is one
+// that the arriving node receives before it has a slot.
+func (c *call) transfer(record *roster.Record) time.Duration {
+	if !c.large() || record.Link <= 0 {
+		return 0
+	}
+	const bytesPerMegabit = 1000 * 1000 / 8
+	return time.Duration(float64(c.request.ContentLength) / float64(record.Link*bytesPerMegabit) * float64(time.Second))
+}
+
 // pool returns them for the choice.
 func (s *considered) pool() choice.Pool {
 	return choice.Pool{Near: s.subset.near, Far: len(s.records) - s.subset.near, Describe: s.describe}
@@ -90,6 +121,9 @@
 	return false
 }
 
+// competes reports whether requests compete for room.
+func (h *Handler) competes() bool { return h.options.Competes != nil && h.options.Competes() }
+
 // work returns the estimate of how long requests of the route are worked on.
 func (c *call) work() *choice.Work {
 	key := c.route.Name
--- a/internal/sidecar/egress/choose_test.go
+++ b/internal/sidecar/egress/choose_test.go
@@ -4,9 +4,11 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/route"
 )
 
@@ -36,3 +38,50 @@
 	g.Expect(statuses[http.StatusOK]).To(BeNumerically("~", 50, 2))
 	g.Expect(statuses[http.StatusServiceUnavailable]).To(BeNumerically("~", 50, 2))
 }
+
+// TestZonesAreLearnedWhereRequestsCompete: elsewhere nothing is kept of zones, and no back end is
+// described by them.
+func TestZonesAreLearnedWhereRequestsCompete(t *testing.T) {
+	for _, competes := range []bool{false, true} {
+		g := NewWithT(t)
+		handler := newHandler(t, &quiet{}, present, newPeer(t, answers))
+		handler.options.Competes = func() bool { return competes }
+		for range 5 {
+			request := httptest.NewRequest(http.MethodGet, "/safe/1", nil)
+			request.Host = "h"
+			handler.ServeHTTP(httptest.NewRecorder(), request)
+		}
+		loads := handler.ZoneLoads(time.Now())
+		if !competes {
+			g.Expect(loads).To(BeEmpty())
+			continue
+		}
+		g.Expect(loads).To(HaveLen(1))
+		g.Expect(loads[0].Service).To(Equal("s"))
+		g.Expect(loads[0].Sent).To(BeNumerically(">=", 5))
+	}
+}
+
+// TestTransfer: a large body waits for the link of the machine that receives it, a short one and
+// one of unknown length do not.
+func TestTransfer(t *testing.T) {
+	cases := []struct {
+		name   string
+		length int64
+		link   int
+		want   time.Duration
+	}{
+		{"a narrow link", 62500, 10, 50 * time.Millisecond},
+		{"a wide link", 62500, 200, 2500 * time.Microsecond},
+		{"a link of unknown speed", 62500, 0, 0},
+		{"a short body", 4000, 10, 0},
+		{"a body of unknown length", -1, 10, 0},
+	}
+	for _, sent := range cases {
+		t.Run(sent.name, func(t *testing.T) {
+			g := NewWithT(t)
+			sending := &call{request: &http.Request{ContentLength: sent.length}}
+			g.Expect(sending.transfer(&roster.Record{Link: sent.link})).To(Equal(sent.want))
+		})
+	}
+}
--- a/internal/sidecar/egress/handler.go
+++ b/internal/sidecar/egress/handler.go
@@ -57,6 +57,9 @@
 	// Nested tells which requests are calls of what the back end beside the node works on; nil
 	// where nobody asks.
 	Nested Nested
+	// Competes reports whether requests compete for room, so that back ends are chosen by what is
+	// there already; nil for never.
+	Competes func() bool
 	// Weights price the choice of back ends.
 	Weights choice.Weights
 	// Dial opens connections to other nodes.
@@ -137,6 +140,8 @@
 	// chosen since it was last emptied.
 	subsets     sync.Map
 	subsetCount atomic.Int64
+	// zoneLoads holds how full the zones are.
+	zoneLoads zoneLoads
 	// work and patiences hold what is learned by route name.
 	work, patiences sync.Map
 
--- a/internal/sidecar/egress/target.go
+++ b/internal/sidecar/egress/target.go
@@ -58,10 +58,10 @@
 	return r.epoch == record.Epoch && r.endpoint == record.Endpoint.Incarnation()
 }
 
-// learn takes in the load that a reply carries. The record is the one that the
-// request was sent by.
-func (t *target) learn(load hop.Reply, record *roster.Record, now time.Time) {
-	others := float64(load.Running+load.Waiting) - float64(t.inFlight.Load())
+// learn takes in the load that a reply carries, and returns how many requests of others are
+// there. The record is the one that the request was sent by.
+func (t *target) learn(load hop.Reply, record *roster.Record, now time.Time) (others float64) {
+	others = float64(load.Running+load.Waiting) - float64(t.inFlight.Load())
 	for {
 		before := t.report.Load()
 		next := &loadReport{Reply: load, epoch: record.Epoch, endpoint: record.Endpoint.Incarnation(), taken: now}
@@ -70,7 +70,7 @@
 		}
 		next.others = next.others.After(others, record.Endpoint.Slots, load.Held, now)
 		if t.report.CompareAndSwap(before, next) {
-			return
+			return others
 		}
 	}
 }
@@ -146,6 +146,16 @@
 	return described
 }
 
+// unheard is the part of what is there that no report tells of any more: one without any report,
+// little after a fresh one.
+func (t *target) unheard(record *roster.Record, now time.Time) float64 {
+	report := t.report.Load()
+	if report == nil || !report.of(record) {
+		return 1
+	}
+	return 1 - report.others.Weight(now)
+}
+
 // reportAge is how old the node's own account of its load is; below zero when
 // there is none.
 func (t *target) reportAge(now time.Time) time.Duration {
--- /dev/null
+++ b/internal/sidecar/egress/zoneload_test.go
@@ -0,0 +1,83 @@
+package egress
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+)
+
+func loadRecord(node, zone, service string) *roster.Record {
+	return &roster.Record{Node: node, Zone: zone, Epoch: 1, Endpoint: &roster.Endpoint{ID: node, Service: service, Slots: 6, State: roster.Ready}}
+}
+
+// TestZoneLoads: what one back end tells stands for others of its service and zone, and for no
+// others; what nobody renews is forgotten.
+func TestZoneLoads(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	var loads zoneLoads
+	loads.learn(loadRecord("n1", "a", "s"), 9, now)
+	g.Expect(loads.others(loadRecord("n2", "a", "s"), now)).To(Equal(9.0))
+	g.Expect(loads.others(loadRecord("n3", "b", "s"), now)).To(BeZero(), "another zone")
+	g.Expect(loads.others(loadRecord("n4", "a", "t"), now)).To(BeZero(), "another service")
+	g.Expect(loads.others(loadRecord("n2", "a", "s"), now.Add(time.Hour))).To(BeNumerically("~", 0, 0.001), "cut off")
+	var running sync.WaitGroup
+	for i := range 16 {
+		running.Go(func() {
+			for range 100 {
+				loads.learn(loadRecord(fmt.Sprint("n", i), "c", "s"), 3, now)
+			}
+		})
+	}
+	running.Wait()
+	g.Expect(loads.others(loadRecord("n", "c", "s"), now)).To(BeNumerically("~", 3, 0.001))
+}
+
+// TestZoneBecomesFull: a zone is told as full once, and as having room only well below that.
+func TestZoneBecomesFull(t *testing.T) {
+	g := NewWithT(t)
+	now, record := time.Now(), loadRecord("n", "a", "s")
+	var loads zoneLoads
+	changes := func(others float64) (count int, last bool) {
+		for range 60 {
+			if full, changed := loads.learn(record, others, now); changed {
+				count, last = count+1, full
+			}
+		}
+		return count, last
+	}
+	count, _ := changes(4)
+	g.Expect(count).To(BeZero(), "room from the first")
+	count, full := changes(12)
+	g.Expect(count).To(Equal(1))
+	g.Expect(full).To(BeTrue())
+	count, _ = changes(6)
+	g.Expect(count).To(BeZero(), "between the two bounds")
+	count, full = changes(3)
+	g.Expect(count).To(Equal(1))
+	g.Expect(full).To(BeFalse())
+}
+
+// TestUnheard: of a back end that told just now nothing is unknown; without a report of its
+// present life everything is, so that a new one is neither flooded nor left out.
+func TestUnheard(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	held, record := &target{}, loadRecord("n", "a", "s")
+	g.Expect(held.unheard(record, now)).To(Equal(1.0))
+	held.learn(hop.Reply{Running: 3, Slots: 6, Factor: 1, Held: time.Second}, record, now)
+	held.learn(hop.Reply{Running: 3, Slots: 6, Factor: 1, Held: time.Second}, record, now.Add(time.Millisecond))
+	now = now.Add(time.Millisecond)
+	g.Expect(held.unheard(record, now)).To(BeZero())
+	g.Expect(held.unheard(record, now.Add(time.Second))).To(BeNumerically("~", 0.5, 0.001))
+	g.Expect(held.unheard(record, now.Add(time.Hour))).To(BeNumerically("~", 1, 0.001))
+	replaced := loadRecord("n", "a", "s")
+	replaced.Endpoint.ID = "other"
+	g.Expect(held.unheard(replaced, now)).To(Equal(1.0))
+}
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -202,6 +202,7 @@
 	gauge("kestrel_sidecar_waiting", "Requests that wait for a slot.", func() float64 { return float64(s.ingress.Load().Waiting) })
 	gauge("kestrel_sidecar_calls_in_flight", "Calls under way.", func() float64 { return float64(s.egress.InFlight()) })
 	gauge("kestrel_sidecar_retry_budget", "Least repeats left of all services.", s.leastBudget)
+	registry.MustRegister(newZoneCollector(s.egress))
 }
 
 func (s *Sidecar) leastBudget() float64 {
--- a/internal/sidecar/occupancy/fleet_test.go
+++ b/internal/sidecar/occupancy/fleet_test.go
@@ -23,6 +23,13 @@
 	newBelief func() belief
 	// choose returns the index of the back end that takes a request.
 	choose func(pool choice.Pool, aim time.Duration, random *rand.Rand) int
+	// pace returns how much longer work is believed to take beside other work on a machine; nil
+	// for no longer.
+	pace func(f *fleet, s *server, told heard) float64
+	// knows: how many requests are at a back end is known at once.
+	knows bool
+	// average: where a report has faded, a back end is taken for an average one of its zone.
+	average bool
 }
 
 // belief is what one node holds of one back end.
@@ -44,6 +51,18 @@
 	paces  []float64
 	length time.Duration
 	policy policy
+	// service is what is played; zero for usualService.
+	service service
+	// zones divide nodes and back ends, taken in turn; zero for one. demand is the part of all
+	// requests that begin in each, nil for equal ones.
+	zones  int
+	demand []float64
+	// clump is how many requests a node begins at once; zero for one.
+	clump int
+	// joins is when the first back end begins to take work; zero for the beginning.
+	joins time.Duration
+	// shared is how much other work there is on the back ends' machines.
+	shared shared
 
 	random *rand.Rand
 	now    time.Duration
@@ -55,39 +74,93 @@
 	outcome outcome
 }
 
+// service is how many requests a back end works on at once, for how long, and in what time they
+// are to be answered.
+type service struct {
+	slots     int
+	work, aim time.Duration
+}
+
+var usualService = service{slots: 8, work: 300 * time.Millisecond, aim: 800 * time.Millisecond}
+
+// shared is other work on the back ends' machines: for that share of the time, in periods of that
+// mean length, work takes that much longer. A zero share is none.
+type shared struct {
+	share, factor float64
+	period        time.Duration
+}
+
 const (
-	slots     = 8
-	usualWork = 300 * time.Millisecond
 	// workSpread is the standard deviation of the logarithm of the work.
 	workSpread = 0.3
-	aim        = 800 * time.Millisecond
 	// crowding is how much longer a full back end works.
 	crowding  = 0.3
 	roundTrip = 400 * time.Microsecond
 	// sends is how many back ends may refuse one request.
 	sends = 3
+	// zoneTrip is what the way to another zone and back takes longer.
+	zoneTrip = 3 * time.Millisecond
 )
 
 // outcome counts requests, refusals on the way, requests that failed in the end,
 // and late answers.
 type outcome struct {
-	requests, refusals, failed, late int
+	requests, refusals, failed, late, foreign int
+	// busiest is the most that a back end had of its room, compared to the mean.
+	busiest float64
 }
 
 func (o outcome) refused() float64 { return float64(o.refusals) / float64(o.requests) }
 func (o outcome) bad() float64     { return float64(o.failed+o.late) / float64(o.requests) }
 
+// left is the part of all sends that left the zone.
+func (o outcome) left() float64 { return float64(o.foreign) / float64(o.requests+o.refusals) }
+
+// and adds the outcome of one of several plays.
+func (o outcome) and(one outcome, plays int) outcome {
+	o.requests += one.requests
+	o.refusals += one.refusals
+	o.failed += one.failed
+	o.late += one.late
+	o.foreign += one.foreign
+	o.busiest += one.busiest / float64(plays)
+	return o
+}
+
 // server is a back end with the queue before it.
 type server struct {
+	zone    int
 	pace    float64
 	running int
 	queue   []*request
+	// beside is how much longer work takes at the moment than usually on this machine.
+	beside float64
+	// worked is how long its slots were held, corrected by what the machine bears, begun how many
+	// requests have begun.
+	worked float64
+	begun  int
 }
 
+// takes is how much longer work takes at the moment.
+func (s *server) takes() float64 { return s.pace * s.beside }
+
 // caller is a node that sends requests.
 type caller struct {
+	zone     int
 	inFlight []int
 	beliefs  []belief
+	// heard is what each back end told of its machine, and when.
+	heard []heard
+	// averages are what back ends of each zone have by what was heard of late.
+	averages []occupancy.Average
+	// near and far are the back ends that it considers.
+	near, far []int
+}
+
+// heard is a told figure and its time.
+type heard struct {
+	beside float64
+	at     time.Duration
 }
 
 type request struct {
@@ -131,71 +204,177 @@
 func (f *fleet) clock() time.Time { return time.Unix(1, 0).Add(f.now) }
 
 func (f *fleet) play(seed uint64) outcome {
+	f.begin(seed)
+	f.playUntil(f.length)
+	f.outcome.busiest = f.busiest()
+	return f.outcome
+}
+
+// begin makes the back ends and nodes, and the first request.
+func (f *fleet) begin(seed uint64) {
 	f.random = rand.New(rand.NewPCG(seed, 0))
+	if f.service == (service{}) {
+		f.service = usualService
+	}
+	f.zones = max(f.zones, 1)
 	for i := range f.backEnds {
-		f.servers = append(f.servers, &server{pace: f.paces[i%len(f.paces)]})
+		f.servers = append(f.servers, &server{zone: i % f.zones, pace: f.paces[i%len(f.paces)], beside: 1})
 	}
-	for range f.nodes {
-		made := &caller{inFlight: make([]int, f.backEnds)}
-		for range f.backEnds {
-			made.beliefs = append(made.beliefs, f.policy.newBelief())
+	for i := range f.nodes {
+		f.callers = append(f.callers, f.newCaller(i%f.zones))
+	}
+	if f.shared.share > 0 {
+		for _, s := range f.servers {
+			f.share(s, false)
 		}
-		f.callers = append(f.callers, made)
 	}
 	f.arrive()
-	for f.now < f.length {
+}
+
+func (f *fleet) playUntil(end time.Duration) {
+	for f.now < end {
 		next := heap.Pop(&f.events).(event)
 		f.now = next.at
 		next.do()
 	}
-	return f.outcome
+}
+
+// newCaller returns a node that considers all back ends of its zone and some of the others.
+func (f *fleet) newCaller(zone int) *caller {
+	made := &caller{zone: zone, averages: make([]occupancy.Average, f.zones), inFlight: make([]int, f.backEnds), heard: make([]heard, f.backEnds)}
+	for i, s := range f.servers {
+		made.beliefs = append(made.beliefs, f.policy.newBelief())
+		if s.zone == zone {
+			made.near = append(made.near, i)
+		} else {
+			made.far = append(made.far, i)
+		}
+	}
+	if len(made.far) > 0 {
+		const considered = 16
+		f.random.Shuffle(len(made.far), func(i, j int) { made.far[i], made.far[j] = made.far[j], made.far[i] })
+		made.far = made.far[:min(considered, len(made.far))]
+	}
+	return made
+}
+
+// share has the other work on a back end's machine begin and end.
+func (f *fleet) share(s *server, begins bool) {
+	length := float64(f.shared.period)
+	s.beside = f.shared.factor
+	if !begins {
+		s.beside, length = 1, length*(1-f.shared.share)/f.shared.share
+	}
+	f.after(time.Duration(f.random.ExpFloat64()*length), func() { f.share(s, !begins) })
+}
+
+// busiest compares the back ends by the part of their room that was used.
+func (f *fleet) busiest() float64 {
+	most, sum := 0.0, 0.0
+	for _, s := range f.servers {
+		most, sum = max(most, s.worked), sum+s.worked
+	}
+	return most * float64(len(f.servers)) / sum
 }
 
 // rate is how many requests come a second.
 func (f *fleet) rate() float64 {
 	capacity := 0.0
 	for _, s := range f.servers {
-		capacity += slots / (usualWork.Seconds() * s.pace)
+		capacity += float64(f.service.slots) / (f.service.work.Seconds() * s.pace)
 	}
-	return capacity * f.utilization
+	return capacity * f.utilization / (1 + f.shared.share*max(f.shared.factor-1, 0))
 }
 
-// arrive begins one request and plans the next.
+// arrive begins the next requests and plans those after them.
 func (f *fleet) arrive() {
-	f.after(time.Duration(f.random.ExpFloat64()/f.rate()*float64(time.Second)), f.arrive)
-	factor := math.Exp(f.random.NormFloat64()*workSpread - workSpread*workSpread/2)
-	f.outcome.requests++
-	f.send(&request{
-		from: f.callers[f.random.IntN(len(f.callers))], began: f.now, work: time.Duration(float64(usualWork) * factor),
-	})
+	clump := max(f.clump, 1)
+	f.after(time.Duration(f.random.ExpFloat64()/f.rate()*float64(clump)*float64(time.Second)), f.arrive)
+	var from *caller
+	for range clump {
+		factor := math.Exp(f.random.NormFloat64()*workSpread - workSpread*workSpread/2)
+		f.outcome.requests++
+		if from == nil {
+			from = f.begins()
+		}
+		f.send(&request{from: from, began: f.now, work: time.Duration(float64(f.service.work) * factor)})
+	}
+}
+
+// begins returns the node where the next requests begin.
+func (f *fleet) begins() *caller {
+	index := f.random.IntN(len(f.callers))
+	if f.demand == nil {
+		return f.callers[index]
+	}
+	drawn, zone := f.random.Float64(), 0
+	for ; zone < f.zones-1 && drawn >= f.demand[zone]; zone++ {
+		drawn -= f.demand[zone]
+	}
+	return f.callers[index/f.zones*f.zones+zone]
 }
 
 // send chooses a back end and sends the request there.
 func (f *fleet) send(r *request) {
-	pool := choice.Pool{Near: f.backEnds, Describe: func(i int) choice.Candidate { return f.describe(r, i) }}
-	r.to = f.policy.choose(pool, aim, f.random)
+	near, far := r.from.near, r.from.far
+	index := func(i int) int {
+		if i < len(near) {
+			return near[i]
+		}
+		return far[i-len(near)]
+	}
+	pool := choice.Pool{Near: len(near), Far: len(far), Describe: func(i int) choice.Candidate { return f.describe(r, index(i)) }}
+	r.to = index(f.policy.choose(pool, f.service.aim, f.random))
 	r.tried = append(r.tried, r.to)
 	r.from.inFlight[r.to]++
-	f.after(roundTrip/2, func() { f.enter(r) })
+	if f.servers[r.to].zone != r.from.zone {
+		f.outcome.foreign++
+	}
+	f.after(f.trip(r)/2, func() { f.enter(r) })
+}
+
+// trip is how long the way to the back end of a request and back takes.
+func (f *fleet) trip(r *request) time.Duration {
+	if f.servers[r.to].zone != r.from.zone {
+		return roundTrip + zoneTrip
+	}
+	return roundTrip
 }
 
 func (f *fleet) describe(r *request, index int) choice.Candidate {
-	work := time.Duration(float64(usualWork) * f.servers[index].pace)
-	return choice.Candidate{
-		SameZone: true, Slots: slots, Work: work, Held: work, Tried: slices.Contains(r.tried, index),
+	s := f.servers[index]
+	takes := s.pace
+	if f.policy.pace != nil {
+		takes *= f.policy.pace(f, s, r.from.heard[index])
+	}
+	work := time.Duration(float64(f.service.work) * takes)
+	candidate := choice.Candidate{
+		SameZone: s.zone == r.from.zone, Slots: f.service.slots, Work: work, Held: work, Tried: slices.Contains(r.tried, index),
 		Busy: float64(r.from.inFlight[index]) + r.from.beliefs[index].others(f.clock()),
 	}
+	if !candidate.SameZone {
+		candidate.RoundTrip = zoneTrip
+	}
+	candidate.Leaving = index == 0 && f.now < f.joins
+	if f.policy.average {
+		unheard := 1 - r.from.beliefs[index].(*estimated).Weight(f.clock())
+		candidate.Busy += r.from.averages[s.zone].PerSlot(f.clock()) * float64(f.service.slots) * unheard
+	}
+	if f.policy.knows {
+		candidate.Busy = float64(s.running + len(s.queue))
+	}
+	return candidate
 }
 
 // enter has the request take a slot, wait for one or be refused.
 func (f *fleet) enter(r *request) {
 	s := f.servers[r.to]
-	work := float64(usualWork) * s.pace
-	wait := work * float64(len(s.queue)+1) / slots
+	work := float64(f.service.work) * s.pace
+	wait := work * float64(len(s.queue)+1) / float64(f.service.slots)
 	switch {
-	case s.running < slots:
+	case s.running < f.service.slots:
 		f.start(s, r)
-	case wait+1.5*work < float64(aim-(f.now-r.began)):
+	case wait+1.5*work < float64(f.service.aim-(f.now-r.began)):
 		s.queue = append(s.queue, r)
 	default:
 		f.outcome.refusals++
@@ -213,8 +392,10 @@
 
 func (f *fleet) start(s *server, r *request) {
 	s.running++
-	used := float64(s.running) / slots
-	f.after(time.Duration(float64(r.work)*s.pace*(1+crowding*used*used)), func() { f.end(s, r) })
+	s.begun++
+	used := float64(s.running) / float64(f.service.slots)
+	s.worked += float64(r.work) * s.pace
+	f.after(time.Duration(float64(r.work)*s.takes()*(1+crowding*used*used)), func() { f.end(s, r) })
 }
 
 func (f *fleet) end(s *server, r *request) {
@@ -225,7 +406,7 @@
 		f.start(s, next)
 	}
 	f.reply(r, func() {
-		if f.now-r.began > aim {
+		if f.now-r.began > f.service.aim {
 			f.outcome.late++
 		}
 	})
@@ -234,10 +415,12 @@
 // reply brings the load at the back end to the node that sent the request.
 func (f *fleet) reply(r *request, then func()) {
 	s := f.servers[r.to]
-	load := s.running + len(s.queue)
-	f.after(roundTrip/2, func() {
+	load, told := s.running+len(s.queue), s.beside
+	f.after(f.trip(r)/2, func() {
 		r.from.inFlight[r.to]--
-		held := time.Duration(float64(usualWork) * s.pace)
+		held := time.Duration(float64(f.service.work) * s.pace)
+		r.from.heard[r.to] = heard{beside: told, at: f.now}
+		r.from.averages[s.zone] = r.from.averages[s.zone].After(float64(load-r.from.inFlight[r.to]), f.service.slots, f.clock())
 		r.from.beliefs[r.to].observe(float64(load-r.from.inFlight[r.to]), held, f.clock())
 		then()
 	})
@@ -247,7 +430,7 @@
 type estimated struct{ occupancy.Estimate }
 
 func (e *estimated) observe(others float64, held time.Duration, now time.Time) {
-	e.Estimate = e.After(others, slots, held, now)
+	e.Estimate = e.After(others, usualService.slots, held, now)
 }
 func (e *estimated) others(now time.Time) float64 { return e.Others(now) }
 
@@ -285,12 +468,12 @@
 
 var (
 	// drawnByGaps is the policy of the product.
-	drawnByGaps = policy{"drawn, half-life by observed gaps", func() belief { return &estimated{} }, drawn}
+	drawnByGaps = policy{name: "drawn, half-life by observed gaps", newBelief: func() belief { return &estimated{} }, choose: drawn}
 	// cheapestFixed is the one before it, which was fitted to 13 nodes.
-	cheapestFixed = policy{"cheapest of all, half-life 0.4 s", func() belief { return &fixed{halfLife: 400 * time.Millisecond} }, cheapestOfAll}
+	cheapestFixed = policy{name: "cheapest of all, half-life 0.4 s", newBelief: func() belief { return &fixed{halfLife: 400 * time.Millisecond} }, choose: cheapestOfAll}
 	// The other two change one of the two alone.
-	cheapestByGaps = policy{"cheapest of all, half-life by observed gaps", func() belief { return &estimated{} }, cheapestOfAll}
-	drawnFixed     = policy{"drawn, half-life 0.4 s", func() belief { return &fixed{halfLife: 400 * time.Millisecond} }, drawn}
+	cheapestByGaps = policy{name: "cheapest of all, half-life by observed gaps", newBelief: func() belief { return &estimated{} }, choose: cheapestOfAll}
+	drawnFixed     = policy{name: "drawn, half-life 0.4 s", newBelief: func() belief { return &fixed{halfLife: 400 * time.Millisecond} }, choose: drawn}
 )
 
 // mixed are paces as on an ordinary day, slow those of a service two fifths of
--- a/internal/sidecar/occupancy/occupancy.go
+++ b/internal/sidecar/occupancy/occupancy.go
@@ -65,5 +65,13 @@
 	return e.others * math.Exp2(-float64(now.Sub(e.taken))/float64(e.halfLife))
 }
 
+// Weight returns the part of the last report that still counts, zero before the first.
+func (e Estimate) Weight(now time.Time) float64 {
+	if e.taken.IsZero() {
+		return 0
+	}
+	return math.Exp2(-float64(now.Sub(e.taken)) / float64(e.halfLife))
+}
+
 // HalfLife returns the time in which half of the report is forgotten.
 func (e Estimate) HalfLife() time.Duration { return e.halfLife }
