--- a/internal/sidecar/choice/choice_test.go
+++ b/internal/sidecar/choice/choice_test.go
@@ -77,6 +77,14 @@
 // drawFrom draws from candidates in any order and returns the place of the chosen
 // one in it.
 func drawFrom(candidates []choice.Candidate, aim time.Duration, random *rand.Rand) int {
+	return chosenFrom(choice.Draw, candidates, aim, random)
+}
+
+// drawFunc is Draw or DrawBalanced.
+type drawFunc func(choice.Pool, time.Duration, func(int) int, choice.Weights) (int, choice.Candidate)
+
+// chosenFrom is drawFrom with another choice.
+func chosenFrom(draw drawFunc, candidates []choice.Candidate, aim time.Duration, random *rand.Rand) int {
 	var places []int
 	near := 0
 	for place, candidate := range candidates {
@@ -90,7 +98,7 @@
 	pool := choice.Pool{Near: near, Far: len(candidates) - near, Describe: func(index int) choice.Candidate {
 		return candidates[places[index]]
 	}}
-	index, _ := choice.Draw(pool, aim, random.IntN, choice.DefaultWeights())
+	index, _ := draw(pool, aim, random.IntN, choice.DefaultWeights())
 	if index < 0 {
 		return index
 	}
@@ -143,6 +151,77 @@
 	})
 }
 
+// TestDrawBalanced: where requests compete for room they go where least is there for each slot and
+// work is shortest, and leave the zone once that is worth its price.
+func TestDrawBalanced(t *testing.T) {
+	near := choice.Candidate{SameZone: true, Slots: 8, Busy: 4, Work: 80 * ms, Held: 80 * ms}
+	far := choice.Candidate{Slots: 8, Busy: 4, Work: 80 * ms, Held: 80 * ms, RoundTrip: 2 * ms}
+	with := func(from choice.Candidate, change func(*choice.Candidate)) choice.Candidate {
+		change(&from)
+		return from
+	}
+	busy := func(from choice.Candidate, count float64) choice.Candidate {
+		return with(from, func(c *choice.Candidate) { c.Busy = count })
+	}
+	slow := func(from choice.Candidate, times time.Duration) choice.Candidate {
+		return with(from, func(c *choice.Candidate) { c.Work *= times })
+	}
+	cases := []struct {
+		name       string
+		candidates []choice.Candidate
+		aim        time.Duration
+		want       int
+	}{
+		{"none", nil, 300 * ms, -1},
+		{"the zone", []choice.Candidate{far, near}, 300 * ms, 1},
+		{"the zone, although more is there", []choice.Candidate{far, busy(near, 7)}, 300 * ms, 1},
+		{"another zone when this one's queues are long", []choice.Candidate{far, busy(near, 24)}, 300 * ms, 0},
+		{"the zone when queues are as long elsewhere", []choice.Candidate{busy(far, 24), busy(near, 24)}, 300 * ms, 1},
+		{"less there", []choice.Candidate{near, busy(near, 2)}, 300 * ms, 1},
+		{"less there, though both are far beyond the target", []choice.Candidate{busy(near, 200), busy(near, 150)}, 300 * ms, 1},
+		{"the faster one", []choice.Candidate{slow(near, 2), near}, 300 * ms, 1},
+		{"the faster one for as much there, by slot", []choice.Candidate{
+			with(near, func(c *choice.Candidate) { c.Slots = 4 }), near,
+		}, 300 * ms, 1},
+		{"another zone when an idle one alone would be late", []choice.Candidate{busy(slow(near, 12), 0), far}, 300 * ms, 1},
+		{"the region, although another one has more room", []choice.Candidate{
+			with(busy(far, 0), func(c *choice.Candidate) { c.OtherRegion = true }), far,
+		}, 300 * ms, 1},
+		{"another region when this one has no room", []choice.Candidate{
+			with(far, func(c *choice.Candidate) { c.OtherRegion = true }), busy(far, 40),
+		}, 300 * ms, 0},
+		{"not the one at which many fail", []choice.Candidate{
+			with(near, func(c *choice.Candidate) { c.Failing = 0.4 }), busy(near, 9),
+		}, 300 * ms, 1},
+		{"not the one that failed", []choice.Candidate{far, with(near, func(c *choice.Candidate) { c.Avoid = true })}, 300 * ms, 0},
+		{"one that failed before one that leaves", []choice.Candidate{
+			with(near, func(c *choice.Candidate) { c.Leaving = true }), with(far, func(c *choice.Candidate) { c.Avoid = true }),
+		}, 300 * ms, 1},
+		{"a silent one before one that was tried", []choice.Candidate{
+			with(near, func(c *choice.Candidate) { c.Tried = true }), with(far, func(c *choice.Candidate) { c.Silent = true }),
+		}, 300 * ms, 1},
+		{"a route without a target", []choice.Candidate{busy(near, 7), near}, 0, 1},
+		{"a back end that tells no slots", []choice.Candidate{with(near, func(c *choice.Candidate) { c.Slots = 0 }), near}, 300 * ms, 1},
+	}
+	random := rand.New(rand.NewPCG(3, 4))
+	for _, drawn := range cases {
+		t.Run(drawn.name, func(t *testing.T) {
+			g := NewWithT(t)
+			for range 20 {
+				g.Expect(chosenFrom(choice.DrawBalanced, drawn.candidates, drawn.aim, random)).To(Equal(drawn.want))
+			}
+		})
+	}
+	t.Run("the only usable one of many", func(t *testing.T) {
+		g := NewWithT(t)
+		for place := range 40 {
+			candidates := slices.Repeat([]choice.Candidate{with(near, func(c *choice.Candidate) { c.Leaving = true })}, 40)
+			candidates[place] = near
+			g.Expect(chosenFrom(choice.DrawBalanced, candidates, 300*ms, random)).To(Equal(place))
+		}
+	})
+}
+
 func TestWorthwhile(t *testing.T) {
 	g := NewWithT(t)
 	for _, left := range []choice.Candidate{{Tried: true}, {Leaving: true}, {Silent: true}} {
@@ -237,6 +316,47 @@
 	g.Expect(pace.Factor(now.Add(500 * ms))).To(BeNumerically("~", 1, 0.01))
 }
 
+// TestToldPace: what a back end tells of its machine counts at once, and is no part of what is
+// learned beside it; an old word is worth its average, a very old one nothing.
+func TestToldPace(t *testing.T) {
+	g := NewWithT(t)
+	pace, now := &choice.Pace{}, time.Unix(100, 0)
+	answer := func(worked time.Duration, told float64) {
+		now = now.Add(40 * ms)
+		pace.Tell(told, now)
+		pace.Observe(worked, 100*ms)
+	}
+	for range 400 {
+		answer(80*ms, 0.8)
+	}
+	g.Expect(pace.Factor(now)).To(BeNumerically("~", 0.8, 0.01))
+	answer(200*ms, 2)
+	g.Expect(pace.Factor(now)).To(BeNumerically("~", 2, 0.02), "told just now")
+	g.Expect(pace.Factor(now.Add(300*ms))).To(BeNumerically("~", 1.4, 0.02), "half way to the average")
+	g.Expect(pace.Factor(now.Add(5*time.Second))).To(BeNumerically("~", 0.8, 0.02), "the average")
+	told, age := pace.Told(now.Add(time.Second))
+	g.Expect(told).To(Equal(2.0))
+	g.Expect(age).To(Equal(time.Second))
+	g.Expect(pace.Factor(now.Add(time.Minute))).To(BeNumerically("~", 1, 0.02), "too old")
+	told, _ = pace.Told(now)
+	g.Expect(told).To(BeZero())
+}
+
+// TestToldPaceOfALiar: what a back end tells falsely all the time, work corrects.
+func TestToldPaceOfALiar(t *testing.T) {
+	g := NewWithT(t)
+	pace, now := &choice.Pace{}, time.Unix(100, 0)
+	for range 400 {
+		pace.Tell(0.5, now)
+		pace.Observe(150*ms, 100*ms)
+	}
+	g.Expect(pace.Factor(now)).To(BeNumerically("~", 1.5, 0.02))
+	pace.Tell(1e9, now)
+	g.Expect(pace.Factor(now)).To(BeNumerically("<=", 24), "whatever is told")
+	pace.Tell(0, now)
+	g.Expect(pace.Factor(now)).To(BeNumerically("~", 3, 0.02), "it tells no more")
+}
+
 func TestWork(t *testing.T) {
 	g := NewWithT(t)
 	work := &choice.Work{}
--- a/internal/sidecar/egress/handler.go
+++ b/internal/sidecar/egress/handler.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
 
 	"github.com/kestrelstream/kestrelstream/internal/proxy/forward"
 	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
@@ -57,6 +56,9 @@
 	// Nested tells which requests are calls of what the back end beside the node works on; nil
 	// where nobody asks.
 	Nested Nested
+	// Competes reports whether requests compete for room, so that back ends are chosen by what is
+	// there already; nil for never.
+	Competes func() bool
 	// Weights price the choice of back ends.
 	Weights choice.Weights
 	// Dial opens connections to other nodes.
@@ -137,6 +139,8 @@
 	// chosen since it was last emptied.
 	subsets     sync.Map
 	subsetCount atomic.Int64
+	// zoneLoads holds how full the zones are.
+	zoneLoads zoneLoads
 	// work and patiences hold what is learned by route name.
 	work, patiences sync.Map
 
@@ -177,16 +181,6 @@
 	}
 }
 
-// servedPerSecond is how many of the calls that went well are logged.
-const servedPerSecond = 10
-
-// sampled returns a logger that writes the first lines of each second.
-func sampled(logger *zap.Logger) *zap.Logger {
-	return logger.WithOptions(zap.WrapCore(func(core zapcore.Core) zapcore.Core {
-		return zapcore.NewSamplerWithOptions(core, time.Second, servedPerSecond, 0)
-	}))
-}
-
 // budget returns the service's budget of repeats.
 func (h *Handler) budget(service string) *budget {
 	h.mutex.RLock()
