Lending: the shares of tenants' quotas as a mechanism of its own

Cause: repeats at a service need what tenants' quotas have: shares of one bound, lent under leases to where they are needed.

Ruled out: a second mechanism beside it, and tenants' limits for services (repeats are earned by requests, not by a configured rate).

Change: the pure part of internal/sidecar/quota is internal/sidecar/lending; its messages are lending/carrier's. An account has terms in place of a limit; nodes may pass on tokens that they have earned, which no tenant's account has.

--- a/internal/sidecar/egress/call.go
+++ b/internal/sidecar/egress/call.go
@@ -11,7 +11,7 @@
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/fingerprint"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
-	"github.com/kestrelstream/kestrelstream/internal/sidecar/quota"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/lending"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/route"
 )
 
@@ -53,7 +53,7 @@
 	// tenant is the one whose key the caller has; nil without one.
 	tenant *route.Tenant
 	// token is the request's place within its tenant's limit.
-	token    quota.Token
+	token    lending.Token
 	service  string
 	context  context.Context
 	deadline time.Time
--- a/internal/sidecar/egress/quota.go
+++ b/internal/sidecar/egress/quota.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/lending"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/quota"
 )
 
@@ -14,24 +15,24 @@
 type Quota interface {
 	// Take spends one request of a tenant that has a limit. The error is quota.ErrSpent when the
 	// limit is reached, otherwise nobody can tell.
-	Take(ctx context.Context, tenant string) (quota.Token, error)
+	Take(ctx context.Context, tenant string) (lending.Token, error)
 	// Again spends one more run of a request and reports whether it may.
 	Again(tenant string) bool
 	// Return gives back the token of a request that did not run.
-	Return(quota.Token)
+	Return(lending.Token)
 }
 
 // unlimited is the Quota of a node that keeps no limits.
 type unlimited struct{}
 
 // Take implements Quota.
-func (unlimited) Take(context.Context, string) (quota.Token, error) { return quota.Token{}, nil }
+func (unlimited) Take(context.Context, string) (lending.Token, error) { return lending.Token{}, nil }
 
 // Again implements Quota.
 func (unlimited) Again(string) bool { return true }
 
 // Return implements Quota.
-func (unlimited) Return(quota.Token) {}
+func (unlimited) Return(lending.Token) {}
 
 // spend takes the request's place within its tenant's limit, or refuses it: as one too many when
 // the limit is reached, otherwise as one that cannot be served now.
--- a/internal/sidecar/egress/quota_test.go
+++ b/internal/sidecar/egress/quota_test.go
@@ -8,6 +8,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/lending"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/quota"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/route"
 )
@@ -19,12 +20,12 @@
 	taken, returned []string
 }
 
-func (s *scriptedQuota) Take(_ context.Context, tenant string) (quota.Token, error) {
+func (s *scriptedQuota) Take(_ context.Context, tenant string) (lending.Token, error) {
 	s.taken = append(s.taken, tenant)
-	return quota.Token{Wait: s.wait}, s.err
+	return lending.Token{Wait: s.wait}, s.err
 }
-func (s *scriptedQuota) Again(string) bool  { return true }
-func (s *scriptedQuota) Return(quota.Token) { s.returned = append(s.returned, "token") }
+func (s *scriptedQuota) Again(string) bool    { return true }
+func (s *scriptedQuota) Return(lending.Token) { s.returned = append(s.returned, "token") }
 
 // TestWhoIsAboveTheLimit is refused at once and told truthfully when to come back; what nobody
 // grants is refused as what cannot be served now; a token whose request did not run is given back.
--- a/internal/sidecar/exchange/exchanger.go
+++ b/internal/sidecar/exchange/exchanger.go
@@ -22,7 +22,7 @@
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/contain"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/encoded"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/evacuation"
-	"github.com/kestrelstream/kestrelstream/internal/sidecar/quota"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/lending"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/readers"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
@@ -88,7 +88,7 @@
 
 // Quota is a node as the granter of others.
 type Quota interface {
-	Serve(*quota.Ask) *quota.Answer
+	Serve(*lending.Ask) *lending.Answer
 }
 
 const (
--- a/internal/sidecar/exchange/quota.go
+++ b/internal/sidecar/exchange/quota.go
@@ -9,18 +9,18 @@
 	"github.com/emicklei/go-restful/v3"
 	"github.com/gravitational/trace"
 
-	"github.com/kestrelstream/kestrelstream/internal/sidecar/quota"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/lending"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 )
 
 // AskQuota sends a node's question about tenants' limits to a peer.
-func (e *Exchanger) AskQuota(ctx context.Context, peer *roster.Record, asked *quota.Ask) (*quota.Answer, error) {
+func (e *Exchanger) AskQuota(ctx context.Context, peer *roster.Record, asked *lending.Ask) (*lending.Answer, error) {
 	resp, err := e.send(ctx, peer, pathQuota, asked)
 	if err != nil {
 		return nil, err
 	}
 	defer resp.Body.Close()
-	answer := &quota.Answer{}
+	answer := &lending.Answer{}
 	if err := json.NewDecoder(io.LimitReader(resp.Body, messageBytes)).Decode(answer); err != nil {
 		return nil, trace.Wrap(err, "ask %s for tokens", peer.Node)
 	}
@@ -30,7 +30,7 @@
 // serveQuota answers a peer's question about tenants' limits.
 func (e *Exchanger) serveQuota(request *restful.Request, response *restful.Response) {
 	request.Request.Body = http.MaxBytesReader(response.ResponseWriter, request.Request.Body, messageBytes)
-	asked := &quota.Ask{}
+	asked := &lending.Ask{}
 	err := request.ReadEntity(asked)
 	if err == nil {
 		err = asked.Validate()
--- /dev/null
+++ b/internal/sidecar/lending/carrier/carrier.go
@@ -0,0 +1,324 @@
+// Package carrier brings the messages of lending between nodes: it keeps the shares of a node's
+// accounts lent, asks granters for tokens, and answers other nodes.
+package carrier
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/singleflight"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/contain"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/lending"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/pause"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/readers"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+)
+
+// ErrNoGranter says that no node gives out tokens of an account.
+var ErrNoGranter = errors.New("nobody gives out tokens")
+
+const (
+	// grantersAge is for how long the granters that were found are used.
+	grantersAge = 200 * time.Millisecond
+	// grantersLook is the time between two looks at whether the granters have changed.
+	grantersLook = 100 * time.Millisecond
+	// lendersAtOnce is how many granters a node sends its shares to side by side.
+	lendersAtOnce = 4
+)
+
+// Options configure a carrier.
+type Options struct {
+	// Name is that of what is lent, for log lines.
+	Name string
+	// Node is the node's own name.
+	Node string
+	// View returns the other nodes, Usable whether one is believed to be there.
+	View   func() *roster.View
+	Usable readers.Usable
+	// Known reports whether the view holds about all nodes. One that has just started and takes
+	// itself for alone would take all shares for its own.
+	Known func() bool
+	// Terms returns those of an account among so many nodes; false when there is no such account.
+	Terms func(account string, members int) (lending.Terms, bool)
+	// Accounts returns those that there are.
+	Accounts func() []string
+	// Send asks another node.
+	Send func(ctx context.Context, to *roster.Record, asked *lending.Ask) (*lending.Answer, error)
+	// Lost is told of a node that did not answer.
+	Lost   func(node string)
+	Logger *zap.Logger
+}
+
+// Carrier is safe for concurrent use.
+type Carrier struct {
+	options Options
+	holder  *lending.Holder
+	granter *lending.Granter
+	asking  singleflight.Group
+	closed  atomic.Bool
+	found   atomic.Pointer[found]
+}
+
+// found are the granters as they were at a moment.
+type found struct {
+	granters []*roster.Record
+	view     *roster.View
+	at       time.Time
+}
+
+// New returns a carrier that lends the node's shares once Run is called.
+func New(options Options) *Carrier {
+	return &Carrier{options: options, holder: lending.NewHolder(options.Node), granter: lending.NewGranter()}
+}
+
+// Holder returns what the node holds.
+func (c *Carrier) Holder() *lending.Holder { return c.holder }
+
+// Terms returns those of an account now; false when there is no such account.
+func (c *Carrier) Terms(account string) (lending.Terms, bool) {
+	return c.options.Terms(account, c.members())
+}
+
+// Known reports whether the node knows about all others.
+func (c *Carrier) Known() bool { return c.options.Known() }
+
+// Ask has the granter give tokens of an account to the node. Requests that come meanwhile wait for
+// the same answer.
+func (c *Carrier) Ask(ctx context.Context, account string) error {
+	answered := c.asking.DoChan(account, func() (any, error) {
+		var err error
+		fault := contain.Run(c.options.Name, c.options.Logger, func() { err = c.askGranter(account) })
+		return nil, errors.Join(err, fault)
+	})
+	select {
+	case result := <-answered:
+		return result.Err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (c *Carrier) askGranter(account string) error {
+	granter := lending.GranterOf(account, c.granters())
+	terms, exists := c.Terms(account)
+	if granter == nil || !exists {
+		return ErrNoGranter
+	}
+	now := clock.Now()
+	wanted := []lending.Want{{Account: account, Tokens: c.holder.Wanted(account, now)}}
+	asked := &lending.Ask{From: c.options.Node, Wants: wanted}
+	if c.holder.Lend(account, granter.Node, terms, now) {
+		asked.Lends = []string{account}
+	}
+	answer, err := c.send(granter, asked)
+	if err != nil {
+		return err
+	}
+	if len(answer.Grants) != 1 {
+		return trace.BadParameter("grants: %d of one that was asked for", len(answer.Grants))
+	}
+	if answer.Grants[0].Unknown {
+		return trace.NotFound("%s knows of no such account", granter.Node)
+	}
+	c.holder.Granted(account, answer.Grants[0], clock.Now())
+	return nil
+}
+
+// send asks a granter, which may be the node itself. One that is not there, or closed, does not
+// count with what was lent to it.
+func (c *Carrier) send(granter *roster.Record, asked *lending.Ask) (*lending.Answer, error) {
+	if granter.Node == c.options.Node {
+		return c.Serve(asked), nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), lending.AskTimeout)
+	defer cancel()
+	answer, err := c.options.Send(ctx, granter, asked)
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		c.holder.Freed(granter.Node, clock.Now())
+		fallthrough
+	case err != nil:
+		c.options.Lost(granter.Node)
+		c.found.Store(nil)
+		return nil, err
+	case answer.Closed:
+		c.holder.Freed(granter.Node, clock.Now())
+		c.found.Store(nil)
+		return nil, trace.ConnectionProblem(nil, "%s grants nothing any more", granter.Node)
+	}
+	return answer, nil
+}
+
+// Serve answers another node, or the own one.
+func (c *Carrier) Serve(asked *lending.Ask) *lending.Answer {
+	if c.closed.Load() {
+		return &lending.Answer{Closed: true}
+	}
+	now := clock.Now()
+	for _, account := range asked.Releases {
+		if terms, exists := c.Terms(account); exists {
+			c.granter.Release(asked.From, account, terms, now)
+		}
+	}
+	for _, account := range asked.Lends {
+		if terms, exists := c.Terms(account); exists {
+			c.granter.Lend(asked.From, account, terms, now)
+		}
+	}
+	for _, brought := range asked.Brings {
+		if terms, exists := c.Terms(brought.Account); exists {
+			c.granter.Bring(brought.Account, brought.Tokens, terms, now)
+		}
+	}
+	answer := &lending.Answer{}
+	for _, want := range asked.Wants {
+		terms, exists := c.Terms(want.Account)
+		if !exists || !c.options.Known() {
+			answer.Grants = append(answer.Grants, lending.Grant{Unknown: true})
+			continue
+		}
+		answer.Grants = append(answer.Grants, c.granter.Grant(want, terms, now))
+	}
+	return answer
+}
+
+// Close has the node grant nothing any more.
+func (c *Carrier) Close() { c.closed.Store(true) }
+
+// Run keeps the node's shares lent until the context ends: to other nodes at once when the
+// granters are others.
+func (c *Carrier) Run(ctx context.Context) {
+	var lentTo []*roster.Record
+	var lentAt time.Time
+	for ctx.Err() == nil {
+		due := clock.Since(lentAt) >= lending.Renewal(c.members())
+		if len(c.options.Accounts()) > 0 && (due || !slices.EqualFunc(lentTo, c.granters(), (*roster.Record).Same)) {
+			lentTo, lentAt = c.granters(), clock.Now()
+			_ = contain.Run(c.options.Name, c.options.Logger, c.lend)
+		}
+		pause.Wait(ctx, grantersLook)
+	}
+}
+
+// lend renews the leases of all shares and passes on what was earned. Shares that are lent to a
+// node which is no granter of theirs any more are asked back first.
+func (c *Carrier) lend() {
+	if !c.options.Known() {
+		return
+	}
+	exists := func(account string) bool { _, exists := c.Terms(account); return exists }
+	c.holder.Retain(exists)
+	c.granter.Retain(exists)
+	accounts, granters := c.options.Accounts(), c.granters()
+	c.sendAll(c.releases(accounts, granters), func(granter string, asked *lending.Ask) {
+		c.holder.Released(granter, asked.Releases, clock.Now())
+	})
+	c.sendAll(c.lends(accounts, granters), func(string, *lending.Ask) {})
+}
+
+// releases returns what the node asks back, by whom it asks.
+func (c *Carrier) releases(accounts []string, granters []*roster.Record) map[string]*lending.Ask {
+	now, asked := clock.Now(), asks{}
+	for _, account := range accounts {
+		granter := lending.GranterOf(account, granters)
+		if granter == nil {
+			continue
+		}
+		if held := c.holder.LentElsewhere(account, granter.Node, now); held != "" {
+			to := asked.to(held, c.options.Node)
+			to.Releases = append(to.Releases, account)
+		}
+	}
+	return asked
+}
+
+// lends returns what the node lends and passes on, by whom it goes to.
+func (c *Carrier) lends(accounts []string, granters []*roster.Record) map[string]*lending.Ask {
+	now, asked := clock.Now(), asks{}
+	for _, account := range accounts {
+		granter := lending.GranterOf(account, granters)
+		terms, exists := c.Terms(account)
+		if granter == nil || !exists {
+			continue
+		}
+		if c.holder.Lend(account, granter.Node, terms, now) {
+			to := asked.to(granter.Node, c.options.Node)
+			to.Lends = append(to.Lends, account)
+		}
+		if passed := c.passed(account, terms, now); passed != 0 {
+			to := asked.to(granter.Node, c.options.Node)
+			to.Brings = append(to.Brings, lending.Bring{Account: account, Tokens: passed})
+		}
+	}
+	return asked
+}
+
+// passed returns the tokens that the node passes on now.
+func (c *Carrier) passed(account string, terms lending.Terms, now time.Time) float64 {
+	if terms.Window <= 0 {
+		return 0
+	}
+	return c.holder.Pass(account, terms, now)
+}
+
+// asks are messages by the node that they go to.
+type asks map[string]*lending.Ask
+
+// to returns the message to a node.
+func (a asks) to(node, from string) *lending.Ask {
+	if a[node] == nil {
+		a[node] = &lending.Ask{From: from}
+	}
+	return a[node]
+}
+
+// sendAll sends one message to each of the nodes and tells of those that were answered.
+func (c *Carrier) sendAll(messages map[string]*lending.Ask, answered func(node string, asked *lending.Ask)) {
+	var group errgroup.Group
+	group.SetLimit(lendersAtOnce)
+	for node, asked := range messages {
+		granter := c.options.View().Record(node)
+		if granter == nil {
+			continue
+		}
+		group.Go(func() error {
+			if _, err := c.send(granter, asked); err != nil {
+				c.options.Logger.Info("shares of "+c.options.Name+" not lent or asked back", zap.String("peer", node),
+					zap.Int("lent", len(asked.Lends)), zap.Int("askedBack", len(asked.Releases)), zap.Error(err))
+				return nil
+			}
+			answered(node, asked)
+			return nil
+		})
+	}
+	_ = group.Wait()
+}
+
+// members is how many nodes own a share.
+func (c *Carrier) members() int { return max(c.options.View().Present(), 1) }
+
+// granters returns the nodes that give out tokens. They change with the view, and when a node is
+// lost.
+func (c *Carrier) granters() []*roster.Record {
+	view, now := c.options.View(), clock.Now()
+	if held := c.found.Load(); held != nil && held.view == view && now.Sub(held.at) < grantersAge {
+		return held.granters
+	}
+	next := &found{granters: lending.Granters(view, c.options.Usable), view: view, at: now}
+	c.found.Store(next)
+	c.holder.FreedIf(func(granter string) bool {
+		// A node is closed before it says that it leaves.
+		record := view.Record(granter)
+		return record != nil && record.Leaving
+	}, now)
+	return next.granters
+}
--- a/internal/sidecar/quota/granters.go
+++ b/internal/sidecar/lending/granters.go
@@ -1,4 +1,4 @@
-package quota
+package lending
 
 import (
 	"cmp"
@@ -35,13 +35,13 @@
 	return chosen
 }
 
-// granterOf returns the one of the granters that gives out a tenant's tokens, nil when there are
-// none. When one goes, the others keep their tenants.
-func granterOf(tenant string, granters []*roster.Record) *roster.Record {
+// GranterOf returns the one of the granters that gives out an account's tokens, nil when there are
+// none. When one goes, the others keep their accounts.
+func GranterOf(account string, granters []*roster.Record) *roster.Record {
 	var best *roster.Record
 	highest := uint64(0)
 	for _, granter := range granters {
-		if hash := xxhash.Sum64String(tenant + "\x00" + granter.Node); best == nil || hash > highest {
+		if hash := xxhash.Sum64String(account + "\x00" + granter.Node); best == nil || hash > highest {
 			best, highest = granter, hash
 		}
 	}
--- a/internal/sidecar/quota/holder.go
+++ b/internal/sidecar/lending/holder.go
@@ -1,4 +1,4 @@
-package quota
+package lending
 
 import (
 	"math"
@@ -13,11 +13,11 @@
 type Holder struct {
 	node string
 
-	mu      sync.Mutex // guards all below
-	tenants map[string]*holding
+	mu       sync.Mutex // guards all below
+	accounts map[string]*holding
 }
 
-// holding is what the node has of one tenant.
+// holding is what the node has of one account.
 type holding struct {
 	lots []lot
 	// deniedUntil is until when the granter is not asked again, roomAt when it said that there
@@ -29,12 +29,16 @@
 	// own is what the share has brought while it was lent to nobody.
 	own   float64
 	ownAt time.Time
-	// demand is how many requests came, a count that fades over a second.
+	// earned is what the node's own requests have earned and is not passed on yet; below zero it
+	// owes. earnings counts what they earned lately.
+	earned   float64
+	earnings Sum
+	// demand is how many tokens were called for, a count that fades over a second.
 	demand   float64
 	demandAt time.Time
 }
 
-// deniedMost is for how long one answer refuses the requests of a tenant: a flood asks ten times a
+// deniedMost is for how long one answer refuses the requests of an account: a flood asks ten times a
 // second and node, no more, and room that comes early is found.
 const deniedMost = 100 * time.Millisecond
 
@@ -44,101 +48,102 @@
 	from, until time.Time
 }
 
-// Token is one request's place within its tenant's limit.
+// Token is one request's place within an account.
 type Token struct {
-	tenant string
-	until  time.Time
+	account string
+	until   time.Time
 	// Wait is how long the request is to wait before it is sent.
 	Wait time.Duration
 }
 
-// verdict is what becomes of one request by what the node holds: it has a token, is refused,
+// Verdict is what becomes of one request by what the node holds: it has a token, is refused,
 // or a granter is to be asked.
-type verdict int
+type Verdict int
 
+// Verdicts.
 const (
-	spent verdict = iota
-	denied
-	ask
+	Spent Verdict = iota
+	Denied
+	AskGranter
 )
 
 // NewHolder returns the holder of a node.
-func NewHolder(node string) *Holder { return &Holder{node: node, tenants: map[string]*holding{}} }
+func NewHolder(node string) *Holder { return &Holder{node: node, accounts: map[string]*holding{}} }
 
 // Take spends a token that is held.
-func (h *Holder) Take(tenant string, now time.Time) (verdict, Token) {
+func (h *Holder) Take(account string, now time.Time) (Verdict, Token) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	held := h.of(tenant)
-	if token, found := held.take(tenant, now); found {
-		return spent, token
+	held := h.of(account)
+	if token, found := held.take(account, now); found {
+		return Spent, token
 	}
 	if now.Before(held.deniedUntil) {
-		return denied, Token{Wait: held.roomAt.Sub(now)}
+		return Denied, Token{Wait: held.roomAt.Sub(now)}
 	}
-	return ask, Token{}
+	return AskGranter, Token{}
 }
 
 // Came notes that a request came, which says how many tokens will be wanted.
-func (h *Holder) Came(tenant string, now time.Time) {
+func (h *Holder) Came(account string, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	held := h.of(tenant)
+	held := h.of(account)
 	held.fade(now)
 	held.demand++
 }
 
 // Wanted returns how many tokens to ask for: one, and what is likely to come while they last.
-func (h *Holder) Wanted(tenant string, now time.Time) int {
+func (h *Holder) Wanted(account string, now time.Time) int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	held := h.of(tenant)
+	held := h.of(account)
 	held.fade(now)
-	return 1 + min(int(held.demand*tokenLife.Seconds()), mostWanted-1)
+	return 1 + min(int(held.demand*TokenLife.Seconds()), mostWanted-1)
 }
 
 // Granted takes in a granter's answer.
-func (h *Holder) Granted(tenant string, grant Grant, now time.Time) {
+func (h *Holder) Granted(account string, grant Grant, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	held := h.of(tenant)
+	held := h.of(account)
 	wait := time.Duration(grant.WaitMS) * time.Millisecond
 	if grant.Tokens == 0 {
 		held.roomAt, held.deniedUntil = now.Add(wait), now.Add(min(wait, deniedMost))
 		return
 	}
-	from := now.Add(min(wait, mostDelay))
-	held.lots = append(held.lots, lot{count: grant.Tokens, from: from, until: from.Add(tokenLife)})
+	from := now.Add(min(wait, MostDelay))
+	held.lots = append(held.lots, lot{count: grant.Tokens, from: from, until: from.Add(TokenLife)})
 }
 
 // Return gives back a token whose request did not run. It does not last longer for that.
 func (h *Holder) Return(token Token) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	held := h.of(token.tenant)
+	held := h.of(token.account)
 	held.lots = append(held.lots, lot{count: 1, until: token.until})
 }
 
-// Lend notes that the node lends its share of a tenant with a message that it sends now, and
+// Lend notes that the node lends its share of an account with a message that it sends now, and
 // reports whether it does: not while another node may still count with it.
-func (h *Holder) Lend(tenant, to string, members int, now time.Time) bool {
+func (h *Holder) Lend(account, to string, terms Terms, now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	held := h.of(tenant)
+	held := h.of(account)
 	if held.lentTo != to && now.Before(held.lentUntil) {
 		return false
 	}
-	held.lentTo, held.lentUntil = to, now.Add(lease(members)+leaseMargin)
+	held.lentTo, held.lentUntil = to, now.Add(lease(terms.Members)+leaseMargin)
 	held.own = 0
 	return true
 }
 
-// LentElsewhere returns the node that may still count with the node's share of a tenant, empty
+// LentElsewhere returns the node that may still count with the node's share of an account, empty
 // for none or the given one.
-func (h *Holder) LentElsewhere(tenant, than string, now time.Time) string {
+func (h *Holder) LentElsewhere(account, than string, now time.Time) string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	held := h.of(tenant)
+	held := h.of(account)
 	if held.lentTo == than || !now.Before(held.lentUntil) {
 		return ""
 	}
@@ -146,11 +151,11 @@
 }
 
 // Released takes in that a node has heard that some shares are not lent to it any more.
-func (h *Holder) Released(by string, tenants []string, now time.Time) {
+func (h *Holder) Released(by string, accounts []string, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for _, tenant := range tenants {
-		if held := h.of(tenant); held.lentTo == by && now.Before(held.lentUntil) {
+	for _, account := range accounts {
+		if held := h.of(account); held.lentTo == by && now.Before(held.lentUntil) {
 			held.lentUntil = now
 		}
 	}
@@ -166,7 +171,7 @@
 func (h *Holder) FreedIf(freed func(granter string) bool, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for _, held := range h.tenants {
+	for _, held := range h.accounts {
 		if now.Before(held.lentUntil) && freed(held.lentTo) {
 			held.lentUntil = now
 		}
@@ -174,14 +179,13 @@
 }
 
 // TakeOwn spends what the node's own share has brought while it is lent to nobody.
-func (h *Holder) TakeOwn(tenant string, limit Limit, bounds Bounds, members int, now time.Time) (Token, bool) {
+func (h *Holder) TakeOwn(account string, terms Terms, now time.Time) (Token, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	held := h.of(tenant)
+	held := h.of(account)
 	if now.Before(held.lentUntil) {
 		return Token{}, false
 	}
-	rate, depth := bounds.tokens(limit)
 	since := held.ownAt
 	if held.lentUntil.After(since) {
 		since, held.own = held.lentUntil, 0
@@ -189,50 +193,50 @@
 	if since.IsZero() {
 		since = now
 	}
-	part := depth / float64(max(members, 1))
-	held.own = min(held.own+rate*now.Sub(since).Seconds()/float64(max(members, 1)), h.whole(tenant, part))
+	members := float64(terms.members())
+	held.own = min(held.own+terms.Rate*now.Sub(since).Seconds()/members, h.whole(account, terms.Depth/members))
 	held.ownAt = now
 	if held.own < 1 {
 		return Token{}, false
 	}
 	held.own--
-	return Token{tenant: tenant, until: now}, true
+	return Token{account: account, until: now}, true
 }
 
 // whole rounds a node's part of what can be saved up to whole tokens, up or down by a hash, so
 // that the parts of all nodes still add up to about the whole.
-func (h *Holder) whole(tenant string, part float64) float64 {
+func (h *Holder) whole(account string, part float64) float64 {
 	down := math.Floor(part)
-	drawn := float64(xxhash.Sum64String(tenant+"\x00"+h.node)) / math.MaxUint64
+	drawn := float64(xxhash.Sum64String(account+"\x00"+h.node)) / math.MaxUint64
 	if drawn < part-down {
 		return down + 1
 	}
 	return down
 }
 
-// Retain forgets the tenants for which the function says so.
-func (h *Holder) Retain(limited func(tenant string) bool) {
+// Retain forgets the accounts for which the function does not say so.
+func (h *Holder) Retain(kept func(account string) bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for tenant := range h.tenants {
-		if !limited(tenant) {
-			delete(h.tenants, tenant)
+	for account := range h.accounts {
+		if !kept(account) {
+			delete(h.accounts, account)
 		}
 	}
 }
 
-// of returns what is held of a tenant; the lock is held.
-func (h *Holder) of(tenant string) *holding {
-	held := h.tenants[tenant]
+// of returns what is held of an account; the lock is held.
+func (h *Holder) of(account string) *holding {
+	held := h.accounts[account]
 	if held == nil {
 		held = &holding{}
-		h.tenants[tenant] = held
+		h.accounts[account] = held
 	}
 	return held
 }
 
 // take spends the token that may be spent first, and drops those whose time is over.
-func (h *holding) take(tenant string, now time.Time) (token Token, found bool) {
+func (h *holding) take(account string, now time.Time) (token Token, found bool) {
 	kept := h.lots[:0]
 	for _, one := range h.lots {
 		if one.count > 0 && now.Before(one.until) {
@@ -251,7 +255,7 @@
 	}
 	h.lots[best].count--
 	chosen := h.lots[best]
-	return Token{tenant: tenant, until: chosen.until, Wait: max(chosen.from.Sub(now), 0)}, true
+	return Token{account: account, until: chosen.until, Wait: max(chosen.from.Sub(now), 0)}, true
 }
 
 // fade lets the count of requests fade.
--- a/internal/sidecar/quota/message.go
+++ b/internal/sidecar/lending/message.go
@@ -1,24 +1,38 @@
-package quota
+package lending
 
-import "github.com/gravitational/trace"
+import (
+	"math"
+
+	"github.com/gravitational/trace"
+)
 
 // Ask is what a node sends to a granter.
 type Ask struct {
 	// From is the node.
 	From string `json:"from"`
-	// Lends are the tenants whose share the node lends from now on for a lease.
+	// Lends are the accounts whose share the node lends from now on for a lease.
 	Lends []string `json:"lends,omitempty"`
-	// Releases are the tenants whose share the node does not lend any more: it has chosen another
+	// Releases are the accounts whose share the node does not lend any more: it has chosen another
 	// granter.
 	Releases []string `json:"releases,omitempty"`
-	// Wants is how many tokens the node wants of each tenant.
+	// Wants is how many tokens the node wants of each account.
 	Wants []Want `json:"wants,omitempty"`
+	// Brings are the tokens that the node has earned itself and passes on.
+	Brings []Bring `json:"brings,omitempty"`
 }
 
-// Want asks for tokens of one tenant.
+// Want asks for tokens of one account.
 type Want struct {
-	Tenant string `json:"tenant"`
-	Tokens int    `json:"tokens"`
+	// Account has the name that nodes of the version before know, which lend to tenants alone.
+	Account string `json:"tenant"`
+	Tokens  int    `json:"tokens"`
+}
+
+// Bring passes tokens of one account on. Below zero it says what the node has spent beyond what
+// it had.
+type Bring struct {
+	Account string  `json:"account"`
+	Tokens  float64 `json:"tokens"`
 }
 
 // Answer has one grant for each want, in order.
@@ -28,21 +42,22 @@
 	Grants []Grant `json:"grants,omitempty"`
 }
 
-// Grant gives out tokens of one tenant, or none.
+// Grant gives out tokens of one account, or none.
 type Grant struct {
 	Tokens int `json:"tokens,omitempty"`
 	// WaitMS is in milliseconds: after that time the tokens may be spent or, where there are
 	// none, there may be some.
 	WaitMS int64 `json:"waitMs,omitempty"`
-	// Unknown: the granter knows of no such limit, or not enough of the other nodes.
+	// Unknown: the granter knows of no such account, or not enough of the other nodes.
 	Unknown bool `json:"unknown,omitempty"`
 }
 
 const (
-	// mostNames bounds the tenants of one message.
+	// mostNames bounds the accounts of one message.
 	mostNames = 10_000
-	// mostWanted bounds the tokens that are wanted at once.
-	mostWanted = 10_000
+	// mostWanted bounds the tokens that are wanted at once, mostBrought those that are passed on.
+	mostWanted  = 10_000
+	mostBrought = 100_000
 )
 
 // Validate names the field of a message that no node sends so, and why.
@@ -56,11 +71,18 @@
 		return trace.BadParameter("releases: has more than %d names", mostNames)
 	case len(a.Wants) > mostNames:
 		return trace.BadParameter("wants: has more than %d entries", mostNames)
+	case len(a.Brings) > mostNames:
+		return trace.BadParameter("brings: has more than %d entries", mostNames)
 	}
 	for _, want := range a.Wants {
 		if want.Tokens < 1 || want.Tokens > mostWanted {
 			return trace.BadParameter("wants.tokens: %d is not from 1 to %d", want.Tokens, mostWanted)
 		}
 	}
+	for _, brought := range a.Brings {
+		if !(math.Abs(brought.Tokens) <= mostBrought) {
+			return trace.BadParameter("brings.tokens: %v is not from -%d to %d", brought.Tokens, mostBrought, mostBrought)
+		}
+	}
 	return nil
 }
--- a/internal/sidecar/quota/quota_test.go
+++ b/internal/sidecar/quota/quota_test.go
@@ -17,6 +17,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/lending"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/quota"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 )
@@ -97,7 +98,7 @@
 		},
 		Tenants: func() []string { return f.tenants },
 		Bounds:  func() quota.Bounds { return bounds },
-		Send: func(ctx context.Context, to *roster.Record, asked *quota.Ask) (*quota.Answer, error) {
+		Send: func(ctx context.Context, to *roster.Record, asked *lending.Ask) (*lending.Answer, error) {
 			return f.send(ctx, node, to, asked)
 		},
 		Lost: func(name string) {
@@ -154,7 +155,7 @@
 	time.Sleep(delay)
 }
 
-func (f *fleet) send(ctx context.Context, from *member, to *roster.Record, asked *quota.Ask) (*quota.Answer, error) {
+func (f *fleet) send(ctx context.Context, from *member, to *roster.Record, asked *lending.Ask) (*lending.Answer, error) {
 	if err := asked.Validate(); err != nil {
 		f.t.Error(err)
 	}
@@ -492,7 +493,7 @@
 		for tenant := range limits {
 			f.demand[tenant] = 20 / 1.6
 		}
-		granters := quota.Granters(f.members.View(), func(*roster.Record) bool { return true })
+		granters := lending.Granters(f.members.View(), func(*roster.Record) bool { return true })
 		go func() {
 			time.Sleep(2 * time.Second)
 			stops := f.named(granters[0].Node)
@@ -521,10 +522,10 @@
 		now := time.Unix(1000, 0)
 		alone := 0
 		for i := range members {
-			holder := quota.NewHolder(fmt.Sprint("n", i))
-			holder.TakeOwn("t", limit, bounds, members, now)
+			holder := lending.NewHolder(fmt.Sprint("n", i))
+			holder.TakeOwn("t", bounds.Terms(limit, members), now)
 			for {
-				if _, found := holder.TakeOwn("t", limit, bounds, members, now.Add(time.Hour)); !found {
+				if _, found := holder.TakeOwn("t", bounds.Terms(limit, members), now.Add(time.Hour)); !found {
 					break
 				}
 				alone++
--- a/internal/sidecar/quotas.go
+++ b/internal/sidecar/quotas.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/lending"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/quota"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 )
@@ -33,7 +34,7 @@
 		},
 		Tenants: func() []string { return s.keeper.Table().LimitedNames() },
 		Bounds:  func() quota.Bounds { return s.settings.Load().Quota },
-		Send: func(ctx context.Context, to *roster.Record, asked *quota.Ask) (*quota.Answer, error) {
+		Send: func(ctx context.Context, to *roster.Record, asked *lending.Ask) (*lending.Answer, error) {
 			return s.exchanger.AskQuota(ctx, to, asked)
 		},
 		Lost:     func(node string) { s.exchanger.Lost(node) },
