--- a/internal/sidecar/contention.go
+++ b/internal/sidecar/contention.go
@@ -23,6 +23,9 @@
 	recognizer *nested.Recognizer
 }
 
+// Repeated implements egress.Nested.
+func (n *nestedCalls) Repeated(deadline time.Time) float64 { return n.recognizer.Repeated(deadline) }
+
 // Nested implements egress.Nested.
 func (n *nestedCalls) Nested(route string, deadline time.Time, identified bool, now time.Time) bool {
 	return n.contention.On() && n.recognizer.Nested(route, deadline, identified, now)
--- a/internal/sidecar/egress/call.go
+++ b/internal/sidecar/egress/call.go
@@ -78,6 +78,8 @@
 	returning bool
 	// nested: the back end beside the node makes the call while it works on another one.
 	nested bool
+	// repeated is how likely it is that the run which makes the call is a repeat.
+	repeated float64
 	// rejectedWithRoom: the last send was rejected by a back end that had slots free.
 	rejectedWithRoom bool
 	// mayHaveRun: a send ended with an unknown outcome.
@@ -165,6 +167,9 @@
 		c.callerTime = asked
 		if known := c.handler.options.Nested; known != nil {
 			c.nested = known.Nested(c.route.Name, c.started.Add(asked), c.tenant != nil, c.started)
+			if c.nested {
+				c.repeated = known.Repeated(c.started.Add(asked))
+			}
 		}
 	}
 	if limit <= 0 {
@@ -195,7 +200,7 @@
 	}
 	c.results, c.over = make(chan *attempt), make(chan struct{})
 	defer close(c.over)
-	c.handler.budget(c.service).first(c.handler.options.Retries(), c.members(), clock.Now())
+	c.handler.options.Repeats.First(c.service, c.repeated)
 	for {
 		result := c.visit()
 		if result.response != nil {
@@ -230,9 +235,6 @@
 	return outcome.Refusal(status, outcome.StepRequest, 0, err)
 }
 
-// members is how many nodes share the budget.
-func (c *call) members() int { return c.handler.options.View().Present() }
-
 // pass sends the answer of a back end on.
 func (c *call) pass(result result) *outcome.Failure {
 	response := result.response
--- a/internal/sidecar/egress/call_test.go
+++ b/internal/sidecar/egress/call_test.go
@@ -21,6 +21,7 @@
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/choice"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/quarantine"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/repeats"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/route"
 )
@@ -143,11 +144,15 @@
 		Node:       "self",
 		Zone:       "z",
 		Caller:     func() string { return "caller" },
-		Retries:    func() RetryLimits { return RetryLimits{Ratio: 1, Slack: 100, Window: time.Second} },
-		Weights:    choice.DefaultWeights(),
-		Probe:      probe,
-		Logger:     zap.NewNop(),
-		Observer:   observer,
+		Repeats: repeats.New(repeats.Options{
+			Node: "self", View: members.View, On: func() bool { return false },
+			Limits: func() repeats.Limits { return repeats.Limits{Ratio: 1, Slack: 100, Window: time.Second} },
+			Logger: zap.NewNop(), Registry: prometheus.NewRegistry(),
+		}),
+		Weights:  choice.DefaultWeights(),
+		Probe:    probe,
+		Logger:   zap.NewNop(),
+		Observer: observer,
 		Quarantine: quarantine.New(quarantine.Options{
 			Members: members, Spread: func() {}, Logger: zap.NewNop(), Registry: prometheus.NewRegistry(),
 		}),
--- a/internal/sidecar/egress/calllog.go
+++ b/internal/sidecar/egress/calllog.go
@@ -70,7 +70,7 @@
 		zap.NamedError("cause", c.failure.Cause),
 	)
 	if c.service != "" {
-		fields = append(fields, zap.Float64("budgetLeft", c.handler.budget(c.service).left()))
+		fields = append(fields, zap.Float64("budgetLeft", c.handler.options.Repeats.LeftOf(c.service)))
 	}
 	return fields
 }
--- a/internal/sidecar/egress/handler.go
+++ b/internal/sidecar/egress/handler.go
@@ -20,6 +20,7 @@
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/evacuation"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/fingerprint"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/repeats"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/route"
@@ -49,8 +50,8 @@
 	Quarantine Quarantine
 	// Quota keeps tenants within their limits; nil keeps none.
 	Quota Quota
-	// Retries bound repeated sends.
-	Retries func() RetryLimits
+	// Repeats bound sends after one that reached a back end.
+	Repeats Repeats
 	// Level makes sure that the configuration in force is the newest; nil when there is
 	// nobody to ask.
 	Level Level
@@ -72,6 +73,23 @@
 	// Nested takes in a request that begins here and reports whether it is one. identified says
 	// that its caller has a tenant's key.
 	Nested(route string, deadline time.Time, identified bool, now time.Time) bool
+	// Repeated returns how likely it is that the run which makes a call with that deadline is a
+	// repeat.
+	Repeated(deadline time.Time) float64
+}
+
+// Repeats bound how often requests are sent again after they have reached a back end.
+type Repeats interface {
+	// On reports whether the bound is lent between nodes.
+	On() bool
+	// First notes a request. repeated is how likely it is that a repeated run makes it.
+	First(service string, repeated float64)
+	// Take spends one repeat and reports whether there was one.
+	Take(service string, request repeats.Request) bool
+	// Reached takes in whether a back end accepted a request that reached it.
+	Reached(service string, accepted bool)
+	// LeftOf returns how many repeats the node holds.
+	LeftOf(service string) float64
 }
 
 // Quarantine knows which requests end the back ends that run them.
@@ -143,9 +161,6 @@
 	// baselines hold what the answers of versions in use are like, by service, while another
 	// version is compared with them.
 	baselines sync.Map
-
-	mutex   sync.RWMutex // guards budgets
-	budgets map[string]*budget
 }
 
 // New returns a handler that refuses everything until there is a table.
@@ -173,7 +188,6 @@
 		served:  sampled(options.Logger),
 		cutting: cutting,
 		cut:     cut,
-		budgets: map[string]*budget{},
 	}
 }
 
@@ -187,33 +201,6 @@
 	}))
 }
 
-// budget returns the service's budget of repeats.
-func (h *Handler) budget(service string) *budget {
-	h.mutex.RLock()
-	held := h.budgets[service]
-	h.mutex.RUnlock()
-	if held != nil {
-		return held
-	}
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	if h.budgets[service] == nil {
-		h.budgets[service] = &budget{}
-	}
-	return h.budgets[service]
-}
-
-// BudgetLeft returns how many repeats are left by service.
-func (h *Handler) BudgetLeft() map[string]float64 {
-	h.mutex.RLock()
-	defer h.mutex.RUnlock()
-	left := make(map[string]float64, len(h.budgets))
-	for service, held := range h.budgets {
-		left[service] = held.left()
-	}
-	return left
-}
-
 // Follow takes in changed records: nodes that leave are dropped once idle, and
 // one that comes back is used at once.
 func (h *Handler) Follow(changed []*roster.Record) {
--- a/internal/sidecar/egress/level.go
+++ b/internal/sidecar/egress/level.go
@@ -6,7 +6,6 @@
 	"net/http"
 
 	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
-	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 )
 
 // Level makes sure that the configuration in force is the newest.
@@ -82,6 +81,6 @@
 		return false, failure
 	}
 	c.service = c.route.NextService()
-	c.handler.budget(c.service).first(c.handler.options.Retries(), c.members(), clock.Now())
+	c.handler.options.Repeats.First(c.service, c.repeated)
 	return true, nil
 }
--- a/internal/sidecar/egress/visit.go
+++ b/internal/sidecar/egress/visit.go
@@ -15,6 +15,7 @@
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/quota"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/repeats"
 )
 
 const (
@@ -28,6 +29,8 @@
 	// mostCrashes is under how many ends of back ends one request is repeated: its own node
 	// knows before the others that it may be what ends them.
 	mostCrashes = 2
+	// likelyRepeated is from what likelihood on a call is taken for one of a repeated run.
+	likelyRepeated = 0.5
 	// largeRefusals is that bound for large bodies, each refusal of which may have cost
 	// the links a transfer.
 	largeRefusals = 3
@@ -89,6 +92,7 @@
 // took notes the result of a send.
 func (c *call) took(ended *attempt) result {
 	if ended.response != nil {
+		c.handler.options.Repeats.Reached(c.service, true)
 		c.handler.options.Observer.Carried(ended.elapsed, ended.worked)
 	}
 	c.note(ended)
@@ -198,6 +202,7 @@
 		return len(c.visits) < c.refusals() && c.considered(clock.Now(), c.selected()).worthwhile()
 	}
 	c.runs++
+	c.handler.options.Repeats.Reached(c.service, last.failure.Step != outcome.StepShed)
 	if last.failure.Outcome != outcome.NotRun {
 		c.mayHaveRun = true
 		if !c.route.Repeatable {
@@ -212,7 +217,7 @@
 		last.failure.Cause = errors.Join(quota.ErrSpent, last.failure.Cause)
 		return false
 	}
-	if !c.handler.budget(c.service).take(c.handler.options.Retries(), c.members(), clock.Now()) {
+	if !c.handler.options.Repeats.Take(c.service, repeats.Request{Nested: c.nested, Returning: c.returning}) {
 		last.failure.Cause = errors.Join(errBudget, last.failure.Cause)
 		return false
 	}
@@ -243,6 +248,7 @@
 		Returning: request.Returning && !request.Hurried(),
 		Suspect:   c.crashes > 0,
 		Nested:    c.nested,
+		Repeated:  c.repeat(),
 		Usual:     c.handler.usualOf(c.service, c.route.Name, a.record),
 	}
 	header[hop.HeaderHop] = []string{told.Format()}
@@ -260,6 +266,12 @@
 	return outgoing
 }
 
+// repeat reports whether the next run of the request is a repeat, the calls of which are repeats
+// too.
+func (c *call) repeat() bool {
+	return (c.runs > 0 || c.repeated >= likelyRepeated) && c.handler.options.Repeats.On()
+}
+
 // large reports whether the body is one that the arriving node receives before it has a slot.
 // One whose length is not known waits at this node until there is one.
 func (c *call) large() bool { return c.request.ContentLength > hop.LargeBody }
--- a/internal/sidecar/exchange/exchanger.go
+++ b/internal/sidecar/exchange/exchanger.go
@@ -49,7 +49,9 @@
 	// Contention knows whether back ends share their machines; nil when nobody asks.
 	Contention Contention
 	// Quota answers questions about tenants' limits; nil when there are none ever.
-	Quota Quota
+	Quota Lender
+	// Repeats answers questions about repeats; nil when none are lent ever.
+	Repeats Lender
 	// Observer is told how the node keeps level; nil for nobody.
 	Observer Observer
 	// Suspect is told of nodes that do not answer.
@@ -86,8 +88,8 @@
 	SetShared() (news bool)
 }
 
-// Quota is a node as the granter of others.
-type Quota interface {
+// Lender is a node as the granter of others.
+type Lender interface {
 	Serve(*lending.Ask) *lending.Answer
 }
 
--- /dev/null
+++ b/internal/sidecar/exchange/lending.go
@@ -0,0 +1,54 @@
+package exchange
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/emicklei/go-restful/v3"
+	"github.com/gravitational/trace"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/lending"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+)
+
+// AskQuota sends a node's question about tenants' limits to a peer.
+func (e *Exchanger) AskQuota(ctx context.Context, peer *roster.Record, asked *lending.Ask) (*lending.Answer, error) {
+	return e.askLender(ctx, peer, pathQuota, asked)
+}
+
+// AskRepeats sends a node's question about repeats to a peer.
+func (e *Exchanger) AskRepeats(ctx context.Context, peer *roster.Record, asked *lending.Ask) (*lending.Answer, error) {
+	return e.askLender(ctx, peer, pathRepeats, asked)
+}
+
+func (e *Exchanger) askLender(ctx context.Context, peer *roster.Record, path string, asked *lending.Ask) (*lending.Answer, error) {
+	resp, err := e.send(ctx, peer, path, asked)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	answer := &lending.Answer{}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, messageBytes)).Decode(answer); err != nil {
+		return nil, trace.Wrap(err, "ask %s for tokens", peer.Node)
+	}
+	return answer, nil
+}
+
+// serveLender returns what answers peers' questions to a lender.
+func serveLender(lender Lender) restful.RouteFunction {
+	return func(request *restful.Request, response *restful.Response) {
+		request.Request.Body = http.MaxBytesReader(response.ResponseWriter, request.Request.Body, messageBytes)
+		asked := &lending.Ask{}
+		err := request.ReadEntity(asked)
+		if err == nil {
+			err = asked.Validate()
+		}
+		if err != nil {
+			_ = response.WriteErrorString(http.StatusBadRequest, err.Error())
+			return
+		}
+		_ = response.WriteAsJson(lender.Serve(asked))
+	}
+}
--- a/internal/sidecar/exchange/message.go
+++ b/internal/sidecar/exchange/message.go
@@ -103,6 +103,7 @@
 	pathConfiguration = "/configuration"
 	pathLevel         = "/level"
 	pathQuota         = "/quota"
+	pathRepeats       = "/repeats"
 	// queryAfter names the version that a node has when it asks for a later one.
 	queryAfter = "after"
 )
--- a/internal/sidecar/hop/line.go
+++ b/internal/sidecar/hop/line.go
@@ -32,6 +32,8 @@
 	Suspect bool
 	// Nested and OverShare are as in precedence.Precedence.
 	Nested, OverShare bool
+	// Repeated: the request has reached a back end before, so that the calls of its run are repeats.
+	Repeated bool
 	// Usual is told with requests to a version that is compared with others: how often
 	// answers of those are bad. It is nil with all other requests.
 	Usual *rollout.Usual
@@ -59,6 +61,9 @@
 	if r.OverShare {
 		flags |= flagOverShare
 	}
+	if r.Repeated {
+		flags |= flagRepeated
+	}
 	for _, number := range [...]int64{
 		max(r.Remaining.Microseconds(), 1), int64(r.Priority), max(r.MaximumWait.Microseconds(), 0),
 		max(r.Expected.Microseconds(), 0), flags,
@@ -84,6 +89,7 @@
 	flagSuspect   = 2
 	flagNested    = 4
 	flagOverShare = 8
+	flagRepeated  = 16
 	// slackPart is where the version before has its additional number.
 	slackPart = 5
 )
@@ -113,6 +119,7 @@
 		Remaining: microseconds(numbers[0]), Priority: int(numbers[1]), MaximumWait: microseconds(numbers[2]),
 		Expected: microseconds(numbers[3]), Returning: numbers[4]&flagReturning != 0, Suspect: numbers[4]&flagSuspect != 0,
 		Nested: numbers[4]&flagNested != 0, OverShare: numbers[4]&flagOverShare != 0,
+		Repeated: numbers[4]&flagRepeated != 0,
 	}
 	if compared {
 		read.Usual = &rollout.Usual{
--- a/internal/sidecar/ingress/arrival.go
+++ b/internal/sidecar/ingress/arrival.go
@@ -111,7 +111,7 @@
 	a.handler.workplace.begin(a)
 	defer a.handler.workplace.end(a)
 	if work := a.handler.options.Work; work != nil {
-		defer work.Begin(a.deadline)()
+		defer work.Begin(a.deadline, a.told.Repeated)()
 	}
 	run := a.handler.pace.Begin(a.told.Expected, a.sent)
 	defer a.handler.pace.End(run)
--- a/internal/sidecar/lending/carrier/carrier.go
+++ b/internal/sidecar/lending/carrier/carrier.go
@@ -51,6 +51,8 @@
 	Terms func(account string, members int) (lending.Terms, bool)
 	// Accounts returns those that there are.
 	Accounts func() []string
+	// Ahead is for how long the tokens that are asked for at once are to last.
+	Ahead time.Duration
 	// Send asks another node.
 	Send func(ctx context.Context, to *roster.Record, asked *lending.Ask) (*lending.Answer, error)
 	// Lost is told of a node that did not answer.
@@ -114,7 +116,7 @@
 		return ErrNoGranter
 	}
 	now := clock.Now()
-	wanted := []lending.Want{{Account: account, Tokens: c.holder.Wanted(account, now)}}
+	wanted := []lending.Want{{Account: account, Tokens: c.holder.Wanted(account, c.options.Ahead, now)}}
 	asked := &lending.Ask{From: c.options.Node, Wants: wanted}
 	if c.holder.Lend(account, granter.Node, terms, now) {
 		asked.Lends = []string{account}
@@ -129,7 +131,7 @@
 	if answer.Grants[0].Unknown {
 		return trace.NotFound("%s knows of no such account", granter.Node)
 	}
-	c.holder.Granted(account, answer.Grants[0], clock.Now())
+	c.holder.Granted(account, answer.Grants[0], now, clock.Now())
 	return nil
 }
 
--- a/internal/sidecar/lending/earned.go
+++ b/internal/sidecar/lending/earned.go
@@ -8,13 +8,25 @@
 // broughtUnit is the least part of a token that is passed on.
 const broughtUnit = 0.001
 
+// keptTime is for how long a node that spends tokens keeps what it is likely to spend: as long as
+// its tokens may be saved up where it calls for few.
+const keptTime = time.Second
+
+// earnings are what a node's own requests have earned.
+type earnings struct {
+	// tokens may be spent here; below zero the node owes. surplus goes to the granter only.
+	tokens, surplus float64
+	// earned counts what was earned lately, passed what of it was passed on.
+	earned, passed Sum
+}
+
 // Earn takes in tokens that the node's own requests have earned.
 func (h *Holder) Earn(account string, tokens float64, terms Terms, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	held := h.of(account)
-	held.earnings.Add(tokens, terms.Window, now)
-	held.earned += tokens
+	held.earnings.earned.Add(tokens, terms.Window, now)
+	held.earnings.tokens += tokens
 	h.bound(account, held, terms, now)
 }
 
@@ -24,7 +36,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	held := h.of(account)
-	held.earned = max(held.earned-tokens, -mostBrought)
+	held.earnings.tokens = max(held.earnings.tokens-tokens, -mostBrought)
 }
 
 // TakeEarned spends one of the tokens that the node has earned and not passed on.
@@ -33,26 +45,27 @@
 	defer h.mu.Unlock()
 	held := h.of(account)
 	h.bound(account, held, terms, now)
-	if held.earned < 1 {
+	if held.earnings.tokens < 1 {
 		return false
 	}
-	held.earned--
+	held.earnings.tokens--
 	return true
 }
 
 // Pass returns the tokens that the node passes on with a message that it sends now. It keeps
-// what it is likely to spend until the next one. The node has them no more, whether the message
-// arrives or not.
+// what it is likely to spend. The node has them no more, whether the message arrives or not.
 func (h *Holder) Pass(account string, terms Terms, now time.Time) float64 {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	held := h.of(account)
 	h.bound(account, held, terms, now)
 	held.fade(now)
-	kept := max(min(held.earned, held.demand*Renewal(terms.Members).Seconds()), 0)
-	passed := math.Floor((held.earned-kept)/broughtUnit) * broughtUnit
+	own := &held.earnings
+	kept := max(min(own.tokens, held.demand*keptTime.Seconds()), 0)
+	passed := math.Floor((own.tokens-kept+own.surplus)/broughtUnit) * broughtUnit
 	passed = min(passed, mostBrought)
-	held.earned -= passed
+	own.tokens, own.surplus = kept, 0
+	own.passed.Add(max(passed, 0), terms.Window, now)
 	return passed
 }
 
@@ -62,25 +75,22 @@
 	defer h.mu.Unlock()
 	held := h.of(account)
 	h.bound(account, held, terms, now)
-	total := max(held.earned, 0)
-	for _, one := range held.lots {
-		if now.Before(one.until) {
-			total += float64(one.count)
-		}
-	}
-	return total
+	return max(held.earnings.tokens, 0) + float64(held.count(now))
 }
 
-// bound keeps what is saved up of what was earned within the node's part, or all of it where no
-// other node counts with its share. The lock is held.
+// bound keeps what is saved up of what was earned within the node's part: that of what it keeps,
+// and the granter's of what it has not passed on. What is above goes to the granter. The lock is
+// held.
 func (h *Holder) bound(account string, held *holding, terms Terms, now time.Time) {
-	recent := held.earnings.Within(terms.Window, now)
-	most := terms.EarnedKept * recent
-	if !now.Before(held.lentUntil) {
-		most += terms.EarnedDepth * recent
-		if most < 1 {
-			most = h.whole(account, most)
-		}
+	own := &held.earnings
+	earned := own.earned.Within(terms.Window, now)
+	unpassed := max(earned-own.passed.Within(terms.Window, now), 0)
+	most := terms.EarnedKept*earned + terms.EarnedDepth*unpassed
+	if most < 1 {
+		most = h.whole(account, most)
+	}
+	if above := own.tokens - most; above > 0 {
+		own.tokens = most
+		own.surplus = min(own.surplus+above, terms.EarnedKept*earned)
 	}
-	held.earned = min(held.earned, most)
 }
--- a/internal/sidecar/lending/granter.go
+++ b/internal/sidecar/lending/granter.go
@@ -25,10 +25,6 @@
 	earned, given Sum
 }
 
-// givenLife is how long after it was given out a token may still be spent: its answer may have
-// been on the way for as long as a question lasts.
-const givenLife = AskTimeout + TokenLife
-
 // NewGranter returns a granter to which nothing is lent.
 func NewGranter() *Granter { return &Granter{buckets: map[string]*bucket{}} }
 
@@ -120,7 +116,7 @@
 // give takes out tokens.
 func (b *bucket) give(tokens int, now time.Time) int {
 	b.tokens -= float64(tokens)
-	b.given.Add(float64(tokens), givenLife, now)
+	b.given.Add(float64(tokens), TokenLife+MostDelay, now)
 	return tokens
 }
 
@@ -145,7 +141,7 @@
 func (b *bucket) depth(terms Terms, now time.Time) float64 {
 	depth := terms.Depth * b.share(terms)
 	if terms.Window > 0 {
-		depth += terms.EarnedDepth*b.earned.Within(terms.Window, now) - b.given.Within(givenLife, now)
+		depth += terms.EarnedDepth*b.earned.Within(terms.Window, now) - b.given.Within(TokenLife+MostDelay, now)
 	}
 	return depth
 }
--- a/internal/sidecar/lending/holder.go
+++ b/internal/sidecar/lending/holder.go
@@ -27,12 +27,9 @@
 	lentTo    string
 	lentUntil time.Time
 	// own is what the share has brought while it was lent to nobody.
-	own   float64
-	ownAt time.Time
-	// earned is what the node's own requests have earned and is not passed on yet; below zero it
-	// owes. earnings counts what they earned lately.
-	earned   float64
-	earnings Sum
+	own      float64
+	ownAt    time.Time
+	earnings earnings
 	// demand is how many tokens were called for, a count that fades over a second.
 	demand   float64
 	demandAt time.Time
@@ -42,6 +39,10 @@
 // second and node, no more, and room that comes early is found.
 const deniedMost = 100 * time.Millisecond
 
+// likelySpent is how many tokens have to be likely to be spent in their life for some to be asked
+// for ahead.
+const likelySpent = 0.5
+
 // lot is some tokens that may be spent between two moments.
 type lot struct {
 	count       int
@@ -93,17 +94,32 @@
 	held.demand++
 }
 
-// Wanted returns how many tokens to ask for: one, and what is likely to come while they last.
-func (h *Holder) Wanted(account string, now time.Time) int {
+// Wanted returns how many tokens to ask for: one, and what is likely to be called for in the time
+// given.
+func (h *Holder) Wanted(account string, ahead time.Duration, now time.Time) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	held := h.of(account)
+	held.fade(now)
+	return 1 + min(int(held.demand*ahead.Seconds()), mostWanted-1)
+}
+
+// Low reports whether what the node holds of a granter is less than what is likely to be called
+// for in the time given, and the granter may be asked.
+func (h *Holder) Low(account string, within time.Duration, now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	held := h.of(account)
 	held.fade(now)
-	return 1 + min(int(held.demand*TokenLife.Seconds()), mostWanted-1)
+	if now.Before(held.deniedUntil) || held.demand*TokenLife.Seconds() < likelySpent {
+		return false
+	}
+	return float64(held.count(now)) < max(held.demand*within.Seconds(), 1)
 }
 
-// Granted takes in a granter's answer.
-func (h *Holder) Granted(account string, grant Grant, now time.Time) {
+// Granted takes in a granter's answer to a question that was asked then. The granter counts with
+// its tokens for their life, which begins no earlier.
+func (h *Holder) Granted(account string, grant Grant, asked, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	held := h.of(account)
@@ -113,7 +129,7 @@
 		return
 	}
 	from := now.Add(min(wait, MostDelay))
-	held.lots = append(held.lots, lot{count: grant.Tokens, from: from, until: from.Add(TokenLife)})
+	held.lots = append(held.lots, lot{count: grant.Tokens, from: from, until: asked.Add(max(from.Sub(now), 0) + TokenLife)})
 }
 
 // Return gives back a token whose request did not run. It does not last longer for that.
@@ -258,6 +274,16 @@
 	return Token{account: account, until: chosen.until, Wait: max(chosen.from.Sub(now), 0)}, true
 }
 
+// count returns how many tokens of granters may be spent now or soon.
+func (h *holding) count(now time.Time) (total int) {
+	for _, one := range h.lots {
+		if now.Before(one.until) {
+			total += one.count
+		}
+	}
+	return total
+}
+
 // fade lets the count of requests fade.
 func (h *holding) fade(now time.Time) {
 	if passed := now.Sub(h.demandAt); passed > 0 {
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -194,7 +194,7 @@
 
 func (s *Sidecar) leastBudget() float64 {
 	least, found := 0.0, false
-	for _, left := range s.egress.BudgetLeft() {
+	for _, left := range s.repeats.Left() {
 		if !found || left < least {
 			least, found = left, true
 		}
--- a/internal/sidecar/nested/nested.go
+++ b/internal/sidecar/nested/nested.go
@@ -17,11 +17,15 @@
 	runs map[*run]struct{}
 }
 
-type run struct{ deadline time.Time }
+type run struct {
+	deadline time.Time
+	repeated bool
+}
 
-// Begin notes a request that is of use until the deadline. The result notes its end.
-func (w *Work) Begin(deadline time.Time) (end func()) {
-	begun := &run{deadline: deadline}
+// Begin notes a request that is of use until the deadline; repeated says that it has reached a
+// back end before. The result notes its end.
+func (w *Work) Begin(deadline time.Time, repeated bool) (end func()) {
+	begun := &run{deadline: deadline, repeated: repeated}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.runs == nil {
@@ -49,6 +53,37 @@
 	return latest
 }
 
+// Repeated returns how likely it is that the run which makes a call with that deadline is a
+// repeat: the part of those that are, among the runs with about that deadline or, where there are
+// none, among all.
+func (w *Work) Repeated(deadline time.Time) float64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	about, all := &likelihood{}, &likelihood{}
+	for begun := range w.runs {
+		all.add(begun)
+		if deadline.Sub(begun.deadline).Abs() <= readDelay {
+			about.add(begun)
+		}
+	}
+	if about.runs > 0 {
+		return about.share()
+	}
+	return all.share()
+}
+
+// likelihood counts runs and those that are repeats.
+type likelihood struct{ runs, repeated float64 }
+
+func (l *likelihood) add(begun *run) {
+	l.runs++
+	if begun.repeated {
+		l.repeated++
+	}
+}
+
+func (l *likelihood) share() float64 { return l.repeated / max(l.runs, 1) }
+
 const (
 	// readDelay is how much later than it was sent a call may be read: a busy machine takes that
 	// long, and its deadline counts from then.
@@ -94,6 +129,9 @@
 	return called && !client
 }
 
+// Repeated is as of the work at the node's back end.
+func (r *Recognizer) Repeated(deadline time.Time) float64 { return r.work.Repeated(deadline) }
+
 func (r *Recognizer) of(route string) *seen {
 	if held, found := r.routes.Load(route); found {
 		return held.(*seen)
--- a/internal/sidecar/nested/nested_test.go
+++ b/internal/sidecar/nested/nested_test.go
@@ -28,7 +28,7 @@
 		if told.Nested("client", asked, false, now) {
 			clientsTold++
 		}
-		deadlines, ends = append(deadlines, asked), append(ends, work.Begin(asked))
+		deadlines, ends = append(deadlines, asked), append(ends, work.Begin(asked, false))
 		if len(ends) > 6 {
 			ends[0]()
 			deadlines, ends = deadlines[1:], ends[1:]
@@ -68,7 +68,7 @@
 		t.Run(moment.name, func(t *testing.T) {
 			work := &nested.Work{}
 			if moment.work > 0 {
-				work.Begin(moment.now.Add(moment.work))
+				work.Begin(moment.now.Add(moment.work), false)
 			}
 			told := nested.NewRecognizer(work, start)
 			last := false
@@ -86,7 +86,7 @@
 	start := time.Unix(1000, 0)
 	now := start.Add(time.Minute)
 	work := &nested.Work{}
-	work.Begin(now.Add(time.Second))
+	work.Begin(now.Add(time.Second), false)
 	told := nested.NewRecognizer(work, start)
 	for i := range 200 {
 		left := 400 * time.Millisecond
--- a/internal/sidecar/quotas.go
+++ b/internal/sidecar/quotas.go
@@ -7,6 +7,7 @@
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/lending"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/quota"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/repeats"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 )
 
@@ -42,3 +43,25 @@
 		Registry: s.options.Registry,
 	})
 }
+
+func (s *Sidecar) addRepeats() {
+	s.repeats = repeats.New(repeats.Options{
+		Node:     s.options.Settings.Node,
+		View:     s.members.View,
+		Usable:   func(record *roster.Record) bool { return s.exchanger.Usable(record) },
+		Known:    s.knowsOthers,
+		Limits:   func() repeats.Limits { return s.settings.Load().Retries },
+		Services: func() []string { return s.keeper.Table().ServiceNames() },
+		Exists: func(service string) bool {
+			table := s.keeper.Table()
+			return table != nil && table.Service(service) != nil
+		},
+		On: s.contention.On,
+		Send: func(ctx context.Context, to *roster.Record, asked *lending.Ask) (*lending.Answer, error) {
+			return s.exchanger.AskRepeats(ctx, to, asked)
+		},
+		Lost:     func(node string) { s.exchanger.Lost(node) },
+		Logger:   s.logger,
+		Registry: s.options.Registry,
+	})
+}
--- a/internal/sidecar/reload_test.go
+++ b/internal/sidecar/reload_test.go
@@ -6,7 +6,7 @@
 
 	. "github.com/onsi/gomega"
 
-	"github.com/kestrelstream/kestrelstream/internal/sidecar/egress"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/repeats"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
 )
 
@@ -18,7 +18,7 @@
 	g.Expect(changed).To(BeEmpty())
 	g.Expect(waiting).To(BeEmpty())
 	next.Grace, next.StoreAddress, next.Zone = 2*time.Second, "b:1", "y"
-	next.Retries = egress.RetryLimits{Ratio: 0.5}
+	next.Retries = repeats.Limits{Ratio: 0.5}
 	changed, waiting = compare(&held, &next)
 	g.Expect(changed).To(ConsistOf("Grace", "StoreAddress", "Retries"))
 	g.Expect(waiting).To(ConsistOf("Zone"))
@@ -30,7 +30,7 @@
 // TestReloadableNamesAreFields: a field that is renamed must not fall out.
 func TestReloadableNamesAreFields(t *testing.T) {
 	g := NewWithT(t)
-	held, next := Settings{}, Settings{StoreAddress: "x", DrainBound: 1, Grace: 1, Retries: egress.RetryLimits{Slack: 1}, ValueBytes: 1, Rollout: rollout.Limits{Share: 1}}
+	held, next := Settings{}, Settings{StoreAddress: "x", DrainBound: 1, Grace: 1, Retries: repeats.Limits{Slack: 1}, ValueBytes: 1, Rollout: rollout.Limits{Share: 1}}
 	changed, waiting := compare(&held, &next)
 	g.Expect(changed).To(HaveLen(len(reloadable)))
 	g.Expect(waiting).To(BeEmpty())
--- a/internal/sidecar/egress/budget.go
+++ b/internal/sidecar/repeats/budget.go
@@ -1,4 +1,4 @@
-package egress
+package repeats
 
 import (
 	"math"
@@ -6,19 +6,9 @@
 	"time"
 )
 
-// RetryLimits bound the repeated sends of all nodes together to one service.
-type RetryLimits struct {
-	// Ratio is the most repeats per request.
-	Ratio float64
-	// Slack is how many more there may be in any Window.
-	Slack float64
-	// Window is the length over which repeats are counted.
-	Window time.Duration
-}
-
-// The part of the allowance that nodes make use of. The rest covers calls made
-// by repeated runs, which count as repeats where they arrive, and nodes that
-// see different numbers of members.
+// The part of the allowance that nodes make use of where nothing is lent. The rest covers calls
+// made by repeated runs, which count as repeats where they arrive, and nodes that see different
+// numbers of members.
 const (
 	ratioShare = 0.4
 	slackShare = 0.4
@@ -32,13 +22,15 @@
 	mutex  sync.Mutex // guards all below
 	tokens float64
 	filled bool
-	last   time.Time
+	// drained: what was held is taken over by an account that is lent.
+	drained bool
+	last    time.Time
 	// requests is a count that fades over a window.
 	requests float64
 }
 
 // first notes a request, which earns a share of a repeat.
-func (b *budget) first(limits RetryLimits, members int, now time.Time) {
+func (b *budget) first(limits Limits, members int, now time.Time) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.refill(limits, members, now)
@@ -47,7 +39,7 @@
 }
 
 // take spends one repeat and reports whether there was one.
-func (b *budget) take(limits RetryLimits, members int, now time.Time) bool {
+func (b *budget) take(limits Limits, members int, now time.Time) bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.refill(limits, members, now)
@@ -65,21 +57,36 @@
 	return b.tokens
 }
 
+// drain takes all repeats out and returns how many are lacking of what can be saved up: what was
+// spent of late beyond what had flowed in.
+func (b *budget) drain(limits Limits, members int, now time.Time) (lacking float64) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if b.filled && !b.drained {
+		b.refill(limits, members, now)
+		lacking = b.most(limits, members) - b.tokens
+	}
+	b.tokens, b.requests = 0, 0
+	b.filled, b.drained, b.last = true, true, now
+	return lacking
+}
+
 // half is half of this node's share of the slack. One half can be saved up and
 // is there at the start, the other flows in over a window.
-func half(limits RetryLimits, members int) float64 {
+func half(limits Limits, members int) float64 {
 	return limits.Slack * slackShare / 2 / float64(max(members, 1))
 }
 
 // most is what can be saved up: at least one repeat, which many nodes with few
 // requests each must save for.
-func (b *budget) most(limits RetryLimits, members int) float64 {
+func (b *budget) most(limits Limits, members int) float64 {
 	return max(half(limits, members)+limits.Ratio*ratioShare*b.requests, 1)
 }
 
 // refill lets the other half of the share flow in over a window.
-func (b *budget) refill(limits RetryLimits, members int, now time.Time) {
+func (b *budget) refill(limits Limits, members int, now time.Time) {
 	share := half(limits, members)
+	b.drained = false
 	if !b.filled {
 		b.tokens, b.filled, b.last = share, true, now
 		return
--- a/internal/sidecar/egress/budget_test.go
+++ b/internal/sidecar/repeats/budget_test.go
@@ -1,4 +1,4 @@
-package egress
+package repeats
 
 import (
 	"testing"
@@ -10,7 +10,7 @@
 // TestBudgetOverAllNodes: whatever the load does, the repeats of all nodes
 // together in any window stay below what the limits allow.
 func TestBudgetOverAllNodes(t *testing.T) {
-	limits := RetryLimits{Ratio: 0.2, Slack: 60, Window: 10 * time.Second}
+	limits := Limits{Ratio: 0.2, Slack: 60, Window: 10 * time.Second}
 	cases := []struct {
 		name     string
 		nodes    int
@@ -53,13 +53,3 @@
 		})
 	}
 }
-
-func TestPatienceOfCallers(t *testing.T) {
-	g := NewWithT(t)
-	known := &patience{}
-	g.Expect(known.returns(1200 * time.Millisecond)).To(BeFalse())
-	g.Expect(known.returns(1200 * time.Millisecond)).To(BeFalse())
-	g.Expect(known.returns(1199 * time.Millisecond)).To(BeFalse())
-	g.Expect(known.returns(900 * time.Millisecond)).To(BeTrue())
-	g.Expect(known.returns(1500 * time.Millisecond)).To(BeFalse())
-}
--- /dev/null
+++ b/internal/sidecar/repeats/fleet_test.go
@@ -0,0 +1,390 @@
+package repeats_test
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/lending"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/repeats"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+)
+
+var limits = repeats.Limits{Ratio: 0.2, Slack: 60, Window: 10 * time.Second}
+
+// fleet plays the repeats of nodes at one service on a virtual clock.
+type fleet struct {
+	nodes   []*member
+	members *roster.Roster
+	on      atomic.Bool
+
+	mu     sync.Mutex // guards all below
+	random *rand.Rand
+	group  map[string]int
+	loss   float64
+	// requests and repeated are when requests began and were sent again.
+	requests, repeated []time.Time
+}
+
+// member is one node. A restart replaces its repeats.
+type member struct {
+	name   string
+	mu     sync.Mutex // guards all below
+	held   *repeats.Repeats
+	end    context.CancelFunc
+	frozen time.Time
+	lost   map[string]time.Time
+}
+
+func newFleet(seed uint64, size int) *fleet {
+	f := &fleet{
+		random: rand.New(rand.NewPCG(seed, 7)), group: map[string]int{},
+		members: roster.New(roster.Record{Node: "n0", Epoch: 1, Zone: "z", Address: "a:1", PeerAddress: "n0", Endpoint: &roster.Endpoint{ID: "i", Slots: 1}}),
+	}
+	f.on.Store(true)
+	for i := range size {
+		name := fmt.Sprint("n", i)
+		f.members.Merge([]*roster.Record{{
+			Node: name, Epoch: 1, Zone: "z", Address: "a:1", PeerAddress: name, Endpoint: &roster.Endpoint{ID: "i", Service: "s", Slots: 1},
+		}})
+		f.nodes = append(f.nodes, &member{name: name, lost: map[string]time.Time{}})
+	}
+	for _, node := range f.nodes {
+		f.start(node)
+	}
+	return f
+}
+
+// start begins a life of the node, unless it is alive.
+func (f *fleet) start(node *member) {
+	node.mu.Lock()
+	defer node.mu.Unlock()
+	if node.held != nil {
+		return
+	}
+	ctx, end := context.WithCancel(context.Background())
+	node.end = end
+	node.held = repeats.New(repeats.Options{
+		Node: node.name, View: f.members.View, Known: func() bool { return true }, On: f.on.Load,
+		Usable: func(record *roster.Record) bool {
+			node.mu.Lock()
+			defer node.mu.Unlock()
+			return time.Since(node.lost[record.Node]) > time.Second
+		},
+		Limits:   func() repeats.Limits { return limits },
+		Services: func() []string { return []string{"s"} }, Exists: func(string) bool { return true },
+		Send: func(ctx context.Context, to *roster.Record, asked *lending.Ask) (*lending.Answer, error) {
+			return f.send(ctx, node, to, asked)
+		},
+		Lost: func(name string) {
+			node.mu.Lock()
+			defer node.mu.Unlock()
+			node.lost[name] = time.Now()
+		},
+		Logger: zap.NewNop(), Registry: prometheus.NewRegistry(),
+	})
+	go node.held.Run(ctx)
+}
+
+func (f *fleet) kill(node *member) {
+	node.mu.Lock()
+	defer node.mu.Unlock()
+	if node.held != nil {
+		node.end()
+		node.held = nil
+	}
+}
+
+// alive returns the node's repeats once it is not suspended, nil when it has ended.
+func (m *member) alive() *repeats.Repeats {
+	m.mu.Lock()
+	wait := time.Until(m.frozen)
+	m.mu.Unlock()
+	time.Sleep(max(wait, 0))
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.held
+}
+
+// reaches takes the time of a message and draws whether it arrives.
+func (f *fleet) reaches(from, to string) bool {
+	f.mu.Lock()
+	delay := time.Duration(200+f.random.IntN(2000)) * time.Microsecond
+	arrives := f.group[from] == f.group[to] && f.random.Float64() >= f.loss
+	f.mu.Unlock()
+	time.Sleep(delay)
+	return arrives
+}
+
+func (f *fleet) send(ctx context.Context, from *member, to *roster.Record, asked *lending.Ask) (*lending.Answer, error) {
+	if err := asked.Validate(); err != nil {
+		return nil, err
+	}
+	other := f.nodes[slices.IndexFunc(f.nodes, func(node *member) bool { return node.name == to.Node })]
+	if !f.reaches(from.name, to.Node) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	serving := other.alive()
+	if serving == nil {
+		return nil, fmt.Errorf("connect: %w", syscall.ECONNREFUSED)
+	}
+	answer := serving.Serve(asked)
+	if !f.reaches(to.Node, from.name) || ctx.Err() != nil {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	from.alive()
+	return answer, nil
+}
+
+// load says which requests come: how many a second, and what part of those at each node is to be
+// sent again.
+type load struct {
+	rate  func(since time.Duration) float64
+	again func(node int) float64
+	// nested is the part of the requests that repeated runs make.
+	nested float64
+}
+
+// play has requests come until the time is over.
+func (f *fleet) play(lasts time.Duration, load load) {
+	began := time.Now()
+	var running sync.WaitGroup
+	for time.Since(began) < lasts {
+		f.mu.Lock()
+		gap := time.Duration(f.random.ExpFloat64() / load.rate(time.Since(began)) * float64(time.Second))
+		number := f.random.IntN(len(f.nodes))
+		again := f.random.Float64() < load.again(number)
+		nested := f.random.Float64() < load.nested
+		f.mu.Unlock()
+		time.Sleep(min(gap, 100*time.Millisecond))
+		if gap <= 100*time.Millisecond {
+			running.Go(func() { f.request(f.nodes[number], again, nested) })
+		}
+	}
+	running.Wait()
+}
+
+func (f *fleet) request(node *member, again, nested bool) {
+	held := node.alive()
+	if held == nil {
+		return
+	}
+	begun := time.Now()
+	chance := 0.0
+	if nested {
+		chance = 1
+	}
+	held.First("s", chance)
+	f.note(&f.requests, begun)
+	if nested {
+		f.note(&f.repeated, begun)
+	}
+	held.Reached("s", true) // how many are accepted is of no account here
+	if again && held.Take("s", repeats.Request{Nested: true}) {
+		node.alive()
+		f.note(&f.repeated, time.Now())
+	}
+}
+
+func (f *fleet) note(of *[]time.Time, at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	*of = append(*of, at)
+}
+
+// stop ends all nodes.
+func (f *fleet) stop() {
+	for _, node := range f.nodes {
+		f.kill(node)
+	}
+	time.Sleep(time.Minute)
+}
+
+// excess is by how much the repeats of some window exceed what is allowed there, at most; below
+// zero when none does.
+func (f *fleet) excess() float64 {
+	slices.SortFunc(f.requests, time.Time.Compare)
+	slices.SortFunc(f.repeated, time.Time.Compare)
+	worst := math.Inf(-1)
+	for _, end := range f.repeated {
+		from := end.Add(-limits.Window)
+		requests := max(within(f.requests, from, end), within(f.requests, from.Add(-limits.Window/2), end.Add(-limits.Window/2)), within(f.requests, from.Add(-limits.Window), from))
+		worst = max(worst, float64(within(f.repeated, from, end))-limits.Ratio*float64(requests)-limits.Slack)
+	}
+	return worst
+}
+
+// within counts the moments after the first and not after the second one.
+func within(moments []time.Time, from, to time.Time) int {
+	after := func(bound time.Time) int {
+		index, _ := slices.BinarySearchFunc(moments, bound, func(moment, bound time.Time) int {
+			if moment.After(bound) {
+				return 1
+			}
+			return -1
+		})
+		return index
+	}
+	return after(to) - after(from)
+}
+
+// TestTheAllowanceWhereItIsNeeded: at least 0.8 of it is used, and no window holds more, when all
+// that is to be sent again is at a few nodes of many, or at all of them. Where a node has fewer than
+// two requests a second to send again, a token often expires before there is one: 0.5.
+func TestTheAllowanceWhereItIsNeeded(t *testing.T) {
+	cases := []struct {
+		nodes, needing int
+		rate, least    float64
+	}{{13, 1, 1000, 0.8}, {13, 13, 1000, 0.8}, {88, 9, 2000, 0.8}, {88, 88, 2000, 0.8}, {88, 88, 300, 0.5}}
+	for _, held := range cases {
+		t.Run(fmt.Sprintf("%d of %d nodes, %v requests a second", held.needing, held.nodes, held.rate), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				f := newFleet(uint64(held.nodes), held.nodes)
+				f.play(30*time.Second, load{
+					rate: func(time.Duration) float64 { return held.rate },
+					again: func(node int) float64 {
+						if node >= held.needing {
+							return 0
+						}
+						return min(0.5*float64(held.nodes)/float64(held.needing), 1)
+					},
+				})
+				end := time.Now()
+				f.stop()
+				g.Expect(f.excess()).To(BeNumerically("<=", 0))
+				from := end.Add(-2 * limits.Window)
+				allowed := limits.Ratio*float64(within(f.requests, from, end)) + 2*limits.Slack
+				wanted := min(allowed, 0.5*float64(within(f.requests, from, end)), float64(held.needing)/float64(held.nodes)*float64(within(f.requests, from, end)))
+				t.Logf("%d of %.0f, %.0f below the bound", within(f.repeated, from, end), wanted, -f.excess())
+				g.Expect(float64(within(f.repeated, from, end)) / wanted).To(BeNumerically(">=", held.least))
+			})
+		})
+	}
+}
+
+// TestCallsOfRepeatedRuns are paid for out of the same allowance.
+func TestCallsOfRepeatedRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newFleet(3, 13)
+		f.play(40*time.Second, load{
+			rate: func(time.Duration) float64 { return 1000 }, again: func(int) float64 { return 0.5 }, nested: 0.1,
+		})
+		f.stop()
+		g.Expect(f.excess()).To(BeNumerically("<=", 0))
+	})
+}
+
+// trouble is one thing that goes wrong for a time.
+type trouble func(f *fleet, random *rand.Rand)
+
+// cut has nodes in so many groups for a time.
+func cut(groups int) trouble {
+	return func(f *fleet, random *rand.Rand) {
+		f.mu.Lock()
+		for _, node := range f.nodes {
+			f.group[node.name] = random.IntN(groups)
+		}
+		f.mu.Unlock()
+		time.Sleep(time.Duration(500+random.IntN(9000)) * time.Millisecond)
+		f.mu.Lock()
+		clear(f.group)
+		f.mu.Unlock()
+	}
+}
+
+// ended has one node of so many end and start anew.
+func ended(oneOf int) trouble {
+	return func(f *fleet, random *rand.Rand) {
+		var gone []*member
+		for _, node := range f.nodes {
+			if random.IntN(oneOf) == 0 {
+				f.kill(node)
+				gone = append(gone, node)
+			}
+		}
+		time.Sleep(time.Duration(50+random.IntN(2000)) * time.Millisecond)
+		for _, node := range gone {
+			f.start(node)
+		}
+	}
+}
+
+var troubles = []trouble{
+	cut(2), cut(3), cut(1000), ended(3), ended(1),
+	func(f *fleet, random *rand.Rand) {
+		f.mu.Lock()
+		f.loss = 0.3
+		f.mu.Unlock()
+		time.Sleep(time.Duration(500+random.IntN(3000)) * time.Millisecond)
+		f.mu.Lock()
+		f.loss = 0
+		f.mu.Unlock()
+	},
+	func(f *fleet, random *rand.Rand) {
+		until := time.Now().Add(time.Duration(500+random.IntN(5000)) * time.Millisecond)
+		for _, node := range f.nodes {
+			if random.IntN(4) == 0 {
+				node.mu.Lock()
+				node.frozen = until
+				node.mu.Unlock()
+			}
+		}
+		time.Sleep(time.Until(until))
+	},
+	func(f *fleet, random *rand.Rand) {
+		f.on.Store(false)
+		time.Sleep(time.Duration(500+random.IntN(5000)) * time.Millisecond)
+		f.on.Store(true)
+	},
+}
+
+// TestNeverMoreThanAllowed whatever goes wrong, two things at a time, while the requests come
+// unevenly: no window holds more than is allowed.
+func TestNeverMoreThanAllowed(t *testing.T) {
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				f := newFleet(seed, []int{13, 30, 88}[seed%3])
+				var running sync.WaitGroup
+				for side := range uint64(2) {
+					random := rand.New(rand.NewPCG(seed, side))
+					running.Go(func() {
+						for end := time.Now().Add(40 * time.Second); time.Now().Before(end); {
+							time.Sleep(time.Duration(random.IntN(2000)) * time.Millisecond)
+							troubles[random.IntN(len(troubles))](f, random)
+						}
+					})
+				}
+				f.play(50*time.Second, load{
+					rate: func(since time.Duration) float64 {
+						if since%(7*time.Second) < 2*time.Second {
+							return 1500
+						}
+						return 200
+					},
+					again: func(node int) float64 { return []float64{1, 0.3}[min(node%4, 1)] },
+				})
+				running.Wait()
+				f.stop()
+				g.Expect(f.excess()).To(BeNumerically("<=", 0))
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/sidecar/repeats/repeats.go
@@ -0,0 +1,274 @@
+// Package repeats bounds how often requests are sent again after they have reached a back end, by
+// all nodes together at each service, and spends what is allowed where it saves most.
+//
+// The load that it answers: the back ends of one service reject much of what they get for some
+// seconds. Some nodes need far more repeats than their own requests have earned, while those of
+// others lie idle.
+//
+// Where requests compete for room the allowance is an account of package lending. A request earns
+// its node a part of a token; the node keeps what it needs itself and passes the rest on to the
+// service's granter, with its share of the slack. Tokens come back in lots that are asked for
+// ahead. No caller waits for them: a node that holds none spends what it has earned itself, or
+// sends nothing again. Elsewhere each node spends a part of its even share.
+//
+// A call that a repeated run makes is a repeat at the service that it calls. The node beside the
+// back end that makes it pays for it: it owes the token until its own requests or the granter's
+// tokens have made up for it.
+package repeats
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/contain"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/lending"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/lending/carrier"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/readers"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+)
+
+const (
+	// ahead is for how long a lot is to last: longer, and more of it expires unspent; shorter,
+	// and there are more questions.
+	ahead = 200 * time.Millisecond
+	// askedLow is for how long what is held is to last when a lot is asked for.
+	askedLow = 50 * time.Millisecond
+	// askPause is how long no granter is asked after one did not answer.
+	askPause = 100 * time.Millisecond
+)
+
+// Options configure repeats.
+type Options struct {
+	// Node, View, Usable, Known, Send and Lost are as in carrier.Options.
+	Node   string
+	View   func() *roster.View
+	Usable readers.Usable
+	Known  func() bool
+	Send   func(ctx context.Context, to *roster.Record, asked *lending.Ask) (*lending.Answer, error)
+	Lost   func(node string)
+	// Limits bind at each service.
+	Limits func() Limits
+	// Services returns those of the configuration in force, Exists whether one is among them.
+	Services func() []string
+	Exists   func(service string) bool
+	// On reports whether shares are lent.
+	On       func() bool
+	Logger   *zap.Logger
+	Registry prometheus.Registerer
+}
+
+// Repeats keeps the allowance on one node. It is safe for concurrent use.
+type Repeats struct {
+	*carrier.Carrier
+	options Options
+	// services holds *service by name.
+	services sync.Map
+	results  *prometheus.CounterVec
+}
+
+// service is what the node knows of one service.
+type service struct {
+	budget     budget
+	acceptance acceptance
+	// asking: a granter is being asked.
+	asking atomic.Bool
+
+	mu sync.Mutex // guards all below
+	// nested counts the repeats of nested calls that were called for lately.
+	nested lending.Sum
+	// askAfter is until when no granter is asked.
+	askAfter time.Time
+}
+
+// New returns repeats whose shares are lent once Run is called.
+func New(options Options) *Repeats {
+	created := &Repeats{options: options}
+	created.Carrier = carrier.New(carrier.Options{
+		Name: "repeats", Node: options.Node, View: options.View, Usable: options.Usable, Known: options.Known,
+		Terms: created.terms, Accounts: created.accounts, Ahead: ahead,
+		Send: options.Send, Lost: options.Lost, Logger: options.Logger,
+	})
+	created.results = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "kestrel_repeats_total", Help: "Requests to be sent again, by what became of them: granted, earned, own, even, spent, futile.",
+	}, []string{"result"})
+	options.Registry.MustRegister(created.results)
+	return created
+}
+
+// terms returns how a service's allowance is lent among so many nodes.
+func (r *Repeats) terms(service string, members int) (lending.Terms, bool) {
+	limits := r.options.Limits()
+	if limits.Window <= 0 || !r.options.On() || !r.options.Exists(service) {
+		return lending.Terms{}, false
+	}
+	return limits.Terms(members), true
+}
+
+// accounts returns the services whose allowance is lent.
+func (r *Repeats) accounts() []string {
+	if !r.options.On() || r.options.Limits().Window <= 0 {
+		return nil
+	}
+	return r.options.Services()
+}
+
+// On reports whether shares are lent.
+func (r *Repeats) On() bool { return r.options.On() }
+
+// First notes a request for a service, which earns a part of a repeat. repeated is how likely it
+// is that a repeated run makes it, so that it is a repeat itself.
+func (r *Repeats) First(name string, repeated float64) {
+	now, limits := clock.Now(), r.options.Limits()
+	held := r.of(name)
+	terms, lent := r.Terms(name)
+	if !lent {
+		held.budget.first(limits, r.options.View().Present(), now)
+		return
+	}
+	r.settle(name, held, limits, terms, now)
+	r.Holder().Earn(name, limits.earned(), terms, now)
+	if repeated > 0 {
+		r.Holder().Owe(name, repeated)
+	}
+}
+
+// Take spends one repeat at a service and reports whether there was one. It never waits.
+func (r *Repeats) Take(name string, request Request) bool {
+	now, limits := clock.Now(), r.options.Limits()
+	held := r.of(name)
+	terms, lent := r.Terms(name)
+	if !lent {
+		if !held.budget.take(limits, r.options.View().Present(), now) {
+			return r.counted("spent", false)
+		}
+		return r.counted("even", true)
+	}
+	r.settle(name, held, limits, terms, now)
+	worth := request.worth(held.acceptance.share(now))
+	if worth < leastWorth {
+		return r.counted("futile", false)
+	}
+	r.Holder().Came(name, now)
+	defer r.refill(name, held, terms, now)
+	if kept := held.keptFrom(request, now); !spends(r.Holder().Held(name, terms, now), kept) {
+		return r.counted("spent", false)
+	}
+	return r.spend(name, terms, now)
+}
+
+// spend takes the token of a repeat from where there is one.
+func (r *Repeats) spend(name string, terms lending.Terms, now time.Time) bool {
+	if verdict, token := r.Holder().Take(name, now); verdict == lending.Spent {
+		if token.Wait <= 0 {
+			return r.counted("granted", true)
+		}
+		r.Holder().Return(token)
+	}
+	if r.Holder().TakeEarned(name, terms, now) {
+		return r.counted("earned", true)
+	}
+	if !r.Known() {
+		return r.counted("spent", false)
+	}
+	if _, found := r.Holder().TakeOwn(name, terms, now); found {
+		return r.counted("own", true)
+	}
+	return r.counted("spent", false)
+}
+
+// Reached takes in whether a back end of the service accepted a request that reached it.
+func (r *Repeats) Reached(name string, accepted bool) {
+	if r.options.On() {
+		r.of(name).acceptance.add(accepted, clock.Now())
+	}
+}
+
+// Left returns how many repeats the node holds by service.
+func (r *Repeats) Left() map[string]float64 {
+	left := map[string]float64{}
+	r.services.Range(func(name, _ any) bool {
+		left[name.(string)] = r.LeftOf(name.(string))
+		return true
+	})
+	return left
+}
+
+// LeftOf returns how many repeats the node holds at one service.
+func (r *Repeats) LeftOf(name string) float64 {
+	if terms, lent := r.Terms(name); lent {
+		return r.Holder().Held(name, terms, clock.Now())
+	}
+	return r.of(name).budget.left()
+}
+
+func (r *Repeats) counted(result string, taken bool) bool {
+	r.results.WithLabelValues(result).Inc()
+	return taken
+}
+
+// of returns what is known of a service.
+func (r *Repeats) of(name string) *service {
+	if held, found := r.services.Load(name); found {
+		return held.(*service)
+	}
+	held, _ := r.services.LoadOrStore(name, &service{})
+	return held.(*service)
+}
+
+// settle has the account make up for what the node spent of its even share before shares were
+// lent.
+func (r *Repeats) settle(name string, held *service, limits Limits, terms lending.Terms, now time.Time) {
+	if lacking := held.budget.drain(limits, terms.Members, now); lacking > 0 {
+		r.Holder().Owe(name, lacking)
+	}
+}
+
+// keptFrom notes that a repeat is called for and returns how many tokens are kept from it.
+func (s *service) keptFrom(request Request, now time.Time) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if request.Nested {
+		s.nested.Add(1, askedLow, now)
+		return 0
+	}
+	return s.nested.Within(askedLow, now)
+}
+
+// pause has no granter asked for some time.
+func (s *service) pause(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.askAfter = now.Add(askPause)
+}
+
+// mayAsk reports whether a granter may be asked again.
+func (s *service) mayAsk(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !now.Before(s.askAfter)
+}
+
+// refill asks the granter for a lot when what is held is low.
+func (r *Repeats) refill(name string, held *service, terms lending.Terms, now time.Time) {
+	if !held.mayAsk(now) || !r.Holder().Low(name, askedLow, now) || !held.asking.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer held.asking.Store(false)
+		var err error
+		fault := contain.Run("repeats", r.options.Logger, func() { err = r.Ask(context.Background(), name) })
+		if err == nil {
+			err = fault
+		}
+		if err != nil {
+			held.pause(clock.Now())
+			r.options.Logger.Info("no repeats granted", zap.String("service", name), zap.Error(err))
+		}
+	}()
+}
--- /dev/null
+++ b/internal/sidecar/repeats/terms.go
@@ -0,0 +1,46 @@
+package repeats
+
+import (
+	"time"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/lending"
+)
+
+// Limits bound the repeated sends of all nodes together to one service.
+type Limits struct {
+	// Ratio is the most repeats per request.
+	Ratio float64
+	// Slack is how many more there may be in any Window.
+	Slack float64
+	// Window is the length over which repeats are counted.
+	Window time.Duration
+}
+
+// The parts of the allowance that are spent where it is lent. What was saved up before a window
+// was earned in the window before it, what flows in is earned in the window itself; the limits
+// count whichever window has more requests, so that the parts of both add up. The rest covers
+// messages on their way, and calls of repeated runs until they are paid for.
+const (
+	// flowShare flows in.
+	flowShare = 0.83
+	// keptShare can be saved up at the nodes that earn it, lentShare at the granter. A node
+	// passes on what it has earned some times a second, and a token that was given out counts
+	// with the granter's for as long as it may be spent.
+	keptShare = 0.04
+	lentShare = 0.1
+)
+
+// Terms returns how the allowance of a service is lent among so many nodes.
+func (l Limits) Terms(members int) lending.Terms {
+	if l.Window <= 0 {
+		return lending.Terms{Members: members}
+	}
+	return lending.Terms{
+		Rate:  l.Slack * flowShare / l.Window.Seconds(),
+		Depth: l.Slack * lentShare, Window: l.Window, Members: members,
+		EarnedDepth: lentShare / flowShare, EarnedKept: keptShare / flowShare,
+	}
+}
+
+// earned is what one request earns.
+func (l Limits) earned() float64 { return l.Ratio * flowShare }
--- a/internal/sidecar/route/table.go
+++ b/internal/sidecar/route/table.go
@@ -10,9 +10,10 @@
 // Table matches requests to routes. It is immutable except for the counters
 // of the splits, which outlive versions.
 type Table struct {
-	document *Document
-	hosts    map[string]map[string]*Matched
-	services map[string]*Service
+	document     *Document
+	hosts        map[string]map[string]*Matched
+	services     map[string]*Service
+	serviceNames []string
 	// tenants holds each tenant by each of its keys.
 	tenants map[Key]*Tenant
 	// limited holds the tenants that have a limit by name, in limitedNames ordered.
@@ -65,6 +66,7 @@
 	for index := range document.Services {
 		compiled.services[document.Services[index].Name] = &document.Services[index]
 	}
+	compiled.serviceNames = slices.Sorted(maps.Keys(compiled.services))
 	for index := range document.Routes {
 		compiled.add(&document.Routes[index], previous)
 	}
@@ -111,6 +113,15 @@
 // Service returns a declared service or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
+// ServiceNames returns the names of the declared services, in order. The list is not to be
+// modified.
+func (t *Table) ServiceNames() []string {
+	if t == nil {
+		return nil
+	}
+	return t.serviceNames
+}
+
 // Match finds the route of the host whose prefix begins the path and is the
 // longest, or nil. The path is the escaped one, as it was received.
 func (t *Table) Match(host, path string) *Matched {
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -33,6 +33,7 @@
 		func() { s.rollouts.Run(ctx) },
 		func() { s.exchanger.Run(ctx) },
 		func() { s.quota.Run(ctx) },
+		func() { s.repeats.Run(ctx) },
 		func() { s.sweep(ctx) },
 		func() { clock.Watch(ctx) },
 	}
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/contention"
-	"github.com/kestrelstream/kestrelstream/internal/sidecar/egress"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/quota"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/repeats"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
 )
 
@@ -42,7 +42,7 @@
 	// Grace is the time between the request to stop and the forced end.
 	Grace time.Duration
 	// Retries bound the repeated sends of all nodes together.
-	Retries egress.RetryLimits
+	Retries repeats.Limits
 	// Quota says what tenants' limits bind to.
 	Quota quota.Bounds
 	// OverloadControl says whether requests compete for room (contention.Auto when empty).
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -27,6 +27,7 @@
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/nested"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/quarantine"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/quota"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/repeats"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout/controller"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
@@ -98,6 +99,7 @@
 	// evacuations are the orders to empty zones.
 	evacuations *evacuation.Orders
 	quota       *quota.Quota
+	repeats     *repeats.Repeats
 	// contention says whether requests compete for room, work what the back end works on.
 	contention *contention.Switch
 	work       *nested.Work
@@ -155,6 +157,7 @@
 	created.addRollouts()
 	created.addEvacuations()
 	created.addQuota()
+	created.addRepeats()
 	created.addIngress(observed)
 	created.addEgress(observed)
 	created.exchanger = exchange.New(exchange.Options{
@@ -168,6 +171,7 @@
 		Rollouts:    created.rollouts,
 		Evacuations: created.evacuations,
 		Quota:       created.quota,
+		Repeats:     created.repeats,
 		Contention:  created.contention,
 		Reads:       created.reads,
 		Observer:    observed,
@@ -227,7 +231,7 @@
 		Quarantine: s.quarantine,
 		Quota:      s.quota,
 		Nested:     &nestedCalls{contention: s.contention, recognizer: nested.NewRecognizer(s.work, s.started)},
-		Retries:    func() egress.RetryLimits { return s.settings.Load().Retries },
+		Repeats:    s.repeats,
 		Weights:    choice.DefaultWeights(),
 		Level:      (*level)(s),
 		Dial:       dial.Dialer(exchangeDial, dial.Silence{Unacknowledged: peerUnacknowledged, Idle: peerIdle}),
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -56,6 +56,7 @@
 
 // leave tells the peers to send no more requests for the back end.
 func (s *Sidecar) leave() {
+	s.repeats.Close()
 	s.quota.Close() // who hears that the node leaves takes it for closed
 	s.members.Update(func(record roster.Record) (roster.Record, bool) {
 		record.Leaving = true
