A node that is leaving begins no new turn to read the store

Where all nodes of a zone leave at once, one that is leaving hands its turn over; once the others are leaving too nobody is left to read, each takes the turn again and reads the store once more before its process ends. The calls came before the processes started anew.

Change: a node that is leaving goes on with the turn it has, and begins none.

--- a/internal/sidecar/reading.go
+++ b/internal/sidecar/reading.go
@@ -58,11 +58,20 @@
 	return rank, rank >= 0 && rank < compactors
 }
 
-// follows reports whether this node is to follow the configuration in the store:
+// follows reports whether this node is to follow the configuration in the store. A node
+// that is leaving begins no new turn: where all nodes of a zone leave at once each would read
+// the store once more for the rest of its time.
+func (s *Sidecar) follows() bool {
+	turn := s.hasTurn() && (s.following.Load() || !s.members.Own().Leaving)
+	s.following.Store(turn)
+	return turn
+}
+
+// hasTurn reports whether this node is one that follows the configuration in the store:
 // while it has one, when it reads for others. One that has none yet waits a short
 // time for those; longer where the whole system starts for the first time, since
 // nobody calls so early.
-func (s *Sidecar) follows() bool {
+func (s *Sidecar) hasTurn() bool {
 	if s.keeper.Version() > 0 {
 		return s.reads()
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -106,6 +106,8 @@
 	egress     *egress.Handler
 	ingress    *ingress.Handler
 	stopping   atomic.Bool
+	// following: the node follows the configuration in the store.
+	following atomic.Bool
 	// started is when the node was made, joined when the store had first told of the
 	// other nodes; nil before.
 	started time.Time
