--- a/internal/sidecar/hop/hop_test.go
+++ b/internal/sidecar/hop/hop_test.go
@@ -15,6 +15,7 @@
 	sent := hop.Request{
 		Service: "one", Caller: "two", Remaining: 1234567 * time.Microsecond, Priority: 3,
 		MaximumWait: 90 * time.Millisecond, Expected: 36500 * time.Microsecond, Returning: true, Suspect: true, Nested: true, OverShare: true,
+		Repeated: true,
 	}
 	received, err := hop.ParseRequest(sent.Format())
 	g.Expect(err).NotTo(HaveOccurred())
--- a/internal/sidecar/nested/nested_test.go
+++ b/internal/sidecar/nested/nested_test.go
@@ -96,3 +96,21 @@
 		g.Expect(told.Nested("r", now.Add(left), false, now) && i > 20).To(BeFalse())
 	}
 }
+
+// TestWhoseCallItIs: the deadline tells which run makes a call, and so whether that is a repeat.
+func TestWhoseCallItIs(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	work := &nested.Work{}
+	g.Expect(work.Repeated(now)).To(BeZero(), "nothing is at work")
+	endFirst := work.Begin(now.Add(time.Second), false)
+	endAgain := work.Begin(now.Add(2*time.Second), true)
+	g.Expect(work.Repeated(now.Add(time.Second))).To(BeZero())
+	g.Expect(work.Repeated(now.Add(2*time.Second + time.Millisecond))).To(Equal(1.0))
+	g.Expect(work.Repeated(now.Add(10*time.Second))).To(Equal(0.5), "any of the two may make it")
+	defer work.Begin(now.Add(2*time.Second), false)()
+	g.Expect(work.Repeated(now.Add(2*time.Second))).To(Equal(0.5), "so may these")
+	endFirst()
+	endAgain()
+	g.Expect(work.Repeated(now.Add(2 * time.Second))).To(BeZero())
+}
--- a/internal/sidecar/repeats/repeats.go
+++ b/internal/sidecar/repeats/repeats.go
@@ -79,9 +79,10 @@
 	// asking: a granter is being asked.
 	asking atomic.Bool
 
+	// calledFor are the repeats that were called for of late.
+	calledFor calls
+
 	mu sync.Mutex // guards all below
-	// nested counts the repeats of nested calls that were called for lately.
-	nested lending.Sum
 	// askAfter is until when no granter is asked.
 	askAfter time.Time
 }
@@ -156,7 +157,7 @@
 	}
 	r.Holder().Came(name, now)
 	defer r.refill(name, held, terms, now)
-	if kept := held.keptFrom(request, now); !spends(r.Holder().Held(name, terms, now), kept) {
+	if kept := held.calledFor.add(request, now); !spends(r.Holder().Held(name, terms, now), kept) {
 		return r.counted("spent", false)
 	}
 	return r.spend(name, terms, now)
@@ -229,17 +230,6 @@
 	}
 }
 
-// keptFrom notes that a repeat is called for and returns how many tokens are kept from it.
-func (s *service) keptFrom(request Request, now time.Time) float64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if request.Nested {
-		s.nested.Add(1, askedLow, now)
-		return 0
-	}
-	return s.nested.Within(askedLow, now)
-}
-
 // pause has no granter asked for some time.
 func (s *service) pause(now time.Time) {
 	s.mu.Lock()
--- a/internal/sidecar/repeats/worth.go
+++ b/internal/sidecar/repeats/worth.go
@@ -14,11 +14,11 @@
 	Returning bool
 }
 
-// Parts of a request's worth that a repeat saves.
+// What a repeat saves, by the work that it is worth.
 const (
-	// savesNested: the call itself, and the work of the run that waits for it.
+	// savesNested: the work of the run that waits for it, and its other calls.
 	savesNested = 2
-	// savesReturning: the request is lost without it.
+	// savesReturning: the request, which is lost without it.
 	savesReturning = 1
 	// savesFirst: the caller may come back, and be served late.
 	savesFirst = 0.5
@@ -42,8 +42,39 @@
 func (r Request) worth(accepted float64) float64 { return accepted * r.saves() }
 
 // spends reports whether a repeat may have one of the tokens that are held. Some are kept for
-// repeats that save more: as many as were called for in the time until more tokens can be here.
-func spends(held, kept float64) bool { return kept == 0 || held-kept >= 1 }
+// repeats that save more.
+func spends(held, kept float64) bool { return kept < leastKept || held-kept >= 1 }
+
+const (
+	// leastKept is from how many tokens on some are kept.
+	leastKept = 0.1
+	// keptFor is for how long they are to last: more may not come sooner.
+	keptFor = 200 * time.Millisecond
+)
+
+// calls are repeats that were called for of late and save most. It is safe for concurrent
+// use.
+type calls struct {
+	mu sync.Mutex // guards all below
+	// nested counts those of nested calls, as they fade over a second.
+	nested float64
+	last   time.Time
+}
+
+// add notes a repeat and returns how many tokens are kept from it for those that save more.
+func (c *calls) add(request Request, now time.Time) (kept float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if passed := now.Sub(c.last); passed > 0 {
+		c.nested *= math.Exp(-passed.Seconds())
+		c.last = now
+	}
+	if request.Nested {
+		c.nested++
+		return 0
+	}
+	return c.nested * keptFor.Seconds()
+}
 
 const (
 	// acceptanceLife is how fast what back ends did fades. They begin and cease to reject within
--- a/internal/sidecar/repeats/worth_test.go
+++ b/internal/sidecar/repeats/worth_test.go
@@ -18,19 +18,20 @@
 	g.Expect(nested.worth(0.01)).To(BeNumerically("<", leastWorth), "whatever comes is rejected")
 }
 
-func TestTokensAreKeptForNestedCalls(t *testing.T) {
+func TestTokensAreKeptForWhatSavesMore(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Unix(1000, 0)
-	held := &service{}
-	g.Expect(held.keptFrom(Request{}, now)).To(BeZero())
-	for range 3 {
-		g.Expect(held.keptFrom(Request{Nested: true}, now)).To(BeZero(), "nothing is kept from them")
+	seen := &calls{}
+	nested, client := Request{Nested: true}, Request{}
+	g.Expect(spends(1, seen.add(client, now))).To(BeTrue(), "nothing else is called for")
+	for range 10 {
+		g.Expect(seen.add(nested, now)).To(BeZero(), "nothing is kept from it")
 	}
-	kept := held.keptFrom(Request{}, now)
-	g.Expect(kept).To(Equal(3.0))
-	g.Expect(spends(3.5, kept)).To(BeFalse())
-	g.Expect(spends(4, kept)).To(BeTrue())
-	g.Expect(held.keptFrom(Request{}, now.Add(2*askedLow))).To(BeZero(), "none was called for of late")
+	kept := seen.add(client, now)
+	g.Expect(kept).To(BeNumerically("~", 10*keptFor.Seconds(), 0.001))
+	g.Expect(spends(kept+0.9, kept)).To(BeFalse())
+	g.Expect(spends(kept+1, kept)).To(BeTrue())
+	g.Expect(spends(1, seen.add(client, now.Add(10*time.Second)))).To(BeTrue(), "of late there was none")
 }
 
 func TestAcceptanceFades(t *testing.T) {
