--- /dev/null
+++ b/internal/sidecar/lending/earned.go
@@ -0,0 +1,96 @@
+package lending
+
+import (
+	"math"
+	"time"
+)
+
+// broughtUnit is the least part of a token that is passed on.
+const broughtUnit = 0.001
+
+// keptTime is for how long a node that spends tokens keeps what it is likely to spend: as long as
+// its tokens may be saved up where it calls for few.
+const keptTime = time.Second
+
+// earnings are what a node's own requests have earned.
+type earnings struct {
+	// tokens may be spent here; below zero the node owes. surplus goes to the granter only.
+	tokens, surplus float64
+	// earned counts what was earned lately, passed what of it was passed on.
+	earned, passed Sum
+}
+
+// Earn takes in tokens that the node's own requests have earned.
+func (h *Holder) Earn(account string, tokens float64, terms Terms, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	held := h.of(account)
+	held.earnings.earned.Add(tokens, terms.Window, now)
+	held.earnings.tokens += tokens
+	h.bound(account, held, terms, now)
+}
+
+// Owe takes in what was spent beyond what the node has. It is made up for out of what the node
+// earns, or by the granter out of what all have.
+func (h *Holder) Owe(account string, tokens float64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	held := h.of(account)
+	held.earnings.tokens = max(held.earnings.tokens-tokens, -mostBrought)
+}
+
+// TakeEarned spends one of the tokens that the node has earned and not passed on.
+func (h *Holder) TakeEarned(account string, terms Terms, now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	held := h.of(account)
+	h.bound(account, held, terms, now)
+	if held.earnings.tokens < 1 {
+		return false
+	}
+	held.earnings.tokens--
+	return true
+}
+
+// Pass returns the tokens that the node passes on with a message that it sends now. It keeps
+// what it is likely to spend. The node has them no more, whether the message arrives or not.
+func (h *Holder) Pass(account string, terms Terms, now time.Time) float64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	held := h.of(account)
+	h.bound(account, held, terms, now)
+	held.fade(now)
+	own := &held.earnings
+	kept := max(min(own.tokens, held.demand*keptTime.Seconds()), 0)
+	passed := math.Floor((own.tokens-kept+own.surplus)/broughtUnit) * broughtUnit
+	passed = min(passed, mostBrought)
+	own.tokens, own.surplus = kept, 0
+	own.passed.Add(max(passed, 0), terms.Window, now)
+	return passed
+}
+
+// Held returns how many tokens the node may spend now.
+func (h *Holder) Held(account string, terms Terms, now time.Time) float64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	held := h.of(account)
+	h.bound(account, held, terms, now)
+	return max(held.earnings.tokens, 0) + float64(held.count(now))
+}
+
+// bound keeps what is saved up of what was earned within the node's part: that of what it keeps,
+// and the granter's of what it has not passed on. What is above goes to the granter. The lock is
+// held.
+func (h *Holder) bound(account string, held *holding, terms Terms, now time.Time) {
+	own := &held.earnings
+	earned := own.earned.Within(terms.Window, now)
+	unpassed := max(earned-own.passed.Within(terms.Window, now), 0)
+	most := terms.EarnedKept*earned + terms.EarnedDepth*unpassed
+	if most < 1 {
+		most = h.whole(account, most)
+	}
+	if above := own.tokens - most; above > 0 {
+		own.tokens = most
+		own.surplus = min(own.surplus+above, terms.EarnedKept*earned)
+	}
+}
--- a/internal/sidecar/nested/nested_test.go
+++ b/internal/sidecar/nested/nested_test.go
@@ -28,7 +28,7 @@
 		if told.Nested("client", asked, false, now) {
 			clientsTold++
 		}
-		deadlines, ends = append(deadlines, asked), append(ends, work.Begin(asked))
+		deadlines, ends = append(deadlines, asked), append(ends, work.Begin(asked, false))
 		if len(ends) > 6 {
 			ends[0]()
 			deadlines, ends = deadlines[1:], ends[1:]
@@ -68,7 +68,7 @@
 		t.Run(moment.name, func(t *testing.T) {
 			work := &nested.Work{}
 			if moment.work > 0 {
-				work.Begin(moment.now.Add(moment.work))
+				work.Begin(moment.now.Add(moment.work), false)
 			}
 			told := nested.NewRecognizer(work, start)
 			last := false
@@ -86,7 +86,7 @@
 	start := time.Unix(1000, 0)
 	now := start.Add(time.Minute)
 	work := &nested.Work{}
-	work.Begin(now.Add(time.Second))
+	work.Begin(now.Add(time.Second), false)
 	told := nested.NewRecognizer(work, start)
 	for i := range 200 {
 		left := 400 * time.Millisecond
@@ -96,3 +96,21 @@
 		g.Expect(told.Nested("r", now.Add(left), false, now) && i > 20).To(BeFalse())
 	}
 }
+
+// TestWhoseCallItIs: the deadline tells which run makes a call, and so whether that is a repeat.
+func TestWhoseCallItIs(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	work := &nested.Work{}
+	g.Expect(work.Repeated(now)).To(BeZero(), "nothing is at work")
+	endFirst := work.Begin(now.Add(time.Second), false)
+	endAgain := work.Begin(now.Add(2*time.Second), true)
+	g.Expect(work.Repeated(now.Add(time.Second))).To(BeZero())
+	g.Expect(work.Repeated(now.Add(2*time.Second + time.Millisecond))).To(Equal(1.0))
+	g.Expect(work.Repeated(now.Add(10*time.Second))).To(Equal(0.5), "any of the two may make it")
+	defer work.Begin(now.Add(2*time.Second), false)()
+	g.Expect(work.Repeated(now.Add(2*time.Second))).To(Equal(0.5), "so may these")
+	endFirst()
+	endAgain()
+	g.Expect(work.Repeated(now.Add(2 * time.Second))).To(BeZero())
+}
