A back end's next slot goes to the tenant that has had the least

Cause: within a level of the precedence the newest request came first, whoever's it was: a tenant that sends ten times as much as others had ten times the slots, and whoever came last displaced the requests of others.

Ruled out: one virtual clock for all levels (a level that waits long holds the clock back, and a tenant that was away would be served alone until it had caught up); turns by the number of requests (one with work four times as long has four times the room).

Change: start-time fair queueing within a level, by the time that slots are held: charged with the expected work when a slot is given, corrected when it is free. The clock is one a priority: first tries and those that come back, within the share or above, count together. Within a tenant's turn the shorter, then the newest. Refused is who would have had the most if all its requests were served. Requests without a tenant are each a tenant of its own; without tenants there is one flow, and the order is the one before (compared with it over 4,000 random arrivals). Tenants are told apart where requests compete for room alone. The tenants that held slots the longest are metrics.

--- a/internal/sidecar/admission/admission.go
+++ b/internal/sidecar/admission/admission.go
@@ -1,6 +1,6 @@
 // Package admission bounds what a back end works on at once and orders what
-// waits for it: the more urgent first, then the shorter, then the newest. It
-// knows how long requests take and refuses early what would wait too long.
+// waits for it: the more urgent first, then that of the tenant which has had the least, then the shorter,
+// then the newest. It knows how long requests take and refuses early what would wait too long.
 package admission
 
 import (
@@ -30,6 +30,8 @@
 	Returning bool
 	// Nested and OverShare are as in precedence.Precedence.
 	Nested, OverShare bool
+	// Tenant is whose request it is; empty where nobody is told apart.
+	Tenant string
 	// Work is how long the back end is expected to work on the request. Of equal
 	// urgency the much shorter go first: more of them are served, and calls that
 	// back ends make while they work are short.
@@ -94,6 +96,7 @@
 // Slot is a held slot.
 type Slot struct {
 	gate    *Gate
+	entry   *waiter
 	started time.Time
 }
 
@@ -108,7 +111,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Slot{gate: g, started: g.now()}, nil
+	return &Slot{gate: g, entry: entry, started: g.now()}, nil
 }
 
 // wait returns once the entry has a slot, or why it has none.
@@ -141,11 +144,12 @@
 	now := g.now()
 	g.reserve.note(ticket.Priority, now)
 	entry := &waiter{ticket: ticket, work: g.workOf(ticket), result: make(chan error, 1), entered: now}
+	entry.standing = g.waiting.shares.join(ticket, now)
 	if g.running < g.open(ticket) && !g.yields(entry) {
 		g.start(entry)
 		return entry, nil
 	}
-	entry.predicted = g.expectedWait(g.waiting.workBefore(rankOf(ticket)), ticket)
+	entry.predicted = g.expectedWait(g.waiting.workBefore(entry), ticket)
 	if entry.predicted > ticket.MaximumWait {
 		g.reserve.began(ticket.Priority, true, g.slots, now)
 		return nil, ErrTooLong
@@ -167,13 +171,19 @@
 // yields reports whether a request that waits comes before the new entry.
 func (g *Gate) yields(entry *waiter) bool {
 	next := g.waiting.next()
-	return next != nil && next.group.rank.compare(rankOf(entry.ticket)) < 0
+	return next != nil && g.waiting.before(next, entry)
 }
 
 // start gives the entry a slot.
 func (g *Gate) start(entry *waiter) {
 	g.reserve.began(entry.ticket.Priority, false, g.slots, g.now())
 	g.running++
+	beside := 0
+	if g.waiting.holds(entry) {
+		beside = entry.group.flow.length
+		g.waiting.remove(entry)
+	}
+	entry.standing.begin(entry, beside)
 	entry.result <- nil
 }
 
@@ -240,6 +250,7 @@
 		return err
 	}
 	g.running--
+	entry.standing.end(entry, 0, g.now())
 	g.grant()
 	return cause
 }
@@ -251,8 +262,11 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.running--
+	now := g.now()
+	held := now.Sub(s.started)
+	s.entry.standing.end(s.entry, held, now)
 	if served {
-		g.service += (g.now().Sub(s.started) - g.service) / smoothing
+		g.service += (held - g.service) / smoothing
 	}
 	g.grant()
 }
@@ -264,7 +278,6 @@
 		if g.running >= g.open(next.ticket) {
 			return
 		}
-		g.waiting.remove(next)
 		g.learn(next)
 		g.start(next)
 	}
--- /dev/null
+++ b/internal/sidecar/admission/flow_test.go
@@ -0,0 +1,248 @@
+package admission
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// manual is a clock that is set by hand.
+type manual struct{ at time.Time }
+
+func (m *manual) now() time.Time { return m.at }
+
+// await returns the ticket of whoever got the slot that was freed.
+func await(waiting []*waiter) (got *waiter, left []*waiter) {
+	for i, entry := range waiting {
+		select {
+		case err := <-entry.result:
+			if err == nil {
+				return entry, slices.Delete(waiting, i, i+1)
+			}
+		default:
+		}
+	}
+	return nil, waiting
+}
+
+// TestWithoutTenantsTheOrderIsByLevelMagnitudeAndAge: without tenants there are no turns, whatever
+// comes and goes meanwhile.
+func TestWithoutTenantsTheOrderIsByLevelMagnitudeAndAge(t *testing.T) {
+	g := NewWithT(t)
+	random := rand.New(rand.NewPCG(1, 0))
+	clock := &manual{at: time.Unix(1, 0)}
+	gate := New(clock.now)
+	gate.Resize(1)
+	running, err := gate.enter(Ticket{MaximumWait: time.Hour})
+	g.Expect(err).NotTo(HaveOccurred())
+	var waiting []*waiter
+	for step := range 4000 {
+		clock.at = clock.at.Add(time.Duration(random.IntN(20)) * time.Millisecond)
+		if step < 200 || random.IntN(2) == 0 {
+			entry, err := gate.enter(Ticket{
+				Priority: random.IntN(3), Nested: random.IntN(8) == 0, OverShare: random.IntN(4) == 0, Returning: random.IntN(3) == 0,
+				Work: time.Duration(random.IntN(300)) * time.Millisecond, MaximumWait: 10 * time.Hour,
+			})
+			g.Expect(err).NotTo(HaveOccurred())
+			waiting = append(waiting, entry)
+		}
+		if step < 200 || len(waiting) == 0 {
+			continue
+		}
+		// The newest first: of equal ones that which joined last.
+		wanted := waiting[0]
+		for _, other := range waiting[1:] {
+			if cmp.Or(cmp.Compare(other.ticket.precedence().Level(), wanted.ticket.precedence().Level()),
+				cmp.Compare(magnitude(other.ticket.Work), magnitude(wanted.ticket.Work))) <= 0 {
+				wanted = other
+			}
+		}
+		(&Slot{gate: gate, entry: running, started: clock.at}).Release(true)
+		running, waiting = await(waiting)
+		g.Expect(running).To(BeIdenticalTo(wanted), "step %d", step)
+	}
+}
+
+// TestTurnsGoByTimeNotByNumber: of two tenants that always wait, one with work four times as long,
+// each holds slots for the same time.
+func TestTurnsGoByTimeNotByNumber(t *testing.T) {
+	g := NewWithT(t)
+	held := compete(t, map[string]demand{
+		"long":  {every: 20 * time.Millisecond, work: 200 * time.Millisecond},
+		"short": {every: 5 * time.Millisecond, work: 50 * time.Millisecond},
+	}, 4, 20*time.Second)
+	g.Expect(held["short"].Seconds() / held["long"].Seconds()).To(BeNumerically("~", 1, 0.05))
+}
+
+// TestRoomThatOneDoesNotUseIsThereForTheOthers: a small tenant has all that it asks for, two that
+// ask for more than their shares have equal parts of the rest.
+func TestRoomThatOneDoesNotUseIsThereForTheOthers(t *testing.T) {
+	g := NewWithT(t)
+	const work = 100 * time.Millisecond
+	held := compete(t, map[string]demand{
+		"small":  {every: 250 * time.Millisecond, work: work},
+		"large":  {every: 20 * time.Millisecond, work: work},
+		"larger": {every: 4 * time.Millisecond, work: work},
+	}, 4, 20*time.Second)
+	g.Expect(held["small"].Seconds()).To(BeNumerically("~", 20*0.4, 0.4))
+	g.Expect(held["larger"].Seconds() / held["large"].Seconds()).To(BeNumerically("~", 1, 0.05))
+}
+
+// TestWhoWasAwayGainsNoCredit: a tenant that comes after ten seconds has its share from then on,
+// and not what it did not ask for before.
+func TestWhoWasAwayGainsNoCredit(t *testing.T) {
+	g := NewWithT(t)
+	const work = 100 * time.Millisecond
+	held := compete(t, map[string]demand{
+		"there": {every: 10 * time.Millisecond, work: work},
+		"away":  {every: 10 * time.Millisecond, work: work, from: 10 * time.Second},
+	}, 4, 12*time.Second)
+	g.Expect(held["away"].Seconds()).To(BeNumerically("~", 2*4/2, 0.5))
+}
+
+// TestRequestsWithoutATenantAreNotOneTenant: four requests without a tenant that wait beside one of a
+// tenant have four parts of five.
+func TestRequestsWithoutATenantAreNotOneTenant(t *testing.T) {
+	g := NewWithT(t)
+	clock := &manual{at: time.Unix(1, 0)}
+	gate := New(clock.now)
+	gate.Resize(1)
+	running, _ := gate.enter(Ticket{MaximumWait: time.Hour})
+	var waiting []*waiter
+	join := func(tenant string, count int) {
+		for range count {
+			entry, err := gate.enter(Ticket{Tenant: tenant, Work: 100 * time.Millisecond, MaximumWait: time.Hour})
+			g.Expect(err).NotTo(HaveOccurred())
+			waiting = append(waiting, entry)
+		}
+	}
+	join("", 4)
+	join("named", 4)
+	served := map[string]int{}
+	for range 100 {
+		clock.at = clock.at.Add(100 * time.Millisecond)
+		(&Slot{gate: gate, entry: running, started: clock.at.Add(-100 * time.Millisecond)}).Release(true)
+		running, waiting = await(waiting)
+		served[running.ticket.Tenant]++
+		join(running.ticket.Tenant, 1)
+	}
+	g.Expect(served[""]).To(BeNumerically("~", 80, 2))
+}
+
+// TestRefusedIsWhoHasAskedForTheMost: not who came last.
+func TestRefusedIsWhoHasAskedForTheMost(t *testing.T) {
+	g := NewWithT(t)
+	clock := &manual{at: time.Unix(1, 0)}
+	gate := New(clock.now)
+	gate.Resize(1)
+	_, _ = gate.enter(Ticket{MaximumWait: time.Hour})
+	var flood []*waiter
+	for range 4 {
+		entry, err := gate.enter(Ticket{Tenant: "flood", Work: 100 * time.Millisecond, MaximumWait: 440 * time.Millisecond})
+		g.Expect(err).NotTo(HaveOccurred())
+		flood = append(flood, entry)
+	}
+	small, err := gate.enter(Ticket{Tenant: "small", Work: 100 * time.Millisecond, MaximumWait: 440 * time.Millisecond})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(gate.waiting.holds(small)).To(BeTrue())
+	g.Expect(flood[0].result).To(Receive(MatchError(ErrDisplaced)), "the oldest of the tenant with the most")
+	g.Expect(gate.waiting.holds(flood[3])).To(BeTrue())
+}
+
+// TestTenantsThatComeAndGoAreForgotten: memory stays bounded.
+func TestTenantsThatComeAndGoAreForgotten(t *testing.T) {
+	g := NewWithT(t)
+	clock := &manual{at: time.Unix(1, 0)}
+	gate := New(clock.now)
+	gate.Resize(2)
+	for number := range 100_000 {
+		entry, err := gate.enter(Ticket{Tenant: fmt.Sprint(number), Work: time.Millisecond, MaximumWait: time.Second})
+		g.Expect(err).NotTo(HaveOccurred())
+		clock.at = clock.at.Add(time.Millisecond)
+		(&Slot{gate: gate, entry: entry, started: clock.at.Add(-time.Millisecond)}).Release(true)
+	}
+	g.Expect(len(gate.waiting.shares.classes[0].tenants)).To(BeNumerically("<=", mostTenants))
+	top, others := gate.Usage(3)
+	g.Expect(top).To(HaveLen(3))
+	g.Expect(others).To(Equal(99_997*time.Millisecond), "what the forgotten ones had is counted")
+}
+
+// demand is how often a tenant's requests come, and how long they take.
+type demand struct {
+	every, work, from time.Duration
+}
+
+// compete plays tenants at one back end and returns for how long each held slots.
+func compete(t *testing.T, tenants map[string]demand, slots int, last time.Duration) map[string]time.Duration {
+	held := map[string]time.Duration{}
+	synctest.Test(t, func(t *testing.T) {
+		gate := New(time.Now)
+		gate.Resize(slots)
+		end := time.Now().Add(last)
+		results := make(chan string, 1<<16)
+		for name, asks := range tenants {
+			go func() {
+				time.Sleep(asks.from)
+				for time.Now().Before(end) {
+					go func() {
+						slot, err := gate.Acquire(context.Background(), Ticket{Tenant: name, Work: asks.work, MaximumWait: 500 * time.Millisecond})
+						if err != nil {
+							return
+						}
+						time.Sleep(asks.work)
+						slot.Release(true)
+						results <- name
+					}()
+					time.Sleep(asks.every)
+				}
+			}()
+		}
+		time.Sleep(last)
+		synctest.Wait()
+		for range len(results) {
+			name := <-results
+			held[name] += tenants[name].work
+		}
+		time.Sleep(5 * time.Second) // lets the last ones end
+	})
+	return held
+}
+
+// BenchmarkTurn: a request of one of 2,000 tenants that wait joins the queue, and the next one gets the slot.
+func BenchmarkTurn(b *testing.B) {
+	for _, tenants := range []int{0, 77, 2000} {
+		b.Run(fmt.Sprint(tenants), func(b *testing.B) {
+			clock := &manual{at: time.Unix(1, 0)}
+			gate := New(clock.now)
+			names := make([]string, max(tenants, 1))
+			for i := range tenants {
+				names[i] = fmt.Sprintf("tenant-%d", i)
+			}
+			waiting := make([]*waiter, 2000)
+			for i := range waiting {
+				ticket := Ticket{Tenant: names[i%len(names)], Work: 100 * time.Millisecond}
+				waiting[i] = &waiter{ticket: ticket, work: ticket.Work, standing: gate.waiting.shares.join(ticket, clock.at)}
+				gate.waiting.add(waiting[i])
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				next := gate.waiting.next()
+				beside := next.group.flow.length
+				gate.waiting.remove(next)
+				next.standing.begin(next, beside)
+				next.standing.end(next, 90*time.Millisecond, clock.at)
+				next.standing = gate.waiting.shares.join(next.ticket, clock.at)
+				gate.waiting.workBefore(next)
+				gate.waiting.add(next)
+				gate.waiting.last()
+			}
+		})
+	}
+}
--- a/internal/sidecar/admission/queue.go
+++ b/internal/sidecar/admission/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"container/list"
 	"math/bits"
 	"slices"
@@ -15,69 +16,91 @@
 	// entered is when it joined the queue, predicted the wait expected then.
 	entered   time.Time
 	predicted time.Duration
-	// work is how long it is expected to hold a slot.
-	work time.Duration
+	// work is how long it is expected to hold a slot, charged what its tenant was charged for it.
+	work, charged time.Duration
+	// standing is that of its tenant.
+	standing *standing
 	// group is the one that it waits in, place its place there; nil while it does
 	// not wait.
 	group *group
 	place *list.Element
 }
 
-// rank orders requests of different kinds.
-type rank struct {
-	// level is that of the precedence.
-	level     int
-	magnitude int
-}
-
-// rankOf orders by precedence, then by the order of magnitude of the work.
-func rankOf(ticket Ticket) rank {
-	return rank{level: ticket.precedence().Level(), magnitude: magnitude(ticket.Work)}
-}
-
 // magnitude is the number of binary digits of the work in milliseconds.
 func magnitude(work time.Duration) int { return bits.Len64(uint64(max(work, 0) / time.Millisecond)) }
 
-func (r rank) compare(other rank) int {
-	return cmp.Or(cmp.Compare(r.level, other.level), cmp.Compare(r.magnitude, other.magnitude))
-}
-
-// group holds the waiting requests of one rank.
+// group holds the waiting requests of one flow whose work is of one order of magnitude.
 type group struct {
-	rank rank
+	flow      *flow
+	magnitude int
 	// waiters are *waiter, the newest in front.
-	waiters *list.List
+	waiters list.List
 	// work is the sum over the waiters.
 	work time.Duration
 }
 
-// queue holds the waiting requests: by rank, and within one the newest first. A
+// queue holds the waiting requests: by the level of their precedence, within one by whose turn it
+// is (see flow), within that by the order of magnitude of the work, and then the newest first. A
 // back end that is behind and takes the oldest first serves everyone at the last
 // moment, and late as soon as anything takes longer than expected; so it goes on
 // after the cause of the backlog has passed. Taking the newest first it serves
-// most at once and refuses the rest. Each operation takes time in proportion to
-// the number of ranks, which is small, and not to that of the requests.
+// most at once and refuses the rest. Without tenants there is one flow a level. Each operation takes
+// time in proportion to the number of levels and magnitudes, which is small, and to the logarithm of that of
+// the tenants that wait.
 type queue struct {
-	// groups are ordered by rank; none is empty.
-	groups []*group
+	// levels are ordered; none is empty.
+	levels []*level
 	length int
+	shares shares
+	// flows and groups are kept for use again.
+	flows  spare[flow]
+	groups spare[group]
+}
+
+// spare holds values for use again. With tenants flows come and go with nearly every request.
+type spare[T any] struct{ held []*T }
+
+// mostSpare bounds the values that are kept.
+const mostSpare = 256
+
+func (s *spare[T]) get() *T {
+	last := len(s.held) - 1
+	if last < 0 {
+		return new(T)
+	}
+	taken := s.held[last]
+	s.held = s.held[:last]
+	return taken
 }
 
-// find returns the index of the rank's group, or where it belongs.
-func (q *queue) find(wanted rank) (int, bool) {
-	return slices.BinarySearchFunc(q.groups, wanted, func(held *group, wanted rank) int { return held.rank.compare(wanted) })
+func (s *spare[T]) put(unused *T) {
+	if len(s.held) < mostSpare {
+		s.held = append(s.held, unused)
+	}
+}
+
+// find returns the index of the level, or where it belongs.
+func (q *queue) find(number int) (int, bool) {
+	return slices.BinarySearchFunc(q.levels, number, func(held *level, wanted int) int { return cmp.Compare(held.number, wanted) })
 }
 
 // add puts a request into the queue.
 func (q *queue) add(entry *waiter) {
-	wanted := rankOf(entry.ticket)
-	index, found := q.find(wanted)
-	if !found {
-		q.groups = slices.Insert(q.groups, index, &group{rank: wanted, waiters: list.New()})
+	number := entry.ticket.precedence().Level()
+	waitsIn := entry.standing.flow(number)
+	known := waitsIn != nil
+	if !known {
+		waitsIn = q.newFlow(entry.standing, number)
 	}
-	entry.group = q.groups[index]
+	entry.group = waitsIn.groupOf(entry.ticket, &q.groups)
 	entry.place = entry.group.waiters.PushFront(entry)
-	entry.group.work += entry.work
+	waitsIn.changed(entry.group, entry.work, 1)
+	if known {
+		heap.Fix(&waitsIn.level.excess, waitsIn.excess)
+	} else {
+		waitsIn.level.add(waitsIn)
+	}
+	entry.standing.waiting++
 	q.length++
 }
 
@@ -87,13 +110,45 @@
 // remove takes a request out of the queue, in which it is.
 func (q *queue) remove(entry *waiter) {
 	left := entry.group
+	waitedIn := left.flow
 	left.waiters.Remove(entry.place)
-	left.work -= entry.work
+	waitedIn.changed(left, -entry.work, -1)
 	entry.group, entry.place = nil, nil
+	entry.standing.waiting--
 	q.length--
 	if left.waiters.Len() == 0 {
-		index, _ := q.find(left.rank)
-		q.groups = slices.Delete(q.groups, index, index+1)
+		waitedIn.drop(left, &q.groups)
+	}
+	if waitedIn.length > 0 {
+		heap.Fix(&waitedIn.level.excess, waitedIn.excess)
+		return
+	}
+	q.retire(waitedIn)
+}
+
+// newFlow returns an empty flow of the tenant, which is not yet in the level's heaps.
+func (q *queue) newFlow(of *standing, number int) *flow {
+	index, found := q.find(number)
+	if !found {
+		q.levels = slices.Insert(q.levels, index, &level{number: number})
+	}
+	created := q.flows.get()
+	created.standing, created.level = of, q.levels[index]
+	of.flows = append(of.flows, created)
+	return created
+}
+
+// retire takes an empty flow out of its level, and the level out when it is empty.
+func (q *queue) retire(empty *flow) {
+	emptied, of := empty.level, empty.standing
+	emptied.remove(empty)
+	index := slices.Index(of.flows, empty)
+	of.flows = slices.Delete(of.flows, index, index+1)
+	empty.standing, empty.level = nil, nil
+	q.flows.put(empty)
+	if len(emptied.turns) == 0 {
+		index, _ := q.find(emptied.number)
+		q.levels = slices.Delete(q.levels, index, index+1)
 	}
 }
 
@@ -103,25 +158,41 @@
 	if q.length == 0 {
 		return nil
 	}
-	return q.groups[0].waiters.Front().Value.(*waiter)
+	return q.levels[0].turns[0].first()
 }
 
 func (q *queue) last() *waiter {
 	if q.length == 0 {
 		return nil
 	}
-	return q.groups[len(q.groups)-1].waiters.Back().Value.(*waiter)
+	return q.levels[len(q.levels)-1].excess[0].last()
 }
 
-// workBefore returns the work of the requests that are served before a new one
-// of that rank.
-func (q *queue) workBefore(wanted rank) time.Duration {
+// before reports whether a waiting request is served before a new one.
+func (q *queue) before(waiting, entry *waiter) bool {
+	order := cmp.Compare(waiting.group.flow.level.number, entry.ticket.precedence().Level())
+	switch {
+	case order != 0:
+		return order < 0
+	case waiting.standing != entry.standing:
+		return waiting.standing.had < entry.standing.had
+	}
+	return waiting.group.magnitude < magnitude(entry.ticket.Work)
+}
+
+// workBefore returns the work of the requests that are served before a new one.
+func (q *queue) workBefore(entry *waiter) time.Duration {
+	wanted := entry.ticket.precedence().Level()
 	total := time.Duration(0)
-	for _, held := range q.groups {
-		if held.rank.compare(wanted) >= 0 {
-			break
+	for _, held := range q.levels {
+		switch {
+		case held.number > wanted:
+			return total
+		case held.number < wanted:
+			total += held.work
+		default:
+			total += held.workBefore(entry)
 		}
-		total += held.work
 	}
 	return total
 }
@@ -129,7 +200,7 @@
 // work returns the work of all requests.
 func (q *queue) work() time.Duration {
 	total := time.Duration(0)
-	for _, held := range q.groups {
+	for _, held := range q.levels {
 		total += held.work
 	}
 	return total
--- /dev/null
+++ b/internal/sidecar/admission/usage.go
@@ -0,0 +1,41 @@
+package admission
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Usage is for how long a tenant's requests have held slots.
+type Usage struct {
+	Tenant string
+	Held   time.Duration
+}
+
+// Usage returns that of the tenants with the most, and what all others add up to, those included
+// that were forgotten meanwhile. Requests without a tenant are left out.
+func (g *Gate) Usage(most int) (top []Usage, others time.Duration) {
+	g.mutex.Lock()
+	all, others := g.waiting.shares.usage()
+	g.mutex.Unlock()
+	slices.SortFunc(all, func(a, b Usage) int { return cmp.Or(cmp.Compare(b.Held, a.Held), cmp.Compare(a.Tenant, b.Tenant)) })
+	for _, rest := range all[min(most, len(all)):] {
+		others += rest.Held
+	}
+	return all[:min(most, len(all))], others
+}
+
+// usage returns that of all tenants, each added up over the classes, and that of those who were forgotten.
+func (s *shares) usage() (all []Usage, forgotten time.Duration) {
+	held := map[string]time.Duration{}
+	for _, competes := range s.classes {
+		forgotten += competes.forgotten
+		for tenant, standing := range competes.tenants {
+			held[tenant] += standing.held
+		}
+	}
+	for tenant, time := range held {
+		all = append(all, Usage{Tenant: tenant, Held: time})
+	}
+	return all, forgotten
+}
--- a/internal/sidecar/ingress/arrival.go
+++ b/internal/sidecar/ingress/arrival.go
@@ -214,6 +214,7 @@
 		Returning:   a.told.Returning,
 		Nested:      a.told.Nested,
 		OverShare:   a.told.OverShare,
+		Tenant:      a.tenant(),
 		Work:        a.told.Expected,
 		MaximumWait: a.told.MaximumWait,
 	})
@@ -228,6 +229,15 @@
 	return slot, nil
 }
 
+// tenant names whose request it is, by the header that nodes alone set; empty without a tenant, and
+// where tenants have no shares.
+func (a *arrival) tenant() string {
+	if contended := a.handler.options.Contended; contended == nil || !contended() {
+		return ""
+	}
+	return a.request.Header.Get(a.handler.options.Vocabulary.Tenant)
+}
+
 // retryAfter is the time in which the queue is expected to be worked off.
 func (a *arrival) retryAfter() time.Duration {
 	load := a.handler.gate.Load()
@@ -283,7 +293,7 @@
 		zap.String("outcome", string(failure.Outcome)),
 		zap.String("step", string(failure.Step)),
 		zap.String("peer", a.request.RemoteAddr),
-		zap.String("service", a.told.Service),
+		zap.String("service", a.told.Service), zap.String("tenant", a.tenant()),
 		zap.Int("running", load.Running), zap.Int("waiting", load.Waiting), zap.Int("slots", load.Slots),
 		zap.Duration("waited", a.waited), zap.Duration("elapsed", elapsed),
 		zap.NamedError("cause", failure.Cause),
--- a/internal/sidecar/ingress/handler.go
+++ b/internal/sidecar/ingress/handler.go
@@ -55,6 +55,9 @@
 	// it in.
 	DecodeLoad func(header string) (hop.BackendLoad, error)
 	Told       func(hop.BackendLoad)
+	// Contended reports whether requests compete for room, so that tenants have their shares of it;
+	// nil for never.
+	Contended func() bool
 	// LinkMbps is the speed of the machine's link in Mbit/s; zero when unknown.
 	LinkMbps int
 	// Dial opens connections to the back end.
@@ -208,6 +211,12 @@
 // Load returns the state of the back end's slots.
 func (h *Handler) Load() admission.Load { return h.gate.Load() }
 
+// Usage returns which tenants have held the back end's slots for the longest time, and for how long
+// all others have.
+func (h *Handler) Usage(most int) (top []admission.Usage, others time.Duration) {
+	return h.gate.Usage(most)
+}
+
 // CloseIdle closes idle connections to the back end: it may have closed them itself while
 // the machine was suspended.
 func (h *Handler) CloseIdle() { h.pool.CloseIdle() }
--- a/internal/sidecar/ingress/handler_test.go
+++ b/internal/sidecar/ingress/handler_test.go
@@ -25,7 +25,7 @@
 
 var vocabulary = hop.Vocabulary{
 	RequestID: "Request-Id", Deadline: "Deadline", TargetInstance: "Target", InstanceID: "Instance",
-	CallerService: "Caller", NotProcessed: "Not-Processed", Signature: "Signature",
+	CallerService: "Caller", NotProcessed: "Not-Processed", Signature: "Signature", Tenant: "Tenant",
 }
 
 type silentObserver struct{}
@@ -45,12 +45,18 @@
 	emptied atomic.Bool
 }
 
-func play(t *testing.T) *played {
+// play returns a handler whose requests compete for room when the function, if there is one, says so.
+func play(t *testing.T, contended ...func() bool) *played {
 	made := &played{}
 	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { (*made.answer.Load())(w, r) }))
 	t.Cleanup(backend.Close)
 	endpoint := &roster.Endpoint{ID: "i-1", Service: "one", Slots: 4, State: roster.Ready}
+	var contends func() bool
+	if len(contended) > 0 {
+		contends = contended[0]
+	}
 	made.handler = ingress.New(ingress.Options{
+		Contended:  contends,
 		Vocabulary: vocabulary, Address: backend.Listener.Addr().String(),
 		Endpoint:   func() *roster.Endpoint { return endpoint },
 		Identified: func(string) {}, Version: func() uint64 { return 1 },
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -187,6 +187,7 @@
 	})
 	gauge("kestrel_sidecar_members", "Nodes in the roster.", func() float64 { return float64(s.members.View().Count()) })
 	gauge("kestrel_sidecar_running", "Requests at the local back end.", func() float64 { return float64(s.ingress.Load().Running) })
+	registry.MustRegister(newTenantTimes(s.ingress.Usage))
 	gauge("kestrel_sidecar_waiting", "Requests that wait for a slot.", func() float64 { return float64(s.ingress.Load().Waiting) })
 	gauge("kestrel_sidecar_calls_in_flight", "Calls under way.", func() float64 { return float64(s.egress.InFlight()) })
 	gauge("kestrel_sidecar_retry_budget", "Least repeats left of all services.", s.leastBudget)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -197,6 +197,7 @@
 		Work:       s.work,
 		DecodeLoad: s.options.DecodeLoad,
 		Told:       s.loadTold,
+		Contended:  s.contention.On,
 		Judge:      &judge{sidecar: s},
 		Quarantine: &guard{Quarantine: s.quarantine, sidecar: s},
 		Endpoint:   func() *roster.Endpoint { return s.members.Own().Endpoint },
