Requests above their tenant's share of a service are marked

Cause: a queue shares its own back end. What callers' nodes will refuse before they send needs to know at the node of the caller which requests are above the share.

Told with replies they need no message, age with the replies, and do not grow with nodes times tenants.

Change: package shares. A meter beside each back end counts what tenants offer (requests that are not marked tell for how many they stand) and what gets slots, and tells the max-min share and the tenant's demand with replies while there is too little room. Callers' nodes mark what is beyond twice the share, drawn once a request, and forget after 2 s without a reply. Nested calls and requests without a tenant are left out. On where requests compete for room alone.

--- a/internal/sidecar/egress/attempt.go
+++ b/internal/sidecar/egress/attempt.go
@@ -168,6 +168,7 @@
 		return
 	}
 	a.target.learn(reply, a.record, now)
+	a.call.hearShare(response.Header)
 	a.worked, a.version = reply.Worked, reply.Version
 	a.room = reply.Running+reply.Waiting < reply.Slots
 	if reply.Worked > 0 && response.StatusCode < http.StatusMultipleChoices && !a.compared {
--- a/internal/sidecar/egress/call.go
+++ b/internal/sidecar/egress/call.go
@@ -78,6 +78,9 @@
 	returning bool
 	// nested: the back end beside the node makes the call while it works on another one.
 	nested bool
+	// part is which part of the tenant's requests is within its share, overShare: this one is not.
+	part      float64
+	overShare bool
 	// rejectedWithRoom: the last send was rejected by a back end that had slots free.
 	rejectedWithRoom bool
 	// mayHaveRun: a send ended with an unknown outcome.
@@ -193,6 +196,7 @@
 	if failure := c.spend(); failure != nil {
 		return failure
 	}
+	c.drawShare()
 	c.results, c.over = make(chan *attempt), make(chan struct{})
 	defer close(c.over)
 	c.handler.budget(c.service).first(c.handler.options.Retries(), c.members(), clock.Now())
--- a/internal/sidecar/egress/calllog.go
+++ b/internal/sidecar/egress/calllog.go
@@ -51,7 +51,7 @@
 		zap.String("caller", c.request.RemoteAddr),
 		zap.String("route", name), zap.Int("priority", priority), zap.String("tenant", c.tenantName()),
 		zap.Uint64("version", c.table.Version()), zap.Duration("versionAge", options.TableAge()),
-		zap.Bool("returning", c.returning), zap.Bool("nested", c.nested), zap.Int("status", c.status),
+		zap.Bool("returning", c.returning), zap.Bool("nested", c.nested), zap.Bool("overShare", c.overShare), zap.Int("status", c.status),
 		zap.Array("visits", c.visits), zap.Duration("elapsed", elapsed),
 	}
 	if !c.deadline.IsZero() {
--- a/internal/sidecar/egress/handler.go
+++ b/internal/sidecar/egress/handler.go
@@ -23,6 +23,7 @@
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/route"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/shares"
 )
 
 // Options configure the handler.
@@ -57,6 +58,9 @@
 	// Nested tells which requests are calls of what the back end beside the node works on; nil
 	// where nobody asks.
 	Nested Nested
+	// Contended reports whether requests compete for room, so that tenants have their shares of it; nil
+	// for never.
+	Contended func() bool
 	// Weights price the choice of back ends.
 	Weights choice.Weights
 	// Dial opens connections to other nodes.
@@ -140,6 +144,9 @@
 	// work and patiences hold what is learned by route name.
 	work, patiences sync.Map
 
+	// heard is what replies told of tenants' shares.
+	heard shares.Heard
+
 	// baselines hold what the answers of versions in use are like, by service, while another
 	// version is compared with them.
 	baselines sync.Map
--- a/internal/sidecar/egress/level.go
+++ b/internal/sidecar/egress/level.go
@@ -82,6 +82,7 @@
 		return false, failure
 	}
 	c.service = c.route.NextService()
+	c.drawShare()
 	c.handler.budget(c.service).first(c.handler.options.Retries(), c.members(), clock.Now())
 	return true, nil
 }
--- /dev/null
+++ b/internal/sidecar/egress/share_test.go
@@ -0,0 +1,59 @@
+package egress
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/route"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/shares"
+)
+
+// TestRequestsAboveTheShareAreMarked: where requests compete for room, a tenant's requests beyond its share
+// are; the others tell for how many they stand. Those of another tenant are not, nor any elsewhere.
+func TestRequestsAboveTheShareAreMarked(t *testing.T) {
+	cases := []struct {
+		name, key   string
+		contended   bool
+		least, most int // marked of 100
+	}{
+		{"above", "k", true, 50, 95},
+		{"another tenant", "of-another", true, 0, 0},
+		{"where requests do not compete", "k", false, 0, 0},
+	}
+	for _, played := range cases {
+		t.Run(played.name, func(t *testing.T) {
+			g := NewWithT(t)
+			at := newArriving(t)
+			handler := keyedHandler(t, &lagging{table: keyed(t, 1, route.Tenant{Name: "acme", Keys: []route.Key{"k"}}), may: true}, at)
+			handler.options.Contended = func() bool { return played.contended }
+			of := shares.Subject{Service: "s", Tenant: "acme", Priority: 5}
+			marked, told := 0, 0
+			for range 100 {
+				for range 50 { // the node that is played tells nothing itself
+					handler.heard.Take(of, shares.Standing{Share: time.Second, Demand: 10 * time.Second}, clock.Now())
+				}
+				answer := request(t, handler, "/closed/", http.Header{"Deadline-Ms": {"3000"}, keyHeader: {played.key}})
+				g.Expect(answer.Code).To(Equal(http.StatusOK))
+			}
+			for i, arrived := range at.hops {
+				if arrived.OverShare {
+					marked++
+				}
+				if at.headers[i].Get(hop.HeaderShare) != "" {
+					told++
+				}
+			}
+			g.Expect(marked).To(And(BeNumerically(">=", played.least), BeNumerically("<=", played.most)))
+			if played.least > 0 {
+				g.Expect(told).To(Equal(100 - marked))
+			} else {
+				g.Expect(told).To(BeZero())
+			}
+		})
+	}
+}
--- a/internal/sidecar/egress/visit.go
+++ b/internal/sidecar/egress/visit.go
@@ -19,7 +19,7 @@
 
 const (
 	// markerCount is how many headers the node adds at most.
-	markerCount = 4
+	markerCount = 5
 	// refusalsPerCall bounds how many nodes may refuse one request. A refusal
 	// costs no back end anything. The first sends are brief; with three sends in all the
 	// last one alone waits for its whole time, and 0.862 of the worth was served in place of
@@ -243,10 +243,12 @@
 		Returning: request.Returning && !request.Hurried(),
 		Suspect:   c.crashes > 0,
 		Nested:    c.nested,
+		OverShare: c.overShare,
 		Usual:     c.handler.usualOf(c.service, c.route.Name, a.record),
 	}
 	header[hop.HeaderHop] = []string{told.Format()}
 	header[hop.HeaderVersion] = []string{strconv.FormatUint(c.table.Version(), 10)}
+	c.tellPart(header)
 	outgoing := forward.NewRequest(a.traced(), c.request, a.record.Address, header, a.interim)
 	forward.KeepTarget(outgoing, c.request)
 	c.body.Attach(outgoing)
--- a/internal/sidecar/hop/hop.go
+++ b/internal/sidecar/hop/hop.go
@@ -18,6 +18,9 @@
 	// HeaderVersion carries the version of the configuration by which a request was routed.
 	// Nodes of the version before do not tell it, and leave it aside.
 	HeaderVersion = "Kestrel-Version"
+	// HeaderShare carries a shares.Standing with a reply, and with a request the part of its tenant's
+	// requests for which it stands. Where requests do not compete for room there is none.
+	HeaderShare = "Kestrel-Share"
 )
 
 // LargeBody is from what length on, in bytes, a body is received by the arriving node
--- a/internal/sidecar/ingress/arrival.go
+++ b/internal/sidecar/ingress/arrival.go
@@ -209,6 +209,7 @@
 
 // admit waits for a slot of the back end.
 func (a *arrival) admit() (*admission.Slot, *outcome.Failure) {
+	a.offered()
 	slot, err := a.handler.gate.Acquire(a.context, admission.Ticket{
 		Priority:    a.told.Priority,
 		Returning:   a.told.Returning,
@@ -226,18 +227,10 @@
 		slot.Release(false)
 		return nil, outcome.Refusal(http.StatusServiceUnavailable, outcome.StepDrain, refusedWait, errLeaving)
 	}
+	a.admitted()
 	return slot, nil
 }
 
-// tenant names whose request it is, by the header that nodes alone set; empty without a tenant, and
-// where tenants have no shares.
-func (a *arrival) tenant() string {
-	if contended := a.handler.options.Contended; contended == nil || !contended() {
-		return ""
-	}
-	return a.request.Header.Get(a.handler.options.Vocabulary.Tenant)
-}
-
 // retryAfter is the time in which the queue is expected to be worked off.
 func (a *arrival) retryAfter() time.Duration {
 	load := a.handler.gate.Load()
@@ -269,6 +262,7 @@
 	}
 	header := a.writer.Header()
 	header[hop.HeaderReply] = []string{reply.Format()}
+	a.tellShare(header)
 	if _, set := header["Date"]; !set {
 		// Without a value the library adds none of its own.
 		header["Date"] = nil
--- a/internal/sidecar/ingress/handler.go
+++ b/internal/sidecar/ingress/handler.go
@@ -21,6 +21,7 @@
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/nested"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/shares"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/warmup"
 )
 
@@ -120,6 +121,8 @@
 	options Options
 	pool    *forward.Pool
 	gate    *admission.Gate
+	// meter works out the tenants' shares.
+	meter shares.Meter
 	// transfers bounds the large bodies on the link.
 	transfers *transfers
 	// leaving is since when the back end is known to be leaving; nil while it is not.
--- /dev/null
+++ b/internal/sidecar/ingress/share.go
@@ -0,0 +1,53 @@
+package ingress
+
+import (
+	"net/http"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/shares"
+)
+
+// tenant names whose request it is, by the header that nodes alone set; empty without a tenant, and
+// where tenants have no shares.
+func (a *arrival) tenant() string {
+	if contended := a.handler.options.Contended; contended == nil || !contended() {
+		return ""
+	}
+	return a.request.Header.Get(a.handler.options.Vocabulary.Tenant)
+}
+
+// shared returns the tenant against whose share the request counts, empty for none.
+func (a *arrival) shared() string {
+	if a.told.Nested {
+		return ""
+	}
+	return a.tenant()
+}
+
+// offered has the meter count the request. Those above their tenant's share are counted by the others,
+// which tell for how many they stand.
+func (a *arrival) offered() {
+	if tenant := a.shared(); tenant != "" && !a.told.OverShare {
+		part := shares.ParsePart(a.request.Header.Get(hop.HeaderShare))
+		a.handler.meter.Came(a.told.Priority, tenant, a.told.Expected, part, clock.Now())
+	}
+}
+
+// admitted has the meter count that the request has a slot.
+func (a *arrival) admitted() {
+	if a.shared() != "" {
+		a.handler.meter.Served(a.told.Priority, a.told.Expected, clock.Now())
+	}
+}
+
+// tellShare tells the caller's node what the tenant may have of the room here, while there is too little.
+func (a *arrival) tellShare(header http.Header) {
+	tenant := a.shared()
+	if tenant == "" {
+		return
+	}
+	if told := a.handler.meter.Standing(a.told.Priority, tenant, clock.Now()).Format(); told != "" {
+		header[hop.HeaderShare] = []string{told}
+	}
+}
--- /dev/null
+++ b/internal/sidecar/shares/shares.go
@@ -0,0 +1,206 @@
+// Package shares answers the load of tenants that ask for more than their share of a service's room
+// while it is not enough for all. The node beside each back end works out the max-min share from what is offered
+// and what gets room there, and tells with its replies to a tenant's requests which part of them is
+// within the share. Callers' nodes mark the rest as above it, so that those give way at every back end
+// and need not be sent. A request that is not marked tells of which part it is, so that what is marked, or
+// not sent at all, is known to be offered too. The package is pure: the caller brings the time.
+package shares
+
+import (
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Whole is the part of a tenant's requests that is within its share where nothing else is known.
+const Whole = 1.0
+
+const (
+	// leastPart is the smallest part: some requests always tell what is offered.
+	leastPart = 0.02
+	// partUnits make a whole number of a part.
+	partUnits = 1000
+)
+
+// FormatPart writes a part as the value of a header, empty for Whole.
+func FormatPart(part float64) string {
+	if units := int64(part * partUnits); units < partUnits {
+		return strconv.FormatInt(units, 10)
+	}
+	return ""
+}
+
+// ParsePart reads the value of a header. What no node writes is Whole: nodes of the version before
+// tell nothing.
+func ParsePart(text string) float64 {
+	units, err := strconv.ParseUint(text, 10, 16)
+	if err != nil {
+		return Whole
+	}
+	return clamp(float64(units) / partUnits)
+}
+
+func clamp(part float64) float64 { return min(max(part, leastPart), Whole) }
+
+// Standing is what a back end's node tells of a tenant: the most that one tenant may have of what gets
+// room there, and what this one asks for. The zero value says that there is room for all.
+type Standing struct{ Share, Demand time.Duration }
+
+// Format writes the standing as the value of a header, empty for the zero value.
+func (s Standing) Format() string {
+	if s == (Standing{}) {
+		return ""
+	}
+	line := strconv.AppendInt(make([]byte, 0, 32), s.Share.Microseconds(), 10)
+	return string(strconv.AppendInt(append(line, ' '), s.Demand.Microseconds(), 10))
+}
+
+// ParseStanding reads the value of a header. What no node writes is the zero value.
+func ParseStanding(text string) Standing {
+	share, demand, found := strings.Cut(text, " ")
+	const bits = 40 // of microseconds: some days
+	allowed, shareErr := strconv.ParseUint(share, 10, bits)
+	asked, demandErr := strconv.ParseUint(demand, 10, bits)
+	if !found || shareErr != nil || demandErr != nil {
+		return Standing{}
+	}
+	return Standing{Share: time.Duration(allowed) * time.Microsecond, Demand: time.Duration(asked) * time.Microsecond}
+}
+
+const (
+	// window is how often shares are worked out, and for how long at least demand is counted.
+	window = 250 * time.Millisecond
+	// kept is which part of what was counted is kept from one window to the next: a back end gets a few
+	// requests of a tenant in each.
+	kept = 0.75
+	// forgottenBelow is what a tenant's demand has faded to when it is forgotten.
+	forgottenBelow = time.Millisecond
+	// fullFrom is which part of the demand has to get room for nobody to be above its share.
+	fullFrom = 0.97
+	// silentAfter is after what time without requests all is forgotten.
+	silentAfter = 2 * time.Second
+	// mostTenants bounds the tenants of a class; others are taken for within their shares.
+	mostTenants = 4096
+)
+
+// Meter works out the shares at one back end. The zero value is ready. It is safe for concurrent use.
+type Meter struct {
+	mu      sync.Mutex // guards all below
+	classes map[int]*class
+}
+
+// class are requests of one priority.
+type class struct {
+	// demands are by tenant, served what got room of all together.
+	demands map[string]*demand
+	served  float64
+	// share is the most that a tenant may have of what gets room, infinite while there is enough.
+	share float64
+	// folded is when shares were worked out last.
+	folded time.Time
+	// sorted is used again.
+	sorted []float64
+}
+
+// demand is what a tenant offers: work in nanoseconds, in the present window and faded from those before.
+type demand struct{ now, faded float64 }
+
+// Came takes in that a request of a tenant came that was not marked. part is that of the tenant's
+// requests which its node does not mark.
+func (m *Meter) Came(priority int, tenant string, work time.Duration, part float64, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	held := m.class(priority, now)
+	offered := held.demands[tenant]
+	if offered == nil {
+		if len(held.demands) >= mostTenants {
+			return
+		}
+		offered = &demand{}
+		held.demands[tenant] = offered
+	}
+	offered.now += float64(work) / clamp(part)
+}
+
+// Served takes in that a request of some tenant got a slot.
+func (m *Meter) Served(priority int, work time.Duration, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.class(priority, now).served += float64(work)
+}
+
+// Standing returns that of a tenant, the zero value while there is room for all.
+func (m *Meter) Standing(priority int, tenant string, now time.Time) Standing {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	held := m.class(priority, now)
+	if math.IsInf(held.share, 1) {
+		return Standing{}
+	}
+	told := Standing{Share: time.Duration(held.share)}
+	if offered := held.demands[tenant]; offered != nil {
+		told.Demand = time.Duration(offered.faded)
+	}
+	return told
+}
+
+// class returns that of the priority, with the shares of now.
+func (m *Meter) class(priority int, now time.Time) *class {
+	held := m.classes[priority]
+	if held == nil {
+		if m.classes == nil {
+			m.classes = map[int]*class{}
+		}
+		held = &class{demands: map[string]*demand{}, share: math.Inf(1), folded: now}
+		m.classes[priority] = held
+	}
+	if passed := now.Sub(held.folded); passed >= window {
+		held.fold(passed)
+		held.folded = now
+	}
+	return held
+}
+
+// fold ends a window.
+func (c *class) fold(passed time.Duration) {
+	if passed >= silentAfter {
+		clear(c.demands)
+		c.served, c.share = 0, math.Inf(1)
+		return
+	}
+	keep := math.Pow(kept, float64(passed)/float64(window))
+	total := 0.0
+	c.sorted = c.sorted[:0]
+	for tenant, offered := range c.demands {
+		offered.faded = offered.faded*keep + offered.now
+		offered.now = 0
+		if offered.faded < float64(forgottenBelow) {
+			delete(c.demands, tenant)
+			continue
+		}
+		total += offered.faded
+		c.sorted = append(c.sorted, offered.faded)
+	}
+	c.share = math.Inf(1)
+	if c.served < total*fullFrom {
+		slices.Sort(c.sorted)
+		c.share = MaxMin(c.sorted, c.served)
+	}
+	c.served *= keep
+}
+
+// MaxMin returns the largest share of the room that nobody exceeds when demands in ascending order
+// are served up to it, infinite when there is room for all.
+func MaxMin(demands []float64, room float64) float64 {
+	for i, demand := range demands {
+		share := room / float64(len(demands)-i)
+		if demand > share {
+			return share
+		}
+		room -= demand
+	}
+	return math.Inf(1)
+}
--- /dev/null
+++ b/internal/sidecar/shares/shares_test.go
@@ -0,0 +1,115 @@
+package shares_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/shares"
+)
+
+func TestMaxMin(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(shares.MaxMin([]float64{1, 4, 9}, 9)).To(Equal(4.0))
+	g.Expect(shares.MaxMin([]float64{1, 4, 9}, 3)).To(Equal(1.0))
+	g.Expect(shares.MaxMin([]float64{1, 4, 9}, 14)).To(Equal(math.Inf(1)))
+	g.Expect(shares.MaxMin(nil, 1)).To(Equal(math.Inf(1)))
+}
+
+// TestHeaders: what is written is read again; what no node writes says nothing.
+func TestHeaders(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(shares.FormatPart(shares.Whole)).To(BeEmpty())
+	g.Expect(shares.ParsePart(shares.FormatPart(0.25))).To(Equal(0.25))
+	g.Expect(shares.ParsePart("0")).To(BeNumerically(">", 0), "some requests tell what is offered")
+	for _, text := range []string{"", "-1", "1001", "70000", "x"} {
+		g.Expect(shares.ParsePart(text)).To(Equal(shares.Whole), text)
+	}
+	told := shares.Standing{Share: 3 * time.Second, Demand: 4500 * time.Millisecond}
+	g.Expect(shares.ParseStanding(told.Format())).To(Equal(told))
+	g.Expect(shares.Standing{}.Format()).To(BeEmpty())
+	for _, text := range []string{"", "1", "-1 2", "1 2 3", "1 99999999999999999999"} {
+		g.Expect(shares.ParseStanding(text)).To(Equal(shares.Standing{}), text)
+	}
+}
+
+// flood has a meter see two tenants for a second, of which the larger asks for nine times as much,
+// with room for half of it.
+func flood(meter *shares.Meter, from time.Time) (now time.Time) {
+	now = from
+	for range 100 {
+		now = now.Add(10 * time.Millisecond)
+		meter.Came(1, "small", time.Millisecond, shares.Whole, now)
+		meter.Came(1, "large", 9*time.Millisecond, shares.Whole, now)
+		meter.Served(1, 5*time.Millisecond, now)
+	}
+	return now.Add(250 * time.Millisecond)
+}
+
+// TestTheStandingOfTenants: the large one may have what the small one leaves. Nothing is told while there is
+// room for all, in another class, and when nothing has come for a while.
+func TestTheStandingOfTenants(t *testing.T) {
+	g := NewWithT(t)
+	var meter shares.Meter
+	now := time.Unix(1, 0)
+	g.Expect(meter.Standing(1, "large", now)).To(Equal(shares.Standing{}))
+	now = flood(&meter, now)
+	large, small := meter.Standing(1, "large", now), meter.Standing(1, "small", now)
+	g.Expect(large.Demand.Seconds() / large.Share.Seconds()).To(BeNumerically("~", 9.0/4, 0.01))
+	g.Expect(small.Demand).To(BeNumerically("<", small.Share))
+	g.Expect(meter.Standing(0, "large", now)).To(Equal(shares.Standing{}))
+	g.Expect(meter.Standing(1, "large", now.Add(3*time.Second))).To(Equal(shares.Standing{}))
+}
+
+// TestMarkedRequestsAreOffered: a request that is not marked counts for those that are.
+func TestMarkedRequestsAreOffered(t *testing.T) {
+	g := NewWithT(t)
+	var all, part shares.Meter
+	now := time.Unix(1, 0)
+	for range 100 {
+		now = now.Add(10 * time.Millisecond)
+		all.Came(0, "t", 8*time.Millisecond, shares.Whole, now)
+		part.Came(0, "t", 2*time.Millisecond, 0.25, now)
+	}
+	now = now.Add(250 * time.Millisecond)
+	g.Expect(part.Standing(0, "t", now)).To(Equal(all.Standing(0, "t", now)))
+}
+
+// TestWhatWasHeardHasAnAge: without a reply a tenant is within its share again.
+func TestWhatWasHeardHasAnAge(t *testing.T) {
+	g := NewWithT(t)
+	var heard shares.Heard
+	of := shares.Subject{Service: "one", Tenant: "large"}
+	now := time.Unix(1, 0)
+	heard.Take(of, shares.Standing{}, now)
+	g.Expect(heard.Part(of, now)).To(Equal(shares.Whole))
+	heard.Take(of, shares.Standing{Share: time.Second, Demand: 8 * time.Second}, now)
+	g.Expect(heard.Part(of, now)).To(Equal(0.25), "twice the share is left to the queues")
+	g.Expect(heard.Part(shares.Subject{Service: "two", Tenant: "large"}, now)).To(Equal(shares.Whole))
+	g.Expect(heard.Part(of, now.Add(2*time.Second))).To(Equal(shares.Whole))
+	for range 100 {
+		heard.Take(of, shares.Standing{}, now)
+	}
+	g.Expect(heard.Part(of, now)).To(Equal(shares.Whole), "there is room again")
+}
+
+// BenchmarkMeter is one request of 2,000 tenants.
+func BenchmarkMeter(b *testing.B) {
+	var meter shares.Meter
+	now := time.Unix(1, 0)
+	names := make([]string, 2000)
+	for i := range names {
+		names[i] = fmt.Sprint(i)
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		now = now.Add(time.Millisecond / 2)
+		name := names[i*7%len(names)]
+		meter.Came(0, name, 10*time.Millisecond, shares.Whole, now)
+		meter.Served(0, 5*time.Millisecond, now)
+		meter.Standing(0, name, now)
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -229,6 +229,7 @@
 		Quota:      s.quota,
 		Nested:     &nestedCalls{contention: s.contention, recognizer: nested.NewRecognizer(s.work, s.started)},
 		Retries:    func() egress.RetryLimits { return s.settings.Load().Retries },
+		Contended:  s.contention.On,
 		Weights:    choice.DefaultWeights(),
 		Level:      (*level)(s),
 		Dial:       dial.Dialer(exchangeDial, dial.Silence{Unacknowledged: peerUnacknowledged, Idle: peerIdle}),
