A rejected send leaves its token; second runs ask for one; a crowd is told the limit

A back end that rejects a request has not run it, but each such send took a token, and the last one did not come back.

Ruled out: a share of the limit for second runs (idle where there are none).

Change, where requests compete for room: tokens are counted against the sends that may have run. A send that provably did not leaves its token for the next, while it is valid; otherwise the granter is asked. What no run used is given back at the end. A request asks for 300 ms as long as the granter answers, and is then told that the limit is reached. Where requests do not compete nothing changes but the last.

Before: TestManyAtOnceAtOneNode had 865 requests told that nobody grants; after: none.

--- a/internal/sidecar/egress/call.go
+++ b/internal/sidecar/egress/call.go
@@ -52,8 +52,9 @@
 	route *route.Matched
 	// tenant is the one whose key the caller has; nil without one.
 	tenant *route.Tenant
-	// token is the request's place within its tenant's limit.
-	token    quota.Token
+	// tokens are the request's places within its tenant's limit, one for each run that it may need,
+	// those that end first in front.
+	tokens   []quota.Token
 	service  string
 	context  context.Context
 	deadline time.Time
--- a/internal/sidecar/egress/quota.go
+++ b/internal/sidecar/egress/quota.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/quota"
 )
 
@@ -46,7 +47,7 @@
 	case err != nil:
 		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepQuota, token.Wait, err)
 	}
-	c.token = token
+	c.tokens = append(c.tokens, token)
 	c.awaitToken(token.Wait)
 	return nil
 }
@@ -64,9 +65,39 @@
 	}
 }
 
-// unspent gives the token back when the request provably did not run.
+// spendAgain makes sure that the request has a token for one more run and reports whether it has: a send
+// that provably did not run has left it one. Otherwise the granter is asked where requests compete for
+// room; elsewhere what the node holds has to do.
+func (c *call) spendAgain() bool {
+	if !c.tenant.Limited() {
+		return true
+	}
+	if !c.handler.contended() {
+		return c.handler.options.Quota.Again(c.tenant.Name)
+	}
+	if unused := c.unused(); len(unused) > 0 && unused[len(unused)-1].Valid(clock.Now()) {
+		return true
+	}
+	return c.spend() == nil
+}
+
+// unused returns the request's tokens that no send has used, those that end first in front.
+func (c *call) unused() []quota.Token {
+	return c.tokens[:max(len(c.tokens)-c.visits.mayHaveRun(), 0)]
+}
+
+// unspent gives tokens back that no run has used.
 func (c *call) unspent(failure *outcome.Failure) {
-	if c.tenant.Limited() && failure.Outcome == outcome.NotRun && c.runs == 0 {
-		c.handler.options.Quota.Return(c.token)
+	if !c.tenant.Limited() {
+		return
+	}
+	if c.handler.contended() {
+		for _, token := range c.unused() {
+			c.handler.options.Quota.Return(token)
+		}
+		return
+	}
+	if failure.Outcome == outcome.NotRun && c.runs == 0 && len(c.tokens) > 0 {
+		c.handler.options.Quota.Return(c.tokens[0])
 	}
 }
--- a/internal/sidecar/egress/quota_test.go
+++ b/internal/sidecar/egress/quota_test.go
@@ -14,14 +14,22 @@
 
 // scriptedQuota answers as it is told and notes what it was asked.
 type scriptedQuota struct {
-	err             error
+	err error
+	// again is the error of every token but the first, token what is given out.
+	again           error
+	token           quota.Token
 	wait            time.Duration
 	taken, returned []string
 }
 
 func (s *scriptedQuota) Take(_ context.Context, tenant string) (quota.Token, error) {
 	s.taken = append(s.taken, tenant)
-	return quota.Token{Wait: s.wait}, s.err
+	if len(s.taken) > 1 && s.again != nil {
+		return quota.Token{}, s.again
+	}
+	token := s.token
+	token.Wait = s.wait
+	return token, s.err
 }
 func (s *scriptedQuota) Again(string) bool  { return true }
 func (s *scriptedQuota) Return(quota.Token) { s.returned = append(s.returned, "token") }
--- a/internal/sidecar/egress/visit.go
+++ b/internal/sidecar/egress/visit.go
@@ -208,7 +208,7 @@
 		last.failure.Cause = errors.Join(errAttempts, last.failure.Cause)
 		return false
 	}
-	if c.tenant.Limited() && !c.handler.options.Quota.Again(c.tenant.Name) {
+	if !c.spendAgain() {
 		last.failure.Cause = errors.Join(quota.ErrSpent, last.failure.Cause)
 		return false
 	}
--- a/internal/sidecar/egress/visits.go
+++ b/internal/sidecar/egress/visits.go
@@ -50,6 +50,17 @@
 // visits are the sends of one request, in order.
 type visits []visit
 
+// mayHaveRun is how many of the sends a back end may have run.
+func (v visits) mayHaveRun() int {
+	count := 0
+	for index := range v {
+		if v[index].outcome != outcome.NotRun {
+			count++
+		}
+	}
+	return count
+}
+
 // MarshalLogArray implements zapcore.ArrayMarshaler.
 func (v visits) MarshalLogArray(encoder zapcore.ArrayEncoder) error {
 	for index := range v {
--- a/internal/sidecar/quota/holder.go
+++ b/internal/sidecar/quota/holder.go
@@ -52,6 +52,9 @@
 	Wait time.Duration
 }
 
+// Valid reports whether the token may still be spent.
+func (t Token) Valid(now time.Time) bool { return now.Before(t.until) }
+
 // verdict is what becomes of one request by what the node holds: it has a token, is refused,
 // or a granter is to be asked.
 type verdict int
--- a/internal/sidecar/quota/quota.go
+++ b/internal/sidecar/quota/quota.go
@@ -33,9 +33,11 @@
 	// askTimeout bounds one question to a granter while a request waits. It is about a hundred
 	// times what one takes between zones.
 	askTimeout = 300 * time.Millisecond
-	// askTries is how often one request asks at most: others that wait for the same answer may have
-	// spent what it brought.
+	// askTries is how often one request asks in vain at most.
 	askTries = 4
+	// askAll is for how long one request asks in all: others that wait for the same answers may have
+	// spent what they brought.
+	askAll = askTimeout
 	// leastWait is the shortest wait that a refused caller is told.
 	leastWait = 50 * time.Millisecond
 	// grantersAge is for how long the granters that were found are used.
@@ -102,8 +104,9 @@
 // token says. The error is ErrSpent or ErrUnknown; the token's wait then says when there may be
 // room.
 func (q *Quota) Take(ctx context.Context, tenant string) (Token, error) {
-	q.holder.Came(tenant, clock.Now())
-	for try := 0; ; try++ {
+	began := clock.Now()
+	q.holder.Came(tenant, began)
+	for failed, answered := 0, false; ; {
 		switch verdict, token := q.holder.Take(tenant, clock.Now()); {
 		case verdict == spent:
 			return q.counted("granted", token, nil)
@@ -111,12 +114,21 @@
 			token.Wait = max(token.Wait, leastWait)
 			return q.counted("spent", token, ErrSpent)
 		}
-		if try == askTries || ctx.Err() != nil {
+		over := ctx.Err() != nil || clock.Since(began) >= askAll
+		switch {
+		case answered && over:
+			// Others had all that was given out: the limit is as good as reached.
+			return q.counted("spent", Token{Wait: leastWait}, ErrSpent)
+		case over, failed == askTries:
 			return q.takeOwn(tenant)
 		}
-		if err := q.ask(ctx, tenant); err != nil && ctx.Err() == nil {
+		if err := q.ask(ctx, tenant); err == nil {
+			answered = true
+			continue
+		} else if ctx.Err() == nil {
 			q.options.Logger.Info("no tokens granted", zap.String("tenant", tenant), zap.Error(err))
 		}
+		failed++
 	}
 }
 
--- a/internal/sidecar/quota/quota_test.go
+++ b/internal/sidecar/quota/quota_test.go
@@ -534,3 +534,28 @@
 		g.Expect(float64(alone)).To(BeNumerically("<=", saved*(1+3/math.Sqrt(saved))), "%d nodes", members)
 	}
 }
+
+// TestManyAtOnceAtOneNode: of requests that come to one node at the same moment each has a token or is
+// told that the limit is reached; for none nobody is there to grant.
+func TestManyAtOnceAtOneNode(t *testing.T) {
+	for _, size := range []int{13, 88} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			f := newFleet(t, uint64(size), size, map[string]quota.Limit{"large": {Rate: 300, Burst: 30}})
+			time.Sleep(4 * time.Second)
+			f.demand["large"] = 200
+			var crowds sync.WaitGroup
+			for range 20 {
+				for range 60 {
+					crowds.Go(func() { f.request(f.nodes[1], "large") })
+				}
+				f.play(250 * time.Millisecond)
+			}
+			crowds.Wait()
+			f.stop()
+			g.Expect(f.unknown["large"]).To(BeZero())
+			g.Expect(len(f.spent["large"])).To(BeNumerically(">", 1000))
+			g.Expect(most(f.spent["large"])).To(BeNumerically("<=", allowed(f.limits["large"])))
+		})
+	}
+}
