--- a/internal/sidecar/admission/admission.go
+++ b/internal/sidecar/admission/admission.go
@@ -144,7 +144,7 @@
 	now := g.now()
 	g.reserve.note(ticket.Priority, now)
 	entry := &waiter{ticket: ticket, work: g.workOf(ticket), result: make(chan error, 1), entered: now}
-	entry.standing = g.waiting.shares.join(ticket, now)
+	entry.standing = g.waiting.standings.join(ticket, now)
 	if g.running < g.open(ticket) && !g.yields(entry) {
 		g.start(entry)
 		return entry, nil
--- a/internal/sidecar/admission/flow_test.go
+++ b/internal/sidecar/admission/flow_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -11,6 +12,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/shares"
 )
 
 // manual is a clock that is set by hand.
@@ -168,7 +171,7 @@
 		clock.at = clock.at.Add(time.Millisecond)
 		(&Slot{gate: gate, entry: entry, started: clock.at.Add(-time.Millisecond)}).Release(true)
 	}
-	g.Expect(len(gate.waiting.shares.classes[0].tenants)).To(BeNumerically("<=", mostTenants))
+	g.Expect(len(gate.waiting.standings.classes[0].tenants)).To(BeNumerically("<=", mostTenants))
 	top, others := gate.Usage(3)
 	g.Expect(top).To(HaveLen(3))
 	g.Expect(others).To(Equal(99_997*time.Millisecond), "what the forgotten ones had is counted")
@@ -228,7 +231,7 @@
 			waiting := make([]*waiter, 2000)
 			for i := range waiting {
 				ticket := Ticket{Tenant: names[i%len(names)], Work: 100 * time.Millisecond}
-				waiting[i] = &waiter{ticket: ticket, work: ticket.Work, standing: gate.waiting.shares.join(ticket, clock.at)}
+				waiting[i] = &waiter{ticket: ticket, work: ticket.Work, standing: gate.waiting.standings.join(ticket, clock.at)}
 				gate.waiting.add(waiting[i])
 			}
 			b.ReportAllocs()
@@ -238,7 +241,7 @@
 				gate.waiting.remove(next)
 				next.standing.begin(next, beside)
 				next.standing.end(next, 90*time.Millisecond, clock.at)
-				next.standing = gate.waiting.shares.join(next.ticket, clock.at)
+				next.standing = gate.waiting.standings.join(next.ticket, clock.at)
 				gate.waiting.workBefore(next)
 				gate.waiting.add(next)
 				gate.waiting.last()
@@ -246,3 +249,44 @@
 		})
 	}
 }
+
+// TestManyTenantsAtOneBackEnd: 77 tenants by a skew ask for one and a half times the room. None that asks
+// for enough to say so has less than nine tenths of its max-min share.
+func TestManyTenantsAtOneBackEnd(t *testing.T) {
+	const (
+		tenants = 77
+		skew    = 1.2
+		slots   = 18
+		work    = 100 * time.Millisecond
+		last    = 20 * time.Second
+		// enough is how much a tenant asks for, for the last of its requests to matter little.
+		enough = 2 * time.Second
+	)
+	g := NewWithT(t)
+	total := 0.0
+	for i := range tenants {
+		total += math.Pow(float64(i+1), -skew)
+	}
+	asks := map[string]demand{}
+	var wanted []float64
+	for i := range tenants {
+		part := math.Pow(float64(i+1), -skew) / total * 1.5 * slots
+		wanted = append(wanted, part*last.Seconds())
+		asks[fmt.Sprint(i)] = demand{every: time.Duration(float64(work) / part), work: work, from: time.Duration(i) * time.Millisecond}
+	}
+	held := compete(t, asks, slots, last)
+	served := 0.0
+	for _, had := range held {
+		served += had.Seconds()
+	}
+	g.Expect(served).To(BeNumerically(">", slots*last.Seconds()*0.97), "the room is used")
+	share := shares.MaxMin(slices.Sorted(slices.Values(wanted)), served)
+	least := math.Inf(1)
+	for i, asked := range wanted {
+		if asked >= enough.Seconds() {
+			least = min(least, held[fmt.Sprint(i)].Seconds()/min(share, asked))
+		}
+	}
+	t.Logf("least served to max-min share: %.3f", least)
+	g.Expect(least).To(BeNumerically(">=", 0.9))
+}
--- a/internal/sidecar/admission/queue.go
+++ b/internal/sidecar/admission/queue.go
@@ -49,9 +49,9 @@
 // the tenants that wait.
 type queue struct {
 	// levels are ordered; none is empty.
-	levels []*level
-	length int
-	shares shares
+	levels    []*level
+	length    int
+	standings standings
 	// flows and groups are kept for use again.
 	flows  spare[flow]
 	groups spare[group]
--- a/internal/sidecar/admission/standing.go
+++ b/internal/sidecar/admission/standing.go
@@ -35,8 +35,8 @@
 	unnamed standing
 }
 
-// shares are the standings of all tenants at one back end. Their owner holds the lock.
-type shares struct {
+// standings are those of all tenants at one back end. Their owner holds the lock.
+type standings struct {
 	classes map[int]*class
 }
 
@@ -52,7 +52,7 @@
 )
 
 // join returns the standing of the ticket's tenant for a request that comes now.
-func (s *shares) join(ticket Ticket, now time.Time) *standing {
+func (s *standings) join(ticket Ticket, now time.Time) *standing {
 	competes := s.classOf(ticket)
 	held := &competes.unnamed
 	if ticket.Tenant != "" {
@@ -64,7 +64,7 @@
 	return held
 }
 
-func (s *shares) classOf(ticket Ticket) *class {
+func (s *standings) classOf(ticket Ticket) *class {
 	number := ticket.Priority
 	if ticket.Nested {
 		number = nestedClass
--- a/internal/sidecar/admission/usage.go
+++ b/internal/sidecar/admission/usage.go
@@ -16,7 +16,7 @@
 // that were forgotten meanwhile. Requests without a tenant are left out.
 func (g *Gate) Usage(most int) (top []Usage, others time.Duration) {
 	g.mutex.Lock()
-	all, others := g.waiting.shares.usage()
+	all, others := g.waiting.standings.usage()
 	g.mutex.Unlock()
 	slices.SortFunc(all, func(a, b Usage) int { return cmp.Or(cmp.Compare(b.Held, a.Held), cmp.Compare(a.Tenant, b.Tenant)) })
 	for _, rest := range all[min(most, len(all)):] {
@@ -26,7 +26,7 @@
 }
 
 // usage returns that of all tenants, each added up over the classes, and that of those who were forgotten.
-func (s *shares) usage() (all []Usage, forgotten time.Duration) {
+func (s *standings) usage() (all []Usage, forgotten time.Duration) {
 	held := map[string]time.Duration{}
 	for _, competes := range s.classes {
 		forgotten += competes.forgotten
--- a/internal/sidecar/shares/fleet_test.go
+++ b/internal/sidecar/shares/fleet_test.go
@@ -14,7 +14,8 @@
 )
 
 const (
-	// The load: tenants by a skew ask for one and a half times the room of the back ends.
+	// The load: tenants by a skew, in TestSharesOfAService asking for one and a half times the room of
+	// the back ends.
 	fleetTenants = 77
 	fleetSkew    = 1.2
 	fleetDemand  = 1.5
@@ -202,7 +203,8 @@
 	return 0
 }
 
-func newFleet(size int, by way, seed uint64) *fleet {
+// newFleet has tenants ask for the given part of the room.
+func newFleet(size int, by way, demand float64, seed uint64) *fleet {
 	f := &fleet{random: rand.New(rand.NewPCG(seed, 0)), way: by, now: time.Unix(1, 0), wants: make([]float64, fleetTenants)}
 	total := 0.0
 	for tenant := range f.wants {
@@ -210,7 +212,7 @@
 		total += f.wants[tenant]
 	}
 	for tenant := range f.wants {
-		f.wants[tenant] *= fleetDemand * float64(size*fleetSlots) / total
+		f.wants[tenant] *= demand * float64(size*fleetSlots) / total
 	}
 	for number := range size {
 		created := &node{number: number, sees: f.random.Perm(size)[:min(size, fleetSees)]}
@@ -312,7 +314,7 @@
 // play returns, for the time since the last change, the least part that a tenant got of its max-min share
 // of the back ends that its callers reach, over tenants with enough requests to say so.
 func play(size int, by way) (before, after float64) {
-	f := newFleet(size, by, 1)
+	f := newFleet(size, by, fleetDemand, 1)
 	began := f.now
 	until := func(at time.Duration) {
 		for f.now.Sub(began) < at {
@@ -368,7 +370,7 @@
 // are at all nodes or at three, from two seconds on after a third of the nodes is cut off. The two other
 // ways are played beside it, as far as they take little time.
 func TestSharesOfAService(t *testing.T) {
-	for _, size := range []int{13, 88, 300} {
+	for _, size := range []int{13, 37, 88, 300} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
 			g := NewWithT(t)
 			before, after := play(size, newTold(size))
@@ -385,3 +387,39 @@
 		})
 	}
 }
+
+// TestATenantAtTenTimesItsUsual: with the room for all but a fifth used, one of the largest tenants sends
+// ten times as much. The others lose less than three in a hundred.
+func TestATenantAtTenTimesItsUsual(t *testing.T) {
+	const (
+		size   = 37
+		demand = 0.8
+		hot    = 1
+	)
+	othersGot := func(times float64) (got, offered float64) {
+		f := newFleet(size, newTold(size), demand, 1)
+		f.wants[hot] *= times
+		for second := range 5 {
+			for range int(time.Second / fleetStep) {
+				f.step()
+			}
+			if second == 0 {
+				f.reset()
+			}
+		}
+		for _, one := range f.nodes {
+			for tenant := range fleetTenants {
+				if tenant != hot {
+					got += one.got[tenant]
+					offered += one.offered[tenant]
+				}
+			}
+		}
+		return got, offered
+	}
+	g := NewWithT(t)
+	usual, _ := othersGot(1)
+	beside, offered := othersGot(10)
+	t.Logf("the others: %.0f before, %.0f beside it, of %.0f", usual, beside, offered)
+	g.Expect(beside).To(BeNumerically(">", usual*0.97))
+}
