No kind of request waits in vain for longer than a second

Cause: a more urgent priority, or shorter work of the same one, can take every slot for as long as it comes; the kind behind it is refused altogether.

Ruled out: a part of the slots for each priority (idle where it isn't needed, and priorities would be shares); ageing of each request (newest first refuses the old ones, none ever gets old).

Change: requests of one priority and one order of magnitude of work are a kind. One that has come for a second without a slot gets the next one. Where requests compete for room alone.

--- a/internal/sidecar/admission/admission.go
+++ b/internal/sidecar/admission/admission.go
@@ -32,6 +32,8 @@
 	Nested, OverShare bool
 	// Tenant is whose request it is; empty where nobody is told apart.
 	Tenant string
+	// Bounded: no kind of request is to wait in vain for long, however urgent others are.
+	Bounded bool
 	// Work is how long the back end is expected to work on the request. Of equal
 	// urgency the much shorter go first: more of them are served, and calls that
 	// back ends make while they work are short.
@@ -145,12 +147,16 @@
 	g.reserve.note(ticket.Priority, now)
 	entry := &waiter{ticket: ticket, work: g.workOf(ticket), result: make(chan error, 1), entered: now}
 	entry.standing = g.waiting.standings.join(ticket, now)
+	entry.kind = entry.standing.class.kind(magnitude(ticket.Work))
+	if ticket.Bounded {
+		entry.kind.comes(now)
+	}
 	if g.running < g.open(ticket) && !g.yields(entry) {
 		g.start(entry)
 		return entry, nil
 	}
 	entry.predicted = g.expectedWait(g.waiting.workBefore(entry), ticket)
-	if entry.predicted > ticket.MaximumWait {
+	if entry.predicted > ticket.MaximumWait && !entry.kind.kept(0, now) {
 		g.reserve.began(ticket.Priority, true, g.slots, now)
 		return nil, ErrTooLong
 	}
@@ -178,6 +184,7 @@
 func (g *Gate) start(entry *waiter) {
 	g.reserve.began(entry.ticket.Priority, false, g.slots, g.now())
 	g.running++
+	entry.kind.since = g.now()
 	beside := 0
 	if g.waiting.holds(entry) {
 		beside = entry.group.flow.length
@@ -230,7 +237,7 @@
 	for g.waiting.length > 1 {
 		last := g.waiting.last()
 		left := last.ticket.MaximumWait - g.now().Sub(last.entered)
-		if g.expectedWait(g.waiting.work()-last.work, last.ticket) <= left {
+		if g.expectedWait(g.waiting.work()-last.work, last.ticket) <= left || last.kind.kept(1, g.now()) {
 			return
 		}
 		g.waiting.remove(last)
@@ -271,11 +278,22 @@
 	g.grant()
 }
 
+// next returns the request that gets a slot now, nil when none does. One of a kind that is overdue may have any.
+func (g *Gate) next() *waiter {
+	if overdue := g.waiting.overdue(g.now()); overdue != nil && g.running < g.slots {
+		return overdue
+	}
+	if next := g.waiting.next(); g.running < g.open(next.ticket) {
+		return next
+	}
+	return nil
+}
+
 // grant gives free slots to those that wait; the lock is held.
 func (g *Gate) grant() {
 	for g.waiting.length > 0 {
-		next := g.waiting.next()
-		if g.running >= g.open(next.ticket) {
+		next := g.next()
+		if next == nil {
 			return
 		}
 		g.learn(next)
--- a/internal/sidecar/admission/flow.go
+++ b/internal/sidecar/admission/flow.go
@@ -34,6 +34,16 @@
 	return f.groups[index]
 }
 
+// holds returns the group of the magnitude, nil when there is none.
+func (f *flow) holds(magnitude int) *group {
+	for _, held := range f.groups {
+		if held.magnitude == magnitude {
+			return held
+		}
+	}
+	return nil
+}
+
 // drop takes out an empty group.
 func (f *flow) drop(empty *group, unused *spare[group]) {
 	index := slices.Index(f.groups, empty)
--- a/internal/sidecar/admission/flow_test.go
+++ b/internal/sidecar/admission/flow_test.go
@@ -177,6 +177,20 @@
 	g.Expect(others).To(Equal(99_997*time.Millisecond), "what the forgotten ones had is counted")
 }
 
+// TestPrioritiesThatComeAndGoAreForgotten: memory stays bounded whatever nodes tell.
+func TestPrioritiesThatComeAndGoAreForgotten(t *testing.T) {
+	g := NewWithT(t)
+	clock := &manual{at: time.Unix(1, 0)}
+	gate := New(clock.now)
+	gate.Resize(2)
+	for number := range 10_000 {
+		entry, err := gate.enter(Ticket{Priority: number, Bounded: true, Tenant: "t", MaximumWait: time.Second})
+		g.Expect(err).NotTo(HaveOccurred())
+		(&Slot{gate: gate, entry: entry, started: clock.at}).Release(true)
+	}
+	g.Expect(len(gate.waiting.standings.classes)).To(BeNumerically("<=", mostClasses))
+}
+
 // demand is how often a tenant's requests come, and how long they take.
 type demand struct {
 	every, work, from time.Duration
@@ -231,7 +245,8 @@
 			waiting := make([]*waiter, 2000)
 			for i := range waiting {
 				ticket := Ticket{Tenant: names[i%len(names)], Work: 100 * time.Millisecond}
-				waiting[i] = &waiter{ticket: ticket, work: ticket.Work, standing: gate.waiting.standings.join(ticket, clock.at)}
+				of := gate.waiting.standings.join(ticket, clock.at)
+				waiting[i] = &waiter{ticket: ticket, work: ticket.Work, standing: of, kind: of.class.kind(magnitude(ticket.Work))}
 				gate.waiting.add(waiting[i])
 			}
 			b.ReportAllocs()
--- a/internal/sidecar/admission/queue.go
+++ b/internal/sidecar/admission/queue.go
@@ -20,6 +20,7 @@
 	work, charged time.Duration
 	// standing is that of its tenant.
 	standing *standing
+	kind     *kind
 	// group is the one that it waits in, place its place there; nil while it does
 	// not wait.
 	group *group
@@ -101,6 +102,7 @@
 		waitsIn.level.add(waitsIn)
 	}
 	entry.standing.waiting++
+	entry.kind.waiting++
 	q.length++
 }
 
@@ -115,6 +117,7 @@
 	waitedIn.changed(left, -entry.work, -1)
 	entry.group, entry.place = nil, nil
 	entry.standing.waiting--
+	entry.kind.waiting--
 	q.length--
 	if left.waiters.Len() == 0 {
 		waitedIn.drop(left, &q.groups)
--- a/internal/sidecar/admission/standing.go
+++ b/internal/sidecar/admission/standing.go
@@ -27,6 +27,8 @@
 	// clock is what the tenant had had whose request got a slot last, and never goes back.
 	clock   time.Duration
 	tenants map[string]*standing
+	// kinds are those that have come, one a magnitude.
+	kinds []*kind
 	// forgotten is for how long requests held slots whose tenants are forgotten.
 	forgotten time.Duration
 	// sweepAt is how many tenants there are when the next sweep is due.
@@ -49,6 +51,8 @@
 	// Between leastSweep and mostTenants a sweep is due when the tenants of a class have doubled;
 	// one of mostTenants forgets all without requests.
 	leastSweep, mostTenants = 256, 4096
+	// mostClasses is from how many classes on those without requests are forgotten.
+	mostClasses = 64
 )
 
 // join returns the standing of the ticket's tenant for a request that comes now.
@@ -71,6 +75,9 @@
 	}
 	held := s.classes[number]
 	if held == nil {
+		if len(s.classes) >= mostClasses {
+			maps.DeleteFunc(s.classes, func(_ int, held *class) bool { return held.idle() })
+		}
 		held = &class{tenants: map[string]*standing{}, sweepAt: leastSweep}
 		held.unnamed.class = held
 		if s.classes == nil {
@@ -81,6 +88,16 @@
 	return held
 }
 
+// idle reports whether no request of the class is there.
+func (c *class) idle() bool {
+	for _, held := range c.tenants {
+		if held.running > 0 || held.waiting > 0 {
+			return false
+		}
+	}
+	return c.unnamed.running == 0 && c.unnamed.waiting == 0
+}
+
 // of returns the standing of a tenant.
 func (c *class) of(tenant string, now time.Time) *standing {
 	held := c.tenants[tenant]
--- a/internal/sidecar/ingress/arrival.go
+++ b/internal/sidecar/ingress/arrival.go
@@ -216,6 +216,7 @@
 		Nested:      a.told.Nested,
 		OverShare:   a.told.OverShare,
 		Tenant:      a.tenant(),
+		Bounded:     a.contended(),
 		Work:        a.told.Expected,
 		MaximumWait: a.told.MaximumWait,
 	})
--- a/internal/sidecar/ingress/share.go
+++ b/internal/sidecar/ingress/share.go
@@ -8,10 +8,16 @@
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/shares"
 )
 
+// contended reports whether requests compete for room.
+func (a *arrival) contended() bool {
+	contended := a.handler.options.Contended
+	return contended != nil && contended()
+}
+
 // tenant names whose request it is, by the header that nodes alone set; empty without a tenant, and
 // where tenants have no shares.
 func (a *arrival) tenant() string {
-	if contended := a.handler.options.Contended; contended == nil || !contended() {
+	if !a.contended() {
 		return ""
 	}
 	return a.request.Header.Get(a.handler.options.Vocabulary.Tenant)
