--- a/internal/sidecar/egress/attempt.go
+++ b/internal/sidecar/egress/attempt.go
@@ -168,9 +168,10 @@
 		return
 	}
 	others := a.target.learn(reply, a.record, now)
-	if a.call.handler.competes() {
+	if a.call.handler.contended() {
 		a.learnZone(others, now)
 	}
+	a.call.hearShare(response.Header)
 	a.worked, a.version = reply.Worked, reply.Version
 	a.room = reply.Running+reply.Waiting < reply.Slots
 	if reply.Worked > 0 && response.StatusCode < http.StatusMultipleChoices && !a.compared {
--- a/internal/sidecar/egress/call.go
+++ b/internal/sidecar/egress/call.go
@@ -52,8 +52,9 @@
 	route *route.Matched
 	// tenant is the one whose key the caller has; nil without one.
 	tenant *route.Tenant
-	// token is the request's place within its tenant's limit.
-	token    lending.Token
+	// tokens are the request's places within its tenant's limit, one for each run that it may need,
+	// those that end first in front.
+	tokens   []lending.Token
 	service  string
 	context  context.Context
 	deadline time.Time
@@ -80,6 +81,9 @@
 	nested bool
 	// repeated is how likely it is that the run which makes the call is a repeat.
 	repeated float64
+	// part is which part of the tenant's requests is within its share, overShare: this one is not.
+	part      float64
+	overShare bool
 	// rejectedWithRoom: the last send was rejected by a back end that had slots free.
 	rejectedWithRoom bool
 	// mayHaveRun: a send ended with an unknown outcome.
@@ -198,6 +202,7 @@
 	if failure := c.spend(); failure != nil {
 		return failure
 	}
+	c.drawShare()
 	c.results, c.over = make(chan *attempt), make(chan struct{})
 	defer close(c.over)
 	c.handler.options.Repeats.First(c.service, c.repeated)
--- a/internal/sidecar/egress/choose.go
+++ b/internal/sidecar/egress/choose.go
@@ -78,7 +78,7 @@
 		usual:  c.work().Mean(c.assumedWork()),
 		now:    now,
 
-		competes: c.handler.competes(),
+		competes: c.handler.contended(),
 	}
 }
 
@@ -121,9 +121,6 @@
 	return false
 }
 
-// competes reports whether requests compete for room.
-func (h *Handler) competes() bool { return h.options.Competes != nil && h.options.Competes() }
-
 // work returns the estimate of how long requests of the route are worked on.
 func (c *call) work() *choice.Work {
 	key := c.route.Name
--- a/internal/sidecar/egress/choose_test.go
+++ b/internal/sidecar/egress/choose_test.go
@@ -45,7 +45,7 @@
 	for _, competes := range []bool{false, true} {
 		g := NewWithT(t)
 		handler := newHandler(t, &quiet{}, present, newPeer(t, answers))
-		handler.options.Competes = func() bool { return competes }
+		handler.options.Contended = func() bool { return competes }
 		for range 5 {
 			request := httptest.NewRequest(http.MethodGet, "/safe/1", nil)
 			request.Host = "h"
--- a/internal/sidecar/egress/level.go
+++ b/internal/sidecar/egress/level.go
@@ -81,6 +81,7 @@
 		return false, failure
 	}
 	c.service = c.route.NextService()
+	c.drawShare()
 	c.handler.options.Repeats.First(c.service, c.repeated)
 	return true, nil
 }
--- a/internal/sidecar/ingress/arrival.go
+++ b/internal/sidecar/ingress/arrival.go
@@ -209,11 +209,14 @@
 
 // admit waits for a slot of the back end.
 func (a *arrival) admit() (*admission.Slot, *outcome.Failure) {
+	a.offered()
 	slot, err := a.handler.gate.Acquire(a.context, admission.Ticket{
 		Priority:    a.told.Priority,
 		Returning:   a.told.Returning,
 		Nested:      a.told.Nested,
 		OverShare:   a.told.OverShare,
+		Tenant:      a.tenant(),
+		Bounded:     a.contended(),
 		Work:        a.told.Expected,
 		MaximumWait: a.told.MaximumWait,
 	})
@@ -225,6 +228,7 @@
 		slot.Release(false)
 		return nil, outcome.Refusal(http.StatusServiceUnavailable, outcome.StepDrain, refusedWait, errLeaving)
 	}
+	a.admitted()
 	return slot, nil
 }
 
@@ -259,6 +263,7 @@
 	}
 	header := a.writer.Header()
 	header[hop.HeaderReply] = []string{reply.Format()}
+	a.tellShare(header)
 	if _, set := header["Date"]; !set {
 		// Without a value the library adds none of its own.
 		header["Date"] = nil
@@ -283,7 +288,7 @@
 		zap.String("outcome", string(failure.Outcome)),
 		zap.String("step", string(failure.Step)),
 		zap.String("peer", a.request.RemoteAddr),
-		zap.String("service", a.told.Service),
+		zap.String("service", a.told.Service), zap.String("tenant", a.tenant()),
 		zap.Int("running", load.Running), zap.Int("waiting", load.Waiting), zap.Int("slots", load.Slots),
 		zap.Duration("waited", a.waited), zap.Duration("elapsed", elapsed),
 		zap.NamedError("cause", failure.Cause),
--- a/internal/sidecar/ingress/handler.go
+++ b/internal/sidecar/ingress/handler.go
@@ -21,6 +21,7 @@
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/nested"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/shares"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/warmup"
 )
 
@@ -55,6 +56,9 @@
 	// it in and reports whether it counts.
 	DecodeLoad func(header string) (hop.BackendLoad, error)
 	Told       func(hop.BackendLoad) (counts bool)
+	// Contended reports whether requests compete for room, so that tenants have their shares of it;
+	// nil for never.
+	Contended func() bool
 	// LinkMbps is the speed of the machine's link in Mbit/s; zero when unknown.
 	LinkMbps int
 	// Dial opens connections to the back end.
@@ -117,6 +121,8 @@
 	options Options
 	pool    *forward.Pool
 	gate    *admission.Gate
+	// meter works out the tenants' shares.
+	meter shares.Meter
 	// transfers bounds the large bodies on the link.
 	transfers *transfers
 	// leaving is since when the back end is known to be leaving; nil while it is not.
@@ -216,6 +222,12 @@
 	return h.pace.Factor(now), told, age
 }
 
+// Usage returns which tenants have held the back end's slots for the longest time, and for how long
+// all others have.
+func (h *Handler) Usage(most int) (top []admission.Usage, others time.Duration) {
+	return h.gate.Usage(most)
+}
+
 // CloseIdle closes idle connections to the back end: it may have closed them itself while
 // the machine was suspended.
 func (h *Handler) CloseIdle() { h.pool.CloseIdle() }
