An overdue kind leaves turns, nested calls and refusals as they are

Cause, found by reading and shown by tests: a slot that went to a kind since it was overdue moved the clock of its class to that tenant's standing, so that tenants that came later began behind all others. Such a slot came before calls that running requests wait for, kinds were taken in no order, and with many kinds they could have had every slot. One kept request at the end of the queue stopped all displacement.

Change: the clock moves where no tenant that has had less waits at the level. Nested calls come first; the kind that is overdue the longest next; at most one slot in twenty. Who is refused for want of room is looked for among those not kept.

--- a/internal/sidecar/admission/admission.go
+++ b/internal/sidecar/admission/admission.go
@@ -56,6 +56,8 @@
 	slots   int
 	running int
 	waiting queue
+	// grants counts the slots given, overdueAt is what it was when a kind that was overdue last had one.
+	grants, overdueAt int
 	// service is the smoothed time a slot is held.
 	service time.Duration
 	// correction is how much longer requests wait than the work before them
@@ -184,13 +186,14 @@
 func (g *Gate) start(entry *waiter) {
 	g.reserve.began(entry.ticket.Priority, false, g.slots, g.now())
 	g.running++
+	g.grants++
 	entry.kind.since = g.now()
-	beside := 0
+	beside, byTurn := 0, g.waiting.inTurn(entry)
 	if g.waiting.holds(entry) {
 		beside = entry.group.flow.length
 		g.waiting.remove(entry)
 	}
-	entry.standing.begin(entry, beside)
+	entry.standing.begin(entry, beside, byTurn)
 	entry.result <- nil
 }
 
@@ -235,9 +238,12 @@
 // than they may, since others came before them.
 func (g *Gate) displace() {
 	for g.waiting.length > 1 {
-		last := g.waiting.last()
+		last := g.waiting.last(g.now())
+		if last == nil {
+			return
+		}
 		left := last.ticket.MaximumWait - g.now().Sub(last.entered)
-		if g.expectedWait(g.waiting.work()-last.work, last.ticket) <= left || last.kind.kept(1, g.now()) {
+		if g.expectedWait(g.waiting.work()-last.work, last.ticket) <= left {
 			return
 		}
 		g.waiting.remove(last)
@@ -278,12 +284,17 @@
 	g.grant()
 }
 
-// next returns the request that gets a slot now, nil when none does. One of a kind that is overdue may have any.
+// next returns the request that gets a slot now, nil when none does. One of a kind that is overdue may
+// have any, but not before nested calls, and not more than a small part of all slots given.
 func (g *Gate) next() *waiter {
-	if overdue := g.waiting.overdue(g.now()); overdue != nil && g.running < g.slots {
-		return overdue
+	next := g.waiting.next()
+	if !next.ticket.Nested && g.running < g.slots && g.grants-g.overdueAt >= grantsPerOverdue {
+		if overdue := g.waiting.overdue(g.now()); overdue != nil {
+			g.overdueAt = g.grants
+			return overdue
+		}
 	}
-	if next := g.waiting.next(); g.running < g.open(next.ticket) {
+	if g.running < g.open(next.ticket) {
 		return next
 	}
 	return nil
--- a/internal/sidecar/admission/flow.go
+++ b/internal/sidecar/admission/flow.go
@@ -64,7 +64,14 @@
 // first returns the request that is served first, last the one that is refused first.
 func (f *flow) first() *waiter { return f.groups[0].waiters.Front().Value.(*waiter) }
 
-func (f *flow) last() *waiter { return f.groups[len(f.groups)-1].waiters.Back().Value.(*waiter) }
+func (f *flow) last(now time.Time) *waiter {
+	for i := len(f.groups) - 1; i >= 0; i-- {
+		if last := f.groups[i].waiters.Back().Value.(*waiter); !last.kind.kept(1, now) {
+			return last
+		}
+	}
+	return nil
+}
 
 // asked is what the tenant would have had if all requests of the flow were served.
 func (f *flow) asked() time.Duration {
@@ -96,6 +103,23 @@
 	work, had time.Duration
 }
 
+// last returns the request of the level that is refused first, nil when all are kept.
+func (l *level) last(now time.Time) *waiter {
+	if last := l.excess[0].last(now); last != nil {
+		return last
+	}
+	var most *flow
+	for _, held := range l.excess[1:] {
+		if (most == nil || held.asked() > most.asked()) && held.last(now) != nil {
+			most = held
+		}
+	}
+	if most == nil {
+		return nil
+	}
+	return most.last(now)
+}
+
 func (l *level) add(added *flow) {
 	l.had += added.standing.had
 	heap.Push(&l.turns, added)
--- a/internal/sidecar/admission/flow_test.go
+++ b/internal/sidecar/admission/flow_test.go
@@ -209,7 +209,7 @@
 				time.Sleep(asks.from)
 				for time.Now().Before(end) {
 					go func() {
-						slot, err := gate.Acquire(context.Background(), Ticket{Tenant: name, Work: asks.work, MaximumWait: 500 * time.Millisecond})
+						slot, err := gate.Acquire(context.Background(), Ticket{Tenant: name, Bounded: true, Work: asks.work, MaximumWait: 500 * time.Millisecond})
 						if err != nil {
 							return
 						}
@@ -254,12 +254,12 @@
 				next := gate.waiting.next()
 				beside := next.group.flow.length
 				gate.waiting.remove(next)
-				next.standing.begin(next, beside)
+				next.standing.begin(next, beside, true)
 				next.standing.end(next, 90*time.Millisecond, clock.at)
 				next.standing = gate.waiting.standings.join(next.ticket, clock.at)
 				gate.waiting.workBefore(next)
 				gate.waiting.add(next)
-				gate.waiting.last()
+				gate.waiting.last(clock.at)
 			}
 		})
 	}
--- a/internal/sidecar/admission/kind.go
+++ b/internal/sidecar/admission/kind.go
@@ -18,6 +18,10 @@
 // mostInVain is for how long requests of a kind may come without one getting a slot.
 const mostInVain = time.Second
 
+// grantsPerOverdue is for how many slots given one may go to a kind that is overdue: with many kinds
+// and few slots they would otherwise take them all.
+const grantsPerOverdue = 20
+
 // kind returns that of the magnitude.
 func (c *class) kind(magnitude int) *kind {
 	for _, held := range c.kinds {
@@ -47,16 +51,20 @@
 // overdue, and no more of it wait than the given number.
 func (k *kind) kept(most int, now time.Time) bool { return k.waiting <= most && k.overdue(now) }
 
-// overdue returns the request of a kind that is overdue, nil when there is none.
+// overdue returns the request of the kind that is overdue for the longest time, nil when there is none.
 func (q *queue) overdue(now time.Time) *waiter {
+	var longest *kind
 	for _, competes := range q.standings.classes {
 		for _, held := range competes.kinds {
-			if held.waiting > 0 && held.overdue(now) {
-				return q.firstOf(held)
+			if held.waiting > 0 && held.overdue(now) && (longest == nil || held.since.Before(longest.since)) {
+				longest = held
 			}
 		}
 	}
-	return nil
+	if longest == nil {
+		return nil
+	}
+	return q.firstOf(longest)
 }
 
 // firstOf returns the waiting request of a kind that is served first.
--- a/internal/sidecar/admission/kind_test.go
+++ b/internal/sidecar/admission/kind_test.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -69,3 +70,71 @@
 		}
 	}
 }
+
+// TestWhoComesBesideAnOverdueKindHasItsShare: slots that are given to a kind since it is overdue leave the
+// turns of tenants as they are, also for one that comes later.
+func TestWhoComesBesideAnOverdueKindHasItsShare(t *testing.T) {
+	g := NewWithT(t)
+	const last, joins = 30 * time.Second, 20 * time.Second
+	asks := map[string]demand{
+		"long": {every: 100 * time.Millisecond, work: 500 * time.Millisecond},
+		"late": {every: 250 * time.Millisecond, work: 50 * time.Millisecond, from: joins},
+	}
+	for i := range 20 {
+		asks[fmt.Sprint(i)] = demand{every: 50 * time.Millisecond, work: 50 * time.Millisecond, from: time.Duration(i) * time.Millisecond}
+	}
+	held := compete(t, asks, 4, last)
+	perSecond := float64(held["late"]) / float64(asks["late"].work) / (last - joins).Seconds()
+	g.Expect(perSecond).To(And(BeNumerically(">=", 3), BeNumerically("<=", 5)))
+}
+
+// overdueQueue returns a full gate with a kind that is overdue and has one request waiting.
+func overdueQueue(g *WithT, clock *manual) (gate *Gate, running, waiting *waiter) {
+	gate = New(clock.now)
+	gate.Resize(1)
+	running, err := gate.enter(Ticket{Priority: 1, MaximumWait: time.Hour})
+	g.Expect(err).NotTo(HaveOccurred())
+	gate.grants = grantsPerOverdue
+	late := Ticket{Priority: 2, Bounded: true, Work: 100 * time.Millisecond, MaximumWait: time.Hour}
+	first, err := gate.enter(late)
+	g.Expect(err).NotTo(HaveOccurred())
+	gate.waiting.remove(first)
+	clock.at = clock.at.Add(mostInVain)
+	first.kind.came = clock.at.Add(-mostInVain / 2)
+	waiting, err = gate.enter(late)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(waiting.kind.overdue(clock.at)).To(BeTrue())
+	return gate, running, waiting
+}
+
+// TestNestedCallsComeBeforeAnOverdueKind.
+func TestNestedCallsComeBeforeAnOverdueKind(t *testing.T) {
+	g := NewWithT(t)
+	clock := &manual{at: time.Unix(1, 0)}
+	gate, running, late := overdueQueue(g, clock)
+	nested, err := gate.enter(Ticket{Nested: true, MaximumWait: time.Hour})
+	g.Expect(err).NotTo(HaveOccurred())
+	urgent, err := gate.enter(Ticket{Priority: 1, MaximumWait: time.Hour})
+	g.Expect(err).NotTo(HaveOccurred())
+	waiting := []*waiter{late, nested, urgent}
+	for _, wanted := range []*waiter{nested, late, urgent} {
+		(&Slot{gate: gate, entry: running, started: clock.at}).Release(true)
+		running, waiting = await(waiting)
+		g.Expect(running).To(BeIdenticalTo(wanted))
+	}
+}
+
+// TestWhoWaitsTooLongIsRefusedBesideAnOverdueKind: the request that is kept protects no other.
+func TestWhoWaitsTooLongIsRefusedBesideAnOverdueKind(t *testing.T) {
+	g := NewWithT(t)
+	clock := &manual{at: time.Unix(1, 0)}
+	gate, _, late := overdueQueue(g, clock)
+	var urgent []*waiter
+	for range 6 {
+		entry, err := gate.enter(Ticket{Priority: 1, Work: 100 * time.Millisecond, MaximumWait: 300 * time.Millisecond})
+		g.Expect(err).NotTo(HaveOccurred())
+		urgent = append(urgent, entry)
+	}
+	g.Expect(gate.waiting.holds(late)).To(BeTrue())
+	g.Expect(urgent[0].result).To(Receive(MatchError(ErrDisplaced)))
+}
--- a/internal/sidecar/admission/queue.go
+++ b/internal/sidecar/admission/queue.go
@@ -155,8 +155,13 @@
 	}
 }
 
-// next returns the request that is served first, last the one that is served
-// after all others; nil when the queue is empty.
+// inTurn reports whether a request gets its slot by turn: no tenant waits at its level that has had less.
+func (q *queue) inTurn(entry *waiter) bool {
+	index, found := q.find(entry.ticket.precedence().Level())
+	return !found || q.levels[index].turns[0].standing.had >= entry.standing.had
+}
+
+// next returns the request that is served first; nil when the queue is empty.
 func (q *queue) next() *waiter {
 	if q.length == 0 {
 		return nil
@@ -164,11 +169,15 @@
 	return q.levels[0].turns[0].first()
 }
 
-func (q *queue) last() *waiter {
-	if q.length == 0 {
-		return nil
+// last returns the request that is refused first: the one that is served after all others, but for
+// those that are kept since their kind is overdue. It is nil when there is none.
+func (q *queue) last(now time.Time) *waiter {
+	for i := len(q.levels) - 1; i >= 0; i-- {
+		if last := q.levels[i].last(now); last != nil {
+			return last
+		}
 	}
-	return q.levels[len(q.levels)-1].excess[0].last()
+	return nil
 }
 
 // before reports whether a waiting request is served before a new one.
--- a/internal/sidecar/admission/standing.go
+++ b/internal/sidecar/admission/standing.go
@@ -145,9 +145,12 @@
 }
 
 // begin charges the tenant for a request that gets a slot. beside is how many of its requests waited
-// with it, itself included; zero when it did not wait.
-func (s *standing) begin(entry *waiter, beside int) {
-	s.class.clock = max(s.class.clock, s.had)
+// with it, itself included; zero when it did not wait. byTurn: no other tenant whose turn it was
+// waits. Otherwise the clock stays: a tenant that comes then would begin behind all of those.
+func (s *standing) begin(entry *waiter, beside int, byTurn bool) {
+	if byTurn {
+		s.class.clock = max(s.class.clock, s.had)
+	}
 	s.running++
 	switch {
 	case s.named():
