Unused tokens come back on every path; shares are told where a queue saw the request

Causes, found by reading: tokens that no run used were given back where a request was given up alone, and not when it was served in the end or routed anew; a question for a second token could hold back the answer of a send that was left behind; the failure named the limit also where nobody could tell; a reply to a request that no queue saw told the caller's node that there was room for all; priorities of a meter were not bounded; a full table of what was heard was swept for each reply.

Change: tokens are given back once at the end of the send. While a send that was left behind may answer only held tokens are spent. Replies tell of shares where the request was offered alone, in one character where there is room for all, and replies without say nothing.

--- a/internal/sidecar/egress/call.go
+++ b/internal/sidecar/egress/call.go
@@ -54,10 +54,12 @@
 	tenant *route.Tenant
 	// tokens are the request's places within its tenant's limit, one for each run that it may need,
 	// those that end first in front.
-	tokens   []quota.Token
-	service  string
-	context  context.Context
-	deadline time.Time
+	tokens []quota.Token
+	// boughtAgain is how many more runs were paid for with tokens that the node held.
+	boughtAgain int
+	service     string
+	context     context.Context
+	deadline    time.Time
 	// callerTime is how long the caller itself waits; the route's time-out does not
 	// shorten it.
 	callerTime time.Duration
@@ -197,6 +199,7 @@
 	if failure := c.spend(); failure != nil {
 		return failure
 	}
+	defer c.returnUnused()
 	c.drawShare()
 	c.results, c.over = make(chan *attempt), make(chan struct{})
 	defer close(c.over)
--- a/internal/sidecar/egress/quota.go
+++ b/internal/sidecar/egress/quota.go
@@ -65,39 +65,51 @@
 	}
 }
 
-// spendAgain makes sure that the request has a token for one more run and reports whether it has: a send
-// that provably did not run has left it one. Otherwise the granter is asked where requests compete for
-// room; elsewhere what the node holds has to do.
-func (c *call) spendAgain() bool {
-	if !c.tenant.Limited() {
-		return true
-	}
-	if !c.handler.contended() {
-		return c.handler.options.Quota.Again(c.tenant.Name)
-	}
-	if unused := c.unused(); len(unused) > 0 && unused[len(unused)-1].Valid(clock.Now()) {
-		return true
+// spendAgain makes sure that the request has a token for one more run; the error says why it has none. A
+// send that provably did not run has left it one. Otherwise the granter is asked where requests compete
+// for room; elsewhere, and while a send that was left behind may answer, what the node holds has to do.
+func (c *call) spendAgain() error {
+	switch {
+	case !c.tenant.Limited() || c.holdsToken():
+		return nil
+	case c.handler.contended() && c.behind == 0:
+		if refused := c.spend(); refused != nil {
+			return refused.Cause
+		}
+		return nil
+	case !c.handler.options.Quota.Again(c.tenant.Name):
+		return quota.ErrSpent
 	}
-	return c.spend() == nil
+	c.boughtAgain++
+	return nil
+}
+
+// holdsToken reports whether a token is left that may still be spent.
+func (c *call) holdsToken() bool {
+	unused := c.unused()
+	return c.handler.contended() && len(unused) > 0 && unused[len(unused)-1].Valid(clock.Now())
 }
 
 // unused returns the request's tokens that no send has used, those that end first in front.
 func (c *call) unused() []quota.Token {
-	return c.tokens[:max(len(c.tokens)-c.visits.mayHaveRun(), 0)]
+	used := max(c.visits.mayHaveRun()-c.boughtAgain, 0)
+	return c.tokens[:max(len(c.tokens)-used, 0)]
 }
 
-// unspent gives tokens back that no run has used.
+// unspent gives the token back when the request provably did not run.
 func (c *call) unspent(failure *outcome.Failure) {
-	if !c.tenant.Limited() {
-		return
+	if c.tenant.Limited() && !c.handler.contended() && failure.Outcome == outcome.NotRun && c.runs == 0 && len(c.tokens) > 0 {
+		c.handler.options.Quota.Return(c.tokens[0])
 	}
-	if c.handler.contended() {
-		for _, token := range c.unused() {
-			c.handler.options.Quota.Return(token)
-		}
+}
+
+// returnUnused gives the tokens back that no run has used, where requests compete for room.
+func (c *call) returnUnused() {
+	if !c.handler.contended() {
 		return
 	}
-	if failure.Outcome == outcome.NotRun && c.runs == 0 && len(c.tokens) > 0 {
-		c.handler.options.Quota.Return(c.tokens[0])
+	for _, token := range c.unused() {
+		c.handler.options.Quota.Return(token)
 	}
+	c.tokens = nil
 }
--- a/internal/sidecar/egress/share.go
+++ b/internal/sidecar/egress/share.go
@@ -44,9 +44,9 @@
 	}
 }
 
-// hearShare takes in what a reply tells of the tenant's share.
+// hearShare takes in what a reply tells of the tenant's share; replies to what no queue saw tell nothing.
 func (c *call) hearShare(header http.Header) {
-	if c.shared() {
-		c.handler.heard.Take(c.subject(), shares.ParseStanding(header.Get(hop.HeaderShare)), clock.Now())
+	if told := header.Get(hop.HeaderShare); told != "" && c.shared() {
+		c.handler.heard.Take(c.subject(), shares.ParseStanding(told), clock.Now())
 	}
 }
--- a/internal/sidecar/egress/token_test.go
+++ b/internal/sidecar/egress/token_test.go
@@ -91,3 +91,25 @@
 	_, token := holder.Take("acme", now)
 	return token
 }
+
+// TestTokensThatNoRunUsed, also when the request is served in the end.
+func TestTokensThatNoRunUsed(t *testing.T) {
+	ran, notRun, answered := visit{outcome: outcome.Unknown}, visit{outcome: outcome.NotRun}, visit{}
+	cases := []struct {
+		name   string
+		visits visits
+		bought int
+		unused int // of two
+	}{
+		{"nothing sent", nil, 0, 2},
+		{"refused", visits{notRun, notRun}, 0, 2},
+		{"rejected, then served", visits{notRun, answered}, 0, 1},
+		{"ran twice", visits{ran, answered}, 0, 0},
+		{"the second run paid for by the node", visits{ran, answered}, 1, 1},
+		{"more runs than tokens", visits{ran, ran, ran}, 0, 0},
+	}
+	for _, played := range cases {
+		made := &call{visits: played.visits, tokens: make([]quota.Token, 2), boughtAgain: played.bought}
+		NewWithT(t).Expect(made.unused()).To(HaveLen(played.unused), played.name)
+	}
+}
--- a/internal/sidecar/egress/visit.go
+++ b/internal/sidecar/egress/visit.go
@@ -14,7 +14,6 @@
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/choice"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
-	"github.com/kestrelstream/kestrelstream/internal/sidecar/quota"
 )
 
 const (
@@ -208,8 +207,8 @@
 		last.failure.Cause = errors.Join(errAttempts, last.failure.Cause)
 		return false
 	}
-	if !c.spendAgain() {
-		last.failure.Cause = errors.Join(quota.ErrSpent, last.failure.Cause)
+	if err := c.spendAgain(); err != nil {
+		last.failure.Cause = errors.Join(err, last.failure.Cause)
 		return false
 	}
 	if !c.handler.budget(c.service).take(c.handler.options.Retries(), c.members(), clock.Now()) {
--- a/internal/sidecar/ingress/arrival.go
+++ b/internal/sidecar/ingress/arrival.go
@@ -57,6 +57,8 @@
 	identified atomic.Pointer[fingerprint.Print]
 	// besideEnd: the back end's process ended, and another request has told so.
 	besideEnd bool
+	// counted: the request was offered to the queue, and counts against its tenant's share.
+	counted bool
 	// onTrial: the request is suspected of ending back ends and has the handler's trial.
 	onTrial bool
 }
--- a/internal/sidecar/ingress/share.go
+++ b/internal/sidecar/ingress/share.go
@@ -34,7 +34,9 @@
 // offered has the meter count the request. Those above their tenant's share are counted by the others,
 // which tell for how many they stand.
 func (a *arrival) offered() {
-	if tenant := a.shared(); tenant != "" && !a.told.OverShare {
+	tenant := a.shared()
+	a.counted = tenant != ""
+	if a.counted && !a.told.OverShare {
 		part := shares.ParsePart(a.request.Header.Get(hop.HeaderShare))
 		a.handler.meter.Came(a.told.Priority, tenant, a.told.Expected, part, clock.Now())
 	}
@@ -42,18 +44,16 @@
 
 // admitted has the meter count that the request has a slot.
 func (a *arrival) admitted() {
-	if a.shared() != "" {
+	if a.counted {
 		a.handler.meter.Served(a.told.Priority, a.told.Expected, clock.Now())
 	}
 }
 
-// tellShare tells the caller's node what the tenant may have of the room here, while there is too little.
+// tellShare tells the caller's node what the tenant may have of the room here. A request that was refused
+// for another reason says nothing of the room.
 func (a *arrival) tellShare(header http.Header) {
-	tenant := a.shared()
-	if tenant == "" {
-		return
-	}
-	if told := a.handler.meter.Standing(a.told.Priority, tenant, clock.Now()).Format(); told != "" {
-		header[hop.HeaderShare] = []string{told}
+	if a.counted {
+		told := a.handler.meter.Standing(a.told.Priority, a.shared(), clock.Now())
+		header[hop.HeaderShare] = []string{told.Format()}
 	}
 }
--- a/internal/sidecar/shares/heard.go
+++ b/internal/sidecar/shares/heard.go
@@ -28,8 +28,10 @@
 // Heard is what the node of callers knows of tenants' shares, by what replies told. The zero value
 // is ready and knows nothing. It is safe for concurrent use.
 type Heard struct {
-	mu    sync.RWMutex // guards parts
+	mu    sync.RWMutex // guards all below
 	parts map[Subject]*part
+	// swept is when subjects were last looked for of which nothing is known any more.
+	swept time.Time
 }
 
 // part is what replies told of one subject.
@@ -66,7 +68,8 @@
 	if h.parts == nil {
 		h.parts = map[Subject]*part{}
 	}
-	if len(h.parts) >= mostHeard {
+	if len(h.parts) >= mostHeard && now.Sub(h.swept) >= hearAge {
+		h.swept = now
 		for other, held := range h.parts {
 			if !held.known(now) {
 				delete(h.parts, other)
--- /dev/null
+++ b/internal/sidecar/shares/memory_test.go
@@ -0,0 +1,25 @@
+package shares
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// TestMemoryIsBounded whatever priorities and tenants nodes tell.
+func TestMemoryIsBounded(t *testing.T) {
+	g := NewWithT(t)
+	var meter Meter
+	var heard Heard
+	now := time.Unix(1, 0)
+	for number := range 3 * mostTenants {
+		meter.Came(number, "t", time.Millisecond, Whole, now)
+		meter.Came(0, fmt.Sprint(number), time.Millisecond, Whole, now)
+		heard.Take(Subject{Tenant: fmt.Sprint(number)}, Standing{Share: 1, Demand: 9}, now)
+	}
+	g.Expect(len(meter.classes)).To(BeNumerically("<=", mostClasses))
+	g.Expect(len(meter.classes[0].demands)).To(BeNumerically("<=", mostTenants))
+	g.Expect(len(heard.parts)).To(BeNumerically("<=", mostHeard))
+}
--- a/internal/sidecar/shares/shares.go
+++ b/internal/sidecar/shares/shares.go
@@ -7,6 +7,7 @@
 package shares
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"strconv"
@@ -49,10 +50,13 @@
 // room there, and what this one asks for. The zero value says that there is room for all.
 type Standing struct{ Share, Demand time.Duration }
 
-// Format writes the standing as the value of a header, empty for the zero value.
+// roomForAll is the zero value as a header.
+const roomForAll = "0"
+
+// Format writes the standing as the value of a header.
 func (s Standing) Format() string {
 	if s == (Standing{}) {
-		return ""
+		return roomForAll
 	}
 	line := strconv.AppendInt(make([]byte, 0, 32), s.Share.Microseconds(), 10)
 	return string(strconv.AppendInt(append(line, ' '), s.Demand.Microseconds(), 10))
@@ -84,6 +88,8 @@
 	silentAfter = 2 * time.Second
 	// mostTenants bounds the tenants of a class; others are taken for within their shares.
 	mostTenants = 4096
+	// mostClasses bounds the priorities: from then on those that are silent are forgotten.
+	mostClasses = 64
 )
 
 // Meter works out the shares at one back end. The zero value is ready. It is safe for concurrent use.
@@ -154,6 +160,9 @@
 		if m.classes == nil {
 			m.classes = map[int]*class{}
 		}
+		if len(m.classes) >= mostClasses {
+			m.makeRoom(now)
+		}
 		held = &class{demands: map[string]*demand{}, share: math.Inf(1), folded: now}
 		m.classes[priority] = held
 	}
@@ -164,6 +173,14 @@
 	return held
 }
 
+// makeRoom forgets the classes that are silent, or all when none is: what they knew is worked out anew.
+func (m *Meter) makeRoom(now time.Time) {
+	maps.DeleteFunc(m.classes, func(_ int, held *class) bool { return now.Sub(held.folded) >= silentAfter })
+	if len(m.classes) >= mostClasses {
+		clear(m.classes)
+	}
+}
+
 // fold ends a window.
 func (c *class) fold(passed time.Duration) {
 	if passed >= silentAfter {
