--- a/internal/sidecar/admission/kind.go
+++ b/internal/sidecar/admission/kind.go
@@ -4,7 +4,7 @@
 
 // kind is what requests of one class and of one order of magnitude of work have in common: those of one
 // route, mostly. A more urgent class, or shorter work, may take all slots for as long as it lasts; a
-// kind that has come for mostInVain without a slot gets the next one, and then its turn is over.
+// kind that has come for mostInVain without a slot gets the next one.
 type kind struct {
 	class     *class
 	magnitude int
--- a/internal/sidecar/admission/usage.go
+++ b/internal/sidecar/admission/usage.go
@@ -30,12 +30,12 @@
 	held := map[string]time.Duration{}
 	for _, competes := range s.classes {
 		forgotten += competes.forgotten
-		for tenant, standing := range competes.tenants {
-			held[tenant] += standing.held
+		for tenant, of := range competes.tenants {
+			held[tenant] += of.held
 		}
 	}
-	for tenant, time := range held {
-		all = append(all, Usage{Tenant: tenant, Held: time})
+	for tenant, sum := range held {
+		all = append(all, Usage{Tenant: tenant, Held: sum})
 	}
 	return all, forgotten
 }
--- a/internal/sidecar/egress/handler.go
+++ b/internal/sidecar/egress/handler.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -144,6 +145,8 @@
 	// work and patiences hold what is learned by route name.
 	work, patiences sync.Map
 
+	// draw returns a random number from 0 to below 1.
+	draw func() float64
 	// heard is what replies told of tenants' shares.
 	heard shares.Heard
 
@@ -176,6 +179,7 @@
 	cutting, cut := context.WithCancelCause(context.Background())
 	return &Handler{
 		options: options,
+		draw:    rand.Float64,
 		targets: &targets{options: limits, dial: options.Dial, byNode: map[string]*target{}},
 		served:  sampled(options.Logger),
 		cutting: cutting,
--- a/internal/sidecar/egress/share.go
+++ b/internal/sidecar/egress/share.go
@@ -1,7 +1,6 @@
 package egress
 
 import (
-	"math/rand/v2"
 	"net/http"
 
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
@@ -31,7 +30,7 @@
 		return
 	}
 	c.part = c.handler.heard.Part(c.subject(), clock.Now())
-	c.overShare = c.part < shares.Whole && rand.Float64() >= c.part
+	c.overShare = c.part < shares.Whole && c.handler.draw() >= c.part
 }
 
 // tellPart tells the node beside the back end for which part of the tenant's requests this one stands.
