--- a/internal/sidecar/quota/quota.go
+++ b/internal/sidecar/quota/quota.go
@@ -24,14 +24,11 @@
 )
 
 const (
-	// askTimeout bounds one question to a granter while a request waits. It is about a hundred
-	// times what one takes between zones.
-	askTimeout = 300 * time.Millisecond
 	// askTries is how often one request asks in vain at most.
 	askTries = 4
-	// askAll is for how long one request asks in all: others that wait for the same answers may have
-	// spent what they brought.
-	askAll = askTimeout
+	// askAll is for how long one request asks on while the granter answers: others that wait for the same
+	// answers may have spent what they brought.
+	askAll = 300 * time.Millisecond
 	// leastWait is the shortest wait that a refused caller is told.
 	leastWait = 50 * time.Millisecond
 )
@@ -100,21 +97,22 @@
 			token.Wait = max(token.Wait, leastWait)
 			return q.counted("spent", token, ErrSpent)
 		}
-		over := ctx.Err() != nil || clock.Since(began) >= askAll
 		switch {
-		case answered && over:
+		case failed == askTries || ctx.Err() != nil:
+			return q.takeOwn(tenant)
+		case answered && clock.Since(began) >= askAll:
 			// Others had all that was given out: the limit is as good as reached.
 			return q.counted("spent", lending.Token{Wait: leastWait}, ErrSpent)
-		case over, failed == askTries:
-			return q.takeOwn(tenant)
 		}
-		if err := q.Ask(ctx, tenant); err == nil {
-			answered = true
+		err := q.Ask(ctx, tenant)
+		answered = err == nil
+		if answered {
 			continue
-		} else if ctx.Err() == nil {
-			q.options.Logger.Info("no tokens granted", zap.String("tenant", tenant), zap.Error(err))
 		}
 		failed++
+		if ctx.Err() == nil {
+			q.options.Logger.Info("no tokens granted", zap.String("tenant", tenant), zap.Error(err))
+		}
 	}
 }
 
