A send is told whether it is a repeat before it begins

Cause: found by the race detector (TestASilentNode): a send read the call's count of runs in its own goroutine, while the call went on to the next one. The same holds for the count of ends that tells suspects, from before.

Change: both are fixed when the back end is chosen.

After: egress under the race detector green, TestASilentNode 20 of 20. With -count=2 TestWhoIsRejectedByChance was red, and is so on untouched: its second play on the virtual clock in one process meets package clock's state of the first.

--- a/internal/sidecar/egress/attempt.go
+++ b/internal/sidecar/egress/attempt.go
@@ -47,6 +47,8 @@
 	// compared: the back end is of a version that is compared with others. What it does
 	// says nothing of how long requests usually take.
 	compared bool
+	// repeated: the run is a repeat. crashed: a back end ended under an earlier send.
+	repeated, crashed bool
 
 	// noted is the send's number among the call's visits once it was left behind,
 	// zero before; the call's goroutine alone uses it.
--- a/internal/sidecar/egress/choose.go
+++ b/internal/sidecar/egress/choose.go
@@ -25,6 +25,7 @@
 		seen: seen, reportAge: chosen.reportAge(considered.now),
 		sends: len(c.visits), candidates: considered.ready,
 		compared: c.handler.compares(c.service, record),
+		repeated: c.repeat(), crashed: c.crashes > 0,
 	}
 }
 
--- a/internal/sidecar/egress/visit.go
+++ b/internal/sidecar/egress/visit.go
@@ -246,9 +246,9 @@
 		Service: a.service, Caller: options.Caller(), Remaining: remaining, Priority: c.priority(),
 		MaximumWait: c.mostWait(request, a), Expected: c.work().Mean(c.assumedWork()),
 		Returning: request.Returning && !request.Hurried(),
-		Suspect:   c.crashes > 0,
+		Suspect:   a.crashed,
 		Nested:    c.nested,
-		Repeated:  c.repeat(),
+		Repeated:  a.repeated,
 		Usual:     c.handler.usualOf(c.service, c.route.Name, a.record),
 	}
 	header[hop.HeaderHop] = []string{told.Format()}
