Repeats: what a node owes stays with it; a token that is not due pays for nothing

Cause: what calls of repeated runs owe was handed to the granter with the next message, and the node spent what it earned as before. Nodes that call for repeats pass nothing on, so that the granter never collected it; and a message that was lost took the debt along.

Change: a debt stays until what the node earns, tokens of the granter or its own share have made up for it; it is a demand, and nothing is passed on or sent again before. Bring has no tokens below zero. Surplus that waits to be passed on counts with what is saved up: 0.82 flows in, 0.15 is saved up. Besides: a token that came back lost its due time, and repeats took it early; an account that went while its share was lent was forgotten, so that the share could be lent twice; a granter of the version before, which answers 404, was taken for lost; a service that is gone held the gauge at zero.

Tests: TestWhatIsOwedIsPassedOnToo pinned the fault: TestWhatIsOwedStays is as strict for what is right (nothing is spent or passed on while a node owes, lots and earnings pay).

Open: a node whose process ends takes its debt along; a route that changes while a request is under way earns twice (as before).

--- a/internal/sidecar/exchange/exchanger.go
+++ b/internal/sidecar/exchange/exchanger.go
@@ -380,6 +380,12 @@
 	return resp, trace.Wrap(err, "exchange with %s", peer.Node)
 }
 
+// statusError is the status of a peer's answer that is none of success.
+type statusError int
+
+// Error implements error.
+func (s statusError) Error() string { return fmt.Sprintf("status %d", int(s)) }
+
 // do sends a request. The body of the response, which has a status of success, is to be closed.
 func (e *Exchanger) do(req *http.Request) (*http.Response, error) {
 	resp, err := e.client.Do(req)
@@ -388,7 +394,7 @@
 	}
 	if resp.StatusCode >= http.StatusMultipleChoices {
 		_ = resp.Body.Close()
-		return nil, fmt.Errorf("status %d", resp.StatusCode)
+		return nil, statusError(resp.StatusCode)
 	}
 	return resp, nil
 }
--- a/internal/sidecar/exchange/lending.go
+++ b/internal/sidecar/exchange/lending.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 
@@ -25,6 +26,10 @@
 
 func (e *Exchanger) askLender(ctx context.Context, peer *roster.Record, path string, asked *lending.Ask) (*lending.Answer, error) {
 	resp, err := e.send(ctx, peer, path, asked)
+	if status := statusError(0); errors.As(err, &status) && status == http.StatusNotFound {
+		// A node of the version before lends nothing, and is there all the same.
+		return &lending.Answer{Closed: true}, nil
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/internal/sidecar/lending/carrier/carrier.go
+++ b/internal/sidecar/lending/carrier/carrier.go
@@ -218,7 +218,7 @@
 		return
 	}
 	exists := func(account string) bool { _, exists := c.Terms(account); return exists }
-	c.holder.Retain(exists)
+	c.holder.Retain(exists, clock.Now())
 	c.granter.Retain(exists)
 	accounts, granters := c.options.Accounts(), c.granters()
 	c.sendAll(c.releases(accounts, granters), func(granter string, asked *lending.Ask) {
--- a/internal/sidecar/lending/earned.go
+++ b/internal/sidecar/lending/earned.go
@@ -30,13 +30,30 @@
 	h.bound(account, held, terms, now)
 }
 
-// Owe takes in what was spent beyond what the node has. It is made up for out of what the node
-// earns, or by the granter out of what all have.
-func (h *Holder) Owe(account string, tokens float64) {
+// Owe takes in what was spent beyond what the node has. It stays with the node until it is made up
+// for: by what the node earns, by tokens of the granter, for which it is a demand, or by its own
+// share.
+func (h *Holder) Owe(account string, tokens float64, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	held := h.of(account)
-	held.earnings.tokens = max(held.earnings.tokens-tokens, -mostBrought)
+	held.fade(now)
+	held.demand += tokens
+	held.earnings.tokens -= tokens
+}
+
+// Settle makes up for what the node owes out of the tokens of granters that it holds and, where
+// its share is lent to nobody, out of that. It reports whether the node owes nothing any more.
+func (h *Holder) Settle(account string, terms Terms, now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	held := h.of(account)
+	h.bound(account, held, terms, now)
+	own := &held.earnings
+	for own.tokens < 0 && (held.takeDue(now) || h.takeOwn(account, held, terms, now)) {
+		own.tokens++
+	}
+	return own.tokens >= 0
 }
 
 // TakeEarned spends one of the tokens that the node has earned and not passed on.
@@ -53,7 +70,8 @@
 }
 
 // Pass returns the tokens that the node passes on with a message that it sends now. It keeps
-// what it is likely to spend. The node has them no more, whether the message arrives or not.
+// what it is likely to spend, and all while it owes some. The node has them no more, whether the
+// message arrives or not.
 func (h *Holder) Pass(account string, terms Terms, now time.Time) float64 {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -61,11 +79,19 @@
 	h.bound(account, held, terms, now)
 	held.fade(now)
 	own := &held.earnings
-	kept := max(min(own.tokens, held.demand*keptTime.Seconds()), 0)
+	if own.tokens < 0 {
+		paid := min(own.surplus, -own.tokens)
+		own.tokens += paid
+		own.surplus -= paid
+	}
+	if own.tokens < 0 {
+		return 0
+	}
+	kept := min(own.tokens, held.demand*keptTime.Seconds())
 	passed := math.Floor((own.tokens-kept+own.surplus)/broughtUnit) * broughtUnit
 	passed = min(passed, mostBrought)
 	own.tokens, own.surplus = kept, 0
-	own.passed.Add(max(passed, 0), terms.Window, now)
+	own.passed.Add(passed, terms.Window, now)
 	return passed
 }
 
--- a/internal/sidecar/lending/earned_test.go
+++ b/internal/sidecar/lending/earned_test.go
@@ -41,19 +41,54 @@
 	g.Expect(holder.Held("s", terms, now)).To(BeNumerically("<=", (terms.EarnedDepth+terms.EarnedKept)*200))
 }
 
-// TestWhatIsOwedIsPassedOnToo, so that all make up for it.
-func TestWhatIsOwedIsPassedOnToo(t *testing.T) {
+// TestWhatIsOwedStays with the node until it is made up for, whatever messages are lost: nothing is
+// spent or passed on before.
+func TestWhatIsOwedStays(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Unix(1000, 0)
-	holder, granter := lending.NewHolder("n"), lending.NewGranter()
-	granter.Bring("s", 1000, terms, now)
-	want := lending.Want{Account: "s", Tokens: 1}
-	g.Expect(granter.Grant(want, terms, now).Tokens).To(Equal(1))
-	holder.Owe("s", 200)
-	granter.Bring("s", holder.Pass("s", terms, now), terms, now)
-	g.Expect(granter.Grant(want, terms, now).Tokens).To(BeZero())
+	holder := lending.NewHolder("n")
+	g.Expect(holder.Lend("s", "granter", terms, now)).To(BeTrue())
+	holder.Owe("s", 3, now)
+	holder.Earn("s", 1, terms, now)
+	for range 5 {
+		g.Expect(holder.Pass("s", terms, now)).To(BeZero())
+		g.Expect(holder.TakeEarned("s", terms, now)).To(BeFalse())
+		g.Expect(holder.Settle("s", terms, now)).To(BeFalse())
+	}
+	g.Expect(holder.Wanted("s", time.Second, now)).To(BeNumerically(">=", 3), "it is called for")
+	holder.Granted("s", lending.Grant{Tokens: 3}, now, now)
+	g.Expect(holder.Settle("s", terms, now)).To(BeTrue())
+	g.Expect(holder.Held("s", terms, now)).To(Equal(1.0), "two paid for it")
+	holder.Owe("s", 1, now)
 	holder.Earn("s", 1, terms, now)
-	g.Expect(holder.Held("s", terms, now)).To(BeNumerically("<", 1), "it owes no more")
+	g.Expect(holder.Settle("s", terms, now)).To(BeTrue(), "so does what is earned")
+}
+
+// TestATokenThatIsNotDue pays for nothing, also when it comes back.
+func TestATokenThatIsNotDue(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	holder := lending.NewHolder("n")
+	holder.Granted("s", lending.Grant{Tokens: 1, WaitMS: 50}, now, now)
+	g.Expect(holder.TakeDue("s", now)).To(BeFalse())
+	_, token := holder.Take("s", now)
+	g.Expect(token.Wait).To(Equal(50 * time.Millisecond))
+	holder.Return(token)
+	g.Expect(holder.TakeDue("s", now)).To(BeFalse())
+	g.Expect(holder.TakeDue("s", now.Add(50*time.Millisecond))).To(BeTrue())
+}
+
+// TestAShareThatIsLentIsNotForgotten with its account, before the lease is over.
+func TestAShareThatIsLentIsNotForgotten(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	holder := lending.NewHolder("n")
+	none := func(string) bool { return false }
+	g.Expect(holder.Lend("s", "one", terms, now)).To(BeTrue())
+	holder.Retain(none, now)
+	g.Expect(holder.Lend("s", "two", terms, now)).To(BeFalse())
+	holder.Retain(none, now.Add(time.Minute))
+	g.Expect(holder.Lend("s", "two", terms, now.Add(time.Minute))).To(BeTrue())
 }
 
 // TestWhatAGranterSavesUp: part of what was brought within the window, those given out and not
@@ -94,10 +129,12 @@
 
 func TestBringsThatNoNodeSends(t *testing.T) {
 	g := NewWithT(t)
-	asked := &lending.Ask{From: "n", Brings: []lending.Bring{{Account: "s", Tokens: -3.5}}}
+	asked := &lending.Ask{From: "n", Brings: []lending.Bring{{Account: "s", Tokens: 3.5}}}
 	g.Expect(asked.Validate()).To(Succeed())
-	asked.Brings[0].Tokens = 1e9
-	g.Expect(asked.Validate()).To(MatchError(ContainSubstring("brings.tokens")))
+	for _, tokens := range []float64{1e9, -1} {
+		asked.Brings[0].Tokens = tokens
+		g.Expect(asked.Validate()).To(MatchError(ContainSubstring("brings.tokens")))
+	}
 	asked.Brings = make([]lending.Bring, 10_001)
 	g.Expect(asked.Validate()).To(MatchError(ContainSubstring("brings")))
 }
--- a/internal/sidecar/lending/granter.go
+++ b/internal/sidecar/lending/granter.go
@@ -54,7 +54,7 @@
 	}
 }
 
-// Bring takes in tokens that a node has earned and passes on or, below zero, owes.
+// Bring takes in tokens that a node has earned and passes on.
 func (g *Granter) Bring(account string, tokens float64, terms Terms, now time.Time) {
 	if terms.Window <= 0 {
 		return
@@ -63,7 +63,7 @@
 	defer g.mu.Unlock()
 	held := g.of(account, now)
 	held.advance(terms, now)
-	held.earned.Add(max(tokens, 0), terms.Window, now)
+	held.earned.Add(tokens, terms.Window, now)
 	held.tokens = min(held.tokens+tokens, held.depth(terms, now))
 }
 
--- a/internal/sidecar/lending/holder.go
+++ b/internal/sidecar/lending/holder.go
@@ -51,8 +51,8 @@
 
 // Token is one request's place within an account.
 type Token struct {
-	account string
-	until   time.Time
+	account     string
+	from, until time.Time
 	// Wait is how long the request is to wait before it is sent.
 	Wait time.Duration
 }
@@ -85,6 +85,13 @@
 	return AskGranter, Token{}
 }
 
+// TakeDue spends a token that is held and may be spent now.
+func (h *Holder) TakeDue(account string, now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.of(account).takeDue(now)
+}
+
 // Came notes that a request came, which says how many tokens will be wanted.
 func (h *Holder) Came(account string, now time.Time) {
 	h.mu.Lock()
@@ -137,7 +144,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	held := h.of(token.account)
-	held.lots = append(held.lots, lot{count: 1, until: token.until})
+	held.lots = append(held.lots, lot{count: 1, from: token.from, until: token.until})
 }
 
 // Lend notes that the node lends its share of an account with a message that it sends now, and
@@ -198,10 +205,17 @@
 func (h *Holder) TakeOwn(account string, terms Terms, now time.Time) (Token, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	held := h.of(account)
-	if now.Before(held.lentUntil) {
+	if !h.takeOwn(account, h.of(account), terms, now) {
 		return Token{}, false
 	}
+	return Token{account: account, until: now}, true
+}
+
+// takeOwn is TakeOwn with the lock held.
+func (h *Holder) takeOwn(account string, held *holding, terms Terms, now time.Time) bool {
+	if now.Before(held.lentUntil) {
+		return false
+	}
 	since := held.ownAt
 	if held.lentUntil.After(since) {
 		since, held.own = held.lentUntil, 0
@@ -213,10 +227,10 @@
 	held.own = min(held.own+terms.Rate*now.Sub(since).Seconds()/members, h.whole(account, terms.Depth/members))
 	held.ownAt = now
 	if held.own < 1 {
-		return Token{}, false
+		return false
 	}
 	held.own--
-	return Token{account: account, until: now}, true
+	return true
 }
 
 // whole rounds a node's part of what can be saved up to whole tokens, up or down by a hash, so
@@ -230,12 +244,13 @@
 	return down
 }
 
-// Retain forgets the accounts for which the function does not say so.
-func (h *Holder) Retain(kept func(account string) bool) {
+// Retain forgets the accounts for which the function does not say so, once no node counts with
+// their shares.
+func (h *Holder) Retain(kept func(account string) bool, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for account := range h.accounts {
-		if !kept(account) {
+	for account, held := range h.accounts {
+		if !kept(account) && !now.Before(held.lentUntil) {
 			delete(h.accounts, account)
 		}
 	}
@@ -271,7 +286,18 @@
 	}
 	h.lots[best].count--
 	chosen := h.lots[best]
-	return Token{account: account, until: chosen.until, Wait: max(chosen.from.Sub(now), 0)}, true
+	return Token{account: account, from: chosen.from, until: chosen.until, Wait: max(chosen.from.Sub(now), 0)}, true
+}
+
+// takeDue spends a token that may be spent now.
+func (h *holding) takeDue(now time.Time) bool {
+	for i := range h.lots {
+		if one := &h.lots[i]; one.count > 0 && !now.Before(one.from) && now.Before(one.until) {
+			one.count--
+			return true
+		}
+	}
+	return false
 }
 
 // count returns how many tokens of granters may be spent now or soon.
--- a/internal/sidecar/lending/message.go
+++ b/internal/sidecar/lending/message.go
@@ -1,10 +1,6 @@
 package lending
 
-import (
-	"math"
-
-	"github.com/gravitational/trace"
-)
+import "github.com/gravitational/trace"
 
 // Ask is what a node sends to a granter.
 type Ask struct {
@@ -28,8 +24,7 @@
 	Tokens  int    `json:"tokens"`
 }
 
-// Bring passes tokens of one account on. Below zero it says what the node has spent beyond what
-// it had.
+// Bring passes tokens of one account on.
 type Bring struct {
 	Account string  `json:"account"`
 	Tokens  float64 `json:"tokens"`
@@ -80,8 +75,8 @@
 		}
 	}
 	for _, brought := range a.Brings {
-		if !(math.Abs(brought.Tokens) <= mostBrought) {
-			return trace.BadParameter("brings.tokens: %v is not from -%d to %d", brought.Tokens, mostBrought, mostBrought)
+		if !(brought.Tokens >= 0 && brought.Tokens <= mostBrought) {
+			return trace.BadParameter("brings.tokens: %v is not from 0 to %d", brought.Tokens, mostBrought)
 		}
 	}
 	return nil
--- a/internal/sidecar/repeats/fleet_test.go
+++ b/internal/sidecar/repeats/fleet_test.go
@@ -277,15 +277,48 @@
 	}
 }
 
-// TestCallsOfRepeatedRuns are paid for out of the same allowance.
+// TestCallsOfRepeatedRuns are paid for out of the same allowance, at all nodes and at a few.
 func TestCallsOfRepeatedRuns(t *testing.T) {
+	cases := []struct {
+		nodes, needing int
+		nested         float64
+	}{{13, 13, 0.1}, {88, 88, 0.142}, {88, 88, 0.16}, {13, 2, 0.16}}
+	for _, held := range cases {
+		t.Run(fmt.Sprintf("%v, %d of %d nodes", held.nested, held.needing, held.nodes), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				f := newFleet(3, held.nodes)
+				f.play(40*time.Second, load{
+					rate:   func(time.Duration) float64 { return 1000 },
+					again:  func(node int) float64 { return map[bool]float64{true: 0.5}[node < held.needing] },
+					nested: held.nested,
+				})
+				f.stop()
+				t.Logf("%.0f below the bound", -f.excess())
+				g.Expect(f.excess()).To(BeNumerically("<=", 0))
+			})
+		})
+	}
+}
+
+// TestASwitchAfterABurst: what nodes spent of their even shares right before shares are lent counts.
+func TestASwitchAfterABurst(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		f := newFleet(3, 13)
+		f := newFleet(4, 13)
+		f.on.Store(false)
+		time.AfterFunc(24*time.Second, func() { f.on.Store(true) })
 		f.play(40*time.Second, load{
-			rate: func(time.Duration) float64 { return 1000 }, again: func(int) float64 { return 0.5 }, nested: 0.1,
+			rate: func(since time.Duration) float64 {
+				if since < 23*time.Second {
+					return 20
+				}
+				return 1000
+			},
+			again: func(int) float64 { return 1 },
 		})
 		f.stop()
+		t.Logf("%.0f below the bound", -f.excess())
 		g.Expect(f.excess()).To(BeNumerically("<=", 0))
 	})
 }
@@ -355,20 +388,26 @@
 }
 
 // TestNeverMoreThanAllowed whatever goes wrong, two things at a time, while the requests come
-// unevenly: no window holds more than is allowed.
+// unevenly: no window holds more than is allowed. The second half of the seeds has calls of
+// repeated runs in place of the switch, without which nobody pays for those.
 func TestNeverMoreThanAllowed(t *testing.T) {
-	for seed := range uint64(6) {
+	const seeds = uint64(12)
+	for seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				g := NewWithT(t)
 				f := newFleet(seed, []int{13, 30, 88}[seed%3])
+				played, nested := troubles, 0.0
+				if seed >= seeds/2 {
+					played, nested = troubles[:len(troubles)-1], 0.12
+				}
 				var running sync.WaitGroup
 				for side := range uint64(2) {
 					random := rand.New(rand.NewPCG(seed, side))
 					running.Go(func() {
 						for end := time.Now().Add(40 * time.Second); time.Now().Before(end); {
 							time.Sleep(time.Duration(random.IntN(2000)) * time.Millisecond)
-							troubles[random.IntN(len(troubles))](f, random)
+							played[random.IntN(len(played))](f, random)
 						}
 					})
 				}
@@ -379,10 +418,12 @@
 						}
 						return 200
 					},
-					again: func(node int) float64 { return []float64{1, 0.3}[min(node%4, 1)] },
+					again:  func(node int) float64 { return []float64{1, 0.3}[min(node%4, 1)] },
+					nested: nested,
 				})
 				running.Wait()
 				f.stop()
+				t.Logf("%.0f below the bound", -f.excess())
 				g.Expect(f.excess()).To(BeNumerically("<=", 0))
 			})
 		})
--- a/internal/sidecar/repeats/repeats.go
+++ b/internal/sidecar/repeats/repeats.go
@@ -135,7 +135,8 @@
 	r.settle(name, held, limits, terms, now)
 	r.Holder().Earn(name, limits.earned(), terms, now)
 	if repeated > 0 {
-		r.Holder().Owe(name, repeated)
+		r.Holder().Owe(name, repeated, now)
+		r.refill(name, held, now)
 	}
 }
 
@@ -156,7 +157,7 @@
 		return r.counted("futile", false)
 	}
 	r.Holder().Came(name, now)
-	defer r.refill(name, held, terms, now)
+	defer r.refill(name, held, now)
 	if kept := held.calledFor.add(request, now); !spends(r.Holder().Held(name, terms, now), kept) {
 		return r.counted("spent", false)
 	}
@@ -165,11 +166,11 @@
 
 // spend takes the token of a repeat from where there is one.
 func (r *Repeats) spend(name string, terms lending.Terms, now time.Time) bool {
-	if verdict, token := r.Holder().Take(name, now); verdict == lending.Spent {
-		if token.Wait <= 0 {
-			return r.counted("granted", true)
-		}
-		r.Holder().Return(token)
+	if r.Known() && !r.Holder().Settle(name, terms, now) {
+		return r.counted("spent", false)
+	}
+	if r.Holder().TakeDue(name, now) {
+		return r.counted("granted", true)
 	}
 	if r.Holder().TakeEarned(name, terms, now) {
 		return r.counted("earned", true)
@@ -190,11 +191,13 @@
 	}
 }
 
-// Left returns how many repeats the node holds by service.
+// Left returns how many repeats the node holds by service, of those that there are.
 func (r *Repeats) Left() map[string]float64 {
 	left := map[string]float64{}
 	r.services.Range(func(name, _ any) bool {
-		left[name.(string)] = r.LeftOf(name.(string))
+		if r.options.Exists(name.(string)) {
+			left[name.(string)] = r.LeftOf(name.(string))
+		}
 		return true
 	})
 	return left
@@ -226,7 +229,7 @@
 // lent.
 func (r *Repeats) settle(name string, held *service, limits Limits, terms lending.Terms, now time.Time) {
 	if lacking := held.budget.drain(limits, terms.Members, now); lacking > 0 {
-		r.Holder().Owe(name, lacking)
+		r.Holder().Owe(name, lacking, now)
 	}
 }
 
@@ -245,7 +248,7 @@
 }
 
 // refill asks the granter for a lot when what is held is low.
-func (r *Repeats) refill(name string, held *service, terms lending.Terms, now time.Time) {
+func (r *Repeats) refill(name string, held *service, now time.Time) {
 	if !held.mayAsk(now) || !r.Holder().Low(name, askedLow, now) || !held.asking.CompareAndSwap(false, true) {
 		return
 	}
--- a/internal/sidecar/repeats/terms.go
+++ b/internal/sidecar/repeats/terms.go
@@ -22,12 +22,12 @@
 // messages on their way, and calls of repeated runs until they are paid for.
 const (
 	// flowShare flows in.
-	flowShare = 0.83
-	// keptShare can be saved up at the nodes that earn it, lentShare at the granter. A node
-	// passes on what it has earned some times a second, and a token that was given out counts
-	// with the granter's for as long as it may be spent.
+	flowShare = 0.82
+	// keptShare can be saved up at the nodes that earn it, and once more as surplus that waits
+	// to be passed on; lentShare at the granter. A token that was given out counts with the
+	// granter's for as long as it may be spent.
 	keptShare = 0.04
-	lentShare = 0.1
+	lentShare = 0.07
 )
 
 // Terms returns how the allowance of a service is lent among so many nodes.
