Bounds of the told pace and of the balanced price

The price had no upper bound, so that a very full back end cost more than one to be avoided; the time for a large body overflowed for senseless lengths and sped up unknown links; after a back end stopped telling, its last report was divided out of what is learned though it was no longer believed; a report from long ago counted in the average; the product had no lower bound; a clock that goes back gave negative ages; lines of two seconds that interleave began the sample anew. Change: each has its bound and a test. One assertion of TestToldPace asked for the state at an earlier moment than the one it had moved to; it asks for that later moment now, which is as strict.

--- a/internal/sidecar/choice/balance.go
+++ b/internal/sidecar/choice/balance.go
@@ -12,17 +12,19 @@
 
 // BalancedCost is the price of sending a request to the candidate where requests compete for
 // room. The chance that an answer comes late, which Cost goes by, is the same for all once most
-// back ends have queues: requests would be spread blindly just when room is short, and stay in a
-// zone that has none. This price rises with what is there already, by the square of requests for
-// each slot, and with how long work takes; it has no upper bound. An idle back end whose work
+// back ends have queues. This price goes on rising with what is there already, by the square of
+// requests for each slot, and with how long work takes; but what is measured stays below the price
+// of a back end that is to be chosen only when nothing else is left. An idle back end whose work
 // alone takes longer than the target pays for the answer that comes late.
 func BalancedCost(candidate Candidate, aim time.Duration, weights Weights) float64 {
 	if aim <= 0 {
 		aim = assumedAim
 	}
-	perSlot := (candidate.Busy + 1) / float64(max(candidate.Slots, 1))
-	share := float64(candidate.Work+candidate.RoundTrip) / float64(aim)
-	cost := fullness*perSlot*perSlot*share + lateness*min(max(share-1, 0), 1)
+	perSlot := (max(candidate.Busy, 0) + 1) / float64(max(candidate.Slots, 1))
+	work := float64(candidate.Work) / float64(aim)
+	way := float64(candidate.RoundTrip) / float64(aim)
+	measured := fullness*(perSlot*perSlot*work+way) + lateness*min(max(work+way-1, 0), 1)
+	cost := measured / (1 + measured/(weights.Avoided/2))
 	cost += max(candidate.Failing-usualFailing, 0)
 	return candidate.added(cost, weights)
 }
--- a/internal/sidecar/choice/choice_test.go
+++ b/internal/sidecar/choice/choice_test.go
@@ -324,7 +324,7 @@
 	answer := func(worked time.Duration, told float64) {
 		now = now.Add(40 * ms)
 		pace.Tell(told, now)
-		pace.Observe(worked, 100*ms)
+		pace.ObserveTold(worked, 100*ms, told, now)
 	}
 	for range 400 {
 		answer(80*ms, 0.8)
@@ -338,7 +338,7 @@
 	g.Expect(told).To(Equal(2.0))
 	g.Expect(age).To(Equal(time.Second))
 	g.Expect(pace.Factor(now.Add(time.Minute))).To(BeNumerically("~", 1, 0.02), "too old")
-	told, _ = pace.Told(now)
+	told, _ = pace.Told(now.Add(time.Minute))
 	g.Expect(told).To(BeZero())
 }
 
@@ -348,7 +348,7 @@
 	pace, now := &choice.Pace{}, time.Unix(100, 0)
 	for range 400 {
 		pace.Tell(0.5, now)
-		pace.Observe(150*ms, 100*ms)
+		pace.ObserveTold(150*ms, 100*ms, 0.5, now)
 	}
 	g.Expect(pace.Factor(now)).To(BeNumerically("~", 1.5, 0.02))
 	pace.Tell(1e9, now)
@@ -357,6 +357,61 @@
 	g.Expect(pace.Factor(now)).To(BeNumerically("~", 3, 0.02), "it tells no more")
 }
 
+// TestPaceThatIsToldNoMore: after its last report, of a short busy time, a back end tells nothing
+// and works as before. What is learned does not take the old report for a present one.
+func TestPaceThatIsToldNoMore(t *testing.T) {
+	g := NewWithT(t)
+	pace, now := &choice.Pace{}, time.Unix(100, 0)
+	for range 200 {
+		now = now.Add(40 * ms)
+		pace.Tell(1, now)
+		pace.ObserveTold(100*ms, 100*ms, 1, now)
+	}
+	pace.Tell(4, now)
+	for range 2000 {
+		now = now.Add(40 * ms)
+		pace.ObserveTold(100*ms, 100*ms, 0, now)
+		if now.Sub(time.Unix(100, 0)) > 12*time.Second {
+			g.Expect(pace.Factor(now)).To(BeNumerically("~", 1, 0.1))
+		}
+	}
+	pace.Tell(3, now)
+	g.Expect(pace.Factor(now.Add(5*time.Second))).To(BeNumerically("~", 3, 0.1), "what is older than half a minute is no part of the average")
+	pace.Tell(1e-9, now)
+	for range 100 {
+		pace.ObserveTold(time.Nanosecond, 100*ms, 1e-9, now)
+	}
+	g.Expect(pace.Factor(now)).To(BeNumerically(">=", 0.1), "bounded below")
+}
+
+// TestBalancedCostKeepsTheRank: however full and slow an ordinary back end is, it comes before one
+// that is to be chosen only when nothing else is left.
+func TestBalancedCostKeepsTheRank(t *testing.T) {
+	weights := choice.DefaultWeights()
+	idle := choice.Candidate{SameZone: true, Slots: 6, Work: 100 * ms}
+	for name, last := range map[string]func(*choice.Candidate){
+		"avoided": func(c *choice.Candidate) { c.Avoid = true },
+		"leaving": func(c *choice.Candidate) { c.Leaving = true },
+		"silent":  func(c *choice.Candidate) { c.Silent = true },
+		"tried":   func(c *choice.Candidate) { c.Tried = true },
+	} {
+		resort := idle
+		last(&resort)
+		for _, ordinary := range []choice.Candidate{
+			{Slots: 1, Busy: 40, Work: 100 * ms},
+			{Slots: 6, Busy: 240, Work: 2400 * ms},
+			{Slots: 6, Work: 100 * ms, RoundTrip: 16 * time.Second},
+			{Slots: 1, Busy: 1e9, Work: time.Hour, RoundTrip: time.Hour, OtherRegion: true, Failing: 1},
+		} {
+			g := NewWithT(t)
+			g.Expect(choice.BalancedCost(ordinary, 300*ms, weights)).To(BeNumerically("<", choice.BalancedCost(resort, 300*ms, weights)), name)
+		}
+	}
+	longer := choice.Candidate{Slots: 6, Busy: 49, Work: 2400 * ms}
+	shorter := choice.Candidate{Slots: 6, Busy: 48, Work: 2400 * ms}
+	NewWithT(t).Expect(choice.BalancedCost(shorter, 300*ms, weights)).To(BeNumerically("<", choice.BalancedCost(longer, 300*ms, weights)))
+}
+
 func TestWork(t *testing.T) {
 	g := NewWithT(t)
 	work := &choice.Work{}
--- a/internal/sidecar/choice/pace.go
+++ b/internal/sidecar/choice/pace.go
@@ -60,7 +60,7 @@
 func (p *Pace) Told(now time.Time) (factor float64, age time.Duration) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if p.told.factor == 0 {
+	if p.told.silent(now) {
 		return 0, 0
 	}
 	return p.told.factor, now.Sub(p.told.at)
@@ -86,15 +86,30 @@
 	delete(p.running, run)
 }
 
-// Observe takes in one request.
+// Observe takes in one request of a back end that tells nothing.
 func (p *Pace) Observe(worked, expected time.Duration) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.observe(worked, expected, usualFactor)
+}
+
+// ObserveTold takes in one request, whose answer told that factor; zero when it told none. Then
+// what is believed by now stands in: the same that Factor goes by.
+func (p *Pace) ObserveTold(worked, expected time.Duration, factor float64, now time.Time) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if factor <= 0 {
+		factor = p.told.believed(now)
+	}
+	p.observe(worked, expected, min(max(factor, lowestRatio), highestRatio))
+}
+
+// observe learns from one request with the told factor divided out. The lock is held.
+func (p *Pace) observe(worked, expected time.Duration, told float64) {
 	if expected <= 0 {
 		return
 	}
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	ratio := float64(worked) / float64(expected) / p.told.last()
-	ratio = min(max(ratio, lowestRatio), highestRatio)
+	ratio := min(max(float64(worked)/float64(expected)/told, lowestRatio), highestRatio)
 	p.samples = min(p.samples+1, paceSamples)
 	if p.factor == 0 {
 		p.factor = usualFactor
@@ -112,10 +127,9 @@
 	if factor == 0 {
 		factor = usualFactor
 	}
-	if now.Sub(p.told.at) > toldMost {
-		p.told = told{}
+	if !p.told.silent(now) {
+		factor = max(factor*p.told.believed(now), lowestRatio)
 	}
-	factor *= p.told.believed(now)
 	excess := 0.0
 	for run := range p.running {
 		if run.expected > 0 {
--- a/internal/sidecar/choice/told.go
+++ b/internal/sidecar/choice/told.go
@@ -29,24 +29,19 @@
 
 // after returns what is known after a word.
 func (t told) after(factor float64, now time.Time) told {
-	if t.factor == 0 {
+	if t.silent(now) {
 		return told{factor: factor, at: now, mean: factor}
 	}
 	kept := math.Exp2(-float64(max(now.Sub(t.at), 0)) / float64(meanHalfLife))
 	return told{factor: factor, at: now, mean: t.mean*kept + t.factor*(1-kept)}
 }
 
-// last returns the last word, one without any.
-func (t told) last() float64 {
-	if t.factor == 0 {
-		return usualFactor
-	}
-	return t.factor
-}
+// silent reports whether the back end says nothing, or has not for too long.
+func (t told) silent(now time.Time) bool { return t.factor == 0 || now.Sub(t.at) > toldMost }
 
 // believed returns what the last word says now: an old one is worth no more than the average.
 func (t told) believed(now time.Time) float64 {
-	if t.factor == 0 {
+	if t.silent(now) {
 		return usualFactor
 	}
 	fresh := math.Exp2(-float64(max(now.Sub(t.at), 0)) / float64(toldHalfLife))
--- a/internal/sidecar/egress/choose.go
+++ b/internal/sidecar/egress/choose.go
@@ -96,13 +96,21 @@
 }
 
 // transfer is how long the link of the record's machine works on the request's body, where it is one
-// that the arriving node receives before it has a slot.
+// that the arriving node receives before it has a slot; at most as long as the request may take.
 func (c *call) transfer(record *roster.Record) time.Duration {
-	if !c.large() || record.Link <= 0 {
+	if !c.large() {
 		return 0
 	}
-	const bytesPerMegabit = 1000 * 1000 / 8
-	return time.Duration(float64(c.request.ContentLength) / float64(record.Link*bytesPerMegabit) * float64(time.Second))
+	const (
+		bytesPerMegabit = 1000 * 1000 / 8
+		assumedMbps     = 1000
+	)
+	link := record.Link
+	if link <= 0 {
+		link = assumedMbps
+	}
+	seconds := float64(c.request.ContentLength) / (float64(link) * bytesPerMegabit)
+	return time.Duration(min(seconds, mostTransfer.Seconds()) * float64(time.Second))
 }
 
 // pool returns them for the choice.
@@ -121,6 +129,9 @@
 	return false
 }
 
+// mostTransfer bounds what is expected of a transfer: beyond it no answer comes in time.
+const mostTransfer = 10 * time.Second
+
 // competes reports whether requests compete for room.
 func (h *Handler) competes() bool { return h.options.Competes != nil && h.options.Competes() }
 
--- a/internal/sidecar/egress/choose_test.go
+++ b/internal/sidecar/egress/choose_test.go
@@ -73,7 +73,9 @@
 	}{
 		{"a narrow link", 62500, 10, 50 * time.Millisecond},
 		{"a wide link", 62500, 200, 2500 * time.Microsecond},
-		{"a link of unknown speed", 62500, 0, 0},
+		{"a link of unknown speed counts as a wide one", 62500, 0, 500 * time.Microsecond},
+		{"a length that nobody can mean", 1 << 62, 10, mostTransfer},
+		{"a speed that nobody can mean", 62500, 1 << 60, 0},
 		{"a short body", 4000, 10, 0},
 		{"a body of unknown length", -1, 10, 0},
 	}
--- a/internal/sidecar/egress/sample.go
+++ b/internal/sidecar/egress/sample.go
@@ -46,6 +46,7 @@
 func (s *sampledCore) passes(second uint64) bool {
 	for {
 		before := s.passed.Load()
+		second := max(second, before>>countBits) // lines come a little out of order
 		next := second<<countBits + 1
 		if before>>countBits == second {
 			next = before + 1
--- a/internal/sidecar/ingress/exchange.go
+++ b/internal/sidecar/ingress/exchange.go
@@ -167,14 +167,14 @@
 		return failure
 	}
 	a.survived()
-	a.hearLoad(response)
+	told := a.hearLoad(response)
 	a.handler.warmup.Answered(clock.Now())
 	failed := response.StatusCode >= http.StatusInternalServerError
 	a.handler.failures.Observe(failed)
 	a.judged(failed)
 	forward.RemoveHopByHop(response.Header)
 	outcome.StripMarkers(response.Header)
-	a.learn(response)
+	a.learn(response, told)
 	sent.CloseUnlessRead(a.writer.Header())
 	if err := forward.WriteReply(a.context, a.writer, response, ""); err != nil {
 		panic(http.ErrAbortHandler)
@@ -182,29 +182,32 @@
 	return nil
 }
 
-// hearLoad takes in what the back end tells of its load.
-func (a *arrival) hearLoad(response *http.Response) {
+// hearLoad takes in what the back end tells of its load. It returns how much longer work takes
+// there at the moment; zero when that is not told or does not count.
+func (a *arrival) hearLoad(response *http.Response) (factor float64) {
 	options := &a.handler.options
 	header := response.Header.Get(options.Vocabulary.Load)
 	if header == "" || options.DecodeLoad == nil {
-		return
+		return 0
 	}
 	load, err := options.DecodeLoad(header)
 	if err != nil {
 		options.Logger.Info("load of the back end not read", zap.String("endpoint", a.endpoint.ID), zap.Error(err))
-		return
+		return 0
 	}
-	if options.Told(load) {
-		a.handler.pace.Tell(load.Factor, clock.Now())
+	if !options.Told(load) {
+		return 0
 	}
+	a.handler.pace.Tell(load.Factor, clock.Now())
+	return load.Factor
 }
 
 // learn takes in how long the back end worked, compared to what the caller's
 // node expected, and marks the reply with it.
-func (a *arrival) learn(response *http.Response) {
+func (a *arrival) learn(response *http.Response, told float64) {
 	worked := clock.Since(a.started) - a.waited
 	if response.StatusCode < http.StatusMultipleChoices {
-		a.handler.pace.Observe(worked, a.told.Expected)
+		a.handler.pace.ObserveTold(worked, a.told.Expected, told, clock.Now())
 	}
 	a.mark(worked)
 }
--- a/internal/sidecar/occupancy/average_test.go
+++ b/internal/sidecar/occupancy/average_test.go
@@ -44,5 +44,6 @@
 	estimate = estimate.After(4, 6, time.Second, now)
 	estimate = estimate.After(4, 6, time.Second, now.Add(time.Millisecond))
 	g.Expect(estimate.Weight(now.Add(time.Millisecond))).To(Equal(1.0))
+	g.Expect(estimate.Weight(now.Add(-time.Hour))).To(Equal(1.0), "a clock that goes back")
 	g.Expect(estimate.Weight(now.Add(time.Second + time.Millisecond))).To(BeNumerically("~", 0.5, 0.001))
 }
--- a/internal/sidecar/occupancy/occupancy.go
+++ b/internal/sidecar/occupancy/occupancy.go
@@ -70,7 +70,7 @@
 	if e.taken.IsZero() {
 		return 0
 	}
-	return math.Exp2(-float64(now.Sub(e.taken)) / float64(e.halfLife))
+	return math.Exp2(-float64(max(now.Sub(e.taken), 0)) / float64(e.halfLife))
 }
 
 // HalfLife returns the time in which half of the report is forgotten.
