The fleets of 18 slots take reports for true as the product does

Cause: the belief of the virtual fleets bounded reports by 8 slots whatever the service has (found by a review). Change: the service's own slots.

--- a/internal/sidecar/occupancy/fleet_test.go
+++ b/internal/sidecar/occupancy/fleet_test.go
@@ -34,8 +34,8 @@
 
 // belief is what one node holds of one back end.
 type belief interface {
-	// observe takes in how many requests of others are there.
-	observe(others float64, held time.Duration, now time.Time)
+	// observe takes in how many requests of others are there, at a back end of that many slots.
+	observe(others float64, slots int, held time.Duration, now time.Time)
 	// others returns how many are believed to be there.
 	others(now time.Time) float64
 }
@@ -421,7 +421,7 @@
 		held := time.Duration(float64(f.service.work) * s.pace)
 		r.from.heard[r.to] = heard{beside: told, at: f.now}
 		r.from.averages[s.zone] = r.from.averages[s.zone].After(float64(load-r.from.inFlight[r.to]), f.service.slots, f.clock())
-		r.from.beliefs[r.to].observe(float64(load-r.from.inFlight[r.to]), held, f.clock())
+		r.from.beliefs[r.to].observe(float64(load-r.from.inFlight[r.to]), f.service.slots, held, f.clock())
 		then()
 	})
 }
@@ -429,8 +429,8 @@
 // estimated is the belief of the product.
 type estimated struct{ occupancy.Estimate }
 
-func (e *estimated) observe(others float64, held time.Duration, now time.Time) {
-	e.Estimate = e.After(others, usualService.slots, held, now)
+func (e *estimated) observe(others float64, slots int, held time.Duration, now time.Time) {
+	e.Estimate = e.After(others, slots, held, now)
 }
 func (e *estimated) others(now time.Time) float64 { return e.Others(now) }
 
@@ -441,7 +441,7 @@
 	taken    time.Time
 }
 
-func (f *fixed) observe(others float64, _ time.Duration, now time.Time) {
+func (f *fixed) observe(others float64, _ int, _ time.Duration, now time.Time) {
 	f.reported, f.taken = max(others, 0), now
 }
 func (f *fixed) others(now time.Time) float64 {
