Zones of which no reply tells are forgotten

Cause: what a node knows of a service in a zone was kept for good (found by a review); services come and go over the life of a process.

--- a/internal/sidecar/egress/handler.go
+++ b/internal/sidecar/egress/handler.go
@@ -239,11 +239,13 @@
 	}
 }
 
-// Sweep closes idle connections that are too old or broken.
+// Sweep closes idle connections that are too old or broken, and forgets zones of which nothing was
+// heard for long.
 func (h *Handler) Sweep(now time.Time) {
 	for _, held := range h.targets.all() {
 		held.pool.Sweep(now)
 	}
+	h.zoneLoads.sweep(now)
 }
 
 // Ahead reports whether a request may be begun before its turn on the caller's
--- a/internal/sidecar/egress/zoneload.go
+++ b/internal/sidecar/egress/zoneload.go
@@ -48,6 +48,8 @@
 	// how many as having room again. They lie apart so that the log doesn't tell of every swing.
 	fullFrom = 1.5
 	roomFrom = 0.8
+	// zoneKept is how long a zone is kept of which no reply tells.
+	zoneKept = 5 * time.Minute
 )
 
 // of returns what is known of back ends like that of the record.
@@ -97,6 +99,17 @@
 	return average.PerSlot(now) * float64(record.Endpoint.Slots)
 }
 
+// sweep forgets services and zones of which no reply has told for long.
+func (z *zoneLoads) sweep(now time.Time) {
+	z.byZone.Range(func(key, value any) bool {
+		average := value.(*zoneLoad).average.Load()
+		if average == nil || average.Age(now) > zoneKept {
+			z.byZone.Delete(key)
+		}
+		return true
+	})
+}
+
 // ZoneLoads returns what the node knows of services and zones; nothing where requests do not
 // compete for room.
 func (h *Handler) ZoneLoads(now time.Time) []ZoneLoad {
--- a/internal/sidecar/egress/zoneload_test.go
+++ b/internal/sidecar/egress/zoneload_test.go
@@ -39,6 +39,22 @@
 	g.Expect(loads.others(loadRecord("n", "c", "s"), now)).To(BeNumerically("~", 3, 0.001))
 }
 
+// TestZonesAreForgotten: what no reply tells of is not kept for good, what one tells of is.
+func TestZonesAreForgotten(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	handler := &Handler{targets: &targets{}}
+	handler.zoneLoads.learn(loadRecord("n", "old", "s"), 3, now)
+	handler.zoneLoads.of(loadRecord("n", "never", "s"))
+	handler.zoneLoads.learn(loadRecord("n", "fresh", "s"), 3, now.Add(zoneKept))
+	handler.Sweep(now.Add(zoneKept + time.Second))
+	loads := handler.ZoneLoads(now.Add(zoneKept))
+	g.Expect(loads).To(HaveLen(1))
+	g.Expect(loads[0].Zone).To(Equal("fresh"))
+	_, kept := handler.zoneLoads.byZone.Load(zoneKey{service: "s", zone: "never"})
+	g.Expect(kept).To(BeFalse())
+}
+
 // TestZoneBecomesFull: a zone is told as full once, and as having room only well below that.
 func TestZoneBecomesFull(t *testing.T) {
 	g := NewWithT(t)
