Requests above the share are not marked until the entry goes by the marks

Change: egress.Options.Marks and ingress.Options.Marks, unset. Without them nothing is counted, told or marked beyond the queue's turns. Tests of both ways.

--- a/internal/sidecar/egress/handler.go
+++ b/internal/sidecar/egress/handler.go
@@ -62,6 +62,9 @@
 	// Contended reports whether requests compete for room, so that tenants have their shares of it; nil
 	// for never.
 	Contended func() bool
+	// Marks: where requests compete, those above their tenant's share of a service are marked. For an
+	// entry that goes by the marks; queues share without.
+	Marks bool
 	// Weights price the choice of back ends.
 	Weights choice.Weights
 	// Dial opens connections to other nodes.
--- a/internal/sidecar/ingress/tenant_test.go
+++ b/internal/sidecar/ingress/tenant_test.go
@@ -51,3 +51,36 @@
 		}
 	}
 }
+
+// TestRepliesTellOfShares where requests compete and shares are marked, and of nothing that no queue saw.
+func TestRepliesTellOfShares(t *testing.T) {
+	cases := []struct {
+		name             string
+		contended, marks bool
+		change           func(*hop.Request)
+		tells            bool
+	}{
+		{"competing", true, true, func(*hop.Request) {}, true},
+		{"not competing", false, true, func(*hop.Request) {}, false},
+		{"not marked", true, false, func(*hop.Request) {}, false},
+		{"a nested call", true, true, func(told *hop.Request) { told.Nested = true }, false},
+		{"for another service", true, true, func(told *hop.Request) { told.Service = "other" }, false},
+	}
+	for _, played := range cases {
+		t.Run(played.name, func(t *testing.T) {
+			g := NewWithT(t)
+			made := play(t, func() bool { return played.contended })
+			made.handler.SetMarks(played.marks)
+			answer := signed(http.StatusOK)
+			made.answer.Store(&answer)
+			told := hop.Request{Service: "one", Caller: "two", Remaining: time.Minute, MaximumWait: time.Second, Expected: 10 * time.Millisecond}
+			played.change(&told)
+			req := httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/a/", strings.NewReader(""))
+			req.Header.Set(hop.HeaderHop, told.Format())
+			req.Header.Set(vocabulary.Tenant, "acme")
+			recorder := httptest.NewRecorder()
+			made.handler.ServeHTTP(recorder, req)
+			g.Expect(recorder.Header().Get(hop.HeaderShare) != "").To(Equal(played.tells))
+		})
+	}
+}
