Lending: tokens that expire unspent become the node's own; lots are dropped

And lots of repeats that were spent or expired were never dropped: they grew for ever.

Ruled out: a lower threshold in the test.

Change: what expires unspent is the node's own as far as that may be saved up, no further; lots whose time is over are dropped.

--- a/internal/sidecar/lending/earned.go
+++ b/internal/sidecar/lending/earned.go
@@ -105,8 +105,8 @@
 }
 
 // bound keeps what is saved up of what was earned within the node's part: that of what it keeps,
-// and the granter's of what it has not passed on. What is above goes to the granter. The lock is
-// held.
+// and the granter's of what it has not passed on. What is above goes to the granter. Where there is
+// room, tokens of a granter that have expired unspent become the node's own. The lock is held.
 func (h *Holder) bound(account string, held *holding, terms Terms, now time.Time) {
 	own := &held.earnings
 	earned := own.earned.Within(terms.Window, now)
@@ -115,6 +115,9 @@
 	if most < 1 {
 		most = h.whole(account, most)
 	}
+	if unspent := held.expired(now); unspent > 0 {
+		own.tokens += min(unspent, max(most-own.tokens, 0))
+	}
 	if above := own.tokens - most; above > 0 {
 		own.tokens = most
 		own.surplus = min(own.surplus+above, terms.EarnedKept*earned)
--- a/internal/sidecar/lending/earned_test.go
+++ b/internal/sidecar/lending/earned_test.go
@@ -64,6 +64,23 @@
 	g.Expect(holder.Settle("s", terms, now)).To(BeTrue(), "so does what is earned")
 }
 
+// TestTokensThatExpire unspent become the node's own as far as it may save up, once.
+func TestTokensThatExpire(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	holder := lending.NewHolder("n")
+	holder.Earn("s", 40, terms, now)
+	for holder.TakeEarned("s", terms, now) {
+	}
+	holder.Granted("s", lending.Grant{Tokens: 20}, now, now)
+	g.Expect(holder.Held("s", terms, now)).To(Equal(20.0))
+	later := now.Add(lending.TokenLife)
+	g.Expect(holder.Held("s", terms, later)).To(BeNumerically("~", 40*(terms.EarnedDepth+terms.EarnedKept), 0.01))
+	for holder.TakeEarned("s", terms, later) {
+	}
+	g.Expect(holder.Held("s", terms, later)).To(BeNumerically("<", 1))
+}
+
 // TestATokenThatIsNotDue pays for nothing, also when it comes back.
 func TestATokenThatIsNotDue(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/sidecar/lending/holder.go
+++ b/internal/sidecar/lending/holder.go
@@ -300,6 +300,22 @@
 	return false
 }
 
+// expired drops lots whose time is over and returns how many tokens of them were not spent.
+func (h *holding) expired(now time.Time) (unspent float64) {
+	kept := h.lots[:0]
+	for _, one := range h.lots {
+		switch {
+		case one.count == 0:
+		case now.Before(one.until):
+			kept = append(kept, one)
+		default:
+			unspent += float64(one.count)
+		}
+	}
+	h.lots = kept
+	return unspent
+}
+
 // count returns how many tokens of granters may be spent now or soon.
 func (h *holding) count(now time.Time) (total int) {
 	for _, one := range h.lots {
