--- a/internal/sidecar/choice/balance.go
+++ b/internal/sidecar/choice/balance.go
@@ -11,11 +11,10 @@
 )
 
 // BalancedCost is the price of sending a request to the candidate where requests compete for
-// room. The chance that an answer comes late, which Cost goes by, is the same for all once most
-// back ends have queues. This price goes on rising with what is there already, by the square of
-// requests for each slot, and with how long work takes; but what is measured stays below the price
-// of a back end that is to be chosen only when nothing else is left. An idle back end whose work
-// alone takes longer than the target pays for the answer that comes late.
+// room. It rises with the square of the requests for each slot, also where every answer would be
+// late, and with how long work takes. What is measured stays below the price of a back end that is
+// to be chosen only when nothing else is left. A back end whose work alone takes longer than the
+// target pays for the late answer.
 func BalancedCost(candidate Candidate, aim time.Duration, weights Weights) float64 {
 	if aim <= 0 {
 		aim = assumedAim
@@ -33,16 +32,6 @@
 // draws again only while none was found that is to be chosen at all. The index is -1 for an empty
 // pool.
 func DrawBalanced(pool Pool, aim time.Duration, intN func(n int) int, weights Weights) (index int, drawn Candidate) {
-	near, far := newUrn(0, pool.Near), newUrn(pool.Near, pool.Far)
-	index, lowest := -1, 0.0
-	for len(near)+len(far) > 0 && (index < 0 || lowest >= weights.Avoided) {
-		for _, next := range append(near.take(drawnToBalance, intN), far.take(drawnToBalance, intN)...) {
-			candidate := pool.Describe(next)
-			cost := BalancedCost(candidate, aim, weights)
-			if index < 0 || cost < lowest {
-				index, drawn, lowest = next, candidate, cost
-			}
-		}
-	}
-	return index, drawn
+	price := func(candidate Candidate) float64 { return BalancedCost(candidate, aim, weights) }
+	return draw(pool, drawnToBalance, intN, price, func(_ int, lowest float64) bool { return lowest < weights.Avoided })
 }
--- a/internal/sidecar/choice/draw.go
+++ b/internal/sidecar/choice/draw.go
@@ -32,17 +32,26 @@
 // found that is to be chosen at all. The index is -1 for an empty pool. intN
 // returns a random number from zero up to its argument, as rand.IntN does.
 func Draw(pool Pool, aim time.Duration, intN func(n int) int, weights Weights) (index int, drawn Candidate) {
+	price := func(candidate Candidate) float64 { return Cost(candidate, aim, weights) }
+	return draw(pool, drawnTogether, intN, price, func(draws int, lowest float64) bool {
+		return lowest <= acceptableCost || (draws >= drawsMost && lowest < weights.Avoided)
+	})
+}
+
+// draw returns the cheapest of the back ends that were drawn, count of the zone and count of others
+// at a time, when enough says so of the number of draws and the lowest price, or all were drawn.
+func draw(pool Pool, count int, intN func(n int) int, price func(Candidate) float64, enough func(draws int, lowest float64) bool) (index int, drawn Candidate) {
 	near, far := newUrn(0, pool.Near), newUrn(pool.Near, pool.Far)
 	index, lowest := -1, 0.0
-	for draw := 1; len(near)+len(far) > 0; draw++ {
-		for _, next := range append(near.take(drawnTogether, intN), far.take(drawnTogether, intN)...) {
+	for draws := 1; len(near)+len(far) > 0; draws++ {
+		for _, next := range append(near.take(count, intN), far.take(count, intN)...) {
 			candidate := pool.Describe(next)
-			cost := Cost(candidate, aim, weights)
+			cost := price(candidate)
 			if index < 0 || cost < lowest {
 				index, drawn, lowest = next, candidate, cost
 			}
 		}
-		if lowest <= acceptableCost || (draw >= drawsMost && lowest < weights.Avoided) {
+		if enough(draws, lowest) {
 			break
 		}
 	}
--- a/internal/sidecar/choice/told.go
+++ b/internal/sidecar/choice/told.go
@@ -9,7 +9,7 @@
 // other work on it, which comes and goes. It is immutable; the zero value is of a back end that
 // says nothing.
 type told struct {
-	// factor is the last word, at when it came; zero before the first.
+	// factor is the last report, at when it came; zero before the first.
 	factor float64
 	at     time.Time
 	// mean is the average over time.
@@ -17,7 +17,7 @@
 }
 
 const (
-	// toldHalfLife is the time after which a word is half way to the average: other work on a
+	// toldHalfLife is the time after which a report is half way to the average: other work on a
 	// machine comes and goes within some tenths of a second.
 	toldHalfLife = 300 * time.Millisecond
 	// meanHalfLife is the time in which half of the average is renewed. It spans several periods
@@ -27,7 +27,7 @@
 	toldMost = 30 * time.Second
 )
 
-// after returns what is known after a word.
+// after returns what is known after a report.
 func (t told) after(factor float64, now time.Time) told {
 	if t.silent(now) {
 		return told{factor: factor, at: now, mean: factor}
@@ -39,7 +39,7 @@
 // silent reports whether the back end says nothing, or has not for too long.
 func (t told) silent(now time.Time) bool { return t.factor == 0 || now.Sub(t.at) > toldMost }
 
-// believed returns what the last word says now: an old one is worth no more than the average.
+// believed returns what the last report says now: an old one is worth no more than the average.
 func (t told) believed(now time.Time) float64 {
 	if t.silent(now) {
 		return usualFactor
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -190,11 +190,11 @@
 		factor, _, _ := s.ingress.Pace()
 		return factor
 	})
-	gauge("kestrel_sidecar_pace_told", "How much longer work takes at the local back end by its own last word, 0 without one.", func() float64 {
+	gauge("kestrel_sidecar_pace_told", "How much longer work takes at the local back end by its own last report, 0 without one.", func() float64 {
 		_, told, _ := s.ingress.Pace()
 		return told
 	})
-	gauge("kestrel_sidecar_pace_told_age_seconds", "Age of that word.", func() float64 {
+	gauge("kestrel_sidecar_pace_told_age_seconds", "Age of that report.", func() float64 {
 		_, _, age := s.ingress.Pace()
 		return age.Seconds()
 	})
