--- a/cmd/kestrel-sidecar/main.go
+++ b/cmd/kestrel-sidecar/main.go
@@ -21,7 +21,8 @@
 	Settings        string `short:"c" required:"" placeholder:"FILE" env:"${settings_variable}" help:"The platform's settings file (JSON)."`
 	MetricsPort     int    `placeholder:"PORT" help:"Serve metrics at this port; 0 serves none."`
 	LogLevel        string `default:"info" enum:"debug,info,warn,error" help:"Lowest level that is logged."`
-	OverloadControl string `default:"auto" enum:"auto,on,off" help:"Whether nodes refuse, share and place requests together when room is short; auto: where the configuration names tenants or back ends share their machines."`
+	OverloadControl string `default:"auto" enum:"auto,on,off" help:"Overload control: nested calls first, slots shared between tenants, back ends chosen by load; auto: where the configuration names tenants or back ends share their machines."`
+	LendRepeats     bool   `help:"With overload control, nodes lend each other their shares of the repeats, so that more of them can be spent where back ends reject."`
 	CheckSettings   bool   `help:"Check the settings, list every error, and exit."`
 	PrintSettings   bool   `help:"Print the settings in force and exit."`
 	Version         bool   `help:"Print the version and exit."`
@@ -48,6 +49,7 @@
 		return err
 	}
 	loaded.OverloadControl = contention.Mode(given.OverloadControl)
+	loaded.LendRepeats = given.LendRepeats
 	if given.CheckSettings {
 		_, err := fmt.Println("settings: no errors")
 		return err
--- a/internal/sidecar/admission/admission.go
+++ b/internal/sidecar/admission/admission.go
@@ -16,8 +16,9 @@
 var (
 	// ErrTooLong: the request would wait longer than it may.
 	ErrTooLong = errors.New("admission: the queue is too long")
-	// ErrDisplaced: a more urgent request took the place.
-	ErrDisplaced = errors.New("admission: displaced by a more urgent request")
+	// ErrDisplaced: requests that come before it took its place: more urgent ones, those of tenants
+	// that have had less, or shorter ones.
+	ErrDisplaced = errors.New("admission: displaced by requests that come before it")
 )
 
 // Ticket describes a request that wants a slot.
--- a/internal/sidecar/contention/contention.go
+++ b/internal/sidecar/contention/contention.go
@@ -1,9 +1,9 @@
-// Package contention decides whether the requests of a deployment compete for room: whether nodes
-// refuse, share and place them together, or each queue by itself as elsewhere. The package is pure.
+// Package contention decides whether overload control is on: nested calls first, slots shared
+// between tenants, back ends chosen by load and, where it is asked for, repeats lent between nodes. The
+// package is pure.
 package contention
 
 import (
-	"fmt"
 	"sync/atomic"
 )
 
@@ -19,16 +19,7 @@
 	Off  Mode = "off"
 )
 
-// Validate names the value that is no mode.
-func (m Mode) Validate() error {
-	switch m {
-	case Auto, On, Off:
-		return nil
-	}
-	return fmt.Errorf("overload control: %q is not auto, on or off", string(m))
-}
-
-// Switch is safe for concurrent use.
+// Switch holds whether overload control is on. It is safe for concurrent use.
 type Switch struct {
 	mode Mode
 	// tenants and shared are what is known of the deployment.
--- a/internal/sidecar/contention/contention_test.go
+++ b/internal/sidecar/contention/contention_test.go
@@ -32,7 +32,4 @@
 		g.Expect(made.On()).To(Equal(given.on), "%+v", given)
 		g.Expect(made.Shared()).To(Equal(given.shared))
 	}
-	g := NewWithT(t)
-	g.Expect(contention.Mode("maybe").Validate()).To(MatchError(ContainSubstring(`"maybe"`)))
-	g.Expect(contention.Off.Validate()).To(Succeed())
 }
--- a/internal/sidecar/egress/handler.go
+++ b/internal/sidecar/egress/handler.go
@@ -62,8 +62,8 @@
 	// Contended reports whether requests compete for room: back ends are chosen by what is there
 	// already, and tenants have their shares; nil for never.
 	Contended func() bool
-	// Marks: where requests compete, those above their tenant's share of a service are marked. For an
-	// entry that goes by the marks; queues share without.
+	// Marks: where requests compete, those above their tenant's share of a service are marked. Off in
+	// the program: nothing refuses by the marks, and the queues share without them (design 0019).
 	Marks bool
 	// Weights price the choice of back ends.
 	Weights choice.Weights
--- a/internal/sidecar/exchange/exchanger.go
+++ b/internal/sidecar/exchange/exchanger.go
@@ -49,9 +49,9 @@
 	// Contention knows whether back ends share their machines; nil when nobody asks.
 	Contention Contention
 	// Quota answers questions about tenants' limits; nil when there are none ever.
-	Quota Lender
+	Quota Granter
 	// Repeats answers questions about repeats; nil when none are lent ever.
-	Repeats Lender
+	Repeats Granter
 	// Observer is told how the node keeps level; nil for nobody.
 	Observer Observer
 	// Suspect is told of nodes that do not answer.
@@ -88,8 +88,8 @@
 	SetShared() (news bool)
 }
 
-// Lender is a node as the granter of others.
-type Lender interface {
+// Granter is a node as the granter of others.
+type Granter interface {
 	Serve(*lending.Ask) *lending.Answer
 }
 
@@ -380,7 +380,7 @@
 	return resp, trace.Wrap(err, "exchange with %s", peer.Node)
 }
 
-// statusError is the status of a peer's answer that is none of success.
+// statusError is the status of a peer's answer other than success.
 type statusError int
 
 // Error implements error.
--- a/internal/sidecar/exchange/lending.go
+++ b/internal/sidecar/exchange/lending.go
@@ -16,15 +16,15 @@
 
 // AskQuota sends a node's question about tenants' limits to a peer.
 func (e *Exchanger) AskQuota(ctx context.Context, peer *roster.Record, asked *lending.Ask) (*lending.Answer, error) {
-	return e.askLender(ctx, peer, pathQuota, asked)
+	return e.askGranter(ctx, peer, pathQuota, asked)
 }
 
 // AskRepeats sends a node's question about repeats to a peer.
 func (e *Exchanger) AskRepeats(ctx context.Context, peer *roster.Record, asked *lending.Ask) (*lending.Answer, error) {
-	return e.askLender(ctx, peer, pathRepeats, asked)
+	return e.askGranter(ctx, peer, pathRepeats, asked)
 }
 
-func (e *Exchanger) askLender(ctx context.Context, peer *roster.Record, path string, asked *lending.Ask) (*lending.Answer, error) {
+func (e *Exchanger) askGranter(ctx context.Context, peer *roster.Record, path string, asked *lending.Ask) (*lending.Answer, error) {
 	resp, err := e.send(ctx, peer, path, asked)
 	if status := statusError(0); errors.As(err, &status) && status == http.StatusNotFound {
 		// A node of the version before lends nothing, and is there all the same.
@@ -41,8 +41,8 @@
 	return answer, nil
 }
 
-// serveLender returns what answers peers' questions to a lender.
-func serveLender(lender Lender) restful.RouteFunction {
+// serveGranter returns what answers peers' questions to a lender.
+func serveGranter(lender Granter) restful.RouteFunction {
 	return func(request *restful.Request, response *restful.Response) {
 		request.Request.Body = http.MaxBytesReader(response.ResponseWriter, request.Request.Body, messageBytes)
 		asked := &lending.Ask{}
--- a/internal/sidecar/exchange/server.go
+++ b/internal/sidecar/exchange/server.go
@@ -33,10 +33,10 @@
 		_ = response.WriteAsJson(&Level{Version: e.options.Configuration.Version(), ProofAge: e.level.proofAge()})
 	}))
 	if e.options.Quota != nil {
-		service.Route(service.POST(pathQuota).Consumes(restful.MIME_JSON).Produces(restful.MIME_JSON).To(serveLender(e.options.Quota)))
+		service.Route(service.POST(pathQuota).Consumes(restful.MIME_JSON).Produces(restful.MIME_JSON).To(serveGranter(e.options.Quota)))
 	}
 	if e.options.Repeats != nil {
-		service.Route(service.POST(pathRepeats).Consumes(restful.MIME_JSON).Produces(restful.MIME_JSON).To(serveLender(e.options.Repeats)))
+		service.Route(service.POST(pathRepeats).Consumes(restful.MIME_JSON).Produces(restful.MIME_JSON).To(serveGranter(e.options.Repeats)))
 	}
 	service.Route(service.GET(pathPing).To(func(_ *restful.Request, response *restful.Response) {
 		response.WriteHeader(http.StatusNoContent)
--- a/internal/sidecar/hop/hop.go
+++ b/internal/sidecar/hop/hop.go
@@ -19,7 +19,7 @@
 	// Nodes of the version before do not tell it, and leave it aside.
 	HeaderVersion = "Kestrel-Version"
 	// HeaderShare carries a shares.Standing with a reply, and with a request the part of its tenant's
-	// requests for which it stands. Where requests do not compete for room there is none.
+	// requests for which it stands. It is sent only with Marks of the handlers.
 	HeaderShare = "Kestrel-Share"
 )
 
--- a/internal/sidecar/hop/line.go
+++ b/internal/sidecar/hop/line.go
@@ -8,7 +8,6 @@
 	"strings"
 	"time"
 
-	"github.com/kestrelstream/kestrelstream/internal/sidecar/precedence"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
 )
 
@@ -94,11 +93,6 @@
 	slackPart = 5
 )
 
-// Precedence is the request's when there is not room for all.
-func (r *Request) Precedence() precedence.Precedence {
-	return precedence.Precedence{Nested: r.Nested, Priority: r.Priority, OverShare: r.OverShare, Returning: r.Returning}
-}
-
 // ParseRequest reads a request's header value. Nodes of the version before tell
 // one more number, in what time the request must have a slot; it is left out.
 func ParseRequest(line string) (Request, error) {
--- a/internal/sidecar/ingress/handler.go
+++ b/internal/sidecar/ingress/handler.go
@@ -59,7 +59,7 @@
 	// Contended reports whether requests compete for room, so that tenants have their shares of it;
 	// nil for never.
 	Contended func() bool
-	// Marks: replies tell of tenants' shares, as in egress.Options.
+	// Marks: replies tell of tenants' shares. Off in the program, as in egress.Options.
 	Marks bool
 	// LinkMbps is the speed of the machine's link in Mbit/s; zero when unknown.
 	LinkMbps int
--- a/internal/sidecar/lending/carrier/carrier.go
+++ b/internal/sidecar/lending/carrier/carrier.go
@@ -31,8 +31,8 @@
 	grantersAge = 200 * time.Millisecond
 	// grantersLook is the time between two looks at whether the granters have changed.
 	grantersLook = 100 * time.Millisecond
-	// lendersAtOnce is how many granters a node sends its shares to side by side.
-	lendersAtOnce = 4
+	// sendsAtOnce is how many granters a node sends its shares to side by side.
+	sendsAtOnce = 4
 )
 
 // Options configure a carrier.
@@ -126,7 +126,7 @@
 		return err
 	}
 	if len(answer.Grants) != 1 {
-		return trace.BadParameter("grants: %d of one that was asked for", len(answer.Grants))
+		return trace.BadParameter("grants: has %d entries, not 1", len(answer.Grants))
 	}
 	if answer.Grants[0].Unknown {
 		return trace.NotFound("%s knows of no such account", granter.Node)
@@ -176,9 +176,9 @@
 			c.granter.Lend(asked.From, account, terms, now)
 		}
 	}
-	for _, brought := range asked.Brings {
+	for _, brought := range asked.Passes {
 		if terms, exists := c.Terms(brought.Account); exists {
-			c.granter.Bring(brought.Account, brought.Tokens, terms, now)
+			c.granter.TakePassed(brought.Account, brought.Tokens, terms, now)
 		}
 	}
 	answer := &lending.Answer{}
@@ -258,7 +258,7 @@
 		}
 		if passed := c.passed(account, terms, now); passed != 0 {
 			to := asked.to(granter.Node, c.options.Node)
-			to.Brings = append(to.Brings, lending.Bring{Account: account, Tokens: passed})
+			to.Passes = append(to.Passes, lending.Passed{Account: account, Tokens: passed})
 		}
 	}
 	return asked
@@ -286,7 +286,7 @@
 // sendAll sends one message to each of the nodes and tells of those that were answered.
 func (c *Carrier) sendAll(messages map[string]*lending.Ask, answered func(node string, asked *lending.Ask)) {
 	var group errgroup.Group
-	group.SetLimit(lendersAtOnce)
+	group.SetLimit(sendsAtOnce)
 	for node, asked := range messages {
 		granter := c.options.View().Record(node)
 		if granter == nil {
--- a/internal/sidecar/lending/earned.go
+++ b/internal/sidecar/lending/earned.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// broughtUnit is the least part of a token that is passed on.
-const broughtUnit = 0.001
+// passedUnit is the least part of a token that is passed on.
+const passedUnit = 0.001
 
 // keptTime is for how long a node that spends tokens keeps what it is likely to spend: as long as
 // its tokens may be saved up where it calls for few.
@@ -88,8 +88,8 @@
 		return 0
 	}
 	kept := min(own.tokens, held.demand*keptTime.Seconds())
-	passed := math.Floor((own.tokens-kept+own.surplus)/broughtUnit) * broughtUnit
-	passed = min(passed, mostBrought)
+	passed := math.Floor((own.tokens-kept+own.surplus)/passedUnit) * passedUnit
+	passed = min(passed, mostPassed)
 	own.tokens, own.surplus = kept, 0
 	own.passed.Add(passed, terms.Window, now)
 	return passed
--- a/internal/sidecar/lending/earned_test.go
+++ b/internal/sidecar/lending/earned_test.go
@@ -114,13 +114,13 @@
 	g := NewWithT(t)
 	now := time.Unix(1000, 0)
 	granter := lending.NewGranter()
-	granter.Bring("s", 1000, terms, now)
+	granter.TakePassed("s", 1000, terms, now)
 	all := lending.Want{Account: "s", Tokens: 10_000}
 	given := granter.Grant(all, terms, now).Tokens
 	g.Expect(given).To(Equal(100))
-	granter.Bring("s", 50, terms, now.Add(100*time.Millisecond))
+	granter.TakePassed("s", 50, terms, now.Add(100*time.Millisecond))
 	g.Expect(granter.Grant(all, terms, now.Add(100*time.Millisecond)).Tokens).To(BeNumerically("<=", 5))
-	granter.Bring("s", 50, terms, now.Add(time.Second))
+	granter.TakePassed("s", 50, terms, now.Add(time.Second))
 	g.Expect(granter.Grant(all, terms, now.Add(time.Second)).Tokens).To(BeNumerically(">=", 45))
 	g.Expect(granter.Grant(all, terms, now.Add(time.Minute)).Tokens).To(BeZero(), "nothing lasts")
 }
@@ -146,12 +146,12 @@
 
 func TestBringsThatNoNodeSends(t *testing.T) {
 	g := NewWithT(t)
-	asked := &lending.Ask{From: "n", Brings: []lending.Bring{{Account: "s", Tokens: 3.5}}}
+	asked := &lending.Ask{From: "n", Passes: []lending.Passed{{Account: "s", Tokens: 3.5}}}
 	g.Expect(asked.Validate()).To(Succeed())
 	for _, tokens := range []float64{1e9, -1} {
-		asked.Brings[0].Tokens = tokens
+		asked.Passes[0].Tokens = tokens
 		g.Expect(asked.Validate()).To(MatchError(ContainSubstring("brings.tokens")))
 	}
-	asked.Brings = make([]lending.Bring, 10_001)
+	asked.Passes = make([]lending.Passed, 10_001)
 	g.Expect(asked.Validate()).To(MatchError(ContainSubstring("brings")))
 }
--- a/internal/sidecar/lending/granter.go
+++ b/internal/sidecar/lending/granter.go
@@ -36,7 +36,7 @@
 	held.advance(terms, now)
 	until := now.Add(lease(terms.Members))
 	if _, renewed := held.lenders[from]; !renewed {
-		held.tokens += terms.Brought / float64(terms.members())
+		held.tokens += terms.Initial / float64(terms.members())
 	}
 	held.lenders[from] = until
 	if len(held.lenders) == 1 || until.Before(held.firstEnd) {
@@ -54,8 +54,8 @@
 	}
 }
 
-// Bring takes in tokens that a node has earned and passes on.
-func (g *Granter) Bring(account string, tokens float64, terms Terms, now time.Time) {
+// TakePassed takes in tokens that a node has earned and passes on.
+func (g *Granter) TakePassed(account string, tokens float64, terms Terms, now time.Time) {
 	if terms.Window <= 0 {
 		return
 	}
--- a/internal/sidecar/lending/holder.go
+++ b/internal/sidecar/lending/holder.go
@@ -60,13 +60,13 @@
 // Valid reports whether the token may still be spent.
 func (t Token) Valid(now time.Time) bool { return now.Before(t.until) }
 
-// Verdict is what becomes of one request by what the node holds: it has a token, is refused,
-// or a granter is to be asked.
+// Verdict is the outcome of Take: a token was taken, the request is refused, or a granter has to
+// be asked.
 type Verdict int
 
 // Verdicts.
 const (
-	Spent Verdict = iota
+	Taken Verdict = iota
 	Denied
 	AskGranter
 )
@@ -80,7 +80,7 @@
 	defer h.mu.Unlock()
 	held := h.of(account)
 	if token, found := held.take(account, now); found {
-		return Spent, token
+		return Taken, token
 	}
 	if now.Before(held.deniedUntil) {
 		return Denied, Token{Wait: held.roomAt.Sub(now)}
--- a/internal/sidecar/lending/lending.go
+++ b/internal/sidecar/lending/lending.go
@@ -20,8 +20,8 @@
 // Terms are what an account is filled by at one moment.
 type Terms struct {
 	// Rate is in tokens a second of all shares together, Depth how many of them can be saved up,
-	// Brought how many of these come with shares that are lent anew.
-	Rate, Depth, Brought float64
+	// Initial how many of these come with shares that are lent anew.
+	Rate, Depth, Initial float64
 	// EarnedDepth is the part of the tokens earned within Window that can be saved up at the
 	// granter, those given out and not spent yet included. EarnedKept is that part at the node
 	// which earns them. Nothing is earned in an account whose Window is zero.
@@ -37,8 +37,8 @@
 	// MostDelay is how long before a token is due it is given out: to wait so long is better for
 	// a caller than to be refused.
 	MostDelay = 100 * time.Millisecond
-	// AskTimeout bounds one question to a granter. It is about a hundred times what one takes
-	// between zones.
+	// AskTimeout bounds one question to a granter. It is far above a round trip between zones, so
+	// that only a lost or hanging peer reaches it.
 	AskTimeout = 300 * time.Millisecond
 )
 
--- a/internal/sidecar/lending/message.go
+++ b/internal/sidecar/lending/message.go
@@ -13,8 +13,8 @@
 	Releases []string `json:"releases,omitempty"`
 	// Wants is how many tokens the node wants of each account.
 	Wants []Want `json:"wants,omitempty"`
-	// Brings are the tokens that the node has earned itself and passes on.
-	Brings []Bring `json:"brings,omitempty"`
+	// Passes are the tokens that the node has earned itself and passes on.
+	Passes []Passed `json:"brings,omitempty"`
 }
 
 // Want asks for tokens of one account.
@@ -24,8 +24,8 @@
 	Tokens  int    `json:"tokens"`
 }
 
-// Bring passes tokens of one account on.
-type Bring struct {
+// Passed passes tokens of one account on.
+type Passed struct {
 	Account string  `json:"account"`
 	Tokens  float64 `json:"tokens"`
 }
@@ -50,9 +50,9 @@
 const (
 	// mostNames bounds the accounts of one message.
 	mostNames = 10_000
-	// mostWanted bounds the tokens that are wanted at once, mostBrought those that are passed on.
-	mostWanted  = 10_000
-	mostBrought = 100_000
+	// mostWanted bounds the tokens that are wanted at once, mostPassed those that are passed on.
+	mostWanted = 10_000
+	mostPassed = 100_000
 )
 
 // Validate names the field of a message that no node sends so, and why.
@@ -66,7 +66,7 @@
 		return trace.BadParameter("releases: has more than %d names", mostNames)
 	case len(a.Wants) > mostNames:
 		return trace.BadParameter("wants: has more than %d entries", mostNames)
-	case len(a.Brings) > mostNames:
+	case len(a.Passes) > mostNames:
 		return trace.BadParameter("brings: has more than %d entries", mostNames)
 	}
 	for _, want := range a.Wants {
@@ -74,9 +74,9 @@
 			return trace.BadParameter("wants.tokens: %d is not from 1 to %d", want.Tokens, mostWanted)
 		}
 	}
-	for _, brought := range a.Brings {
-		if !(brought.Tokens >= 0 && brought.Tokens <= mostBrought) {
-			return trace.BadParameter("brings.tokens: %v is not from 0 to %d", brought.Tokens, mostBrought)
+	for _, brought := range a.Passes {
+		if !(brought.Tokens >= 0 && brought.Tokens <= mostPassed) {
+			return trace.BadParameter("brings.tokens: %v is not from 0 to %d", brought.Tokens, mostPassed)
 		}
 	}
 	return nil
--- a/internal/sidecar/nested/nested.go
+++ b/internal/sidecar/nested/nested.go
@@ -1,8 +1,9 @@
 // Package nested tells the calls that a back end makes while it works on a request from the
 // requests of clients. A nested call ends with the request that it serves: its deadline is that
 // request's. So a request whose deadline is later than those of all that is at work at the back end
-// of the machine where it begins is a client's. Routes are learned by that: where it never
-// happens, back ends call. The package is pure: the caller brings the time.
+// of the machine where it begins is a client's. A route
+// counts as called by back ends once leastSeen of its requests are known and at most strayShare of them
+// were certainly clients'. The package is pure: the caller brings the time.
 package nested
 
 import (
@@ -95,7 +96,8 @@
 	strayShare = 0.02
 	// remembered is how many requests of a route count: older ones fade.
 	remembered = 256
-	// settleTime is how long after its start a node does not know what its back end works on.
+	// settleTime is how long after its start a node does not know what its back end works on: requests
+	// that began before are not in Work.
 	settleTime = time.Second
 )
 
@@ -113,7 +115,7 @@
 	total, clients float64
 }
 
-// NewRecognizer returns one that knows nothing yet of the node's back end, which started then.
+// NewRecognizer returns one that has seen no route. started is when the node started.
 func NewRecognizer(work *Work, started time.Time) *Recognizer {
 	return &Recognizer{work: work, started: started}
 }
--- a/internal/sidecar/precedence/precedence.go
+++ b/internal/sidecar/precedence/precedence.go
@@ -1,10 +1,8 @@
-// Package precedence orders requests that compete for room which is not enough for all. Callers'
-// nodes and nodes beside back ends go by the same order, so that none of them serves what another
-// refuses room to. The package is pure.
+// Package precedence orders requests that compete for a back end's slots. A caller's node tells
+// with the request what it goes by (package hop); the queue at the back end's node orders by it. The
+// package is pure.
 package precedence
 
-import "cmp"
-
 // Precedence is what of a request decides when it gets room.
 type Precedence struct {
 	// Nested: a request that is at work waits for it. Refused, it would throw away what that has
@@ -35,6 +33,3 @@
 	}
 	return level
 }
-
-// Compare is below zero when the request comes before the other one.
-func (p Precedence) Compare(other Precedence) int { return cmp.Compare(p.Level(), other.Level()) }
--- a/internal/sidecar/precedence/precedence_test.go
+++ b/internal/sidecar/precedence/precedence_test.go
@@ -1,7 +1,6 @@
 package precedence_test
 
 import (
-	"slices"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -20,9 +19,8 @@
 		{Priority: 1},
 		{Priority: 1, Returning: true},
 	}
-	g.Expect(slices.IsSortedFunc(ordered, precedence.Precedence.Compare)).To(BeTrue())
 	for i, one := range ordered {
 		g.Expect(one.Level()).To(Equal(i))
 	}
-	g.Expect(precedence.Precedence{Nested: true}.Compare(precedence.Precedence{Nested: true, Priority: 3})).To(BeZero())
+	g.Expect(precedence.Precedence{Nested: true, Priority: 3}.Level()).To(BeZero(), "whatever its priority")
 }
--- a/internal/sidecar/quarantine/quarantine.go
+++ b/internal/sidecar/quarantine/quarantine.go
@@ -156,7 +156,7 @@
 // Ended takes in the unplanned end of the back end beside this node. What came to a good
 // end here of late is not suspected. It returns when the peers have heard, or a short time
 // later: a caller that is answered sooner comes back to a node that does not suspect its
-// request yet, and ends two more back ends.
+// request yet, and may end further back ends.
 func (q *Quarantine) Ended(crash roster.Crash) {
 	crash.Running = q.recent.withoutServed(crash.Running, clock.Now())
 	if len(crash.Running) == 0 {
--- a/internal/sidecar/quarantine/quarantine_test.go
+++ b/internal/sidecar/quarantine/quarantine_test.go
@@ -74,8 +74,8 @@
 }
 
 // TestAnEndIsToldBeforeItsRequestsAreAnswered: whoever waits for the end's evidence goes on when
-// the peers have heard of it. Notices that took 0.4 s had the next try of a harmful request run at
-// a node that did not suspect it, and end a fourth back end.
+// the peers have heard of it. A slow notice would let the next try of a harmful request run at a node
+// that does not suspect it.
 func TestAnEndIsToldBeforeItsRequestsAreAnswered(t *testing.T) {
 	g := NewWithT(t)
 	members := roster.New(roster.Record{Node: "n-1", Epoch: 1, Counter: 1})
--- a/internal/sidecar/quota/bounds.go
+++ b/internal/sidecar/quota/bounds.go
@@ -32,12 +32,11 @@
 	// other differently while some come and go.
 	usableShare = 0.97
 	// savedShare is the part of the depth that can be saved up. The rest comes with shares that
-	// are lent anew, broughtShare of the depth with all of them: a granter that takes over would
-	// begin with nothing and refuse 0.13 of the requests of its first second at 0.6 of the limit
-	// (TestAGranterThatStops). A share can be lent anew four times in a window, since a lease has
+	// are lent anew, initialShare of the depth with all of them: a granter that takes over would
+	// otherwise begin with nothing and refuse requests well within the limit. A share can be lent anew four times in a window, since a lease has
 	// to end before.
 	savedShare   = 0.6
-	broughtShare = 0.1
+	initialShare = 0.1
 	// leastDepthTime says how much can at least be saved up, as the tokens of that time, and
 	// one token.
 	leastDepthTime = 50 * time.Millisecond
@@ -46,7 +45,7 @@
 // Terms returns how a limit is lent among so many nodes.
 func (b Bounds) Terms(limit Limit, members int) lending.Terms {
 	rate, depth := b.tokens(limit)
-	return lending.Terms{Rate: rate, Depth: depth, Brought: depth * broughtShare, Members: members}
+	return lending.Terms{Rate: rate, Depth: depth, Initial: depth * initialShare, Members: members}
 }
 
 // tokens returns the rate in tokens a second at which a limit is given out, and how many can be
--- a/internal/sidecar/quota/quota.go
+++ b/internal/sidecar/quota/quota.go
@@ -91,7 +91,7 @@
 	q.Holder().Came(tenant, began)
 	for failed, answered := 0, false; ; {
 		switch verdict, token := q.Holder().Take(tenant, clock.Now()); {
-		case verdict == lending.Spent:
+		case verdict == lending.Taken:
 			return q.counted("granted", token, nil)
 		case verdict == lending.Denied:
 			token.Wait = max(token.Wait, leastWait)
@@ -120,11 +120,11 @@
 // may.
 func (q *Quota) Again(tenant string) bool {
 	verdict, token := q.Holder().Take(tenant, clock.Now())
-	if verdict == lending.Spent && token.Wait > 0 {
+	if verdict == lending.Taken && token.Wait > 0 {
 		q.Holder().Return(token)
 		return false
 	}
-	return verdict == lending.Spent
+	return verdict == lending.Taken
 }
 
 // Return gives back the token of a request that did not run.
--- a/internal/sidecar/quotas.go
+++ b/internal/sidecar/quotas.go
@@ -56,7 +56,7 @@
 			table := s.keeper.Table()
 			return table != nil && table.Service(service) != nil
 		},
-		On: s.contention.On,
+		On: func() bool { return s.options.Settings.LendRepeats && s.contention.On() },
 		Send: func(ctx context.Context, to *roster.Record, asked *lending.Ask) (*lending.Answer, error) {
 			return s.exchanger.AskRepeats(ctx, to, asked)
 		},
--- a/internal/sidecar/repeats/repeats.go
+++ b/internal/sidecar/repeats/repeats.go
@@ -132,7 +132,7 @@
 		held.budget.first(limits, r.options.View().Present(), now)
 		return
 	}
-	r.settle(name, held, limits, terms, now)
+	r.carryOver(name, held, limits, terms, now)
 	r.Holder().Earn(name, limits.earned(), terms, now)
 	if repeated > 0 {
 		r.Holder().Owe(name, repeated, now)
@@ -151,7 +151,7 @@
 		}
 		return r.counted("even", true)
 	}
-	r.settle(name, held, limits, terms, now)
+	r.carryOver(name, held, limits, terms, now)
 	worth := request.worth(held.acceptance.share(now))
 	if worth < leastWorth {
 		return r.counted("futile", false)
@@ -225,9 +225,9 @@
 	return held.(*service)
 }
 
-// settle has the account make up for what the node spent of its even share before shares were
-// lent.
-func (r *Repeats) settle(name string, held *service, limits Limits, terms lending.Terms, now time.Time) {
+// carryOver turns what the node has overspent of its even share into a debt of the account, once
+// after lending begins.
+func (r *Repeats) carryOver(name string, held *service, limits Limits, terms lending.Terms, now time.Time) {
 	if lacking := held.budget.drain(limits, terms.Members, now); lacking > 0 {
 		r.Holder().Owe(name, lacking, now)
 	}
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -47,6 +47,8 @@
 	Quota quota.Bounds
 	// OverloadControl says whether requests compete for room (contention.Auto when empty).
 	OverloadControl contention.Mode
+	// LendRepeats: where requests compete for room, nodes lend each other their shares of the repeats.
+	LendRepeats bool
 	// Rollout bounds what a version that turns out to be bad may get.
 	Rollout rollout.Limits
 }
