Settings that are read again have the flags of overload control

Cause: flags were set at the start alone; each reload named OverloadControl as waiting for a restart, though nothing had changed. Test: TestFlagsOutliveAReload.

--- a/cmd/kestrel-sidecar/main.go
+++ b/cmd/kestrel-sidecar/main.go
@@ -11,6 +11,7 @@
 	"github.com/kestrelstream/kestrelstream/internal/build"
 	"github.com/kestrelstream/kestrelstream/internal/lifecycle"
 	"github.com/kestrelstream/kestrelstream/internal/settings"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/assembly"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/contention"
 	"github.com/kestrelstream/kestrelstream/platform"
@@ -44,12 +45,10 @@
 		_, err := fmt.Println(build.Read())
 		return err
 	}
-	loaded, err := platform.ReadSettings(given.Settings)
+	loaded, err := given.load()
 	if err != nil {
 		return err
 	}
-	loaded.OverloadControl = contention.Mode(given.OverloadControl)
-	loaded.LendRepeats = given.LendRepeats
 	if given.CheckSettings {
 		_, err := fmt.Println("settings: no errors")
 		return err
@@ -64,13 +63,24 @@
 	if err != nil {
 		return err
 	}
-	go settings.Watch(stop.Requested, given.Settings, hangups, func() { reload(process, given.Settings) })
+	go settings.Watch(stop.Requested, given.Settings, hangups, func() { reload(process, given) })
 	return process.Run(stop.Requested)
 }
 
+// load reads the settings file and adds what the command line says.
+func (f *flags) load() (*sidecar.Settings, error) {
+	loaded, err := platform.ReadSettings(f.Settings)
+	if err != nil {
+		return nil, err
+	}
+	loaded.OverloadControl = contention.Mode(f.OverloadControl)
+	loaded.LendRepeats = f.LendRepeats
+	return loaded, nil
+}
+
 // reload reads the settings file again. A broken one changes nothing.
-func reload(process *assembly.Process, path string) {
-	next, err := platform.ReadSettings(path)
+func reload(process *assembly.Process, given *flags) {
+	next, err := given.load()
 	if err != nil {
 		process.RefuseReload(err)
 		return
