--- a/cmd/kestrel-sidecar/main.go
+++ b/cmd/kestrel-sidecar/main.go
@@ -73,9 +73,14 @@
 	if err != nil {
 		return nil, err
 	}
+	f.apply(loaded)
+	return loaded, nil
+}
+
+// apply adds what the command line says to settings that were read.
+func (f *flags) apply(loaded *sidecar.Settings) {
 	loaded.OverloadControl = contention.Mode(f.OverloadControl)
 	loaded.LendRepeats = f.LendRepeats
-	return loaded, nil
 }
 
 // reload reads the settings file again. A broken one changes nothing.
