Sight: who stood behind a 404, own metrics first, the moment at which the store is regained

Changed: the project's metrics come first, histograms after them; 3 served calls a second are logged and not 10; lost and regained name the version in force, and regained is written when the store has answered; a line for each confirmed refusal; the proof's age in the line of a failed call; answers to questions for a version are counted, with the age of their proof. No decision changes.

TestAStoreThatAnswersAgainIsLogged failed before (0 lines).

--- a/internal/sidecar/configuration/follower.go
+++ b/internal/sidecar/configuration/follower.go
@@ -90,7 +90,13 @@
 			continue
 		}
 		turn, end := whileReading(ctx, reads)
-		err := followOnce(turn, reader, &place, keeper)
+		answered := func() {
+			if !healthy {
+				logger.Info("store regained", zap.String("key", place.Key), zap.Uint64("inForce", keeper.Version()))
+			}
+			healthy = true
+		}
+		err := followOnce(turn, reader, &place, keeper, answered)
 		ended := turn.Err() != nil
 		end()
 		if ctx.Err() != nil {
@@ -100,16 +106,13 @@
 			continue
 		}
 		if err == nil || errors.Is(err, store.ErrCompacted) {
-			if !healthy {
-				logger.Info("store regained", zap.String("key", place.Key))
-			}
-			healthy = true
+			answered()
 			backoff.Succeeded()
 			pause.Wait(ctx, pauseBase/2)
 			continue
 		}
 		if healthy {
-			logger.Warn("store lost", zap.String("key", place.Key), zap.Error(err))
+			logger.Warn("store lost", zap.String("key", place.Key), zap.Uint64("inForce", keeper.Version()), zap.Error(err))
 		}
 		healthy = false
 		if backoff.Most = pauseMost; keeper.Version() > 0 {
@@ -141,13 +144,14 @@
 	return turn, end
 }
 
-// followOnce reads the place, then watches it until the watch ends. A nil error
-// means that the store had answered.
-func followOnce(ctx context.Context, reader store.Reader, place *Place, keeper *Keeper) error {
+// followOnce reads the place, then watches it until the watch ends; answered is called once the
+// store has answered the read. A nil error means that the watch ended in order.
+func followOnce(ctx context.Context, reader store.Reader, place *Place, keeper *Keeper, answered func()) error {
 	after, err := readOnce(ctx, reader, place, keeper)
 	if err != nil {
 		return err
 	}
+	answered()
 	watch, err := reader.Watch(ctx, place.Prefix, after)
 	if err != nil {
 		return err
--- a/internal/sidecar/configuration/follower_test.go
+++ b/internal/sidecar/configuration/follower_test.go
@@ -10,6 +10,7 @@
 
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/configuration"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/route"
@@ -238,3 +239,55 @@
 		close(held.running.events)
 	})
 }
+
+// endingStore answers reads and ends each watch with an error after a while, but for a time in
+// which it answers nothing.
+type endingStore struct {
+	forgetfulStore
+	away bool
+}
+
+func (s *endingStore) Range(ctx context.Context, prefix, from string, limit int) ([]store.KeyValue, uint64, error) {
+	if s.away {
+		return nil, 0, store.ErrUnavailable
+	}
+	return s.forgetfulStore.Range(ctx, prefix, from, limit)
+}
+
+func (s *endingStore) Watch(context.Context, string, uint64) (store.Watch, error) {
+	watch := &endedWatch{openWatch{events: make(chan store.Event)}}
+	time.AfterFunc(20*time.Second, func() { close(watch.events) })
+	return watch, nil
+}
+
+// endedWatch ends with an error.
+type endedWatch struct{ openWatch }
+
+func (w *endedWatch) Err() error { return store.ErrUnavailable }
+
+// TestAStoreThatAnswersAgainIsLogged when it answers, not when the next watch ends.
+func TestAStoreThatAnswersAgainIsLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, end := context.WithCancel(t.Context())
+		core, logged := observer.New(zap.InfoLevel)
+		held := &endingStore{forgetfulStore: forgetfulStore{written: 5, now: 100}}
+		keeper := configuration.NewKeeper(decodeVersion, zap.NewNop())
+		followed := make(chan struct{})
+		go func() {
+			defer close(followed)
+			configuration.Follow(ctx, held, configuration.Place{Key: configurationKey, Prefix: configurationKey}, keeper, func() bool { return true }, zap.New(core))
+		}()
+		time.Sleep(19 * time.Second)
+		held.away = true
+		time.Sleep(10 * time.Second)
+		g.Expect(logged.FilterMessage("store lost").Len()).To(Equal(1))
+		g.Expect(logged.FilterMessage("store regained").Len()).To(BeZero())
+		held.away = false
+		time.Sleep(5 * time.Second)
+		g.Expect(logged.FilterMessage("store regained").Len()).To(Equal(1))
+		end()
+		time.Sleep(time.Minute)
+		<-followed
+	})
+}
--- a/internal/sidecar/egress/calllog.go
+++ b/internal/sidecar/egress/calllog.go
@@ -69,6 +69,9 @@
 		zap.String("peer", c.failure.Peer), zap.Bool("callerGone", c.request.Context().Err() != nil),
 		zap.NamedError("cause", c.failure.Cause),
 	)
+	if age, proven := options.Level.ProofAge(); proven {
+		fields = append(fields, zap.Duration("proofAge", age))
+	}
 	if c.service != "" {
 		fields = append(fields, zap.Float64("budgetLeft", c.handler.options.Repeats.LeftOf(c.service)))
 	}
--- a/internal/sidecar/egress/level.go
+++ b/internal/sidecar/egress/level.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"time"
 
 	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
 )
@@ -16,6 +17,9 @@
 	// CatchUp has the node catch up with a version that another one holds, and reports whether
 	// it did in a short time.
 	CatchUp(ctx context.Context, node string, version uint64) bool
+	// ProofAge returns how long ago the configuration in force is known to have been the newest;
+	// false when that was never known.
+	ProofAge() (age time.Duration, proven bool)
 }
 
 // alone is the Level of a node that has nobody to ask.
@@ -27,6 +31,9 @@
 // CatchUp implements Level.
 func (alone) CatchUp(context.Context, string, uint64) bool { return false }
 
+// ProofAge implements Level.
+func (alone) ProofAge() (time.Duration, bool) { return 0, false }
+
 var errUnconfirmed = errors.New("no route for this host and path, or no tenant with this key, and nobody says whether there is a newer configuration")
 
 // mostMoves bounds how often one request is routed anew: changes come in quick succession, and
--- a/internal/sidecar/egress/level_test.go
+++ b/internal/sidecar/egress/level_test.go
@@ -36,6 +36,8 @@
 	return l.advance()
 }
 
+func (l *lagging) ProofAge() (time.Duration, bool) { return 0, false }
+
 func (l *lagging) advance() bool {
 	if l.may && l.next != nil {
 		l.table = l.next
--- a/internal/sidecar/egress/sample.go
+++ b/internal/sidecar/egress/sample.go
@@ -8,7 +8,7 @@
 )
 
 // servedPerSecond is how many of the calls that went well are logged.
-const servedPerSecond = 10
+const servedPerSecond = 3
 
 // sampled returns a logger that writes the first lines of each second. It is for one message: the
 // library's sampler holds counters for thousands of them, which is much of what an idle node holds.
--- a/internal/sidecar/exchange/level.go
+++ b/internal/sidecar/exchange/level.go
@@ -119,6 +119,7 @@
 	asked := clock.Now()
 	resp, err := l.exchanger.get(ctx, reader, pathLevel)
 	if err != nil {
+		l.exchanger.observer.LevelTold(levelFailed, -1)
 		return trace.Wrap(err, "ask %s for its version", reader.Node)
 	}
 	defer resp.Body.Close()
@@ -127,6 +128,7 @@
 		return trace.Wrap(err, "ask %s for its version", reader.Node)
 	}
 	l.exchanger.met.Store(true)
+	l.told(reader, answer)
 	if answer.Version <= l.exchanger.options.Configuration.Version() {
 		l.confirmed.set(clock.Now())
 	}
@@ -137,6 +139,20 @@
 	return nil
 }
 
+// told notes what a reader has answered.
+func (l *levelCheck) told(reader *roster.Record, answer *Level) {
+	inForce, result, age := l.exchanger.options.Configuration.Version(), levelSame, time.Duration(-1)
+	if answer.Version > inForce {
+		result = levelNewer
+	}
+	if answer.ProofAge != nil {
+		age = time.Duration(*answer.ProofAge) * time.Microsecond
+	}
+	l.exchanger.observer.LevelTold(result, age)
+	l.exchanger.options.Logger.Debug("version told", zap.String("peer", reader.Node), zap.Uint64("version", answer.Version),
+		zap.Uint64("inForce", inForce), zap.Duration("peerProofAge", age), l.exchanger.behind.proofAge())
+}
+
 // prove takes in how old a peer's proof for its version was when it answered a question that
 // was sent at the moment. The time on the way counts against the proof.
 func (l *levelCheck) prove(version uint64, age *int64, asked time.Time) {
@@ -203,6 +219,7 @@
 		}
 	}
 	if l.alone() {
+		l.logConfirmed("no other reader is known", began)
 		return true
 	}
 	askOne()
@@ -210,6 +227,7 @@
 		select {
 		case err := <-answered:
 			if err == nil {
+				l.logConfirmed("a reader has answered", began)
 				return l.exchanger.behind.await(ctx)
 			}
 		case <-hedge.C:
@@ -222,3 +240,10 @@
 	}
 	return true
 }
+
+// logConfirmed writes what a refusal rests on.
+func (l *levelCheck) logConfirmed(by string, began time.Time) {
+	l.exchanger.options.Logger.Info("configuration confirmed before a refusal", zap.String("by", by),
+		zap.Uint64("inForce", l.exchanger.options.Configuration.Version()), zap.Duration("elapsed", clock.Since(began)),
+		l.exchanger.behind.proofAge())
+}
--- a/internal/sidecar/exchange/observer.go
+++ b/internal/sidecar/exchange/observer.go
@@ -8,12 +8,22 @@
 	askedStore = "store"
 )
 
+// What a node that was asked for its version has said, for the metrics.
+const (
+	levelSame   = "same"
+	levelNewer  = "newer"
+	levelFailed = "failed"
+)
+
 // Observer is told how the node keeps level.
 type Observer interface {
 	// CaughtUp: the node was behind for so long since it had first heard so.
 	CaughtUp(behind time.Duration)
 	// Asked: a question for a configuration has ended; whom is "peer" or "store".
 	Asked(whom string, err error)
+	// LevelTold: another node was asked for its version. The result is one of the constants; the
+	// age is that of its proof, below zero without one.
+	LevelTold(result string, age time.Duration)
 }
 
 // unobserved is the observer of nobody.
@@ -24,3 +34,6 @@
 
 // Asked implements Observer.
 func (unobserved) Asked(string, error) {}
+
+// LevelTold implements Observer.
+func (unobserved) LevelTold(string, time.Duration) {}
--- a/internal/sidecar/level.go
+++ b/internal/sidecar/level.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 )
 
 // serves reports whether the configuration in force leads the request to the service. One
@@ -31,3 +32,6 @@
 func (l *level) CatchUp(ctx context.Context, node string, version uint64) bool {
 	return l.exchanger.CatchUp(ctx, l.members.View().Record(node), version)
 }
+
+// ProofAge implements egress.Level.
+func (l *level) ProofAge() (time.Duration, bool) { return l.keeper.ProofAge() }
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -30,6 +30,10 @@
 	// its questions for configurations.
 	behind prometheus.Histogram
 	asked  *prometheus.CounterVec
+	// levelTold counts what other nodes said when they were asked for their version, proofAges
+	// are the ages of their proofs.
+	levelTold *prometheus.CounterVec
+	proofAges prometheus.Histogram
 }
 
 // latencyBuckets are in seconds.
@@ -112,7 +116,13 @@
 	created.asked = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "kestrel_sidecar_configuration_questions_total", Help: "Questions for a newer configuration by whom was asked and result.",
 	}, []string{"asked", "result"})
-	registry.MustRegister(created.behind, created.asked, created.ended, created.running, created.silent, created.overtook, created.calls, created.latency, created.hop, created.sends, created.arrivals, created.queued, created.worked)
+	created.levelTold = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "kestrel_sidecar_level_answers_total", Help: "Answers of other nodes that were asked for their version, by result.",
+	}, []string{"result"})
+	created.proofAges = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "kestrel_sidecar_level_proof_seconds", Help: "Age of the proof that came with these answers.", Buckets: latencyBuckets,
+	})
+	registry.MustRegister(created.levelTold, created.proofAges, created.behind, created.asked, created.ended, created.running, created.silent, created.overtook, created.calls, created.latency, created.hop, created.sends, created.arrivals, created.queued, created.worked)
 	return created
 }
 
@@ -160,6 +170,14 @@
 	m.asked.WithLabelValues(whom, result).Inc()
 }
 
+// LevelTold implements exchange.Observer.
+func (m *metrics) LevelTold(result string, age time.Duration) {
+	m.levelTold.WithLabelValues(result).Inc()
+	if age >= 0 {
+		m.proofAges.Observe(age.Seconds())
+	}
+}
+
 // watch adds gauges that read the node's state.
 func (s *Sidecar) watch(registry prometheus.Registerer) {
 	gauge := func(name, help string, read func() float64) {
--- a/internal/telemetry/admin.go
+++ b/internal/telemetry/admin.go
@@ -53,7 +53,7 @@
 	admin.mux.HandleFunc("GET /{$}", admin.serveIndex)
 	admin.Handle("/health", "200 as long as the process answers", http.HandlerFunc(serveHealth))
 	admin.Handle("/ready", "200 when every readiness check passes, else 503 with the reasons", http.HandlerFunc(admin.serveReady))
-	admin.Handle("/metrics", "metrics in the Prometheus text format", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
+	admin.Handle("/metrics", "metrics in the Prometheus text format", promhttp.HandlerFor(ownFirst(registry), promhttp.HandlerOpts{}))
 	admin.AddPage("/build", "the build that is running", func() any { return build.Read() })
 	if profiling {
 		admin.handleProfiles()
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -124,6 +125,18 @@
 		Expect(get(admin.Handler(), "/metrics").Body.String()).To(ContainSubstring("kestrel_build_info"))
 	})
 
+	It("shows the project's own metrics before those of the runtime, histograms last", func() {
+		registry := NewRegistry()
+		registry.MustRegister(
+			prometheus.NewHistogram(prometheus.HistogramOpts{Name: "kestrel_a_seconds"}),
+			prometheus.NewGauge(prometheus.GaugeOpts{Name: "kestrel_z"}),
+		)
+		page := get(NewAdmin(registry, false, zap.NewNop()).Handler(), "/metrics").Body.String()
+		order := []int{strings.Index(page, "kestrel_z 0"), strings.Index(page, "kestrel_a_seconds_count"), strings.Index(page, "go_goroutines ")}
+		Expect(order[0]).To(BeNumerically(">=", 0))
+		Expect(slices.IsSorted(order)).To(BeTrue())
+	})
+
 	It("summarizes the snapshot without the secret's value", func() {
 		admin := NewAdmin(NewRegistry(), false, zap.NewNop())
 		var snapshot *projection.Snapshot
