--- /dev/null
+++ b/internal/sidecar/exchange/proof_test.go
@@ -0,0 +1,171 @@
+package exchange
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/configuration"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/readers"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/route"
+)
+
+// smallestBound is the shortest time that a deployment leaves until a version is in force.
+const smallestBound = 2 * time.Second
+
+// TestNoFinalRefusalOnTheWordOfAReaderThatHearsNothing: an equal version whose proof is old says
+// nothing about newer ones.
+func TestNoFinalRefusalOnTheWordOfAReaderThatHearsNothing(t *testing.T) {
+	play(t, func(t *testing.T, g *WithT, late, peer *virtualMember, _ *network) {
+		late.exchanger.options.Roster.Merge([]*roster.Record{peer.record})
+		peer.keeper.Proven(7, time.Now())
+		g.Expect(late.exchanger.Confirm(t.Context())).To(BeTrue(), "the proof is new")
+		time.Sleep(5 * smallestBound)
+		g.Expect(late.exchanger.Confirm(t.Context())).To(BeFalse(), "the proof is old")
+		peer.keeper.Proven(7, time.Now())
+		time.Sleep(smallestBound / 4)
+		g.Expect(late.exchanger.Confirm(t.Context())).To(BeTrue(), "the reader hears again")
+	})
+}
+
+// TestNoFinalRefusalWhileAnotherZoneKnowsBetter: the reader of the own zone hears nothing, one of
+// another zone holds the next version.
+func TestNoFinalRefusalWhileAnotherZoneKnowsBetter(t *testing.T) {
+	for round := range 20 {
+		t.Run(fmt.Sprint(round), func(t *testing.T) {
+			play(t, func(t *testing.T, g *WithT, late, peer *virtualMember, in *network) {
+				far := newVirtualMember(in, "far", "other")
+				far.offer(t, 7)
+				far.offer(t, 8)
+				late.exchanger.options.Roster.Merge([]*roster.Record{peer.record, far.record})
+				late.keeper.Proven(7, time.Now())
+				peer.keeper.Proven(7, time.Now())
+				time.Sleep(smallestBound)
+				far.keeper.Proven(8, time.Now())
+				g.Expect(late.exchanger.Confirm(t.Context())).To(BeTrue())
+				g.Expect(late.keeper.Version()).To(BeEquivalentTo(8))
+			})
+		})
+	}
+}
+
+// sharedStore holds the newest version of a fleet.
+type sharedStore struct{ version atomic.Uint64 }
+
+var errTurnedAway = errors.New("turned away")
+
+// storeMember is a virtual member with a store that may turn it away.
+type storeMember struct {
+	*virtualMember
+	store *sharedStore
+	away  atomic.Bool
+	calls atomic.Int64
+}
+
+// read takes in what the store holds, as a read of the place does.
+func (m *storeMember) read(context.Context) error {
+	m.calls.Add(1)
+	asked := time.Now()
+	if m.away.Load() {
+		return errTurnedAway
+	}
+	version := m.store.version.Load()
+	if err := m.keeper.Offer(fmt.Append(nil, version), configuration.SourceRead); err != nil && !errors.Is(err, configuration.ErrNotNewer) {
+		return err
+	}
+	m.keeper.Proven(version, asked)
+	return nil
+}
+
+// follow watches the store: a word at once of each version, and every period that there is none.
+func (m *storeMember) follow(ctx context.Context, period time.Duration) {
+	const look = 10 * time.Millisecond
+	for last := time.Now(); ctx.Err() == nil; time.Sleep(look) {
+		if m.away.Load() || (m.store.version.Load() == m.keeper.Version() && time.Since(last) < period) {
+			continue
+		}
+		last = time.Now()
+		_ = m.read(ctx)
+	}
+}
+
+// fleet returns nodes in zones on one network that know each other and exchange until the
+// context ends.
+func fleet(ctx context.Context, t *testing.T, in *network, sizes map[string]int, store *sharedStore) []*storeMember {
+	var made []*storeMember
+	for zone, size := range sizes {
+		for i := range size {
+			member := &storeMember{virtualMember: newVirtualMember(in, fmt.Sprintf("%s-%d", zone, i), zone), store: store}
+			member.refresh = member.read
+			made = append(made, member)
+		}
+	}
+	for _, member := range made {
+		for _, other := range made {
+			member.exchanger.options.Roster.Merge([]*roster.Record{other.record})
+		}
+		member.offer(t, store.version.Load())
+		member.keeper.Observe(func(_ *route.Table, source configuration.Source) {
+			if source == configuration.SourceRead {
+				go member.exchanger.Broadcast(ctx)
+				go member.exchanger.Announce()
+			}
+		})
+		go member.exchanger.Run(ctx)
+	}
+	return made
+}
+
+// reading returns those of the members that read the store.
+func reading(members []*storeMember) (found []*storeMember) {
+	for _, member := range members {
+		if readers.Reads(member.exchanger.options.Roster.View(), member.record, member.exchanger.Usable) {
+			found = append(found, member)
+		}
+	}
+	return found
+}
+
+// TestAVersionReachesNodesWhoseReadersHearNothing in time, when they reach the store themselves.
+func TestAVersionReachesNodesWhoseReadersHearNothing(t *testing.T) {
+	for round := range 10 {
+		t.Run(fmt.Sprint(round), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				ctx, end := context.WithCancel(t.Context())
+				in := &network{nodes: map[string]func(net.Conn){}}
+				store := &sharedStore{}
+				store.version.Store(7)
+				members := fleet(ctx, t, in, map[string]int{"a": 4, "b": 3, "c": 3}, store)
+				deaf := reading(members)
+				g.Expect(deaf).To(HaveLen(6))
+				for i, member := range deaf {
+					go member.follow(ctx, time.Duration(1+i)*smallestBound/4)
+				}
+				time.Sleep(10 * time.Second)
+				for _, member := range deaf {
+					member.away.Store(true)
+				}
+				time.Sleep(time.Duration(round) * smallestBound / 10)
+				store.version.Store(8)
+				time.Sleep(smallestBound)
+				for _, member := range members {
+					if !member.away.Load() {
+						g.Expect(member.keeper.Version()).To(BeEquivalentTo(8), member.record.Node)
+					}
+				}
+				end()
+				in.close()
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
