A refusal for good rests on proof whose age is known

Cause: before a 404 a node asked a reader, and took any version that was not above its own for agreement, whatever the age of the reader's proof; with no other reader known it agreed with itself; the same answer put off its next question by a second.

Changed: level follows from the age of the proof and from nothing else. A node without new proof is left aside for a second, so that another zone's reader is asked; two in vain, or nobody to ask, and the node reads the store itself; without proof the caller gets 503 with a time to come back.

TestConfirm held that a node which knows nobody else confirms itself; that is the fault. It now holds that such a node refuses nothing for good unless the store has answered it, and the peers of TestConfirm and TestAFloodIsConfirmedTogether have the proof that a reader has. TestANodeThatIsNotToldLearns keeps its bounds, as figures, since the constants are gone.

--- a/internal/sidecar/exchange/catchup_test.go
+++ b/internal/sidecar/exchange/catchup_test.go
@@ -189,7 +189,7 @@
 					time.Sleep(10 * time.Millisecond)
 				}
 				const tick = 10 * time.Millisecond
-				most := levelInterval + time.Duration(1+hanging)*levelLook + tick
+				most := time.Second + time.Duration(1+hanging)*time.Second/4 + tick
 				g.Expect(time.Since(written)).To(BeNumerically("<=", most))
 				end()
 				time.Sleep(time.Second)
@@ -227,9 +227,19 @@
 // behind, and does not wait long where nobody answers.
 func TestConfirm(t *testing.T) {
 	play(t, func(t *testing.T, g *WithT, late, peer *virtualMember, in *network) {
-		g.Expect(late.exchanger.Confirm(t.Context())).To(BeTrue(), "there is nobody else")
+		silentStore := late.refresh
+		g.Expect(late.exchanger.Confirm(t.Context())).To(BeFalse(), "there is nobody else, and the store does not answer")
+		time.Sleep(lookMost)
+		late.refresh = func(context.Context) error {
+			late.keeper.Proven(7, time.Now())
+			return nil
+		}
+		g.Expect(late.exchanger.Confirm(t.Context())).To(BeTrue(), "there is nobody else, and the store answers")
+		late.refresh = silentStore
+		time.Sleep(time.Minute)
 		late.exchanger.options.Roster.Merge([]*roster.Record{peer.record})
 		peer.offer(t, 8)
+		peer.keeper.Proven(8, time.Now())
 		g.Expect(late.exchanger.Confirm(t.Context())).To(BeTrue())
 		g.Expect(late.keeper.Version()).To(BeEquivalentTo(8))
 
@@ -248,6 +258,7 @@
 func TestAFloodIsConfirmedTogether(t *testing.T) {
 	play(t, func(t *testing.T, g *WithT, late, peer *virtualMember, _ *network) {
 		late.exchanger.options.Roster.Merge([]*roster.Record{peer.record})
+		peer.keeper.Proven(7, time.Now())
 		var asked atomic.Int64
 		plain := late.exchanger.client.Transport
 		late.exchanger.client.Transport = counted{plain, &asked}
--- a/internal/sidecar/exchange/exchanger.go
+++ b/internal/sidecar/exchange/exchanger.go
@@ -33,6 +33,9 @@
 type Options struct {
 	Roster        *roster.Roster
 	Configuration *configuration.Keeper
+	// Bound is the time in which an accepted version has to be in force on each node
+	// (DefaultBound when zero).
+	Bound time.Duration
 	// Interval is the time between two exchanges that this node begins.
 	Interval time.Duration
 	Dial     func(ctx context.Context, network, address string) (net.Conn, error)
@@ -116,6 +119,7 @@
 // Exchanger keeps a node level with its peers. It is safe for concurrent use.
 type Exchanger struct {
 	options Options
+	limits  limits
 	client  *http.Client
 	lost    lostPeers
 	// met: another node was in touch with this one.
@@ -131,7 +135,10 @@
 	if options.Interval == 0 {
 		options.Interval = DefaultInterval
 	}
-	created := &Exchanger{options: options, client: newClient(options.Dial)}
+	if options.Bound == 0 {
+		options.Bound = DefaultBound
+	}
+	created := &Exchanger{options: options, limits: limitsOf(options.Bound), client: newClient(options.Dial)}
 	if created.observer = options.Observer; created.observer == nil {
 		created.observer = unobserved{}
 	}
--- a/internal/sidecar/exchange/level.go
+++ b/internal/sidecar/exchange/level.go
@@ -19,97 +19,115 @@
 )
 
 const (
-	// levelInterval is how long after a reader's word a node asks again whether it is level.
-	// A node that nobody tells of a version so learns of it within about half of the 2.5 s in
-	// which it has to be in force.
-	levelInterval = time.Second
-	// levelLook is the time between two looks, and so after what time without an answer
-	// another reader is asked.
-	levelLook = 250 * time.Millisecond
+	// levelPause is the time after a question that brought no new proof, until the next node is
+	// asked; each further one doubles it, up to levelPauseMost.
+	levelPause     = 125 * time.Millisecond
+	levelPauseMost = 500 * time.Millisecond
 	// levelTimeout bounds one question.
 	levelTimeout = 600 * time.Millisecond
-	// levelStale is from what age of the proof on readers of other zones are asked as well:
-	// those of the own one may not hear the store.
-	levelStale = 2 * time.Second
-	// confirmHedge is after what time without an answer a second reader is asked before a
-	// request is refused, confirmTimeout for how long it may wait for that.
-	confirmHedge   = 60 * time.Millisecond
-	confirmTimeout = 350 * time.Millisecond
-	// confirmedFor is how long an answer serves other requests: a flood of requests for routes
-	// that are not there asks ten times a second, no more.
-	confirmedFor = 100 * time.Millisecond
+	// agedFor is how long a node is left aside that had no new proof when it was asked.
+	agedFor = time.Second
 	// levelBytes bounds one answer.
 	levelBytes = 4 << 10
 )
 
-// levelCheck asks readers whether there is a newer configuration than the one in force. The
-// answer is a version, not a document. It is safe for concurrent use.
+// levelCheck keeps the proof new that the node holds the newest configuration: it asks readers,
+// whose answer is a version and the age of their own proof, and the store when these have none. It
+// is safe for concurrent use.
 type levelCheck struct {
 	exchanger *Exchanger
 	// confirming has requests that wait for the same answer share it.
 	confirming singleflight.Group
-	// confirmed is when a reader last said that the node is level, a stamp of the node's clock.
+	// confirmed is when there was last proof for a refusal, a stamp of the node's clock.
 	confirmed stamp
-	// unanswered has the names of the nodes that were asked and have not answered yet.
-	unanswered sync.Map
+	// unanswered has the names of the nodes that were asked and have not answered yet, aged the
+	// moments at which nodes answered without new proof.
+	unanswered, aged sync.Map
+	look             storeLook
 }
 
 func newLevelCheck(exchanger *Exchanger) *levelCheck { return &levelCheck{exchanger: exchanger} }
 
-// run asks a reader from time to time until the context ends. A reader that does not answer
-// holds nobody up: another is asked at the next look.
+// run keeps the proof new until the context ends. A node that does not answer holds nobody up.
 func (l *levelCheck) run(ctx context.Context) {
-	ticker := time.NewTicker(levelLook)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	pause := levelPause
 	for {
 		select {
-		case <-ticker.C:
+		case <-timer.C:
 		case <-ctx.Done():
 			return
 		}
-		if l.exchanger.options.Configuration.Version() == 0 || l.confirmed.within(levelInterval) {
+		left := l.freshFor()
+		if left > 0 {
+			pause = levelPause
+			timer.Reset(max(left, levelPause))
 			continue
 		}
-		if reader := l.pick(); reader != nil {
-			// What fails shows in the age of the proof; another reader is asked soon.
-			go func() { _ = l.ask(ctx, reader, l.exchanger.catchUpDelay(reader)) }()
-		}
+		l.renew(ctx)
+		timer.Reset(pause)
+		pause = min(2*pause, levelPauseMost)
 	}
 }
 
-// pick returns a reader to ask, nil when there is none: one of the own zone, while these have
-// fresh proof themselves.
-func (l *levelCheck) pick() *roster.Record {
+// freshFor returns how long nobody needs to be asked.
+func (l *levelCheck) freshFor() time.Duration {
 	e := l.exchanger
-	own, view := e.options.Roster.Own(), e.options.Roster.View()
-	near, _ := readers.Zone(view, own.Zone, e.Usable)
-	near = l.askable(near)
+	if e.options.Configuration.Version() == 0 {
+		return e.limits.ask
+	}
 	age, proven := e.options.Configuration.ProofAge()
-	if len(near) > 0 && proven && age < levelStale {
-		return near[rand.N(len(near))]
+	if !proven {
+		return 0
 	}
-	all := l.askable(readers.All(view, e.Usable))
-	if len(all) == 0 {
-		return nil
+	return e.limits.ask - age
+}
+
+// renew asks another node.
+func (l *levelCheck) renew(ctx context.Context) {
+	e := l.exchanger
+	if reader := l.pick(); reader != nil {
+		// What fails shows in the age of the proof; another node is asked soon.
+		go func() { _ = l.ask(ctx, reader, e.catchUpDelay(reader)) }()
 	}
-	return all[rand.N(len(all))]
 }
 
-// alone reports whether no other node is known that reads the store. One that owes an answer
-// is one.
-func (l *levelCheck) alone() bool {
+// pick returns a node to ask, nil when there is none: a reader of the own zone, one of another, or
+// any node, in this order. Those that had no new proof of late are left aside while there are
+// others.
+func (l *levelCheck) pick() *roster.Record {
 	e := l.exchanger
-	return len(e.peersOf(readers.All(e.options.Roster.View(), e.Usable))) == 0
+	view := e.options.Roster.View()
+	near, _ := readers.Zone(view, e.options.Roster.Own().Zone, e.Usable)
+	all := readers.All(view, e.Usable)
+	for _, candidates := range [][]*roster.Record{near, all, view.Records()} {
+		if found := l.withoutAged(l.askable(candidates)); len(found) > 0 {
+			return found[rand.N(len(found))]
+		}
+	}
+	if all = l.askable(all); len(all) > 0 {
+		return all[rand.N(len(all))]
+	}
+	return nil
 }
 
 // askable returns those of the nodes that are others and owe no answer.
-func (l *levelCheck) askable(reading []*roster.Record) []*roster.Record {
-	return slices.DeleteFunc(l.exchanger.peersOf(reading), func(record *roster.Record) bool {
+func (l *levelCheck) askable(nodes []*roster.Record) []*roster.Record {
+	return slices.DeleteFunc(l.exchanger.peersOf(nodes), func(record *roster.Record) bool {
 		_, waits := l.unanswered.Load(record.Node)
 		return waits
 	})
 }
 
+// withoutAged returns those of the nodes that have not answered without new proof of late.
+func (l *levelCheck) withoutAged(nodes []*roster.Record) []*roster.Record {
+	return slices.DeleteFunc(nodes, func(record *roster.Record) bool {
+		since, aged := l.aged.Load(record.Node)
+		return aged && clock.Since(since.(time.Time)) < agedFor
+	})
+}
+
 // ask asks one reader and takes in its answer. What is newer is fetched after the delay.
 func (l *levelCheck) ask(ctx context.Context, reader *roster.Record, delay time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, levelTimeout)
@@ -119,6 +137,7 @@
 	asked := clock.Now()
 	resp, err := l.exchanger.get(ctx, reader, pathLevel)
 	if err != nil {
+		l.aged.Store(reader.Node, clock.Now())
 		l.exchanger.observer.LevelTold(levelFailed, -1)
 		return trace.Wrap(err, "ask %s for its version", reader.Node)
 	}
@@ -129,9 +148,7 @@
 	}
 	l.exchanger.met.Store(true)
 	l.told(reader, answer)
-	if answer.Version <= l.exchanger.options.Configuration.Version() {
-		l.confirmed.set(clock.Now())
-	}
+	l.noteAge(reader, answer)
 	l.prove(answer.Version, answer.ProofAge, asked)
 	if answer.Version > l.exchanger.options.Configuration.Version() {
 		l.exchanger.behind.hear(reader, answer.Version, delay)
@@ -139,6 +156,15 @@
 	return nil
 }
 
+// noteAge notes whether a node that was asked had new proof.
+func (l *levelCheck) noteAge(reader *roster.Record, answer *Level) {
+	if answer.ProofAge != nil && time.Duration(*answer.ProofAge)*time.Microsecond < l.exchanger.limits.look {
+		l.aged.Delete(reader.Node)
+		return
+	}
+	l.aged.Store(reader.Node, clock.Now())
+}
+
 // told notes what a reader has answered.
 func (l *levelCheck) told(reader *roster.Record, answer *Level) {
 	inForce, result, age := l.exchanger.options.Configuration.Version(), levelSame, time.Duration(-1)
@@ -171,25 +197,6 @@
 	return &microseconds
 }
 
-// Confirm asks readers whether the node is level, has it catch up when it is not, and reports
-// whether it is then. It takes a short time at most. Where there is nobody to ask, the node
-// knows no better.
-func (e *Exchanger) Confirm(ctx context.Context) bool {
-	if e.level.confirmed.within(confirmedFor) {
-		return true
-	}
-	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
-	defer cancel()
-	answer := e.level.confirming.DoChan("", func() (any, error) { return e.level.confirm(), nil })
-	select {
-	case result := <-answer:
-		level, _ := result.Val.(bool)
-		return level
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // CatchUp has the node catch up with a version that a peer holds, at once, and reports whether
 // it did within a short time.
 func (e *Exchanger) CatchUp(ctx context.Context, peer *roster.Record, version uint64) bool {
@@ -204,46 +211,3 @@
 	e.behind.hear(peer, version, 0)
 	return e.level.exchanger.behind.await(ctx)
 }
-
-// confirm is Confirm for all that wait.
-func (l *levelCheck) confirm() bool {
-	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
-	defer cancel()
-	began := clock.Now()
-	hedge := time.NewTicker(confirmHedge)
-	defer hedge.Stop()
-	answered := make(chan error, int(confirmTimeout/confirmHedge)+1)
-	askOne := func() {
-		if reader := l.pick(); reader != nil {
-			go func() { answered <- l.ask(ctx, reader, 0) }()
-		}
-	}
-	if l.alone() {
-		l.logConfirmed("no other reader is known", began)
-		return true
-	}
-	askOne()
-	for !l.confirmed.after(began) {
-		select {
-		case err := <-answered:
-			if err == nil {
-				l.logConfirmed("a reader has answered", began)
-				return l.exchanger.behind.await(ctx)
-			}
-		case <-hedge.C:
-			askOne()
-		case <-ctx.Done():
-			l.exchanger.options.Logger.Warn("no reader says whether the configuration is the newest",
-				zap.Uint64("inForce", l.exchanger.options.Configuration.Version()))
-			return false
-		}
-	}
-	return true
-}
-
-// logConfirmed writes what a refusal rests on.
-func (l *levelCheck) logConfirmed(by string, began time.Time) {
-	l.exchanger.options.Logger.Info("configuration confirmed before a refusal", zap.String("by", by),
-		zap.Uint64("inForce", l.exchanger.options.Configuration.Version()), zap.Duration("elapsed", clock.Since(began)),
-		l.exchanger.behind.proofAge())
-}
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -36,6 +36,9 @@
 	FirstStart bool
 	// HeartbeatInterval is the usual time between two heartbeats of a back end.
 	HeartbeatInterval time.Duration
+	// ApplyBound is how long after its acknowledgement a version may still not be in force; zero
+	// means exchange.DefaultBound.
+	ApplyBound time.Duration
 	// DrainBound is how long after its word that it is leaving a back end may
 	// still get new work.
 	DrainBound time.Duration
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -169,6 +169,7 @@
 		Refresh: func(ctx context.Context) error {
 			return configuration.Refresh(ctx, options.Store, created.place(), created.keeper)
 		},
+		Bound:       settings.ApplyBound,
 		Store:       options.Store,
 		Rollouts:    created.rollouts,
 		Evacuations: created.evacuations,
