A request that was given back is not refused for good without proof

A request that a node gives back unrun, since a newer version leads it elsewhere, is routed anew by the version of that node. Without a route there it got 404 at once, on knowledge of any age, where all other 404s ask first.

Changed: it takes the same way as every other request that finds no route. The test, TestADroppedRouteIsNotRefusedForGoodWithoutProof, failed before (404 instead of 503).

--- a/internal/sidecar/egress/level.go
+++ b/internal/sidecar/egress/level.go
@@ -84,7 +84,7 @@
 		return false, nil
 	}
 	c.table = c.handler.options.Table()
-	if failure := c.match(); failure != nil {
+	if failure := c.findRoute(); failure != nil {
 		return false, failure
 	}
 	c.service = c.route.NextService()
--- a/internal/sidecar/egress/level_test.go
+++ b/internal/sidecar/egress/level_test.go
@@ -22,13 +22,15 @@
 	// next is the newest configuration; the node gets it when it may.
 	next *route.Table
 	may  bool
+	// unconfirmed: nobody has proof that the configuration is the newest.
+	unconfirmed bool
 	// confirms and catches count the questions.
 	confirms, catches int
 }
 
 func (l *lagging) Confirm(context.Context) bool {
 	l.confirms++
-	return l.advance()
+	return l.advance() && !l.unconfirmed
 }
 
 func (l *lagging) CatchUp(context.Context, string, uint64) bool {
@@ -161,3 +163,13 @@
 	}
 	return line[len(name)+2 : len(line)-2], true
 }
+
+// TestADroppedRouteIsNotRefusedForGoodWithoutProof: that the node which gave the request back has no
+// route for it says nothing about later versions.
+func TestADroppedRouteIsNotRefusedForGoodWithoutProof(t *testing.T) {
+	g := NewWithT(t)
+	held := &lagging{table: leading(t, 1, "s"), next: leading(t, 2, ""), may: true, unconfirmed: true}
+	status, wait := callThrough(t, playLate(t, held, newPeer(t, givesBack), newPeer(t, answers)), "GET", "/r/x", "")
+	g.Expect(status).To(Equal(503))
+	g.Expect(wait).NotTo(BeEmpty())
+}
