Calls of watches end one after the other

Cause: each of six readers let its calls of the watch wait a random time of 0.35 to 4.2 s; an event ends all of them at the same moment, so that until the next one the newest proof of all of them was as old as chance had it.

Changed: after events, which come to all readers at the same moment, the next calls end at even distances of 0.3 of the deployment's bound, in an order on which nodes with the same view agree; each further call waits as many distances as there are readers. No clock is shared.

--- a/internal/sidecar/fuzz_test.go
+++ b/internal/sidecar/fuzz_test.go
@@ -27,10 +27,10 @@
 // awayStore is a store that answers nobody.
 type awayStore struct{ Store }
 
-func (awayStore) PaceWatches(func() time.Duration) {}
-func (awayStore) OnEra(func(uint64))               {}
-func (awayStore) LearnEra(uint64)                  {}
-func (awayStore) Era() uint64                      { return 0 }
+func (awayStore) PaceWatches(func(bool) time.Duration) {}
+func (awayStore) OnEra(func(uint64))                   {}
+func (awayStore) LearnEra(uint64)                      {}
+func (awayStore) Era() uint64                          { return 0 }
 
 func (awayStore) Range(context.Context, string, string, int) ([]store.KeyValue, uint64, error) {
 	return nil, 0, store.ErrUnavailable
--- a/internal/sidecar/reading.go
+++ b/internal/sidecar/reading.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -31,12 +30,14 @@
 	// time. Before that nearly each node takes itself for one that reads. After as long again a node
 	// without a configuration reads in any case.
 	firstMargin = 2500 * time.Millisecond
-	// watchWaitPerReader, watchWaitLeast and watchWaitMost say how long one call
-	// of a watch waits at most: a watch may miss an event unheard, so that of all
-	// nodes that read some one should ask anew about three times a second.
-	watchWaitPerReader = 700 * time.Millisecond
-	watchWaitLeast     = 4 * time.Second
-	watchWaitMost      = 28 * time.Second
+	// watchShare is the part of the bound after which, of all nodes that watch the store, the next
+	// call ends: as old is the newest proof of all of them that there was no newer version.
+	watchShare = 0.3
+	// watchShortest is the shortest time that a call waits, watchLongest the longest.
+	watchShortest = 50 * time.Millisecond
+	watchLongest  = 28 * time.Second
+	// watchersLeast is for how many nodes that watch the calls of one are spread at least.
+	watchersLeast = 2
 )
 
 // reads reports whether this node reads the store.
@@ -105,10 +106,28 @@
 	go s.exchanger.Greet(context.Background())
 }
 
-// WatchWait returns how long the next call of a watch is to wait.
-func (s *Sidecar) WatchWait() time.Duration {
-	reading := time.Duration(readers.Total(s.members.View()))
-	wait := min(max(reading*watchWaitPerReader, watchWaitLeast), watchWaitMost)
-	const leastShare = 12
-	return wait/leastShare + rand.N(wait-wait/leastShare)
+// WatchWait returns how long the next call of a watch is to wait. Calls of the nodes that watch end
+// one after the other, at even distances: events, which come to all at the same moment, begin the
+// order, and it is kept while there are none.
+func (s *Sidecar) WatchWait(first bool) time.Duration {
+	rank, count := s.readingRank()
+	spacing := time.Duration(float64(s.options.Settings.applyBound()) * watchShare)
+	period := min(time.Duration(max(count, watchersLeast))*spacing, watchLongest)
+	if first {
+		return watchShortest + min(time.Duration(rank)*spacing, period)
+	}
+	return period
+}
+
+// readingRank returns the node's place among those of all zones that read the store, and how many
+// these are: an order on which nodes with the same view agree.
+func (s *Sidecar) readingRank() (rank, count int) {
+	reading := s.reading()
+	own := s.members.Own()
+	for _, record := range reading {
+		if record.Node < own.Node {
+			rank++
+		}
+	}
+	return rank, len(reading)
 }
--- /dev/null
+++ b/internal/sidecar/reading_test.go
@@ -0,0 +1,44 @@
+package sidecar
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/readers"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+)
+
+// TestCallsOfWatchesEndInTurn at even distances, so that some node has proof of the store as old as
+// that at most.
+func TestCallsOfWatchesEndInTurn(t *testing.T) {
+	for _, size := range []int{1, 3, 10, 300} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			g := NewWithT(t)
+			node := newNode(t)
+			records := []*roster.Record{node.members.Own()}
+			for i := 1; i < size; i++ {
+				records = append(records, &roster.Record{Node: fmt.Sprintf("n-%d", i), Epoch: 1, Counter: 1, Zone: fmt.Sprint("z", i%3)})
+			}
+			node.members.Merge(records)
+			view := node.members.View()
+			var first []time.Duration
+			var period time.Duration
+			for _, reader := range readers.All(view, func(*roster.Record) bool { return true }) {
+				own := &Sidecar{options: node.options, exchanger: node.exchanger, members: roster.New(*reader)}
+				own.members.Merge(view.Records())
+				first = append(first, own.WatchWait(true))
+				period = own.WatchWait(false)
+			}
+			slices.Sort(first)
+			spacing := time.Duration(float64(node.options.Settings.applyBound()) * watchShare)
+			for i, wait := range first {
+				g.Expect(wait).To(Equal(watchShortest + time.Duration(i)*spacing))
+			}
+			g.Expect(period).To(Equal(time.Duration(max(len(first), watchersLeast)) * spacing))
+		})
+	}
+}
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -4,9 +4,11 @@
 package sidecar
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/contention"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/exchange"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/quota"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/repeats"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
@@ -56,6 +58,11 @@
 	Rollout rollout.Limits
 }
 
+// applyBound is ApplyBound, never zero.
+func (s *Settings) applyBound() time.Duration {
+	return cmp.Or(s.ApplyBound, exchange.DefaultBound)
+}
+
 // Listen holds the addresses to bind, host:port.
 type Listen struct {
 	// Outbound takes callers' requests, Inbound those of other nodes.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -45,8 +45,9 @@
 	LearnEra(era uint64)
 	// OnEra has the function told of each such return. It must not block.
 	OnEra(func(era uint64))
-	// PaceWatches sets how long each call of a watch waits.
-	PaceWatches(wait func() time.Duration)
+	// PaceWatches sets how long each call of a watch waits; first: it is the first one, or the one
+	// before brought events.
+	PaceWatches(wait func(first bool) time.Duration)
 }
 
 // Options are the parts that the assembly provides.
@@ -169,7 +170,7 @@
 		Refresh: func(ctx context.Context) error {
 			return configuration.Refresh(ctx, options.Store, created.place(), created.keeper)
 		},
-		Bound:       settings.ApplyBound,
+		Bound:       settings.applyBound(),
 		Store:       options.Store,
 		Rollouts:    created.rollouts,
 		Evacuations: created.evacuations,
