Replies between nodes carry the age of the proof that a node is level

Proof that a reader had took long to reach the nodes of another zone: one question a second, to the own zone first.

Changed: a reply names the age while it is little (a header of some 20 bytes; nodes of the version before leave it aside); the time since the request was sent counts against it. Where there is no traffic nodes ask as before, from 0.3 of the bound on, several in quick succession while none has new proof, then twice a second. Proof is one atomic pointer, since requests read it.

TestProofComesWithReplies and TestAnAgeIsNotToldAsLess are new.

--- a/internal/sidecar/configuration/proof.go
+++ b/internal/sidecar/configuration/proof.go
@@ -1,7 +1,7 @@
 package configuration
 
 import (
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
@@ -10,61 +10,70 @@
 // proof is the last moment at which a node is known to have been level: it holds what was the
 // newest configuration then. Only answers of the store make one; nodes pass it on with its age. It
 // is safe for concurrent use.
-type proof struct {
-	mu sync.Mutex // guards all below
+type proof struct{ held atomic.Pointer[proven] }
+
+// proven is what a node knows at one time. It is immutable.
+type proven struct {
 	// at is zero before the first proof.
 	at time.Time
-	// next is a proof for a version that the node does not hold yet; it counts once it does. Its
-	// version is zero when there is none.
-	next struct {
-		version uint64
-		at      time.Time
-	}
+	// nextAt is the moment of a proof for nextVersion, which the node does not hold yet: it counts
+	// once it does. The version is zero when there is none.
+	nextAt      time.Time
+	nextVersion uint64
 }
 
 // take takes in that there was no version above the given one at a moment, for a node that holds
-// the other one; the lock is held.
+// the other one.
 func (p *proof) take(version uint64, at time.Time, held uint64) {
-	switch {
-	case version <= held:
-		if at.After(p.at) {
-			p.at = at
+	for {
+		before := p.held.Load()
+		after := before.settled(held)
+		switch {
+		case version > held && at.After(after.nextAt):
+			after.nextVersion, after.nextAt = version, at
+		case version <= held && at.After(after.at):
+			after.at = at
+		default:
+			return
+		}
+		if p.held.CompareAndSwap(before, &after) {
+			return
 		}
-	case at.After(p.next.at):
-		p.next.version, p.next.at = version, at
 	}
 }
 
-// settle has the next proof count when the node holds its version; the lock is held.
-func (p *proof) settle(held uint64) {
-	if p.next.version == 0 || p.next.version > held {
-		return
+// settled returns what is known once the node holds a version.
+func (p *proven) settled(held uint64) proven {
+	if p == nil {
+		return proven{}
+	}
+	known := *p
+	if known.nextVersion == 0 || known.nextVersion > held {
+		return known
+	}
+	if known.nextAt.After(known.at) {
+		known.at = known.nextAt
 	}
-	p.take(p.next.version, p.next.at, held)
-	p.next.version, p.next.at = 0, time.Time{}
+	known.nextVersion, known.nextAt = 0, time.Time{}
+	return known
 }
 
 // Proven takes in that there was no version above the given one at a moment, whoever proved
 // it. It counts when the node holds that version or a newer one.
 func (k *Keeper) Proven(version uint64, at time.Time) {
-	if version == 0 {
-		return
+	if version > 0 {
+		k.proof.take(version, at, k.Version())
 	}
-	k.proof.mu.Lock()
-	defer k.proof.mu.Unlock()
-	k.proof.take(version, at, k.Version())
 }
 
 // ProofAge returns how long ago the node is known to have been level; false before the first
 // proof.
 func (k *Keeper) ProofAge() (age time.Duration, proven bool) {
-	k.proof.mu.Lock()
-	defer k.proof.mu.Unlock()
-	k.proof.settle(k.Version())
-	if k.proof.at.IsZero() {
+	known := k.proof.held.Load().settled(k.Version())
+	if known.at.IsZero() {
 		return 0, false
 	}
-	return clock.Since(k.proof.at), true
+	return clock.Since(known.at), true
 }
 
 // LevelWithin reports whether the node is known to have been level at most so long ago.
--- a/internal/sidecar/egress/attempt.go
+++ b/internal/sidecar/egress/attempt.go
@@ -182,6 +182,15 @@
 	if reply.Version > a.call.table.Version() {
 		a.call.handler.options.Observer.Behind(a.target.node, reply.Version)
 	}
+	a.hearProof(response.Header, reply.Version)
+}
+
+// hearProof takes in how old the node's proof is that it holds the newest configuration. The time
+// since the request was sent counts against it.
+func (a *attempt) hearProof(header http.Header, version uint64) {
+	if age, told := hop.Milliseconds(header.Get(hop.HeaderProof)); told {
+		a.call.handler.options.Level.Proven(version, a.sent.Add(-age))
+	}
 }
 
 // crashes is how many ends of back ends the send counts for: all of them when a node holds
--- a/internal/sidecar/egress/level.go
+++ b/internal/sidecar/egress/level.go
@@ -17,6 +17,8 @@
 	// CatchUp has the node catch up with a version that another one holds, and reports whether
 	// it did in a short time.
 	CatchUp(ctx context.Context, node string, version uint64) bool
+	// Proven takes in another node's proof that there was no version above the given one at a moment.
+	Proven(version uint64, at time.Time)
 	// ProofAge returns how long ago the configuration in force is known to have been the newest;
 	// false when that was never known.
 	ProofAge() (age time.Duration, proven bool)
@@ -31,6 +33,9 @@
 // CatchUp implements Level.
 func (alone) CatchUp(context.Context, string, uint64) bool { return false }
 
+// Proven implements Level.
+func (alone) Proven(uint64, time.Time) {}
+
 // ProofAge implements Level.
 func (alone) ProofAge() (time.Duration, bool) { return 0, false }
 
--- a/internal/sidecar/egress/level_test.go
+++ b/internal/sidecar/egress/level_test.go
@@ -24,6 +24,8 @@
 	may  bool
 	// unconfirmed: nobody has proof that the configuration is the newest.
 	unconfirmed bool
+	// proof is the moment of the last proof that was heard.
+	proof time.Time
 	// confirms and catches count the questions.
 	confirms, catches int
 }
@@ -38,6 +40,8 @@
 	return l.advance()
 }
 
+func (l *lagging) Proven(_ uint64, at time.Time) { l.proof = at }
+
 func (l *lagging) ProofAge() (time.Duration, bool) { return 0, false }
 
 func (l *lagging) advance() bool {
@@ -173,3 +177,18 @@
 	g.Expect(status).To(Equal(503))
 	g.Expect(wait).NotTo(BeEmpty())
 }
+
+// provesLevel answers with proof that the configuration in force is the newest.
+func provesLevel(_ *peer, connection net.Conn, _ *bufio.Reader) {
+	_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 X\r\nKestrel-Reply: 1 0 0 8 50000 1000 1000\r\nKestrel-Proof: 300\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+}
+
+// TestProofComesWithReplies: its age and the time since the request was sent count.
+func TestProofComesWithReplies(t *testing.T) {
+	g := NewWithT(t)
+	held := &lagging{table: leading(t, 1, "s"), may: true}
+	sent := time.Now()
+	status, _ := callThrough(t, playLate(t, held, newPeer(t, provesLevel), newPeer(t, answers)), "GET", "/r/x", "")
+	g.Expect(status).To(Equal(200))
+	g.Expect(held.proof).To(BeTemporally("~", sent.Add(-300*time.Millisecond), time.Since(sent)))
+}
--- a/internal/sidecar/exchange/level.go
+++ b/internal/sidecar/exchange/level.go
@@ -20,13 +20,14 @@
 
 const (
 	// levelPause is the time after a question that brought no new proof, until the next node is
-	// asked; each further one doubles it, up to levelPauseMost.
+	// asked; after levelQuick of them each further one doubles it, up to levelPauseMost.
 	levelPause     = 125 * time.Millisecond
+	levelQuick     = 5
 	levelPauseMost = 500 * time.Millisecond
 	// levelTimeout bounds one question.
 	levelTimeout = 600 * time.Millisecond
 	// agedFor is how long a node is left aside that had no new proof when it was asked.
-	agedFor = time.Second
+	agedFor = 600 * time.Millisecond
 	// levelBytes bounds one answer.
 	levelBytes = 4 << 10
 )
@@ -52,7 +53,7 @@
 func (l *levelCheck) run(ctx context.Context) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	pause := levelPause
+	inVain := 0
 	for {
 		select {
 		case <-timer.C:
@@ -61,13 +62,13 @@
 		}
 		left := l.freshFor()
 		if left > 0 {
-			pause = levelPause
+			inVain = 0
 			timer.Reset(max(left, levelPause))
 			continue
 		}
 		l.renew(ctx)
-		timer.Reset(pause)
-		pause = min(2*pause, levelPauseMost)
+		timer.Reset(min(levelPause<<max(inVain-levelQuick, 0), levelPauseMost))
+		inVain = min(inVain+1, 2*levelQuick)
 	}
 }
 
@@ -158,7 +159,7 @@
 
 // noteAge notes whether a node that was asked had new proof.
 func (l *levelCheck) noteAge(reader *roster.Record, answer *Level) {
-	if answer.ProofAge != nil && time.Duration(*answer.ProofAge)*time.Microsecond < l.exchanger.limits.look {
+	if answer.ProofAge != nil && time.Duration(*answer.ProofAge)*time.Microsecond < l.exchanger.limits.ask {
 		l.aged.Delete(reader.Node)
 		return
 	}
@@ -197,6 +198,13 @@
 	return &microseconds
 }
 
+// FreshProof returns the age of the node's proof that it is level while that is worth telling:
+// others would not ask for another one.
+func (e *Exchanger) FreshProof() (age time.Duration, proven bool) {
+	age, proven = e.options.Configuration.ProofAge()
+	return age, proven && age < e.limits.ask
+}
+
 // CatchUp has the node catch up with a version that a peer holds, at once, and reports whether
 // it did within a short time.
 func (e *Exchanger) CatchUp(ctx context.Context, peer *roster.Record, version uint64) bool {
--- a/internal/sidecar/hop/hop.go
+++ b/internal/sidecar/hop/hop.go
@@ -18,6 +18,9 @@
 	// HeaderVersion carries the version of the configuration by which a request was routed.
 	// Nodes of the version before do not tell it, and leave it aside.
 	HeaderVersion = "Kestrel-Version"
+	// HeaderProof carries, with a reply, for how many milliseconds at most the configuration in force
+	// at the node is not known to be the newest. It is told while that is little.
+	HeaderProof = "Kestrel-Proof"
 	// HeaderShare carries a shares.Standing with a reply, and with a request the part of its tenant's
 	// requests for which it stands. It is sent only with Marks of the handlers.
 	HeaderShare = "Kestrel-Share"
@@ -70,6 +73,11 @@
 	return strconv.FormatInt(max(duration.Milliseconds(), 1), 10)
 }
 
+// FormatAge writes an age as whole milliseconds, not less than it is.
+func FormatAge(age time.Duration) string {
+	return strconv.FormatInt((age + time.Millisecond - 1).Milliseconds(), 10)
+}
+
 // retryAfterDecimals is how exactly Retry-After is written.
 const retryAfterDecimals = 2
 
--- a/internal/sidecar/hop/hop_test.go
+++ b/internal/sidecar/hop/hop_test.go
@@ -99,3 +99,11 @@
 	g.Expect(hop.FormatMilliseconds(10 * time.Microsecond)).To(Equal("1"))
 	g.Expect(hop.FormatSeconds(150 * time.Millisecond)).To(Equal("0.15"))
 }
+
+// TestAnAgeIsNotToldAsLess than it is.
+func TestAnAgeIsNotToldAsLess(t *testing.T) {
+	g := NewWithT(t)
+	for age, want := range map[time.Duration]string{0: "0", time.Nanosecond: "1", time.Millisecond: "1", 1500 * time.Microsecond: "2"} {
+		g.Expect(hop.FormatAge(age)).To(Equal(want))
+	}
+}
--- a/internal/sidecar/ingress/arrival.go
+++ b/internal/sidecar/ingress/arrival.go
@@ -265,6 +265,7 @@
 	}
 	header := a.writer.Header()
 	header[hop.HeaderReply] = []string{reply.Format()}
+	a.tellProof(header)
 	a.tellShare(header)
 	if _, set := header["Date"]; !set {
 		// Without a value the library adds none of its own.
@@ -272,6 +273,17 @@
 	}
 }
 
+// tellProof adds how old the node's proof is that it is level.
+func (a *arrival) tellProof(header http.Header) {
+	proof := a.handler.options.Proof
+	if proof == nil {
+		return
+	}
+	if age, proven := proof(); proven {
+		header[hop.HeaderProof] = []string{hop.FormatAge(age)}
+	}
+}
+
 func (a *arrival) ended(failure *outcome.Failure) {
 	options := &a.handler.options
 	elapsed := clock.Since(a.started)
--- a/internal/sidecar/ingress/handler.go
+++ b/internal/sidecar/ingress/handler.go
@@ -37,6 +37,9 @@
 	Identified func(id string)
 	// Version returns the version of the configuration in force.
 	Version func() uint64
+	// Proof returns how long ago that version is known to have been the newest; false when it is not
+	// worth telling. Nil for never.
+	Proof func() (age time.Duration, proven bool)
 	// Serves reports whether a configuration newer than the given version, if there is one in
 	// force, leads the request to the service; nil when nobody can tell.
 	Serves func(request *http.Request, service string, version uint64) bool
--- a/internal/sidecar/level.go
+++ b/internal/sidecar/level.go
@@ -35,3 +35,6 @@
 
 // ProofAge implements egress.Level.
 func (l *level) ProofAge() (time.Duration, bool) { return l.keeper.ProofAge() }
+
+// Proven implements egress.Level.
+func (l *level) Proven(version uint64, at time.Time) { l.keeper.Proven(version, at) }
--- a/internal/sidecar/readers/readers.go
+++ b/internal/sidecar/readers/readers.go
@@ -115,13 +115,3 @@
 	}
 	return nil
 }
-
-// Total returns how many nodes read in all zones, each counted as if all its
-// nodes were there.
-func Total(view *roster.View) int {
-	total, zones := 0, view.Zones()
-	for _, zone := range zones {
-		total += Count(len(view.Zone(zone)), len(zones))
-	}
-	return total
-}
--- a/internal/sidecar/readers/readers_test.go
+++ b/internal/sidecar/readers/readers_test.go
@@ -87,7 +87,7 @@
 	g.Expect([]string{reading[0].Node, reading[1].Node}).To(ConsistOf("node-3", "node-7"), "faster links first")
 	g.Expect(readers.Reads(view, view.Record("node-11"), all)).To(BeFalse(), "one that leaves hears from its peers")
 	g.Expect(readers.Told(view, view.Record("node-11"), all)).To(BeEmpty())
-	g.Expect(readers.Total(view)).To(Equal(6))
+	g.Expect(readers.All(view, all)).To(HaveLen(6))
 }
 
 // TestALostReaderIsReplaced by the next one in order, by none else.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -211,6 +211,7 @@
 		Endpoint:   func() *roster.Endpoint { return s.members.Own().Endpoint },
 		Identified: s.identified,
 		Version:    s.keeper.Version,
+		Proof:      func() (time.Duration, bool) { return s.exchanger.FreshProof() },
 		Serves:     s.serves,
 		Emptied:    func() bool { return s.evacuations.Zones().Contains(settings.Zone) },
 		DrainAfter: func() time.Duration { return time.Duration(float64(s.settings.Load().DrainBound) * drainShare) },
