Nodes whose proof grows old read the store themselves, a few at a time

Cause: who reads the store goes by who answers peers.

Changed: a node whose proof is older than 0.65 of the bound, and whom no other node that it asked could help, reads the store: about six nodes of the fleet in a round, so that all together make a few calls a second however many they are; pauses grow from 0.15 to 2 s. What it finds is told to all, as any read is. Ruled out: shorter looks by readers (calls are paid for while all is well), another reader by the word of peers (the word comes when the bound is over: a silent store shows after 4 s).

While the store is away for all: at most 5 calls a second at 10, 300 and 1,000 nodes (TestFewReadTheStoreForProofWhileItIsAway).

--- a/internal/sidecar/exchange/level.go
+++ b/internal/sidecar/exchange/level.go
@@ -85,13 +85,16 @@
 	return e.limits.ask - age
 }
 
-// renew asks another node.
+// renew asks another node, and the store when the proof has become old.
 func (l *levelCheck) renew(ctx context.Context) {
 	e := l.exchanger
 	if reader := l.pick(); reader != nil {
 		// What fails shows in the age of the proof; another node is asked soon.
 		go func() { _ = l.ask(ctx, reader, e.catchUpDelay(reader)) }()
 	}
+	if !e.options.Configuration.LevelWithin(e.limits.look) {
+		l.lookInTurn(ctx)
+	}
 }
 
 // pick returns a node to ask, nil when there is none: a reader of the own zone, one of another, or
--- a/internal/sidecar/exchange/proof_test.go
+++ b/internal/sidecar/exchange/proof_test.go
@@ -85,15 +85,28 @@
 	return nil
 }
 
-// follow watches the store: a word at once of each version, and every period that there is none.
-func (m *storeMember) follow(ctx context.Context, period time.Duration) {
-	const look = 10 * time.Millisecond
-	for last := time.Now(); ctx.Err() == nil; time.Sleep(look) {
-		if m.away.Load() || (m.store.version.Load() == m.keeper.Version() && time.Since(last) < period) {
-			continue
+// follow watches the store as the one of so many nodes that has the rank: a call that brings a
+// version proves nothing later than its beginning, one that runs out its end.
+func (m *storeMember) follow(ctx context.Context, rank, count int) {
+	const look, rest, spacing = 10 * time.Millisecond, 550 * time.Millisecond, smallestBound * 3 / 10
+	began := time.Now()
+	due := began.Add(time.Duration(rank) * spacing)
+	for ; ctx.Err() == nil; time.Sleep(look) {
+		version := m.store.version.Load()
+		switch {
+		case m.away.Load():
+		case version != m.keeper.Version():
+			m.calls.Add(1)
+			_ = m.keeper.Offer(fmt.Append(nil, version), configuration.SourceWatch)
+			m.keeper.Proven(version, began)
+			began = time.Now().Add(rest)
+			due = began.Add(time.Duration(rank) * spacing)
+		case !time.Now().Before(due):
+			m.calls.Add(1)
+			m.keeper.Proven(version, time.Now())
+			began = time.Now()
+			due = began.Add(time.Duration(count) * spacing)
 		}
-		last = time.Now()
-		_ = m.read(ctx)
 	}
 }
 
@@ -114,7 +127,10 @@
 		}
 		member.offer(t, store.version.Load())
 		member.keeper.Observe(func(_ *route.Table, source configuration.Source) {
-			if source == configuration.SourceRead {
+			switch source {
+			case configuration.SourceWatch:
+				go member.exchanger.Announce()
+			case configuration.SourceRead:
 				go member.exchanger.Broadcast(ctx)
 				go member.exchanger.Announce()
 			}
@@ -148,7 +164,7 @@
 				deaf := reading(members)
 				g.Expect(deaf).To(HaveLen(6))
 				for i, member := range deaf {
-					go member.follow(ctx, time.Duration(1+i)*smallestBound/4)
+					go member.follow(ctx, i, len(deaf))
 				}
 				time.Sleep(10 * time.Second)
 				for _, member := range deaf {
@@ -169,3 +185,74 @@
 		})
 	}
 }
+
+// TestWatchesAreProofEnoughWhileAllIsWell: hardly a call of the store is made for proof beside them.
+func TestWatchesAreProofEnoughWhileAllIsWell(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, end := context.WithCancel(t.Context())
+		in := &network{nodes: map[string]func(net.Conn){}}
+		store := &sharedStore{}
+		store.version.Store(7)
+		members := fleet(ctx, t, in, map[string]int{"a": 4, "b": 3, "c": 3}, store)
+		var looks atomic.Int64
+		for _, member := range members {
+			member.refresh = func(context.Context) error {
+				looks.Add(1)
+				return errTurnedAway
+			}
+		}
+		following := reading(members)
+		for i, member := range following {
+			go member.follow(ctx, i, len(following))
+		}
+		time.Sleep(10 * time.Second)
+		looks.Store(0)
+		for range 20 {
+			store.version.Add(1)
+			time.Sleep(3 * time.Second)
+		}
+		calls := int64(0)
+		for _, member := range following {
+			calls += member.calls.Load()
+		}
+		g.Expect(looks.Load()).To(BeNumerically("<=", calls/20), "of %d calls", calls)
+		end()
+		in.close()
+		time.Sleep(time.Minute)
+	})
+}
+
+// TestFewReadTheStoreForProofWhileItIsAway, whatever the size of the fleet: calls that are turned
+// away are paid for as well.
+func TestFewReadTheStoreForProofWhileItIsAway(t *testing.T) {
+	for _, size := range []int{10, 300, 1000} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				in := &network{nodes: map[string]func(net.Conn){}}
+				var calls atomic.Int64
+				nodes := make([]*levelCheck, size)
+				known := crowd(size - 1)
+				for i := range nodes {
+					made := newVirtualMember(in, fmt.Sprintf("looking-%d", i), "zone")
+					made.exchanger.options.Roster.Merge(known)
+					made.refresh = func(context.Context) error {
+						calls.Add(1)
+						return errTurnedAway
+					}
+					nodes[i] = made.exchanger.level
+				}
+				const span = time.Minute
+				for began := time.Now(); time.Since(began) < span; time.Sleep(levelPause) {
+					for _, node := range nodes {
+						node.lookInTurn(t.Context())
+					}
+				}
+				synctest.Wait()
+				g.Expect(calls.Load()).To(BeNumerically("<=", 5*span.Seconds()), "a second")
+				g.Expect(calls.Load()).To(BeNumerically(">=", span.Seconds()), "a second")
+			})
+		})
+	}
+}
--- a/internal/sidecar/exchange/storelook.go
+++ b/internal/sidecar/exchange/storelook.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -11,6 +12,9 @@
 )
 
 const (
+	// lookers is about how many nodes of the fleet ask the store at the same time when none of
+	// them has new proof: enough that one is not turned away, few enough for its limits.
+	lookers = 6
 	// lookBase is the pause after a look at the store that brought nothing, each further one
 	// doubles it, up to lookMost: calls that are turned away are paid for as well.
 	lookBase = 150 * time.Millisecond
@@ -46,6 +50,17 @@
 	s.due, s.pause = time.Time{}, 0
 }
 
+// lookInTurn reads the store when it is due, and when the node is one of the few that do in this
+// round.
+func (l *levelCheck) lookInTurn(ctx context.Context) {
+	if !l.look.begin(clock.Now()) {
+		return
+	}
+	if rand.Float64()*float64(l.exchanger.options.Roster.View().Count()) < lookers {
+		go l.lookNow(ctx)
+	}
+}
+
 // lookNow reads the store.
 func (l *levelCheck) lookNow(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
