A reader whose watch has run reads again at once when it ends

A reader waits longer after each end of a watch, up to 3 s, though the store has answered for as long as may be in between: the pause was reset only when a watch ended in order, and the ends of calls that run out of time are no such. 3 s are longer than the bound of 2 s.

Changed: a watch that has run for as long as the longest pause ends the failures in a row. One whose reads are answered and whose watches are turned away asks as rarely as before.

TestAReaderThatWasAnsweredReadsAgainAtOnce failed before (10 reads and not 11 in the time); TestAReaderWhoseWatchesAreTurnedAwayReadsRarely holds the other side.

--- a/internal/sidecar/configuration/follower.go
+++ b/internal/sidecar/configuration/follower.go
@@ -90,11 +90,13 @@
 			continue
 		}
 		turn, end := whileReading(ctx, reads)
+		var since time.Time // when the store answered, zero before
 		answered := func() {
 			if !healthy {
 				logger.Info("store regained", zap.String("key", place.Key), zap.Uint64("inForce", keeper.Version()))
 			}
 			healthy = true
+			since = clock.Now()
 		}
 		err := followOnce(turn, reader, &place, keeper, answered)
 		ended := turn.Err() != nil
@@ -115,6 +117,9 @@
 			logger.Warn("store lost", zap.String("key", place.Key), zap.Uint64("inForce", keeper.Version()), zap.Error(err))
 		}
 		healthy = false
+		if !since.IsZero() && clock.Since(since) >= refusedMost {
+			backoff.Succeeded()
+		}
 		if backoff.Most = pauseMost; keeper.Version() > 0 {
 			backoff.Most = refusedMost
 		}
--- a/internal/sidecar/configuration/follower_test.go
+++ b/internal/sidecar/configuration/follower_test.go
@@ -256,10 +256,13 @@
 
 func (s *endingStore) Watch(context.Context, string, uint64) (store.Watch, error) {
 	watch := &endedWatch{openWatch{events: make(chan store.Event)}}
-	time.AfterFunc(20*time.Second, func() { close(watch.events) })
+	time.AfterFunc(watchTime, func() { close(watch.events) })
 	return watch, nil
 }
 
+// watchTime is how long a watch of an endingStore runs.
+const watchTime = 20 * time.Second
+
 // endedWatch ends with an error.
 type endedWatch struct{ openWatch }
 
@@ -291,3 +294,51 @@
 		<-followed
 	})
 }
+
+// TestAReaderThatWasAnsweredReadsAgainAtOnce after its watch ends, however often watches ended before.
+func TestAReaderThatWasAnsweredReadsAgainAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, end := context.WithCancel(t.Context())
+		held := &endingStore{forgetfulStore: forgetfulStore{written: 5, now: 100}}
+		keeper := configuration.NewKeeper(decodeVersion, zap.NewNop())
+		followed := make(chan struct{})
+		go func() {
+			defer close(followed)
+			configuration.Follow(ctx, held, configuration.Place{Key: configurationKey, Prefix: configurationKey}, keeper, func() bool { return true }, zap.NewNop())
+		}()
+		const watches, slack = 10, time.Second
+		time.Sleep(watches*watchTime + slack)
+		g.Expect(held.reads).To(Equal(watches + 1))
+		g.Expect(keeper.LevelWithin(slack)).To(BeTrue())
+		end()
+		time.Sleep(time.Minute)
+		<-followed
+	})
+}
+
+// watchlessStore answers reads and turns watches away.
+type watchlessStore struct{ forgetfulStore }
+
+func (s *watchlessStore) Watch(context.Context, string, uint64) (store.Watch, error) {
+	return nil, store.ErrRateLimited
+}
+
+// TestAReaderWhoseWatchesAreTurnedAwayReadsRarely, though its reads are answered.
+func TestAReaderWhoseWatchesAreTurnedAwayReadsRarely(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, end := context.WithCancel(t.Context())
+		held := &watchlessStore{forgetfulStore{written: 5, now: 100}}
+		keeper := configuration.NewKeeper(decodeVersion, zap.NewNop())
+		followed := make(chan struct{})
+		go func() {
+			defer close(followed)
+			configuration.Follow(ctx, held, configuration.Place{Key: configurationKey, Prefix: configurationKey}, keeper, func() bool { return true }, zap.NewNop())
+		}()
+		time.Sleep(time.Minute)
+		end()
+		<-followed
+		g.Expect(held.reads).To(BeNumerically("<=", 45))
+	})
+}
