Reads for want of proof come in rounds that the next one does not wait for questions

Seen in the code: a node looked at the store only when its next question to a peer was due, so that a second round could come when the bound was over (1.98 s of 2 s), and the only node that the store answers was left out of two rounds by chance in one of six.

Changed: questions and rounds are paced by themselves; the second round takes twice as many nodes, which of a small fleet are all; pauses up to 4 s. A node that has never had proof gives others the time to bring it first.

--- a/internal/sidecar/exchange/confirm.go
+++ b/internal/sidecar/exchange/confirm.go
@@ -99,7 +99,7 @@
 		c.asked++
 		go func() { c.answers <- c.level.ask(c.ctx, reader, 0) }()
 	}
-	if (reader == nil || c.asked > 2) && !c.looked && c.level.look.begin(clock.Now()) {
+	if (reader == nil || c.asked > 2) && !c.looked && c.level.look.begin(clock.Now()) > 0 {
 		c.looked = true
 		go func() { c.answers <- c.level.lookNow(c.ctx) }()
 	}
--- a/internal/sidecar/exchange/level.go
+++ b/internal/sidecar/exchange/level.go
@@ -24,6 +24,8 @@
 	levelPause     = 125 * time.Millisecond
 	levelQuick     = 5
 	levelPauseMost = 500 * time.Millisecond
+	// levelLeast is the shortest time between two looks at what is to be done.
+	levelLeast = 25 * time.Millisecond
 	// levelTimeout bounds one question.
 	levelTimeout = 600 * time.Millisecond
 	// agedFor is how long a node is left aside that had no new proof when it was asked.
@@ -53,25 +55,65 @@
 func (l *levelCheck) run(ctx context.Context) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	inVain := 0
+	pace := &askPace{}
 	for {
 		select {
 		case <-timer.C:
 		case <-ctx.Done():
 			return
 		}
-		left := l.freshFor()
-		if left > 0 {
-			inVain = 0
+		if left := l.freshFor(); left > 0 {
+			pace.reset()
 			timer.Reset(max(left, levelPause))
 			continue
 		}
-		l.renew(ctx)
-		timer.Reset(min(levelPause<<max(inVain-levelQuick, 0), levelPauseMost))
-		inVain = min(inVain+1, 2*levelQuick)
+		if pace.begin(clock.Now()) {
+			l.askAny(ctx)
+		}
+		if l.untilLook() <= 0 {
+			l.lookInTurn(ctx)
+		}
+		timer.Reset(max(min(pace.wait(clock.Now()), l.untilLook()), levelLeast))
 	}
 }
 
+// askPace spaces the questions to other nodes: some in quick succession, then fewer. It is used by
+// one goroutine.
+type askPace struct {
+	due    time.Time
+	inVain int
+}
+
+// begin reports whether a question is due, and counts it.
+func (p *askPace) begin(now time.Time) bool {
+	if p.due.After(now) {
+		return false
+	}
+	p.due = now.Add(min(levelPause<<max(p.inVain-levelQuick, 0), levelPauseMost))
+	p.inVain = min(p.inVain+1, 2*levelQuick)
+	return true
+}
+
+// wait returns how long it is until the next question.
+func (p *askPace) wait(now time.Time) time.Duration { return max(p.due.Sub(now), 0) }
+
+// reset begins anew: there is new proof.
+func (p *askPace) reset() { *p = askPace{} }
+
+// untilLook returns how long it is until the store may be read for want of proof. A node that has
+// never had any gives others the same time to bring it.
+func (l *levelCheck) untilLook() time.Duration {
+	held := l.exchanger.options.Configuration
+	age, proven := held.ProofAge()
+	if !proven {
+		age = held.Age()
+	}
+	if left := l.exchanger.limits.look - age; left > 0 {
+		return left
+	}
+	return l.look.wait(clock.Now())
+}
+
 // freshFor returns how long nobody needs to be asked.
 func (l *levelCheck) freshFor() time.Duration {
 	e := l.exchanger
@@ -85,15 +127,11 @@
 	return e.limits.ask - age
 }
 
-// renew asks another node, and the store when the proof has become old.
-func (l *levelCheck) renew(ctx context.Context) {
-	e := l.exchanger
+// askAny asks another node.
+func (l *levelCheck) askAny(ctx context.Context) {
 	if reader := l.pick(); reader != nil {
 		// What fails shows in the age of the proof; another node is asked soon.
-		go func() { _ = l.ask(ctx, reader, e.catchUpDelay(reader)) }()
-	}
-	if !e.options.Configuration.LevelWithin(e.limits.look) {
-		l.lookInTurn(ctx)
+		go func() { _ = l.ask(ctx, reader, l.exchanger.catchUpDelay(reader)) }()
 	}
 }
 
--- a/internal/sidecar/exchange/storelook.go
+++ b/internal/sidecar/exchange/storelook.go
@@ -12,51 +12,59 @@
 )
 
 const (
-	// lookers is about how many nodes of the fleet ask the store at the same time when none of
-	// them has new proof: enough that one is not turned away, few enough for its limits.
-	lookers = 6
-	// lookBase is the pause after a look at the store that brought nothing, each further one
-	// doubles it, up to lookMost: calls that are turned away are paid for as well.
+	// lookersFirst is about how many nodes of the fleet read the store in the first round in which
+	// none of them has new proof, lookersMost in later ones: of a small fleet all.
+	lookersFirst = 6
+	lookersMost  = 12
+	// lookBase is the pause after a round that brought nothing, each further one doubles it, up to
+	// lookMost: calls that are turned away are paid for as well.
 	lookBase = 150 * time.Millisecond
-	lookMost = 2 * time.Second
+	lookMost = 4 * time.Second
 )
 
 // storeLook paces a node's own reads of the store for want of proof from others. It is safe for
 // concurrent use.
 type storeLook struct {
 	mu sync.Mutex // guards all below
-	// due is the moment before which the store is left alone, pause the next pause; zero after a
-	// success.
-	due   time.Time
-	pause time.Duration
+	// due is the moment before which the store is left alone, rounds how many there were since the
+	// last success.
+	due    time.Time
+	rounds int
 }
 
-// begin reports whether the node may look now and sets when it may again, should that be in vain.
-func (s *storeLook) begin(now time.Time) bool {
+// begin begins a round when one is due, and returns how many nodes of the fleet are to read the
+// store in it, zero when none is due.
+func (s *storeLook) begin(now time.Time) (wanted int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.due.After(now) {
-		return false
+		return 0
 	}
-	s.pause = min(max(2*s.pause, lookBase), lookMost)
-	s.due = now.Add(s.pause)
-	return true
+	const longest = 10
+	round := min(s.rounds, longest)
+	s.rounds++
+	s.due = now.Add(min(lookBase<<round, lookMost))
+	return min(lookersFirst<<round, lookersMost)
 }
 
-// succeeded ends the pauses.
+// wait returns how long it is until the next round.
+func (s *storeLook) wait(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(s.due.Sub(now), 0)
+}
+
+// succeeded ends the rounds.
 func (s *storeLook) succeeded() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.due, s.pause = time.Time{}, 0
+	s.due, s.rounds = time.Time{}, 0
 }
 
-// lookInTurn reads the store when it is due, and when the node is one of the few that do in this
-// round.
+// lookInTurn reads the store when a round is due and the node is one of the few that do in it.
 func (l *levelCheck) lookInTurn(ctx context.Context) {
-	if !l.look.begin(clock.Now()) {
-		return
-	}
-	if rand.Float64()*float64(l.exchanger.options.Roster.View().Count()) < lookers {
+	wanted := l.look.begin(clock.Now())
+	if rand.Float64()*float64(l.exchanger.options.Roster.View().Count()) < float64(wanted) {
 		go l.lookNow(ctx)
 	}
 }
