--- a/internal/sidecar/exchange/confirm.go
+++ b/internal/sidecar/exchange/confirm.go
@@ -17,8 +17,10 @@
 	// confirmedFor is how long an answer serves other requests: a flood of requests for routes
 	// that are not there asks ten times a second, no more.
 	confirmedFor = 100 * time.Millisecond
-	// confirmAsks bounds how many nodes are asked for one confirmation.
-	confirmAsks = 5
+	// confirmAsks bounds how many nodes are asked for one confirmation; after confirmEnough the
+	// store is asked as well.
+	confirmAsks   = 5
+	confirmEnough = 2
 )
 
 // Confirm makes sure that the node is level, by proof whose age is within the limit: it asks
@@ -65,8 +67,8 @@
 	return level
 }
 
-// await asks until there is proof or the time is over. Proof that the node has had before counts
-// when the time is over.
+// await asks until an answer brings proof or the time is over. Proof that the node has from
+// elsewhere counts once several nodes were asked in vain.
 func (c *confirmation) await() bool {
 	hedge := time.NewTicker(confirmHedge)
 	defer hedge.Stop()
@@ -74,22 +76,29 @@
 	for {
 		select {
 		case err := <-c.answers:
-			if err == nil && c.level.exchanger.behind.await(c.ctx) && c.proven() {
+			if err == nil && c.caughtUp() && c.proven() {
 				return true
 			}
 			c.ask()
 		case <-hedge.C:
+			if c.asked >= confirmEnough && c.proven() {
+				return true
+			}
 			c.ask()
 		case <-c.ctx.Done():
-			return c.level.exchanger.behind.level() && c.proven()
+			return c.proven()
 		}
 	}
 }
 
-// proven reports whether the node has proof within the limit.
+// caughtUp waits until the node has every version that it has heard of.
+func (c *confirmation) caughtUp() bool { return c.level.exchanger.behind.await(c.ctx) }
+
+// proven reports whether the node has every version that it has heard of, and proof within the
+// limit.
 func (c *confirmation) proven() bool {
 	e := c.level.exchanger
-	return e.options.Configuration.LevelWithin(e.limits.final)
+	return e.behind.level() && e.options.Configuration.LevelWithin(e.limits.final)
 }
 
 // ask asks another node, and the store when two have not helped or nobody else is there.
@@ -99,7 +108,7 @@
 		c.asked++
 		go func() { c.answers <- c.level.ask(c.ctx, reader, 0) }()
 	}
-	if (reader == nil || c.asked > 2) && !c.looked && c.level.look.begin(clock.Now()) > 0 {
+	if (reader == nil || c.asked > confirmEnough) && !c.looked && c.level.look.begin(clock.Now()) > 0 {
 		c.looked = true
 		go func() { c.answers <- c.level.lookNow(c.ctx) }()
 	}
--- a/internal/sidecar/exchange/proof_test.go
+++ b/internal/sidecar/exchange/proof_test.go
@@ -57,6 +57,23 @@
 	}
 }
 
+// TestProofFromElsewhereEndsTheWaitOfARefusal: nodes that hang hold up nobody whose proof is new.
+func TestProofFromElsewhereEndsTheWaitOfARefusal(t *testing.T) {
+	play(t, func(t *testing.T, g *WithT, late, peer *virtualMember, in *network) {
+		var hanging []*roster.Record
+		for i := range 8 {
+			address := fmt.Sprintf("hanging-%d:1", i)
+			in.set(address, silent)
+			hanging = append(hanging, &roster.Record{Node: fmt.Sprint("hanging-", i), Epoch: 1, Counter: 1, Zone: "near", PeerAddress: address})
+		}
+		late.exchanger.options.Roster.Merge(hanging)
+		late.keeper.Proven(7, time.Now())
+		began := time.Now()
+		g.Expect(late.exchanger.Confirm(t.Context())).To(BeTrue())
+		g.Expect(time.Since(began)).To(BeNumerically("<=", 2*confirmHedge))
+	})
+}
+
 // sharedStore holds the newest version of a fleet.
 type sharedStore struct{ version atomic.Uint64 }
 
