TestANodeThatSeemedSilent waits for events and not for a time

The code is right there: who has answered is not suspected.

The silent node now answers once it has answered a probe again and the other node was asked; the expectations are the same. TestAStoppingNodeGivesNothingUp leaned on the same time and does the same.

--- a/internal/sidecar/egress/call_test.go
+++ b/internal/sidecar/egress/call_test.go
@@ -237,51 +237,68 @@
 		outcome.HeaderOutcome+": not-run\r\n"+outcome.HeaderError+": step=admit\r\nContent-Length: 0\r\n\r\n")
 }
 
-// late does the same as the script after a while.
-func late(script func(*peer, net.Conn, *bufio.Reader)) func(*peer, net.Conn, *bufio.Reader) {
+// once does the same as the script when the condition holds.
+func once(condition func() bool, script func(*peer, net.Conn, *bufio.Reader)) func(*peer, net.Conn, *bufio.Reader) {
 	return func(p *peer, connection net.Conn, reader *bufio.Reader) {
-		time.Sleep(700 * time.Millisecond)
+		const look, most = time.Millisecond, 20 * time.Second
+		for began := time.Now(); !condition() && time.Since(began) < most; time.Sleep(look) {
+		}
 		script(p, connection, reader)
 	}
 }
 
-// absentAtFirst does not answer the first probes.
-func absentAtFirst(missed int64) Probe {
-	var asked atomic.Int64
-	return func(ctx context.Context, record *roster.Record) error {
-		if record.Node == "a" && asked.Add(1) <= missed {
-			return absent(ctx, record)
-		}
-		return nil
+// probes of a node that does not answer the first ones.
+type probes struct {
+	missed int64
+	asked  atomic.Int64
+}
+
+func (p *probes) probe(ctx context.Context, record *roster.Record) error {
+	if record.Node == "a" && p.asked.Add(1) <= p.missed {
+		return absent(ctx, record)
 	}
+	return nil
 }
 
+// over reports whether the node has answered one: all that it missed were acted upon.
+func (p *probes) over() bool { return p.asked.Load() > p.missed }
+
 // TestANodeThatSeemedSilent keeps what it works on: the node that asked may have
 // been the slow one. What may be repeated is tried elsewhere meanwhile.
 func TestANodeThatSeemedSilent(t *testing.T) {
-	consentsAndAnswersLate := func(p *peer, connection net.Conn, reader *bufio.Reader) {
+	consents := func(p *peer, connection net.Conn, reader *bufio.Reader) {
 		_, _ = io.WriteString(connection, "HTTP/1.1 100 Continue\r\n\r\n")
 		_, _ = reader.ReadString('\n')
-		late(answers)(p, connection, reader)
 	}
 	cases := []struct {
 		name, method, path, body string
-		first, second            func(*peer, net.Conn, *bufio.Reader)
-		missed                   int64
-		status                   int
-		asked                    int64
+		// first is what the silent node does before it answers, nil when it never does.
+		first, second func(*peer, net.Conn, *bufio.Reader)
+		missed        int64
+		status        int
+		asked         int64
 	}{
-		{"repeatable, refused elsewhere", http.MethodGet, "/safe/1", "", late(answers), refuses, 1, 200, 1},
-		{"repeatable, served elsewhere", http.MethodGet, "/safe/1", "", late(answers), answers, 1, 200, 1},
-		{"repeatable with a body, refused elsewhere", http.MethodPost, "/safe/1", "body\n", late(answers), refuses, 1, 200, 1},
-		{"not repeatable, at work", http.MethodPost, "/once/1", "body\n", consentsAndAnswersLate, serves, 1, 200, 0},
-		{"lost after all, refused elsewhere", http.MethodGet, "/safe/1", "", hangs, refuses, lostProbes, 502, 1},
+		{"repeatable, refused elsewhere", http.MethodGet, "/safe/1", "", nothing, refuses, 1, 200, 1},
+		{"repeatable, served elsewhere", http.MethodGet, "/safe/1", "", nothing, answers, 1, 200, 1},
+		{"repeatable with a body, refused elsewhere", http.MethodPost, "/safe/1", "body\n", nothing, refuses, 1, 200, 1},
+		{"not repeatable, at work", http.MethodPost, "/once/1", "body\n", consents, serves, 1, 200, 0},
+		{"lost after all, refused elsewhere", http.MethodGet, "/safe/1", "", nil, refuses, lostProbes, 502, 1},
 	}
 	for _, played := range cases {
 		t.Run(played.name, func(t *testing.T) {
 			g := NewWithT(t)
-			first, second := newPeer(t, played.first), newPeer(t, played.second)
-			handler := newHandler(t, &quiet{}, absentAtFirst(played.missed), first, second)
+			asked := &probes{missed: played.missed}
+			second := newPeer(t, played.second)
+			acted := func() bool { return asked.over() && second.requests.Load() >= played.asked }
+			first := newPeer(t, func(p *peer, connection net.Conn, reader *bufio.Reader) {
+				if played.first == nil {
+					hangs(p, connection, reader)
+					return
+				}
+				played.first(p, connection, reader)
+				once(acted, answers)(p, connection, reader)
+			})
+			handler := newHandler(t, &quiet{}, asked.probe, first, second)
 			status, _ := callThrough(t, handler, played.method, played.path, played.body)
 			g.Expect(status).To(Equal(played.status))
 			g.Expect(second.requests.Load()).To(Equal(played.asked))
@@ -289,12 +306,16 @@
 	}
 }
 
+// nothing does nothing.
+func nothing(*peer, net.Conn, *bufio.Reader) {}
+
 // TestAStoppingNodeGivesNothingUp: once its planned stop has begun, a node waits for
 // the answer of a peer that does not answer probes.
 func TestAStoppingNodeGivesNothingUp(t *testing.T) {
 	for stopping, want := range map[bool]int{true: http.StatusOK, false: http.StatusBadGateway} {
 		g := NewWithT(t)
-		handler := newHandler(t, &quiet{}, absentAtFirst(lostProbes), newPeer(t, late(answers)), newPeer(t, refuses))
+		asked := &probes{missed: lostProbes}
+		handler := newHandler(t, &quiet{}, asked.probe, newPeer(t, once(asked.over, answers)), newPeer(t, refuses))
 		if stopping {
 			handler.Stop()
 		}
