Rounds of reads begin anew after new proof; an age that cannot be proves nothing

Found by reading. Rounds went on where they had stopped when another node brought the proof: in the next trouble one round came and the following one 4 s later, over the bound. An age of a proof of 2^63 us, as a node that lies may tell, overflowed into the future and proved the node level for years.

TestRoundsBeginAnewAfterNewProof (1 read in the bound, 3 wanted) and TestAProofAgeThatCannotBeProvesNothing failed before.

--- a/internal/sidecar/exchange/level.go
+++ b/internal/sidecar/exchange/level.go
@@ -64,6 +64,8 @@
 		}
 		if left := l.freshFor(); left > 0 {
 			pace.reset()
+			l.look.reset()
+			l.aged.Clear()
 			timer.Reset(max(left, levelPause))
 			continue
 		}
@@ -177,20 +179,14 @@
 	l.unanswered.Store(reader.Node, nil)
 	defer l.unanswered.Delete(reader.Node)
 	asked := clock.Now()
-	resp, err := l.exchanger.get(ctx, reader, pathLevel)
+	answer, err := l.levelOf(ctx, reader)
 	if err != nil {
 		l.aged.Store(reader.Node, clock.Now())
 		l.exchanger.observer.LevelTold(levelFailed, -1)
 		return trace.Wrap(err, "ask %s for its version", reader.Node)
 	}
-	defer resp.Body.Close()
-	answer := &Level{}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, levelBytes)).Decode(answer); err != nil {
-		return trace.Wrap(err, "ask %s for its version", reader.Node)
-	}
 	l.exchanger.met.Store(true)
 	l.told(reader, answer)
-	l.noteAge(reader, answer)
 	l.prove(answer.Version, answer.ProofAge, asked)
 	if answer.Version > l.exchanger.options.Configuration.Version() {
 		l.exchanger.behind.hear(reader, answer.Version, delay)
@@ -198,23 +194,31 @@
 	return nil
 }
 
-// noteAge notes whether a node that was asked had new proof.
-func (l *levelCheck) noteAge(reader *roster.Record, answer *Level) {
-	if answer.ProofAge != nil && time.Duration(*answer.ProofAge)*time.Microsecond < l.exchanger.limits.ask {
-		l.aged.Delete(reader.Node)
-		return
+// levelOf returns what a node answers.
+func (l *levelCheck) levelOf(ctx context.Context, reader *roster.Record) (*Level, error) {
+	resp, err := l.exchanger.get(ctx, reader, pathLevel)
+	if err != nil {
+		return nil, err
 	}
-	l.aged.Store(reader.Node, clock.Now())
+	defer resp.Body.Close()
+	answer := &Level{}
+	return answer, json.NewDecoder(io.LimitReader(resp.Body, levelBytes)).Decode(answer)
 }
 
-// told notes what a reader has answered.
+// told notes what a reader has answered, and whether it had new proof.
 func (l *levelCheck) told(reader *roster.Record, answer *Level) {
-	inForce, result, age := l.exchanger.options.Configuration.Version(), levelSame, time.Duration(-1)
+	inForce, result := l.exchanger.options.Configuration.Version(), levelSame
 	if answer.Version > inForce {
 		result = levelNewer
 	}
-	if answer.ProofAge != nil {
-		age = time.Duration(*answer.ProofAge) * time.Microsecond
+	age, proven := proofAge(answer.ProofAge)
+	if !proven {
+		age = -1
+	}
+	if proven && age < l.exchanger.limits.ask {
+		l.aged.Delete(reader.Node)
+	} else {
+		l.aged.Store(reader.Node, clock.Now())
 	}
 	l.exchanger.observer.LevelTold(result, age)
 	l.exchanger.options.Logger.Debug("version told", zap.String("peer", reader.Node), zap.Uint64("version", answer.Version),
@@ -223,9 +227,9 @@
 
 // prove takes in how old a peer's proof for its version was when it answered a question that
 // was sent at the moment. The time on the way counts against the proof.
-func (l *levelCheck) prove(version uint64, age *int64, asked time.Time) {
-	if age != nil && *age >= 0 {
-		l.exchanger.options.Configuration.Proven(version, asked.Add(-time.Duration(*age)*time.Microsecond))
+func (l *levelCheck) prove(version uint64, told *int64, asked time.Time) {
+	if age, valid := proofAge(told); valid {
+		l.exchanger.options.Configuration.Proven(version, asked.Add(-age))
 	}
 }
 
@@ -258,5 +262,5 @@
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	e.behind.hear(peer, version, 0)
-	return e.level.exchanger.behind.await(ctx)
+	return e.behind.await(ctx)
 }
--- a/internal/sidecar/exchange/message.go
+++ b/internal/sidecar/exchange/message.go
@@ -4,6 +4,8 @@
 package exchange
 
 import (
+	"time"
+
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/evacuation"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
@@ -53,6 +55,18 @@
 	ProofAge *int64 `json:"proofAge,omitempty"`
 }
 
+// longestAge is the greatest age of a proof that is believed.
+const longestAge = 24 * time.Hour
+
+// proofAge returns how old a peer's proof is that came in whole microseconds; false when there is
+// none, or one that cannot be.
+func proofAge(told *int64) (age time.Duration, valid bool) {
+	if told == nil || *told < 0 || *told > longestAge.Microseconds() {
+		return 0, false
+	}
+	return time.Duration(*told) * time.Microsecond, true
+}
+
 // Notice tells a peer of one node's record. Nothing is answered.
 type Notice struct {
 	// Record is the news; it is the sender's own unless the notice is relayed.
--- a/internal/sidecar/exchange/proof_test.go
+++ b/internal/sidecar/exchange/proof_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -273,3 +274,35 @@
 		})
 	}
 }
+
+// TestAProofAgeThatCannotBeProvesNothing: below zero, or so great that it cannot be counted.
+func TestAProofAgeThatCannotBeProvesNothing(t *testing.T) {
+	for _, age := range []int64{-1, math.MinInt64, math.MaxInt64, math.MaxInt64 / 1000, longestAge.Microseconds() + 1} {
+		play(t, func(_ *testing.T, g *WithT, late, _ *virtualMember, _ *network) {
+			late.exchanger.level.prove(7, &age, time.Now())
+			_, proven := late.keeper.ProofAge()
+			g.Expect(proven).To(BeFalse())
+		})
+	}
+}
+
+// TestRoundsBeginAnewAfterNewProof, also when another node has brought it.
+func TestRoundsBeginAnewAfterNewProof(t *testing.T) {
+	play(t, func(t *testing.T, g *WithT, late, _ *virtualMember, _ *network) {
+		var calls atomic.Int64
+		late.refresh = func(context.Context) error {
+			calls.Add(1)
+			return errTurnedAway
+		}
+		ctx, end := context.WithCancel(t.Context())
+		go late.exchanger.level.run(ctx)
+		time.Sleep(time.Minute)
+		late.keeper.Proven(7, time.Now())
+		time.Sleep(smallestBound / 4)
+		began := calls.Load()
+		time.Sleep(smallestBound)
+		g.Expect(calls.Load()-began).To(BeNumerically(">=", 3), "within the bound")
+		end()
+		time.Sleep(time.Second)
+	})
+}
--- a/internal/sidecar/exchange/storelook.go
+++ b/internal/sidecar/exchange/storelook.go
@@ -27,7 +27,7 @@
 type storeLook struct {
 	mu sync.Mutex // guards all below
 	// due is the moment before which the store is left alone, rounds how many there were since the
-	// last success.
+	// node last had new proof.
 	due    time.Time
 	rounds int
 }
@@ -54,8 +54,8 @@
 	return max(s.due.Sub(now), 0)
 }
 
-// succeeded ends the rounds.
-func (s *storeLook) succeeded() {
+// reset ends the rounds: there is new proof.
+func (s *storeLook) reset() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.due, s.rounds = time.Time{}, 0
@@ -78,7 +78,7 @@
 	err := e.options.Refresh(ctx)
 	e.observer.Asked(askedStore, err)
 	if err == nil {
-		l.look.succeeded()
+		l.look.reset()
 	}
 	e.options.Logger.Info("store asked for want of proof", before, zap.Uint64("inForce", e.options.Configuration.Version()),
 		zap.Duration("elapsed", clock.Since(began)), zap.Error(err))
