--- a/internal/sidecar/exchange/stamp.go
+++ b/internal/sidecar/exchange/stamp.go
@@ -19,9 +19,3 @@
 	held := s.held.Load()
 	return held != nil && clock.Since(*held) <= span
 }
-
-// after reports whether the moment is later than another.
-func (s *stamp) after(moment time.Time) bool {
-	held := s.held.Load()
-	return held != nil && held.After(moment)
-}
