A back end whose end was said after its node's restart stays gone

Cause, by the log of sidecar-sur-a-6: the process had just started again and knew nothing of its back end; at 23.70 s the back end said that it ends (some do not say that they drain first); at 24.31 s a peer brought the record that the earlier life had left, ready with sequence 21, and the node took the back end over from it, though its end was among the ends that it remembers. The same holds where this life had heard the back end and the record has a later sequence.

Ruled out: late heartbeats (none came).

Changed: the word of either life that a back end has ended outlives both; an end that was told without the start concerns what was there before. TestABackEndThatEndedAfterARestartStaysGone failed before (ready, not gone).

--- a/internal/sidecar/roster/roster.go
+++ b/internal/sidecar/roster/roster.go
@@ -163,9 +163,25 @@
 
 // inherited decides which back end the node has after an earlier life's record
 // came to light: what was heard in this life, unless the earlier one knows that
-// it has ended or heard a later word of it.
+// it has ended or heard a later word of it. One that has ended by the word of either stays so.
 func inherited(own Record, remembered *Endpoint) *Endpoint {
-	held := own.Endpoint
+	chosen := laterWord(own.Endpoint, remembered)
+	if chosen == nil || chosen.State == Gone {
+		return chosen
+	}
+	// An end that was told without the start concerns what was there before.
+	unnamed := chosen != own.Endpoint && own.HasEnded(Incarnation{ID: chosen.ID})
+	if !unnamed && !own.HasEnded(chosen.Incarnation()) {
+		return chosen
+	}
+	gone := *chosen
+	gone.State = Gone
+	return &gone
+}
+
+// laterWord returns which of two words on a back end was said later: that of this life, or the
+// remembered one of an earlier life.
+func laterWord(held, remembered *Endpoint) *Endpoint {
 	switch {
 	case remembered == nil:
 		return held
@@ -175,10 +191,6 @@
 		return remembered
 	case held.ID == remembered.ID && held.Incarnation().before(remembered.Incarnation()):
 		return remembered
-	case own.HasEnded(held.Incarnation()):
-		gone := *held
-		gone.State = Gone
-		return &gone
 	}
 	return held
 }
--- a/internal/sidecar/roster/roster_test.go
+++ b/internal/sidecar/roster/roster_test.go
@@ -396,3 +396,35 @@
 	made.Merge([]*roster.Record{{Node: "later", Epoch: 1, Zone: "z"}})
 	g.Expect(made.View().Count()).To(Equal(302))
 }
+
+// TestABackEndThatEndedAfterARestartStaysGone: what an earlier life knew of it comes later.
+func TestABackEndThatEndedAfterARestartStaysGone(t *testing.T) {
+	cases := []struct {
+		name  string
+		heard bool
+		ended roster.Incarnation
+	}{
+		{"heard in this life", true, roster.Incarnation{ID: "i-1", Born: 7}},
+		{"only its end is heard", false, roster.Incarnation{ID: "i-1", Born: 7}},
+		{"only its end is heard, without its start", false, roster.Incarnation{ID: "i-1"}},
+	}
+	for _, played := range cases {
+		t.Run(played.name, func(t *testing.T) {
+			g := NewWithT(t)
+			endpoint := roster.Endpoint{ID: "i-1", Born: 7, Service: "s", Slots: 4, State: roster.Ready, Sequence: 20}
+			node := roster.New(roster.Record{Node: "n", Epoch: 1, Counter: 1, Life: 2})
+			if played.heard {
+				node.Update(func(record roster.Record) (roster.Record, bool) {
+					said := endpoint
+					said.Sequence = 19
+					record.Endpoint = &said
+					return record, true
+				})
+			}
+			node.Update(func(record roster.Record) (roster.Record, bool) { return record.End(played.ended) })
+			node.Merge([]*roster.Record{{Node: "n", Epoch: 1, Counter: 5, Life: 1, Endpoint: &endpoint}})
+			g.Expect(node.Own().Endpoint.State).To(Equal(roster.Gone))
+			g.Expect(node.Own().AcceptsWork()).To(BeFalse())
+		})
+	}
+}
