--- a/internal/sidecar/exchange/catchup_test.go
+++ b/internal/sidecar/exchange/catchup_test.go
@@ -229,7 +229,7 @@
 	play(t, func(t *testing.T, g *WithT, late, peer *virtualMember, in *network) {
 		silentStore := late.refresh
 		g.Expect(late.exchanger.Confirm(t.Context())).To(BeFalse(), "there is nobody else, and the store does not answer")
-		time.Sleep(lookMost)
+		time.Sleep(probeMost)
 		late.refresh = func(context.Context) error {
 			late.keeper.Proven(7, time.Now())
 			return nil
--- a/internal/sidecar/exchange/confirm.go
+++ b/internal/sidecar/exchange/confirm.go
@@ -46,9 +46,9 @@
 type confirmation struct {
 	level *levelCheck
 	ctx   context.Context
-	// asked is how many nodes were asked; looked: the store was.
+	// asked is how many nodes were asked; probed: the store was.
 	asked  int
-	looked bool
+	probed bool
 	// answers has an entry for each answer or failure.
 	answers chan error
 }
@@ -108,9 +108,9 @@
 		c.asked++
 		go func() { c.answers <- c.level.ask(c.ctx, reader, 0) }()
 	}
-	if (reader == nil || c.asked > confirmEnough) && !c.looked && c.level.look.begin(clock.Now()) > 0 {
-		c.looked = true
-		go func() { c.answers <- c.level.lookNow(c.ctx) }()
+	if (reader == nil || c.asked > confirmEnough) && !c.probed && c.level.probe.begin(clock.Now()) > 0 {
+		c.probed = true
+		go func() { c.answers <- c.level.probeNow(c.ctx) }()
 	}
 }
 
@@ -120,7 +120,7 @@
 	if !level {
 		message = "no proof that the configuration is the newest"
 	}
-	l.exchanger.options.Logger.Info(message, zap.Int("asked", by.asked), zap.Bool("storeAsked", by.looked),
+	l.exchanger.options.Logger.Info(message, zap.Int("asked", by.asked), zap.Bool("storeAsked", by.probed),
 		zap.Uint64("inForce", l.exchanger.options.Configuration.Version()), zap.Duration("elapsed", clock.Since(began)),
 		l.exchanger.behind.proofAge())
 }
--- a/internal/sidecar/exchange/level.go
+++ b/internal/sidecar/exchange/level.go
@@ -46,7 +46,7 @@
 	// unanswered has the names of the nodes that were asked and have not answered yet, aged the
 	// moments at which nodes answered without new proof.
 	unanswered, aged sync.Map
-	look             storeLook
+	probe            storeProbe
 }
 
 func newLevelCheck(exchanger *Exchanger) *levelCheck { return &levelCheck{exchanger: exchanger} }
@@ -64,7 +64,7 @@
 		}
 		if left := l.freshFor(); left > 0 {
 			pace.reset()
-			l.look.reset()
+			l.probe.reset()
 			l.aged.Clear()
 			timer.Reset(max(left, levelPause))
 			continue
@@ -72,10 +72,10 @@
 		if pace.begin(clock.Now()) {
 			l.askAny(ctx)
 		}
-		if l.untilLook() <= 0 {
-			l.lookInTurn(ctx)
+		if l.untilProbe() <= 0 {
+			l.probeInTurn(ctx)
 		}
-		timer.Reset(max(min(pace.wait(clock.Now()), l.untilLook()), levelLeast))
+		timer.Reset(max(min(pace.wait(clock.Now()), l.untilProbe()), levelLeast))
 	}
 }
 
@@ -102,18 +102,18 @@
 // reset begins anew: there is new proof.
 func (p *askPace) reset() { *p = askPace{} }
 
-// untilLook returns how long it is until the store may be read for want of proof. A node that has
+// untilProbe returns how long it is until the store may be read for want of proof. A node that has
 // never had any gives others the same time to bring it.
-func (l *levelCheck) untilLook() time.Duration {
+func (l *levelCheck) untilProbe() time.Duration {
 	held := l.exchanger.options.Configuration
 	age, proven := held.ProofAge()
 	if !proven {
 		age = held.Age()
 	}
-	if left := l.exchanger.limits.look - age; left > 0 {
+	if left := l.exchanger.limits.probe - age; left > 0 {
 		return left
 	}
-	return l.look.wait(clock.Now())
+	return l.probe.wait(clock.Now())
 }
 
 // freshFor returns how long nobody needs to be asked.
--- a/internal/sidecar/exchange/limits.go
+++ b/internal/sidecar/exchange/limits.go
@@ -6,23 +6,23 @@
 // tells none.
 const DefaultBound = 2 * time.Second
 
-// Parts of the bound. What begins at lookShare has the rest to bring a version and to put it in
+// Parts of the bound. What begins at probeShare has the rest to bring a version and to put it in
 // force; finalShare leaves some for a request that was sent before it is answered.
 const (
 	askShare   = 0.3
-	lookShare  = 0.65
+	probeShare = 0.65
 	finalShare = 0.8
 )
 
 // limits are ages of a node's proof that it is level.
 type limits struct {
-	// ask is the age from which on other nodes are asked, look that from which on the store is.
-	ask, look time.Duration
+	// ask is the age from which on other nodes are asked, probe that from which on the store is.
+	ask, probe time.Duration
 	// final is the greatest age at which a request is refused for good.
 	final time.Duration
 }
 
 func limitsOf(bound time.Duration) limits {
 	part := func(share float64) time.Duration { return time.Duration(float64(bound) * share) }
-	return limits{ask: part(askShare), look: part(lookShare), final: part(finalShare)}
+	return limits{ask: part(askShare), probe: part(probeShare), final: part(finalShare)}
 }
--- a/internal/sidecar/exchange/proof_test.go
+++ b/internal/sidecar/exchange/proof_test.go
@@ -264,7 +264,7 @@
 				const span = time.Minute
 				for began := time.Now(); time.Since(began) < span; time.Sleep(levelPause) {
 					for _, node := range nodes {
-						node.lookInTurn(t.Context())
+						node.probeInTurn(t.Context())
 					}
 				}
 				synctest.Wait()
