The test of calm fleets refuses reads for proof again; one set-up for both fleets

They are turned away again, and calls are counted over the same time as reads. Both tests of a fleet share playFleet.

--- a/internal/sidecar/exchange/proof_test.go
+++ b/internal/sidecar/exchange/proof_test.go
@@ -84,7 +84,8 @@
 type storeMember struct {
 	*virtualMember
 	store *sharedStore
-	away  atomic.Bool
+	// away: the store turns the node away. refuses: it does so with reads for want of proof only.
+	away, refuses atomic.Bool
 	// calls counts those of the watch, reads those for want of proof.
 	calls, reads atomic.Int64
 }
@@ -93,7 +94,7 @@
 func (m *storeMember) read(context.Context) error {
 	m.reads.Add(1)
 	asked := time.Now()
-	if m.away.Load() {
+	if m.away.Load() || m.refuses.Load() {
 		return errTurnedAway
 	}
 	version := m.store.version.Load()
@@ -169,24 +170,35 @@
 	return found
 }
 
+// playFleet runs a test with ten nodes in three zones that hold version 7, as the store does; those
+// that read follow it.
+func playFleet(t *testing.T, test func(g *WithT, members, following []*storeMember, store *sharedStore)) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, end := context.WithCancel(t.Context())
+		in := &network{nodes: map[string]func(net.Conn){}}
+		store := &sharedStore{}
+		store.version.Store(7)
+		members := fleet(ctx, t, in, map[string]int{"a": 4, "b": 3, "c": 3}, store)
+		following := reading(members)
+		g.Expect(following).To(HaveLen(6))
+		for i, member := range following {
+			go member.follow(ctx, i, len(following))
+		}
+		time.Sleep(10 * time.Second)
+		test(g, members, following, store)
+		end()
+		in.close()
+		time.Sleep(time.Minute)
+	})
+}
+
 // TestAVersionReachesNodesWhoseReadersHearNothing in time, when they reach the store themselves.
 func TestAVersionReachesNodesWhoseReadersHearNothing(t *testing.T) {
 	for round := range 10 {
 		t.Run(fmt.Sprint(round), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				g := NewWithT(t)
-				ctx, end := context.WithCancel(t.Context())
-				in := &network{nodes: map[string]func(net.Conn){}}
-				store := &sharedStore{}
-				store.version.Store(7)
-				members := fleet(ctx, t, in, map[string]int{"a": 4, "b": 3, "c": 3}, store)
-				deaf := reading(members)
-				g.Expect(deaf).To(HaveLen(6))
-				for i, member := range deaf {
-					go member.follow(ctx, i, len(deaf))
-				}
-				time.Sleep(10 * time.Second)
-				for _, member := range deaf {
+			playFleet(t, func(g *WithT, members, following []*storeMember, store *sharedStore) {
+				for _, member := range following {
 					member.away.Store(true)
 				}
 				time.Sleep(time.Duration(round) * smallestBound / 10)
@@ -197,9 +209,6 @@
 						g.Expect(member.keeper.Version()).To(BeEquivalentTo(8), member.record.Node)
 					}
 				}
-				end()
-				in.close()
-				time.Sleep(time.Minute)
 			})
 		})
 	}
@@ -207,37 +216,24 @@
 
 // TestWatchesAreProofEnoughWhileAllIsWell: hardly a call of the store is made for proof beside them.
 func TestWatchesAreProofEnoughWhileAllIsWell(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := NewWithT(t)
-		ctx, end := context.WithCancel(t.Context())
-		in := &network{nodes: map[string]func(net.Conn){}}
-		store := &sharedStore{}
-		store.version.Store(7)
-		members := fleet(ctx, t, in, map[string]int{"a": 4, "b": 3, "c": 3}, store)
-		following := reading(members)
-		for i, member := range following {
-			go member.follow(ctx, i, len(following))
+	playFleet(t, func(g *WithT, members, _ []*storeMember, store *sharedStore) {
+		for _, member := range members {
+			member.refuses.Store(true)
 		}
-		time.Sleep(10 * time.Second)
-		readsOf := func() (reads int64) {
+		count := func() (calls, reads int64) {
 			for _, member := range members {
+				calls += member.calls.Load()
 				reads += member.reads.Load()
 			}
-			return reads
+			return calls, reads
 		}
-		before := readsOf()
+		callsBefore, readsBefore := count()
 		for range 20 {
 			store.version.Add(1)
 			time.Sleep(3 * time.Second)
 		}
-		calls := int64(0)
-		for _, member := range following {
-			calls += member.calls.Load()
-		}
-		g.Expect(readsOf()-before).To(BeNumerically("<=", calls/20), "of %d calls", calls)
-		end()
-		in.close()
-		time.Sleep(time.Minute)
+		calls, reads := count()
+		g.Expect(reads-readsBefore).To(BeNumerically("<=", (calls-callsBefore)/20), "of %d calls", calls-callsBefore)
 	})
 }
 
