A relay that others retired although it lives tells its summary anew

Cause: a relay that becomes a store reader leaves its parent. The parent suspects the summaries it had from that child and retires them after 3 s unless a peer repeats them meanwhile; a summary without proxies wins over the one of the same stamp, everywhere but at the relay itself, which took no notice of words about itself unless they were stamped later. It tells its proxies anew only once they change. Ruled out: lost messages (the stamps agree); the machine's load (time is virtual). Change: a summary under the own name that would hide the own proxies, stamped later or retired at the same stamp, is refuted by a new stamp; what is repeated changes nothing. The new case failed before.

--- a/internal/distribution/relay/core_test.go
+++ b/internal/distribution/relay/core_test.go
@@ -433,6 +433,20 @@
 		Expect(outputs.Report.Zones[0].Proxies).To(Equal(1))
 	})
 
+	It("is told anew when others retired it although its proxies are here", func() {
+		core := loaded(nil)
+		core.Attach(start, 1, proxyHello("p1", 0, "", "shop"))
+		told := core.Tick(start.Add(time.Second)).Report.Zones[0]
+		retired := distribution.ZoneStatus{Zone: told.Zone, Relay: told.Relay, Stamp: told.Stamp}
+		outputs := core.ParentZones(start.Add(5*time.Second), "reader", []distribution.ZoneStatus{retired})
+		Expect(outputs.Report).NotTo(BeNil())
+		Expect(outputs.Report.Zones).To(ConsistOf(And(
+			HaveField("Stamp", BeNumerically(">", told.Stamp)), HaveField("Proxies", 1),
+		)))
+		again := core.ParentZones(start.Add(6*time.Second), "reader", []distribution.ZoneStatus{retired})
+		Expect(again.Report).To(BeNil())
+	})
+
 	It("of a lost relay is retired unless it is heard of elsewhere", func() {
 		core := loaded(nil)
 		core.Attach(start, 1, controlHello("r7", 2))
--- a/internal/distribution/relay/status.go
+++ b/internal/distribution/relay/status.go
@@ -154,7 +154,7 @@
 	c.raiseFloor(key.zone, offered.summary.Highest)
 	held, known := c.status.held[key]
 	if key.relay == c.node.Name {
-		c.outstamp(now, offered.summary.Stamp)
+		c.refute(now, offered.summary)
 		return
 	}
 	if known && !supersedes(offered.summary, held.summary) && !c.movedHere(held, offered) {
@@ -168,14 +168,18 @@
 	c.status.schedule(now)
 }
 
-// outstamp makes the own summaries anew when one under this relay's name is
-// stamped later: a predecessor made it before the clock was set back, and it
-// would hide the proxies that are here now.
-func (c *Core) outstamp(now time.Time, stamp uint64) {
-	if stamp <= c.status.stamp || stamp == math.MaxUint64 {
+// refute makes the own summaries anew when one under this relay's name would
+// hide the proxies that are here now: a predecessor stamped it later, before the
+// clock was set back, or a relay retired the own one because it lost this relay
+// as a child, and others believe it.
+func (c *Core) refute(now time.Time, offered distribution.ZoneStatus) {
+	held, known := c.status.held[zoneKey{offered.Zone, offered.Relay}]
+	retired := known && offered.Stamp == held.summary.Stamp && supersedes(offered, held.summary)
+	outstamped := offered.Stamp > c.status.stamp && offered.Stamp != math.MaxUint64
+	if !retired && !outstamped {
 		return
 	}
-	c.status.stamp = stamp
+	c.status.stamp = max(c.status.stamp, offered.Stamp)
 	c.restampOwn(now, true)
 }
 
