A reader's word of itself is not taken for hearsay

Cause: of a control daemon a reader keeps the first peer it heard of it from, so that readers don't take each other for the origin. One that became a reader after hearing of the daemon from its former parent kept that parent, and when the daemon's own stream ended it suspected nothing. If all readers did, nobody declared the daemon down. Change: what a daemon says of itself over its own stream replaces any earlier origin. The new case failed before.

--- a/internal/distribution/relay/core_test.go
+++ b/internal/distribution/relay/core_test.go
@@ -363,6 +363,23 @@
 		Expect(core.Endpoints()).To(Equal(ready))
 	})
 
+	It("of a reader that died are down though a former parent told of it first", func() {
+		core := loaded(nil)
+		reader := endpoint.Update{
+			ID:          endpoint.ID{Service: endpoint.ControlService, Name: "reader"},
+			Incarnation: 1, Sequence: 4, State: endpoint.Ready, Zone: "z2",
+		}
+		core.SetSource(start, distribution.Source{Hops: 2})
+		core.ParentEndpoints(start, "former", []endpoint.Update{reader})
+		core.ParentLost(start, "former")
+		core.SetSource(start, distribution.Source{})
+		core.ParentEndpoints(start, "reader", []endpoint.Update{reader})
+		core.ParentEndpoints(start, "other", []endpoint.Update{reader})
+		core.ParentLost(start.Add(time.Second), "reader")
+		core.Tick(start.Add(time.Minute))
+		Expect(core.Endpoints()[0].State).To(Equal(endpoint.Down))
+	})
+
 	It("are down when the child that they are heard of through says so", func() {
 		core := loaded(nil)
 		core.Attach(start, 7, controlHello("zone", 2))
--- a/internal/distribution/relay/endpoints.go
+++ b/internal/distribution/relay/endpoints.go
@@ -65,8 +65,12 @@
 // isHearsay reports whether a peer repeats what this reader knows of a control
 // daemon from another peer. The first origin stays: readers that took each
 // other for the origin would never declare the daemon down. One that lives
-// announces itself anew on each new path, and refutes what is wrong.
+// announces itself anew on each new path, and refutes what is wrong. A daemon's
+// word of itself is none: whoever told of it first may be no peer any more.
 func (c *Core) isHearsay(parent string, update endpoint.Update) bool {
+	if parent == update.ID.Name {
+		return false
+	}
 	from := c.origins[update.ID]
 	isReader := c.source.Hops == 0 && !c.source.Detached
 	return isReader && update.ID.Service == endpoint.ControlService && from.parent != "" && from.parent != parent
