Summaries go down the tree often enough for three hops in five seconds

What callers saw: TestEveryDaemonLearnsWhatIsInForce was red without any fault: daemons three hops from where a proxy reports knew the version in force after 5.05 s or more. Cause: a control child's summaries wait for its turn within the status interval of 2 s, up to 15/16 of it, at each hop; three hops and the report's own second come to 6.6 s at worst. Ruled out: a lost summary (the one under way was newer at each hop). Change: 1.25 s.

--- a/internal/distribution/relay/config.go
+++ b/internal/distribution/relay/config.go
@@ -64,7 +64,7 @@
 		SuspectProxy:     3 * time.Second,
 		SuspectRelay:     8 * time.Second,
 		StatusWindow:     500 * time.Millisecond,
-		StatusInterval:   2 * time.Second,
+		StatusInterval:   1250 * time.Millisecond,
 		MaximumSnapshots: 16,
 		RetryAfter:       100 * time.Millisecond,
 		ClaimPatience:    10 * time.Second,
