A zone that dies with its store reader is declared down

What callers saw: every process of a zone ended at once, a store reader among them: a minute later all daemons still took the zone's back ends for ready and its daemons for members, and would have for ever. Cause: a reader passes what one peer tells it on to the others, and an equal word from a peer moved the origin of a back end. So two readers took each other for the origin of what the third one told both, and when its stream ended neither suspected anything. For daemons alone the first origin stayed, which was wrong in another way. Change: a reader tells a peer apart what it hears of itself and what it has from another peer (a list of its own in the message). What was only heard is news where it is newer and else changes nothing; what the teller hears of itself moves the origin, for every service. That replaces the exception for daemons. Daemons list what they know of back ends on a page, /endpoints. Ruled out: not passing it on at all (a cut between two readers would hide one's branch); a new announcement of each proxy on each new path (one message to every proxy for each move).

--- a/internal/daemon/mesh_test.go
+++ b/internal/daemon/mesh_test.go
@@ -9,6 +9,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -198,6 +199,20 @@
 	m.forget(name)
 }
 
+// crashZoneOf ends every process of a daemon's zone without any farewell and
+// returns their names.
+func (m *mesh) crashZoneOf(daemon string) map[string]bool {
+	zone := strings.Split(daemon, "-")[1]
+	crashed := map[string]bool{}
+	for _, name := range slices.Sorted(maps.Keys(m.running)) {
+		if strings.Split(name, "-")[1] == zone {
+			m.crash(name)
+			crashed[name] = true
+		}
+	}
+	return crashed
+}
+
 // stop ends a process in order and returns what it said.
 func (m *mesh) stop(name string) error {
 	stopping := m.running[name]
--- a/internal/daemon/providers.go
+++ b/internal/daemon/providers.go
@@ -258,6 +258,7 @@
 	registry.MustRegister(newStatusMetrics(host))
 	admin.AddPage("/relay", "version, role, parent and children of this daemon", func() any { return host.Status() })
 	admin.AddPage("/zones", "which versions are in force, by zone and relay", func() any { return host.Zones() })
+	admin.AddPage("/endpoints", "back ends and daemons as this daemon knows them, with their states", func() any { return host.Endpoints() })
 	admin.AddPage("/traffic", "control traffic since the start, by kind", func() any { return traffic.Totals() })
 	admin.AddPage("/identity", "this process's identity and when its certificates expire", func() any { return credentials.Status() })
 	return admin
--- a/internal/daemon/status_test.go
+++ b/internal/daemon/status_test.go
@@ -47,6 +47,33 @@
 	}
 }
 
+// TestAZoneThatDiesWithItsReaderIsDown ends every process of a store reader's
+// zone at once: no daemon may take one of them for fit to work.
+func TestAZoneThatDiesWithItsReaderIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t)
+		m.addSeeds(4, 3)
+		m.startDaemons()
+		for zone := range 4 {
+			m.startProxyBeside(fmt.Sprintf("proxy-%d-a", zone), fmt.Sprintf("zone-%d", zone),
+				m.startBackend(fmt.Sprintf("10.8.%d.1:1", zone), time.Millisecond))
+		}
+		m.daemonWith(bound, isReader)
+		m.inForce(m.apply("daemon-0-0", 1), herdBound)
+		// Proxies return to their preferred parents.
+		time.Sleep(90 * time.Second)
+		dead := m.crashZoneOf(m.daemonWith(bound, isReader))
+		time.Sleep(deadRelayBound)
+		for name, running := range m.daemons {
+			for _, update := range running.Host().Endpoints() {
+				if dead[update.ID.Name] && update.State.AcceptsWork() {
+					t.Errorf("%s takes %s for %s", name, update.ID.Name, update.State)
+				}
+			}
+		}
+	})
+}
+
 // startWideTree starts four zones of three daemons and two proxies each, with
 // version 1 in force.
 func startWideTree(t *testing.T) *mesh {
--- a/internal/distribution/controlhost/queries.go
+++ b/internal/distribution/controlhost/queries.go
@@ -6,6 +6,7 @@
 
 	"github.com/kestrelstream/kestrelstream/internal/distribution"
 	"github.com/kestrelstream/kestrelstream/internal/distribution/control"
+	"github.com/kestrelstream/kestrelstream/internal/endpoint"
 	"github.com/kestrelstream/kestrelstream/internal/membership"
 	"github.com/kestrelstream/kestrelstream/internal/resource"
 )
@@ -78,3 +79,14 @@
 	})
 	return zones
 }
+
+// Endpoints returns the newest update of every endpoint, by service and name, or
+// nothing once the host stopped.
+func (h *Host) Endpoints() []endpoint.Update {
+	var endpoints []endpoint.Update
+	_ = h.ask(context.Background(), func(time.Time) control.Outputs {
+		endpoints = h.core.Relay().Endpoints()
+		return control.Outputs{}
+	})
+	return endpoints
+}
--- a/internal/distribution/message.go
+++ b/internal/distribution/message.go
@@ -115,6 +115,9 @@
 	Checkpoint *Checkpoint          `json:"checkpoint,omitempty"`
 	Entries    []resource.Entry     `json:"entries,omitempty"`
 	Endpoints  []endpoint.Update    `json:"endpoints,omitempty"`
+	// Heard are endpoint states that a reader passes on to a peer and has from
+	// another peer itself: news, but no sign that the sender hears of them.
+	Heard []endpoint.Update `json:"heard,omitempty"`
 	// Source describes the parent, on the first message and on change.
 	Source *Source `json:"source,omitempty"`
 	// Readers are the slots known to be held; control children only.
--- a/internal/distribution/relay/core.go
+++ b/internal/distribution/relay/core.go
@@ -152,7 +152,7 @@
 	}
 	if c.flushAt.IsZero() {
 		c.flushAt = now
-		if c.source.Hops == 0 && !c.source.Detached {
+		if c.isReading() {
 			c.flushAt = now.Add(c.config.BatchWindow)
 		}
 	}
--- a/internal/distribution/relay/core_test.go
+++ b/internal/distribution/relay/core_test.go
@@ -374,12 +374,23 @@
 		core.ParentLost(start, "former")
 		core.SetSource(start, distribution.Source{})
 		core.ParentEndpoints(start, "reader", []endpoint.Update{reader})
-		core.ParentEndpoints(start, "other", []endpoint.Update{reader})
+		core.PeerHeard(start, "other", []endpoint.Update{reader})
 		core.ParentLost(start.Add(time.Second), "reader")
 		core.Tick(start.Add(time.Minute))
 		Expect(core.Endpoints()[0].State).To(Equal(endpoint.Down))
 	})
 
+	It("are told to a peer as heard when another peer told of them", func() {
+		core := loaded(nil)
+		core.SetReaders(start, []distribution.Reader{{Slot: 0, Node: "r1", Revision: 1}, {Slot: 1, Node: "peer", Revision: 2}})
+		core.ParentEndpoints(start, "other", []endpoint.Update{update("theirs", 2, endpoint.Ready)})
+		attach(core)
+		core.Report(start, 1, reportOf(update("own", 2, endpoint.Ready)))
+		told := core.Attach(start, 9, controlHello("peer", 2)).Sends[0].Message
+		Expect(told.Endpoints).To(ConsistOf(HaveField("ID.Name", "own")))
+		Expect(told.Heard).To(ConsistOf(HaveField("ID.Name", "theirs")))
+	})
+
 	It("are down when the child that they are heard of through says so", func() {
 		core := loaded(nil)
 		core.Attach(start, 7, controlHello("zone", 2))
--- a/internal/distribution/relay/endpoints.go
+++ b/internal/distribution/relay/endpoints.go
@@ -17,6 +17,19 @@
 	return c.finish(now)
 }
 
+// PeerHeard takes in endpoint states that the named peer reader has from
+// another one. What is known already is left as it is: readers that took each
+// other for the origin would never declare an endpoint down.
+func (c *Core) PeerHeard(now time.Time, peer string, updates []endpoint.Update) Outputs {
+	for _, update := range updates {
+		held, known := c.endpoints.Get(update.ID)
+		if !known || update.Compare(held) != 0 {
+			c.takeParentEndpoint(now, peer, update)
+		}
+	}
+	return c.finish(now)
+}
+
 func (c *Core) takeParentEndpoint(now time.Time, parent string, update endpoint.Update) {
 	held, known := c.endpoints.Get(update.ID)
 	child := c.sessions[c.origins[update.ID].session]
@@ -38,9 +51,6 @@
 		}
 		return
 	}
-	if known && update.Compare(held) == 0 && c.isHearsay(parent, update) {
-		return
-	}
 	c.confirmEndpoint(origin{parent: parent}, update.ID)
 	c.origins[update.ID] = origin{parent: parent}
 	if c.endpoints.Merge(update) {
@@ -62,20 +72,6 @@
 	return true
 }
 
-// isHearsay reports whether a peer repeats what this reader knows of a control
-// daemon from another peer. The first origin stays: readers that took each
-// other for the origin would never declare the daemon down. One that lives
-// announces itself anew on each new path, and refutes what is wrong. A daemon's
-// word of itself is none: whoever told of it first may be no peer any more.
-func (c *Core) isHearsay(parent string, update endpoint.Update) bool {
-	if parent == update.ID.Name {
-		return false
-	}
-	from := c.origins[update.ID]
-	isReader := c.source.Hops == 0 && !c.source.Detached
-	return isReader && update.ID.Service == endpoint.ControlService && from.parent != "" && from.parent != parent
-}
-
 // contradicts reports whether a declaration made elsewhere that an endpoint is
 // down is contradicted by the live session through which it is heard of here.
 // The declaration then goes to that child alone, for the authority to refute.
@@ -288,17 +284,34 @@
 	}
 }
 
-// takeEndpoints empties the session's pending endpoints and answers.
-func (c *Core) takeEndpoints(session *session) []endpoint.Update {
+// takeEndpoints empties the session's pending endpoints and answers. Of what goes
+// to a peer reader, heard is what this reader has from another one.
+func (c *Core) takeEndpoints(session *session) (updates, heard []endpoint.Update) {
 	if len(session.pendingEndpoints)+len(session.answers) == 0 {
-		return nil
+		return nil, nil
+	}
+	isPeer := c.isPeer(session)
+	for _, update := range c.newest(session.pendingEndpoints) {
+		if isPeer && c.origins[update.ID].parent != "" {
+			heard = append(heard, update)
+			continue
+		}
+		updates = append(updates, update)
 	}
-	updates := append(c.newest(session.pendingEndpoints), session.answers...)
+	updates = append(updates, session.answers...)
 	clear(session.pendingEndpoints)
 	session.answers = nil
-	return updates
+	return updates, heard
 }
 
+// isPeer reports whether the session is one of another reader at this reader.
+func (c *Core) isPeer(session *session) bool {
+	return c.isReading() && c.isReader(session.node.Name)
+}
+
+// isReading reports whether this relay is a store reader.
+func (c *Core) isReading() bool { return c.source.Hops == 0 && !c.source.Detached }
+
 // newest returns the newest updates of a set of endpoints, by id.
 func (c *Core) newest(ids map[endpoint.ID]struct{}) []endpoint.Update {
 	updates := make([]endpoint.Update, 0, len(ids))
@@ -314,9 +327,9 @@
 // endpointMessage returns a message of the pending endpoints alone. The usual
 // case, one endpoint changed for all children, shares one message.
 func (s *session) endpointMessage(c *Core) *distribution.Message {
-	updates := c.takeEndpoints(s)
-	if len(updates) != 1 {
-		return &distribution.Message{Version: s.version, Endpoints: updates}
+	updates, heard := c.takeEndpoints(s)
+	if len(updates) != 1 || len(heard) > 0 {
+		return &distribution.Message{Version: s.version, Endpoints: updates, Heard: heard}
 	}
 	last := c.shared.endpoint
 	if last != nil && last.Version == s.version && sameUpdate(last.Endpoints[0], updates[0]) {
--- a/internal/distribution/relay/session.go
+++ b/internal/distribution/relay/session.go
@@ -266,7 +266,7 @@
 	}
 	message.Goodbye, s.goodbyeDue = s.goodbyeDue, false
 	message.Zones = c.takeSummaries(s)
-	message.Endpoints = c.takeEndpoints(s)
+	message.Endpoints, message.Heard = c.takeEndpoints(s)
 	return message
 }
 
--- a/internal/distribution/relay/suspicion.go
+++ b/internal/distribution/relay/suspicion.go
@@ -64,7 +64,7 @@
 // store reader then suspects what it knows only from that peer.
 func (c *Core) ParentLost(now time.Time, parent string) Outputs {
 	lost := suspect{origin: origin{parent: parent}, at: now.Add(2 * c.config.SuspectRelay)}
-	if c.source.Hops == 0 && !c.source.Detached {
+	if c.isReading() {
 		lost.updates = c.updatesFrom(lost.origin)
 	}
 	lost.summaries = c.status.from(lost.origin)
--- a/internal/distribution/stream/traffic.go
+++ b/internal/distribution/stream/traffic.go
@@ -48,7 +48,7 @@
 		return KindDelta
 	case len(message.Entries) > 0:
 		return KindEntries
-	case len(message.Endpoints) > 0:
+	case len(message.Endpoints)+len(message.Heard) > 0:
 		return KindEndpoints
 	case len(message.Zones)+len(message.Readers) > 0:
 		return KindStatus
--- a/internal/distribution/subscriber/config.go
+++ b/internal/distribution/subscriber/config.go
@@ -88,8 +88,9 @@
 	// takes them in; Applied must follow with its version.
 	Checkpoint *distribution.Checkpoint
 	Entries    []resource.Entry
-	// Endpoints are states learnt from the parent.
-	Endpoints []endpoint.Update
+	// Endpoints are states learnt from the parent, Heard those that it has from a
+	// peer.
+	Endpoints, Heard []endpoint.Update
 	// Zones, Readers and Source are for a control child's own relay.
 	Zones   []distribution.ZoneStatus
 	Readers []distribution.Reader
--- a/internal/distribution/subscriber/receive.go
+++ b/internal/distribution/subscriber/receive.go
@@ -35,6 +35,7 @@
 	}
 	if c.phase == attached {
 		c.outputs.Endpoints = message.Endpoints
+		c.outputs.Heard = message.Heard
 		c.outputs.Zones = message.Zones
 		c.outputs.Readers = message.Readers
 		c.takeContent(now, message)
--- a/internal/simulation/accounting.go
+++ b/internal/simulation/accounting.go
@@ -51,7 +51,7 @@
 		return kindDelta
 	case len(message.Entries) > 0:
 		return kindEntries
-	case len(message.Endpoints) > 0:
+	case len(message.Endpoints)+len(message.Heard) > 0:
 		return kindEndpoints
 	case len(message.Zones) > 0 || len(message.Readers) > 0 || message.Source != nil || message.Goodbye:
 		return kindStatus
