--- a/internal/sidecar/ingress/warmup_test.go
+++ b/internal/sidecar/ingress/warmup_test.go
@@ -50,6 +50,27 @@
 	g.Eventually(func() int { return made.receive(t.Context()).Code }).Should(Equal(http.StatusOK))
 }
 
+// TestAColdBackEndIsNotOverrunBeforeAConfigurationCame, as after a loss of power while the store is away.
+func TestAColdBackEndIsNotOverrunBeforeAConfigurationCame(t *testing.T) {
+	g := NewWithT(t)
+	made := play(t)
+	var ran atomic.Int64
+	answer := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ran.Add(1)
+		signed(http.StatusOK)(w, r)
+	})
+	made.answer.Store(&answer)
+	made.handler.WarmsUp(time.Hour)
+	for range 20 {
+		made.receive(t.Context())
+	}
+	made.handler.SetService(&route.Service{Name: "one", WarmupRate: 3, WarmupTime: time.Hour})
+	for range 20 {
+		made.receive(t.Context())
+	}
+	g.Expect(ran.Load()).To(BeNumerically("<=", 3))
+}
+
 // TestAnEmptiedZoneTakesNothing, as the node beside the back end sees it.
 func TestAnEmptiedZoneTakesNothing(t *testing.T) {
 	g := NewWithT(t)
