A daemon that died is declared down though a peer does not know this reader for one

One that has the other reader by its address, as no settings name it, does not take it for a peer and tells it everything as its own; two then take each other for the origin again. Change: the receiving reader's guard for daemons is back beside the teller's, with a daemon's word of itself excepted. Left: back ends told by such a peer.

--- a/internal/distribution/relay/endpoints.go
+++ b/internal/distribution/relay/endpoints.go
@@ -51,6 +51,9 @@
 		}
 		return
 	}
+	if known && update.Compare(held) == 0 && c.isRepeated(parent, update) {
+		return
+	}
 	c.confirmEndpoint(origin{parent: parent}, update.ID)
 	c.origins[update.ID] = origin{parent: parent}
 	if c.endpoints.Merge(update) {
@@ -72,6 +75,16 @@
 	return true
 }
 
+// isRepeated reports whether a peer repeats what this reader knows of a control
+// daemon from another peer. The first origin stays, unless the daemon speaks of
+// itself: a peer that does not know this reader for one does not tell apart what
+// it only heard. A daemon that lives announces itself anew on each new path.
+func (c *Core) isRepeated(parent string, update endpoint.Update) bool {
+	from := c.origins[update.ID].parent
+	isDaemon := update.ID.Service == endpoint.ControlService
+	return c.isReading() && isDaemon && from != "" && from != parent && parent != update.ID.Name
+}
+
 // contradicts reports whether a declaration made elsewhere that an endpoint is
 // down is contradicted by the live session through which it is heard of here.
 // The declaration then goes to that child alone, for the authority to refute.
