A peer is a reader by its own word, not by its name

Cause, read in the change once more: whether a session is one of another store reader was asked by its name in the list of slots. A daemon that no settings name stands there by its address, so that it was taken for none; the guard for daemons at the receiver covered that and left back ends aside. Change: a child that is a reader names the slots when it attaches, as it did before; the session keeps that. The guard and the search by name go. refute gets the summary that its caller has looked up. The relay's case now has a peer whose slot is known by an address.

--- a/internal/distribution/relay/core_test.go
+++ b/internal/distribution/relay/core_test.go
@@ -382,11 +382,12 @@
 
 	It("are told to a peer as heard when another peer told of them", func() {
 		core := loaded(nil)
-		core.SetReaders(start, []distribution.Reader{{Slot: 0, Node: "r1", Revision: 1}, {Slot: 1, Node: "peer", Revision: 2}})
+		peer := controlHello("peer", 2)
+		peer.Readers = []distribution.Reader{{Slot: 1, Node: "10.0.0.1:2", Revision: 2}}
 		core.ParentEndpoints(start, "other", []endpoint.Update{update("theirs", 2, endpoint.Ready)})
 		attach(core)
 		core.Report(start, 1, reportOf(update("own", 2, endpoint.Ready)))
-		told := core.Attach(start, 9, controlHello("peer", 2)).Sends[0].Message
+		told := core.Attach(start, 9, peer).Sends[0].Message
 		Expect(told.Endpoints).To(ConsistOf(HaveField("ID.Name", "own")))
 		Expect(told.Heard).To(ConsistOf(HaveField("ID.Name", "theirs")))
 	})
--- a/internal/distribution/relay/endpoints.go
+++ b/internal/distribution/relay/endpoints.go
@@ -51,9 +51,6 @@
 		}
 		return
 	}
-	if known && update.Compare(held) == 0 && c.isRepeated(parent, update) {
-		return
-	}
 	c.confirmEndpoint(origin{parent: parent}, update.ID)
 	c.origins[update.ID] = origin{parent: parent}
 	if c.endpoints.Merge(update) {
@@ -75,16 +72,6 @@
 	return true
 }
 
-// isRepeated reports whether a peer repeats what this reader knows of a control
-// daemon from another peer. The first origin stays, unless the daemon speaks of
-// itself: a peer that does not know this reader for one does not tell apart what
-// it only heard. A daemon that lives announces itself anew on each new path.
-func (c *Core) isRepeated(parent string, update endpoint.Update) bool {
-	from := c.origins[update.ID].parent
-	isDaemon := update.ID.Service == endpoint.ControlService
-	return c.isReading() && isDaemon && from != "" && from != parent && parent != update.ID.Name
-}
-
 // contradicts reports whether a declaration made elsewhere that an endpoint is
 // down is contradicted by the live session through which it is heard of here.
 // The declaration then goes to that child alone, for the authority to refute.
@@ -116,7 +103,7 @@
 		c.refer(now, other, declared)
 		return true
 	}
-	if source.parent == "" || c.source.Detached || (c.source.Hops == 0 && c.byNode[source.parent] == nil) {
+	if source.parent == "" || c.source.Detached || (c.isReading() && c.byNode[source.parent] == nil) {
 		return false
 	}
 	c.contest(source.parent, declared)
@@ -268,17 +255,13 @@
 
 func (c *Core) spreadToPeers(update endpoint.Update, except *session) {
 	for _, session := range c.order {
-		if session != except && c.isReader(session.node.Name) {
+		if session != except && session.reads {
 			session.pendingEndpoints[update.ID] = struct{}{}
 			c.pump(session)
 		}
 	}
 }
 
-func (c *Core) isReader(node string) bool {
-	return slices.ContainsFunc(c.readers, func(r distribution.Reader) bool { return r.Node == node })
-}
-
 // entitledTo reports whether the child may learn of the endpoint: proxies only
 // of services they hold, in zones they may use.
 func (s *session) entitledTo(update endpoint.Update) bool {
@@ -303,7 +286,7 @@
 	if len(session.pendingEndpoints)+len(session.answers) == 0 {
 		return nil, nil
 	}
-	isPeer := c.isPeer(session)
+	isPeer := c.isReading() && session.reads
 	for _, update := range c.newest(session.pendingEndpoints) {
 		if isPeer && c.origins[update.ID].parent != "" {
 			heard = append(heard, update)
@@ -317,11 +300,6 @@
 	return updates, heard
 }
 
-// isPeer reports whether the session is one of another reader at this reader.
-func (c *Core) isPeer(session *session) bool {
-	return c.isReading() && c.isReader(session.node.Name)
-}
-
 // isReading reports whether this relay is a store reader.
 func (c *Core) isReading() bool { return c.source.Hops == 0 && !c.source.Detached }
 
--- a/internal/distribution/relay/session.go
+++ b/internal/distribution/relay/session.go
@@ -17,6 +17,8 @@
 	node  distribution.Node
 	kind  distribution.ChildKind
 	class *class
+	// reads: the child is a store reader.
+	reads bool
 
 	// version and digest are what the child holds once the message in
 	// flight has arrived.
@@ -120,7 +122,7 @@
 	opened := &session{
 		id: id, node: hello.Node, kind: hello.Kind,
 		version: hello.Version, digest: hello.Digest, applied: hello.Version,
-		heardAt: now, sourceDue: true,
+		heardAt: now, sourceDue: true, reads: len(hello.Readers) > 0,
 		pendingEndpoints: map[endpoint.ID]struct{}{},
 		repeated:         map[endpoint.ID]time.Time{},
 		pendingZones:     map[zoneKey]struct{}{},
--- a/internal/distribution/relay/status.go
+++ b/internal/distribution/relay/status.go
@@ -154,7 +154,7 @@
 	c.raiseFloor(key.zone, offered.summary.Highest)
 	held, known := c.status.held[key]
 	if key.relay == c.node.Name {
-		c.refute(now, offered.summary)
+		c.refute(now, offered.summary, held.summary)
 		return
 	}
 	if known && !supersedes(offered.summary, held.summary) && !c.movedHere(held, offered) {
@@ -172,9 +172,8 @@
 // hide the proxies that are here now: a predecessor stamped it later, before the
 // clock was set back, or a relay retired the own one because it lost this relay
 // as a child, and others believe it.
-func (c *Core) refute(now time.Time, offered distribution.ZoneStatus) {
-	held, known := c.status.held[zoneKey{offered.Zone, offered.Relay}]
-	retired := known && offered.Stamp == held.summary.Stamp && supersedes(offered, held.summary)
+func (c *Core) refute(now time.Time, offered, held distribution.ZoneStatus) {
+	retired := offered.Stamp == held.Stamp && supersedes(offered, held)
 	outstamped := offered.Stamp > c.status.stamp && offered.Stamp != math.MaxUint64
 	if !retired && !outstamped {
 		return
