--- a/internal/distribution/controlhost/queries.go
+++ b/internal/distribution/controlhost/queries.go
@@ -45,13 +45,17 @@
 }
 
 // Status returns the host's present state, or the zero value once it stopped.
-func (h *Host) Status() Status {
-	var status Status
+func (h *Host) Status() Status { return query(h, h.status) }
+
+// query returns what is read on the loop's goroutine, or the zero value once the
+// host stopped.
+func query[T any](h *Host, read func() T) T {
+	var result T
 	_ = h.ask(context.Background(), func(time.Time) control.Outputs {
-		status = h.status()
+		result = read()
 		return control.Outputs{}
 	})
-	return status
+	return result
 }
 
 func (h *Host) status() Status {
@@ -71,22 +75,8 @@
 }
 
 // Zones returns the newest zone summaries, or nothing once the host stopped.
-func (h *Host) Zones() []distribution.ZoneStatus {
-	var zones []distribution.ZoneStatus
-	_ = h.ask(context.Background(), func(time.Time) control.Outputs {
-		zones = h.core.Relay().Zones()
-		return control.Outputs{}
-	})
-	return zones
-}
+func (h *Host) Zones() []distribution.ZoneStatus { return query(h, h.core.Relay().Zones) }
 
 // Endpoints returns the newest update of every endpoint, by service and name, or
 // nothing once the host stopped.
-func (h *Host) Endpoints() []endpoint.Update {
-	var endpoints []endpoint.Update
-	_ = h.ask(context.Background(), func(time.Time) control.Outputs {
-		endpoints = h.core.Relay().Endpoints()
-		return control.Outputs{}
-	})
-	return endpoints
-}
+func (h *Host) Endpoints() []endpoint.Update { return query(h, h.core.Relay().Endpoints) }
