--- a/internal/daemon/mesh_test.go
+++ b/internal/daemon/mesh_test.go
@@ -253,6 +253,13 @@
 	return outcome.Version
 }
 
+// firstInForce has the first version accepted and put in force by every proxy.
+func (m *mesh) firstInForce() {
+	m.t.Helper()
+	m.daemonWith(bound, isReader)
+	m.inForce(m.apply("daemon-0-0", 1), herdBound)
+}
+
 func (m *mesh) post(daemon string, batch v1.Batch) command.Outcome {
 	body, err := json.Marshal(batch)
 	m.g.Expect(err).NotTo(HaveOccurred())
--- a/internal/daemon/status_test.go
+++ b/internal/daemon/status_test.go
@@ -58,8 +58,7 @@
 			m.startProxyBeside(fmt.Sprintf("proxy-%d-a", zone), fmt.Sprintf("zone-%d", zone),
 				m.startBackend(fmt.Sprintf("10.8.%d.1:1", zone), time.Millisecond))
 		}
-		m.daemonWith(bound, isReader)
-		m.inForce(m.apply("daemon-0-0", 1), herdBound)
+		m.firstInForce()
 		// Proxies return to their preferred parents.
 		time.Sleep(90 * time.Second)
 		dead := m.crashZoneOf(m.daemonWith(bound, isReader))
@@ -84,7 +83,6 @@
 		m.startProxy(fmt.Sprintf("proxy-%d-a", zone), fmt.Sprintf("zone-%d", zone))
 		m.startProxy(fmt.Sprintf("proxy-%d-b", zone), fmt.Sprintf("zone-%d", zone))
 	}
-	m.daemonWith(bound, isReader)
-	m.inForce(m.apply("daemon-0-0", 1), herdBound)
+	m.firstInForce()
 	return m
 }
--- a/internal/daemon/tree_test.go
+++ b/internal/daemon/tree_test.go
@@ -42,8 +42,7 @@
 	m.startProxy("proxy-0-b", "zone-0")
 	m.startProxy("proxy-1-a", "zone-1")
 	m.startProxy("proxy-1-b", "zone-1")
-	m.daemonWith(bound, isReader)
-	m.inForce(m.apply("daemon-0-0", 1), herdBound)
+	m.firstInForce()
 	return m
 }
 
