--- a/internal/sidecar/ingress/handler_test.go
+++ b/internal/sidecar/ingress/handler_test.go
@@ -81,6 +81,17 @@
 	return reply
 }
 
+// counts has the back end answer every request with success, and counts them.
+func (p *played) counts() *atomic.Int64 {
+	ran := &atomic.Int64{}
+	answer := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ran.Add(1)
+		signed(http.StatusOK)(w, r)
+	})
+	p.answer.Store(&answer)
+	return ran
+}
+
 // receive passes one request through the handler and returns the answer.
 func (p *played) receive(ctx context.Context) *httptest.ResponseRecorder {
 	told := hop.Request{Service: "one", Caller: "two", Remaining: time.Minute, MaximumWait: time.Second, Expected: 10 * time.Millisecond}
@@ -235,12 +246,7 @@
 	g := NewWithT(t)
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
 	made := play(t)
-	var arrived atomic.Int64
-	answer := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		arrived.Add(1)
-		signed(http.StatusOK)(w, r)
-	})
-	made.answer.Store(&answer)
+	arrived := made.counts()
 	// A request before has a connection to the back end ready.
 	made.send(t, t.Context())
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/sidecar/ingress/moved_test.go
+++ b/internal/sidecar/ingress/moved_test.go
@@ -4,7 +4,6 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -31,12 +30,7 @@
 		t.Run(held.name, func(t *testing.T) {
 			g := NewWithT(t)
 			made := play(t)
-			var ran atomic.Int64
-			answer := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-				ran.Add(1)
-				signed(http.StatusOK)(w, r)
-			})
-			made.answer.Store(&answer)
+			ran := made.counts()
 			var asked uint64
 			made.serves = func(_ *http.Request, service string, version uint64) bool {
 				g.Expect(service).To(Equal("one"))
--- a/internal/sidecar/ingress/trial_test.go
+++ b/internal/sidecar/ingress/trial_test.go
@@ -43,12 +43,7 @@
 func TestAHeldRequestIsNotRun(t *testing.T) {
 	g := NewWithT(t)
 	made := playMortal(t)
-	var runs atomic.Int64
-	answer := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		runs.Add(1)
-		signed(http.StatusOK)(w, r)
-	})
-	made.answer.Store(&answer)
+	runs := made.counts()
 	made.quarantine.holds.Store(true)
 	g.Expect(refusedAt(made.receive(t.Context()))).To(Equal("step=quarantine"))
 	g.Expect(runs.Load()).To(BeZero())
--- a/internal/sidecar/ingress/warmup_test.go
+++ b/internal/sidecar/ingress/warmup_test.go
@@ -54,12 +54,7 @@
 func TestAColdBackEndIsNotOverrunBeforeAConfigurationCame(t *testing.T) {
 	g := NewWithT(t)
 	made := play(t)
-	var ran atomic.Int64
-	answer := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		ran.Add(1)
-		signed(http.StatusOK)(w, r)
-	})
-	made.answer.Store(&answer)
+	ran := made.counts()
 	made.handler.WarmsUp(time.Hour)
 	for range 20 {
 		made.receive(t.Context())
@@ -75,12 +70,7 @@
 func TestAnEmptiedZoneTakesNothing(t *testing.T) {
 	g := NewWithT(t)
 	made := play(t)
-	var ran atomic.Int64
-	answer := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		ran.Add(1)
-		signed(http.StatusOK)(w, r)
-	})
-	made.answer.Store(&answer)
+	ran := made.counts()
 	made.emptied.Store(true)
 	recorder := made.receive(t.Context())
 	g.Expect(recorder.Code).To(Equal(http.StatusServiceUnavailable))
