--- a/internal/sidecar/configuration/follower_test.go
+++ b/internal/sidecar/configuration/follower_test.go
@@ -72,6 +72,17 @@
 	return document, nil, err
 }
 
+// follow has the keeper follow the store as one that reads; the channel is closed at the end.
+func follow(ctx context.Context, reader store.Reader, keeper *configuration.Keeper, logger *zap.Logger) <-chan struct{} {
+	place := configuration.Place{Key: configurationKey, Prefix: configurationKey}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		configuration.Follow(ctx, reader, place, keeper, func() bool { return true }, logger)
+	}()
+	return ended
+}
+
 // TestAnOldConfigurationIsWatched: that the key was not written within the
 // store's history is no reason to read it over and over.
 func TestAnOldConfigurationIsWatched(t *testing.T) {
@@ -82,11 +93,7 @@
 				ctx, end := context.WithCancel(t.Context())
 				held := &forgetfulStore{written: written, history: 50, now: 100}
 				keeper := configuration.NewKeeper(decodeVersion, zap.NewNop())
-				followed := make(chan struct{})
-				go func() {
-					defer close(followed)
-					configuration.Follow(ctx, held, configuration.Place{Key: configurationKey, Prefix: configurationKey}, keeper, func() bool { return true }, zap.NewNop())
-				}()
+				followed := follow(ctx, held, keeper, zap.NewNop())
 				time.Sleep(10 * time.Second)
 				synctest.Wait()
 				g.Expect(keeper.Version()).To(Equal(written))
@@ -139,11 +146,7 @@
 				if held.version != "" {
 					g.Expect(keeper.Offer([]byte(held.version), configuration.SourcePeer)).To(Succeed())
 				}
-				followed := make(chan struct{})
-				go func() {
-					defer close(followed)
-					configuration.Follow(ctx, refusing, configuration.Place{Key: configurationKey, Prefix: configurationKey}, keeper, func() bool { return true }, zap.NewNop())
-				}()
+				followed := follow(ctx, refusing, keeper, zap.NewNop())
 				time.Sleep(time.Minute)
 				end()
 				<-followed
@@ -277,11 +280,7 @@
 		core, logged := observer.New(zap.InfoLevel)
 		held := &endingStore{forgetfulStore: forgetfulStore{written: 5, now: 100}}
 		keeper := configuration.NewKeeper(decodeVersion, zap.NewNop())
-		followed := make(chan struct{})
-		go func() {
-			defer close(followed)
-			configuration.Follow(ctx, held, configuration.Place{Key: configurationKey, Prefix: configurationKey}, keeper, func() bool { return true }, zap.New(core))
-		}()
+		followed := follow(ctx, held, keeper, zap.New(core))
 		time.Sleep(19 * time.Second)
 		held.away.Store(true)
 		time.Sleep(10 * time.Second)
@@ -303,11 +302,7 @@
 		ctx, end := context.WithCancel(t.Context())
 		held := &endingStore{forgetfulStore: forgetfulStore{written: 5, now: 100}}
 		keeper := configuration.NewKeeper(decodeVersion, zap.NewNop())
-		followed := make(chan struct{})
-		go func() {
-			defer close(followed)
-			configuration.Follow(ctx, held, configuration.Place{Key: configurationKey, Prefix: configurationKey}, keeper, func() bool { return true }, zap.NewNop())
-		}()
+		followed := follow(ctx, held, keeper, zap.NewNop())
 		const watches, slack = 10, time.Second
 		time.Sleep(watches*watchTime + slack)
 		synctest.Wait()
@@ -333,11 +328,7 @@
 		ctx, end := context.WithCancel(t.Context())
 		held := &watchlessStore{forgetfulStore{written: 5, now: 100}}
 		keeper := configuration.NewKeeper(decodeVersion, zap.NewNop())
-		followed := make(chan struct{})
-		go func() {
-			defer close(followed)
-			configuration.Follow(ctx, held, configuration.Place{Key: configurationKey, Prefix: configurationKey}, keeper, func() bool { return true }, zap.NewNop())
-		}()
+		followed := follow(ctx, held, keeper, zap.NewNop())
 		time.Sleep(time.Minute)
 		end()
 		<-followed
