The distance of watches and the age from which proof is asked for are one part of the bound

0.3 stood in sidecar and in exchange for the same thing: as old is the newest proof of all nodes that watch. exchange.FreshFor computes it as both did.

--- a/internal/sidecar/reading.go
+++ b/internal/sidecar/reading.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/exchange"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/readers"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 )
@@ -30,9 +31,6 @@
 	// time. Before that nearly each node takes itself for one that reads. After as long again a node
 	// without a configuration reads in any case.
 	firstMargin = 2500 * time.Millisecond
-	// watchShare is the part of the bound after which, of all nodes that watch the store, the next
-	// call ends: as old is the newest proof of all of them that there was no newer version.
-	watchShare = 0.3
 	// watchShortest is the shortest time that a call waits, watchLongest the longest.
 	watchShortest = 50 * time.Millisecond
 	watchLongest  = 28 * time.Second
@@ -107,11 +105,11 @@
 }
 
 // WatchWait returns how long the next call of a watch is to wait. Calls of the nodes that watch end
-// one after the other, at even distances: events, which come to all at the same moment, begin the
-// order, and it is kept while there are none.
+// one after the other, at the distance after which proof would be asked for: events, which come to
+// all at the same moment, begin the order, and it is kept while there are none.
 func (s *Sidecar) WatchWait(first bool) time.Duration {
 	rank, count := s.readingRank()
-	spacing := time.Duration(float64(s.options.Settings.applyBound()) * watchShare)
+	spacing := exchange.FreshFor(s.options.Settings.applyBound())
 	period := min(time.Duration(max(count, watchersLeast))*spacing, watchLongest)
 	if first {
 		return watchShortest + min(time.Duration(rank)*spacing, period)
--- a/internal/sidecar/reading_test.go
+++ b/internal/sidecar/reading_test.go
@@ -8,6 +8,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/exchange"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/readers"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 )
@@ -34,7 +35,7 @@
 				period = own.WatchWait(false)
 			}
 			slices.Sort(first)
-			spacing := time.Duration(float64(node.options.Settings.applyBound()) * watchShare)
+			spacing := exchange.FreshFor(node.options.Settings.applyBound())
 			for i, wait := range first {
 				g.Expect(wait).To(Equal(watchShortest + time.Duration(i)*spacing))
 			}
