Sight: what back ends ask for with their answers is read, logged and counted

Decoded once, in platform; the node beside the back end logs each change, tells the limit and its age as gauges and counts requests sent and notices that cannot be read. Nothing is decided by it yet: no request goes another way.

--- a/internal/sidecar/assembly/providers.go
+++ b/internal/sidecar/assembly/providers.go
@@ -75,6 +75,7 @@
 		IsOrder:          platform.IsRolloutOrder,
 		DecodeOrder:      platform.DecodeRolloutOrder,
 		DecodeLoad:       platform.DecodeLoad,
+		DecodeNotice:     platform.DecodeNotice,
 		EvacuatedZone:    platform.EvacuatedZone,
 		Rollouts:         platform.RolloutCodec(),
 		Store:            store,
--- a/internal/sidecar/ingress/exchange.go
+++ b/internal/sidecar/ingress/exchange.go
@@ -37,6 +37,7 @@
 func (a *arrival) exchange(sent *forward.Body) *outcome.Failure {
 	for send := 1; ; send++ {
 		interim := forward.NewInterim(a.writer, "")
+		a.handler.options.Observer.BackendSent()
 		response, err := a.roundTrip(a.outgoing(interim, sent))
 		interim.Stop()
 		if err == nil {
@@ -155,6 +156,9 @@
 
 // take judges an answer and passes it on when it is the one to this request.
 func (a *arrival) take(response *http.Response, sent *forward.Body) *outcome.Failure {
+	if a.answers(response) {
+		a.hear(response.Header)
+	}
 	if failure := a.judge(response); failure != nil {
 		_ = response.Body.Close()
 		a.observe(failure)
@@ -236,6 +240,17 @@
 	return nil
 }
 
+// answers reports whether the answer is provably one of the back end to this request. One that was
+// not processed may leave the request's id out.
+func (a *arrival) answers(response *http.Response) bool {
+	names := &a.handler.options.Vocabulary
+	if response.StatusCode == http.StatusMisdirectedRequest {
+		return false
+	}
+	id := response.Header.Get(names.RequestID)
+	return id == a.request.Header.Get(names.RequestID) || (id == "" && response.Header.Get(names.NotProcessed) != "")
+}
+
 // promisesNotRun reports whether callers read the status as "has not run".
 func promisesNotRun(status int) bool {
 	switch status {
--- a/internal/sidecar/ingress/handler.go
+++ b/internal/sidecar/ingress/handler.go
@@ -59,6 +59,8 @@
 	// it in and reports whether it counts.
 	DecodeLoad func(header string) (hop.BackendLoad, error)
 	Told       func(hop.BackendLoad) (counts bool)
+	// DecodeNotice reads what the back end asks for with an answer; nil when it asks for nothing.
+	DecodeNotice func(header http.Header) (hop.Notice, error)
 	// Contended reports whether requests compete for room, so that tenants have their shares of it;
 	// nil for never.
 	Contended func() bool
@@ -80,6 +82,10 @@
 	// BackendEnded: the process of the back end ended unplanned while so many requests
 	// were at work there.
 	BackendEnded(running int)
+	// BackendSent: a request goes to the back end.
+	BackendSent()
+	// NoticeUnreadable: the back end asked for something that cannot be read.
+	NoticeUnreadable()
 }
 
 // Quarantine knows which requests end the back ends that run them.
@@ -141,6 +147,8 @@
 	failures choice.Failures
 	// workplace holds what is at work at the back end.
 	workplace workplace
+	// notices holds what the back end asks for.
+	notices notices
 	// warmup bounds what a cold back end gets.
 	warmup warmup.Limit
 	// health is the path of the back end's health check, nil while it is not known.
--- a/internal/sidecar/ingress/handler_test.go
+++ b/internal/sidecar/ingress/handler_test.go
@@ -32,6 +32,8 @@
 
 func (silentObserver) Arrived(outcome.Outcome, outcome.Step, time.Duration, time.Duration) {}
 func (silentObserver) BackendEnded(int)                                                    {}
+func (silentObserver) BackendSent()                                                        {}
+func (silentObserver) NoticeUnreadable()                                                   {}
 
 // played is a handler with a back end that answers as it is told.
 type played struct {
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -26,6 +26,9 @@
 	// ended counts unplanned ends of the back end's process, running the requests that
 	// were at work then.
 	ended, running prometheus.Counter
+	// backendSent counts the requests that went to the back end, unreadable what it asked for that
+	// cannot be read.
+	backendSent, unreadable prometheus.Counter
 	// behind is how long the node was behind a version that it had heard of, asked counts
 	// its questions for configurations.
 	behind prometheus.Histogram
@@ -110,6 +113,12 @@
 	created.running = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "kestrel_sidecar_backend_ends_running_total", Help: "Requests at work when the back end's process ended.",
 	})
+	created.backendSent = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "kestrel_sidecar_backend_sends_total", Help: "Requests sent to the local back end.",
+	})
+	created.unreadable = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "kestrel_sidecar_backend_notices_unreadable_total", Help: "Answers of the local back end with a limit or a leave that cannot be read.",
+	})
 	created.behind = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name: "kestrel_sidecar_configuration_behind_seconds", Help: "Time from the first word of a newer configuration until it was in force.", Buckets: latencyBuckets,
 	})
@@ -122,7 +131,7 @@
 	created.proofAges = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name: "kestrel_sidecar_level_proof_seconds", Help: "Age of the proof that came with these answers.", Buckets: latencyBuckets,
 	})
-	registry.MustRegister(created.levelTold, created.proofAges, created.behind, created.asked, created.ended, created.running, created.silent, created.overtook, created.calls, created.latency, created.hop, created.sends, created.arrivals, created.queued, created.worked)
+	registry.MustRegister(created.backendSent, created.unreadable, created.levelTold, created.proofAges, created.behind, created.asked, created.ended, created.running, created.silent, created.overtook, created.calls, created.latency, created.hop, created.sends, created.arrivals, created.queued, created.worked)
 	return created
 }
 
@@ -158,6 +167,12 @@
 	m.running.Add(float64(running))
 }
 
+// BackendSent implements ingress.Observer.
+func (m *metrics) BackendSent() { m.backendSent.Inc() }
+
+// NoticeUnreadable implements ingress.Observer.
+func (m *metrics) NoticeUnreadable() { m.unreadable.Inc() }
+
 // CaughtUp implements exchange.Observer.
 func (m *metrics) CaughtUp(behind time.Duration) { m.behind.Observe(behind.Seconds()) }
 
@@ -216,6 +231,17 @@
 		_, _, age := s.ingress.Pace()
 		return age.Seconds()
 	})
+	gauge("kestrel_sidecar_backend_limit", "Requests a second that the local back end takes by its own word, below zero without one.", func() float64 {
+		notice, _ := s.ingress.Notice()
+		if !notice.Limited {
+			return -1
+		}
+		return notice.PerSecond
+	})
+	gauge("kestrel_sidecar_backend_notice_age_seconds", "Time since the local back end last asked for something else than before.", func() float64 {
+		_, age := s.ingress.Notice()
+		return age.Seconds()
+	})
 	gauge("kestrel_sidecar_running", "Requests at the local back end.", func() float64 { return float64(s.ingress.Load().Running) })
 	registry.MustRegister(newTenantTimes(s.ingress.Usage))
 	gauge("kestrel_sidecar_waiting", "Requests that wait for a slot.", func() float64 { return float64(s.ingress.Load().Waiting) })
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -66,9 +66,11 @@
 	Rollouts      controller.Codec
 	// DecodeLoad reads what a back end tells of its load.
 	DecodeLoad func(header string) (hop.BackendLoad, error)
-	Store      Store
-	Logger     *zap.Logger
-	Registry   prometheus.Registerer
+	// DecodeNotice reads what a back end asks for with an answer.
+	DecodeNotice func(header http.Header) (hop.Notice, error)
+	Store        Store
+	Logger       *zap.Logger
+	Registry     prometheus.Registerer
 }
 
 const (
@@ -205,19 +207,21 @@
 		Work:       s.work,
 		DecodeLoad: s.options.DecodeLoad,
 		Told:       s.loadTold,
-		Contended:  s.contention.On,
-		Judge:      &judge{sidecar: s},
-		Quarantine: &guard{Quarantine: s.quarantine, sidecar: s},
-		Endpoint:   func() *roster.Endpoint { return s.members.Own().Endpoint },
-		Identified: s.identified,
-		Version:    s.keeper.Version,
-		Proof:      func() (time.Duration, bool) { return s.exchanger.FreshProof() },
-		Serves:     s.serves,
-		Emptied:    func() bool { return s.evacuations.Zones().Contains(settings.Zone) },
-		DrainAfter: func() time.Duration { return time.Duration(float64(s.settings.Load().DrainBound) * drainShare) },
-		Dial:       forward.Dialer((&net.Dialer{}).DialContext),
-		Logger:     s.logger,
-		Observer:   observed,
+
+		DecodeNotice: s.options.DecodeNotice,
+		Contended:    s.contention.On,
+		Judge:        &judge{sidecar: s},
+		Quarantine:   &guard{Quarantine: s.quarantine, sidecar: s},
+		Endpoint:     func() *roster.Endpoint { return s.members.Own().Endpoint },
+		Identified:   s.identified,
+		Version:      s.keeper.Version,
+		Proof:        func() (time.Duration, bool) { return s.exchanger.FreshProof() },
+		Serves:       s.serves,
+		Emptied:      func() bool { return s.evacuations.Zones().Contains(settings.Zone) },
+		DrainAfter:   func() time.Duration { return time.Duration(float64(s.settings.Load().DrainBound) * drainShare) },
+		Dial:         forward.Dialer((&net.Dialer{}).DialContext),
+		Logger:       s.logger,
+		Observer:     observed,
 	})
 }
 
