--- a/internal/proxy/outcome/outcome.go
+++ b/internal/proxy/outcome/outcome.go
@@ -77,6 +77,8 @@
 	StepCrash Step = "crash"
 	// StepQuarantine: the request ends the back ends that run it, so that none gets it.
 	StepQuarantine Step = "quarantine"
+	// StepLimit: the rate limit that the back end has named has no room in time.
+	StepLimit Step = "limit"
 )
 
 // Failure is a request that the mesh answers itself. It is an error.
--- a/internal/sidecar/admission/admission.go
+++ b/internal/sidecar/admission/admission.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/precedence"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/ratelimit"
 )
 
 // Refusals. A refused request has not run.
@@ -19,6 +20,8 @@
 	// ErrDisplaced: requests that come before it took its place: more urgent ones, those of tenants
 	// that have had less, or shorter ones.
 	ErrDisplaced = errors.New("admission: displaced by requests that come before it")
+	// ErrClosed: no slot is given any more.
+	ErrClosed = errors.New("admission: the node takes no requests any more")
 )
 
 // Ticket describes a request that wants a slot.
@@ -42,6 +45,8 @@
 	// MaximumWait is how long the request may wait: work that begins later comes too
 	// late for an answer in time.
 	MaximumWait time.Duration
+	// Peer is the node that sent the request.
+	Peer string
 }
 
 // precedence is the request's among those that compete for slots.
@@ -49,7 +54,7 @@
 	return precedence.Precedence{Nested: t.Nested, Priority: t.Priority, OverShare: t.OverShare, Returning: t.Returning}
 }
 
-// Gate hands out slots. It is safe for concurrent use.
+// Gate hands out slots, no faster than the back end's own limit allows. It is safe for concurrent use.
 type Gate struct {
 	now func() time.Time
 
@@ -65,6 +70,11 @@
 	// makes expect.
 	correction float64
 	reserve    reserve
+	// limit is the one that the back end has named, wake grants slots once it has room again.
+	limit ratelimit.Limit
+	wake  *time.Timer
+	// closed: no slot is given any more.
+	closed bool
 }
 
 // New returns a gate without slots. The clock is clock.Now outside tests.
@@ -85,6 +95,18 @@
 	g.grant()
 }
 
+// Close refuses what waits and whatever comes.
+func (g *Gate) Close() {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.closed = true
+	for g.waiting.length > 0 {
+		dismissed := g.waiting.next()
+		g.waiting.remove(dismissed)
+		dismissed.result <- ErrClosed
+	}
+}
+
 // Load is a moment's state of a gate.
 type Load struct {
 	Running, Waiting, Slots int
@@ -134,9 +156,9 @@
 	case <-timer.C:
 		g.mutex.Lock()
 		g.learn(entry)
-		g.reserve.began(entry.ticket.Priority, true, g.slots, g.now())
+		cause := g.tooLate(entry)
 		g.mutex.Unlock()
-		return g.withdraw(entry, ErrTooLong)
+		return g.withdraw(entry, cause)
 	case <-ctx.Done():
 		return g.withdraw(entry, ctx.Err())
 	}
@@ -146,6 +168,9 @@
 func (g *Gate) enter(ticket Ticket) (*waiter, error) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
+	if g.closed {
+		return nil, ErrClosed
+	}
 	now := g.now()
 	g.reserve.note(ticket.Priority, now)
 	entry := &waiter{ticket: ticket, work: g.workOf(ticket), result: make(chan error, 1), entered: now}
@@ -154,10 +179,13 @@
 	if ticket.Bounded {
 		entry.kind.comes(now)
 	}
-	if g.running < g.open(ticket) && !g.yields(entry) {
+	if g.running < g.open(ticket) && g.limit.Ready(now) && !g.yields(entry) {
 		g.start(entry)
 		return entry, nil
 	}
+	if err := g.withinLimit(entry, g.waiting.lengthBefore(entry), now); err != nil {
+		return nil, err
+	}
 	entry.predicted = g.expectedWait(g.waiting.workBefore(entry), ticket)
 	if entry.predicted > ticket.MaximumWait && !entry.kind.kept(0, now) {
 		g.reserve.began(ticket.Priority, true, g.slots, now)
@@ -165,6 +193,7 @@
 	}
 	g.waiting.add(entry)
 	g.displace()
+	g.wakeLater(now)
 	return entry, nil
 }
 
@@ -186,6 +215,7 @@
 // start gives the entry a slot.
 func (g *Gate) start(entry *waiter) {
 	g.reserve.began(entry.ticket.Priority, false, g.slots, g.now())
+	g.limit.Pass(g.now())
 	g.running++
 	g.grants++
 	entry.kind.since = g.now()
@@ -244,10 +274,15 @@
 			return
 		}
 		left := last.ticket.MaximumWait - g.now().Sub(last.entered)
-		if g.expectedWait(g.waiting.work()-last.work, last.ticket) <= left {
+		limited := g.limit.Wait(g.waiting.length-1, g.now()) > left
+		if !limited && g.expectedWait(g.waiting.work()-last.work, last.ticket) <= left {
 			return
 		}
 		g.waiting.remove(last)
+		if limited {
+			last.result <- g.limited(last.ticket, g.waiting.length, g.now())
+			continue
+		}
 		last.result <- ErrDisplaced
 	}
 }
@@ -265,6 +300,7 @@
 	}
 	g.running--
 	entry.standing.end(entry, 0, g.now())
+	g.limit.Return(g.now())
 	g.grant()
 	return cause
 }
@@ -285,6 +321,15 @@
 	g.grant()
 }
 
+// Return frees the slot of a request that was not sent to the back end.
+func (s *Slot) Return() {
+	g := s.gate
+	g.mutex.Lock()
+	g.limit.Return(g.now())
+	g.mutex.Unlock()
+	s.Release(false)
+}
+
 // next returns the request that gets a slot now, nil when none does. One of a kind that is overdue may
 // have any, but not before nested calls, and not more than a small part of all slots given.
 func (g *Gate) next() *waiter {
@@ -304,6 +349,10 @@
 // grant gives free slots to those that wait; the lock is held.
 func (g *Gate) grant() {
 	for g.waiting.length > 0 {
+		if now := g.now(); !g.limit.Ready(now) {
+			g.wakeLater(now)
+			return
+		}
 		next := g.next()
 		if next == nil {
 			return
--- a/internal/sidecar/admission/flow.go
+++ b/internal/sidecar/admission/flow.go
@@ -59,6 +59,7 @@
 	f.work += work
 	f.length += requests
 	f.level.work += work
+	f.level.length += requests
 }
 
 // first returns the request that is served first, last the one that is refused first.
@@ -101,6 +102,8 @@
 	excess excess
 	// work is the sum over all requests, had what the tenants of the flows have had.
 	work, had time.Duration
+	// length is how many requests there are.
+	length int
 }
 
 // last returns the request of the level that is refused first, nil when all are kept.
@@ -153,6 +156,22 @@
 	return own + min(max(behind, 0), work)
 }
 
+// lengthBefore returns how many requests of the level are served before a new request, at most: those of
+// other tenants, and of its own the shorter ones.
+func (l *level) lengthBefore(entry *waiter) int {
+	waitsIn := entry.standing.flow(l.number)
+	if waitsIn == nil {
+		return l.length
+	}
+	before := l.length - waitsIn.length
+	for _, held := range waitsIn.groups {
+		if held.magnitude < magnitude(entry.ticket.Work) {
+			before += held.waiters.Len()
+		}
+	}
+	return before
+}
+
 // turns is a heap of flows by what their tenants have had.
 type turns []*flow
 
--- /dev/null
+++ b/internal/sidecar/admission/limit.go
@@ -0,0 +1,119 @@
+package admission
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/ratelimit"
+)
+
+// LimitedError says that the back end's own limit has no room for a request within its maximum wait.
+// The request has not run.
+type LimitedError struct {
+	// Wait is the time until there is likely to be room.
+	Wait time.Duration
+}
+
+// Error implements error.
+func (e *LimitedError) Error() string {
+	return fmt.Sprintf("admission: the back end's limit has no room for %v", e.Wait)
+}
+
+// Hear takes in what an answer says of the back end's limit, as ratelimit.Limit does.
+func (g *Gate) Hear(word ratelimit.Word, sent, answered time.Time) (changed bool) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if changed = g.limit.Hear(word, sent, answered); changed {
+		g.displace()
+		g.grant()
+	}
+	return changed
+}
+
+// ResetLimit forgets the limit: another incarnation is there.
+func (g *Gate) ResetLimit() {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.limit.Reset()
+	g.grant()
+}
+
+// Limit is a moment's state of the back end's limit.
+type Limit struct {
+	ratelimit.Word
+	// Age is the time since the back end first said so.
+	Age time.Duration
+	// Recent is how many requests it got in the last ratelimit.Window.
+	Recent int
+}
+
+// Limit returns the present state of the limit.
+func (g *Gate) Limit() Limit {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	now := g.now()
+	word, since := g.limit.Word()
+	return Limit{Word: word, Age: now.Sub(since), Recent: g.limit.Recent(now)}
+}
+
+// Room returns the rate of the back end's limit, in requests a second, and how many requests like the
+// ticket's it has room for, below zero for those that wait; false without a limit. An error that refused
+// the request tells the time that its peer was told.
+func (g *Gate) Room(ticket Ticket, refused *LimitedError) (perSecond, room float64, limited bool) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	word, _ := g.limit.Word()
+	switch {
+	case !word.Named:
+		return 0, 0, false
+	case refused != nil:
+		return word.PerSecond, g.limit.RoomIn(refused.Wait), true
+	}
+	ahead := g.waiting.lengthUpTo(ticket.precedence().Level())
+	return word.PerSecond, g.limit.Room(ticket.Peer, ticket.class(), ahead, g.now()), true
+}
+
+// withinLimit returns an error when the limit has no room for an entry within its maximum wait; the lock
+// is held.
+func (g *Gate) withinLimit(entry *waiter, ahead int, now time.Time) error {
+	if g.limit.Wait(ahead, now) <= entry.ticket.MaximumWait {
+		return nil
+	}
+	return g.limited(entry.ticket, ahead, now)
+}
+
+// limited returns the error for a request before which so many others pass; the lock is held.
+func (g *Gate) limited(ticket Ticket, ahead int, now time.Time) *LimitedError {
+	return &LimitedError{Wait: g.limit.Promise(ticket.Peer, ticket.class(), ahead, now)}
+}
+
+// class is the ticket's among those that a limit tells apart.
+func (t Ticket) class() ratelimit.Class { return ratelimit.ClassOf(t.Nested, t.Priority) }
+
+// tooLate returns why an entry has waited for too long; the lock is held.
+func (g *Gate) tooLate(entry *waiter) error {
+	now := g.now()
+	if !g.limit.Ready(now) {
+		return g.limited(entry.ticket, g.waiting.lengthBefore(entry), now)
+	}
+	g.reserve.began(entry.ticket.Priority, true, g.slots, now)
+	return ErrTooLong
+}
+
+// wakeLater grants slots once the limit has room for a request that waits; the lock is held.
+func (g *Gate) wakeLater(now time.Time) {
+	wait := g.limit.Wait(0, now)
+	switch {
+	case wait == 0 || g.waiting.length == 0:
+	case g.wake == nil:
+		g.wake = time.AfterFunc(wait, g.awake)
+	default:
+		g.wake.Reset(wait)
+	}
+}
+
+func (g *Gate) awake() {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.grant()
+}
--- /dev/null
+++ b/internal/sidecar/admission/limit_test.go
@@ -0,0 +1,139 @@
+package admission_test
+
+import (
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/admission"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/ratelimit"
+)
+
+// newLimitedGate returns a gate with many slots whose back end has just named that limit.
+func newLimitedGate(slots int, perSecond float64) *admission.Gate {
+	gate := admission.New(time.Now)
+	gate.Resize(slots)
+	gate.Hear(ratelimit.Word{Named: true, PerSecond: perSecond}, time.Now(), time.Now())
+	return gate
+}
+
+// TestAGateKeepsALimit: slots are free, and requests wait for the limit, or are told when it has room.
+func TestAGateKeepsALimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		gate := newLimitedGate(100, 10)
+		for range 10 {
+			_, err := gate.Acquire(t.Context(), ticket(1, 0))
+			g.Expect(err).NotTo(HaveOccurred())
+		}
+		_, err := gate.Acquire(t.Context(), ticket(1, 50*time.Millisecond))
+		var limited *admission.LimitedError
+		g.Expect(err).To(BeAssignableToTypeOf(limited))
+		g.Expect(err.(*admission.LimitedError).Wait).To(BeNumerically("~", 100*time.Millisecond, time.Millisecond))
+		began := time.Now()
+		_, err = gate.Acquire(t.Context(), ticket(1, 200*time.Millisecond))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(time.Since(began)).To(BeNumerically("~", 100*time.Millisecond, time.Millisecond))
+	})
+}
+
+// TestALimitGoesToTheMoreUrgent: room goes by the order of the queue, and who comes last is told so at once.
+func TestALimitGoesToTheMoreUrgent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		gate := newLimitedGate(100, 1)
+		_, err := gate.Acquire(t.Context(), ticket(1, 0))
+		g.Expect(err).NotTo(HaveOccurred())
+		displaced := make(chan error, 1)
+		go func() {
+			_, err := gate.Acquire(t.Context(), ticket(2, 1500*time.Millisecond))
+			displaced <- err
+		}()
+		synctest.Wait()
+		var served atomic.Bool
+		go func() {
+			_, err := gate.Acquire(t.Context(), ticket(0, 1500*time.Millisecond))
+			served.Store(err == nil)
+		}()
+		synctest.Wait()
+		g.Expect(<-displaced).To(BeAssignableToTypeOf(&admission.LimitedError{}))
+		time.Sleep(1100 * time.Millisecond)
+		synctest.Wait()
+		g.Expect(served.Load()).To(BeTrue())
+	})
+}
+
+// TestALoweredLimitRefusesWhatWaits, and one that ends lets it pass.
+func TestALoweredLimitRefusesWhatWaits(t *testing.T) {
+	for _, held := range []struct {
+		name   string
+		word   ratelimit.Word
+		passes bool
+	}{
+		{"lowered", ratelimit.Word{Named: true, PerSecond: 0.5}, false},
+		{"ended", ratelimit.Word{}, true},
+	} {
+		t.Run(held.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				gate := newLimitedGate(100, 2)
+				for range 2 {
+					_, err := gate.Acquire(t.Context(), ticket(1, 0))
+					g.Expect(err).NotTo(HaveOccurred())
+				}
+				results := make(chan error, 2)
+				for range 2 {
+					go func() {
+						_, err := gate.Acquire(t.Context(), ticket(1, 1100*time.Millisecond))
+						results <- err
+					}()
+					synctest.Wait()
+				}
+				gate.Hear(held.word, time.Now(), time.Now())
+				synctest.Wait()
+				if held.passes {
+					g.Expect(<-results).NotTo(HaveOccurred())
+					g.Expect(<-results).NotTo(HaveOccurred())
+					return
+				}
+				g.Expect(<-results).To(BeAssignableToTypeOf(&admission.LimitedError{}))
+			})
+		})
+	}
+}
+
+// TestAClosedGateRefusesWhatWaits.
+func TestAClosedGateRefusesWhatWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		gate := newLimitedGate(100, 1)
+		_, err := gate.Acquire(t.Context(), ticket(1, 0))
+		g.Expect(err).NotTo(HaveOccurred())
+		waited := make(chan error, 1)
+		go func() {
+			_, err := gate.Acquire(t.Context(), ticket(1, time.Minute))
+			waited <- err
+		}()
+		synctest.Wait()
+		gate.Close()
+		g.Expect(<-waited).To(MatchError(admission.ErrClosed))
+		_, err = gate.Acquire(t.Context(), ticket(1, time.Minute))
+		g.Expect(err).To(MatchError(admission.ErrClosed))
+	})
+}
+
+// TestASlotThatIsReturnedCountsForNothing.
+func TestASlotThatIsReturnedCountsForNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		gate := newLimitedGate(1, 1)
+		for range 5 {
+			slot, err := gate.Acquire(t.Context(), ticket(1, 0))
+			g.Expect(err).NotTo(HaveOccurred())
+			slot.Return()
+		}
+	})
+}
--- a/internal/sidecar/admission/queue.go
+++ b/internal/sidecar/admission/queue.go
@@ -209,6 +209,30 @@
 	return total
 }
 
+// lengthBefore returns how many requests are served before a new one, at most.
+func (q *queue) lengthBefore(entry *waiter) int {
+	if q.length == 0 {
+		return 0
+	}
+	wanted := entry.ticket.precedence().Level()
+	total := q.lengthUpTo(wanted - 1)
+	if index, found := q.find(wanted); found {
+		total += q.levels[index].lengthBefore(entry)
+	}
+	return total
+}
+
+// lengthUpTo returns how many requests wait at the level and at those before it.
+func (q *queue) lengthUpTo(number int) (total int) {
+	for _, held := range q.levels {
+		if held.number > number {
+			break
+		}
+		total += held.length
+	}
+	return total
+}
+
 // work returns the work of all requests.
 func (q *queue) work() time.Duration {
 	total := time.Duration(0)
--- a/internal/sidecar/backend.go
+++ b/internal/sidecar/backend.go
@@ -54,6 +54,14 @@
 	return table != nil && table.Service(service) != nil
 }
 
+// leaves takes in that the back end leaves by the word of an answer, as if a heartbeat had said so.
+func (s *Sidecar) leaves(of roster.Incarnation) {
+	_, changed := s.members.Update(func(record roster.Record) (roster.Record, bool) { return record.Leave(of) })
+	if changed {
+		go s.spread(context.Background())
+	}
+}
+
 // identified takes in the id that the back end itself gives.
 func (s *Sidecar) identified(id string) {
 	_, changed := s.members.Update(func(record roster.Record) (roster.Record, bool) {
--- a/internal/sidecar/choice/balance.go
+++ b/internal/sidecar/choice/balance.go
@@ -21,7 +21,7 @@
 	}
 	perSlot := (max(candidate.Busy, 0) + 1) / float64(max(candidate.Slots, 1))
 	work := float64(candidate.Work) / float64(aim)
-	way := float64(candidate.RoundTrip) / float64(aim)
+	way := float64(candidate.RoundTrip+candidate.Wait) / float64(aim)
 	measured := fullness*(perSlot*perSlot*work+way) + lateness*min(max(work+way-1, 0), 1)
 	cost := measured / (1 + measured/(weights.Avoided/2))
 	cost += max(candidate.Failing-usualFailing, 0)
--- a/internal/sidecar/choice/choice.go
+++ b/internal/sidecar/choice/choice.go
@@ -32,6 +32,10 @@
 	Leaving bool
 	// Tried: this request was sent to it before.
 	Tried bool
+	// Wait is the time until the back end's own limit has room for the request; zero without a limit.
+	Wait time.Duration
+	// Closed: it would refuse the request, which is not to be sent there at all.
+	Closed bool
 }
 
 // Weights price what cannot be measured in time, in units of the worth of an
@@ -43,6 +47,8 @@
 	// Avoided, Leaving, Silent and Repeated are added for back ends that are to
 	// be chosen only when nothing else is left.
 	Avoided, Leaving, Silent, Repeated float64
+	// Closed is above all others together.
+	Closed float64
 }
 
 // DefaultWeights prefer the zone until its back ends would answer late. With a price of
@@ -50,7 +56,7 @@
 // number of answers in time where demand is near capacity; with 0.3 a third, but one in
 // a hundred answers is lost (docs/design/0010-the-shifted-work.md).
 func DefaultWeights() Weights {
-	return Weights{ForeignZone: 0.18, OtherRegion: 0.2, Avoided: 50, Leaving: 100, Silent: 200, Repeated: 400}
+	return Weights{ForeignZone: 0.18, OtherRegion: 0.2, Avoided: 50, Leaving: 100, Silent: 200, Repeated: 400, Closed: 1000}
 }
 
 const (
@@ -81,7 +87,7 @@
 	if waiting := candidate.Busy + 1 - slots; waiting > 0 {
 		expected += float64(candidate.Held) * waiting / slots
 	}
-	return time.Duration(expected) + candidate.RoundTrip
+	return time.Duration(expected) + candidate.RoundTrip + candidate.Wait
 }
 
 // Cost is the price of sending a request with that target latency to the
@@ -118,10 +124,13 @@
 	if c.Tried {
 		cost += weights.Repeated
 	}
+	if c.Closed {
+		cost += weights.Closed
+	}
 	return cost
 }
 
 // Worthwhile reports whether the back end is one for a request that was refused
 // elsewhere: it was not tried, takes work and is there. To send it to a silent one
 // would only make its outcome unknown.
-func (c Candidate) Worthwhile() bool { return !c.Tried && !c.Leaving && !c.Silent }
+func (c Candidate) Worthwhile() bool { return !c.Tried && !c.Leaving && !c.Silent && !c.Closed }
--- a/internal/sidecar/egress/attempt.go
+++ b/internal/sidecar/egress/attempt.go
@@ -174,6 +174,7 @@
 		a.learnZone(others, now)
 	}
 	a.call.hearShare(response.Header)
+	a.hearNotices(response.Header, now)
 	a.worked, a.version = reply.Worked, reply.Version
 	a.room = reply.Running+reply.Waiting < reply.Slots
 	if reply.Worked > 0 && response.StatusCode < http.StatusMultipleChoices && !a.compared {
--- a/internal/sidecar/egress/call.go
+++ b/internal/sidecar/egress/call.go
@@ -306,7 +306,7 @@
 	switch {
 	case failure.Step == outcome.StepQuarantine && failure.Outcome == outcome.NotRun:
 		return heldRetryAfter
-	case failure.Step == outcome.StepQuota:
+	case failure.Step == outcome.StepQuota || failure.Step == outcome.StepLimit && failure.Outcome == outcome.NotRun:
 		return failure.RetryAfter // sooner there is no room
 	case failure.RetryAfter > 0:
 		return c.retryAfter(failure.RetryAfter)
--- a/internal/sidecar/egress/call_test.go
+++ b/internal/sidecar/egress/call_test.go
@@ -31,6 +31,7 @@
 
 func (q *quiet) CallEnded(string, int, outcome.Outcome, outcome.Step, time.Duration) {}
 func (q *quiet) Sent(string, int)                                                    {}
+func (q *quiet) Diverted(string, bool)                                               {}
 func (q *quiet) Overtook()                                                           {}
 func (q *quiet) Carried(time.Duration, time.Duration)                                {}
 func (q *quiet) Silent(string, bool)                                                 { q.silent.Add(1) }
--- a/internal/sidecar/egress/choose.go
+++ b/internal/sidecar/egress/choose.go
@@ -2,9 +2,11 @@
 
 import (
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"time"
 
+	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/choice"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
@@ -12,15 +14,24 @@
 )
 
 // choose returns a send, not begun yet, to the node whose back end is to take the
-// request; nil when there is none.
-func (c *call) choose() *attempt {
+// request, or why there is none.
+func (c *call) choose() (*attempt, *outcome.Failure) {
 	considered := c.considered(clock.Now(), c.selected())
 	index, seen := considered.draw()
-	if index < 0 {
-		return nil
+	if considered.full {
+		c.handler.options.Observer.Diverted(c.service, index >= 0 && !seen.Closed)
+	}
+	switch {
+	case index < 0:
+		return nil, outcome.Refusal(http.StatusServiceUnavailable, outcome.StepChoose, defaultRetryAfter, errNoEndpoint)
+	case seen.Closed:
+		return nil, considered.closed()
 	}
 	record := considered.records[index]
 	chosen := c.handler.targets.of(record)
+	if limit := chosen.limitOf(record); limit != nil {
+		limit.Sent(c.class(), considered.now)
+	}
 	if considered.competes {
 		c.handler.zoneLoads.of(record).sent.Add(1)
 	}
@@ -30,7 +41,7 @@
 		sends: len(c.visits), candidates: considered.ready,
 		compared: c.handler.compares(c.service, record),
 		repeated: c.repeat(), crashed: c.crashes > 0,
-	}
+	}, nil
 }
 
 // considered are the back ends that may take a call, as they are seen at one
@@ -44,6 +55,8 @@
 	now   time.Time
 	// competes: requests compete for room.
 	competes bool
+	// full: a back end that was described has a limit without room for the call in time.
+	full bool
 }
 
 // draw returns the index of the back end that is to take the request, and what is known of it.
@@ -92,6 +105,7 @@
 		described.RoundTrip += s.call.transfer(record)
 		described.Busy += s.call.handler.zoneLoads.others(record, s.now) * found.unheard(record, s.now)
 	}
+	s.judgeNotices(&described, found, record)
 	described.Tried = s.call.visited(found)
 	return described
 }
--- a/internal/sidecar/egress/handler.go
+++ b/internal/sidecar/egress/handler.go
@@ -65,6 +65,8 @@
 	// Marks: where requests compete, those above their tenant's share of a service are marked. Off in
 	// the program: nothing refuses by the marks, and the queues share without them (design 0019).
 	Marks bool
+	// DrainAfter is how long after its word that it is leaving a back end still gets new work.
+	DrainAfter func() time.Duration
 	// Weights price the choice of back ends.
 	Weights choice.Weights
 	// Dial opens connections to other nodes.
@@ -113,6 +115,8 @@
 	CallEnded(route string, status int, result outcome.Outcome, step outcome.Step, elapsed time.Duration)
 	// Sent: a request went to another node, for that often.
 	Sent(service string, attempt int)
+	// Diverted: a request goes elsewhere, or nowhere, since a back end's limit has no room for it in time.
+	Diverted(service string, elsewhere bool)
 	// Overtook: a request was begun before its turn on the caller's connection.
 	Overtook()
 	// Carried: a visit brought an answer after that time, of which the back end
@@ -192,6 +196,9 @@
 	if options.Quota == nil {
 		options.Quota = unlimited{}
 	}
+	if options.DrainAfter == nil {
+		options.DrainAfter = func() time.Duration { return 0 }
+	}
 	if options.Emptied == nil {
 		options.Emptied = func() *evacuation.Zones { return nil }
 	}
--- /dev/null
+++ b/internal/sidecar/egress/notice.go
@@ -0,0 +1,158 @@
+package egress
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/choice"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/ratelimit"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+)
+
+var (
+	errLimited = errors.New("no back end's limit has room for the request in time")
+	errLeaving = errors.New("the back ends of the service are leaving")
+)
+
+// limitReport is what replies said of the limit of a back end. Only the belief in it changes.
+type limitReport struct {
+	*ratelimit.Belief
+	// epoch is the node's life and endpoint the back end that the replies came from.
+	epoch    uint64
+	endpoint roster.Incarnation
+}
+
+// of reports whether the report is of the back end and the life of the node that the record tells of.
+func (r *limitReport) of(record *roster.Record) bool {
+	return r.epoch == record.Epoch && r.endpoint == record.Endpoint.Incarnation()
+}
+
+// leavingReport says since when an incarnation is known to leave by the word of an answer.
+type leavingReport struct {
+	of    string
+	since time.Time
+}
+
+// class is the request's among those that a limit tells apart.
+func (c *call) class() ratelimit.Class { return ratelimit.ClassOf(c.nested, c.priority()) }
+
+// hearNotices takes in what a reply says that the back end asks for.
+func (a *attempt) hearNotices(header http.Header, now time.Time) {
+	if leaving := header.Get(hop.HeaderLeaving); leaving != "" {
+		a.target.leaves(leaving, now)
+	}
+	line := header.Get(hop.HeaderLimit)
+	if line == "" {
+		a.target.unlimited()
+		return
+	}
+	told, err := hop.ParseLimit(line)
+	if err != nil {
+		a.call.handler.options.Logger.Warn("limit told by a node not read", zap.String("peer", a.target.node), zap.Error(err))
+		return
+	}
+	a.target.limited(told, a.record, a.call.class(), now)
+}
+
+// leaves takes in that an incarnation leaves.
+func (t *target) leaves(of string, now time.Time) {
+	if held := t.leaving.Load(); held == nil || held.of != of {
+		t.leaving.Store(&leavingReport{of: of, since: now})
+	}
+}
+
+// left reports whether the record's back end is known to leave, and for how long.
+func (t *target) left(record *roster.Record, now time.Time) (age time.Duration, leaves bool) {
+	held := t.leaving.Load()
+	if held == nil || held.of != record.Endpoint.Incarnation().String() {
+		return 0, false
+	}
+	return now.Sub(held.since), true
+}
+
+// unlimited takes in that a reply told of no limit.
+func (t *target) unlimited() {
+	if t.limit.Load() != nil {
+		t.limit.Store(nil)
+	}
+}
+
+// limited takes in what a reply told of the limit.
+func (t *target) limited(told hop.Limit, record *roster.Record, class ratelimit.Class, now time.Time) {
+	if held := t.limit.Load(); held != nil && held.of(record) {
+		held.Told(told.PerSecond, told.Room, class, now)
+		return
+	}
+	t.limit.Store(&limitReport{
+		Belief: ratelimit.NewBelief(told.PerSecond, told.Room, class, now),
+		epoch:  record.Epoch, endpoint: record.Endpoint.Incarnation(),
+	})
+}
+
+// limitOf returns what is known of the limit of the record's back end, nil for none.
+func (t *target) limitOf(record *roster.Record) *limitReport {
+	if held := t.limit.Load(); held != nil && held.of(record) {
+		return held
+	}
+	return nil
+}
+
+// judgeNotices adds to a description what the back end asks for: one whose limit has no room in time, or
+// that has left, is not sent to.
+func (s *considered) judgeNotices(described *choice.Candidate, found *target, record *roster.Record) {
+	if age, leaves := found.left(record, s.now); leaves {
+		described.Leaving = true
+		described.Closed = age >= s.call.handler.options.DrainAfter()
+	}
+	limit := found.limitOf(record)
+	if limit == nil {
+		return
+	}
+	described.Wait = limit.Wait(s.call.class(), s.now)
+	if described.Wait > 0 && described.Wait > s.patience(described.Work) {
+		described.Closed = true
+		s.full = true
+	}
+}
+
+// patience is how long the request may wait at the next node.
+func (s *considered) patience(work time.Duration) time.Duration {
+	request := s.call.described(clock.Until(s.call.deadline), work)
+	return s.call.patienceOf(request, len(s.call.visits), s.ready)
+}
+
+// closed returns the failure of a call whose candidates are all closed to it. Where limits are the
+// reason it is told when there will be room.
+func (s *considered) closed() *outcome.Failure {
+	wait, limited := s.turn()
+	if !limited {
+		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepDrain, defaultRetryAfter, errLeaving)
+	}
+	return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepLimit, wait, errLimited)
+}
+
+// turn returns the shortest time in which a back end's limit will have room for the caller, false when
+// none has a limit.
+func (s *considered) turn() (wait time.Duration, limited bool) {
+	class := s.call.class()
+	var soonest *limitReport
+	for _, record := range s.records {
+		limit := s.call.handler.targets.of(record).limitOf(record)
+		if limit == nil || !record.AcceptsWork() {
+			continue
+		}
+		if next := limit.Wait(class, s.now); soonest == nil || next < wait {
+			soonest, wait = limit, next
+		}
+	}
+	if soonest == nil {
+		return 0, false
+	}
+	return soonest.Turn(class, s.now), true
+}
--- a/internal/sidecar/egress/target.go
+++ b/internal/sidecar/egress/target.go
@@ -27,6 +27,9 @@
 	// silent: the node has not answered the last probe.
 	silent atomic.Bool
 	report atomic.Pointer[loadReport]
+	// limit and leaving are what replies said that the back end asks for; nil while it asks for nothing.
+	limit   atomic.Pointer[limitReport]
+	leaving atomic.Pointer[leavingReport]
 	// outstanding are the visits that wait for an answer.
 	outstanding outstanding
 }
--- a/internal/sidecar/egress/visit.go
+++ b/internal/sidecar/egress/visit.go
@@ -50,9 +50,8 @@
 	if forward.CallerLeft(c.context) {
 		return result{failure: outcome.Refusal(http.StatusServiceUnavailable, outcome.StepChoose, 0, forward.ErrCallerLeft)}
 	}
-	chosen := c.choose()
-	if chosen == nil {
-		failure := outcome.Refusal(http.StatusServiceUnavailable, outcome.StepChoose, defaultRetryAfter, errNoEndpoint)
+	chosen, failure := c.choose()
+	if failure != nil {
 		failure.Peer = c.service
 		return result{failure: failure}
 	}
@@ -180,7 +179,7 @@
 	switch {
 	case failure.Step == outcome.StepWarmup:
 		a.target.avoid(now, coldAvoid)
-	case failure.Step == outcome.StepAdmit || failure.Step == outcome.StepQuarantine || failure.Step == outcome.StepMoved:
+	case failure.Step == outcome.StepAdmit || failure.Step == outcome.StepQuarantine || failure.Step == outcome.StepMoved || failure.Step == outcome.StepLimit:
 	case a.call.context.Err() == nil:
 		a.target.failed(now)
 	}
@@ -290,8 +289,14 @@
 // times the bytes passed between zones where a tenth of the requests are uploads, and
 // these got 0.37 of their worth for 0.61.
 func (c *call) mostWait(request choice.Request, a *attempt) time.Duration {
+	return c.patienceOf(request, a.sends, a.candidates)
+}
+
+// patienceOf is how long the request may wait at the node of a send, after so many others and with so
+// many back ends that might take it.
+func (c *call) patienceOf(request choice.Request, sends, candidates int) time.Duration {
 	if !c.large() {
-		request.Sends, request.Candidates = a.sends, a.candidates
+		request.Sends, request.Candidates = sends, candidates
 	}
 	return choice.Patience(request)
 }
--- a/internal/sidecar/egress/visits.go
+++ b/internal/sidecar/egress/visits.go
@@ -35,6 +35,9 @@
 	if v.seen.Failing >= loggedFailing {
 		encoder.AddFloat64("failing", v.seen.Failing)
 	}
+	if v.seen.Wait > 0 {
+		encoder.AddDuration("limitWait", v.seen.Wait)
+	}
 	if v.seen.Avoid || v.seen.Leaving {
 		encoder.AddBool("avoided", v.seen.Avoid)
 		encoder.AddBool("leaving", v.seen.Leaving)
--- /dev/null
+++ b/internal/sidecar/hop/limit.go
@@ -0,0 +1,63 @@
+package hop
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+)
+
+// Markers that go with a reply only while the back end asks for something. Nodes of the version before
+// leave them aside.
+const (
+	// HeaderLimit carries a Limit.
+	HeaderLimit = "Kestrel-Limit"
+	// HeaderLeaving names the incarnation of the back end that leaves by its own word.
+	HeaderLeaving = "Kestrel-Leaving"
+)
+
+// Limit is what the arriving node tells of the limit that its back end has named.
+type Limit struct {
+	// PerSecond is the rate that the back end takes from all nodes together.
+	PerSecond float64
+	// Room is how many requests like the one replied to may pass now, below zero for those that wait.
+	Room float64
+}
+
+const (
+	// limitUnits make a whole number of a rate and of room.
+	limitUnits = 1000
+	// mostLimit bounds both.
+	mostLimit    = 1 << 40
+	limitNumbers = 2
+)
+
+// Format writes the limit as a header value.
+func (l Limit) Format() string {
+	line := strconv.AppendInt(nil, wholeUnits(l.PerSecond), 10)
+	return string(strconv.AppendInt(append(line, ' '), wholeUnits(l.Room), 10))
+}
+
+func wholeUnits(number float64) int64 {
+	return int64(math.Floor(min(max(number, -mostLimit), mostLimit) * limitUnits))
+}
+
+// ParseLimit reads a limit's header value.
+func ParseLimit(line string) (Limit, error) {
+	parts := strings.Split(line, " ")
+	if len(parts) != limitNumbers {
+		return Limit{}, fmt.Errorf("%w: %d parts", ErrLine, len(parts))
+	}
+	numbers := [limitNumbers]float64{}
+	for i, part := range parts {
+		number, err := strconv.ParseInt(part, 10, 64)
+		if err != nil || number > mostLimit*limitUnits || number < -mostLimit*limitUnits {
+			return Limit{}, fmt.Errorf("%w: %q is no number of a limit", ErrLine, part)
+		}
+		numbers[i] = float64(number) / limitUnits
+	}
+	if numbers[0] < 0 {
+		return Limit{}, fmt.Errorf("%w: a limit below zero", ErrLine)
+	}
+	return Limit{PerSecond: numbers[0], Room: numbers[1]}, nil
+}
--- a/internal/sidecar/ingress/arrival.go
+++ b/internal/sidecar/ingress/arrival.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -59,6 +60,8 @@
 	besideEnd bool
 	// counted: the request was offered to the queue, and counts against its tenant's share.
 	counted bool
+	// limited is why the back end's limit refused the request, nil when it did not.
+	limited *admission.LimitedError
 	// onTrial: the request is suspected of ending back ends and has the handler's trial.
 	onTrial bool
 }
@@ -87,8 +90,14 @@
 	if failure != nil {
 		return failure
 	}
-	served := false
-	defer func() { slot.Release(served) }()
+	served, sent := false, false
+	defer func() {
+		if !sent {
+			slot.Return()
+			return
+		}
+		slot.Release(served)
+	}()
 	if failure := a.bear(); failure != nil {
 		return failure
 	}
@@ -109,7 +118,7 @@
 	if forward.CallerLeft(a.context) {
 		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepAdmit, 0, forward.ErrCallerLeft)
 	}
-	a.sent = clock.Now()
+	a.sent, sent = clock.Now(), true
 	a.handler.workplace.begin(a)
 	defer a.handler.workplace.end(a)
 	if work := a.handler.options.Work; work != nil {
@@ -212,28 +221,43 @@
 // admit waits for a slot of the back end.
 func (a *arrival) admit() (*admission.Slot, *outcome.Failure) {
 	a.offered()
-	slot, err := a.handler.gate.Acquire(a.context, admission.Ticket{
-		Priority:    a.told.Priority,
-		Returning:   a.told.Returning,
-		Nested:      a.told.Nested,
-		OverShare:   a.told.OverShare,
-		Tenant:      a.tenant(),
-		Bounded:     a.contended(),
-		Work:        a.told.Expected,
-		MaximumWait: a.told.MaximumWait,
-	})
+	slot, err := a.handler.gate.Acquire(a.context, a.ticket())
 	a.waited = clock.Since(a.started)
+	if errors.As(err, &a.limited) {
+		return nil, outcome.Refusal(http.StatusServiceUnavailable, outcome.StepLimit, a.limited.Wait, err)
+	}
 	if err != nil {
 		return nil, outcome.Refusal(http.StatusServiceUnavailable, outcome.StepAdmit, a.retryAfter(), err)
 	}
 	if a.handler.leftBehind(a.endpoint.Incarnation()) {
-		slot.Release(false)
+		slot.Return()
 		return nil, outcome.Refusal(http.StatusServiceUnavailable, outcome.StepDrain, refusedWait, errLeaving)
 	}
 	a.admitted()
 	return slot, nil
 }
 
+// ticket describes the request to the gate.
+func (a *arrival) ticket() admission.Ticket {
+	return admission.Ticket{
+		Priority:    a.told.Priority,
+		Returning:   a.told.Returning,
+		Nested:      a.told.Nested,
+		OverShare:   a.told.OverShare,
+		Tenant:      a.tenant(),
+		Bounded:     a.contended(),
+		Work:        a.told.Expected,
+		MaximumWait: a.told.MaximumWait,
+		Peer:        a.peer(),
+	}
+}
+
+// peer names the machine of the node that sent the request.
+func (a *arrival) peer() string {
+	host, _, _ := strings.Cut(a.request.RemoteAddr, ":")
+	return host
+}
+
 // retryAfter is the time in which the queue is expected to be worked off.
 func (a *arrival) retryAfter() time.Duration {
 	load := a.handler.gate.Load()
@@ -267,6 +291,7 @@
 	header[hop.HeaderReply] = []string{reply.Format()}
 	a.tellProof(header)
 	a.tellShare(header)
+	a.tellNotices(header)
 	if _, set := header["Date"]; !set {
 		// Without a value the library adds none of its own.
 		header["Date"] = nil
--- a/internal/sidecar/ingress/exchange.go
+++ b/internal/sidecar/ingress/exchange.go
@@ -157,7 +157,7 @@
 // take judges an answer and passes it on when it is the one to this request.
 func (a *arrival) take(response *http.Response, sent *forward.Body) *outcome.Failure {
 	if a.answers(response) {
-		a.hear(response.Header)
+		a.handler.hear(response.Header, a.endpoint, a.sent)
 	}
 	if failure := a.judge(response); failure != nil {
 		_ = response.Body.Close()
--- a/internal/sidecar/ingress/handler.go
+++ b/internal/sidecar/ingress/handler.go
@@ -61,6 +61,10 @@
 	Told       func(hop.BackendLoad) (counts bool)
 	// DecodeNotice reads what the back end asks for with an answer; nil when it asks for nothing.
 	DecodeNotice func(header http.Header) (hop.Notice, error)
+	// Leaves is told of an incarnation that leaves by the word of an answer.
+	Leaves func(of roster.Incarnation)
+	// Restarted: the back end may have named a limit before this life of the node.
+	Restarted bool
 	// Contended reports whether requests compete for room, so that tenants have their shares of it;
 	// nil for never.
 	Contended func() bool
@@ -169,6 +173,7 @@
 func New(options Options) *Handler {
 	return &Handler{
 		options: options,
+		notices: notices{unheard: options.Restarted},
 		pool: forward.NewPool(options.Address, forward.Limits{
 			Connections:      defaultConnections,
 			IdleTimeout:      idleTimeout,
@@ -195,7 +200,7 @@
 	if endpoint.State != roster.Ready {
 		h.workplace.planned(endpoint.Incarnation())
 	}
-	h.gate.Resize(max(endpoint.Slots, 1))
+	h.gate.Resize(h.notices.follow(endpoint.Incarnation(), max(endpoint.Slots, 1), h.gate))
 	held := h.leaving.Load()
 	switch {
 	case endpoint.State == roster.Ready:
@@ -218,8 +223,11 @@
 // Stop has answers close their connections from now on.
 func (h *Handler) Stop() { h.stopping.Store(true) }
 
-// Refuse has whatever comes from now on refused: it has not run.
-func (h *Handler) Refuse() { h.refusing.Store(true) }
+// Refuse has whatever comes from now on, and what waits for a slot, refused: it has not run.
+func (h *Handler) Refuse() {
+	h.refusing.Store(true)
+	h.gate.Close()
+}
 
 // InFlight returns how many requests are under way.
 func (h *Handler) InFlight() int { return int(h.inFlight.Load()) }
--- a/internal/sidecar/ingress/notice.go
+++ b/internal/sidecar/ingress/notice.go
@@ -7,39 +7,64 @@
 
 	"go.uber.org/zap"
 
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/admission"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/ratelimit"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 )
 
-// notices holds what the back end last asked for with an answer. It is safe for concurrent use.
+const (
+	// slotsUnheard is how many slots a back end has that may have named a limit before this life of the
+	// node, until its first answer tells.
+	slotsUnheard = 3
+	// noticeLogInterval is the least time between two lines of the log on a limit that changes.
+	noticeLogInterval = time.Second
+)
+
+// notices takes in what the back end asks for with its answers. It is safe for concurrent use.
 type notices struct {
 	mu sync.Mutex // guards all below
-	// of is the incarnation that asked for last, since when.
-	of    roster.Incarnation
-	last  hop.Notice
-	since time.Time
+	// of is the incarnation that is there; leaving: it leaves by the word of an answer.
+	of      roster.Incarnation
+	leaving bool
+	// unheard: no answer of this life of the node has told whether there is a limit.
+	unheard bool
 	// unreadable: the last notice could not be read.
 	unreadable bool
+	// logged is when the log last told of the limit.
+	logged time.Time
 }
 
-// hears takes in a notice and reports whether it says something new.
-func (n *notices) hears(of roster.Incarnation, heard hop.Notice, now time.Time) (before hop.Notice, changed bool) {
+// follow takes in which incarnation is there and how many slots it has, and returns how many it gets.
+func (n *notices) follow(of roster.Incarnation, slots int, gate *admission.Gate) int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.unreadable = false
 	if n.of != of {
-		n.of, n.last, n.since = of, hop.Notice{}, now
+		if n.of != (roster.Incarnation{}) {
+			n.unheard = false // what has just started has named nothing before
+		}
+		n.of, n.leaving = of, false
+		gate.ResetLimit()
 	}
-	before = n.last
-	if before == heard {
-		return before, false
+	if n.unheard {
+		return min(slots, slotsUnheard)
 	}
-	n.last, n.since = heard, now
-	return before, true
+	return slots
 }
 
-// failed takes in that a notice could not be read and reports whether the one before could.
+// leaves takes in that an incarnation leaves, and reports whether that is new.
+func (n *notices) leaves(of roster.Incarnation) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.of != of || n.leaving {
+		return false
+	}
+	n.leaving = true
+	return true
+}
+
+// failed takes in that a notice could not be read, and reports whether the one before could.
 func (n *notices) failed() (first bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -48,31 +73,88 @@
 	return first
 }
 
-// Notice returns what the back end asks for, and for how long it has.
-func (h *Handler) Notice() (notice hop.Notice, age time.Duration) {
+// Limit returns the limit that the back end has named.
+func (h *Handler) Limit() admission.Limit { return h.gate.Limit() }
+
+// hear takes in what the back end asks for with an answer to a request sent at that moment.
+func (h *Handler) hear(header http.Header, of *roster.Endpoint, sent time.Time) {
+	if notice, read := h.read(header, of); read {
+		h.hearLimit(ratelimit.Word{Named: notice.Limited, PerSecond: notice.PerSecond}, of, sent)
+	}
+}
+
+// hearHealth is hear for the answer to a health check. It may leave a limit out that holds.
+func (h *Handler) hearHealth(header http.Header, of *roster.Endpoint, sent time.Time) {
+	if notice, read := h.read(header, of); read && notice.Limited {
+		h.hearLimit(ratelimit.Word{Named: true, PerSecond: notice.PerSecond}, of, sent)
+	}
+}
+
+// read returns what the back end asks for, false when its limit cannot be read. That it leaves is passed on.
+func (h *Handler) read(header http.Header, of *roster.Endpoint) (notice hop.Notice, read bool) {
+	if h.options.DecodeNotice == nil {
+		return hop.Notice{}, false
+	}
+	notice, err := h.options.DecodeNotice(header)
+	if notice.Leaving && h.notices.leaves(of.Incarnation()) {
+		h.options.Logger.Info("back end leaves by word of an answer", zap.String("endpoint", of.ID), zap.String("service", of.Service))
+		h.options.Leaves(of.Incarnation())
+	}
+	if err == nil {
+		return notice, true
+	}
+	h.options.Observer.NoticeUnreadable()
+	if h.notices.failed() {
+		h.options.Logger.Warn("notice of the back end not read", zap.String("endpoint", of.ID), zap.Error(err))
+	}
+	return notice, false
+}
+
+// hearLimit takes in the word on a limit, and gives the back end all of its slots after the first one. A
+// late answer of an earlier incarnation says nothing.
+func (h *Handler) hearLimit(word ratelimit.Word, of *roster.Endpoint, sent time.Time) {
 	h.notices.mu.Lock()
 	defer h.notices.mu.Unlock()
-	return h.notices.last, clock.Since(h.notices.since)
+	if h.notices.of != of.Incarnation() {
+		return
+	}
+	h.notices.unreadable = false
+	now := clock.Now()
+	before := h.gate.Limit()
+	if h.gate.Hear(word, sent, now) {
+		h.logLimit(of, before, word, now)
+	}
+	if h.notices.unheard {
+		h.notices.unheard = false
+		h.gate.Resize(max(of.Slots, 1))
+	}
 }
 
-// hear takes in what the back end asks for with an answer.
-func (a *arrival) hear(header http.Header) {
-	options := &a.handler.options
-	if options.DecodeNotice == nil {
+// logLimit tells of a change; the lock of the notices is held.
+func (h *Handler) logLimit(of *roster.Endpoint, before admission.Limit, word ratelimit.Word, now time.Time) {
+	if before.Named == word.Named && now.Sub(h.notices.logged) < noticeLogInterval {
 		return
 	}
-	notice, err := options.DecodeNotice(header)
-	if err != nil {
-		options.Observer.NoticeUnreadable()
-		if a.handler.notices.failed() {
-			options.Logger.Warn("notice of the back end not read", zap.String("endpoint", a.endpoint.ID), zap.Error(err))
-		}
-		return
+	h.notices.logged = now
+	h.options.Logger.Info("limit of the back end", zap.String("endpoint", of.ID), zap.String("service", of.Service),
+		zap.Bool("limited", word.Named), zap.Float64("perSecond", word.PerSecond),
+		zap.Bool("limitedBefore", before.Named), zap.Float64("perSecondBefore", before.PerSecond),
+		zap.Duration("for", before.Age), zap.Int("recent", before.Recent))
+}
+
+// leavesByWord reports whether an incarnation has said with an answer that it leaves.
+func (n *notices) leavesByWord(of roster.Incarnation) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.leaving && n.of == of
+}
+
+// tellNotices adds to a reply what the back end asks for.
+func (a *arrival) tellNotices(header http.Header) {
+	if perSecond, room, limited := a.handler.gate.Room(a.ticket(), a.limited); limited {
+		header[hop.HeaderLimit] = []string{hop.Limit{PerSecond: perSecond, Room: room}.Format()}
 	}
-	before, changed := a.handler.notices.hears(a.endpoint.Incarnation(), notice, clock.Now())
-	if changed {
-		options.Logger.Info("back end asks", zap.String("endpoint", a.endpoint.ID), zap.String("service", a.endpoint.Service),
-			zap.Bool("limited", notice.Limited), zap.Float64("perSecond", notice.PerSecond), zap.Bool("leaving", notice.Leaving),
-			zap.Bool("limitedBefore", before.Limited), zap.Float64("perSecondBefore", before.PerSecond))
+	if a.endpoint != nil && a.handler.notices.leavesByWord(a.endpoint.Incarnation()) {
+		header[hop.HeaderLeaving] = []string{a.endpoint.Incarnation().String()}
 	}
 }
--- a/internal/sidecar/ingress/warmup.go
+++ b/internal/sidecar/ingress/warmup.go
@@ -75,10 +75,12 @@
 	_ = response.Body.Close()
 	names := &h.options.Vocabulary
 	left, told := hop.Milliseconds(response.Header.Get(names.WarmupLeft))
-	switch {
-	case response.Header.Get(names.InstanceID) != endpoint.ID:
-		h.options.Logger.Info("health of another back end", zap.String("endpoint", endpoint.ID), zap.String("found", response.Header.Get(names.InstanceID)))
-	case told || response.StatusCode == http.StatusOK:
+	if found := response.Header.Get(names.InstanceID); found != endpoint.ID {
+		h.options.Logger.Info("health of another back end", zap.String("endpoint", endpoint.ID), zap.String("found", found))
+		return
+	}
+	h.hearHealth(response.Header, endpoint, asked)
+	if told || response.StatusCode == http.StatusOK {
 		h.warmup.Answer(left, asked, clock.Now())
 		h.options.Logger.Info("back end asked whether it is cold", zap.String("endpoint", endpoint.ID), zap.Duration("left", left))
 	}
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -29,6 +29,8 @@
 	// backendSent counts the requests that went to the back end, unreadable what it asked for that
 	// cannot be read.
 	backendSent, unreadable prometheus.Counter
+	// diverted counts requests that were not sent to a back end whose limit had no room for them.
+	diverted *prometheus.CounterVec
 	// behind is how long the node was behind a version that it had heard of, asked counts
 	// its questions for configurations.
 	behind prometheus.Histogram
@@ -116,6 +118,9 @@
 	created.backendSent = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "kestrel_sidecar_backend_sends_total", Help: "Requests sent to the local back end.",
 	})
+	created.diverted = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "kestrel_sidecar_limit_diverted_total", Help: "Requests not sent to a back end whose own limit had no room in time, by service and whether they went to another one.",
+	}, []string{"service", "elsewhere"})
 	created.unreadable = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "kestrel_sidecar_backend_notices_unreadable_total", Help: "Answers of the local back end with a limit or a leave that cannot be read.",
 	})
@@ -131,7 +136,7 @@
 	created.proofAges = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name: "kestrel_sidecar_level_proof_seconds", Help: "Age of the proof that came with these answers.", Buckets: latencyBuckets,
 	})
-	registry.MustRegister(created.backendSent, created.unreadable, created.levelTold, created.proofAges, created.behind, created.asked, created.ended, created.running, created.silent, created.overtook, created.calls, created.latency, created.hop, created.sends, created.arrivals, created.queued, created.worked)
+	registry.MustRegister(created.diverted, created.backendSent, created.unreadable, created.levelTold, created.proofAges, created.behind, created.asked, created.ended, created.running, created.silent, created.overtook, created.calls, created.latency, created.hop, created.sends, created.arrivals, created.queued, created.worked)
 	return created
 }
 
@@ -154,6 +159,11 @@
 	m.sends.WithLabelValues(service, strconv.FormatBool(attempt > 1)).Inc()
 }
 
+// Diverted implements egress.Observer.
+func (m *metrics) Diverted(service string, elsewhere bool) {
+	m.diverted.WithLabelValues(service, strconv.FormatBool(elsewhere)).Inc()
+}
+
 // Arrived implements ingress.Observer.
 func (m *metrics) Arrived(result outcome.Outcome, step outcome.Step, elapsed, waited time.Duration) {
 	m.arrivals.WithLabelValues(string(result), string(step)).Inc()
@@ -232,15 +242,17 @@
 		return age.Seconds()
 	})
 	gauge("kestrel_sidecar_backend_limit", "Requests a second that the local back end takes by its own word, below zero without one.", func() float64 {
-		notice, _ := s.ingress.Notice()
-		if !notice.Limited {
+		limit := s.ingress.Limit()
+		if !limit.Named {
 			return -1
 		}
-		return notice.PerSecond
+		return limit.PerSecond
 	})
-	gauge("kestrel_sidecar_backend_notice_age_seconds", "Time since the local back end last asked for something else than before.", func() float64 {
-		_, age := s.ingress.Notice()
-		return age.Seconds()
+	gauge("kestrel_sidecar_backend_limit_age_seconds", "Time since the local back end named that limit, or ended it.", func() float64 {
+		return s.ingress.Limit().Age.Seconds()
+	})
+	gauge("kestrel_sidecar_backend_recent", "Requests sent to the local back end in the last four seconds.", func() float64 {
+		return float64(s.ingress.Limit().Recent)
 	})
 	gauge("kestrel_sidecar_running", "Requests at the local back end.", func() float64 { return float64(s.ingress.Load().Running) })
 	registry.MustRegister(newTenantTimes(s.ingress.Usage))
--- /dev/null
+++ b/internal/sidecar/ratelimit/fleet_test.go
@@ -0,0 +1,174 @@
+package ratelimit_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/ratelimit"
+)
+
+const (
+	// fleetLatency is the time to a node and back, fleetPatience how long requests wait for room.
+	fleetLatency  = 4 * time.Millisecond
+	fleetPatience = 100 * time.Millisecond
+	fleetLasts    = 30 * time.Second
+	// fleetSends is how many nodes may refuse a request.
+	fleetSends = 5
+)
+
+// fleet plays nodes that send to back ends with limits. A request goes to the back end of which the
+// node believes the shortest wait, and to another one after a refusal.
+type fleet struct {
+	limits  []*ratelimit.Limit
+	beliefs [][]*ratelimit.Belief
+	// served and refused count requests, vain the sends that were refused, first those of them that were a
+	// node's first to the back end.
+	served, refused, vain, first int
+	// servedBy holds the moments at which each back end got a request.
+	servedBy [][]time.Time
+}
+
+// pending is a request that arrives at a back end at some moment.
+type pending struct {
+	at         time.Time
+	node, back int
+	tried      []bool
+	sends      int
+}
+
+type arrivals []pending
+
+func (a arrivals) Len() int           { return len(a) }
+func (a arrivals) Less(i, j int) bool { return a[i].at.Before(a[j].at) }
+func (a arrivals) Swap(i, j int)      { a[i], a[j] = a[j], a[i] }
+func (a *arrivals) Push(one any)      { *a = append(*a, one.(pending)) }
+func (a *arrivals) Pop() any {
+	last := len(*a) - 1
+	one := (*a)[last]
+	*a = (*a)[:last]
+	return one
+}
+
+func newFleet(nodes, backs int, perSecond float64) *fleet {
+	made := &fleet{servedBy: make([][]time.Time, backs), beliefs: make([][]*ratelimit.Belief, nodes)}
+	for range backs {
+		made.limits = append(made.limits, limited(perSecond))
+	}
+	for i := range made.beliefs {
+		made.beliefs[i] = make([]*ratelimit.Belief, backs)
+	}
+	return made
+}
+
+// choose returns the back end to send to, below zero when none is believed to have room in time. It
+// compares a few that are drawn, as nodes do.
+func (f *fleet) choose(node int, tried []bool, now time.Time, random *rand.Rand) int {
+	best, shortest := -1, time.Duration(0)
+	for _, back := range random.Perm(len(f.limits)) {
+		wait := time.Duration(0)
+		if belief := f.beliefs[node][back]; belief != nil {
+			wait = belief.Wait(1, now)
+		}
+		if !tried[back] && wait <= fleetPatience && (best < 0 || wait < shortest) {
+			best, shortest = back, wait
+		}
+	}
+	return best
+}
+
+// send sends a request where it may be served, or refuses it.
+func (f *fleet) send(one pending, now time.Time, random *rand.Rand, queue *arrivals) {
+	one.back = f.choose(one.node, one.tried, now, random)
+	if one.back < 0 || one.sends == fleetSends {
+		f.refused++
+		return
+	}
+	if belief := f.beliefs[one.node][one.back]; belief != nil {
+		belief.Sent(1, now)
+	}
+	one.at = now.Add(fleetLatency / 2)
+	one.sends++
+	heap.Push(queue, one)
+}
+
+// arrive decides on a request at its back end and tells its node of the room there.
+func (f *fleet) arrive(one pending, random *rand.Rand, queue *arrivals) {
+	limit, now := f.limits[one.back], one.at
+	wait, room := limit.Wait(0, now), 0.0
+	served := wait <= fleetPatience
+	if served {
+		limit.Pass(now) // what waits is counted at once: the bucket goes below zero
+		f.served++
+		f.servedBy[one.back] = append(f.servedBy[one.back], now.Add(wait))
+		room = limit.Room(fmt.Sprint(one.node), 1, 0, now)
+	} else {
+		f.vain++
+		if f.beliefs[one.node][one.back] == nil {
+			f.first++
+		}
+		room = limit.RoomIn(limit.Promise(fmt.Sprint(one.node), 1, 0, now))
+	}
+	word, _ := limit.Word()
+	if belief := f.beliefs[one.node][one.back]; belief != nil {
+		belief.Told(word.PerSecond, room, 1, now)
+	} else {
+		f.beliefs[one.node][one.back] = ratelimit.NewBelief(word.PerSecond, room, 1, now)
+	}
+	if !served {
+		one.tried[one.back] = true
+		f.send(one, now.Add(fleetLatency/2), random, queue)
+	}
+}
+
+// play has requests come at that rate from all nodes together.
+func (f *fleet) play(demand float64, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, 7))
+	queue := &arrivals{}
+	for now := start; now.Sub(start) < fleetLasts; now = now.Add(time.Duration(random.ExpFloat64() / demand * float64(time.Second))) {
+		for queue.Len() > 0 && (*queue)[0].at.Before(now) {
+			f.arrive(heap.Pop(queue).(pending), random, queue)
+		}
+		f.send(pending{node: random.IntN(len(f.beliefs)), tried: make([]bool, len(f.limits))}, now, random, queue)
+	}
+}
+
+// TestAWholeServiceWithLimits: all back ends of a service name limits whose sum is a third of the demand.
+// Their limits are used, no window gets more than is allowed, and fewer than one send for each request
+// served is in vain, whatever the number of nodes.
+func TestAWholeServiceWithLimits(t *testing.T) {
+	for _, size := range []struct{ nodes, backs int }{{10, 4}, {40, 10}, {300, 40}} {
+		for _, rate := range []float64{2, 12.8} {
+			t.Run(fmt.Sprintf("%d nodes, %d back ends, %v a second", size.nodes, size.backs, rate), func(t *testing.T) {
+				g := NewWithT(t)
+				played := newFleet(size.nodes, size.backs, rate)
+				room := rate * float64(size.backs)
+				played.play(3*room, 1)
+				for _, moments := range played.servedBy {
+					g.Expect(float64(mostIn(moments, ratelimit.Window))).To(BeNumerically("<=", 1.5*rate*ratelimit.Window.Seconds()+5))
+				}
+				used := float64(played.served) / (room * fleetLasts.Seconds())
+				vain := float64(played.vain-played.first) / float64(played.served)
+				t.Logf("used %.2f, sends in vain for each that is served %.2f, of all nodes' first ones %d, served %d, refused %d",
+					used, vain, played.first, played.served, played.refused)
+				g.Expect(used).To(BeNumerically(">", 0.8))
+				g.Expect(vain).To(BeNumerically("<", 1))
+			})
+		}
+	}
+}
+
+// TestCallersThatAreRefusedComeBackOneByOne: those of one node are told times an interval apart.
+func TestCallersThatAreRefusedComeBackOneByOne(t *testing.T) {
+	g := NewWithT(t)
+	belief := ratelimit.NewBelief(10, -4, 1, start)
+	for i := range 5 {
+		g.Expect(belief.Turn(1, start)).To(BeNumerically("~", 500*time.Millisecond+time.Duration(i)*100*time.Millisecond, time.Millisecond))
+	}
+	g.Expect(belief.Wait(0, start)).To(BeZero(), "nothing is known of the more urgent")
+	g.Expect(belief.Wait(2, start)).To(BeNumerically(">", 0))
+}
--- /dev/null
+++ b/internal/sidecar/ratelimit/limit_test.go
@@ -0,0 +1,189 @@
+package ratelimit_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/ratelimit"
+)
+
+var (
+	start = time.Unix(1000, 0)
+	rates = []float64{0, 0.1, 0.3, 1, 2, 12.8, 1000}
+)
+
+func named(perSecond float64) ratelimit.Word {
+	return ratelimit.Word{Named: true, PerSecond: perSecond}
+}
+
+// limited returns a limit that was named at start.
+func limited(perSecond float64) *ratelimit.Limit {
+	limit := &ratelimit.Limit{}
+	limit.Hear(named(perSecond), start, start)
+	return limit
+}
+
+// mostIn returns the most moments within any window.
+func mostIn(moments []time.Time, window time.Duration) (most int) {
+	first := 0
+	for last := range moments {
+		for moments[last].Sub(moments[first]) >= window {
+			first++
+		}
+		most = max(most, last-first+1)
+	}
+	return most
+}
+
+// TestNoWindowGetsMoreThanAllowed: for every rate, with arrivals of any pattern and pauses before bursts.
+func TestNoWindowGetsMoreThanAllowed(t *testing.T) {
+	for _, rate := range rates {
+		for seed := range uint64(20) {
+			random := rand.New(rand.NewPCG(seed, 1))
+			limit, now := limited(rate), start
+			var passed []time.Time
+			for range 4000 {
+				gap := random.ExpFloat64() / max(rate, 1) / 3
+				if random.IntN(500) == 0 {
+					gap += random.Float64() * 6 // a pause
+				}
+				now = now.Add(time.Duration(gap * float64(time.Second)))
+				if limit.Ready(now) {
+					limit.Pass(now)
+					passed = append(passed, now)
+				}
+			}
+			allowed := 1.5*rate*ratelimit.Window.Seconds() + 5
+			NewWithT(t).Expect(float64(mostIn(passed, ratelimit.Window))).To(BeNumerically("<=", allowed), "rate %v, seed %d", rate, seed)
+		}
+	}
+}
+
+// TestFewerThanTheLimitPass: up to the limit in any second, evenly or at once, nothing waits.
+func TestFewerThanTheLimitPass(t *testing.T) {
+	for _, rate := range []float64{1, 2, 12.8, 1000} {
+		for _, together := range []int{1, int(rate)} {
+			limit, now := limited(rate), start.Add(time.Second)
+			for range 50 {
+				for range together {
+					NewWithT(t).Expect(limit.Wait(0, now)).To(BeZero(), "rate %v, %d together", rate, together)
+					limit.Pass(now)
+				}
+				now = now.Add(time.Duration(float64(together)/rate*float64(time.Second)).Round(time.Microsecond) + time.Microsecond)
+			}
+		}
+	}
+}
+
+// TestALimitCountsWhatPassedBeforeItWasNamed, within the time of a burst.
+func TestALimitCountsWhatPassedBeforeItWasNamed(t *testing.T) {
+	g := NewWithT(t)
+	limit := &ratelimit.Limit{}
+	for range 7 {
+		limit.Pass(start)
+	}
+	now := start.Add(500 * time.Millisecond)
+	limit.Hear(named(10), now, now)
+	for range 3 {
+		g.Expect(limit.Ready(now)).To(BeTrue())
+		limit.Pass(now)
+	}
+	g.Expect(limit.Ready(now)).To(BeFalse())
+	g.Expect(limit.Recent(now)).To(Equal(10))
+}
+
+// TestWhichWordHolds: the later written one; where that is not known, the stricter one.
+func TestWhichWordHolds(t *testing.T) {
+	type answer struct {
+		word           ratelimit.Word
+		sent, answered int // in milliseconds
+	}
+	cases := []struct {
+		name    string
+		answers []answer
+		holds   ratelimit.Word
+	}{
+		{"named", []answer{{named(10), 0, 5}}, named(10)},
+		{"ended", []answer{{named(10), 0, 5}, {ratelimit.Word{}, 6, 9}}, ratelimit.Word{}},
+		{"an answer that was begun before", []answer{{named(10), 0, 5}, {ratelimit.Word{}, 4, 9}}, named(10)},
+		{"ended by one begun after all that named it", []answer{{named(10), 0, 5}, {named(10), 1, 12}, {ratelimit.Word{}, 6, 13}}, named(10)},
+		{"raised", []answer{{named(10), 0, 5}, {named(20), 5, 9}}, named(20)},
+		{"raised by an answer that crossed", []answer{{named(10), 0, 5}, {named(20), 1, 9}}, named(10)},
+		{"lowered by an answer that crossed", []answer{{named(10), 0, 5}, {named(2), 1, 9}}, named(2)},
+		{"lowered to nothing", []answer{{named(10), 0, 5}, {named(0), 6, 9}}, named(0)},
+		{"ended and named anew", []answer{{named(10), 0, 5}, {ratelimit.Word{}, 6, 9}, {named(3), 8, 10}}, named(3)},
+	}
+	for _, held := range cases {
+		t.Run(held.name, func(t *testing.T) {
+			limit := &ratelimit.Limit{}
+			for _, given := range held.answers {
+				at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+				limit.Hear(given.word, at(given.sent), at(given.answered))
+			}
+			word, _ := limit.Word()
+			NewWithT(t).Expect(word).To(Equal(held.holds))
+		})
+	}
+}
+
+// TestALimitThatEndsLetsAllPass, and so does another incarnation.
+func TestALimitThatEndsLetsAllPass(t *testing.T) {
+	for name, end := range map[string]func(*ratelimit.Limit){
+		"by its word":         func(limit *ratelimit.Limit) { limit.Hear(ratelimit.Word{}, start, start) },
+		"another incarnation": (*ratelimit.Limit).Reset,
+	} {
+		limit := limited(0)
+		limit.Pass(start)
+		limit.Pass(start)
+		NewWithT(t).Expect(limit.Ready(start)).To(BeFalse(), name)
+		end(limit)
+		NewWithT(t).Expect(limit.Ready(start)).To(BeTrue(), name)
+	}
+}
+
+// TestAWindowAcrossAChange holds what the higher of the two rates allows.
+func TestAWindowAcrossAChange(t *testing.T) {
+	for _, rates := range [][2]float64{{100, 1}, {1, 100}, {0, 12.8}, {12.8, 0}} {
+		limit, now := limited(rates[0]), start
+		var passed []time.Time
+		for i := range 8000 {
+			now = now.Add(time.Millisecond)
+			if i == 4000 {
+				limit.Hear(named(rates[1]), now, now)
+			}
+			if limit.Ready(now) {
+				limit.Pass(now)
+				passed = append(passed, now)
+			}
+		}
+		most := 1.5*max(rates[0], rates[1])*ratelimit.Window.Seconds() + 5
+		NewWithT(t).Expect(float64(mostIn(passed, ratelimit.Window))).To(BeNumerically("<=", most), "%v", rates)
+	}
+}
+
+// TestWhatWasNotSentDoesNotCount.
+func TestWhatWasNotSentDoesNotCount(t *testing.T) {
+	limit, now := limited(1), start.Add(time.Second)
+	limit.Pass(now)
+	limit.Return(now)
+	NewWithT(t).Expect(limit.Ready(now)).To(BeTrue())
+}
+
+// TestPeersAreToldTimesOfTheirOwn, one interval apart, a peer always the same until it has passed.
+func TestPeersAreToldTimesOfTheirOwn(t *testing.T) {
+	g := NewWithT(t)
+	limit, now := limited(10), start
+	told := map[time.Duration]bool{}
+	for peer := range 20 {
+		wait := limit.Promise(fmt.Sprint("peer-", peer), 1, 0, now)
+		g.Expect(told[wait.Round(time.Millisecond)]).To(BeFalse())
+		told[wait.Round(time.Millisecond)] = true
+		g.Expect(limit.Promise(fmt.Sprint("peer-", peer), 1, 0, now)).To(Equal(wait))
+	}
+	g.Expect(limit.Promise("another", 1, 0, now)).To(BeNumerically("~", 2*time.Second, time.Millisecond))
+	g.Expect(limit.Promise("urgent", 0, 0, now)).To(BeZero(), "does not wait for the less urgent")
+}
--- /dev/null
+++ b/internal/sidecar/ratelimit/recent.go
@@ -0,0 +1,50 @@
+package ratelimit
+
+import "time"
+
+const (
+	// Window is the time over which requests are counted.
+	Window = 4 * time.Second
+	// step is how exactly moments are kept.
+	step  = 100 * time.Millisecond
+	steps = int(Window / step)
+)
+
+// recent counts the requests of the last Window. The zero value has counted none.
+type recent struct {
+	counts [steps]int
+	// first is the moment of the first request, newest the step, counted from there, of the last one.
+	first  time.Time
+	newest int
+}
+
+// note counts a request.
+func (r *recent) note(now time.Time) {
+	if r.first.IsZero() {
+		r.first = now
+	}
+	r.advance(now)
+	r.counts[r.newest%steps]++
+}
+
+// advance forgets what is older than Window.
+func (r *recent) advance(now time.Time) {
+	reached := int(now.Sub(r.first) / step)
+	for skipped := max(r.newest, reached-steps); skipped < reached; {
+		skipped++
+		r.counts[skipped%steps] = 0
+	}
+	r.newest = max(r.newest, reached)
+}
+
+// within returns how many requests there were in the last time of that length, at most Window.
+func (r *recent) within(length time.Duration, now time.Time) (count int) {
+	if r.first.IsZero() {
+		return 0
+	}
+	r.advance(now)
+	for back := range min(int(length/step), steps, r.newest+1) {
+		count += r.counts[(r.newest-back)%steps]
+	}
+	return count
+}
--- a/internal/sidecar/roster/claims.go
+++ b/internal/sidecar/roster/claims.go
@@ -83,6 +83,9 @@
 	if held.State == Gone || fresh.Sequence < held.Sequence {
 		return record, false
 	}
+	if held.State == Draining {
+		fresh.State = Draining // a heartbeat that was sent before may come after an answer that said so
+	}
 	c.heard, c.rivalBeats = now, 0
 	changed = held.State != fresh.State || held.Slots != fresh.Slots || held.Service != fresh.Service ||
 		held.Version != fresh.Version
--- /dev/null
+++ b/internal/sidecar/roster/leave_test.go
@@ -0,0 +1,45 @@
+package roster_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+)
+
+// TestAWordOfAnAnswerThatABackEndLeavesHolds against late heartbeats and records of earlier lives, until
+// another incarnation is there.
+func TestAWordOfAnAnswerThatABackEndLeavesHolds(t *testing.T) {
+	g := NewWithT(t)
+	ready := roster.Endpoint{ID: "i", Born: 100, Service: "s", Slots: 4, State: roster.Ready, Sequence: 1}
+	record := roster.Record{Node: "n", Epoch: 1, Counter: 1, Endpoint: &ready}
+	claims := &roster.Claims{Interval: time.Second}
+	left, changed := record.Leave(ready.Incarnation())
+	g.Expect(changed).To(BeTrue())
+	g.Expect(left.Endpoint.State).To(Equal(roster.Draining))
+	g.Expect(ready.State).To(Equal(roster.Ready), "what others hold is not changed")
+
+	late := ready
+	late.Sequence = 9
+	again, _ := claims.Beat(left, roster.Heartbeat{Endpoint: late}, time.Now())
+	g.Expect(again.Endpoint.State).To(Equal(roster.Draining))
+
+	next := ready
+	next.Born, next.Sequence = 200, 1
+	started, _ := claims.Beat(again, roster.Heartbeat{Endpoint: next}, time.Now())
+	g.Expect(started.Endpoint.State).To(Equal(roster.Ready))
+	_, changed = started.Leave(ready.Incarnation())
+	g.Expect(changed).To(BeFalse(), "a late answer of the incarnation before")
+
+	for _, words := range [][2]*roster.Endpoint{{left.Endpoint, &late}, {&late, left.Endpoint}} {
+		own := record
+		own.Endpoint = words[0]
+		members := roster.New(own)
+		earlier := record
+		earlier.Epoch, earlier.Endpoint = 7, words[1]
+		members.Merge([]*roster.Record{&earlier})
+		g.Expect(members.Own().Endpoint.State).To(Equal(roster.Draining))
+	}
+}
--- a/internal/sidecar/roster/record.go
+++ b/internal/sidecar/roster/record.go
@@ -157,6 +157,23 @@
 	return r, true
 }
 
+// Leave returns the record after the back end has said with an answer that it is leaving.
+func (r Record) Leave(leaving Incarnation) (next Record, changed bool) {
+	held := r.Endpoint
+	if held == nil || held.Incarnation() != leaving || held.State != Ready {
+		return r, false
+	}
+	r.Endpoint = held.drained()
+	return r, true
+}
+
+// drained returns the back end as one that leaves.
+func (e *Endpoint) drained() *Endpoint {
+	draining := *e
+	draining.State = Draining
+	return &draining
+}
+
 func appendEnded(ended []string, incarnation string) []string {
 	kept := append(slices.Clone(ended), incarnation)
 	return kept[max(0, len(kept)-endedRemembered):]
--- a/internal/sidecar/roster/roster.go
+++ b/internal/sidecar/roster/roster.go
@@ -172,13 +172,23 @@
 	// An end that was told without the start concerns what was there before.
 	unnamed := chosen != own.Endpoint && own.HasEnded(Incarnation{ID: chosen.ID})
 	if !unnamed && !own.HasEnded(chosen.Incarnation()) {
-		return chosen
+		return chosen.leavingAs(own.Endpoint, remembered)
 	}
 	gone := *chosen
 	gone.State = Gone
 	return &gone
 }
 
+// leavingAs returns the back end, which leaves when one of the words on its incarnation says so.
+func (e *Endpoint) leavingAs(words ...*Endpoint) *Endpoint {
+	for _, word := range words {
+		if e.State == Ready && word != nil && word.State == Draining && word.Incarnation() == e.Incarnation() {
+			return e.drained()
+		}
+	}
+	return e
+}
+
 // laterWord returns which of two words on a back end was said later: that of this life, or the
 // remembered one of an earlier life.
 func laterWord(held, remembered *Endpoint) *Endpoint {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -209,6 +209,8 @@
 		Told:       s.loadTold,
 
 		DecodeNotice: s.options.DecodeNotice,
+		Leaves:       s.leaves,
+		Restarted:    !settings.FirstStart,
 		Contended:    s.contention.On,
 		Judge:        &judge{sidecar: s},
 		Quarantine:   &guard{Quarantine: s.quarantine, sidecar: s},
@@ -218,7 +220,7 @@
 		Proof:        func() (time.Duration, bool) { return s.exchanger.FreshProof() },
 		Serves:       s.serves,
 		Emptied:      func() bool { return s.evacuations.Zones().Contains(settings.Zone) },
-		DrainAfter:   func() time.Duration { return time.Duration(float64(s.settings.Load().DrainBound) * drainShare) },
+		DrainAfter:   s.drainAfter,
 		Dial:         forward.Dialer((&net.Dialer{}).DialContext),
 		Logger:       s.logger,
 		Observer:     observed,
@@ -245,6 +247,7 @@
 		Contended:  s.contention.On,
 		Weights:    choice.DefaultWeights(),
 		Level:      (*level)(s),
+		DrainAfter: s.drainAfter,
 		Dial:       dial.Dialer(exchangeDial, dial.Silence{Unacknowledged: peerUnacknowledged, Idle: peerIdle}),
 		Probe: func(ctx context.Context, record *roster.Record) error {
 			return s.exchanger.Ping(ctx, record)
@@ -254,6 +257,11 @@
 	})
 }
 
+// drainAfter is how long after its word that it is leaving a back end still gets new work.
+func (s *Sidecar) drainAfter() time.Duration {
+	return time.Duration(float64(s.settings.Load().DrainBound) * drainShare)
+}
+
 // callObserver adds to the metrics what a reply says of a peer's configuration.
 type callObserver struct {
 	*metrics
