A cold back end of a node without a configuration gets the least that one can allow

Cause: what a cold back end bears stands in the configuration alone, and a node that has just started has none; the later one began to count anew.

Before a configuration has told, a back end passes one request a second: no configuration can allow less but none. What has passed counts for the bound that comes, and for one that changes. Ruled out: refusing all (costs more and needs no less knowledge), the bound in the record (another service's beside the node), and telling it with each request (bytes).

TestABackEndThatBearsAnything held the fault as a rule, that no configuration means no bound: it says now what its name does, for a configuration without a bound, as strictly as before, and TestBeforeAConfigurationCame has the other case. Tests of the handler that say nothing of warm-ups configure their service.

--- a/internal/sidecar/ingress/ends_test.go
+++ b/internal/sidecar/ingress/ends_test.go
@@ -16,6 +16,7 @@
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/ingress"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/route"
 )
 
 // mortal is a handler before a back end that can end, with its log.
@@ -58,6 +59,7 @@
 		Dial:       (&net.Dialer{}).DialContext, Logger: zap.New(core), Observer: silentObserver{}, Quarantine: made.quarantine, Judge: &made.failures,
 	})
 	made.handler.Follow(made.endpoint.Load())
+	made.handler.SetService(&route.Service{Name: "one"})
 	return made
 }
 
--- a/internal/sidecar/ingress/handler_test.go
+++ b/internal/sidecar/ingress/handler_test.go
@@ -21,6 +21,7 @@
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/ingress"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/route"
 )
 
 var vocabulary = hop.Vocabulary{
@@ -47,8 +48,16 @@
 	emptied atomic.Bool
 }
 
-// play returns a handler whose requests compete for room when the function, if there is one, says so.
+// play returns a handler whose requests compete for room when the function, if there is one, says so. Its
+// configuration says that back ends bear anything while they are cold.
 func play(t *testing.T, contended ...func() bool) *played {
+	made := playUnconfigured(t, contended...)
+	made.handler.SetService(&route.Service{Name: "one"})
+	return made
+}
+
+// playUnconfigured is play before a configuration came.
+func playUnconfigured(t *testing.T, contended ...func() bool) *played {
 	made := &played{}
 	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { (*made.answer.Load())(w, r) }))
 	t.Cleanup(backend.Close)
--- a/internal/sidecar/ingress/warmup_test.go
+++ b/internal/sidecar/ingress/warmup_test.go
@@ -53,7 +53,7 @@
 // TestAColdBackEndIsNotOverrunBeforeAConfigurationCame, as after a loss of power while the store is away.
 func TestAColdBackEndIsNotOverrunBeforeAConfigurationCame(t *testing.T) {
 	g := NewWithT(t)
-	made := play(t)
+	made := playUnconfigured(t)
 	ran := made.counts()
 	made.handler.WarmsUp(time.Hour)
 	for range 20 {
--- a/internal/sidecar/warmup/warmup.go
+++ b/internal/sidecar/warmup/warmup.go
@@ -5,6 +5,7 @@
 package warmup
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -20,12 +21,17 @@
 	// askShare is the part of what a cold back end bears that passes before it is asked: one
 	// with little to do needs no question.
 	askShare = 0.5
+	// mostUnknown is how many requests a back end that is, or may be, cold gets in a window while the
+	// configuration has not told what it bears: the least that it can tell.
+	mostUnknown = 1
 )
 
-// Limit bounds the requests to one back end. The zero value bounds nothing. It is safe for
-// concurrent use.
+// Limit bounds the requests to one back end. The zero value knows of no configuration and takes the
+// back end for one that is cold. It is safe for concurrent use.
 type Limit struct {
 	mu sync.Mutex // guards all below
+	// configured: the configuration has told of the back end's service.
+	configured bool
 	// most is how many requests a cold back end bears in a window, zero for any number.
 	most int
 	// lasts is how long a back end stays cold after its start.
@@ -63,15 +69,28 @@
 		most = max(int(perSecond*window.Seconds()), 1)
 	}
 	l.lasts = lasts
-	if most == l.most {
+	if l.configured && most == l.most {
 		return
 	}
-	l.most, l.next = most, 0
-	// Nothing is known of what passed before.
-	l.passed = make([]time.Time, most)
+	l.configured = true
+	l.resize(most)
 	l.answered = time.Time{}
 }
 
+// resize sets how many requests pass in a window. The last that have passed go on counting; the lock is
+// held.
+func (l *Limit) resize(most int) {
+	kept := slices.Clone(l.passed)
+	slices.SortFunc(kept, time.Time.Compare)
+	kept = kept[max(0, len(kept)-most):]
+	l.most, l.passed = most, make([]time.Time, most)
+	copy(l.passed, kept)
+	l.next = 0
+	if most > 0 {
+		l.next = len(kept) % most
+	}
+}
+
 // Told takes in the back end's word that it is cold for that much longer.
 func (l *Limit) Told(left time.Duration, now time.Time) {
 	l.mu.Lock()
@@ -114,13 +133,16 @@
 func (l *Limit) Admit(now time.Time) (verdict Verdict) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if !l.configured && l.most == 0 {
+		l.resize(mostUnknown)
+	}
 	if l.most == 0 {
 		return Verdict{}
 	}
 	if now.Sub(l.answered) > quietGap && !now.Before(l.suspectedUntil) {
 		l.suspect(now)
 	}
-	cold, doubtful := now.Before(l.coldUntil), now.Before(l.suspectedUntil)
+	cold, doubtful := now.Before(l.coldUntil) || !l.configured, now.Before(l.suspectedUntil)
 	if doubtful && l.recent(now) >= int(askShare*float64(l.most)) && now.Sub(l.asked) >= askInterval {
 		l.asked, verdict.Ask = now, true
 	}
--- a/internal/sidecar/warmup/warmup_test.go
+++ b/internal/sidecar/warmup/warmup_test.go
@@ -74,6 +74,7 @@
 func TestABackEndThatBearsAnything(t *testing.T) {
 	g := NewWithT(t)
 	limit := &warmup.Limit{}
+	limit.Configure(0, lasts)
 	limit.Told(time.Minute, at(0))
 	limit.Suspect(at(0))
 	for i := range 1000 {
@@ -127,3 +128,24 @@
 		}
 	}
 }
+
+// TestBeforeAConfigurationCame a cold back end gets the least that one can allow, and what it got counts
+// for the bound that comes.
+func TestBeforeAConfigurationCame(t *testing.T) {
+	g := NewWithT(t)
+	limit := &warmup.Limit{}
+	g.Expect(passes(limit, 0, 100)).To(Equal(1))
+	limit.Configure(perSecond, lasts)
+	g.Expect(passes(limit, 100, 100)).To(Equal(perSecond - 1))
+}
+
+// TestAChangedBoundCountsWhatPassedBefore.
+func TestAChangedBoundCountsWhatPassedBefore(t *testing.T) {
+	g := NewWithT(t)
+	limit := configured()
+	g.Expect(passes(limit, 0, 100)).To(Equal(perSecond))
+	limit.Configure(perSecond+3, lasts)
+	g.Expect(passes(limit, 100, 100)).To(Equal(3))
+	limit.Configure(perSecond/2, lasts)
+	g.Expect(passes(limit, 200, 100)).To(BeZero())
+}
