A restarted node learns its back end's limit from one request, and begins without room

A node that has just started knows no limit. It gave three slots until the first answer, and a full burst with the first word. One at a time until the first answer, and no room but what the rate gives from then on: k restarts within a window add k requests and no burst.

--- a/internal/sidecar/admission/limit.go
+++ b/internal/sidecar/admission/limit.go
@@ -30,6 +30,13 @@
 	return changed
 }
 
+// Restarted takes in that the back end may have named a limit before this life of the node.
+func (g *Gate) Restarted() {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.limit.Restarted()
+}
+
 // ResetLimit forgets the limit: another incarnation is there.
 func (g *Gate) ResetLimit() {
 	g.mutex.Lock()
--- a/internal/sidecar/ingress/handler.go
+++ b/internal/sidecar/ingress/handler.go
@@ -171,7 +171,7 @@
 
 // New returns a handler that refuses everything until a back end is known.
 func New(options Options) *Handler {
-	return &Handler{
+	created := &Handler{
 		options: options,
 		notices: notices{unheard: options.Restarted},
 		pool: forward.NewPool(options.Address, forward.Limits{
@@ -186,6 +186,10 @@
 		healthClient: newHealthClient(options.Dial),
 		trial:        semaphore.NewWeighted(1),
 	}
+	if options.Restarted {
+		created.gate.Restarted()
+	}
+	return created
 }
 
 // Follow takes in the state of the back end: how much it works on at once, and
--- a/internal/sidecar/ingress/notice.go
+++ b/internal/sidecar/ingress/notice.go
@@ -17,7 +17,7 @@
 const (
 	// slotsUnheard is how many slots a back end has that may have named a limit before this life of the
 	// node, until its first answer tells.
-	slotsUnheard = 3
+	slotsUnheard = 1
 	// noticeLogInterval is the least time between two lines of the log on a limit that changes.
 	noticeLogInterval = time.Second
 )
--- a/internal/sidecar/ratelimit/limit.go
+++ b/internal/sidecar/ratelimit/limit.go
@@ -24,15 +24,20 @@
 	bucket       bucket
 	recent       recent
 	promises     promises
+	// unknown: what passed before the first word is not known.
+	unknown bool
 }
 
+// Restarted has the limit begin without room: what passed before this life of the node is not known.
+func (l *Limit) Restarted() { l.unknown = true }
+
 // Hear takes in the word of an answer to a request that was sent, and answered, at these moments. Of two
 // words the later written holds. Where that is not known, as for answers to requests that were
 // under way together, the stricter one does. It reports whether the limit has changed.
 func (l *Limit) Hear(word Word, sent, answered time.Time) (changed bool) {
 	switch {
 	case word == l.word:
-		l.heard = answered
+		l.heard, l.unknown = answered, false
 		return false
 	case word.looser(l.word) && sent.Before(l.heard):
 		return false
@@ -51,8 +56,11 @@
 func (l *Limit) begin(perSecond float64, now time.Time) {
 	l.bucket = bucket{at: now}
 	l.bucket.setRate(perSecond, now)
-	l.bucket.tokens = max(l.bucket.size-float64(l.recent.within(burstTime, now)), 0)
 	l.promises = promises{}
+	if !l.unknown {
+		l.bucket.tokens = max(l.bucket.size-float64(l.recent.within(burstTime, now)), 0)
+	}
+	l.unknown = false
 }
 
 // Reset forgets the limit: another incarnation of the back end has named none.
--- a/internal/sidecar/ratelimit/limit_test.go
+++ b/internal/sidecar/ratelimit/limit_test.go
@@ -187,3 +187,12 @@
 	g.Expect(limit.Promise("another", 1, 0, now)).To(BeNumerically("~", 2*time.Second, time.Millisecond))
 	g.Expect(limit.Promise("urgent", 0, 0, now)).To(BeZero(), "does not wait for the less urgent")
 }
+
+// TestALimitOfANodeThatHasJustStartedBeginsWithoutRoom.
+func TestALimitOfANodeThatHasJustStartedBeginsWithoutRoom(t *testing.T) {
+	limit := &ratelimit.Limit{}
+	limit.Restarted()
+	limit.Pass(start)
+	limit.Hear(named(10), start, start)
+	NewWithT(t).Expect(limit.Wait(0, start)).To(BeNumerically("~", 100*time.Millisecond, time.Millisecond))
+}
