Callers' nodes tell a node that has just started of the limit that they know

A node that has just started gave its back end one slot until the first answer.

A request now carries the limit that its node has learnt of the back end, while there is one. A node takes it in until its back end's first answer of this life, the strictest of several, and begins without room. Nodes that were told of the limit tell it, the others were told of none. A caller's node keeps what it knows over a restart of the node beside the back end, and drops it by an answer of the back end that names none: a refusal by a node that has just started says nothing.

Ruled out: the limit in the record that peers hold. What the store keeps of it may be older than the limit, so that its absence is no proof, and each change would be spread to all.

The word that changes nothing costs no look at the window, and replies without a limit no second lock.

--- a/internal/sidecar/admission/admission.go
+++ b/internal/sidecar/admission/admission.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/precedence"
@@ -57,6 +58,8 @@
 // Gate hands out slots, no faster than the back end's own limit allows. It is safe for concurrent use.
 type Gate struct {
 	now func() time.Time
+	// limited: the back end has named a limit. It is changed with the lock held.
+	limited atomic.Bool
 
 	mutex   sync.Mutex // guards all below
 	slots   int
@@ -280,7 +283,7 @@
 		}
 		g.waiting.remove(last)
 		if limited {
-			last.result <- g.limited(last.ticket, g.waiting.length, g.now())
+			last.result <- g.limitedError(last.ticket, g.waiting.length, g.now())
 			continue
 		}
 		last.result <- ErrDisplaced
--- a/internal/sidecar/admission/limit.go
+++ b/internal/sidecar/admission/limit.go
@@ -19,15 +19,19 @@
 	return fmt.Sprintf("admission: the back end's limit has no room for %v", e.Wait)
 }
 
-// Hear takes in what an answer says of the back end's limit, as ratelimit.Limit does.
-func (g *Gate) Hear(word ratelimit.Word, sent, answered time.Time) (changed bool) {
+// Hear takes in what an answer says of the back end's limit, as ratelimit.Limit does. After a change it
+// returns what held before.
+func (g *Gate) Hear(word ratelimit.Word, sent, answered time.Time) (before Limit, changed bool) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if changed = g.limit.Hear(word, sent, answered); changed {
-		g.displace()
-		g.grant()
+	held, since := g.limit.Word()
+	if !g.limit.Hear(word, sent, answered) {
+		return Limit{}, false
 	}
-	return changed
+	g.limited.Store(word.Named)
+	g.displace()
+	g.grant()
+	return Limit{Word: held, Age: answered.Sub(since), Recent: g.limit.Recent(answered)}, true
 }
 
 // Restarted takes in that the back end may have named a limit before this life of the node.
@@ -42,6 +46,7 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.limit.Reset()
+	g.limited.Store(false)
 	g.grant()
 }
 
@@ -63,6 +68,9 @@
 	return Limit{Word: word, Age: now.Sub(since), Recent: g.limit.Recent(now)}
 }
 
+// Limited reports whether the back end has named a limit.
+func (g *Gate) Limited() bool { return g.limited.Load() }
+
 // Room returns the rate of the back end's limit, in requests a second, and how many requests like the
 // ticket's it has room for, below zero for those that wait; false without a limit. An error that refused
 // the request tells the time that its peer was told.
@@ -86,11 +94,11 @@
 	if g.limit.Wait(ahead, now) <= entry.ticket.MaximumWait {
 		return nil
 	}
-	return g.limited(entry.ticket, ahead, now)
+	return g.limitedError(entry.ticket, ahead, now)
 }
 
-// limited returns the error for a request before which so many others pass; the lock is held.
-func (g *Gate) limited(ticket Ticket, ahead int, now time.Time) *LimitedError {
+// limitedError returns the error for a request before which so many others pass; the lock is held.
+func (g *Gate) limitedError(ticket Ticket, ahead int, now time.Time) *LimitedError {
 	return &LimitedError{Wait: g.limit.Promise(ticket.Peer, ticket.class(), ahead, now)}
 }
 
@@ -101,7 +109,7 @@
 func (g *Gate) tooLate(entry *waiter) error {
 	now := g.now()
 	if !g.limit.Ready(now) {
-		return g.limited(entry.ticket, g.waiting.lengthBefore(entry), now)
+		return g.limitedError(entry.ticket, g.waiting.lengthBefore(entry), now)
 	}
 	g.reserve.began(entry.ticket.Priority, true, g.slots, now)
 	return ErrTooLong
--- a/internal/sidecar/egress/notice.go
+++ b/internal/sidecar/egress/notice.go
@@ -20,17 +20,19 @@
 	errLeaving = errors.New("the back ends of the service are leaving")
 )
 
-// limitReport is what replies said of the limit of a back end. Only the belief in it changes.
+// limitReport is what replies said of the limit of a back end. It is immutable but for the belief.
 type limitReport struct {
 	*ratelimit.Belief
-	// epoch is the node's life and endpoint the back end that the replies came from.
-	epoch    uint64
+	// endpoint is the back end that the replies came from.
 	endpoint roster.Incarnation
+	// perSecond is the rate that was told last.
+	perSecond float64
 }
 
-// of reports whether the report is of the back end and the life of the node that the record tells of.
+// of reports whether the report is of the back end that the record tells of. Another life of the node beside
+// it changes nothing: that node has to learn of the limit.
 func (r *limitReport) of(record *roster.Record) bool {
-	return r.epoch == record.Epoch && r.endpoint == record.Endpoint.Incarnation()
+	return r.endpoint == record.Endpoint.Incarnation()
 }
 
 // leavingReport says since when an incarnation is known to leave by the word of an answer.
@@ -49,7 +51,9 @@
 	}
 	line := header.Get(hop.HeaderLimit)
 	if line == "" {
-		a.target.unlimited()
+		if header.Get(outcome.HeaderOutcome) == "" {
+			a.target.unlimited()
+		}
 		return
 	}
 	told, err := hop.ParseLimit(line)
@@ -76,7 +80,8 @@
 	return now.Sub(held.since), true
 }
 
-// unlimited takes in that a reply told of no limit.
+// unlimited takes in that an answer of the back end came without a limit. A refusal by its node says nothing:
+// that may have just started.
 func (t *target) unlimited() {
 	if t.limit.Load() != nil {
 		t.limit.Store(nil)
@@ -85,14 +90,14 @@
 
 // limited takes in what a reply told of the limit.
 func (t *target) limited(told hop.Limit, record *roster.Record, class ratelimit.Class, now time.Time) {
-	if held := t.limit.Load(); held != nil && held.of(record) {
-		held.Told(told.PerSecond, told.Room, class, now)
-		return
+	next := &limitReport{endpoint: record.Endpoint.Incarnation(), perSecond: told.PerSecond}
+	if held := t.limitOf(record); held != nil {
+		next.Belief = held.Belief
+		next.Told(told.PerSecond, told.Room, class, now)
+	} else {
+		next.Belief = ratelimit.NewBelief(told.PerSecond, told.Room, class, now)
 	}
-	t.limit.Store(&limitReport{
-		Belief: ratelimit.NewBelief(told.PerSecond, told.Room, class, now),
-		epoch:  record.Epoch, endpoint: record.Endpoint.Incarnation(),
-	})
+	t.limit.Store(next)
 }
 
 // limitOf returns what is known of the limit of the record's back end, nil for none.
@@ -103,6 +108,14 @@
 	return nil
 }
 
+// tellLimit adds to a request the limit that is known of its back end: the node beside it may have started
+// since.
+func (a *attempt) tellLimit(header http.Header) {
+	if limit := a.target.limitOf(a.record); limit != nil {
+		header[hop.HeaderLimit] = []string{hop.Limit{PerSecond: limit.perSecond}.Format()}
+	}
+}
+
 // judgeNotices adds to a description what the back end asks for: one whose limit has no room in time, or
 // that has left, is not sent to.
 func (s *considered) judgeNotices(described *choice.Candidate, found *target, record *roster.Record) {
--- a/internal/sidecar/egress/visit.go
+++ b/internal/sidecar/egress/visit.go
@@ -253,6 +253,7 @@
 	header[hop.HeaderHop] = []string{told.Format()}
 	header[hop.HeaderVersion] = []string{strconv.FormatUint(c.table.Version(), 10)}
 	c.tellPart(header)
+	a.tellLimit(header)
 	outgoing := forward.NewRequest(a.traced(), c.request, a.record.Address, header, a.interim)
 	forward.KeepTarget(outgoing, c.request)
 	c.body.Attach(outgoing)
--- a/internal/sidecar/ingress/arrival.go
+++ b/internal/sidecar/ingress/arrival.go
@@ -179,6 +179,7 @@
 	if judge := a.handler.options.Judge; judge != nil && judge.Refuses() {
 		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepDrain, refusedWait, errVersion)
 	}
+	a.hearPeer()
 	a.deadline = a.started.Add(told.Remaining)
 	return nil
 }
--- a/internal/sidecar/ingress/handler.go
+++ b/internal/sidecar/ingress/handler.go
@@ -173,7 +173,6 @@
 func New(options Options) *Handler {
 	created := &Handler{
 		options: options,
-		notices: notices{unheard: options.Restarted},
 		pool: forward.NewPool(options.Address, forward.Limits{
 			Connections:      defaultConnections,
 			IdleTimeout:      idleTimeout,
@@ -187,6 +186,7 @@
 		trial:        semaphore.NewWeighted(1),
 	}
 	if options.Restarted {
+		created.notices.unheard.Store(true)
 		created.gate.Restarted()
 	}
 	return created
@@ -204,7 +204,8 @@
 	if endpoint.State != roster.Ready {
 		h.workplace.planned(endpoint.Incarnation())
 	}
-	h.gate.Resize(h.notices.follow(endpoint.Incarnation(), max(endpoint.Slots, 1), h.gate))
+	h.notices.follow(endpoint.Incarnation(), h.gate)
+	h.gate.Resize(max(endpoint.Slots, 1))
 	held := h.leaving.Load()
 	switch {
 	case endpoint.State == roster.Ready:
--- a/internal/sidecar/ingress/notice.go
+++ b/internal/sidecar/ingress/notice.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -14,13 +15,8 @@
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 )
 
-const (
-	// slotsUnheard is how many slots a back end has that may have named a limit before this life of the
-	// node, until its first answer tells.
-	slotsUnheard = 1
-	// noticeLogInterval is the least time between two lines of the log on a limit that changes.
-	noticeLogInterval = time.Second
-)
+// noticeLogInterval is the least time between two lines of the log on a limit that changes.
+const noticeLogInterval = time.Second
 
 // notices takes in what the back end asks for with its answers. It is safe for concurrent use.
 type notices struct {
@@ -28,29 +24,27 @@
 	// of is the incarnation that is there; leaving: it leaves by the word of an answer.
 	of      roster.Incarnation
 	leaving bool
-	// unheard: no answer of this life of the node has told whether there is a limit.
-	unheard bool
+	// unheard: no answer of this life of the node has told whether there is a limit. Callers' nodes tell
+	// of one that they know.
+	unheard atomic.Bool
 	// unreadable: the last notice could not be read.
 	unreadable bool
 	// logged is when the log last told of the limit.
 	logged time.Time
 }
 
-// follow takes in which incarnation is there and how many slots it has, and returns how many it gets.
-func (n *notices) follow(of roster.Incarnation, slots int, gate *admission.Gate) int {
+// follow takes in which incarnation is there.
+func (n *notices) follow(of roster.Incarnation, gate *admission.Gate) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.of != of {
-		if n.of != (roster.Incarnation{}) {
-			n.unheard = false // what has just started has named nothing before
-		}
-		n.of, n.leaving = of, false
-		gate.ResetLimit()
+	if n.of == of {
+		return
 	}
-	if n.unheard {
-		return min(slots, slotsUnheard)
+	if n.of != (roster.Incarnation{}) {
+		n.unheard.Store(false) // what has just started has named nothing before
 	}
-	return slots
+	n.of, n.leaving = of, false
+	gate.ResetLimit()
 }
 
 // leaves takes in that an incarnation leaves, and reports whether that is new.
@@ -110,8 +104,7 @@
 	return notice, false
 }
 
-// hearLimit takes in the word on a limit, and gives the back end all of its slots after the first one. A
-// late answer of an earlier incarnation says nothing.
+// hearLimit takes in the word on a limit. A late answer of an earlier incarnation says nothing.
 func (h *Handler) hearLimit(word ratelimit.Word, of *roster.Endpoint, sent time.Time) {
 	h.notices.mu.Lock()
 	defer h.notices.mu.Unlock()
@@ -120,13 +113,28 @@
 	}
 	h.notices.unreadable = false
 	now := clock.Now()
-	before := h.gate.Limit()
-	if h.gate.Hear(word, sent, now) {
+	if before, changed := h.gate.Hear(word, sent, now); changed {
 		h.logLimit(of, before, word, now)
 	}
-	if h.notices.unheard {
-		h.notices.unheard = false
-		h.gate.Resize(max(of.Slots, 1))
+	h.notices.unheard.Store(false)
+}
+
+// hearPeer takes in the limit that the caller's node knows of, while the back end has not answered in this
+// life of the node.
+func (a *arrival) hearPeer() {
+	line := a.request.Header.Get(hop.HeaderLimit)
+	if line == "" || !a.handler.notices.unheard.Load() {
+		return
+	}
+	told, err := hop.ParseLimit(line)
+	if err != nil {
+		a.handler.options.Logger.Warn("limit told by a node not read", zap.String("peer", a.request.RemoteAddr), zap.Error(err))
+		return
+	}
+	// Of what several nodes know the strictest holds.
+	if _, changed := a.handler.gate.Hear(ratelimit.Word{Named: true, PerSecond: told.PerSecond}, time.Time{}, clock.Now()); changed {
+		a.handler.options.Logger.Info("limit of the back end told by a node", zap.String("endpoint", a.endpoint.ID),
+			zap.String("peer", a.request.RemoteAddr), zap.Float64("perSecond", told.PerSecond))
 	}
 }
 
@@ -151,10 +159,17 @@
 
 // tellNotices adds to a reply what the back end asks for.
 func (a *arrival) tellNotices(header http.Header) {
-	if perSecond, room, limited := a.handler.gate.Room(a.ticket(), a.limited); limited {
-		header[hop.HeaderLimit] = []string{hop.Limit{PerSecond: perSecond, Room: room}.Format()}
+	if a.handler.gate.Limited() {
+		a.tellLimit(header)
 	}
 	if a.endpoint != nil && a.handler.notices.leavesByWord(a.endpoint.Incarnation()) {
 		header[hop.HeaderLeaving] = []string{a.endpoint.Incarnation().String()}
 	}
 }
+
+// tellLimit adds the limit of the back end to a reply.
+func (a *arrival) tellLimit(header http.Header) {
+	if perSecond, room, limited := a.handler.gate.Room(a.ticket(), a.limited); limited {
+		header[hop.HeaderLimit] = []string{hop.Limit{PerSecond: perSecond, Room: room}.Format()}
+	}
+}
