TestALargeExchangeIsSmallOnTheWay runs on the virtual clock

It has the memory network and the clock of the package's other tests now, and counts the bytes of both directions with their headers, which is stricter than the bodies alone.

--- a/internal/sidecar/exchange/exchange_test.go
+++ b/internal/sidecar/exchange/exchange_test.go
@@ -246,22 +246,3 @@
 	g.Expect(hearing.exchanger.With(t.Context(), telling.record)).To(Succeed())
 	g.Expect(hearing.members.View().Record("harmless")).NotTo(BeNil())
 }
-
-// TestALargeExchangeIsSmallOnTheWay: the records of 984 nodes, that one of two peers lacks, pass in
-// less than a tenth of their length.
-func TestALargeExchangeIsSmallOnTheWay(t *testing.T) {
-	g := NewWithT(t)
-	knows, asks := newMember(t, "knows"), newMember(t, "asks")
-	records := crowd(984)
-	knows.members.Merge(records)
-	plain, err := json.Marshal(records)
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(asks.exchanger.With(t.Context(), knows.record)).To(Succeed())
-	g.Expect(asks.members.View().Count()).To(Equal(986))
-	g.Expect(knows.bytes.Load()).To(BeNumerically("<", len(plain)/10))
-	// The other way round the asking node's own records are long.
-	late := newMember(t, "late")
-	g.Expect(asks.exchanger.With(t.Context(), late.record)).To(Succeed())
-	g.Expect(late.members.View().Count()).To(Equal(987))
-	g.Expect(late.bytes.Load()).To(BeNumerically("<", len(plain)/10))
-}
--- a/internal/sidecar/exchange/slow_test.go
+++ b/internal/sidecar/exchange/slow_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -166,3 +167,54 @@
 		g.Expect(time.Since(began)).To(BeNumerically("<=", 2*hedgeDelay))
 	})
 }
+
+// measured is a connection whose bytes count, in both directions.
+type measured struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (m *measured) Read(data []byte) (int, error) {
+	count, err := m.Conn.Read(data)
+	m.bytes.Add(int64(count))
+	return count, err
+}
+
+func (m *measured) Write(data []byte) (int, error) {
+	count, err := m.Conn.Write(data)
+	m.bytes.Add(int64(count))
+	return count, err
+}
+
+// TestALargeExchangeIsSmallOnTheWay: the records of 984 nodes, that one of two peers lacks, pass in
+// less than a tenth of their length.
+func TestALargeExchangeIsSmallOnTheWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		in := &network{nodes: map[string]func(net.Conn){}}
+		defer synctest.Wait()
+		defer in.close()
+		knows, asks, late := newVirtualMember(in, "knows", "near"), newVirtualMember(in, "asks", "near"), newVirtualMember(in, "late", "near")
+		var passed atomic.Int64
+		asks.exchanger.client.CloseIdleConnections()
+		asks.exchanger.client = newClient(func(ctx context.Context, network, address string) (net.Conn, error) {
+			connection, err := in.dial(ctx, network, address)
+			return &measured{connection, &passed}, err
+		})
+		records := crowd(984)
+		knows.exchanger.options.Roster.Merge(records)
+		plain, err := json.Marshal(records)
+		g.Expect(err).NotTo(HaveOccurred())
+		known := func(of *virtualMember) int { return of.exchanger.options.Roster.View().Count() }
+		g.Expect(asks.exchanger.With(t.Context(), knows.record)).To(Succeed())
+		time.Sleep(time.Second) // a large roster takes changes together
+		g.Expect(known(asks)).To(Equal(986))
+		g.Expect(passed.Load()).To(BeNumerically("<", len(plain)/10))
+		// The other way round the asking node's own records are long.
+		passed.Store(0)
+		g.Expect(asks.exchanger.With(t.Context(), late.record)).To(Succeed())
+		time.Sleep(time.Second)
+		g.Expect(known(late)).To(Equal(987))
+		g.Expect(passed.Load()).To(BeNumerically("<", len(plain)/10))
+	})
+}
