A back end on trial that has no room for a request is no reason to refuse it

A roll-out selects the back ends on trial for a part of the requests. Where their limits have no room, or they leave, such a request was refused; it goes to the versions in use now, as one does that found nobody there. Not where all requests have moved to the version: what fits there no more may not go back. TestABackEndOnTrialWithoutRoomRefusesNobody fails without the change: its second request gets 503.

--- a/internal/sidecar/egress/choose.go
+++ b/internal/sidecar/egress/choose.go
@@ -18,6 +18,11 @@
 func (c *call) choose() (*attempt, *outcome.Failure) {
 	considered := c.considered(clock.Now(), c.selected())
 	index, seen := considered.draw()
+	if plan := c.handler.plan(c.service); seen.Closed && plan != nil && !plan.Moves() {
+		// That back ends on trial have no room is no reason to refuse a request.
+		considered = c.considered(considered.now, plan.Otherwise())
+		index, seen = considered.draw()
+	}
 	if considered.full {
 		c.handler.options.Observer.Diverted(c.service, index >= 0 && !seen.Closed)
 	}
--- /dev/null
+++ b/internal/sidecar/egress/notice_test.go
@@ -0,0 +1,134 @@
+package egress
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
+)
+
+// askFor sends one request through the handler.
+func askFor(handler *Handler) *httptest.ResponseRecorder {
+	request := httptest.NewRequest(http.MethodGet, "/safe/1", nil)
+	request.Host = "h"
+	request.Header.Set("Deadline-Ms", "3000")
+	recorder := httptest.NewRecorder()
+	handler.ServeHTTP(recorder, request)
+	return recorder
+}
+
+// answersWith answers with further headers.
+func answersWith(headers string) func(*peer, net.Conn, *bufio.Reader) {
+	return func(_ *peer, connection net.Conn, _ *bufio.Reader) {
+		_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nConnection: close\r\nKestrel-Reply: 1 0 0 8 50000 1000 1000\r\n"+headers+"Content-Length: 2\r\n\r\nok")
+	}
+}
+
+// TestACallerThatNobodyHasRoomForHearsSoAtOnce, without a send, and when to come back.
+func TestACallerThatNobodyHasRoomForHearsSoAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	full := newPeer(t, answersWith("Kestrel-Limit: 500 -3000\r\n"))
+	handler := newHandler(t, &quiet{}, present, full)
+	g.Expect(askFor(handler).Code).To(Equal(http.StatusOK))
+	refused := askFor(handler)
+	g.Expect(refused.Code).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(refused.Header().Get("Retry-After")).To(HavePrefix("8.0"), "four requests at one in two seconds")
+	g.Expect(full.requests.Load()).To(BeEquivalentTo(1))
+}
+
+// TestABackEndWithoutRoomIsPassedOver while another one of the service has room.
+func TestABackEndWithoutRoomIsPassedOver(t *testing.T) {
+	g := NewWithT(t)
+	full, free := newPeer(t, answersWith("Kestrel-Limit: 500 -3000\r\n")), newPeer(t, answersWith(""))
+	handler := newHandler(t, &quiet{}, present, full, free)
+	for range 20 {
+		g.Expect(askFor(handler).Code).To(Equal(http.StatusOK))
+	}
+	g.Expect(full.requests.Load()).To(BeNumerically("<=", 1))
+}
+
+// TestALimitIsToldToANodeThatMayHaveStartedSince, until an answer of the back end names none.
+func TestALimitIsToldToANodeThatMayHaveStartedSince(t *testing.T) {
+	g := NewWithT(t)
+	var told atomic.Pointer[string]
+	reply := "Kestrel-Limit: 12800 9000\r\n"
+	refuses := false
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		line := r.Header.Get(hop.HeaderLimit)
+		told.Store(&line)
+		w.Header().Set(hop.HeaderReply, "1 0 0 8 50000 1000 1000")
+		if refuses {
+			w.Header().Set(outcome.HeaderOutcome, string(outcome.NotRun))
+			w.Header().Set(outcome.HeaderError, "step="+string(outcome.StepIdentity))
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		if reply != "" {
+			w.Header().Set(hop.HeaderLimit, "12800 9000")
+		}
+	}))
+	defer server.Close()
+	handler := newHandler(t, &quiet{}, present, &peer{address: server.Listener.Addr().String()})
+	askFor(handler)
+	g.Expect(*told.Load()).To(BeEmpty())
+	refuses = true
+	askFor(handler)
+	g.Expect(*told.Load()).To(Equal("12800 0"))
+	refuses, reply = false, ""
+	askFor(handler)
+	g.Expect(*told.Load()).To(Equal("12800 0"), "a refusal by the node itself says nothing")
+	askFor(handler)
+	g.Expect(*told.Load()).To(BeEmpty())
+}
+
+// TestABackEndThatLeavesByWordOfAnAnswerIsNotSentTo by the node that passed it on, whatever others say.
+func TestABackEndThatLeavesByWordOfAnAnswerIsNotSentTo(t *testing.T) {
+	g := NewWithT(t)
+	leaving := newPeer(t, answersWith("Kestrel-Leaving: i\r\n"))
+	handler := newHandler(t, &quiet{}, present, leaving)
+	handler.options.DrainAfter = func() time.Duration { return 0 }
+	g.Expect(askFor(handler).Code).To(Equal(http.StatusOK))
+	for range 3 {
+		refused := askFor(handler)
+		g.Expect(refused.Code).To(Equal(http.StatusServiceUnavailable))
+		g.Expect(refused.Header().Get("Retry-After")).NotTo(BeEmpty())
+	}
+	g.Expect(leaving.requests.Load()).To(BeEquivalentTo(1))
+}
+
+// TestABackEndOnTrialWithoutRoomRefusesNobody: its requests go to the versions in use.
+func TestABackEndOnTrialWithoutRoomRefusesNobody(t *testing.T) {
+	g := NewWithT(t)
+	onTrial, inUse := newPeer(t, answersWith("Kestrel-Limit: 500 -3000\r\n")), newPeer(t, answersWith(""))
+	handler := newHandler(t, &quiet{}, present, onTrial, inUse)
+	records := handler.options.View().Records()
+	members := roster.New(roster.Record{Node: "self", Epoch: 1, Zone: "z"})
+	for _, record := range records {
+		if record.Endpoint == nil {
+			continue
+		}
+		versioned, endpoint := *record, *record.Endpoint
+		endpoint.Version = map[string]string{onTrial.address: "v2", inUse.address: "v1"}[record.Address]
+		versioned.Endpoint = &endpoint
+		members.Merge([]*roster.Record{&versioned})
+	}
+	handler.options.View = members.View
+	plan := rollout.NewPlan(rollout.Move{Order: rollout.Order{Version: "v2"}, Phase: rollout.Trial}, rollout.Stint{BackEnds: []string{"a"}, Share: 1}, nil, false, rollout.NewSplit())
+	handler.options.Plan = func(string) *rollout.Plan { return plan }
+	for range 10 {
+		g.Expect(askFor(handler).Code).To(Equal(http.StatusOK))
+	}
+	g.Expect(onTrial.requests.Load()).To(BeEquivalentTo(1))
+	g.Expect(inUse.requests.Load()).To(BeEquivalentTo(9))
+}
