--- a/internal/sidecar/ingress/handler_test.go
+++ b/internal/sidecar/ingress/handler_test.go
@@ -42,6 +42,8 @@
 	answer  atomic.Pointer[http.HandlerFunc]
 	// told changes what the caller's node tells, nil for nothing.
 	told func(*hop.Request)
+	// limit is what the caller's node knows of the back end's limit, empty for nothing.
+	limit string
 	// serves says whether a newer configuration leads a request here, nil for always.
 	serves func(request *http.Request, service string, version uint64) bool
 	// emptied: the zone is to take nothing.
@@ -58,16 +60,20 @@
 
 // playUnconfigured is play before a configuration came.
 func playUnconfigured(t *testing.T, contended ...func() bool) *played {
+	return playWith(t, func(options *ingress.Options) {
+		if len(contended) > 0 {
+			options.Contended = contended[0]
+		}
+	})
+}
+
+// playWith is playUnconfigured with changed options.
+func playWith(t *testing.T, change func(*ingress.Options)) *played {
 	made := &played{}
 	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { (*made.answer.Load())(w, r) }))
 	t.Cleanup(backend.Close)
 	endpoint := &roster.Endpoint{ID: "i-1", Service: "one", Slots: 4, State: roster.Ready}
-	var contends func() bool
-	if len(contended) > 0 {
-		contends = contended[0]
-	}
-	made.handler = ingress.New(ingress.Options{
-		Contended:  contends,
+	options := ingress.Options{
 		Vocabulary: vocabulary, Address: backend.Listener.Addr().String(),
 		Endpoint:   func() *roster.Endpoint { return endpoint },
 		Identified: func(string) {}, Version: func() uint64 { return 1 },
@@ -77,7 +83,9 @@
 		Serves: func(request *http.Request, service string, version uint64) bool {
 			return made.serves == nil || made.serves(request, service, version)
 		},
-	})
+	}
+	change(&options)
+	made.handler = ingress.New(options)
 	made.handler.Follow(endpoint)
 	return made
 }
@@ -111,6 +119,9 @@
 	}
 	req := httptest.NewRequestWithContext(ctx, http.MethodGet, "/a/", strings.NewReader(""))
 	req.Header.Set(hop.HeaderHop, told.Format())
+	if p.limit != "" {
+		req.Header.Set(hop.HeaderLimit, p.limit)
+	}
 	req.Header.Set(vocabulary.RequestID, "r")
 	recorder := httptest.NewRecorder()
 	p.handler.ServeHTTP(recorder, req)
