--- a/internal/sidecar/egress/call_test.go
+++ b/internal/sidecar/egress/call_test.go
@@ -158,10 +158,15 @@
 			Members: members, Spread: func() {}, Logger: zap.NewNop(), Registry: prometheus.NewRegistry(),
 		}),
 	})
+	// A process that stands still for a moment must not fail to connect.
+	created.targets.options.DialTimeout = testDialTimeout
 	t.Cleanup(created.Cut)
 	return created
 }
 
+// testDialTimeout is beyond the deadline of every call of these tests.
+const testDialTimeout = 20 * time.Second
+
 func present(context.Context, *roster.Record) error { return nil }
 
 var errNoAnswer = errors.New("no answer")
