--- a/internal/sidecar/admission/limit.go
+++ b/internal/sidecar/admission/limit.go
@@ -19,19 +19,19 @@
 	return fmt.Sprintf("admission: the back end's limit has no room for %v", e.Wait)
 }
 
-// Hear takes in what an answer says of the back end's limit, as ratelimit.Limit does. After a change it
+// UpdateLimit takes in what an answer says of the back end's limit, as ratelimit.Limit does. After a change it
 // returns what held before.
-func (g *Gate) Hear(word ratelimit.Word, sent, answered time.Time) (before Limit, changed bool) {
+func (g *Gate) UpdateLimit(advertised ratelimit.Advertised, sent, answered time.Time) (before Limit, changed bool) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	held, since := g.limit.Word()
-	if !g.limit.Hear(word, sent, answered) {
+	held, since := g.limit.Advertised()
+	if !g.limit.Update(advertised, sent, answered) {
 		return Limit{}, false
 	}
-	g.limited.Store(word.Named)
+	g.limited.Store(advertised.Named)
 	g.displace()
 	g.grant()
-	return Limit{Word: held, Age: answered.Sub(since), Recent: g.limit.Recent(answered)}, true
+	return Limit{Advertised: held, Age: answered.Sub(since), Recent: g.limit.Recent(answered)}, true
 }
 
 // Restarted takes in that the back end may have named a limit before this life of the node.
@@ -52,7 +52,7 @@
 
 // Limit is a moment's state of the back end's limit.
 type Limit struct {
-	ratelimit.Word
+	ratelimit.Advertised
 	// Age is the time since the back end first said so.
 	Age time.Duration
 	// Recent is how many requests it got in the last ratelimit.Window.
@@ -64,8 +64,8 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	now := g.now()
-	word, since := g.limit.Word()
-	return Limit{Word: word, Age: now.Sub(since), Recent: g.limit.Recent(now)}
+	advertised, since := g.limit.Advertised()
+	return Limit{Advertised: advertised, Age: now.Sub(since), Recent: g.limit.Recent(now)}
 }
 
 // Limited reports whether the back end has named a limit.
@@ -77,15 +77,15 @@
 func (g *Gate) Room(ticket Ticket, refused *LimitedError) (perSecond, room float64, limited bool) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	word, _ := g.limit.Word()
+	advertised, _ := g.limit.Advertised()
 	switch {
-	case !word.Named:
+	case !advertised.Named:
 		return 0, 0, false
 	case refused != nil:
-		return word.PerSecond, g.limit.RoomIn(refused.Wait), true
+		return advertised.PerSecond, g.limit.RoomIn(refused.Wait), true
 	}
 	ahead := g.waiting.lengthUpTo(ticket.precedence().Level())
-	return word.PerSecond, g.limit.Room(ticket.Peer, ticket.class(), ahead, g.now()), true
+	return advertised.PerSecond, g.limit.Room(ticket.Peer, ticket.class(), ahead, g.now()), true
 }
 
 // withinLimit returns an error when the limit has no room for an entry within its maximum wait; the lock
@@ -99,7 +99,7 @@
 
 // limitedError returns the error for a request before which so many others pass; the lock is held.
 func (g *Gate) limitedError(ticket Ticket, ahead int, now time.Time) *LimitedError {
-	return &LimitedError{Wait: g.limit.Promise(ticket.Peer, ticket.class(), ahead, now)}
+	return &LimitedError{Wait: g.limit.RetryAfter(ticket.Peer, ticket.class(), ahead, now)}
 }
 
 // class is the ticket's among those that a limit tells apart.
--- a/internal/sidecar/admission/limit_test.go
+++ b/internal/sidecar/admission/limit_test.go
@@ -16,7 +16,7 @@
 func newLimitedGate(slots int, perSecond float64) *admission.Gate {
 	gate := admission.New(time.Now)
 	gate.Resize(slots)
-	gate.Hear(ratelimit.Word{Named: true, PerSecond: perSecond}, time.Now(), time.Now())
+	gate.UpdateLimit(ratelimit.Advertised{Named: true, PerSecond: perSecond}, time.Now(), time.Now())
 	return gate
 }
 
@@ -70,11 +70,11 @@
 func TestALoweredLimitRefusesWhatWaits(t *testing.T) {
 	for _, held := range []struct {
 		name   string
-		word   ratelimit.Word
+		word   ratelimit.Advertised
 		passes bool
 	}{
-		{"lowered", ratelimit.Word{Named: true, PerSecond: 0.5}, false},
-		{"ended", ratelimit.Word{}, true},
+		{"lowered", ratelimit.Advertised{Named: true, PerSecond: 0.5}, false},
+		{"ended", ratelimit.Advertised{}, true},
 	} {
 		t.Run(held.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -92,7 +92,7 @@
 					}()
 					synctest.Wait()
 				}
-				gate.Hear(held.word, time.Now(), time.Now())
+				gate.UpdateLimit(held.word, time.Now(), time.Now())
 				synctest.Wait()
 				if held.passes {
 					g.Expect(<-results).NotTo(HaveOccurred())
--- a/internal/sidecar/backend.go
+++ b/internal/sidecar/backend.go
@@ -54,7 +54,7 @@
 	return table != nil && table.Service(service) != nil
 }
 
-// leaves takes in that the back end leaves by the word of an answer, as if a heartbeat had said so.
+// leaves takes in that the back end leaves by what an answer says, as if a heartbeat had said so.
 func (s *Sidecar) leaves(of roster.Incarnation) {
 	_, changed := s.members.Update(func(record roster.Record) (roster.Record, bool) { return record.Leave(of) })
 	if changed {
--- a/internal/sidecar/egress/notice.go
+++ b/internal/sidecar/egress/notice.go
@@ -20,9 +20,9 @@
 	errLeaving = errors.New("the back ends of the service are leaving")
 )
 
-// limitReport is what replies said of the limit of a back end. It is immutable but for the belief.
+// limitReport is what replies said of the limit of a back end. It is immutable but for the estimate.
 type limitReport struct {
-	*ratelimit.Belief
+	*ratelimit.Estimate
 	// endpoint is the back end that the replies came from.
 	endpoint roster.Incarnation
 	// perSecond is the rate that was told last.
@@ -35,7 +35,7 @@
 	return r.endpoint == record.Endpoint.Incarnation()
 }
 
-// leavingReport says since when an incarnation is known to leave by the word of an answer.
+// leavingReport says since when an incarnation is known to leave by what an answer says.
 type leavingReport struct {
 	of    string
 	since time.Time
@@ -92,10 +92,10 @@
 func (t *target) limited(told hop.Limit, record *roster.Record, class ratelimit.Class, now time.Time) {
 	next := &limitReport{endpoint: record.Endpoint.Incarnation(), perSecond: told.PerSecond}
 	if held := t.limitOf(record); held != nil {
-		next.Belief = held.Belief
-		next.Told(told.PerSecond, told.Room, class, now)
+		next.Estimate = held.Estimate
+		next.Update(told.PerSecond, told.Room, class, now)
 	} else {
-		next.Belief = ratelimit.NewBelief(told.PerSecond, told.Room, class, now)
+		next.Estimate = ratelimit.NewEstimate(told.PerSecond, told.Room, class, now)
 	}
 	t.limit.Store(next)
 }
@@ -167,5 +167,5 @@
 	if soonest == nil {
 		return 0, false
 	}
-	return soonest.Turn(class, s.now), true
+	return soonest.RetryAfter(class, s.now), true
 }
--- a/internal/sidecar/ingress/notice.go
+++ b/internal/sidecar/ingress/notice.go
@@ -21,7 +21,7 @@
 // notices takes in what the back end asks for with its answers. It is safe for concurrent use.
 type notices struct {
 	mu sync.Mutex // guards all below
-	// of is the incarnation that is there; leaving: it leaves by the word of an answer.
+	// of is the incarnation that is there; leaving: it leaves by what an answer says.
 	of      roster.Incarnation
 	leaving bool
 	// unheard: no answer of this life of the node has told whether there is a limit. Callers' nodes tell
@@ -73,14 +73,14 @@
 // hear takes in what the back end asks for with an answer to a request sent at that moment.
 func (h *Handler) hear(header http.Header, of *roster.Endpoint, sent time.Time) {
 	if notice, read := h.read(header, of); read {
-		h.hearLimit(ratelimit.Word{Named: notice.Limited, PerSecond: notice.PerSecond}, of, sent)
+		h.hearLimit(ratelimit.Advertised{Named: notice.Limited, PerSecond: notice.PerSecond}, of, sent)
 	}
 }
 
 // hearHealth is hear for the answer to a health check. It may leave a limit out that holds.
 func (h *Handler) hearHealth(header http.Header, of *roster.Endpoint, sent time.Time) {
 	if notice, read := h.read(header, of); read && notice.Limited {
-		h.hearLimit(ratelimit.Word{Named: true, PerSecond: notice.PerSecond}, of, sent)
+		h.hearLimit(ratelimit.Advertised{Named: true, PerSecond: notice.PerSecond}, of, sent)
 	}
 }
 
@@ -91,7 +91,7 @@
 	}
 	notice, err := h.options.DecodeNotice(header)
 	if notice.Leaving && h.notices.leaves(of.Incarnation()) {
-		h.options.Logger.Info("back end leaves by word of an answer", zap.String("endpoint", of.ID), zap.String("service", of.Service))
+		h.options.Logger.Info("back end leaves by advertised of an answer", zap.String("endpoint", of.ID), zap.String("service", of.Service))
 		h.options.Leaves(of.Incarnation())
 	}
 	if err == nil {
@@ -104,8 +104,8 @@
 	return notice, false
 }
 
-// hearLimit takes in the word on a limit. A late answer of an earlier incarnation says nothing.
-func (h *Handler) hearLimit(word ratelimit.Word, of *roster.Endpoint, sent time.Time) {
+// hearLimit takes in the limit that an answer names. A late answer of an earlier incarnation says nothing.
+func (h *Handler) hearLimit(advertised ratelimit.Advertised, of *roster.Endpoint, sent time.Time) {
 	h.notices.mu.Lock()
 	defer h.notices.mu.Unlock()
 	if h.notices.of != of.Incarnation() {
@@ -113,8 +113,8 @@
 	}
 	h.notices.unreadable = false
 	now := clock.Now()
-	if before, changed := h.gate.Hear(word, sent, now); changed {
-		h.logLimit(of, before, word, now)
+	if before, changed := h.gate.UpdateLimit(advertised, sent, now); changed {
+		h.logLimit(of, before, advertised, now)
 	}
 	h.notices.unheard.Store(false)
 }
@@ -132,26 +132,26 @@
 		return
 	}
 	// Of what several nodes know the strictest holds.
-	if _, changed := a.handler.gate.Hear(ratelimit.Word{Named: true, PerSecond: told.PerSecond}, time.Time{}, clock.Now()); changed {
+	if _, changed := a.handler.gate.UpdateLimit(ratelimit.Advertised{Named: true, PerSecond: told.PerSecond}, time.Time{}, clock.Now()); changed {
 		a.handler.options.Logger.Info("limit of the back end told by a node", zap.String("endpoint", a.endpoint.ID),
 			zap.String("peer", a.request.RemoteAddr), zap.Float64("perSecond", told.PerSecond))
 	}
 }
 
 // logLimit tells of a change; the lock of the notices is held.
-func (h *Handler) logLimit(of *roster.Endpoint, before admission.Limit, word ratelimit.Word, now time.Time) {
-	if before.Named == word.Named && now.Sub(h.notices.logged) < noticeLogInterval {
+func (h *Handler) logLimit(of *roster.Endpoint, before admission.Limit, advertised ratelimit.Advertised, now time.Time) {
+	if before.Named == advertised.Named && now.Sub(h.notices.logged) < noticeLogInterval {
 		return
 	}
 	h.notices.logged = now
 	h.options.Logger.Info("limit of the back end", zap.String("endpoint", of.ID), zap.String("service", of.Service),
-		zap.Bool("limited", word.Named), zap.Float64("perSecond", word.PerSecond),
+		zap.Bool("limited", advertised.Named), zap.Float64("perSecond", advertised.PerSecond),
 		zap.Bool("limitedBefore", before.Named), zap.Float64("perSecondBefore", before.PerSecond),
 		zap.Duration("for", before.Age), zap.Int("recent", before.Recent))
 }
 
-// leavesByWord reports whether an incarnation has said with an answer that it leaves.
-func (n *notices) leavesByWord(of roster.Incarnation) bool {
+// leavesByAnswer reports whether an incarnation has said with an answer that it leaves.
+func (n *notices) leavesByAnswer(of roster.Incarnation) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.leaving && n.of == of
@@ -162,7 +162,7 @@
 	if a.handler.gate.Limited() {
 		a.tellLimit(header)
 	}
-	if a.endpoint != nil && a.handler.notices.leavesByWord(a.endpoint.Incarnation()) {
+	if a.endpoint != nil && a.handler.notices.leavesByAnswer(a.endpoint.Incarnation()) {
 		header[hop.HeaderLeaving] = []string{a.endpoint.Incarnation().String()}
 	}
 }
--- a/internal/sidecar/ratelimit/bucket.go
+++ b/internal/sidecar/ratelimit/bucket.go
@@ -1,6 +1,6 @@
 // Package ratelimit keeps to the rate that a back end names for itself, in requests a second from
 // all nodes together. Limit decides: it is kept by the node beside the back end, which every request
-// passes. Belief is what another node knows of it, so as not to send in vain. The package is pure: it
+// passes. Estimate is what another node knows of it, so as not to send in vain. The package is pure: it
 // is told the time.
 package ratelimit
 
--- a/internal/sidecar/ratelimit/fleet_test.go
+++ b/internal/sidecar/ratelimit/fleet_test.go
@@ -22,10 +22,10 @@
 )
 
 // fleet plays nodes that send to back ends with limits. A request goes to the back end of which the
-// node believes the shortest wait, and to another one after a refusal.
+// node expects the shortest wait, and to another one after a refusal.
 type fleet struct {
-	limits  []*ratelimit.Limit
-	beliefs [][]*ratelimit.Belief
+	limits    []*ratelimit.Limit
+	estimates [][]*ratelimit.Estimate
 	// served and refused count requests, vain the sends that were refused, first those of them that were a
 	// node's first to the back end.
 	served, refused, vain, first int
@@ -55,24 +55,24 @@
 }
 
 func newFleet(nodes, backs int, perSecond float64) *fleet {
-	made := &fleet{servedBy: make([][]time.Time, backs), beliefs: make([][]*ratelimit.Belief, nodes)}
+	made := &fleet{servedBy: make([][]time.Time, backs), estimates: make([][]*ratelimit.Estimate, nodes)}
 	for range backs {
 		made.limits = append(made.limits, limited(perSecond))
 	}
-	for i := range made.beliefs {
-		made.beliefs[i] = make([]*ratelimit.Belief, backs)
+	for i := range made.estimates {
+		made.estimates[i] = make([]*ratelimit.Estimate, backs)
 	}
 	return made
 }
 
-// choose returns the back end to send to, below zero when none is believed to have room in time. It
+// choose returns the back end to send to, below zero when none is expected to have room in time. It
 // compares a few that are drawn, as nodes do.
 func (f *fleet) choose(node int, tried []bool, now time.Time, random *rand.Rand) int {
 	best, shortest := -1, time.Duration(0)
 	for _, back := range random.Perm(len(f.limits)) {
 		wait := time.Duration(0)
-		if belief := f.beliefs[node][back]; belief != nil {
-			wait = belief.Wait(1, now)
+		if estimate := f.estimates[node][back]; estimate != nil {
+			wait = estimate.Wait(1, now)
 		}
 		if !tried[back] && wait <= fleetPatience && (best < 0 || wait < shortest) {
 			best, shortest = back, wait
@@ -88,8 +88,8 @@
 		f.refused++
 		return
 	}
-	if belief := f.beliefs[one.node][one.back]; belief != nil {
-		belief.Sent(1, now)
+	if estimate := f.estimates[one.node][one.back]; estimate != nil {
+		estimate.Sent(1, now)
 	}
 	one.at = now.Add(fleetLatency / 2)
 	one.sends++
@@ -108,16 +108,16 @@
 		room = limit.Room(fmt.Sprint(one.node), 1, 0, now)
 	} else {
 		f.vain++
-		if f.beliefs[one.node][one.back] == nil {
+		if f.estimates[one.node][one.back] == nil {
 			f.first++
 		}
-		room = limit.RoomIn(limit.Promise(fmt.Sprint(one.node), 1, 0, now))
+		room = limit.RoomIn(limit.RetryAfter(fmt.Sprint(one.node), 1, 0, now))
 	}
-	word, _ := limit.Word()
-	if belief := f.beliefs[one.node][one.back]; belief != nil {
-		belief.Told(word.PerSecond, room, 1, now)
+	advertised, _ := limit.Advertised()
+	if estimate := f.estimates[one.node][one.back]; estimate != nil {
+		estimate.Update(advertised.PerSecond, room, 1, now)
 	} else {
-		f.beliefs[one.node][one.back] = ratelimit.NewBelief(word.PerSecond, room, 1, now)
+		f.estimates[one.node][one.back] = ratelimit.NewEstimate(advertised.PerSecond, room, 1, now)
 	}
 	if !served {
 		one.tried[one.back] = true
@@ -133,7 +133,7 @@
 		for queue.Len() > 0 && (*queue)[0].at.Before(now) {
 			f.arrive(heap.Pop(queue).(pending), random, queue)
 		}
-		f.send(pending{node: random.IntN(len(f.beliefs)), tried: make([]bool, len(f.limits))}, now, random, queue)
+		f.send(pending{node: random.IntN(len(f.estimates)), tried: make([]bool, len(f.limits))}, now, random, queue)
 	}
 }
 
@@ -165,10 +165,10 @@
 // TestCallersThatAreRefusedComeBackOneByOne: those of one node are told times an interval apart.
 func TestCallersThatAreRefusedComeBackOneByOne(t *testing.T) {
 	g := NewWithT(t)
-	belief := ratelimit.NewBelief(10, -4, 1, start)
+	estimate := ratelimit.NewEstimate(10, -4, 1, start)
 	for i := range 5 {
-		g.Expect(belief.Turn(1, start)).To(BeNumerically("~", 500*time.Millisecond+time.Duration(i)*100*time.Millisecond, time.Millisecond))
+		g.Expect(estimate.RetryAfter(1, start)).To(BeNumerically("~", 500*time.Millisecond+time.Duration(i)*100*time.Millisecond, time.Millisecond))
 	}
-	g.Expect(belief.Wait(0, start)).To(BeZero(), "nothing is known of the more urgent")
-	g.Expect(belief.Wait(2, start)).To(BeNumerically(">", 0))
+	g.Expect(estimate.Wait(0, start)).To(BeZero(), "nothing is known of the more urgent")
+	g.Expect(estimate.Wait(2, start)).To(BeNumerically(">", 0))
 }
--- a/internal/sidecar/ratelimit/limit.go
+++ b/internal/sidecar/ratelimit/limit.go
@@ -2,53 +2,53 @@
 
 import "time"
 
-// Word is what a back end's answer says of its limit. The zero value names none.
-type Word struct {
+// Advertised is the limit that an answer of a back end names. The zero value names none.
+type Advertised struct {
 	Named bool
 	// PerSecond is how many requests a second the back end takes.
 	PerSecond float64
 }
 
-// looser reports whether the word allows more than the other one.
-func (w Word) looser(other Word) bool {
-	return other.Named && (!w.Named || w.PerSecond > other.PerSecond)
+// looser reports whether it allows more than the other one.
+func (a Advertised) looser(other Advertised) bool {
+	return other.Named && (!a.Named || a.PerSecond > other.PerSecond)
 }
 
 // Limit is the limit that a back end has named. In any Window it lets pass no more than four times the
 // rate and one burst: 5 N, or 2 for a rate below leastRate. The zero value lets everything pass. Its
 // owner holds a lock.
 type Limit struct {
-	word Word
-	// since is when the word was first heard, heard when it was last.
+	advertised Advertised
+	// since is when it was first heard, heard when it was last.
 	since, heard time.Time
 	bucket       bucket
 	recent       recent
-	promises     promises
-	// unknown: what passed before the first word is not known.
+	schedule     schedule
+	// unknown: what passed before the first limit is not known.
 	unknown bool
 }
 
 // Restarted has the limit begin without room: what passed before this life of the node is not known.
 func (l *Limit) Restarted() { l.unknown = true }
 
-// Hear takes in the word of an answer to a request that was sent, and answered, at these moments. Of two
-// words the later written holds. Where that is not known, as for answers to requests that were
+// Update takes in what an answer names, to a request that was sent, and answered, at these moments. Of two
+// answers the later written holds. Where that is not known, as for answers to requests that were
 // under way together, the stricter one does. It reports whether the limit has changed.
-func (l *Limit) Hear(word Word, sent, answered time.Time) (changed bool) {
+func (l *Limit) Update(advertised Advertised, sent, answered time.Time) (changed bool) {
 	switch {
-	case word == l.word:
+	case advertised == l.advertised:
 		l.heard, l.unknown = answered, false
 		return false
-	case word.looser(l.word) && sent.Before(l.heard):
+	case advertised.looser(l.advertised) && sent.Before(l.heard):
 		return false
 	}
-	if !l.word.Named {
-		l.begin(word.PerSecond, answered)
+	if !l.advertised.Named {
+		l.begin(advertised.PerSecond, answered)
 	}
-	if word.Named {
-		l.bucket.setRate(word.PerSecond, answered)
+	if advertised.Named {
+		l.bucket.setRate(advertised.PerSecond, answered)
 	}
-	l.word, l.since, l.heard = word, answered, answered
+	l.advertised, l.since, l.heard = advertised, answered, answered
 	return true
 }
 
@@ -56,7 +56,7 @@
 func (l *Limit) begin(perSecond float64, now time.Time) {
 	l.bucket = bucket{at: now}
 	l.bucket.setRate(perSecond, now)
-	l.promises = promises{}
+	l.schedule = schedule{}
 	if !l.unknown {
 		l.bucket.tokens = max(l.bucket.size-float64(l.recent.within(burstTime, now)), 0)
 	}
@@ -65,11 +65,11 @@
 
 // Reset forgets the limit: another incarnation of the back end has named none.
 func (l *Limit) Reset() {
-	l.word, l.since, l.heard = Word{}, time.Time{}, time.Time{}
+	l.advertised, l.since, l.heard = Advertised{}, time.Time{}, time.Time{}
 }
 
-// Word returns the word that holds, and since when.
-func (l *Limit) Word() (word Word, since time.Time) { return l.word, l.since }
+// Advertised returns the limit that holds, and since when.
+func (l *Limit) Advertised() (advertised Advertised, since time.Time) { return l.advertised, l.since }
 
 // Ready reports whether a request may pass now.
 func (l *Limit) Ready(now time.Time) bool { return l.Wait(0, now) == 0 }
@@ -77,7 +77,7 @@
 // Pass counts a request that passes.
 func (l *Limit) Pass(now time.Time) {
 	l.recent.note(now)
-	if l.word.Named {
+	if l.advertised.Named {
 		l.bucket.refill(now)
 		l.bucket.tokens--
 	}
@@ -85,7 +85,7 @@
 
 // Return takes back the count of a request that passed and was not sent.
 func (l *Limit) Return(now time.Time) {
-	if l.word.Named {
+	if l.advertised.Named {
 		l.bucket.refill(now)
 		l.bucket.tokens = min(l.bucket.tokens+1, l.bucket.size)
 	}
@@ -93,7 +93,7 @@
 
 // Wait returns the time until a request may pass before which so many others do.
 func (l *Limit) Wait(ahead int, now time.Time) time.Duration {
-	if !l.word.Named {
+	if !l.advertised.Named {
 		return 0
 	}
 	return l.bucket.wait(float64(ahead+1), now)
@@ -103,8 +103,8 @@
 // wait. While other peers have been told times to come, it is told one behind them. It means something
 // while a limit is named.
 func (l *Limit) Room(peer string, class Class, ahead int, now time.Time) float64 {
-	if l.promises.outstanding(class, now) {
-		return l.RoomIn(l.Promise(peer, class, ahead, now))
+	if l.schedule.outstanding(class, now) {
+		return l.RoomIn(l.RetryAfter(peer, class, ahead, now))
 	}
 	l.bucket.refill(now)
 	return l.bucket.tokens - float64(ahead)
@@ -113,10 +113,10 @@
 // RoomIn returns the room at a back end with a request for which there will be room after that time.
 func (l *Limit) RoomIn(wait time.Duration) float64 { return 1 - wait.Seconds()*l.bucket.perSecond }
 
-// Promise returns when a request that is refused now will have room, for a peer to come back then. Each
+// RetryAfter returns when a request that is refused now will have room, for a peer to come back then. Each
 // peer is told a time of its own, so that they do not come back together.
-func (l *Limit) Promise(peer string, class Class, ahead int, now time.Time) time.Duration {
-	return l.promises.next(peer, class, l.Wait(ahead, now), l.bucket.interval(), now)
+func (l *Limit) RetryAfter(peer string, class Class, ahead int, now time.Time) time.Duration {
+	return l.schedule.next(peer, class, l.Wait(ahead, now), l.bucket.interval(), now)
 }
 
 // Recent returns how many requests passed in the last Window.
--- a/internal/sidecar/ratelimit/limit_test.go
+++ b/internal/sidecar/ratelimit/limit_test.go
@@ -16,14 +16,14 @@
 	rates = []float64{0, 0.1, 0.3, 1, 2, 12.8, 1000}
 )
 
-func named(perSecond float64) ratelimit.Word {
-	return ratelimit.Word{Named: true, PerSecond: perSecond}
+func named(perSecond float64) ratelimit.Advertised {
+	return ratelimit.Advertised{Named: true, PerSecond: perSecond}
 }
 
 // limited returns a limit that was named at start.
 func limited(perSecond float64) *ratelimit.Limit {
 	limit := &ratelimit.Limit{}
-	limit.Hear(named(perSecond), start, start)
+	limit.Update(named(perSecond), start, start)
 	return limit
 }
 
@@ -87,7 +87,7 @@
 		limit.Pass(start)
 	}
 	now := start.Add(500 * time.Millisecond)
-	limit.Hear(named(10), now, now)
+	limit.Update(named(10), now, now)
 	for range 3 {
 		g.Expect(limit.Ready(now)).To(BeTrue())
 		limit.Pass(now)
@@ -96,36 +96,36 @@
 	g.Expect(limit.Recent(now)).To(Equal(10))
 }
 
-// TestWhichWordHolds: the later written one; where that is not known, the stricter one.
-func TestWhichWordHolds(t *testing.T) {
+// TestWhichAnswerHolds: the later written one; where that is not known, the stricter one.
+func TestWhichAnswerHolds(t *testing.T) {
 	type answer struct {
-		word           ratelimit.Word
+		advertised     ratelimit.Advertised
 		sent, answered int // in milliseconds
 	}
 	cases := []struct {
 		name    string
 		answers []answer
-		holds   ratelimit.Word
+		holds   ratelimit.Advertised
 	}{
 		{"named", []answer{{named(10), 0, 5}}, named(10)},
-		{"ended", []answer{{named(10), 0, 5}, {ratelimit.Word{}, 6, 9}}, ratelimit.Word{}},
-		{"an answer that was begun before", []answer{{named(10), 0, 5}, {ratelimit.Word{}, 4, 9}}, named(10)},
-		{"ended by one begun after all that named it", []answer{{named(10), 0, 5}, {named(10), 1, 12}, {ratelimit.Word{}, 6, 13}}, named(10)},
+		{"ended", []answer{{named(10), 0, 5}, {ratelimit.Advertised{}, 6, 9}}, ratelimit.Advertised{}},
+		{"an answer that was begun before", []answer{{named(10), 0, 5}, {ratelimit.Advertised{}, 4, 9}}, named(10)},
+		{"ended by one begun after all that named it", []answer{{named(10), 0, 5}, {named(10), 1, 12}, {ratelimit.Advertised{}, 6, 13}}, named(10)},
 		{"raised", []answer{{named(10), 0, 5}, {named(20), 5, 9}}, named(20)},
 		{"raised by an answer that crossed", []answer{{named(10), 0, 5}, {named(20), 1, 9}}, named(10)},
 		{"lowered by an answer that crossed", []answer{{named(10), 0, 5}, {named(2), 1, 9}}, named(2)},
 		{"lowered to nothing", []answer{{named(10), 0, 5}, {named(0), 6, 9}}, named(0)},
-		{"ended and named anew", []answer{{named(10), 0, 5}, {ratelimit.Word{}, 6, 9}, {named(3), 8, 10}}, named(3)},
+		{"ended and named anew", []answer{{named(10), 0, 5}, {ratelimit.Advertised{}, 6, 9}, {named(3), 8, 10}}, named(3)},
 	}
 	for _, held := range cases {
 		t.Run(held.name, func(t *testing.T) {
 			limit := &ratelimit.Limit{}
 			for _, given := range held.answers {
 				at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
-				limit.Hear(given.word, at(given.sent), at(given.answered))
+				limit.Update(given.advertised, at(given.sent), at(given.answered))
 			}
-			word, _ := limit.Word()
-			NewWithT(t).Expect(word).To(Equal(held.holds))
+			advertised, _ := limit.Advertised()
+			NewWithT(t).Expect(advertised).To(Equal(held.holds))
 		})
 	}
 }
@@ -133,7 +133,7 @@
 // TestALimitThatEndsLetsAllPass, and so does another incarnation.
 func TestALimitThatEndsLetsAllPass(t *testing.T) {
 	for name, end := range map[string]func(*ratelimit.Limit){
-		"by its word":         func(limit *ratelimit.Limit) { limit.Hear(ratelimit.Word{}, start, start) },
+		"by its word":         func(limit *ratelimit.Limit) { limit.Update(ratelimit.Advertised{}, start, start) },
 		"another incarnation": (*ratelimit.Limit).Reset,
 	} {
 		limit := limited(0)
@@ -153,7 +153,7 @@
 		for i := range 8000 {
 			now = now.Add(time.Millisecond)
 			if i == 4000 {
-				limit.Hear(named(rates[1]), now, now)
+				limit.Update(named(rates[1]), now, now)
 			}
 			if limit.Ready(now) {
 				limit.Pass(now)
@@ -179,13 +179,13 @@
 	limit, now := limited(10), start
 	told := map[time.Duration]bool{}
 	for peer := range 20 {
-		wait := limit.Promise(fmt.Sprint("peer-", peer), 1, 0, now)
+		wait := limit.RetryAfter(fmt.Sprint("peer-", peer), 1, 0, now)
 		g.Expect(told[wait.Round(time.Millisecond)]).To(BeFalse())
 		told[wait.Round(time.Millisecond)] = true
-		g.Expect(limit.Promise(fmt.Sprint("peer-", peer), 1, 0, now)).To(Equal(wait))
+		g.Expect(limit.RetryAfter(fmt.Sprint("peer-", peer), 1, 0, now)).To(Equal(wait))
 	}
-	g.Expect(limit.Promise("another", 1, 0, now)).To(BeNumerically("~", 2*time.Second, time.Millisecond))
-	g.Expect(limit.Promise("urgent", 0, 0, now)).To(BeZero(), "does not wait for the less urgent")
+	g.Expect(limit.RetryAfter("another", 1, 0, now)).To(BeNumerically("~", 2*time.Second, time.Millisecond))
+	g.Expect(limit.RetryAfter("urgent", 0, 0, now)).To(BeZero(), "does not wait for the less urgent")
 }
 
 // TestALimitOfANodeThatHasJustStartedBeginsWithoutRoom.
@@ -193,6 +193,6 @@
 	limit := &ratelimit.Limit{}
 	limit.Restarted()
 	limit.Pass(start)
-	limit.Hear(named(10), start, start)
+	limit.Update(named(10), start, start)
 	NewWithT(t).Expect(limit.Wait(0, start)).To(BeNumerically("~", 100*time.Millisecond, time.Millisecond))
 }
--- a/internal/sidecar/ratelimit/promises.go
+++ b/internal/sidecar/ratelimit/schedule.go
@@ -22,48 +22,48 @@
 }
 
 const (
-	// mostPromise is the longest time that is told: a limit may end sooner than its requests are due.
-	mostPromise = 30 * time.Second
-	// mostPromises bounds the peers that are remembered.
-	mostPromises = 4096
+	// maxRetryAfter is the longest time that is told: a limit may end sooner than its requests are due.
+	maxRetryAfter = 30 * time.Second
+	// maxPeers bounds the peers that are remembered.
+	maxPeers = 4096
 )
 
-// promises are the times at which peers were told that there will be room.
-type promises struct {
+// schedule holds the times at which peers were told that there will be room.
+type schedule struct {
 	// latest is the last time that was told to a request of the class.
 	latest [classes]time.Time
 	// byPeer holds the time that a peer was told; times that have passed say nothing.
-	byPeer map[promised]time.Time
+	byPeer map[peerClass]time.Time
 }
 
-// promised names who was told a time.
-type promised struct {
+// peerClass is a peer with the class of its request.
+type peerClass struct {
 	peer  string
 	class Class
 }
 
 // next returns the wait to tell a peer whose request could pass after the least wait.
-func (p *promises) next(peer string, class Class, least, interval time.Duration, now time.Time) time.Duration {
-	key, at := promised{peer, class}, now.Add(least)
-	if told, known := p.byPeer[key]; known && !told.Before(at) {
+func (s *schedule) next(peer string, class Class, least, interval time.Duration, now time.Time) time.Duration {
+	key, at := peerClass{peer, class}, now.Add(least)
+	if told, known := s.byPeer[key]; known && !told.Before(at) {
 		return told.Sub(now)
 	}
-	for _, told := range p.latest[:class+1] {
+	for _, told := range s.latest[:class+1] {
 		if following := told.Add(interval); following.After(at) {
 			at = following
 		}
 	}
-	if last := now.Add(mostPromise); at.After(last) {
+	if last := now.Add(maxRetryAfter); at.After(last) {
 		at = last
 	}
-	p.latest[class] = at
-	p.remember(key, at, now)
+	s.latest[class] = at
+	s.remember(key, at, now)
 	return at.Sub(now)
 }
 
 // outstanding reports whether a request of the class, or a more urgent one, was told a time to come.
-func (p *promises) outstanding(class Class, now time.Time) bool {
-	for _, told := range p.latest[:class+1] {
+func (s *schedule) outstanding(class Class, now time.Time) bool {
+	for _, told := range s.latest[:class+1] {
 		if told.After(now) {
 			return true
 		}
@@ -71,15 +71,15 @@
 	return false
 }
 
-func (p *promises) remember(key promised, at, now time.Time) {
-	if len(p.byPeer) >= mostPromises {
-		maps.DeleteFunc(p.byPeer, func(_ promised, told time.Time) bool { return told.Before(now) })
+func (s *schedule) remember(key peerClass, at, now time.Time) {
+	if len(s.byPeer) >= maxPeers {
+		maps.DeleteFunc(s.byPeer, func(_ peerClass, told time.Time) bool { return told.Before(now) })
 	}
-	if len(p.byPeer) >= mostPromises {
-		p.byPeer = nil
+	if len(s.byPeer) >= maxPeers {
+		s.byPeer = nil
 	}
-	if p.byPeer == nil {
-		p.byPeer = map[promised]time.Time{}
+	if s.byPeer == nil {
+		s.byPeer = map[peerClass]time.Time{}
 	}
-	p.byPeer[key] = at
+	s.byPeer[key] = at
 }
