--- a/internal/sidecar/ingress/notice.go
+++ b/internal/sidecar/ingress/notice.go
@@ -20,13 +20,14 @@
 
 // notices takes in what the back end asks for with its answers. It is safe for concurrent use.
 type notices struct {
+	// unheard: no answer of this life of the node has told whether there is a limit. Callers' nodes tell
+	// of one that they know.
+	unheard atomic.Bool
+
 	mu sync.Mutex // guards all below
 	// of is the incarnation that is there; leaving: it leaves by what an answer says.
 	of      roster.Incarnation
 	leaving bool
-	// unheard: no answer of this life of the node has told whether there is a limit. Callers' nodes tell
-	// of one that they know.
-	unheard atomic.Bool
 	// unreadable: the last notice could not be read.
 	unreadable bool
 	// logged is when the log last told of the limit.
