--- a/cmd/kestrel-sidecar/main.go
+++ b/cmd/kestrel-sidecar/main.go
@@ -14,6 +14,7 @@
 	"github.com/kestrelstream/kestrelstream/internal/sidecar"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/assembly"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/contention"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/dial"
 	"github.com/kestrelstream/kestrelstream/platform"
 )
 
@@ -59,7 +60,7 @@
 	}
 	stop, release := lifecycle.Notify()
 	defer release()
-	process, err := assembly.New(loaded, assembly.Flags{MetricsPort: given.MetricsPort, LogLevel: given.LogLevel})
+	process, err := assembly.New(loaded, assembly.Flags{MetricsPort: given.MetricsPort, LogLevel: given.LogLevel}, dial.System{})
 	if err != nil {
 		return err
 	}
--- a/internal/httpserver/bind.go
+++ b/internal/httpserver/bind.go
@@ -14,13 +14,18 @@
 	Listener *net.Listener
 }
 
-// Bind binds all addresses or none.
+// Bind binds all addresses of the machine's network or none.
 func Bind(bindings []Binding) error {
+	return BindBy(func(address string) (net.Listener, error) { return net.Listen("tcp", address) }, bindings)
+}
+
+// BindBy is Bind by a function that listens at an address.
+func BindBy(listen func(address string) (net.Listener, error), bindings []Binding) error {
 	for index, binding := range bindings {
 		if binding.Address == "" {
 			continue
 		}
-		listener, err := net.Listen("tcp", binding.Address)
+		listener, err := listen(binding.Address)
 		if err != nil {
 			release(bindings[:index])
 			return trace.Wrap(err, "bind %s", binding.Field)
--- a/internal/sidecar/assembly/process.go
+++ b/internal/sidecar/assembly/process.go
@@ -12,6 +12,7 @@
 	"github.com/kestrelstream/kestrelstream/internal/httpserver"
 	"github.com/kestrelstream/kestrelstream/internal/lifecycle"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/dial"
 	"github.com/kestrelstream/kestrelstream/internal/telemetry"
 	"github.com/kestrelstream/kestrelstream/platform"
 )
@@ -35,8 +36,10 @@
 	memoryShare = 0.6
 )
 
-// New binds the listeners and assembles the process.
-func New(loaded *sidecar.Settings, flags Flags) (*Process, error) { return assemble(loaded, flags) }
+// New binds the listeners of the network and assembles the process.
+func New(loaded *sidecar.Settings, flags Flags, network dial.Network) (*Process, error) {
+	return assemble(loaded, flags, network)
+}
 
 // Run serves until the context ends and the node has drained.
 func (p *Process) Run(ctx context.Context) error {
--- a/internal/sidecar/assembly/providers.go
+++ b/internal/sidecar/assembly/providers.go
@@ -17,6 +17,7 @@
 	"github.com/kestrelstream/kestrelstream/internal/httpserver"
 	"github.com/kestrelstream/kestrelstream/internal/settings"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/dial"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/quarantine"
 	"github.com/kestrelstream/kestrelstream/internal/telemetry"
 	"github.com/kestrelstream/kestrelstream/platform"
@@ -61,11 +62,11 @@
 	return telemetry.NewLogger(logging, settings.Node{Name: loaded.Node, Zone: loaded.Zone}, ring, registry)
 }
 
-func provideStore(loaded *sidecar.Settings) *platform.Store {
-	return platform.NewStore(loaded.StoreAddress, sidecar.WatchPause, sidecar.StoreDialer())
+func provideStore(loaded *sidecar.Settings, network dial.Network) *platform.Store {
+	return platform.NewStore(loaded.StoreAddress, sidecar.WatchPause, sidecar.StoreDialer(network))
 }
 
-func provideSidecar(loaded *sidecar.Settings, store *platform.Store, logger *zap.Logger, registry *prometheus.Registry) *sidecar.Sidecar {
+func provideSidecar(loaded *sidecar.Settings, store *platform.Store, network dial.Network, logger *zap.Logger, registry *prometheus.Registry) *sidecar.Sidecar {
 	return sidecar.New(sidecar.Options{
 		Settings:         *loaded,
 		Vocabulary:       platform.Vocabulary(),
@@ -79,6 +80,7 @@
 		EvacuatedZone:    platform.EvacuatedZone,
 		Rollouts:         platform.RolloutCodec(),
 		Store:            store,
+		Network:          network,
 		Logger:           logger,
 		Registry:         registry,
 	})
@@ -89,13 +91,13 @@
 	outbound, inbound, peer, readiness, control, metrics net.Listener
 }
 
-func provideListeners(loaded *sidecar.Settings, flags Flags) (*listeners, error) {
+func provideListeners(loaded *sidecar.Settings, flags Flags, network dial.Network) (*listeners, error) {
 	bound := &listeners{}
 	addresses := loaded.Listen
 	if flags.MetricsPort != 0 {
 		addresses.Metrics = net.JoinHostPort(loaded.Host, strconv.Itoa(flags.MetricsPort))
 	}
-	return bound, httpserver.Bind([]httpserver.Binding{
+	return bound, httpserver.BindBy(network.Listen, []httpserver.Binding{
 		{Field: "listen.outbound", Address: addresses.Outbound, Listener: &bound.outbound},
 		{Field: "listen.inbound", Address: addresses.Inbound, Listener: &bound.inbound},
 		{Field: "listen.peer", Address: addresses.Peer, Listener: &bound.peer},
--- a/internal/sidecar/assembly/wire.go
+++ b/internal/sidecar/assembly/wire.go
@@ -6,10 +6,11 @@
 	"github.com/google/wire"
 
 	"github.com/kestrelstream/kestrelstream/internal/sidecar"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/dial"
 	"github.com/kestrelstream/kestrelstream/internal/telemetry"
 )
 
-func assemble(loaded *sidecar.Settings, flags Flags) (*Process, error) {
+func assemble(loaded *sidecar.Settings, flags Flags, network dial.Network) (*Process, error) {
 	wire.Build(
 		telemetry.NewRegistry,
 		provideRing,
--- a/internal/sidecar/assembly/wire_gen.go
+++ b/internal/sidecar/assembly/wire_gen.go
@@ -8,21 +8,22 @@
 
 import (
 	"github.com/kestrelstream/kestrelstream/internal/sidecar"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/dial"
 	"github.com/kestrelstream/kestrelstream/internal/telemetry"
 )
 
 // Injectors from wire.go:
 
-func assemble(loaded *sidecar.Settings, flags Flags) (*Process, error) {
-	store := provideStore(loaded)
+func assemble(loaded *sidecar.Settings, flags Flags, network dial.Network) (*Process, error) {
+	store := provideStore(loaded, network)
 	registry := telemetry.NewRegistry()
 	ring := provideRing(registry)
 	logger, err := provideLogger(loaded, flags, ring, registry)
 	if err != nil {
 		return nil, err
 	}
-	sidecarSidecar := provideSidecar(loaded, store, logger, registry)
-	assemblyListeners, err := provideListeners(loaded, flags)
+	sidecarSidecar := provideSidecar(loaded, store, network, logger, registry)
+	assemblyListeners, err := provideListeners(loaded, flags, network)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/sidecar/dial/dial.go
+++ b/internal/sidecar/dial/dial.go
@@ -1,5 +1,5 @@
-// Package dial opens TCP connections that notice a silent peer: one without
-// power, or behind a cut, acknowledges nothing.
+// Package dial is a node's network: its listeners, and TCP connections that notice a silent peer.
+// One without power, or behind a cut, acknowledges nothing.
 package dial
 
 import (
@@ -24,8 +24,25 @@
 // probes is how many unanswered probes end a connection.
 const probes = 3
 
-// Dialer returns a function that opens connections with these bounds.
-func Dialer(timeout time.Duration, silence Silence) func(ctx context.Context, network, address string) (net.Conn, error) {
+// Network is what a node listens at and opens connections by.
+type Network interface {
+	// Listen listens at a TCP address.
+	Listen(address string) (net.Listener, error)
+	// Dialer returns a dialer with these bounds; a timeout of zero is none, a zero Silence the system's.
+	Dialer(timeout time.Duration, silence Silence) func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// System is the machine's network.
+type System struct{}
+
+// Listen implements Network.
+func (System) Listen(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+
+// Dialer implements Network.
+func (System) Dialer(timeout time.Duration, silence Silence) func(ctx context.Context, network, address string) (net.Conn, error) {
+	if silence == (Silence{}) {
+		return (&net.Dialer{Timeout: timeout}).DialContext
+	}
 	dialer := &net.Dialer{
 		Timeout:         timeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: silence.Idle, Interval: silence.Idle, Count: probes},
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -12,7 +12,6 @@
 	"go.uber.org/zap"
 
 	"github.com/kestrelstream/kestrelstream/internal/pipelining"
-	"github.com/kestrelstream/kestrelstream/internal/proxy/forward"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/choice"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/configuration"
@@ -69,8 +68,10 @@
 	// DecodeNotice reads what a back end asks for with an answer.
 	DecodeNotice func(header http.Header) (hop.Notice, error)
 	Store        Store
-	Logger       *zap.Logger
-	Registry     prometheus.Registerer
+	// Network has the listeners of the node and opens its connections.
+	Network  dial.Network
+	Logger   *zap.Logger
+	Registry prometheus.Registerer
 }
 
 const (
@@ -128,8 +129,8 @@
 }
 
 // StoreDialer returns the dialer for connections to the store.
-func StoreDialer() func(ctx context.Context, network, address string) (net.Conn, error) {
-	return dial.Dialer(storeDial, dial.Silence{Unacknowledged: storeSilence, Idle: peerIdle})
+func StoreDialer(network dial.Network) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return network.Dialer(storeDial, dial.Silence{Unacknowledged: storeSilence, Idle: peerIdle})
 }
 
 // New returns a sidecar that serves nobody before its first configuration.
@@ -168,7 +169,7 @@
 	created.exchanger = exchange.New(exchange.Options{
 		Roster:        created.members,
 		Configuration: created.keeper,
-		Dial:          dial.Dialer(exchangeDial, dial.Silence{Unacknowledged: peerUnacknowledged, Idle: peerIdle}),
+		Dial:          options.Network.Dialer(exchangeDial, dial.Silence{Unacknowledged: peerUnacknowledged, Idle: peerIdle}),
 		Refresh: func(ctx context.Context) error {
 			return configuration.Refresh(ctx, options.Store, created.place(), created.keeper)
 		},
@@ -221,7 +222,7 @@
 		Serves:       s.serves,
 		Emptied:      func() bool { return s.evacuations.Zones().Contains(settings.Zone) },
 		DrainAfter:   s.drainAfter,
-		Dial:         forward.Dialer((&net.Dialer{}).DialContext),
+		Dial:         s.options.Network.Dialer(0, dial.Silence{}),
 		Logger:       s.logger,
 		Observer:     observed,
 	})
@@ -248,7 +249,7 @@
 		Weights:    choice.DefaultWeights(),
 		Level:      (*level)(s),
 		DrainAfter: s.drainAfter,
-		Dial:       dial.Dialer(exchangeDial, dial.Silence{Unacknowledged: peerUnacknowledged, Idle: peerIdle}),
+		Dial:       s.options.Network.Dialer(exchangeDial, dial.Silence{Unacknowledged: peerUnacknowledged, Idle: peerIdle}),
 		Probe: func(ctx context.Context, record *roster.Record) error {
 			return s.exchanger.Ping(ctx, record)
 		},
