--- a/internal/sidecar/fuzz_test.go
+++ b/internal/sidecar/fuzz_test.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/configuration"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/dial"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/evacuation"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/exchange"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/fingerprint"
@@ -41,7 +42,7 @@
 	created := New(Options{
 		Settings: Settings{Node: "n", Zone: "z", HeartbeatInterval: time.Second, Service: "alpha"},
 		Decode:   func([]byte) (*route.Document, []string, error) { return &route.Document{Version: 1}, nil, nil },
-		Store:    awayStore{}, Logger: zap.NewNop(), Registry: prometheus.NewRegistry(),
+		Store:    awayStore{}, Network: dial.System{}, Logger: zap.NewNop(), Registry: prometheus.NewRegistry(),
 	})
 	NewWithT(t).Expect(created.keeper.Offer(nil, configuration.SourceRead)).To(Succeed())
 	created.members.Update(func(record roster.Record) (roster.Record, bool) {
