A node's own standstill does not take a good version back

Callers saw a good version taken back ("several back ends of the version are faulty"), and had to be served by the one before, where nodes stood still for half a second during its trial.

Cause: answers that were under way while the node beside a back end did not run count as slow answers of that back end, and those of one stall as independent ones: three at each of two back ends raise the alarm.

Ruled out: that the versions in use show the same and so raise what is usual; they do, but what is usual travels with the request and was told before the stall.

Change: while its answers are judged a node ticks every 20 ms; the time by which ticks come late is not counted as the back end's work. A slow version stays slow at a node that is short of its processor, but for the time that the node itself took. Found on the way: a node that had heard of no warm-up took the zero of that moment for a moment, so that on a clock which begins before the process no answer was ever slow.

--- a/internal/sidecar/rollouts.go
+++ b/internal/sidecar/rollouts.go
@@ -79,10 +79,16 @@
 func (j *judge) Refuses() bool { return j.sidecar.rollouts.Refuses() }
 
 // Judges implements ingress.Judge.
-func (j *judge) Judges() bool { return j.sidecar.rollouts.Judges() }
+func (j *judge) Judges() bool {
+	judges := j.sidecar.rollouts.Judges()
+	if judges {
+		j.sidecar.stalls.Keep()
+	}
+	return judges
+}
 
 // Answered implements ingress.Judge. While the back end warms up it is slow whatever its
-// version is.
+// version is, and so are all answers that were under way while the node stood still.
 func (j *judge) Answered(request *http.Request, failed bool, worked, expected time.Duration, usual rollout.Usual) {
 	answer := rollout.Answer{Failed: failed, Usual: usual}
 	if table := j.sidecar.keeper.Table(); table != nil {
@@ -90,7 +96,9 @@
 			answer.Route = matched.Name
 		}
 	}
-	warm := clock.Stamp(clock.Now()) >= j.sidecar.warm.Load()
+	until := j.sidecar.warm.Load()
+	warm := until == 0 || clock.Stamp(clock.Now()) >= until
+	worked -= j.sidecar.stalls.Within(clock.Now().Add(-worked))
 	answer.Slow = warm && expected > 0 && worked > rollout.SlowFactor*expected
 	j.sidecar.rollouts.Answered(answer)
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -31,6 +31,7 @@
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout/controller"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/route"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/stall"
 	"github.com/kestrelstream/kestrelstream/internal/store"
 )
 
@@ -124,6 +125,8 @@
 	// warm is when the back end's warm-up is over, as a stamp of the node's clock; zero
 	// when it has told of none.
 	warm atomic.Int64
+	// stalls are the times at which the node did not run, known while its answers are judged.
+	stalls stall.Watch
 	// claims is used under the roster's lock.
 	claims roster.Claims
 }
--- /dev/null
+++ b/internal/sidecar/stall/stall.go
@@ -0,0 +1,66 @@
+// Package stall tells for how long the node itself did not run: its process was stopped, or got no
+// processor. What is timed meanwhile says nothing of others.
+package stall
+
+import "time"
+
+const (
+	// Interval is the time between two ticks, and the shortest stall that counts.
+	Interval = 20 * time.Millisecond
+	// kept is how many stalls are remembered.
+	kept = 32
+)
+
+// Record remembers stalls by ticks that came late. It is pure: it is told the time. The zero value has
+// seen no tick. Its owner holds a lock.
+type Record struct {
+	// last is the last tick.
+	last   time.Time
+	stalls [kept]stretch
+	next   int
+}
+
+// stretch is the time between two moments.
+type stretch struct{ from, to time.Time }
+
+// within returns how much of it lies between two moments.
+func (s stretch) within(from, to time.Time) time.Duration {
+	if s.from.After(from) {
+		from = s.from
+	}
+	if s.to.Before(to) {
+		to = s.to
+	}
+	return max(to.Sub(from), 0)
+}
+
+// Reset forgets the last tick: none were due since.
+func (r *Record) Reset() { r.last = time.Time{} }
+
+// Tick takes in a tick.
+func (r *Record) Tick(now time.Time) {
+	if late := r.late(now); late.to.Sub(late.from) >= Interval {
+		r.stalls[r.next] = late
+		r.next = (r.next + 1) % kept
+	}
+	r.last = now
+}
+
+// late is the time by which the next tick is late now.
+func (r *Record) late(now time.Time) stretch {
+	if r.last.IsZero() {
+		return stretch{from: now, to: now}
+	}
+	return stretch{from: r.last.Add(Interval), to: now}
+}
+
+// Within returns for how long the node did not run between two moments, the later of which is now.
+func (r *Record) Within(from, now time.Time) (total time.Duration) {
+	for _, one := range r.stalls {
+		total += one.within(from, now)
+	}
+	if late := r.late(now); late.to.Sub(late.from) >= Interval {
+		total += late.within(from, now)
+	}
+	return total
+}
--- /dev/null
+++ b/internal/sidecar/stall/stall_test.go
@@ -0,0 +1,57 @@
+package stall_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/stall"
+)
+
+func TestStallsWithin(t *testing.T) {
+	start := time.Now()
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	cases := []struct {
+		name      string
+		ticks     []int
+		from, now int
+		want      time.Duration
+	}{
+		{"no tick yet", nil, 0, 500, 0},
+		{"ticks in time", []int{0, 20, 41, 60}, 0, 70, 0},
+		{"late by less than counts", []int{0, 39}, 0, 39, 0},
+		{"one stall", []int{0, 20, 540, 560}, 10, 570, 500 * time.Millisecond},
+		{"the answer came during the stall's end, before the tick", []int{0, 20}, 10, 540, 500 * time.Millisecond},
+		{"begun during the stall", []int{0, 20, 540}, 340, 550, 200 * time.Millisecond},
+		{"begun after the stall", []int{0, 20, 540}, 541, 560, 0},
+		{"several", []int{0, 120, 140, 260}, 0, 270, 200 * time.Millisecond},
+	}
+	for _, held := range cases {
+		t.Run(held.name, func(t *testing.T) {
+			var record stall.Record
+			for _, tick := range held.ticks {
+				record.Tick(at(tick))
+			}
+			NewWithT(t).Expect(record.Within(at(held.from), at(held.now))).To(Equal(held.want))
+		})
+	}
+}
+
+// TestATimeWithoutWatchIsNoStall: nobody asked for ticks.
+func TestATimeWithoutWatchIsNoStall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		watch := &stall.Watch{}
+		began := clock.Now()
+		watch.Keep()
+		time.Sleep(time.Minute)
+		g.Expect(watch.Within(began)).To(BeZero())
+		watch.Keep()
+		time.Sleep(time.Second)
+		g.Expect(watch.Within(began)).To(BeZero())
+		time.Sleep(time.Minute)
+	})
+}
--- /dev/null
+++ b/internal/sidecar/stall/watch.go
@@ -0,0 +1,60 @@
+package stall
+
+import (
+	"sync"
+	"time"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
+)
+
+// watchTime is for how long a watch goes on after it was last asked to.
+const watchTime = 2 * time.Second
+
+// Watch ticks while somebody asks for stalls. It is safe for concurrent use; the zero value is ready.
+type Watch struct {
+	mu     sync.Mutex // guards all below
+	record Record
+	// until is when the watch ends, zero while it does not tick.
+	until time.Time
+}
+
+// Keep has the watch tick for a while.
+func (w *Watch) Keep() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	ticks := !w.until.IsZero()
+	w.until = clock.Now().Add(watchTime)
+	if !ticks {
+		w.record.Reset()
+		go w.run()
+	}
+}
+
+func (w *Watch) run() {
+	ticker := time.NewTicker(Interval)
+	defer ticker.Stop()
+	for w.tick() {
+		<-ticker.C
+	}
+}
+
+// tick reports whether the watch goes on.
+func (w *Watch) tick() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := clock.Now()
+	w.record.Tick(now)
+	if now.Before(w.until) {
+		return true
+	}
+	w.until = time.Time{}
+	w.record.Reset()
+	return false
+}
+
+// Within returns for how long the node did not run since a moment.
+func (w *Watch) Within(from time.Time) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.record.Within(from, clock.Now())
+}
