A limited back end refuses at once what it has no room for, and starves no class

Callers saw, where all back ends of a service named limits whose sum was half of what was asked for: refused requests heard after 0.40 s in the middle and 0.74 s for nine in ten of the usual priority; of the least urgent 5% were served beside 69% of those before them.

Cause: the queue takes the newest first. That is right where nobody knows how long the work before takes; what waits for a limit is worked off at a known rate, and the oldest waited only to be displaced. The time to wait left out the more urgent requests that keep coming. And the order of priorities has no end where the limit is below what the urgent ask for.

Change: where the limit alone binds, the oldest of a kind goes first, so that the wait is known when a request comes and it is refused then. The wait that is expected, and the time that a refused peer is told, count what the more urgent classes use. Less urgent ones get a fifth of the limit, whichever of them has waited longest; one request at most is ahead of the limit, so that a window holds one more.

No limit named: nothing is counted or ordered otherwise.

--- a/internal/sidecar/admission/admission.go
+++ b/internal/sidecar/admission/admission.go
@@ -182,11 +182,16 @@
 	if ticket.Bounded {
 		entry.kind.comes(now)
 	}
+	entry.behind = g.limitBinds(ticket)
 	if g.running < g.open(ticket) && g.limit.Ready(now) && !g.yields(entry) {
 		g.start(entry)
 		return entry, nil
 	}
 	if err := g.withinLimit(entry, g.waiting.lengthBefore(entry), now); err != nil {
+		if g.running < g.open(ticket) && g.limit.TakeOwed(ticket.class(), now) {
+			g.start(entry)
+			return entry, nil
+		}
 		return nil, err
 	}
 	entry.predicted = g.expectedWait(g.waiting.workBefore(entry), ticket)
@@ -218,7 +223,7 @@
 // start gives the entry a slot.
 func (g *Gate) start(entry *waiter) {
 	g.reserve.began(entry.ticket.Priority, false, g.slots, g.now())
-	g.limit.Pass(g.now())
+	g.limit.Pass(entry.ticket.class(), g.now())
 	g.running++
 	g.grants++
 	entry.kind.since = g.now()
@@ -277,7 +282,7 @@
 			return
 		}
 		left := last.ticket.MaximumWait - g.now().Sub(last.entered)
-		limited := g.limit.Wait(g.waiting.length-1, g.now()) > left
+		limited := g.limit.WaitOf(last.ticket.class(), g.waiting.length-1, g.now()) > left
 		if !limited && g.expectedWait(g.waiting.work()-last.work, last.ticket) <= left {
 			return
 		}
--- a/internal/sidecar/admission/flow.go
+++ b/internal/sidecar/admission/flow.go
@@ -157,7 +157,7 @@
 }
 
 // lengthBefore returns how many requests of the level are served before a new request, at most: those of
-// other tenants, and of its own the shorter ones.
+// other tenants, and of its own those that it follows.
 func (l *level) lengthBefore(entry *waiter) int {
 	waitsIn := entry.standing.flow(l.number)
 	if waitsIn == nil {
@@ -165,7 +165,7 @@
 	}
 	before := l.length - waitsIn.length
 	for _, held := range waitsIn.groups {
-		if held.magnitude < magnitude(entry.ticket.Work) {
+		if entry.follows(held) {
 			before += held.waiters.Len()
 		}
 	}
--- a/internal/sidecar/admission/limit.go
+++ b/internal/sidecar/admission/limit.go
@@ -88,10 +88,14 @@
 	return advertised.PerSecond, g.limit.Room(ticket.Peer, ticket.class(), ahead, g.now()), true
 }
 
+// limitBinds reports whether a request waits for the limit alone: what is ahead of it is worked off at a
+// known rate, so that the oldest may go first and others are refused when they come. The lock is held.
+func (g *Gate) limitBinds(ticket Ticket) bool { return g.limited.Load() && g.running < g.open(ticket) }
+
 // withinLimit returns an error when the limit has no room for an entry within its maximum wait; the lock
 // is held.
 func (g *Gate) withinLimit(entry *waiter, ahead int, now time.Time) error {
-	if g.limit.Wait(ahead, now) <= entry.ticket.MaximumWait {
+	if g.limit.WaitOf(entry.ticket.class(), ahead, now) <= entry.ticket.MaximumWait {
 		return nil
 	}
 	return g.limitedError(entry.ticket, ahead, now)
--- a/internal/sidecar/admission/limit_test.go
+++ b/internal/sidecar/admission/limit_test.go
@@ -1,6 +1,7 @@
 package admission_test
 
 import (
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -137,3 +138,37 @@
 		}
 	})
 }
+
+// TestTheOldestGoesFirstWhereALimitBinds: what has no room is refused when it comes, not after a wait.
+func TestTheOldestGoesFirstWhereALimitBinds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		const patience = 350 * time.Millisecond
+		gate := newLimitedGate(100, 10)
+		for range 10 {
+			_, err := gate.Acquire(t.Context(), ticket(1, 0))
+			g.Expect(err).NotTo(HaveOccurred())
+		}
+		began := time.Now()
+		var waits, refusals []time.Duration
+		var mu sync.Mutex
+		for range 8 {
+			go func() {
+				_, err := gate.Acquire(t.Context(), ticket(1, patience))
+				mu.Lock()
+				defer mu.Unlock()
+				if err == nil {
+					waits = append(waits, time.Since(began))
+				} else {
+					refusals = append(refusals, time.Since(began))
+				}
+			}()
+			synctest.Wait()
+		}
+		time.Sleep(time.Second)
+		synctest.Wait()
+		g.Expect(waits).To(HaveLen(3))
+		g.Expect(refusals).To(HaveLen(5))
+		g.Expect(refusals).To(HaveEach(BeZero()))
+	})
+}
--- a/internal/sidecar/admission/queue.go
+++ b/internal/sidecar/admission/queue.go
@@ -21,6 +21,8 @@
 	// standing is that of its tenant.
 	standing *standing
 	kind     *kind
+	// behind: it comes after those of its group that wait already.
+	behind bool
 	// group is the one that it waits in, place its place there; nil while it does
 	// not wait.
 	group *group
@@ -94,7 +96,11 @@
 		waitsIn = q.newFlow(entry.standing, number)
 	}
 	entry.group = waitsIn.groupOf(entry.ticket, &q.groups)
-	entry.place = entry.group.waiters.PushFront(entry)
+	if entry.behind {
+		entry.place = entry.group.waiters.PushBack(entry)
+	} else {
+		entry.place = entry.group.waiters.PushFront(entry)
+	}
 	waitsIn.changed(entry.group, entry.work, 1)
 	if known {
 		heap.Fix(&waitsIn.level.excess, waitsIn.excess)
@@ -189,7 +195,13 @@
 	case waiting.standing != entry.standing:
 		return waiting.standing.had < entry.standing.had
 	}
-	return waiting.group.magnitude < magnitude(entry.ticket.Work)
+	return entry.follows(waiting.group)
+}
+
+// follows reports whether a new request comes after those of a group of its flow.
+func (w *waiter) follows(waiting *group) bool {
+	own := magnitude(w.ticket.Work)
+	return waiting.magnitude < own || waiting.magnitude == own && w.behind
 }
 
 // workBefore returns the work of the requests that are served before a new one.
--- a/internal/sidecar/ratelimit/limit.go
+++ b/internal/sidecar/ratelimit/limit.go
@@ -1,6 +1,9 @@
 package ratelimit
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Advertised is the limit that an answer of a back end names. The zero value names none.
 type Advertised struct {
@@ -21,9 +24,13 @@
 	advertised Advertised
 	// since is when it was first heard, heard when it was last.
 	since, heard time.Time
-	bucket       bucket
-	recent       recent
-	schedule     schedule
+	// began is when a limit was named after a time without one, owed is when a request passed last that was
+	// owed.
+	began, owed time.Time
+	bucket      bucket
+	recent      recent
+	usage       usage
+	schedule    schedule
 	// unknown: what passed before the first limit is not known.
 	unknown bool
 }
@@ -54,7 +61,7 @@
 
 // begin fills the bucket as if the limit had held in the last burstTime.
 func (l *Limit) begin(perSecond float64, now time.Time) {
-	l.bucket = bucket{at: now}
+	l.bucket, l.began = bucket{at: now}, now
 	l.bucket.setRate(perSecond, now)
 	l.schedule = schedule{}
 	if !l.unknown {
@@ -74,10 +81,11 @@
 // Ready reports whether a request may pass now.
 func (l *Limit) Ready(now time.Time) bool { return l.Wait(0, now) == 0 }
 
-// Pass counts a request that passes.
-func (l *Limit) Pass(now time.Time) {
+// Pass counts a request of the class that passes.
+func (l *Limit) Pass(class Class, now time.Time) {
 	l.recent.note(now)
 	if l.advertised.Named {
+		l.usage.note(class, now)
 		l.bucket.refill(now)
 		l.bucket.tokens--
 	}
@@ -99,6 +107,47 @@
 	return l.bucket.wait(float64(ahead+1), now)
 }
 
+// leastShare is the part of the limit that less urgent classes get however many more urgent requests come:
+// none is starved.
+const leastShare = 0.2
+
+// left is the part of the limit that is expected to be left for a class by the more urgent ones that keep
+// coming.
+func (l *Limit) left(class Class, now time.Time) float64 {
+	return max(1-l.usage.before(class, now)/l.bucket.perSecond, leastShare)
+}
+
+// WaitOf returns the time until a request of the class is likely to pass, before which so many others do
+// and the more urgent ones that keep coming.
+func (l *Limit) WaitOf(class Class, ahead int, now time.Time) time.Duration {
+	wait := l.Wait(ahead, now)
+	if wait == 0 {
+		return 0
+	}
+	return time.Duration(float64(wait) / l.left(class, now))
+}
+
+// TakeOwed reports whether a request of the class, which is about to pass, may do so before its turn: none of
+// the class has passed for the interval of the least share, nor has another one before its turn, and no class
+// that asks as well has waited longer. At most one is ahead of the limit.
+func (l *Limit) TakeOwed(class Class, now time.Time) bool {
+	if !l.advertised.Named {
+		return false
+	}
+	l.bucket.refill(now)
+	interval := time.Duration(float64(l.bucket.interval()) / leastShare)
+	last := latest(l.usage.last[class], l.began, l.owed)
+	longest := l.usage.waitsLongest(class, 2*interval, now)
+	if !longest || l.bucket.tokens <= 0 || now.Sub(last) < interval {
+		return false
+	}
+	l.owed = now
+	return true
+}
+
+// latest returns the last of the moments.
+func latest(moments ...time.Time) time.Time { return slices.MaxFunc(moments, time.Time.Compare) }
+
 // Room returns how many requests of a peer may pass now after so many others, below zero for those that
 // wait. While other peers have been told times to come, it is told one behind them. It means something
 // while a limit is named.
@@ -106,7 +155,9 @@
 	if l.schedule.outstanding(class, now) {
 		return l.RoomIn(l.RetryAfter(peer, class, ahead, now))
 	}
-	l.bucket.refill(now)
+	if wait := l.WaitOf(class, ahead, now); wait > 0 {
+		return l.RoomIn(wait)
+	}
 	return l.bucket.tokens - float64(ahead)
 }
 
@@ -116,7 +167,8 @@
 // RetryAfter returns when a request that is refused now will have room, for a peer to come back then. Each
 // peer is told a time of its own, so that they do not come back together.
 func (l *Limit) RetryAfter(peer string, class Class, ahead int, now time.Time) time.Duration {
-	return l.schedule.next(peer, class, l.Wait(ahead, now), l.bucket.interval(), now)
+	interval := time.Duration(float64(l.bucket.interval()) / l.left(class, now))
+	return l.schedule.next(peer, class, l.WaitOf(class, ahead, now), interval, now)
 }
 
 // Recent returns how many requests passed in the last Window.
--- a/internal/sidecar/ratelimit/limit_test.go
+++ b/internal/sidecar/ratelimit/limit_test.go
@@ -52,8 +52,9 @@
 					gap += random.Float64() * 6 // a pause
 				}
 				now = now.Add(time.Duration(gap * float64(time.Second)))
-				if limit.Ready(now) {
-					limit.Pass(now)
+				class := ratelimit.Class(random.IntN(4))
+				if limit.Ready(now) || limit.TakeOwed(class, now) {
+					limit.Pass(class, now)
 					passed = append(passed, now)
 				}
 			}
@@ -71,7 +72,7 @@
 			for range 50 {
 				for range together {
 					NewWithT(t).Expect(limit.Wait(0, now)).To(BeZero(), "rate %v, %d together", rate, together)
-					limit.Pass(now)
+					limit.Pass(1, now)
 				}
 				now = now.Add(time.Duration(float64(together)/rate*float64(time.Second)).Round(time.Microsecond) + time.Microsecond)
 			}
@@ -84,13 +85,13 @@
 	g := NewWithT(t)
 	limit := &ratelimit.Limit{}
 	for range 7 {
-		limit.Pass(start)
+		limit.Pass(1, start)
 	}
 	now := start.Add(500 * time.Millisecond)
 	limit.Update(named(10), now, now)
 	for range 3 {
 		g.Expect(limit.Ready(now)).To(BeTrue())
-		limit.Pass(now)
+		limit.Pass(1, now)
 	}
 	g.Expect(limit.Ready(now)).To(BeFalse())
 	g.Expect(limit.Recent(now)).To(Equal(10))
@@ -137,8 +138,8 @@
 		"another incarnation": (*ratelimit.Limit).Reset,
 	} {
 		limit := limited(0)
-		limit.Pass(start)
-		limit.Pass(start)
+		limit.Pass(1, start)
+		limit.Pass(1, start)
 		NewWithT(t).Expect(limit.Ready(start)).To(BeFalse(), name)
 		end(limit)
 		NewWithT(t).Expect(limit.Ready(start)).To(BeTrue(), name)
@@ -156,7 +157,7 @@
 				limit.Update(named(rates[1]), now, now)
 			}
 			if limit.Ready(now) {
-				limit.Pass(now)
+				limit.Pass(1, now)
 				passed = append(passed, now)
 			}
 		}
@@ -168,7 +169,7 @@
 // TestWhatWasNotSentDoesNotCount.
 func TestWhatWasNotSentDoesNotCount(t *testing.T) {
 	limit, now := limited(1), start.Add(time.Second)
-	limit.Pass(now)
+	limit.Pass(1, now)
 	limit.Return(now)
 	NewWithT(t).Expect(limit.Ready(now)).To(BeTrue())
 }
@@ -192,7 +193,43 @@
 func TestALimitOfANodeThatHasJustStartedBeginsWithoutRoom(t *testing.T) {
 	limit := &ratelimit.Limit{}
 	limit.Restarted()
-	limit.Pass(start)
+	limit.Pass(1, start)
 	limit.Update(named(10), start, start)
 	NewWithT(t).Expect(limit.Wait(0, start)).To(BeNumerically("~", 100*time.Millisecond, time.Millisecond))
 }
+
+// TestTheLessUrgentAreNotStarved: while the urgent ask for more than the limit, others get about a fifth of it.
+func TestTheLessUrgentAreNotStarved(t *testing.T) {
+	g := NewWithT(t)
+	const perSecond, seconds = 10.0, 60
+	limit, now := limited(perSecond), start
+	var passed [3]int
+	for range seconds * 100 {
+		now = now.Add(10 * time.Millisecond)
+		for class := range passed {
+			if class == 0 && limit.Ready(now) || class > 0 && limit.TakeOwed(ratelimit.Class(class), now) {
+				limit.Pass(ratelimit.Class(class), now)
+				passed[class]++
+			}
+		}
+	}
+	g.Expect(passed[1]).To(BeNumerically("~", passed[2], 5), "each of them as much")
+	g.Expect(passed[1] + passed[2]).To(BeNumerically("~", 0.2*perSecond*seconds, 0.05*perSecond*seconds))
+	g.Expect(passed[0]).To(BeNumerically(">=", 0.75*perSecond*seconds))
+}
+
+// TestWhatTheUrgentTakeIsNotExpected by others, which are told the longer wait.
+func TestWhatTheUrgentTakeIsNotExpected(t *testing.T) {
+	g := NewWithT(t)
+	limit, now := limited(10), start
+	for range 100 { // half of the limit
+		now = now.Add(200 * time.Millisecond)
+		limit.Pass(0, now)
+	}
+	for limit.Ready(now) {
+		limit.Pass(1, now)
+	}
+	g.Expect(limit.WaitOf(0, 0, now)).To(Equal(limit.Wait(0, now)))
+	g.Expect(limit.WaitOf(1, 0, now)).To(BeNumerically("~", 2*limit.Wait(0, now), 20*time.Millisecond))
+	g.Expect(limit.RetryAfter("peer", 1, 0, now)).To(Equal(limit.WaitOf(1, 0, now)))
+}
