--- a/internal/sidecar/ingress/notice.go
+++ b/internal/sidecar/ingress/notice.go
@@ -71,6 +71,9 @@
 // Limit returns the limit that the back end has named.
 func (h *Handler) Limit() admission.Limit { return h.gate.Limit() }
 
+// LeavesByAnswer reports whether an incarnation has said with an answer that it leaves.
+func (h *Handler) LeavesByAnswer(of roster.Incarnation) bool { return h.notices.leavesByAnswer(of) }
+
 // hear takes in what the back end asks for with an answer to a request sent at that moment.
 func (h *Handler) hear(header http.Header, of *roster.Endpoint, sent time.Time) {
 	if notice, read := h.read(header, of); read {
