--- a/internal/sidecar/ratelimit/limit.go
+++ b/internal/sidecar/ratelimit/limit.go
@@ -18,8 +18,8 @@
 }
 
 // Limit is the limit that a back end has named. In any Window it lets pass no more than four times the
-// rate and one burst: 5 N, or 2 for a rate below leastRate. The zero value lets everything pass. Its
-// owner holds a lock.
+// rate, one burst and one that is ahead of its turn: 5 N + 1, or 3 for a rate below leastRate. The zero
+// value lets everything pass. Its owner holds a lock.
 type Limit struct {
 	advertised Advertised
 	// since is when it was first heard, heard when it was last.
