Tests of egress take their moments from the node's clock

go test -count=2 was red by three of them: tests of suspensions put the clock of the process ahead, as a real suspension does, and these compared moments of the runtime's clock with it.

--- a/internal/sidecar/egress/comeback_test.go
+++ b/internal/sidecar/egress/comeback_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/choice"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/route"
 )
 
@@ -52,7 +53,7 @@
 func TestRetryAfterASecondRefusal(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const queue, left = 120 * time.Millisecond, 3 * time.Second
-		made := &call{started: time.Now(), deadline: time.Now().Add(2 * time.Second), callerTime: left}
+		made := &call{started: clock.Now(), deadline: clock.Now().Add(2 * time.Second), callerTime: left}
 		g := NewWithT(t)
 		g.Expect(made.retryAfter(queue)).To(Equal(queue))
 		g.Expect(made.retryAfter(time.Millisecond)).To(Equal(minimumRetryAfter))
--- a/internal/sidecar/egress/level_test.go
+++ b/internal/sidecar/egress/level_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/route"
 )
@@ -187,8 +188,8 @@
 func TestProofComesWithReplies(t *testing.T) {
 	g := NewWithT(t)
 	held := &lagging{table: leading(t, 1, "s"), may: true}
-	sent := time.Now()
+	sent := clock.Now()
 	status, _ := callThrough(t, playLate(t, held, newPeer(t, provesLevel), newPeer(t, answers)), "GET", "/r/x", "")
 	g.Expect(status).To(Equal(200))
-	g.Expect(held.proof).To(BeTemporally("~", sent.Add(-300*time.Millisecond), time.Since(sent)))
+	g.Expect(held.proof).To(BeTemporally("~", sent.Add(-300*time.Millisecond), clock.Since(sent)))
 }
--- a/internal/sidecar/egress/rejected_test.go
+++ b/internal/sidecar/egress/rejected_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 )
 
 // TestWhoIsRejectedByChance plays callers of back ends that reject 0.55 of what they get though they
@@ -25,20 +27,20 @@
 	play := func(room bool) (inTime, late float64) {
 		random := rand.New(rand.NewPCG(1, 2))
 		for range callers {
-			began := time.Now()
+			began := clock.Now()
 			for attempt := range attempts {
 				if random.Float64() >= rejects {
 					time.Sleep(work)
-					if time.Since(began) <= aim {
+					if clock.Since(began) <= aim {
 						inTime++
 					} else {
 						late++
 					}
 					break
 				}
-				left := patience - time.Since(began)
+				left := patience - clock.Since(began)
 				refused := &call{
-					started: time.Now(), deadline: time.Now().Add(left), callerTime: left,
+					started: clock.Now(), deadline: clock.Now().Add(left), callerTime: left,
 					returning: attempt > 0, rejectedWithRoom: room,
 				}
 				time.Sleep(min(refused.retryAfter(minimumRetryAfter), left/3))
