--- a/internal/sidecar/clock/clock.go
+++ b/internal/sidecar/clock/clock.go
@@ -91,7 +91,7 @@
 // process may be preempted between two reads: the steady clock is read on both sides of the other, until
 // little time has passed between them.
 func compareClocks(read func(id int32) (time.Duration, error)) (ahead time.Duration, err error) {
-	const tries, close = 5, tolerance / 10
+	const tries, narrow = 5, tolerance / 10
 	narrowest := time.Duration(math.MaxInt64)
 	for range tries {
 		before, wrongBefore := read(unix.CLOCK_MONOTONIC)
@@ -103,7 +103,7 @@
 		if passed := after - before; passed < narrowest {
 			narrowest, ahead = passed, counting-after
 		}
-		if narrowest <= close {
+		if narrowest <= narrow {
 			break
 		}
 	}
--- a/internal/sidecar/ratelimit/limit.go
+++ b/internal/sidecar/ratelimit/limit.go
@@ -24,8 +24,8 @@
 	advertised Advertised
 	// since is when it was first heard, heard when it was last.
 	since, heard time.Time
-	// began is when a limit was named after a time without one, owed is when a request passed last that was
-	// owed.
+	// began is when a limit was named after a time without one, owed is when a request passed last before its
+	// turn.
 	began, owed time.Time
 	bucket      bucket
 	recent      recent
@@ -135,10 +135,10 @@
 		return false
 	}
 	l.bucket.refill(now)
+	l.usage.ask(class, now)
 	interval := time.Duration(float64(l.bucket.interval()) / leastShare)
 	last := latest(l.usage.last[class], l.began, l.owed)
-	longest := l.usage.waitsLongest(class, 2*interval, now)
-	if !longest || l.bucket.tokens <= 0 || now.Sub(last) < interval {
+	if l.bucket.tokens <= 0 || now.Sub(last) < interval || !l.usage.waitsLongest(class, 2*interval, now) {
 		return false
 	}
 	l.owed = now
--- a/internal/sidecar/ratelimit/usage.go
+++ b/internal/sidecar/ratelimit/usage.go
@@ -45,10 +45,11 @@
 	u.at = now
 }
 
-// waitsLongest notes that a request of the class asks to pass before its turn, and reports whether no other
-// class that has asked within that time has waited longer.
+// ask notes that a request of the class asks to pass before its turn.
+func (u *usage) ask(class Class, now time.Time) { u.asked[class] = now }
+
+// waitsLongest reports whether no other class that has asked within that time has waited longer.
 func (u *usage) waitsLongest(class Class, within time.Duration, now time.Time) bool {
-	u.asked[class] = now
 	for other, asked := range u.asked {
 		if now.Sub(asked) < within && u.last[other].Before(u.last[class]) {
 			return false
