Review case 2: requests behind a broken answer are lost (LOST)

A script with four sidecar processes. Clients send three requests before the first is answered; the long answer of the first is broken off. The sidecar closes the connection, and the requests that it had passed on to sound upstreams get no answer.

--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -21,6 +21,7 @@
 // cases are the cases by the name of their folder.
 var cases = map[string]func(*run) (verdict, error){
 	"1": notProcessedOfAnother,
+	"2": pipelinedBehindBrokenAnswer,
 }
 
 // verdict is the result of a case: the rule was broken count times.
