--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -22,6 +22,7 @@
 var cases = map[string]func(*run) (verdict, error){
 	"1": notProcessedOfAnother,
 	"2": pipelinedBehindBrokenAnswer,
+	"3": lateHeartbeat,
 }
 
 // verdict is the result of a case: the rule was broken count times.
