--- a/review/_standin/client.go
+++ b/review/_standin/client.go
@@ -32,8 +32,8 @@
 	if body != "" {
 		length = fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	}
-	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n%s\r\n%s",
-		method, path, host, id, deadline.Milliseconds(), length, body)
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n%s\r\n%s",
+		method, path, host, names.RequestID, id, names.Deadline, deadline.Milliseconds(), length, body)
 }
 
 // result is the answer that a client got, or the error.
@@ -74,7 +74,7 @@
 	}
 	c.answers++
 	return result{
-		status: response.StatusCode, signature: response.Header.Get("X-Response-Signature"), body: body,
+		status: response.StatusCode, signature: response.Header.Get(names.Signature), body: body,
 		retryAfter: response.Header.Get("Retry-After"), closes: response.Close,
 	}
 }
--- a/review/_standin/twice.go
+++ b/review/_standin/twice.go
@@ -27,7 +27,7 @@
 	const (
 		service   = "dispatch"
 		slots     = 9
-		rejected  = 0.15 // of the requests, by a 503 with X-Not-Processed
+		rejected  = 0.15 // of the requests, by a 503 that says so
 		extra     = 0.03 // of the answers are sent once more
 		meanWork  = 30 * time.Millisecond
 		duration  = 40 * time.Second
@@ -48,7 +48,7 @@
 		var answer string
 		if rand.Float64() < rejected {
 			r.note("%s turns %s away, not processed", e.upstream.id, e.id)
-			answer = e.head(503, 0, "X-Not-Processed: 1")
+			answer = e.head(503, 0, names.NotProcessed+": 1")
 		} else {
 			done.add(e.id, e.upstream.id)
 			r.note("%s runs %s", e.upstream.id, e.id)
