ingress: answers with another request's id are logged and counted

The log line of a failed arrival names the step (shed) and the cause (not processed), not whose answer said so: whether the back end turned this request away, repeated an earlier answer, or the node itself sent the request again looks the same.

Change: a line "answer to another request" with both ids, the status and whether the answer is marked as not processed, and a counter. No decision changes.

--- a/internal/sidecar/ingress/exchange.go
+++ b/internal/sidecar/ingress/exchange.go
@@ -159,6 +159,9 @@
 
 // handleResponse checks an answer and forwards it if it belongs to this request.
 func (a *arrival) handleResponse(response *http.Response, sent *forward.Body) *outcome.Failure {
+	if !a.hasRequestID(response) {
+		a.recordForeign(response)
+	}
 	if a.isFromBackend(response) {
 		a.handler.applyNotice(response.Header, a.endpoint, a.sent)
 	}
@@ -231,7 +234,7 @@
 		a.handler.options.OnInstanceMismatch(header.Get(names.InstanceID))
 		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepIdentity, defaultRetryAfter, errWrongInstance)
 	}
-	if header.Get(names.RequestID) != a.request.Header.Get(names.RequestID) {
+	if !a.hasRequestID(response) {
 		return a.unknownOutcome(errWrongRequestID)
 	}
 	if response.StatusCode < http.StatusMultipleChoices && header.Get(names.Signature) == "" {
@@ -243,6 +246,25 @@
 	return nil
 }
 
+// hasRequestID reports whether the answer carries the id of this request.
+func (a *arrival) hasRequestID(response *http.Response) bool {
+	name := a.handler.options.Vocabulary.RequestID
+	return response.Header.Get(name) == a.request.Header.Get(name)
+}
+
+// recordForeign counts and logs an answer without the id of this request.
+func (a *arrival) recordForeign(response *http.Response) {
+	options := &a.handler.options
+	options.Observer.ForeignAnswer()
+	options.Logger.Info("answer to another request",
+		zap.String("request", a.request.Header.Get(options.Vocabulary.RequestID)),
+		zap.String("answered", response.Header.Get(options.Vocabulary.RequestID)),
+		zap.Int("status", response.StatusCode),
+		zap.Bool("notProcessed", response.Header.Get(options.Vocabulary.NotProcessed) != ""),
+		zap.String("endpoint", a.endpoint.ID),
+	)
+}
+
 // isFromBackend reports whether the answer provably comes from the intended back end. An answer to
 // a request that was not processed may omit the request id.
 func (a *arrival) isFromBackend(response *http.Response) bool {
--- a/internal/sidecar/ingress/handler.go
+++ b/internal/sidecar/ingress/handler.go
@@ -92,6 +92,8 @@
 	BackendSent()
 	// NoticeUnreadable is called when a notice of the back end cannot be decoded.
 	NoticeUnreadable()
+	// ForeignAnswer is called when the back end sends an answer without the request's id.
+	ForeignAnswer()
 }
 
 // Quarantine knows which requests crash the back ends that run them.
--- a/internal/sidecar/ingress/handler_test.go
+++ b/internal/sidecar/ingress/handler_test.go
@@ -35,6 +35,7 @@
 func (silentObserver) BackendCrashed(int)                                                           {}
 func (silentObserver) BackendSent()                                                                 {}
 func (silentObserver) NoticeUnreadable()                                                            {}
+func (silentObserver) ForeignAnswer()                                                               {}
 
 // fixture is a handler with a back end whose answers the test sets.
 type fixture struct {
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -27,8 +27,8 @@
 	// were active at that moment.
 	crashes, crashedRequests prometheus.Counter
 	// backendSent counts the requests sent to the back end, unreadableNotices its notices that
-	// cannot be decoded.
-	backendSent, unreadableNotices prometheus.Counter
+	// cannot be decoded, foreignAnswers its answers without the id of the request that was sent.
+	backendSent, unreadableNotices, foreignAnswers prometheus.Counter
 	// diverted counts requests that were not sent to a back end because its own limit had no
 	// capacity for them in time.
 	diverted *prometheus.CounterVec
@@ -137,7 +137,10 @@
 	created.proofAges = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name: "kestrel_sidecar_level_proof_seconds", Help: "Age of the proof that came with these answers.", Buckets: latencyBuckets,
 	})
-	registry.MustRegister(created.diverted, created.backendSent, created.unreadableNotices, created.versionAnswers, created.proofAges, created.lag, created.fetches, created.crashes, created.crashedRequests, created.silentProbes, created.pipelined, created.calls, created.latency, created.hop, created.sends, created.arrivals, created.queueSeconds, created.backendSeconds)
+	created.foreignAnswers = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "kestrel_sidecar_backend_foreign_answers_total", Help: "Answers of the local back end without the id of the request that was sent.",
+	})
+	registry.MustRegister(created.diverted, created.backendSent, created.unreadableNotices, created.foreignAnswers, created.versionAnswers, created.proofAges, created.lag, created.fetches, created.crashes, created.crashedRequests, created.silentProbes, created.pipelined, created.calls, created.latency, created.hop, created.sends, created.arrivals, created.queueSeconds, created.backendSeconds)
 	return created
 }
 
@@ -184,6 +187,9 @@
 // NoticeUnreadable implements ingress.Observer.
 func (m *metrics) NoticeUnreadable() { m.unreadableNotices.Inc() }
 
+// ForeignAnswer implements ingress.Observer.
+func (m *metrics) ForeignAnswer() { m.foreignAnswers.Inc() }
+
 // CaughtUp implements exchange.Observer.
 func (m *metrics) CaughtUp(lag time.Duration) { m.lag.Observe(lag.Seconds()) }
 
