forward, ingress: a reply counts only with the id of its request

Cause: replies were matched with requests by their order on the connection. A back end may send an answer once more in the place of the next one. The node read such an answer as that to the request that it had just sent, and looked at the id last: "not processed" and 421 were believed of any request, and so was a rate limit without an id. A rejection of request A made the node report request B, which was running, as not run; the caller's node sent B to a second back end. Beside it, an answer without a body left the connection in the pool with the answer to B due, for the next request to get.

Evidence: all 4 requests that ran twice had got a 503 marked as not processed with another id, 1 ms before their second run; 4 of 5 such connections gave their next request the answer due.

Change: the pool compares the id (Limits.Correlation) before anything else is read of a reply. One without the request's id fails the exchange as any broken reply does: the connection is sealed and closed, and the outcome is "not run" only if nothing of the request was written. Nothing above the pool sees such a reply, so that status, markers, limits, load, Keep-Alive and the instance's id are those of the own answer by construction. It is not taken for a crash.

An answer that bears no id is now nobody's.

--- a/internal/proxy/forward/exchange.go
+++ b/internal/proxy/forward/exchange.go
@@ -119,9 +119,13 @@
 	}
 }
 
-// checkReply rejects protocol switches and, unless unframed replies are
-// allowed, replies that are delimited only by the end of the connection.
+// checkReply rejects replies to other requests, protocol switches and, unless
+// unframed replies are allowed, replies that are delimited only by the end of the
+// connection.
 func (p *Pool) checkReply(request *http.Request, response *http.Response) error {
+	if err := p.correlation.check(request, response); err != nil {
+		return err
+	}
 	if response.StatusCode == http.StatusSwitchingProtocols {
 		return ErrSwitchedProtocol
 	}
--- a/internal/proxy/forward/pool.go
+++ b/internal/proxy/forward/pool.go
@@ -33,6 +33,8 @@
 	// connection; a reset while reading one is an error. Otherwise such replies
 	// fail with ErrUnframedReply.
 	AllowUnframed bool
+	// Correlation matches replies with requests; zero if the peer echoes no id.
+	Correlation Correlation
 }
 
 // Dialer opens network connections.
@@ -42,9 +44,10 @@
 type Pool struct {
 	address   string
 	transport *http.Transport
-	// unframed is Limits.AllowUnframed, which never changes.
-	unframed bool
-	limits   Limits
+	// unframed and correlation are the fields of Limits, which never change.
+	unframed    bool
+	correlation Correlation
+	limits      Limits
 
 	mutex   sync.Mutex // guards all below
 	idle    []*connection
@@ -81,7 +84,7 @@
 	if dial == nil {
 		dial = (&net.Dialer{KeepAlive: 15 * time.Second}).DialContext
 	}
-	pool := &Pool{address: address, limits: limits, unframed: limits.AllowUnframed}
+	pool := &Pool{address: address, limits: limits, unframed: limits.AllowUnframed, correlation: limits.Correlation}
 	pool.transport = &http.Transport{
 		DialContext:            trackDials(dial),
 		DisableCompression:     true,
@@ -137,8 +140,8 @@
 }
 
 // SetLimits replaces the limits, except for ReplyHeaderBytes,
-// ExpectContinueTimeout and AllowUnframed, which NewPool fixes. Connections above
-// a lowered limit are closed when their exchange ends.
+// ExpectContinueTimeout, AllowUnframed and Correlation, which NewPool fixes.
+// Connections above a lowered limit are closed when their exchange ends.
 func (p *Pool) SetLimits(limits Limits) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
--- a/internal/sidecar/ingress/exchange.go
+++ b/internal/sidecar/ingress/exchange.go
@@ -19,7 +19,6 @@
 	errCrashed             = errors.New("the back end's process ended")
 	errWrongInstance       = errors.New("the back end's id differs from the last known one")
 	errNotProcessed        = errors.New("the back end did not process the request")
-	errWrongRequestID      = errors.New("the answer belongs to another request")
 	errUnsigned            = errors.New("the answer has no signature")
 	errContradictoryStatus = errors.New("the back end ran the request but answered with a status that means it did not")
 	errTruncated           = errors.New("the answer was truncated")
@@ -104,10 +103,10 @@
 }
 
 // detectCrash finds out whether a broken connection is due to a crash of the back end's process and
-// updates the failure. When the caller cancelled the request, its cancellation broke the
-// connection.
+// updates the failure. It did not break by itself when the caller cancelled the request, or when an
+// answer to another request arrived.
 func (a *arrival) detectCrash(failure *outcome.Failure) {
-	if a.context.Err() != nil {
+	if a.context.Err() != nil || errors.Is(failure.Cause, forward.ErrForeignReply) {
 		return
 	}
 	crashed, first := a.handler.crashed(a)
@@ -157,12 +156,9 @@
 	judge.Answered(a.request, failed, clock.Since(a.started)-a.waited, a.reported.ExpectedServiceTime, *a.reported.BaselineRates)
 }
 
-// handleResponse checks an answer and forwards it if it belongs to this request.
+// handleResponse checks the answer to this request and forwards it if it is valid.
 func (a *arrival) handleResponse(response *http.Response, sent *forward.Body) *outcome.Failure {
-	if !a.hasRequestID(response) {
-		a.recordForeign(response)
-	}
-	if a.isFromBackend(response) {
+	if response.StatusCode != http.StatusMisdirectedRequest { // by the intended instance
 		a.handler.applyNotice(response.Header, a.endpoint, a.sent)
 	}
 	if failure := a.checkResponse(response); failure != nil {
@@ -222,8 +218,7 @@
 	a.setReplyHeaders(worked)
 }
 
-// checkResponse returns the failure that an answer stands for, nil for a valid one. Only an answer
-// with the request's id belongs to it.
+// checkResponse returns the failure that the answer to this request stands for, nil for a valid one.
 func (a *arrival) checkResponse(response *http.Response) *outcome.Failure {
 	names := &a.handler.options.Vocabulary
 	header := response.Header
@@ -234,9 +229,6 @@
 		a.handler.options.OnInstanceMismatch(header.Get(names.InstanceID))
 		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepIdentity, defaultRetryAfter, errWrongInstance)
 	}
-	if !a.hasRequestID(response) {
-		return a.unknownOutcome(errWrongRequestID)
-	}
 	if response.StatusCode < http.StatusMultipleChoices && header.Get(names.Signature) == "" {
 		return a.unknownOutcome(errUnsigned)
 	}
@@ -246,36 +238,19 @@
 	return nil
 }
 
-// hasRequestID reports whether the answer carries the id of this request.
-func (a *arrival) hasRequestID(response *http.Response) bool {
-	name := a.handler.options.Vocabulary.RequestID
-	return response.Header.Get(name) == a.request.Header.Get(name)
-}
-
-// recordForeign counts and logs an answer without the id of this request.
-func (a *arrival) recordForeign(response *http.Response) {
-	options := &a.handler.options
-	options.Observer.ForeignAnswer()
-	options.Logger.Info("answer to another request",
-		zap.String("request", a.request.Header.Get(options.Vocabulary.RequestID)),
-		zap.String("answered", response.Header.Get(options.Vocabulary.RequestID)),
+// recordForeign counts and logs an answer of the back end that belongs to another request.
+func (h *Handler) recordForeign(request *http.Request, response *http.Response) {
+	names := &h.options.Vocabulary
+	h.options.Observer.ForeignAnswer()
+	h.options.Logger.Info("answer to another request",
+		zap.String("request", request.Header.Get(names.RequestID)),
+		zap.String("answered", response.Header.Get(names.RequestID)),
 		zap.Int("status", response.StatusCode),
-		zap.Bool("notProcessed", response.Header.Get(options.Vocabulary.NotProcessed) != ""),
-		zap.String("endpoint", a.endpoint.ID),
+		zap.Bool("notProcessed", response.Header.Get(names.NotProcessed) != ""),
+		zap.String("endpoint", request.Header.Get(names.TargetInstance)),
 	)
 }
 
-// isFromBackend reports whether the answer provably comes from the intended back end. An answer to
-// a request that was not processed may omit the request id.
-func (a *arrival) isFromBackend(response *http.Response) bool {
-	names := &a.handler.options.Vocabulary
-	if response.StatusCode == http.StatusMisdirectedRequest {
-		return false
-	}
-	id := response.Header.Get(names.RequestID)
-	return id == a.request.Header.Get(names.RequestID) || (id == "" && response.Header.Get(names.NotProcessed) != "")
-}
-
 // impliesNotRun reports whether callers interpret the status as "not run".
 func impliesNotRun(status int) bool {
 	switch status {
--- a/internal/sidecar/ingress/handler.go
+++ b/internal/sidecar/ingress/handler.go
@@ -175,19 +175,20 @@
 // New returns a handler that refuses all requests until a back end is known.
 func New(options Options) *Handler {
 	created := &Handler{
-		options: options,
-		pool: forward.NewPool(options.Address, forward.Limits{
-			Connections:      defaultConnections,
-			IdleTimeout:      idleTimeout,
-			DialTimeout:      dialTimeout,
-			ReplyHeaderBytes: replyHeaderBytes,
-			AllowUnframed:    true,
-		}, options.Dial),
+		options:      options,
 		gate:         admission.New(clock.Now),
 		transfers:    newTransfers(options.LinkMbps),
 		healthClient: newHealthClient(options.Dial),
 		trial:        semaphore.NewWeighted(1),
 	}
+	created.pool = forward.NewPool(options.Address, forward.Limits{
+		Connections:      defaultConnections,
+		IdleTimeout:      idleTimeout,
+		DialTimeout:      dialTimeout,
+		ReplyHeaderBytes: replyHeaderBytes,
+		AllowUnframed:    true,
+		Correlation:      forward.Correlation{Header: options.Vocabulary.RequestID, OnForeign: created.recordForeign},
+	}, options.Dial)
 	if options.Restarted {
 		created.notices.noReplyYet.Store(true)
 		created.gate.Restarted()
