forward: no request is sent twice on one connection

Cause: a request that a back end turned away is sent again with the same id, and where its node knows of no other back end, to the same one, on the connection that was used last. A second answer to the first send then carries the right id. The id distinguishes requests, not sends.

Change: the pool closes an idle connection whose latest request had the id of the one to be sent, and takes another. An extra answer belongs to the latest request of its connection, so that older ones need not be kept.

--- a/internal/proxy/forward/correlation.go
+++ b/internal/proxy/forward/correlation.go
@@ -21,9 +21,17 @@
 	OnForeign func(request *http.Request, reply *http.Response)
 }
 
+// id returns the request's id, empty if there is none.
+func (c *Correlation) id(request *http.Request) string {
+	if c.Header == "" {
+		return ""
+	}
+	return request.Header.Get(c.Header)
+}
+
 // check returns ErrForeignReply unless the reply carries the request's id.
 func (c *Correlation) check(request *http.Request, reply *http.Response) error {
-	if c.Header == "" || reply.Header.Get(c.Header) == request.Header.Get(c.Header) {
+	if c.Header == "" || reply.Header.Get(c.Header) == c.id(request) {
 		return nil
 	}
 	if c.OnForeign != nil {
--- a/internal/proxy/forward/correlation_test.go
+++ b/internal/proxy/forward/correlation_test.go
@@ -81,3 +81,32 @@
 		}
 	}
 }
+
+// TestRepeatedRequestUsesAnotherConnection guards against a second reply to the first send of a
+// request that is taken for the reply to its second send.
+func TestRepeatedRequestUsesAnotherConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		served := &scriptedPeer{}
+		served.script = func(connection net.Conn, count int32) {
+			for sends := 1; served.read(connection); sends++ {
+				if sends > 1 {
+					served.answer(connection, replyTo("a", 503))
+					return
+				}
+				served.answer(connection, replyTo("a", map[int32]int{1: 503, 2: 200}[count]))
+			}
+		}
+		foreign := 0
+		pool := newCorrelatedPool(served, &foreign)
+		defer pool.Close()
+		for _, status := range []int{503, 200} {
+			response, err := pool.RoundTrip(requestWithID("a"))
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(response.StatusCode).To(Equal(status))
+			g.Expect(response.Body.Close()).To(Succeed())
+		}
+		g.Expect(served.connections.Load()).To(BeEquivalentTo(2))
+		g.Expect(pool.Open()).To(Equal(1))
+	})
+}
--- a/internal/proxy/forward/exchange.go
+++ b/internal/proxy/forward/exchange.go
@@ -57,10 +57,12 @@
 	if err := request.Context().Err(); err != nil {
 		return nil, p.notRun(outcome.StepDeadline, context.Cause(request.Context()))
 	}
-	conn, err := p.get(request.Context(), maxIdle)
+	requestID := p.correlation.id(request)
+	conn, err := p.get(request.Context(), maxIdle, requestID)
 	if err != nil {
 		return nil, p.notRun(outcome.StepConnect, err)
 	}
+	conn.requestID = requestID
 	conn.tracked.begin(request.Context())
 	response, err := conn.client.RoundTrip(request)
 	if err != nil {
--- a/internal/proxy/forward/pool.go
+++ b/internal/proxy/forward/pool.go
@@ -72,6 +72,8 @@
 	reused    bool
 	// idleFor is how long it was idle before the current exchange.
 	idleFor time.Duration
+	// requestID is the id of the latest request, empty if there was none.
+	requestID string
 	// idleTimeout is derived from the peer's Keep-Alive header; zero if there
 	// was none.
 	idleTimeout time.Duration
@@ -149,8 +151,10 @@
 }
 
 // get returns an idle connection or opens one. A connection that was idle for
-// longer than maxIdle is used only if the limit allows no new one.
-func (p *Pool) get(ctx context.Context, maxIdle time.Duration) (*connection, error) {
+// longer than maxIdle is used only if the limit allows no new one. One whose
+// latest request had the same id is closed: another reply to that request could
+// not be distinguished from the reply to this one.
+func (p *Pool) get(ctx context.Context, maxIdle time.Duration, requestID string) (*connection, error) {
 	for {
 		idle, mayOpen := p.takeIdle(maxIdle)
 		if idle == nil && !mayOpen {
@@ -163,7 +167,8 @@
 			go p.openSpare()
 		}
 		now := time.Now()
-		if idle.client.Available() > 0 && !p.expired(idle, now) {
+		repeated := requestID != "" && idle.requestID == requestID
+		if idle.client.Available() > 0 && !p.expired(idle, now) && !repeated {
 			idle.idleFor = now.Sub(idle.idleSince)
 			return idle, nil
 		}
