forward: an extra reply no longer costs the request behind it

Cause: the node gave a request up as soon as an answer to another one came, and closed the connection under the running request. The answer to it, next on the same connection, was never read; most back ends drop the work then.

Change: a reply with the id of the request before on the connection is dropped and the next one awaited there, within the request's deadline. net/http reads a reply only after a request, so the request is repeated with writes discarded; nothing is sent, and the writes stay discarded until the next exchange begins, for which net/http must have ended the former write. The own id proves the reply that follows. Any other foreign reply (no id, an id that this connection did not carry, a second one in a row) ends the exchange at once as before: then the back end is broken, and its own reply need not follow.

Ruled out: reading on after every foreign reply. A back end that answers with ids of its own making would hold each request until its deadline (TestFailureRate, TestUpstreamResponses: 502 at once, unchanged).

TestReplyToAnotherRequest, TestCancelledWaitForOwnReply and TestLateAnswerToAnotherRequestProvesNothing (200 in place of 502), and the check that each request that ran got its answer in TestLateAnswersRunNothingTwice, fail without the change.

--- a/internal/proxy/forward/conn.go
+++ b/internal/proxy/forward/conn.go
@@ -21,6 +21,9 @@
 	writeSome
 	// writeSealed: writing is disabled.
 	writeSealed
+	// writeDiscarded: something has been written, and all further writes are
+	// discarded.
+	writeDiscarded
 )
 
 // trackedConn tracks whether the current exchange has written anything. Writes
@@ -55,11 +58,17 @@
 	return c.Conn.Close()
 }
 
-// Write implements net.Conn. After seal it returns net.ErrClosed.
+// Write implements net.Conn. After seal it returns net.ErrClosed, after
+// discardWrites it does nothing.
 func (c *trackedConn) Write(data []byte) (int, error) {
 	first := c.state.CompareAndSwap(writeNone, writeBusy)
-	if !first && c.state.Load() == writeSealed {
-		return 0, net.ErrClosed
+	if !first {
+		switch c.state.Load() {
+		case writeSealed:
+			return 0, net.ErrClosed
+		case writeDiscarded:
+			return len(data), nil
+		}
 	}
 	written, err := c.Conn.Write(data)
 	if !first {
@@ -73,6 +82,10 @@
 	return written, err
 }
 
+// discardWrites discards all writes until the next exchange begins. The request
+// must have been written completely.
+func (c *trackedConn) discardWrites() { c.state.Store(writeDiscarded) }
+
 // seal disables further writes and reports whether nothing was written. A write
 // in progress counts as written.
 func (c *trackedConn) seal() (nothingWritten bool) {
--- a/internal/proxy/forward/correlation.go
+++ b/internal/proxy/forward/correlation.go
@@ -2,11 +2,12 @@
 
 import (
 	"errors"
+	"io"
 	"net/http"
 )
 
 // ErrForeignReply is returned when the peer sent a reply to another request in
-// place of the reply to this one.
+// place of the reply to this one, which did not follow.
 var ErrForeignReply = errors.New("forward: reply belongs to another request")
 
 // Correlation matches replies with requests by an id that the peer echoes. The
@@ -21,21 +22,64 @@
 	OnForeign func(request *http.Request, reply *http.Response)
 }
 
-// id returns the request's id, empty if there is none.
-func (c *Correlation) id(request *http.Request) string {
+// id returns the id in the header of a message, empty if there is none.
+func (c *Correlation) id(header http.Header) string {
 	if c.Header == "" {
 		return ""
 	}
-	return request.Header.Get(c.Header)
+	return header.Get(c.Header)
 }
 
-// check returns ErrForeignReply unless the reply carries the request's id.
-func (c *Correlation) check(request *http.Request, reply *http.Response) error {
-	if c.Header == "" || reply.Header.Get(c.Header) == c.id(request) {
-		return nil
+// matches reports whether the reply carries the request's id.
+func (c *Correlation) matches(request *http.Request, reply *http.Response) bool {
+	if c.id(reply.Header) == c.id(request.Header) {
+		return true
 	}
 	if c.OnForeign != nil {
 		c.OnForeign(request, reply)
 	}
-	return ErrForeignReply
+	return false
 }
+
+// exchange sends the request and returns the reply to it. It drops one reply to
+// the request before on this connection, which the peer may have sent again.
+func (p *Pool) exchange(conn *connection, request *http.Request) (*http.Response, error) {
+	reply, err := conn.client.RoundTrip(request)
+	if err != nil || p.correlation.matches(request, reply) {
+		return reply, err
+	}
+	if id := p.correlation.id(reply.Header); id == "" || id != conn.previousID {
+		_ = reply.Body.Close()
+		return nil, ErrForeignReply
+	}
+	reply, err = conn.nextReply(request, reply)
+	if err != nil {
+		return nil, errors.Join(ErrForeignReply, err)
+	}
+	if !p.correlation.matches(request, reply) {
+		_ = reply.Body.Close()
+		return nil, ErrForeignReply
+	}
+	return reply, nil
+}
+
+// nextReply drops a reply and awaits the next one on the connection without
+// sending anything. net/http reads a reply only after it has sent a request, so
+// the request is repeated with its writes discarded.
+func (c *connection) nextReply(request *http.Request, dropped *http.Response) (*http.Response, error) {
+	_, err := io.Copy(io.Discard, dropped.Body)
+	_ = dropped.Body.Close()
+	if err != nil {
+		return nil, err
+	}
+	if c.client.Available() == 0 {
+		return nil, errNoNextReply
+	}
+	c.tracked.discardWrites()
+	repeated := request.WithContext(request.Context())
+	repeated.Body, repeated.GetBody, repeated.ContentLength = nil, nil, 0
+	return c.client.RoundTrip(repeated)
+}
+
+// errNoNextReply: the connection ended, or the request was not written completely.
+var errNoNextReply = errors.New("no other reply can follow on the connection")
--- a/internal/proxy/forward/exchange.go
+++ b/internal/proxy/forward/exchange.go
@@ -57,16 +57,16 @@
 	if err := request.Context().Err(); err != nil {
 		return nil, p.notRun(outcome.StepDeadline, context.Cause(request.Context()))
 	}
-	requestID := p.correlation.id(request)
+	requestID := p.correlation.id(request.Header)
 	conn, err := p.get(request.Context(), maxIdle, requestID)
 	if err != nil {
 		return nil, p.notRun(outcome.StepConnect, err)
 	}
-	conn.requestID = requestID
+	conn.requestID, conn.previousID = requestID, conn.requestID
 	conn.tracked.begin(request.Context())
-	response, err := conn.client.RoundTrip(request)
+	response, err := p.exchange(conn, request)
 	if err != nil {
-		if conn.reused && request.Context().Err() == nil {
+		if conn.reused && request.Context().Err() == nil && !errors.Is(err, ErrForeignReply) {
 			p.recordBreak(conn.idleFor)
 		}
 		return nil, p.fail(conn, err)
@@ -121,13 +121,9 @@
 	}
 }
 
-// checkReply rejects replies to other requests, protocol switches and, unless
-// unframed replies are allowed, replies that are delimited only by the end of the
-// connection.
+// checkReply rejects protocol switches and, unless unframed replies are
+// allowed, replies that are delimited only by the end of the connection.
 func (p *Pool) checkReply(request *http.Request, response *http.Response) error {
-	if err := p.correlation.check(request, response); err != nil {
-		return err
-	}
 	if response.StatusCode == http.StatusSwitchingProtocols {
 		return ErrSwitchedProtocol
 	}
--- a/internal/proxy/forward/pool.go
+++ b/internal/proxy/forward/pool.go
@@ -72,8 +72,9 @@
 	reused    bool
 	// idleFor is how long it was idle before the current exchange.
 	idleFor time.Duration
-	// requestID is the id of the latest request, empty if there was none.
-	requestID string
+	// requestID is the id of the latest request, previousID that of the one before;
+	// empty if there was none.
+	requestID, previousID string
 	// idleTimeout is derived from the peer's Keep-Alive header; zero if there
 	// was none.
 	idleTimeout time.Duration
