forward, ingress: comments of the matching of replies

Read as a newcomer would: the error beside its kind, what net/http does with a reply that arrives too early, which answers another instance sends. No change of behaviour.

--- a/internal/proxy/forward/correlation.go
+++ b/internal/proxy/forward/correlation.go
@@ -10,6 +10,9 @@
 // place of the reply to this one, which did not follow.
 var ErrForeignReply = errors.New("forward: reply belongs to another request")
 
+// errNoNextReply: the connection ended, or the request was not written completely.
+var errNoNextReply = errors.New("no other reply can follow on the connection")
+
 // Correlation matches replies with requests by an id that the peer echoes. The
 // order of replies on a connection is no proof if the peer may send a reply more
 // than once.
@@ -30,7 +33,8 @@
 	return header.Get(c.Header)
 }
 
-// matches reports whether the reply carries the request's id.
+// matches reports whether the reply carries the request's id, and reports one that
+// does not to OnForeign.
 func (c *Correlation) matches(request *http.Request, reply *http.Response) bool {
 	if c.id(reply.Header) == c.id(request.Header) {
 		return true
@@ -65,7 +69,8 @@
 
 // nextReply drops a reply and awaits the next one on the connection without
 // sending anything. net/http reads a reply only after it has sent a request, so
-// the request is repeated with its writes discarded.
+// the request is repeated with its writes discarded. A reply that arrives before
+// that ends the connection: net/http takes it for unsolicited.
 func (c *connection) nextReply(request *http.Request, dropped *http.Response) (*http.Response, error) {
 	_, err := io.Copy(io.Discard, dropped.Body)
 	_ = dropped.Body.Close()
@@ -80,6 +85,3 @@
 	repeated.Body, repeated.GetBody, repeated.ContentLength = nil, nil, 0
 	return c.client.RoundTrip(repeated)
 }
-
-// errNoNextReply: the connection ended, or the request was not written completely.
-var errNoNextReply = errors.New("no other reply can follow on the connection")
--- a/internal/sidecar/ingress/exchange.go
+++ b/internal/sidecar/ingress/exchange.go
@@ -158,7 +158,7 @@
 
 // handleResponse checks the answer to this request and forwards it if it is valid.
 func (a *arrival) handleResponse(response *http.Response, sent *forward.Body) *outcome.Failure {
-	if response.StatusCode != http.StatusMisdirectedRequest { // by the intended instance
+	if response.StatusCode != http.StatusMisdirectedRequest { // which another instance sends
 		a.handler.applyNotice(response.Header, a.endpoint, a.sent)
 	}
 	if failure := a.checkResponse(response); failure != nil {
