forward: an extra reply to HEAD is not read as one with a body

Cause: whether a reply to HEAD has a body depends on the method, which net/http takes from the request that it reads for. An extra reply to HEAD in the place of one to GET was read with the body that its Content-Length names, and the own reply was swallowed as a part of it.

Change: a connection remembers the method beside the id of its latest request. A foreign reply to HEAD ends the exchange at once, as any other whose own reply cannot be found.

TestForeignReplyToHead deadlocks without the change (the exchange waits for the rest of 5,000 bytes) and passes with it.

--- a/internal/proxy/forward/correlation.go
+++ b/internal/proxy/forward/correlation.go
@@ -45,6 +45,18 @@
 	return false
 }
 
+// sentRequest is a request that a connection has carried; zero for none.
+type sentRequest struct {
+	// id is empty if the request has none or replies are matched by their order.
+	id, method string
+}
+
+// hasReply reports whether a reply with the id belongs to the request and its end
+// can be found: that of a reply to HEAD depends on the method.
+func (r sentRequest) hasReply(id string) bool {
+	return id != "" && id == r.id && r.method != http.MethodHead
+}
+
 // exchange sends the request and returns the reply to it. It drops one reply to
 // the request before on this connection, which the peer may have sent again.
 func (p *Pool) exchange(conn *connection, request *http.Request) (*http.Response, error) {
@@ -52,7 +64,7 @@
 	if err != nil || p.correlation.matches(request, reply) {
 		return reply, err
 	}
-	if id := p.correlation.id(reply.Header); id == "" || id != conn.previousID {
+	if !conn.previous.hasReply(p.correlation.id(reply.Header)) {
 		_ = reply.Body.Close()
 		return nil, ErrForeignReply
 	}
--- a/internal/proxy/forward/correlation_test.go
+++ b/internal/proxy/forward/correlation_test.go
@@ -160,6 +160,32 @@
 	}
 }
 
+// TestForeignReplyToHead guards against an own reply that is read as the body of a reply to HEAD,
+// which has none.
+func TestForeignReplyToHead(t *testing.T) {
+	const toHead = "HTTP/1.1 200 OK\r\nRequest-Id: b\r\nContent-Length: 5000\r\n\r\n"
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		served := &scriptedPeer{}
+		served.script = func(connection net.Conn, _ int32) {
+			for served.read(connection) {
+				served.answer(connection, toHead)
+			}
+		}
+		foreign := 0
+		pool := newCorrelatedPool(served, &foreign)
+		defer pool.Close()
+		head := requestWithID("b")
+		head.Method = http.MethodHead
+		_, err := exchange(pool, head)
+		g.Expect(err).NotTo(HaveOccurred())
+		sent := time.Now()
+		_, err = pool.RoundTrip(requestWithID("a"))
+		g.Expect(err).To(MatchError(forward.ErrForeignReply))
+		g.Expect(time.Since(sent)).To(BeZero(), "the end of the foreign reply is not awaited")
+	})
+}
+
 // TestCancelledWaitForOwnReply checks that the request's context bounds the wait for the reply that
 // follows one to another request.
 func TestCancelledWaitForOwnReply(t *testing.T) {
--- a/internal/proxy/forward/exchange.go
+++ b/internal/proxy/forward/exchange.go
@@ -62,7 +62,7 @@
 	if err != nil {
 		return nil, p.notRun(outcome.StepConnect, err)
 	}
-	conn.requestID, conn.previousID = requestID, conn.requestID
+	conn.latest, conn.previous = sentRequest{id: requestID, method: request.Method}, conn.latest
 	conn.tracked.begin(request.Context())
 	response, err := p.exchange(conn, request)
 	if err != nil {
--- a/internal/proxy/forward/pool.go
+++ b/internal/proxy/forward/pool.go
@@ -72,9 +72,8 @@
 	reused    bool
 	// idleFor is how long it was idle before the current exchange.
 	idleFor time.Duration
-	// requestID is the id of the latest request, previousID that of the one before;
-	// empty if there was none.
-	requestID, previousID string
+	// latest is the latest request, previous the one before.
+	latest, previous sentRequest
 	// idleTimeout is derived from the peer's Keep-Alive header; zero if there
 	// was none.
 	idleTimeout time.Duration
@@ -168,7 +167,7 @@
 			go p.openSpare()
 		}
 		now := time.Now()
-		repeated := requestID != "" && idle.requestID == requestID
+		repeated := requestID != "" && idle.latest.id == requestID
 		if idle.client.Available() > 0 && !p.expired(idle, now) && !repeated {
 			idle.idleFor = now.Sub(idle.idleSince)
 			return idle, nil
