Log and count what "not run" rests on

Callers saw refusals with a promise of requests that ran.

Both lines now carry `evidence`: not-sent, nothing-written, body-withheld, rejected, misdirected or reported. `arrival failed` has the number of sends to the back end and the time to the first one; each visit of `call failed` has its own evidence, when it was sent, and whether the node sent 100 Continue. kestrel_sidecar_not_run_total counts promises by side and evidence (12 series at most).

No decision is changed: internal/proxy/notrun restates the present ones, and the places that decide fill the field from it.

--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -107,11 +107,5 @@
 }
 
 func refuseWithoutBackend(w http.ResponseWriter, _ *http.Request) {
-	failure := &outcome.Failure{
-		Outcome:    outcome.NotRun,
-		Status:     http.StatusServiceUnavailable,
-		Step:       outcome.StepAdmit,
-		RetryAfter: time.Second,
-	}
-	failure.WriteTo(w)
+	outcome.Refusal(http.StatusServiceUnavailable, outcome.StepAdmit, time.Second, nil).WriteTo(w)
 }
--- a/internal/proxy/forward/exchange.go
+++ b/internal/proxy/forward/exchange.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/kestrelstream/kestrelstream/internal/proxy/notrun"
 	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
 )
 
@@ -26,9 +27,11 @@
 	// Outcome is NotRun only if no byte of the request was written and none
 	// can be written later.
 	Outcome outcome.Outcome
-	Step    outcome.Step
-	Peer    string
-	Cause   error
+	// Evidence is what the outcome NotRun rests on.
+	Evidence notrun.Evidence
+	Step     outcome.Step
+	Peer     string
+	Cause    error
 }
 
 // Error returns the outcome, step, peer and cause as text.
@@ -88,8 +91,9 @@
 	p.maxIdle.recordBreak(idleFor, time.Now())
 }
 
+// notRun returns the error of a request of which nothing was written.
 func (p *Pool) notRun(step outcome.Step, cause error) *Error {
-	return &Error{Outcome: outcome.NotRun, Step: step, Peer: p.address, Cause: cause}
+	return &Error{Outcome: outcome.NotRun, Evidence: notrun.Send{}.Evidence(), Step: step, Peer: p.address, Cause: cause}
 }
 
 // fail seals and closes the connection and derives the outcome from whether
--- /dev/null
+++ b/internal/proxy/notrun/send_test.go
@@ -0,0 +1,48 @@
+package notrun_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kestrelstream/kestrelstream/internal/proxy/notrun"
+)
+
+func TestEvidenceOfASend(t *testing.T) {
+	reply := func(requestID, replyID string, status int, marked bool) *notrun.Reply {
+		return &notrun.Reply{RequestID: requestID, ReplyID: replyID, Status: status, Marked: marked}
+	}
+	cases := []struct {
+		name string
+		send notrun.Send
+		want string
+	}{
+		{"nothing written", notrun.Send{}, "nothing-written"},
+		{"nothing written, body withheld", notrun.Send{BodyWithheld: true}, "nothing-written"},
+		{"nothing written, a late reply to the request before", notrun.Send{Reply: reply("b", "a", 200, false)}, "nothing-written"},
+		{"written, no reply", notrun.Send{Written: true}, ""},
+		{"written, body withheld, no reply", notrun.Send{Written: true, BodyWithheld: true}, "body-withheld"},
+		{"rejected", notrun.Send{Written: true, Reply: reply("a", "a", 503, true)}, "rejected"},
+		{"rejected with 429", notrun.Send{Written: true, Reply: reply("a", "a", 429, true)}, "rejected"},
+		{"rejected with 400", notrun.Send{Written: true, Reply: reply("a", "a", 400, true)}, "rejected"},
+		{"rejected for want of an id", notrun.Send{Written: true, Reply: reply("", "", 400, true)}, "rejected"},
+		{"another request rejected", notrun.Send{Written: true, Reply: reply("b", "a", 503, true)}, ""},
+		{"rejected, the reply has no id", notrun.Send{Written: true, Reply: reply("a", "", 503, true)}, ""},
+		{"rejected, the request has no id", notrun.Send{Written: true, Reply: reply("", "a", 503, true)}, ""},
+		{"another instance", notrun.Send{Written: true, Reply: reply("a", "a", 421, false)}, "misdirected"},
+		{"another instance, for another request", notrun.Send{Written: true, Reply: reply("b", "a", 421, false)}, ""},
+		{"another instance, the reply has no id", notrun.Send{Written: true, Reply: reply("a", "", 421, false)}, ""},
+		{"a status that promises it, without the marker", notrun.Send{Written: true, Reply: reply("a", "a", 503, false)}, ""},
+		{"408 without the marker", notrun.Send{Written: true, Reply: reply("a", "a", 408, false)}, ""},
+		{"429 without the marker", notrun.Send{Written: true, Reply: reply("a", "a", 429, false)}, ""},
+		{"a success", notrun.Send{Written: true, Reply: reply("a", "a", 200, false)}, ""},
+		{"a failure", notrun.Send{Written: true, Reply: reply("a", "a", 500, false)}, ""},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			got := tc.send.Evidence()
+			NewWithT(t).Expect(got.String()).To(Equal(tc.want))
+			NewWithT(t).Expect(got.Proven()).To(Equal(tc.want != ""))
+		})
+	}
+}
--- a/internal/proxy/outcome/outcome.go
+++ b/internal/proxy/outcome/outcome.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/kestrelstream/kestrelstream/internal/proxy/notrun"
 )
 
 // Outcome reports whether the back end processed a request that failed in the
@@ -86,6 +88,8 @@
 // Failure describes a request that the mesh answers itself. It implements error.
 type Failure struct {
 	Outcome Outcome
+	// Evidence is what the outcome NotRun rests on.
+	Evidence notrun.Evidence
 	// Status is the HTTP status of the reply.
 	Status int
 	Step   Step
@@ -96,10 +100,13 @@
 	Cause      error
 }
 
-// Refusal returns the Failure of a request with outcome NotRun. A retryAfter of
-// zero omits the Retry-After header.
+// Refusal returns the Failure of a request that the proxy has sent to nobody. A
+// retryAfter of zero omits the Retry-After header.
 func Refusal(status int, step Step, retryAfter time.Duration, cause error) *Failure {
-	return &Failure{Outcome: NotRun, Status: status, Step: step, RetryAfter: retryAfter, Cause: cause}
+	return &Failure{
+		Outcome: NotRun, Evidence: notrun.NotSent(),
+		Status: status, Step: step, RetryAfter: retryAfter, Cause: cause,
+	}
 }
 
 // Error returns the outcome, step, peer and cause as text.
--- a/internal/sidecar/egress/attempt.go
+++ b/internal/sidecar/egress/attempt.go
@@ -216,9 +216,12 @@
 
 // attemptRecord returns the record of the attempt for the call's log line.
 func (a *attempt) attemptRecord() attemptRecord {
-	seen := attemptRecord{target: a.target, seen: a.seen, reportAge: a.reportAge, elapsed: a.elapsed}
+	seen := attemptRecord{
+		target: a.target, seen: a.seen, reportAge: a.reportAge,
+		sentAfter: a.sent.Sub(a.call.started), elapsed: a.elapsed, continued: a.got100Continue.Load(),
+	}
 	if a.failure != nil {
-		seen.outcome, seen.step = a.failure.Outcome, a.failure.Step
+		seen.outcome, seen.evidence, seen.step = a.failure.Outcome, a.failure.Evidence, a.failure.Step
 	}
 	return seen
 }
--- a/internal/sidecar/egress/attempts.go
+++ b/internal/sidecar/egress/attempts.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap/zapcore"
 
+	"github.com/kestrelstream/kestrelstream/internal/proxy/notrun"
 	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/choice"
 )
@@ -18,8 +19,12 @@
 	seen      choice.Candidate
 	reportAge time.Duration
 	outcome   outcome.Outcome
+	evidence  notrun.Evidence
 	step      outcome.Step
-	elapsed   time.Duration
+	// sentAfter is the time from the arrival of the call to the attempt.
+	sentAfter, elapsed time.Duration
+	// continued: the node sent 100 Continue.
+	continued bool
 }
 
 // minLoggedFailing is the smallest share of failures that is logged.
@@ -46,6 +51,13 @@
 		encoder.AddString("outcome", string(v.outcome))
 		encoder.AddString("step", string(v.step))
 	}
+	if v.evidence.Proven() {
+		encoder.AddString("evidence", v.evidence.String())
+	}
+	if v.continued {
+		encoder.AddBool("continued", true)
+	}
+	encoder.AddDuration("sentAfter", v.sentAfter)
 	encoder.AddDuration("elapsed", v.elapsed)
 	return nil
 }
--- a/internal/sidecar/egress/call.go
+++ b/internal/sidecar/egress/call.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/kestrelstream/kestrelstream/internal/proxy/forward"
+	"github.com/kestrelstream/kestrelstream/internal/proxy/notrun"
 	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/fingerprint"
@@ -261,7 +262,7 @@
 func (c *call) finalFailure(last *outcome.Failure) *outcome.Failure {
 	failure := *last
 	if c.mayHaveRun {
-		failure.Outcome = outcome.Unknown
+		failure.Outcome, failure.Evidence = outcome.Unknown, notrun.Evidence{}
 	}
 	c.refundIfNotRun(&failure)
 	if failure.Outcome == outcome.NotRun {
--- a/internal/sidecar/egress/call_test.go
+++ b/internal/sidecar/egress/call_test.go
@@ -17,6 +17,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
+	"github.com/kestrelstream/kestrelstream/internal/proxy/notrun"
 	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/choice"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
@@ -30,6 +31,7 @@
 type fakeObserver struct{ silent atomic.Int64 }
 
 func (f *fakeObserver) CallEnded(string, int, outcome.Outcome, outcome.Step, time.Duration) {}
+func (f *fakeObserver) CallNotRun(notrun.Evidence)                                          {}
 func (f *fakeObserver) Sent(string, int)                                                    {}
 func (f *fakeObserver) Diverted(string, bool)                                               {}
 func (f *fakeObserver) Pipelined()                                                          {}
--- a/internal/sidecar/egress/calllog.go
+++ b/internal/sidecar/egress/calllog.go
@@ -4,9 +4,11 @@
 	"net/http"
 	"time"
 
-	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
+
+	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 )
 
 // reportEnd reports the result of the call to the observer and the log.
@@ -18,6 +20,9 @@
 	elapsed := clock.Since(c.started)
 	if c.failure != nil {
 		c.handler.options.Observer.CallEnded(name, c.status, c.failure.Outcome, c.failure.Step, elapsed)
+		if c.failure.Outcome == outcome.NotRun {
+			c.handler.options.Observer.CallNotRun(c.failure.Evidence)
+		}
 	} else {
 		c.handler.options.Observer.CallEnded(name, c.status, "", "", elapsed)
 	}
@@ -65,7 +70,8 @@
 		return fields
 	}
 	fields = append(fields,
-		zap.String("outcome", string(c.failure.Outcome)), zap.String("step", string(c.failure.Step)),
+		zap.String("outcome", string(c.failure.Outcome)), zap.Stringer("evidence", c.failure.Evidence),
+		zap.String("step", string(c.failure.Step)),
 		zap.String("peer", c.failure.Peer), zap.Bool("callerGone", c.request.Context().Err() != nil),
 		zap.NamedError("cause", c.failure.Cause),
 	)
--- a/internal/sidecar/egress/handler.go
+++ b/internal/sidecar/egress/handler.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/kestrelstream/kestrelstream/internal/proxy/forward"
+	"github.com/kestrelstream/kestrelstream/internal/proxy/notrun"
 	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/choice"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
@@ -114,6 +115,8 @@
 type Observer interface {
 	// CallEnded: the response was written, or the caller is gone.
 	CallEnded(route string, status int, result outcome.Outcome, step outcome.Step, elapsed time.Duration)
+	// CallNotRun: the response promises that the request has not run, with what that rests on.
+	CallNotRun(notrun.Evidence)
 	// Sent: a request is sent to another node; attempt counts from one.
 	Sent(service string, attempt int)
 	// Diverted: a back end's rate limit has no capacity for a request in time; elsewhere: another
--- /dev/null
+++ b/internal/sidecar/egress/notrun_test.go
@@ -0,0 +1,80 @@
+package egress
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/kestrelstream/kestrelstream/internal/proxy/notrun"
+)
+
+// evidenceObserver records the evidence of the promises.
+type evidenceObserver struct {
+	fakeObserver
+	mu       sync.Mutex // guards evidence
+	evidence []string
+}
+
+func (o *evidenceObserver) CallNotRun(evidence notrun.Evidence) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.evidence = append(o.evidence, evidence.String())
+}
+
+// TestEvidenceOfFailedCalls: the log and the counter name what each promise rests on, for the call
+// and for each node that it was sent to.
+func TestEvidenceOfFailedCalls(t *testing.T) {
+	cases := []struct {
+		name     string
+		peer     func(*peer, net.Conn, *bufio.Reader)
+		peers    int
+		status   int
+		evidence string
+		visit    map[string]any
+	}{
+		{"no node", refuse, 0, 503, "not-sent", nil},
+		{"refused by the node", refuse, 1, 503, "reported", map[string]any{"evidence": "reported"}},
+		{"closed before 100 Continue", closeConnection, 1, 503, "body-withheld", map[string]any{"evidence": "body-withheld"}},
+		{"closed after 100 Continue", continueAndClose, 1, 502, "", map[string]any{"continued": true}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			core, logged := observer.New(zap.InfoLevel)
+			observed := &evidenceObserver{}
+			nodes := make([]*peer, tc.peers)
+			for i := range nodes {
+				nodes[i] = newPeer(t, tc.peer)
+			}
+			handler := newHandler(t, observed, probeOK, nodes...)
+			handler.options.Logger = zap.New(core)
+			status, _ := callThrough(t, handler, http.MethodPost, "/once/1", "body\n")
+			g.Expect(status).To(Equal(tc.status))
+			lines := logged.FilterMessage("call failed").All()
+			g.Expect(lines).To(HaveLen(1))
+			fields := lines[0].ContextMap()
+			g.Expect(fields).To(HaveKeyWithValue("evidence", tc.evidence))
+			visits := fields["visits"].([]any)
+			g.Expect(visits).To(HaveLen(tc.peers))
+			for _, visit := range visits {
+				g.Expect(visit).To(HaveKey("sentAfter"))
+				for key, want := range tc.visit {
+					g.Expect(visit).To(HaveKeyWithValue(key, want))
+				}
+			}
+			observed.mu.Lock()
+			defer observed.mu.Unlock()
+			if tc.evidence == "" {
+				g.Expect(observed.evidence).To(BeEmpty())
+				return
+			}
+			g.Expect(observed.evidence).To(Equal([]string{tc.evidence}))
+		})
+	}
+}
--- a/internal/sidecar/egress/sendonce.go
+++ b/internal/sidecar/egress/sendonce.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/kestrelstream/kestrelstream/internal/proxy/forward"
+	"github.com/kestrelstream/kestrelstream/internal/proxy/notrun"
 	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/choice"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
@@ -103,7 +104,8 @@
 	failure := &outcome.Failure{Outcome: outcome.Unknown, Step: outcome.StepAwait, Peer: current.target.address, Cause: errSilent}
 	c.attempts = append(c.attempts, attemptRecord{
 		target: current.target, seen: current.seen, reportAge: current.reportAge,
-		outcome: failure.Outcome, step: failure.Step, elapsed: clock.Since(current.sent),
+		outcome: failure.Outcome, step: failure.Step,
+		sentAfter: current.sent.Sub(c.started), elapsed: clock.Since(current.sent),
 	})
 	return result{target: current.target, failure: failure}
 }
@@ -146,10 +148,13 @@
 	failure := &outcome.Failure{Outcome: outcome.Unknown, Step: outcome.StepAwait, Cause: err}
 	var known *forward.Error
 	if errors.As(err, &known) {
-		failure.Outcome, failure.Step = known.Outcome, known.Step
+		failure.Outcome, failure.Evidence, failure.Step = known.Outcome, known.Evidence, known.Step
 	}
 	if !c.route.Repeatable && !a.got100Continue.Load() && c.expects100Continue() {
 		failure.Outcome = outcome.NotRun
+		if !failure.Evidence.Proven() {
+			failure.Evidence = notrun.Send{Written: true, BodyWithheld: true}.Evidence()
+		}
 	}
 	if failure.Outcome == outcome.NotRun {
 		failure.RetryAfter = defaultRetryAfter
@@ -170,6 +175,9 @@
 		_ = response.Body.Close()
 	}()
 	failure := &outcome.Failure{Outcome: reported, Step: outcome.StepAwait, Cause: errors.New(response.Header.Get(outcome.HeaderError))}
+	if reported == outcome.NotRun {
+		failure.Evidence = notrun.Reported()
+	}
 	if step, found := strings.CutPrefix(response.Header.Get(outcome.HeaderError), "step="); found {
 		failure.Step = outcome.Step(step)
 	}
--- a/internal/sidecar/ingress/arrival.go
+++ b/internal/sidecar/ingress/arrival.go
@@ -57,6 +57,8 @@
 	// active.
 	body *forward.Body
 	sent time.Time
+	// sends counts the sends to the back end.
+	sends int
 	// cachedPrint is the fingerprint of the request, nil until it is first needed.
 	cachedPrint atomic.Pointer[fingerprint.Fingerprint]
 	// duplicateCrash: the back end's process ended, and another request has already reported the
@@ -322,14 +324,23 @@
 		return
 	}
 	options.Observer.RequestCompleted(failure.Outcome, failure.Step, elapsed, a.waited)
+	if failure.Outcome == outcome.NotRun {
+		options.Observer.ArrivalNotRun(failure.Evidence)
+	}
 	entry := options.Logger.Check(zap.InfoLevel, "arrival failed")
 	if entry == nil {
 		return
 	}
 	load := a.handler.gate.Load()
+	sentAfter := zap.Skip()
+	if a.sends > 0 {
+		sentAfter = zap.Duration("sentAfter", a.sent.Sub(a.started))
+	}
 	entry.Write(
 		zap.String("request", a.request.Header.Get(options.Vocabulary.RequestID)),
 		zap.String("outcome", string(failure.Outcome)),
+		zap.Stringer("evidence", failure.Evidence),
+		zap.Int("sends", a.sends), sentAfter,
 		zap.String("step", string(failure.Step)),
 		zap.String("peer", a.request.RemoteAddr),
 		zap.String("service", a.reported.Service), zap.String("tenant", a.tenant()),
--- a/internal/sidecar/ingress/exchange.go
+++ b/internal/sidecar/ingress/exchange.go
@@ -4,10 +4,12 @@
 	"context"
 	"errors"
 	"net/http"
+	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/kestrelstream/kestrelstream/internal/proxy/forward"
+	"github.com/kestrelstream/kestrelstream/internal/proxy/notrun"
 	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/body"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
@@ -36,6 +38,7 @@
 func (a *arrival) exchange(sent *forward.Body) *outcome.Failure {
 	for send := 1; ; send++ {
 		interim := forward.NewInterim(a.writer, "")
+		a.sends = send
 		a.handler.options.Observer.BackendSent()
 		response, err := a.roundTrip(a.outgoing(interim, sent))
 		interim.Stop()
@@ -90,7 +93,7 @@
 	}
 	var known *forward.Error
 	if errors.As(err, &known) {
-		failure.Outcome, failure.Step = known.Outcome, known.Step
+		failure.Outcome, failure.Evidence, failure.Step = known.Outcome, known.Evidence, known.Step
 	}
 	if failure.Outcome == outcome.NotRun {
 		failure.Status, failure.RetryAfter = http.StatusServiceUnavailable, defaultRetryAfter
@@ -223,11 +226,11 @@
 	names := &a.handler.options.Vocabulary
 	header := response.Header
 	if header.Get(names.NotProcessed) != "" {
-		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepShed, a.retryAfter(), errNotProcessed)
+		return a.rejection(response, outcome.StepShed, a.retryAfter(), errNotProcessed)
 	}
 	if response.StatusCode == http.StatusMisdirectedRequest {
 		a.handler.options.OnInstanceMismatch(header.Get(names.InstanceID))
-		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepIdentity, defaultRetryAfter, errWrongInstance)
+		return a.rejection(response, outcome.StepIdentity, defaultRetryAfter, errWrongInstance)
 	}
 	if response.StatusCode < http.StatusMultipleChoices && header.Get(names.Signature) == "" {
 		return a.unknownOutcome(errUnsigned)
@@ -238,6 +241,25 @@
 	return nil
 }
 
+// rejection returns the failure of a request that the back end has declared not to have run.
+func (a *arrival) rejection(response *http.Response, step outcome.Step, retryAfter time.Duration, cause error) *outcome.Failure {
+	failure := outcome.Refusal(http.StatusServiceUnavailable, step, retryAfter, cause)
+	failure.Evidence = a.evidenceOf(response)
+	return failure
+}
+
+// evidenceOf returns what an answer of the back end proves.
+func (a *arrival) evidenceOf(response *http.Response) notrun.Evidence {
+	names := &a.handler.options.Vocabulary
+	reply := notrun.Reply{
+		RequestID: a.request.Header.Get(names.RequestID),
+		ReplyID:   response.Header.Get(names.RequestID),
+		Status:    response.StatusCode,
+		Marked:    response.Header.Get(names.NotProcessed) != "",
+	}
+	return notrun.Send{Written: true, Reply: &reply}.Evidence()
+}
+
 // recordForeign counts and logs an answer of the back end that belongs to another request.
 func (h *Handler) recordForeign(request *http.Request, response *http.Response) {
 	names := &h.options.Vocabulary
--- a/internal/sidecar/ingress/handler.go
+++ b/internal/sidecar/ingress/handler.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/semaphore"
 
 	"github.com/kestrelstream/kestrelstream/internal/proxy/forward"
+	"github.com/kestrelstream/kestrelstream/internal/proxy/notrun"
 	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/admission"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/choice"
@@ -85,6 +86,9 @@
 	// RequestCompleted is called when a request is answered or refused, with its total time and its
 	// time in the queue.
 	RequestCompleted(result outcome.Outcome, step outcome.Step, elapsed, waited time.Duration)
+	// ArrivalNotRun is called when a request is answered with the promise that it has not run, and
+	// with what that rests on.
+	ArrivalNotRun(notrun.Evidence)
 	// BackendCrashed is called when the back end's process ended unplanned, with the number of
 	// active requests.
 	BackendCrashed(running int)
--- a/internal/sidecar/ingress/handler_test.go
+++ b/internal/sidecar/ingress/handler_test.go
@@ -17,6 +17,7 @@
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
 
+	"github.com/kestrelstream/kestrelstream/internal/proxy/notrun"
 	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/ingress"
@@ -32,6 +33,7 @@
 type silentObserver struct{}
 
 func (silentObserver) RequestCompleted(outcome.Outcome, outcome.Step, time.Duration, time.Duration) {}
+func (silentObserver) ArrivalNotRun(notrun.Evidence)                                                {}
 func (silentObserver) BackendCrashed(int)                                                           {}
 func (silentObserver) BackendSent()                                                                 {}
 func (silentObserver) NoticeUnreadable()                                                            {}
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -7,6 +7,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/kestrelstream/kestrelstream/internal/proxy/notrun"
 	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
 )
 
@@ -19,6 +20,7 @@
 	hop            prometheus.Histogram
 	sends          *prometheus.CounterVec
 	arrivals       *prometheus.CounterVec
+	notRun         *prometheus.CounterVec
 	queueSeconds   prometheus.Histogram
 	backendSeconds prometheus.Histogram
 	silentProbes   prometheus.Counter
@@ -97,6 +99,9 @@
 		arrivals: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "kestrel_sidecar_arrivals_total", Help: "Requests of nodes for the local back end by outcome and step.",
 		}, []string{"outcome", "step"}),
+		notRun: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "kestrel_sidecar_not_run_total", Help: "Replies that promise that a request has not run, by side of the node and what that rests on.",
+		}, []string{"side", "evidence"}),
 		queueSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "kestrel_sidecar_queue_seconds", Help: "Time that requests waited for a slot.", Buckets: latencyBuckets,
 		}),
@@ -140,7 +145,7 @@
 	created.foreignAnswers = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "kestrel_sidecar_backend_foreign_answers_total", Help: "Answers of the local back end without the id of the request that was sent.",
 	})
-	registry.MustRegister(created.diverted, created.backendSent, created.unreadableNotices, created.foreignAnswers, created.versionAnswers, created.proofAges, created.lag, created.fetches, created.crashes, created.crashedRequests, created.silentProbes, created.pipelined, created.calls, created.latency, created.hop, created.sends, created.arrivals, created.queueSeconds, created.backendSeconds)
+	registry.MustRegister(created.notRun, created.diverted, created.backendSent, created.unreadableNotices, created.foreignAnswers, created.versionAnswers, created.proofAges, created.lag, created.fetches, created.crashes, created.crashedRequests, created.silentProbes, created.pipelined, created.calls, created.latency, created.hop, created.sends, created.arrivals, created.queueSeconds, created.backendSeconds)
 	return created
 }
 
@@ -175,6 +180,16 @@
 	m.backendSeconds.Observe((elapsed - waited).Seconds())
 }
 
+// CallNotRun implements egress.Observer.
+func (m *metrics) CallNotRun(evidence notrun.Evidence) {
+	m.notRun.WithLabelValues("outbound", evidence.String()).Inc()
+}
+
+// ArrivalNotRun implements ingress.Observer.
+func (m *metrics) ArrivalNotRun(evidence notrun.Evidence) {
+	m.notRun.WithLabelValues("inbound", evidence.String()).Inc()
+}
+
 // BackendCrashed implements ingress.Observer.
 func (m *metrics) BackendCrashed(crashedRequests int) {
 	m.crashes.Inc()
--- a/internal/sidecar/metrics_test.go
+++ b/internal/sidecar/metrics_test.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/testutil"
 
+	"github.com/kestrelstream/kestrelstream/internal/proxy/notrun"
 	"github.com/kestrelstream/kestrelstream/internal/store"
 )
 
@@ -44,6 +45,15 @@
 	}
 }
 
+func TestPromisesByEvidence(t *testing.T) {
+	g := NewWithT(t)
+	counted := newMetrics(prometheus.NewRegistry())
+	counted.ArrivalNotRun(notrun.NotSent())
+	counted.CallNotRun(notrun.Reported())
+	g.Expect(testutil.ToFloat64(counted.notRun.WithLabelValues("inbound", "not-sent"))).To(Equal(1.0))
+	g.Expect(testutil.ToFloat64(counted.notRun.WithLabelValues("outbound", "reported"))).To(Equal(1.0))
+}
+
 func TestBoundedLabels(t *testing.T) {
 	g := NewWithT(t)
 	labels := boundedLabels{maxLabels: 2}
