egress: a body counts as withheld only if nothing of it was read for sending

What callers saw: a request that must run once could be sent to a second node although the first one had received it whole.

Cause: "not run" was concluded from the absence of 100 Continue. net/http also sends a body that it held back when a final reply arrives in place of 100 Continue and keeps the connection open (readResponse in net/http/transport.go, Go 1.26). If that reply is then not accepted, as 101 is not, the round trip fails without 100 Continue but with the body sent. The project's own nodes do not answer so; whatever else has a node's address may.

Evidence: TestBodySentWithout100Continue, a peer that answers 101 and takes the body.

Change: the body that is held back records whether reading it for sending has begun. Nothing is written to the connection after the outcome is decided, so a body that was not read until then is never sent. The trace hook for 100 Continue is gone. `continued` of a visit in the log becomes `bodyBegun`.

--- a/internal/sidecar/egress/attempt.go
+++ b/internal/sidecar/egress/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"net/http/httptrace"
 	"sync/atomic"
 	"time"
 
@@ -38,8 +37,9 @@
 	interim *forward.Interim
 	// suspected is closed when the peer did not answer a probe.
 	suspected chan struct{}
-	// got100Continue: the peer has a slot, or room for a large body, and receives the body.
-	got100Continue atomic.Bool
+	// bodyBegun: the peer has a slot, or room for a large body, and receives the body that was held
+	// back for it.
+	bodyBegun atomic.Bool
 
 	// sends is the number of peers that the request was sent to before, candidates the number of
 	// back ends that accept work, those included.
@@ -107,11 +107,11 @@
 	}
 }
 
-// markSuspected records that the peer did not answer a probe. If the body still waits for 100
-// Continue it was never sent: the attempt is abandoned at once and counts as not run.
+// markSuspected records that the peer did not answer a probe. If the body is still held back, the
+// attempt is abandoned at once and counts as not run.
 func (a *attempt) markSuspected() {
 	close(a.suspected)
-	if !a.call.route.Repeatable && !a.got100Continue.Load() && a.call.expects100Continue() {
+	if a.bodyWithheld() {
 		a.abandon()
 	}
 }
@@ -129,17 +129,6 @@
 // abandon cancels the attempt because its peer does not answer.
 func (a *attempt) abandon() { a.cancel(errSilent) }
 
-// traceContext returns the context of the round trip, which records 100 Continue for requests that
-// may not be retried.
-func (a *attempt) traceContext() context.Context {
-	if a.call.route.Repeatable {
-		return a.context
-	}
-	return httptrace.WithClientTrace(a.context, &httptrace.ClientTrace{
-		Got100Continue: func() { a.got100Continue.Store(true) },
-	})
-}
-
 // setResult sets the response or the failure from the outcome of the round trip.
 func (a *attempt) setResult(response *http.Response, err error, now time.Time) {
 	if err != nil {
@@ -218,7 +207,7 @@
 func (a *attempt) attemptRecord() attemptRecord {
 	seen := attemptRecord{
 		target: a.target, seen: a.seen, reportAge: a.reportAge,
-		sentAfter: a.sent.Sub(a.call.started), elapsed: a.elapsed, continued: a.got100Continue.Load(),
+		sentAfter: a.sent.Sub(a.call.started), elapsed: a.elapsed, bodyBegun: a.bodyBegun.Load(),
 	}
 	if a.failure != nil {
 		seen.outcome, seen.evidence, seen.step = a.failure.Outcome, a.failure.Evidence, a.failure.Step
--- a/internal/sidecar/egress/attempts.go
+++ b/internal/sidecar/egress/attempts.go
@@ -23,8 +23,8 @@
 	step      outcome.Step
 	// sentAfter is the time from the arrival of the call to the attempt.
 	sentAfter, elapsed time.Duration
-	// continued: the node sent 100 Continue.
-	continued bool
+	// bodyBegun: the node asked for the body that was held back for it.
+	bodyBegun bool
 }
 
 // minLoggedFailing is the smallest share of failures that is logged.
@@ -54,8 +54,8 @@
 	if v.evidence.Proven() {
 		encoder.AddString("evidence", v.evidence.String())
 	}
-	if v.continued {
-		encoder.AddBool("continued", true)
+	if v.bodyBegun {
+		encoder.AddBool("bodyBegun", true)
 	}
 	encoder.AddDuration("sentAfter", v.sentAfter)
 	encoder.AddDuration("elapsed", v.elapsed)
--- a/internal/sidecar/egress/notrun_test.go
+++ b/internal/sidecar/egress/notrun_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -41,7 +42,7 @@
 		{"no node", refuse, 0, 503, "not-sent", nil},
 		{"refused by the node", refuse, 1, 503, "reported", map[string]any{"evidence": "reported"}},
 		{"closed before 100 Continue", closeConnection, 1, 503, "body-withheld", map[string]any{"evidence": "body-withheld"}},
-		{"closed after 100 Continue", continueAndClose, 1, 502, "", map[string]any{"continued": true}},
+		{"closed after 100 Continue", continueAndClose, 1, 502, "", map[string]any{"bodyBegun": true}},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -78,3 +79,24 @@
 		})
 	}
 }
+
+// switchProtocols answers with a final status in place of 100 Continue, and takes the body.
+func switchProtocols(p *peer, connection net.Conn, reader *bufio.Reader) {
+	_, _ = io.WriteString(connection, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: other\r\n\r\n")
+	if line, err := reader.ReadString('\n'); err == nil && line != "" {
+		p.bodies.Add(1)
+	}
+}
+
+// TestBodySentWithout100Continue guards against a request that is sent to a second node although the
+// first one received its body without asking for it.
+func TestBodySentWithout100Continue(t *testing.T) {
+	const tries = 200
+	for range tries {
+		first, second := newPeer(t, switchProtocols), newPeer(t, continueAndAnswer)
+		callThrough(t, newHandler(t, &fakeObserver{}, probeOK, first, second), http.MethodPost, "/once/1", "body\n")
+		if sent := first.bodies.Load() + second.bodies.Load(); sent > 1 {
+			t.Fatalf("%d nodes received the body", sent)
+		}
+	}
+}
--- a/internal/sidecar/egress/sendonce.go
+++ b/internal/sidecar/egress/sendonce.go
@@ -141,8 +141,8 @@
 	return result{}, false
 }
 
-// roundTripFailure classifies a round trip without a response. Without 100 Continue the body was
-// never sent, and nothing runs without its body.
+// roundTripFailure classifies a round trip without a response. Nothing of the request is written any
+// more, so a body that was held back until now is never sent.
 func (a *attempt) roundTripFailure(err error, now time.Time) *outcome.Failure {
 	c := a.call
 	failure := &outcome.Failure{Outcome: outcome.Unknown, Step: outcome.StepAwait, Cause: err}
@@ -150,7 +150,7 @@
 	if errors.As(err, &known) {
 		failure.Outcome, failure.Evidence, failure.Step = known.Outcome, known.Evidence, known.Step
 	}
-	if !c.route.Repeatable && !a.got100Continue.Load() && c.expects100Continue() {
+	if a.bodyWithheld() {
 		failure.Outcome = outcome.NotRun
 		if !failure.Evidence.Proven() {
 			failure.Evidence = notrun.Send{Written: true, BodyWithheld: true}.Evidence()
@@ -230,16 +230,6 @@
 	return true
 }
 
-// expects100Continue reports whether the request's body waits for 100 Continue. net/http waits for
-// it only with methods that usually have a body.
-func (c *call) expects100Continue() bool {
-	switch c.request.Method {
-	case http.MethodPost, http.MethodPut, http.MethodPatch:
-		return true
-	}
-	return false
-}
-
 // outgoing builds the request to the node.
 func (c *call) outgoing(a *attempt) *http.Request {
 	options := &c.handler.options
@@ -262,15 +252,11 @@
 	header[hop.HeaderVersion] = []string{strconv.FormatUint(c.table.Version(), 10)}
 	c.setShareHeader(header)
 	a.setLimitHeader(header)
-	outgoing := forward.NewRequest(a.traceContext(), c.request, a.record.Address, header, a.interim)
+	outgoing := forward.NewRequest(a.context, c.request, a.record.Address, header, a.interim)
 	forward.KeepTarget(outgoing, c.request)
 	c.body.Attach(outgoing)
-	if !c.route.Repeatable && c.expects100Continue() {
-		header["Expect"] = []string{"100-continue"}
-		if outgoing.Body == nil {
-			// Without a body, a chunked empty one makes the transport wait for 100 Continue.
-			outgoing.Body, outgoing.ContentLength = io.NopCloser(strings.NewReader("")), -1
-		}
+	if c.expects100Continue() {
+		a.holdBody(outgoing)
 	}
 	return outgoing
 }
