egress: no promise to the caller from a reply without an outcome

What callers saw: a status that promises that the request did not run (408, 421, 429 or 503), passed on from whatever had answered at a node's address, even after it had received the body.

Cause: a reply without the node's outcome header was taken for one of a back end and passed on with its status. The node beside a back end lets none of these statuses through, but nothing at the caller's node relied on that, and replies of anything else at the address were believed.

Evidence: TestPromisingStatusWithoutOutcome, a peer that takes the body and answers with the status alone. Before: 408, 421, 429 and 503 reached the caller, 4 of 4 cases.

Change: such a reply ends the attempt with an unknown outcome (502). Other statuses pass as before. notrun.Promises names the four statuses once, for both sides.

After: green, 20 of 20 runs with the race detector; egress, ingress, sidecar and platform are green.

--- a/internal/sidecar/egress/attempt.go
+++ b/internal/sidecar/egress/attempt.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/kestrelstream/kestrelstream/internal/proxy/forward"
+	"github.com/kestrelstream/kestrelstream/internal/proxy/notrun"
 	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/body"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/choice"
@@ -143,6 +144,13 @@
 		a.failure = a.parseRefusal(response, reported, now)
 		return
 	}
+	if notrun.Promises(response.StatusCode) {
+		// A node sends such a status only together with an outcome.
+		_ = response.Body.Close()
+		a.target.failed(now)
+		a.failure = &outcome.Failure{Outcome: outcome.Unknown, Step: outcome.StepBody, Cause: errUnprovenStatus}
+		return
+	}
 	if err := body.BufferShort(response); err != nil {
 		a.target.failed(now)
 		a.failure = &outcome.Failure{Outcome: outcome.Unknown, Step: outcome.StepBody, Cause: err}
--- a/internal/sidecar/egress/call.go
+++ b/internal/sidecar/egress/call.go
@@ -28,6 +28,7 @@
 	errRetryBudget    = errors.New("the budget of repeats is spent")
 	errAttempts       = errors.New("the route's attempts are exhausted")
 	errQuarantined    = errors.New("the request ends the back ends that run it")
+	errUnprovenStatus = errors.New("the reply's status means that the request did not run, but no node says so")
 	errCrashes        = errors.New("back ends crashed while they processed the request")
 )
 
--- a/internal/sidecar/egress/notrun_test.go
+++ b/internal/sidecar/egress/notrun_test.go
@@ -100,3 +100,33 @@
 		}
 	}
 }
+
+// TestPromisingStatusWithoutOutcome guards against a promise to the caller that rests on nothing but
+// the status of a reply.
+func TestPromisingStatusWithoutOutcome(t *testing.T) {
+	cases := []struct {
+		status string
+		want   int
+	}{
+		{"408 Request Timeout", 502},
+		{"421 Misdirected Request", 502},
+		{"429 Too Many Requests", 502},
+		{"503 Service Unavailable", 502},
+		{"500 Internal Server Error", 500},
+		{"504 Gateway Timeout", 504},
+		{"404 Not Found", 404},
+	}
+	for _, tc := range cases {
+		t.Run(tc.status, func(t *testing.T) {
+			g := NewWithT(t)
+			first := newPeer(t, func(p *peer, connection net.Conn, reader *bufio.Reader) {
+				continueAndClose(p, connection, reader)
+				_, _ = io.WriteString(connection, "HTTP/1.1 "+tc.status+"\r\nContent-Length: 0\r\n\r\n")
+			})
+			second := newPeer(t, continueAndAnswer)
+			status, _ := callThrough(t, newHandler(t, &fakeObserver{}, probeOK, first, second), http.MethodPost, "/once/1", "body\n")
+			g.Expect(status).To(Equal(tc.want))
+			g.Expect([2]int64{first.bodies.Load(), second.bodies.Load()}).To(Equal([2]int64{1, 0}))
+		})
+	}
+}
--- a/internal/sidecar/ingress/exchange.go
+++ b/internal/sidecar/ingress/exchange.go
@@ -235,7 +235,7 @@
 	if response.StatusCode < http.StatusMultipleChoices && header.Get(names.Signature) == "" {
 		return a.unknownOutcome(errUnsigned)
 	}
-	if impliesNotRun(response.StatusCode) {
+	if notrun.Promises(response.StatusCode) {
 		return a.unknownOutcome(errContradictoryStatus)
 	}
 	return nil
@@ -273,15 +273,6 @@
 	)
 }
 
-// impliesNotRun reports whether callers interpret the status as "not run".
-func impliesNotRun(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	}
-	return false
-}
-
 func (a *arrival) unknownOutcome(cause error) *outcome.Failure {
 	return &outcome.Failure{
 		Outcome: outcome.Unknown, Status: http.StatusBadGateway, Step: outcome.StepBody,
