ingress: a rejection that contradicts itself proves nothing

What callers saw: a refusal with the promise that the request had not run, on the word of an answer that was signed, as answers to requests that ran are, or was a success.

Cause: the marker "not processed" and status 421 were believed whatever else the answer said.

Evidence: TestContradictoryRejection. Before, 4 of 6 cases gave 503 with a promise: 503 with marker and signature, 421 with signature, 200 with marker, 200 with both.

Change: the outcome of such a request is unknown (502), logged with a cause of its own. The answer is judged by notrun.Send, which now knows the signature.

After: green, 20 of 20 runs with the race detector.

--- a/internal/proxy/notrun/send.go
+++ b/internal/proxy/notrun/send.go
@@ -22,6 +22,9 @@
 	Status             int
 	// Marked: the reply bears the marker of back ends for requests that they did not process.
 	Marked bool
+	// Signed: the reply bears the signature of back ends, which is on every reply to a request that
+	// they ran.
+	Signed bool
 }
 
 // Evidence returns what proves that the request did not run because of this send; none if it may
@@ -38,10 +41,11 @@
 	return Evidence{}
 }
 
-// evidence returns what the reply proves. One with another id belongs to another request.
+// evidence returns what the reply proves. One with another id belongs to another request, and a
+// signed one or a success contradicts a rejection.
 func (r *Reply) evidence() Evidence {
 	switch {
-	case r.ReplyID != r.RequestID:
+	case r.ReplyID != r.RequestID || r.Signed || r.Status < http.StatusMultipleChoices:
 		return Evidence{}
 	case r.Marked:
 		return rejected
--- a/internal/proxy/notrun/send_test.go
+++ b/internal/proxy/notrun/send_test.go
@@ -12,6 +12,10 @@
 	reply := func(requestID, replyID string, status int, marked bool) *notrun.Reply {
 		return &notrun.Reply{RequestID: requestID, ReplyID: replyID, Status: status, Marked: marked}
 	}
+	signed := func(reply *notrun.Reply) *notrun.Reply {
+		reply.Signed = true
+		return reply
+	}
 	cases := []struct {
 		name string
 		send notrun.Send
@@ -32,6 +36,10 @@
 		{"another instance", notrun.Send{Written: true, Reply: reply("a", "a", 421, false)}, "misdirected"},
 		{"another instance, for another request", notrun.Send{Written: true, Reply: reply("b", "a", 421, false)}, ""},
 		{"another instance, the reply has no id", notrun.Send{Written: true, Reply: reply("a", "", 421, false)}, ""},
+		{"rejected and signed", notrun.Send{Written: true, Reply: signed(reply("a", "a", 503, true))}, ""},
+		{"rejected with a success", notrun.Send{Written: true, Reply: reply("a", "a", 200, true)}, ""},
+		{"rejected with an interim status", notrun.Send{Written: true, Reply: reply("a", "a", 103, true)}, ""},
+		{"another instance, signed", notrun.Send{Written: true, Reply: signed(reply("a", "a", 421, false))}, ""},
 		{"a status that promises it, without the marker", notrun.Send{Written: true, Reply: reply("a", "a", 503, false)}, ""},
 		{"408 without the marker", notrun.Send{Written: true, Reply: reply("a", "a", 408, false)}, ""},
 		{"429 without the marker", notrun.Send{Written: true, Reply: reply("a", "a", 429, false)}, ""},
--- a/internal/sidecar/ingress/exchange.go
+++ b/internal/sidecar/ingress/exchange.go
@@ -23,6 +23,7 @@
 	errNotProcessed        = errors.New("the back end did not process the request")
 	errUnsigned            = errors.New("the answer has no signature")
 	errContradictoryStatus = errors.New("the back end ran the request but answered with a status that means it did not")
+	errContradictoryMarker = errors.New("the answer says both that the back end ran the request and that it did not")
 	errTruncated           = errors.New("the answer was truncated")
 )
 
@@ -225,12 +226,17 @@
 func (a *arrival) checkResponse(response *http.Response) *outcome.Failure {
 	names := &a.handler.options.Vocabulary
 	header := response.Header
-	if header.Get(names.NotProcessed) != "" {
-		return a.rejection(response, outcome.StepShed, a.retryAfter(), errNotProcessed)
+	misdirected := response.StatusCode == http.StatusMisdirectedRequest
+	marked := header.Get(names.NotProcessed) != ""
+	if evidence := a.evidenceOf(response); evidence.Proven() {
+		if misdirected && !marked {
+			a.handler.options.OnInstanceMismatch(header.Get(names.InstanceID))
+			return a.rejection(evidence, outcome.StepIdentity, defaultRetryAfter, errWrongInstance)
+		}
+		return a.rejection(evidence, outcome.StepShed, a.retryAfter(), errNotProcessed)
 	}
-	if response.StatusCode == http.StatusMisdirectedRequest {
-		a.handler.options.OnInstanceMismatch(header.Get(names.InstanceID))
-		return a.rejection(response, outcome.StepIdentity, defaultRetryAfter, errWrongInstance)
+	if marked {
+		return a.unknownOutcome(errContradictoryMarker)
 	}
 	if response.StatusCode < http.StatusMultipleChoices && header.Get(names.Signature) == "" {
 		return a.unknownOutcome(errUnsigned)
@@ -242,9 +248,9 @@
 }
 
 // rejection returns the failure of a request that the back end has declared not to have run.
-func (a *arrival) rejection(response *http.Response, step outcome.Step, retryAfter time.Duration, cause error) *outcome.Failure {
+func (a *arrival) rejection(evidence notrun.Evidence, step outcome.Step, retryAfter time.Duration, cause error) *outcome.Failure {
 	failure := outcome.Refusal(http.StatusServiceUnavailable, step, retryAfter, cause)
-	failure.Evidence = a.evidenceOf(response)
+	failure.Evidence = evidence
 	return failure
 }
 
@@ -256,6 +262,7 @@
 		ReplyID:   response.Header.Get(names.RequestID),
 		Status:    response.StatusCode,
 		Marked:    response.Header.Get(names.NotProcessed) != "",
+		Signed:    response.Header.Get(names.Signature) != "",
 	}
 	return notrun.Send{Written: true, Reply: &reply}.Evidence()
 }
--- a/internal/sidecar/ingress/notrun_test.go
+++ b/internal/sidecar/ingress/notrun_test.go
@@ -95,3 +95,47 @@
 		})
 	}
 }
+
+// TestContradictoryRejection guards against a promise that rests on a rejection by a back end which
+// also says that it ran the request.
+func TestContradictoryRejection(t *testing.T) {
+	cases := []struct {
+		name           string
+		status         int
+		signed, marked bool
+		want           int
+		evidence       string
+	}{
+		{"rejected", 503, false, true, 503, "rejected"},
+		{"rejected and signed", 503, true, true, 502, ""},
+		{"another instance", 421, false, false, 503, "misdirected"},
+		{"another instance, signed", 421, true, false, 502, ""},
+		{"a success, rejected", 200, false, true, 502, ""},
+		{"a success, rejected and signed", 200, true, true, 502, ""},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			observed := &evidenceObserver{}
+			f := newWithOptions(t, func(options *ingress.Options) { options.Observer = observed })
+			f.handler.SetService(&route.Service{Name: "one"})
+			answer := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set(vocabulary.RequestID, r.Header.Get(vocabulary.RequestID))
+				if tc.signed {
+					w.Header().Set(vocabulary.Signature, "s")
+				}
+				if tc.marked {
+					w.Header().Set(vocabulary.NotProcessed, "1")
+				}
+				w.WriteHeader(tc.status)
+			})
+			f.answer.Store(&answer)
+			g.Expect(f.receive(t.Context()).Code).To(Equal(tc.want))
+			if tc.evidence == "" {
+				g.Expect(observed.evidence).To(BeEmpty())
+				return
+			}
+			g.Expect(observed.evidence).To(Equal([]string{tc.evidence}))
+		})
+	}
+}
