--- a/internal/agent/inbound.go
+++ b/internal/agent/inbound.go
@@ -15,10 +15,8 @@
 	}
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		if err := a.credentials.CheckConnection(request); err != nil {
-			refused := &outcome.Failure{
-				Outcome: outcome.NotRun, Status: http.StatusForbidden,
-				Step: outcome.StepRequest, Peer: request.RemoteAddr, Cause: err,
-			}
+			refused := outcome.Refusal(http.StatusForbidden, outcome.StepRequest, 0, err)
+			refused.Peer = request.RemoteAddr
 			writer.Header().Set("Connection", "close")
 			refused.WriteTo(writer)
 			return
--- a/internal/proxy/forward/exchange.go
+++ b/internal/proxy/forward/exchange.go
@@ -93,7 +93,8 @@
 
 // notRun returns the error of a request of which nothing was written.
 func (p *Pool) notRun(step outcome.Step, cause error) *Error {
-	return &Error{Outcome: outcome.NotRun, Evidence: notrun.Send{}.Evidence(), Step: step, Peer: p.address, Cause: cause}
+	evidence := notrun.Send{}.Evidence()
+	return &Error{Outcome: outcome.Of(evidence), Evidence: evidence, Step: step, Peer: p.address, Cause: cause}
 }
 
 // fail seals and closes the connection and derives the outcome from whether
--- a/internal/proxy/inbound/request.go
+++ b/internal/proxy/inbound/request.go
@@ -12,6 +12,7 @@
 	"github.com/kestrelstream/kestrelstream/internal/proxy/calls"
 	"github.com/kestrelstream/kestrelstream/internal/proxy/forward"
 	"github.com/kestrelstream/kestrelstream/internal/proxy/limit"
+	"github.com/kestrelstream/kestrelstream/internal/proxy/notrun"
 	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
 	"github.com/kestrelstream/kestrelstream/internal/resource"
 )
@@ -187,7 +188,7 @@
 	failure := &outcome.Failure{Outcome: outcome.Unknown, Status: http.StatusBadGateway, Step: outcome.StepAwait, Peer: r.handler.options.Address, Cause: err}
 	var failed *forward.Error
 	if errors.As(err, &failed) {
-		failure.Outcome, failure.Step = failed.Outcome, failed.Step
+		failure.Outcome, failure.Evidence, failure.Step = failed.Outcome, failed.Evidence, failed.Step
 	}
 	if failure.Outcome == outcome.NotRun {
 		r.removeRecord()
@@ -224,12 +225,15 @@
 	forward.RemoveHopByHop(response.Header)
 	outcome.StripMarkers(response.Header)
 	response.Header[outcome.HeaderLoad] = []string{r.handler.loadHeader()}
-	if !isShed(r.settings.shedMarker, response) {
+	// The back ends of this proxy echo no id: replies are matched by their order.
+	reply := notrun.Reply{Status: response.StatusCode, Marked: isShed(r.settings.shedMarker, response)}
+	evidence := notrun.Send{Written: true, Reply: &reply}.Evidence()
+	if !reply.Marked || !evidence.Proven() {
 		return
 	}
 	r.removeRecord()
-	r.outcome = outcome.NotRun
-	response.Header.Set(outcome.HeaderOutcome, string(outcome.NotRun))
+	r.outcome = outcome.Of(evidence)
+	response.Header.Set(outcome.HeaderOutcome, string(r.outcome))
 	response.Header.Set(outcome.HeaderError, "step="+string(outcome.StepAdmit)+"; peer="+r.handler.options.Address)
 }
 
--- a/internal/proxy/notrun/notrun.go
+++ b/internal/proxy/notrun/notrun.go
@@ -1,6 +1,8 @@
 // Package notrun decides whether a request that was not completed provably did not run. A reply
 // that says so is a promise: callers send even requests again that must run at most once. The
 // package performs no I/O.
+//
+// docs/design/0023-what-proves-that-a-request-did-not-run.md lists the places that decide by it.
 package notrun
 
 // Evidence is the proof that a request did not run and will not run later. The zero value is none:
--- a/internal/proxy/notrun/send_test.go
+++ b/internal/proxy/notrun/send_test.go
@@ -22,9 +22,12 @@
 		want string
 	}{
 		{"nothing written", notrun.Send{}, "nothing-written"},
+		{"reused connection, nothing written, a late reply", notrun.Send{Reply: reply("b", "a", 503, true)}, "nothing-written"},
 		{"nothing written, body withheld", notrun.Send{BodyWithheld: true}, "nothing-written"},
 		{"nothing written, a late reply to the request before", notrun.Send{Reply: reply("b", "a", 200, false)}, "nothing-written"},
 		{"written, no reply", notrun.Send{Written: true}, ""},
+		{"100 Continue expected and received, no reply", notrun.Send{Written: true}, ""},
+		{"100 Continue expected and not received, a final reply", notrun.Send{Written: true, BodyWithheld: true, Reply: reply("a", "a", 200, false)}, ""},
 		{"written, body withheld, no reply", notrun.Send{Written: true, BodyWithheld: true}, "body-withheld"},
 		{"rejected", notrun.Send{Written: true, Reply: reply("a", "a", 503, true)}, "rejected"},
 		{"rejected with 429", notrun.Send{Written: true, Reply: reply("a", "a", 429, true)}, "rejected"},
--- a/internal/proxy/outbound/attempt.go
+++ b/internal/proxy/outbound/attempt.go
@@ -14,6 +14,7 @@
 
 	"github.com/kestrelstream/kestrelstream/internal/proxy/balance"
 	"github.com/kestrelstream/kestrelstream/internal/proxy/forward"
+	"github.com/kestrelstream/kestrelstream/internal/proxy/notrun"
 	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
 )
 
@@ -50,7 +51,7 @@
 	endpoints := c.route.service.endpoints.Load()
 	endpoint, err := endpoints.Acquire(c.handler.now(), rand.Uint64(), avoid)
 	if err != nil {
-		return nil, attemptResult{outcome: outcome.NotRun, err: err}
+		return nil, attemptResult{outcome: outcome.Of(notrun.NotSent()), err: err}
 	}
 	c.interim = forward.NewInterim(c.writer, c.credentialHeader())
 	response, err := endpoint.Pool.RoundTrip(c.outgoing(endpoint))
@@ -97,18 +98,16 @@
 	if load, valid := parseLoad(response.Header.Get(outcome.HeaderLoad)); valid {
 		endpoint.RecordLoad(now, load)
 	}
-	switch declared := outcome.Outcome(response.Header.Get(outcome.HeaderOutcome)); declared {
-	case "":
+	reported, evidence, found := outcome.Reported(response.Header)
+	switch {
+	case !found:
 		return attemptResult{response: response}
-	case outcome.NotRun:
+	case evidence.Proven():
 		c.recordRefusal(endpoint, response)
-		return attemptResult{outcome: outcome.NotRun, response: response}
-	default:
-		if !c.timedOutByCaller(response.StatusCode) {
-			c.recordFailure(endpoint, balance.FailureIncomplete)
-		}
-		return attemptResult{outcome: outcome.Unknown, response: response}
+	case !c.timedOutByCaller(response.StatusCode):
+		c.recordFailure(endpoint, balance.FailureIncomplete)
 	}
+	return attemptResult{outcome: reported, response: response}
 }
 
 // recordRefusal records a refusal of the inbound proxy: as a failure if its back end cannot be
--- a/internal/proxy/outcome/outcome.go
+++ b/internal/proxy/outcome/outcome.go
@@ -21,13 +21,33 @@
 
 // The outcomes of a failed request.
 const (
-	// NotRun: the request provably did not reach the back end, or the back end
-	// declared that it did not process it.
+	// NotRun: the request provably did not run and will not run later. Use Of to
+	// obtain it.
 	NotRun Outcome = "not-run"
 	// Unknown: the request may or may not have been processed.
 	Unknown Outcome = "unknown"
 )
 
+// Of returns the outcome that the evidence allows.
+func Of(evidence notrun.Evidence) Outcome {
+	if evidence.Proven() {
+		return NotRun
+	}
+	return Unknown
+}
+
+// Reported returns the outcome that the next proxy reports in the header of its
+// reply, with the evidence that this is; false if the reply is the back end's.
+func Reported(header http.Header) (reported Outcome, evidence notrun.Evidence, found bool) {
+	switch Outcome(header.Get(HeaderOutcome)) {
+	case "":
+		return "", notrun.Evidence{}, false
+	case NotRun:
+		return NotRun, notrun.Reported(), true
+	}
+	return Unknown, notrun.Evidence{}, true
+}
+
 // Marker headers of the mesh, in canonical form. They are removed from the
 // requests of callers and from the replies of back ends.
 const (
@@ -103,8 +123,9 @@
 // Refusal returns the Failure of a request that the proxy has sent to nobody. A
 // retryAfter of zero omits the Retry-After header.
 func Refusal(status int, step Step, retryAfter time.Duration, cause error) *Failure {
+	evidence := notrun.NotSent()
 	return &Failure{
-		Outcome: NotRun, Evidence: notrun.NotSent(),
+		Outcome: Of(evidence), Evidence: evidence,
 		Status: status, Step: step, RetryAfter: retryAfter, Cause: cause,
 	}
 }
--- a/internal/sidecar/egress/attempt.go
+++ b/internal/sidecar/egress/attempt.go
@@ -140,8 +140,8 @@
 		return
 	}
 	a.observe(response, now)
-	if reported := outcome.Outcome(response.Header.Get(outcome.HeaderOutcome)); reported != "" {
-		a.failure = a.parseRefusal(response, reported, now)
+	if reported, evidence, found := outcome.Reported(response.Header); found {
+		a.failure = a.parseRefusal(response, reported, evidence, now)
 		return
 	}
 	if notrun.Promises(response.StatusCode) {
--- a/internal/sidecar/egress/sendonce.go
+++ b/internal/sidecar/egress/sendonce.go
@@ -150,11 +150,9 @@
 	if errors.As(err, &known) {
 		failure.Outcome, failure.Evidence, failure.Step = known.Outcome, known.Evidence, known.Step
 	}
-	if a.bodyWithheld() {
-		failure.Outcome = outcome.NotRun
-		if !failure.Evidence.Proven() {
-			failure.Evidence = notrun.Send{Written: true, BodyWithheld: true}.Evidence()
-		}
+	if !failure.Evidence.Proven() {
+		failure.Evidence = notrun.Send{Written: true, BodyWithheld: a.bodyWithheld()}.Evidence()
+		failure.Outcome = outcome.Of(failure.Evidence)
 	}
 	if failure.Outcome == outcome.NotRun {
 		failure.RetryAfter = defaultRetryAfter
@@ -169,14 +167,14 @@
 }
 
 // parseRefusal returns the failure that the node itself reports for the request.
-func (a *attempt) parseRefusal(response *http.Response, reported outcome.Outcome, now time.Time) *outcome.Failure {
+func (a *attempt) parseRefusal(response *http.Response, reported outcome.Outcome, evidence notrun.Evidence, now time.Time) *outcome.Failure {
 	defer func() {
 		_, _ = io.CopyN(io.Discard, response.Body, 1)
 		_ = response.Body.Close()
 	}()
-	failure := &outcome.Failure{Outcome: reported, Step: outcome.StepAwait, Cause: errors.New(response.Header.Get(outcome.HeaderError))}
-	if reported == outcome.NotRun {
-		failure.Evidence = notrun.Reported()
+	failure := &outcome.Failure{
+		Outcome: reported, Evidence: evidence, Step: outcome.StepAwait,
+		Cause: errors.New(response.Header.Get(outcome.HeaderError)),
 	}
 	if step, found := strings.CutPrefix(response.Header.Get(outcome.HeaderError), "step="); found {
 		failure.Step = outcome.Step(step)
--- a/internal/sidecar/ingress/exchange.go
+++ b/internal/sidecar/ingress/exchange.go
@@ -249,9 +249,10 @@
 
 // rejection returns the failure of a request that the back end has declared not to have run.
 func (a *arrival) rejection(evidence notrun.Evidence, step outcome.Step, retryAfter time.Duration, cause error) *outcome.Failure {
-	failure := outcome.Refusal(http.StatusServiceUnavailable, step, retryAfter, cause)
-	failure.Evidence = evidence
-	return failure
+	return &outcome.Failure{
+		Outcome: outcome.Of(evidence), Evidence: evidence,
+		Status: http.StatusServiceUnavailable, Step: step, RetryAfter: retryAfter, Cause: cause,
+	}
 }
 
 // evidenceOf returns what an answer of the back end proves.
