ingress: a 421 is another instance's answer also with the marker

What callers saw: where a back end adds the marker "not processed" to its 421, requests went on to the wrong instance until its next heartbeat, each at the cost of a repeat, and counted as failures of the back end that was meant.

Cause: the marker was looked at before the status, so that such an answer was taken for a rejection by the intended back end and the instance that it names was not reported.

Evidence: TestMisdirectedAnswerWithMarker; before, step shed and no report. That the request has not run was true in both cases.

Change: the status decides.

--- a/internal/proxy/notrun/send.go
+++ b/internal/proxy/notrun/send.go
@@ -47,10 +47,10 @@
 	switch {
 	case r.ReplyID != r.RequestID || r.Signed || r.Status < http.StatusMultipleChoices:
 		return Evidence{}
-	case r.Marked:
-		return rejected
 	case r.Status == http.StatusMisdirectedRequest:
 		return misdirected
+	case r.Marked:
+		return rejected
 	}
 	return Evidence{}
 }
--- a/internal/proxy/notrun/send_test.go
+++ b/internal/proxy/notrun/send_test.go
@@ -37,6 +37,7 @@
 		{"rejected, the reply has no id", notrun.Send{Written: true, Reply: reply("a", "", 503, true)}, ""},
 		{"rejected, the request has no id", notrun.Send{Written: true, Reply: reply("", "a", 503, true)}, ""},
 		{"another instance", notrun.Send{Written: true, Reply: reply("a", "a", 421, false)}, "misdirected"},
+		{"another instance, with the marker", notrun.Send{Written: true, Reply: reply("a", "a", 421, true)}, "misdirected"},
 		{"another instance, for another request", notrun.Send{Written: true, Reply: reply("b", "a", 421, false)}, ""},
 		{"another instance, the reply has no id", notrun.Send{Written: true, Reply: reply("a", "", 421, false)}, ""},
 		{"rejected and signed", notrun.Send{Written: true, Reply: signed(reply("a", "a", 503, true))}, ""},
--- a/internal/sidecar/ingress/exchange.go
+++ b/internal/sidecar/ingress/exchange.go
@@ -226,16 +226,14 @@
 func (a *arrival) checkResponse(response *http.Response) *outcome.Failure {
 	names := &a.handler.options.Vocabulary
 	header := response.Header
-	misdirected := response.StatusCode == http.StatusMisdirectedRequest
-	marked := header.Get(names.NotProcessed) != ""
 	if evidence := a.evidenceOf(response); evidence.Proven() {
-		if misdirected && !marked {
+		if response.StatusCode == http.StatusMisdirectedRequest {
 			a.handler.options.OnInstanceMismatch(header.Get(names.InstanceID))
 			return a.rejection(evidence, outcome.StepIdentity, defaultRetryAfter, errWrongInstance)
 		}
 		return a.rejection(evidence, outcome.StepShed, a.retryAfter(), errNotProcessed)
 	}
-	if marked {
+	if header.Get(names.NotProcessed) != "" {
 		return a.unknownOutcome(errContradictoryMarker)
 	}
 	if response.StatusCode < http.StatusMultipleChoices && header.Get(names.Signature) == "" {
--- a/internal/sidecar/ingress/notrun_test.go
+++ b/internal/sidecar/ingress/notrun_test.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/kestrelstream/kestrelstream/internal/proxy/notrun"
+	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/ingress"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/route"
 )
@@ -139,3 +140,24 @@
 		})
 	}
 }
+
+// TestMisdirectedAnswerWithMarker guards against a 421 that is taken for a rejection by the intended
+// back end because it bears the marker as well.
+func TestMisdirectedAnswerWithMarker(t *testing.T) {
+	g := NewWithT(t)
+	var found []string
+	f := newWithOptions(t, func(options *ingress.Options) {
+		options.OnInstanceMismatch = func(id string) { found = append(found, id) }
+	})
+	f.handler.SetService(&route.Service{Name: "one"})
+	answer := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(vocabulary.NotProcessed, "1")
+		misdirected(w, r)
+	})
+	f.answer.Store(&answer)
+	got := f.receive(t.Context())
+	g.Expect(got.Code).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(got.Header().Get(outcome.HeaderOutcome)).To(BeEquivalentTo(outcome.NotRun))
+	g.Expect(got.Header().Get(outcome.HeaderError)).To(Equal("step=" + string(outcome.StepIdentity)))
+	g.Expect(found).To(Equal([]string{"i-2"}))
+}
