clock: tickers and timers that do not crash the race detector

Cause: a select that finds a channel timer of a synctest bubble due runs it on its own thread, with the race context that the bubble uses at that moment to run its other timers. Reproduced by a small program (32 goroutines that select over four tickers of one interval): 3 of 4 runs crashed. The same program with time.AfterFunc: 8 of 8 runs passed.

Change: clock.Ticker and clock.Timer, built on time.AfterFunc, in the nodes and stand-ins; the linger time of the server and the pause between attempts are contexts with a deadline. Schedules are as before: a ticker keeps its phase and drops ticks that nobody receives.

With the tickers alone replaced, the platform's tests crashed once more (a check of the sanitizer failed); the timers followed.

--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -159,13 +159,11 @@
 	}
 	s.stopping.Store(true)
 	_ = s.listener.Close()
-	timer := time.NewTimer(s.linger)
-	defer timer.Stop()
+	ctx, cancel := context.WithTimeout(ctx, s.linger)
+	defer cancel()
 	for s.open.Load() > 0 {
 		select {
 		case <-s.vacant:
-		case <-timer.C:
-			return
 		case <-ctx.Done():
 			return
 		}
--- a/internal/sidecar/admission/admission.go
+++ b/internal/sidecar/admission/admission.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/precedence"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/ratelimit"
 )
@@ -154,7 +155,7 @@
 		return err
 	default:
 	}
-	timer := time.NewTimer(entry.info.MaximumWait)
+	timer := clock.NewTimer(entry.info.MaximumWait)
 	defer timer.Stop()
 	select {
 	case err := <-entry.result:
--- a/internal/sidecar/backend.go
+++ b/internal/sidecar/backend.go
@@ -120,7 +120,7 @@
 		defer cancel()
 		s.exchanger.Broadcast(ctx)
 	}()
-	timer := time.NewTimer(crashBroadcastWait)
+	timer := clock.NewTimer(crashBroadcastWait)
 	defer timer.Stop()
 	select {
 	case <-delivered:
--- a/internal/sidecar/clock/clock.go
+++ b/internal/sidecar/clock/clock.go
@@ -184,7 +184,7 @@
 
 // Watch checks for suspensions every WatchInterval until the context ends.
 func Watch(ctx context.Context) {
-	ticker := time.NewTicker(WatchInterval)
+	ticker := NewTicker(WatchInterval)
 	defer ticker.Stop()
 	for {
 		select {
--- a/internal/sidecar/egress/quota.go
+++ b/internal/sidecar/egress/quota.go
@@ -59,7 +59,7 @@
 	if wait <= 0 {
 		return
 	}
-	timer := time.NewTimer(wait)
+	timer := clock.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/internal/sidecar/exchange/broadcast.go
+++ b/internal/sidecar/exchange/broadcast.go
@@ -5,11 +5,11 @@
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 )
 
@@ -123,7 +123,7 @@
 		pending++
 		go func() { results <- e.sendNotice(ctx, peer, notice) }()
 	}
-	hedge := time.NewTicker(hedgeDelay)
+	hedge := clock.NewTicker(hedgeDelay)
 	defer hedge.Stop()
 	for delivered < relaysPerZone {
 		for len(left) > 0 && pending+delivered < relaysPerZone {
--- a/internal/sidecar/exchange/catchup.go
+++ b/internal/sidecar/exchange/catchup.go
@@ -142,7 +142,7 @@
 
 // run fetches until the node is up to date.
 func (c *catchUp) run() {
-	timer := time.NewTimer(0)
+	timer := clock.NewTimer(0)
 	defer timer.Stop()
 	for {
 		wait, upToDate := c.step(clock.Now())
--- a/internal/sidecar/exchange/confirm.go
+++ b/internal/sidecar/exchange/confirm.go
@@ -70,7 +70,7 @@
 // await asks until a reply contains proof or the time is over. Proof that the node obtained
 // elsewhere is accepted once several nodes were asked without success.
 func (c *confirmation) await() bool {
-	hedge := time.NewTicker(confirmHedgeDelay)
+	hedge := clock.NewTicker(confirmHedgeDelay)
 	defer hedge.Stop()
 	c.ask()
 	for {
--- a/internal/sidecar/exchange/exchanger.go
+++ b/internal/sidecar/exchange/exchanger.go
@@ -166,7 +166,7 @@
 	defer running.Wait()
 	for ctx.Err() == nil {
 		half := e.options.Interval / 2
-		timer := time.NewTimer(half + rand.N(e.options.Interval))
+		timer := clock.NewTimer(half + rand.N(e.options.Interval))
 		select {
 		case <-timer.C:
 		case <-ctx.Done():
--- a/internal/sidecar/exchange/ping.go
+++ b/internal/sidecar/exchange/ping.go
@@ -7,6 +7,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 )
 
@@ -18,7 +19,7 @@
 	answers := make(chan error, pingAttempts)
 	for attempt := range pingAttempts {
 		go func() {
-			timer := time.NewTimer(time.Duration(attempt) * pingTimeout / pingAttempts)
+			timer := clock.NewTimer(time.Duration(attempt) * pingTimeout / pingAttempts)
 			defer timer.Stop()
 			select {
 			case <-timer.C:
--- a/internal/sidecar/exchange/proofchecker.go
+++ b/internal/sidecar/exchange/proofchecker.go
@@ -54,7 +54,7 @@
 // run keeps the proof fresh until the context ends. A node that does not reply does not delay the
 // others.
 func (c *proofChecker) run(ctx context.Context) {
-	timer := time.NewTimer(0)
+	timer := clock.NewTimer(0)
 	defer timer.Stop()
 	pacer := &checkPacer{}
 	for {
--- a/internal/sidecar/ingress/activerequests.go
+++ b/internal/sidecar/ingress/activerequests.go
@@ -236,9 +236,11 @@
 	if loss.endpoint.State != roster.Ready {
 		return
 	}
+	timer := clock.NewTimer(sentTimeout)
+	defer timer.Stop()
 	select {
 	case <-loss.determined:
-	case <-time.After(sentTimeout):
+	case <-timer.C:
 	}
 	report := h.activeRequests.report(loss)
 	h.options.Logger.Warn("back end ended", zap.String("endpoint", report.Endpoint.ID), zap.String("service", report.Endpoint.Service),
--- a/internal/sidecar/pause/pause.go
+++ b/internal/sidecar/pause/pause.go
@@ -9,12 +9,9 @@
 
 // Wait waits for a random time between half and all of the duration, or until the context ends.
 func Wait(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration/2 + rand.N(duration/2+1))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	ctx, cancel := context.WithTimeout(ctx, duration/2+rand.N(duration/2+1))
+	defer cancel()
+	<-ctx.Done()
 }
 
 // Backoff is an exponential backoff: it waits for Base after the first failure in a row and twice as long
--- a/internal/sidecar/rollout/controller/controller.go
+++ b/internal/sidecar/rollout/controller/controller.go
@@ -108,7 +108,7 @@
 
 // Run processes rollouts until the context is done.
 func (c *Controller) Run(ctx context.Context) {
-	ticker := time.NewTicker(tickInterval)
+	ticker := clock.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
 		var ticks <-chan time.Time
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -67,7 +67,7 @@
 }
 
 func (s *Sidecar) sweep(ctx context.Context) {
-	ticker := time.NewTicker(sweepInterval)
+	ticker := clock.NewTicker(sweepInterval)
 	defer ticker.Stop()
 	for {
 		select {
--- a/internal/sidecar/stall/monitor.go
+++ b/internal/sidecar/stall/monitor.go
@@ -32,7 +32,7 @@
 }
 
 func (w *Monitor) run() {
-	ticker := time.NewTicker(Interval)
+	ticker := clock.NewTicker(Interval)
 	defer ticker.Stop()
 	for w.tick() {
 		<-ticker.C
