--- a/internal/sidecar/egress/attempt.go
+++ b/internal/sidecar/egress/attempt.go
@@ -4,11 +4,11 @@
 	"context"
 	"errors"
 	"net/http"
-	"net/http/httptrace"
 	"sync/atomic"
 	"time"
 
 	"github.com/kestrelstream/kestrelstream/internal/proxy/forward"
+	"github.com/kestrelstream/kestrelstream/internal/proxy/notrun"
 	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/body"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/choice"
@@ -38,8 +38,9 @@
 	interim *forward.Interim
 	// suspected is closed when the peer did not answer a probe.
 	suspected chan struct{}
-	// got100Continue: the peer has a slot, or room for a large body, and receives the body.
-	got100Continue atomic.Bool
+	// bodyBegun: the peer has a slot, or room for a large body, and receives the body that was held
+	// back for it.
+	bodyBegun atomic.Bool
 
 	// sends is the number of peers that the request was sent to before, candidates the number of
 	// back ends that accept work, those included.
@@ -107,11 +108,11 @@
 	}
 }
 
-// markSuspected records that the peer did not answer a probe. If the body still waits for 100
-// Continue it was never sent: the attempt is abandoned at once and counts as not run.
+// markSuspected records that the peer did not answer a probe. If the body is still held back, the
+// attempt is abandoned at once and counts as not run.
 func (a *attempt) markSuspected() {
 	close(a.suspected)
-	if !a.call.route.Repeatable && !a.got100Continue.Load() && a.call.expects100Continue() {
+	if a.bodyWithheld() {
 		a.abandon()
 	}
 }
@@ -129,17 +130,6 @@
 // abandon cancels the attempt because its peer does not answer.
 func (a *attempt) abandon() { a.cancel(errSilent) }
 
-// traceContext returns the context of the round trip, which records 100 Continue for requests that
-// may not be retried.
-func (a *attempt) traceContext() context.Context {
-	if a.call.route.Repeatable {
-		return a.context
-	}
-	return httptrace.WithClientTrace(a.context, &httptrace.ClientTrace{
-		Got100Continue: func() { a.got100Continue.Store(true) },
-	})
-}
-
 // setResult sets the response or the failure from the outcome of the round trip.
 func (a *attempt) setResult(response *http.Response, err error, now time.Time) {
 	if err != nil {
@@ -154,6 +144,13 @@
 		a.failure = a.parseRefusal(response, reported, now)
 		return
 	}
+	if notrun.Promises(response.StatusCode) {
+		// A node sends such a status only together with an outcome.
+		_ = response.Body.Close()
+		a.target.failed(now)
+		a.failure = &outcome.Failure{Outcome: outcome.Unknown, Step: outcome.StepBody, Cause: errUnprovenStatus}
+		return
+	}
 	if err := body.BufferShort(response); err != nil {
 		a.target.failed(now)
 		a.failure = &outcome.Failure{Outcome: outcome.Unknown, Step: outcome.StepBody, Cause: err}
@@ -216,9 +213,12 @@
 
 // attemptRecord returns the record of the attempt for the call's log line.
 func (a *attempt) attemptRecord() attemptRecord {
-	seen := attemptRecord{target: a.target, seen: a.seen, reportAge: a.reportAge, elapsed: a.elapsed}
+	seen := attemptRecord{
+		target: a.target, seen: a.seen, reportAge: a.reportAge,
+		sentAfter: a.sent.Sub(a.call.started), elapsed: a.elapsed, bodyBegun: a.bodyBegun.Load(),
+	}
 	if a.failure != nil {
-		seen.outcome, seen.step = a.failure.Outcome, a.failure.Step
+		seen.outcome, seen.evidence, seen.step = a.failure.Outcome, a.failure.Evidence, a.failure.Step
 	}
 	return seen
 }
--- a/internal/sidecar/egress/call.go
+++ b/internal/sidecar/egress/call.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/kestrelstream/kestrelstream/internal/proxy/forward"
+	"github.com/kestrelstream/kestrelstream/internal/proxy/notrun"
 	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/fingerprint"
@@ -27,6 +28,7 @@
 	errRetryBudget    = errors.New("the budget of repeats is spent")
 	errAttempts       = errors.New("the route's attempts are exhausted")
 	errQuarantined    = errors.New("the request ends the back ends that run it")
+	errUnprovenStatus = errors.New("the reply's status means that the request did not run, but no node says so")
 	errCrashes        = errors.New("back ends crashed while they processed the request")
 )
 
@@ -261,7 +263,7 @@
 func (c *call) finalFailure(last *outcome.Failure) *outcome.Failure {
 	failure := *last
 	if c.mayHaveRun {
-		failure.Outcome = outcome.Unknown
+		failure.Outcome, failure.Evidence = outcome.Unknown, notrun.Evidence{}
 	}
 	c.refundIfNotRun(&failure)
 	if failure.Outcome == outcome.NotRun {
