sidecar: count and log heartbeats that do not count, with the reason

What operators saw: a late heartbeat, or one of an ended or unknown incarnation, left no trace. Only a service that nobody names was logged.

Change: kestrel_sidecar_heartbeats_refused_total{reason}, and the line "heartbeat refused" with incarnation, service, sequence and reason (service, ended, sequence, unconfirmed). No decision changes.

--- a/internal/sidecar/backend.go
+++ b/internal/sidecar/backend.go
@@ -22,9 +22,8 @@
 // heartbeat does not come from the local back end.
 func (s *Sidecar) Heartbeat(ctx context.Context, beat roster.Heartbeat) error {
 	if !s.servesService(beat.Service) {
-		err := trace.BadParameter("info.service: %q is neither this machine's service nor one of the configuration", beat.Service)
-		s.logger.Warn("heartbeat refused", zap.String("endpoint", beat.ID), zap.Error(err))
-		return err
+		s.logRefusedHeartbeat(&beat, roster.RefusedService)
+		return trace.BadParameter("info.service: %q is neither this machine's service nor one of the configuration", beat.Service)
 	}
 	now := clock.Now()
 	s.lastHeartbeat.Store(clock.Stamp(now))
@@ -32,10 +31,14 @@
 		s.warmedUp.Store(clock.Stamp(now.Add(beat.WarmupLeft)))
 		s.ingress.SetWarmupRemaining(beat.WarmupLeft)
 	}
-	own, changed := s.members.Update(func(record roster.Record) (roster.Record, bool) {
-		return s.incarnations.ApplyHeartbeat(record, beat, clock.Now())
+	var refusal roster.Refusal
+	own, changed := s.members.Update(func(record roster.Record) (next roster.Record, changed bool) {
+		next, changed, refusal = s.incarnations.ApplyHeartbeat(record, beat, clock.Now())
+		return next, changed
 	})
 	switch {
+	case refusal != "":
+		s.logRefusedHeartbeat(&beat, refusal)
 	case !changed:
 	case own.Endpoint.State == roster.Ready:
 		go s.broadcastRecord(context.WithoutCancel(ctx))
@@ -45,6 +48,13 @@
 	return nil
 }
 
+// logRefusedHeartbeat logs and counts a heartbeat that does not count.
+func (s *Sidecar) logRefusedHeartbeat(beat *roster.Heartbeat, refusal roster.Refusal) {
+	s.metrics.refusedHeartbeats.WithLabelValues(string(refusal)).Inc()
+	s.logger.Warn("heartbeat refused", zap.String("endpoint", beat.Incarnation().String()), zap.String("service", beat.Service),
+		zap.Uint64("sequence", beat.Sequence), zap.String("reason", string(refusal)))
+}
+
 // servesService reports whether the local back end may be of the service.
 func (s *Sidecar) servesService(service string) bool {
 	own := s.options.Settings.Service
--- a/internal/sidecar/fuzz_test.go
+++ b/internal/sidecar/fuzz_test.go
@@ -38,11 +38,14 @@
 }
 
 // newNode returns a node with a configuration and a local back end of service alpha.
-func newNode(t testing.TB) *Sidecar {
+func newNode(t testing.TB) *Sidecar { return newLoggingNode(t, zap.NewNop()) }
+
+// newLoggingNode is newNode with a logger.
+func newLoggingNode(t testing.TB, logger *zap.Logger) *Sidecar {
 	created := New(Options{
 		Settings: Settings{Node: "n", Zone: "z", HeartbeatInterval: time.Second, Service: "alpha"},
 		Decode:   func([]byte) (*route.Document, []string, error) { return &route.Document{Version: 1}, nil, nil },
-		Store:    unavailableStore{}, Network: dial.System{}, Logger: zap.NewNop(), Registry: prometheus.NewRegistry(),
+		Store:    unavailableStore{}, Network: dial.System{}, Logger: logger, Registry: prometheus.NewRegistry(),
 	})
 	NewWithT(t).Expect(created.keeper.Offer(nil, configuration.SourceRead)).To(Succeed())
 	created.members.Update(func(record roster.Record) (roster.Record, bool) {
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -29,6 +29,8 @@
 	// backendSent counts the requests sent to the back end, unreadableNotices its notices that
 	// cannot be decoded, foreignAnswers its answers without the id of the request that was sent.
 	backendSent, unreadableNotices, foreignAnswers prometheus.Counter
+	// refusedHeartbeats counts the heartbeats that do not count, by roster.Refusal.
+	refusedHeartbeats *prometheus.CounterVec
 	// diverted counts requests that were not sent to a back end because its own limit had no
 	// capacity for them in time.
 	diverted *prometheus.CounterVec
@@ -140,7 +142,10 @@
 	created.foreignAnswers = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "kestrel_sidecar_backend_foreign_answers_total", Help: "Answers of the local back end without the id of the request that was sent.",
 	})
-	registry.MustRegister(created.diverted, created.backendSent, created.unreadableNotices, created.foreignAnswers, created.versionAnswers, created.proofAges, created.lag, created.fetches, created.crashes, created.crashedRequests, created.silentProbes, created.pipelined, created.calls, created.latency, created.hop, created.sends, created.arrivals, created.queueSeconds, created.backendSeconds)
+	created.refusedHeartbeats = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "kestrel_sidecar_heartbeats_refused_total", Help: "Heartbeats that are not of the local back end, or late, by reason.",
+	}, []string{"reason"})
+	registry.MustRegister(created.refusedHeartbeats, created.diverted, created.backendSent, created.unreadableNotices, created.foreignAnswers, created.versionAnswers, created.proofAges, created.lag, created.fetches, created.crashes, created.crashedRequests, created.silentProbes, created.pipelined, created.calls, created.latency, created.hop, created.sends, created.arrivals, created.queueSeconds, created.backendSeconds)
 	return created
 }
 
--- a/internal/sidecar/roster/draining_test.go
+++ b/internal/sidecar/roster/draining_test.go
@@ -23,12 +23,12 @@
 
 	late := ready
 	late.Sequence = 9
-	afterLate, _ := tracker.ApplyHeartbeat(draining, roster.Heartbeat{Endpoint: late}, time.Now())
+	afterLate, _, _ := tracker.ApplyHeartbeat(draining, roster.Heartbeat{Endpoint: late}, time.Now())
 	g.Expect(afterLate.Endpoint.State).To(Equal(roster.Draining))
 
 	next := ready
 	next.Born, next.Sequence = 200, 1
-	started, _ := tracker.ApplyHeartbeat(afterLate, roster.Heartbeat{Endpoint: next}, time.Now())
+	started, _, _ := tracker.ApplyHeartbeat(afterLate, roster.Heartbeat{Endpoint: next}, time.Now())
 	g.Expect(started.Endpoint.State).To(Equal(roster.Ready))
 	_, changed = started.MarkDraining(ready.Incarnation())
 	g.Expect(changed).To(BeFalse(), "late response of the previous incarnation")
--- a/internal/sidecar/roster/incarnationtracker.go
+++ b/internal/sidecar/roster/incarnationtracker.go
@@ -9,6 +9,21 @@
 	WarmupLeft time.Duration
 }
 
+// Refusal is the reason why a heartbeat does not count; empty if it does.
+type Refusal string
+
+const (
+	// RefusedService means that the heartbeat is of another service than that of the node.
+	RefusedService Refusal = "service"
+	// RefusedEnded means that the incarnation has ended.
+	RefusedEnded Refusal = "ended"
+	// RefusedSequence means that a later heartbeat of the incarnation has already arrived.
+	RefusedSequence Refusal = "sequence"
+	// RefusedUnconfirmed means that the incarnation is not the current one, and that nothing shows
+	// that it has replaced it.
+	RefusedUnconfirmed Refusal = "unconfirmed"
+)
+
 // IncarnationTracker decides which incarnation of the back end is current when heartbeats of
 // several arrive. A heartbeat may arrive seconds late, from a process that no longer runs, so a
 // single one does not replace an incarnation that is still sending, unless it belongs to a later
@@ -33,17 +48,17 @@
 	minCandidateHeartbeats = 2
 )
 
-// ApplyHeartbeat returns the record after a heartbeat and reports whether it changed in a way that
-// peers must learn of. An incarnation that has ended stays ended, and among heartbeats of one
-// incarnation the highest sequence wins. A heartbeat without a start time is ignored if the current
-// incarnation has one.
-func (c *IncarnationTracker) ApplyHeartbeat(record Record, heartbeat Heartbeat, now time.Time) (next Record, changed bool) {
+// ApplyHeartbeat returns the record after a heartbeat, whether it changed in a way that peers must
+// learn of, and why the heartbeat does not count. An incarnation that has ended stays ended, and
+// among heartbeats of one incarnation the highest sequence wins. A heartbeat without a start time is
+// refused if the current incarnation has one.
+func (c *IncarnationTracker) ApplyHeartbeat(record Record, heartbeat Heartbeat, now time.Time) (next Record, changed bool, refusal Refusal) {
 	if record.HasEnded(heartbeat.Incarnation()) {
-		return record, false
+		return record, false, RefusedEnded
 	}
 	current := record.Endpoint
 	if current == nil {
-		return c.replace(record, heartbeat.Endpoint, now), true
+		return c.replace(record, heartbeat.Endpoint, now), true, ""
 	}
 	currentIncarnation, reportedIncarnation := current.Incarnation(), heartbeat.Incarnation()
 	replaces := false
@@ -60,9 +75,9 @@
 		replaces = current.State == Gone || c.silent(now) || c.countCandidate(heartbeat.Endpoint)
 	}
 	if !replaces {
-		return record, false
+		return record, false, RefusedUnconfirmed
 	}
-	return c.replace(record, heartbeat.Endpoint, now), true
+	return c.replace(record, heartbeat.Endpoint, now), true, ""
 }
 
 // silent reports whether the current incarnation has sent no heartbeat for too long, or none since
@@ -82,10 +97,13 @@
 	return c.candidateHeartbeats >= minCandidateHeartbeats
 }
 
-func (c *IncarnationTracker) refresh(record Record, reported Endpoint, now time.Time) (next Record, changed bool) {
+func (c *IncarnationTracker) refresh(record Record, reported Endpoint, now time.Time) (next Record, changed bool, refusal Refusal) {
 	current := record.Endpoint
-	if current.State == Gone || reported.Sequence < current.Sequence {
-		return record, false
+	switch {
+	case current.State == Gone:
+		return record, false, RefusedEnded
+	case reported.Sequence < current.Sequence:
+		return record, false, RefusedSequence
 	}
 	if current.State == Draining {
 		reported.State = Draining // an earlier heartbeat may arrive after a response that announced draining
@@ -94,7 +112,7 @@
 	changed = current.State != reported.State || current.Slots != reported.Slots || current.Service != reported.Service ||
 		current.Version != reported.Version
 	record.Endpoint = &reported
-	return record, changed
+	return record, changed, ""
 }
 
 func (c *IncarnationTracker) replace(record Record, reported Endpoint, now time.Time) Record {
--- a/internal/sidecar/roster/roster_test.go
+++ b/internal/sidecar/roster/roster_test.go
@@ -201,7 +201,7 @@
 				case event.confirm:
 					own, _ = claims.Confirm(own, event.id, now)
 				default:
-					own, _ = claims.ApplyHeartbeat(own, roster.Heartbeat{Endpoint: *endpoint(event.id, event.state, event.sequence)}, now)
+					own, _, _ = claims.ApplyHeartbeat(own, roster.Heartbeat{Endpoint: *endpoint(event.id, event.state, event.sequence)}, now)
 				}
 			}
 			g.Expect(own.Endpoint.ID).To(Equal(tc.id))
@@ -218,7 +218,8 @@
 	members.Observe(func([]*roster.Record) { notifications++ })
 	for sequence := uint64(1); sequence <= 5; sequence++ {
 		members.Update(func(own roster.Record) (roster.Record, bool) {
-			return claims.ApplyHeartbeat(own, roster.Heartbeat{Endpoint: *endpoint("a", roster.Ready, sequence)}, time.Unix(int64(sequence), 0))
+			next, changed, _ := claims.ApplyHeartbeat(own, roster.Heartbeat{Endpoint: *endpoint("a", roster.Ready, sequence)}, time.Unix(int64(sequence), 0))
+			return next, changed
 		})
 	}
 	g.Expect(notifications).To(Equal(1))
@@ -337,15 +338,15 @@
 	now := time.Unix(100, 0)
 	beat := roster.Heartbeat{Endpoint: *endpoint("i-1", roster.Ready, 1)}
 	beat.Version = "v1"
-	held, changed := claims.ApplyHeartbeat(record("self", 1, 1), beat, now)
+	held, changed, _ := claims.ApplyHeartbeat(record("self", 1, 1), beat, now)
 	g.Expect(changed).To(BeTrue())
 	g.Expect(held.Endpoint.Version).To(Equal("v1"))
 	beat.Sequence++
-	held, changed = claims.ApplyHeartbeat(held, beat, now)
+	held, changed, _ = claims.ApplyHeartbeat(held, beat, now)
 	g.Expect(changed).To(BeFalse())
 	beat.Version = "v2"
 	beat.Sequence++
-	held, changed = claims.ApplyHeartbeat(held, beat, now)
+	held, changed, _ = claims.ApplyHeartbeat(held, beat, now)
 	g.Expect(changed).To(BeTrue())
 	g.Expect(held.Endpoint.Version).To(Equal("v2"))
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -94,6 +94,7 @@
 type Sidecar struct {
 	options Options
 	logger  *zap.Logger
+	metrics *metrics
 	members *roster.Roster
 	keeper  *configuration.Keeper
 	// membership discovers the other nodes through the store.
@@ -156,6 +157,7 @@
 		incarnations:   roster.IncarnationTracker{Interval: settings.HeartbeatInterval},
 	}
 	observer := newMetrics(options.Registry)
+	created.metrics = observer
 	options.Store = newCountedStore(options.Store, options.Registry)
 	created.options.Store = options.Store
 	created.settings.Store(settings)
