sidecar: the settings alone say the service of the own back end

Cause: a node took the first heartbeat that arrived for that of its own back end, of any service that the configuration names, and then took X-Caller-Service, the service that it tells other nodes, and the health path, connections and warm-up of that service from it. Class: a statement is acted on before it is known of whom it is.

Change: a heartbeat of another service than that of the settings is refused. X-Caller-Service and the service's configuration come from the settings. Where the settings name no service, heartbeats do, as before.

Conclusion: a late heartbeat of another service changes a counter and a log line. One of the same service is still believed; it names no wrong caller.

--- a/internal/sidecar/backend.go
+++ b/internal/sidecar/backend.go
@@ -21,9 +21,9 @@
 // broadcastTimeout: the change must survive the end of this process. An error means that the
 // heartbeat does not come from the local back end.
 func (s *Sidecar) Heartbeat(ctx context.Context, beat roster.Heartbeat) error {
-	if !s.servesService(beat.Service) {
+	if service := s.settings.Load().Service; service != "" && beat.Service != service {
 		s.logRefusedHeartbeat(&beat, roster.RefusedService)
-		return trace.BadParameter("info.service: %q is neither this machine's service nor one of the configuration", beat.Service)
+		return trace.BadParameter("info.service: %q is not this machine's service, %q", beat.Service, service)
 	}
 	now := clock.Now()
 	s.lastHeartbeat.Store(clock.Stamp(now))
@@ -55,16 +55,6 @@
 		zap.Uint64("sequence", beat.Sequence), zap.String("reason", string(refusal)))
 }
 
-// servesService reports whether the local back end may be of the service.
-func (s *Sidecar) servesService(service string) bool {
-	own := s.options.Settings.Service
-	if own == "" || service == own {
-		return true
-	}
-	table := s.keeper.Table()
-	return table != nil && table.Service(service) != nil
-}
-
 // handleDrainNotice marks the back end as draining after it announced so in an answer, with the
 // same effect as a heartbeat.
 func (s *Sidecar) handleDrainNotice(of roster.Incarnation) {
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -20,7 +20,7 @@
 	Node, Zone, Region, Host string
 	// Regions maps zones to their regions, as far as known.
 	Regions map[string]string
-	// Service is the service of the local back end.
+	// Service is the service of the local back end. If it is empty, the back end's heartbeats name it.
 	Service string
 	// BackendAddress is the address at which the back end listens, host:port.
 	BackendAddress string
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -300,11 +300,16 @@
 }
 
 // caller returns the name of the service beside this node.
-func (s *Sidecar) caller() string {
-	if endpoint := s.members.Own().Endpoint; endpoint != nil {
-		return endpoint.Service
+func (s *Sidecar) caller() string { return s.serviceOf(s.members.Own().Endpoint) }
+
+// serviceOf returns the service of the local back end: the one in the settings, since a heartbeat may
+// be that of another back end. If the settings name none, it is that of the endpoint; empty if that
+// is nil.
+func (s *Sidecar) serviceOf(endpoint *roster.Endpoint) string {
+	if service := s.settings.Load().Service; service != "" || endpoint == nil {
+		return service
 	}
-	return s.options.Settings.Service
+	return endpoint.Service
 }
 
 // handleRecordChanges passes changed records to the parts that depend on them. It is called with
@@ -356,8 +361,8 @@
 
 // setService gives the ingress handler the configured service of the back end.
 func (s *Sidecar) setService(table *route.Table, endpoint *roster.Endpoint) {
-	if table != nil && endpoint != nil {
-		s.ingress.SetService(table.Service(endpoint.Service))
+	if service := s.serviceOf(endpoint); table != nil && service != "" {
+		s.ingress.SetService(table.Service(service))
 	}
 }
 
