sidecar: only heartbeats that count report a warm-up and reset the heartbeat age

What callers saw: 25 of 50 requests a second refused (step warmup) at a warm back end, for as long as a late heartbeat said that its sender stays cold. Operators saw a heartbeat age that late heartbeats kept low.

Cause: both were taken from a heartbeat before it was known whether it is of the back end, and whether a later one had arrived. Class: a statement is acted on before it is known of whom it is.

Change: they are recorded where the heartbeat is found to count, before the record that it changes is published.

--- a/internal/sidecar/backend.go
+++ b/internal/sidecar/backend.go
@@ -25,15 +25,13 @@
 		s.logRefusedHeartbeat(&beat, roster.RefusedService)
 		return trace.BadParameter("info.service: %q is not this machine's service, %q", beat.Service, service)
 	}
-	now := clock.Now()
-	s.lastHeartbeat.Store(clock.Stamp(now))
-	if beat.WarmupLeft > 0 {
-		s.warmedUp.Store(clock.Stamp(now.Add(beat.WarmupLeft)))
-		s.ingress.SetWarmupRemaining(beat.WarmupLeft)
-	}
 	var refusal roster.Refusal
 	own, changed := s.members.Update(func(record roster.Record) (next roster.Record, changed bool) {
-		next, changed, refusal = s.incarnations.ApplyHeartbeat(record, beat, clock.Now())
+		now := clock.Now()
+		next, changed, refusal = s.incarnations.ApplyHeartbeat(record, beat, now)
+		if refusal == "" {
+			s.recordHeartbeat(&beat, now)
+		}
 		return next, changed
 	})
 	switch {
@@ -48,6 +46,15 @@
 	return nil
 }
 
+// recordHeartbeat records what a heartbeat of the local back end says besides its record.
+func (s *Sidecar) recordHeartbeat(beat *roster.Heartbeat, now time.Time) {
+	s.lastHeartbeat.Store(clock.Stamp(now))
+	if beat.WarmupLeft > 0 {
+		s.warmedUp.Store(clock.Stamp(now.Add(beat.WarmupLeft)))
+		s.ingress.SetWarmupRemaining(beat.WarmupLeft)
+	}
+}
+
 // logRefusedHeartbeat logs and counts a heartbeat that does not count.
 func (s *Sidecar) logRefusedHeartbeat(beat *roster.Heartbeat, refusal roster.Refusal) {
 	s.metrics.refusedHeartbeats.WithLabelValues(string(refusal)).Inc()
--- a/internal/sidecar/heartbeat_test.go
+++ b/internal/sidecar/heartbeat_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 	"github.com/prometheus/client_golang/prometheus/testutil"
@@ -36,10 +37,13 @@
 			node := newLoggingNode(t, zap.New(core))
 			node.Deregister(t.Context(), roster.Incarnation{ID: "i-ended"})
 			g.Expect(node.Heartbeat(t.Context(), heartbeatOf("i-0", "alpha", 8))).To(Succeed())
-			before := *node.members.Own()
+			before, heard := *node.members.Own(), node.lastHeartbeat.Load()
 
+			tc.beat.WarmupLeft = time.Minute
 			_ = node.Heartbeat(t.Context(), tc.beat) // whether the sender gets an error is not checked here
 			g.Expect(*node.members.Own()).To(Equal(before))
+			g.Expect(node.lastHeartbeat.Load()).To(Equal(heard))
+			g.Expect(node.warmedUp.Load()).To(BeZero())
 			g.Expect(testutil.CollectAndCount(node.metrics.refusedHeartbeats)).To(Equal(1))
 			g.Expect(testutil.ToFloat64(node.metrics.refusedHeartbeats.WithLabelValues(string(tc.refusal)))).To(Equal(1.0))
 			lines := logs.FilterMessage("heartbeat refused").All()
