--- a/internal/sidecar/backend.go
+++ b/internal/sidecar/backend.go
@@ -21,21 +21,22 @@
 // broadcastTimeout: the change must survive the end of this process. An error means that the
 // heartbeat does not come from the local back end.
 func (s *Sidecar) Heartbeat(ctx context.Context, beat roster.Heartbeat) error {
-	if !s.servesService(beat.Service) {
-		err := trace.BadParameter("info.service: %q is neither this machine's service nor one of the configuration", beat.Service)
-		s.logger.Warn("heartbeat refused", zap.String("endpoint", beat.ID), zap.Error(err))
-		return err
+	if service := s.settings.Load().Service; service != "" && beat.Service != service {
+		s.logRefusedHeartbeat(&beat, roster.RefusedService)
+		return trace.BadParameter("info.service: %q is not this machine's service, %q", beat.Service, service)
 	}
-	now := clock.Now()
-	s.lastHeartbeat.Store(clock.Stamp(now))
-	if beat.WarmupLeft > 0 {
-		s.warmedUp.Store(clock.Stamp(now.Add(beat.WarmupLeft)))
-		s.ingress.SetWarmupRemaining(beat.WarmupLeft)
-	}
-	own, changed := s.members.Update(func(record roster.Record) (roster.Record, bool) {
-		return s.incarnations.ApplyHeartbeat(record, beat, clock.Now())
+	var refusal roster.Refusal
+	own, changed := s.members.Update(func(record roster.Record) (next roster.Record, changed bool) {
+		now := clock.Now()
+		next, changed, refusal = s.incarnations.ApplyHeartbeat(record, beat, now)
+		if refusal == "" {
+			s.recordHeartbeat(&beat, now)
+		}
+		return next, changed
 	})
 	switch {
+	case refusal != "":
+		s.logRefusedHeartbeat(&beat, refusal)
 	case !changed:
 	case own.Endpoint.State == roster.Ready:
 		go s.broadcastRecord(context.WithoutCancel(ctx))
@@ -45,14 +46,20 @@
 	return nil
 }
 
-// servesService reports whether the local back end may be of the service.
-func (s *Sidecar) servesService(service string) bool {
-	own := s.options.Settings.Service
-	if own == "" || service == own {
-		return true
+// recordHeartbeat records what a heartbeat of the local back end says besides its record.
+func (s *Sidecar) recordHeartbeat(beat *roster.Heartbeat, now time.Time) {
+	s.lastHeartbeat.Store(clock.Stamp(now))
+	if beat.WarmupLeft > 0 {
+		s.warmedUp.Store(clock.Stamp(now.Add(beat.WarmupLeft)))
+		s.ingress.SetWarmupRemaining(beat.WarmupLeft)
 	}
-	table := s.keeper.Table()
-	return table != nil && table.Service(service) != nil
+}
+
+// logRefusedHeartbeat logs and counts a heartbeat that does not count.
+func (s *Sidecar) logRefusedHeartbeat(beat *roster.Heartbeat, refusal roster.Refusal) {
+	s.metrics.refusedHeartbeats.WithLabelValues(string(refusal)).Inc()
+	s.logger.Warn("heartbeat refused", zap.String("endpoint", beat.Incarnation().String()), zap.String("service", beat.Service),
+		zap.Uint64("sequence", beat.Sequence), zap.String("reason", string(refusal)))
 }
 
 // handleDrainNotice marks the back end as draining after it announced so in an answer, with the
