forward: bound replies whose header does not end

What callers saw: a back end that sends bytes that are no answer kept its caller waiting until the deadline if they came slowly, and interim answers (1xx) without end were forwarded to it, one by one, until then.

Cause: net/http judges a reply's first line when it is complete, bounds only the size of a header, and starts anew with each interim reply that the program looks at.

A header in single bytes: 504 at 2 s. Bytes without a line end: 502 after 64 KB. Interim answers, one a millisecond: forwarded for 2 s. All the other header streams: 502 at 64 KB.

Change: the connection's wrapper follows the header. What does not begin with "HTTP/1." is rejected at its first bytes, a header that arrives in pieces has Limits.ReplyHeaderTimeout from its first byte to its end, ReplyHeaderBytes counts interim replies too, and InterimReplies bounds their number. The time until the first byte stays that of the request: silence is no fault. The connection is closed, the outcome is unknown (502), and a ReplyError says why. The node logs "answer rejected" with request, back end, reason, bytes and time and counts kestrel_sidecar_backend_invalid_answers_total by reason. The rejection is not taken for a crash of the back end, nor for a connection that it dropped while idle.

--- a/internal/proxy/forward/conn.go
+++ b/internal/proxy/forward/conn.go
@@ -7,8 +7,12 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"os"
+	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // Write states of a tracked connection during one exchange.
@@ -26,20 +30,98 @@
 	writeDiscarded
 )
 
-// trackedConn tracks whether the current exchange has written anything. Writes
-// come from one goroutine at a time; begin and seal are called by the owner of
-// the exchange.
+// headerLimits bound the header of a reply and the interim replies before it;
+// zero values do not.
+type headerLimits struct {
+	bytes   int64
+	timeout time.Duration
+	interim int
+}
+
+// trackedConn tracks whether the current exchange has written anything, and
+// rejects bytes in the place of a reply that are no HTTP or whose header does
+// not end. Reads and writes come from one goroutine at a time each; begin and
+// seal are called by the owner of the exchange.
 type trackedConn struct {
 	net.Conn
-	state atomic.Int32
+	limits headerLimits
+	state  atomic.Int32
 	// exchange is the context of the current exchange, nil while idle.
 	exchange atomic.Pointer[context.Context]
+
+	mutex   sync.Mutex // guards all below
+	scanner replyScanner
+	// begun is when the current exchange began.
+	begun time.Time
+	// headerTimed: the read deadline bounds the rest of a header.
+	headerTimed bool
+	// invalid is why the connection was broken off; nil if it was not.
+	invalid *ReplyError
 }
 
 // begin starts an exchange with the given context. The connection must be idle.
 func (c *trackedConn) begin(ctx context.Context) {
 	c.state.Store(writeNone)
 	c.exchange.Store(&ctx)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.begun = time.Now()
+	c.scanner.reset()
+}
+
+// invalidReply returns why the connection was broken off; nil if it was not.
+func (c *trackedConn) invalidReply() *ReplyError {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.invalid
+}
+
+// Read implements net.Conn. It returns a ReplyError for bytes in the place of a
+// reply that are no HTTP or whose header exceeds its limits.
+func (c *trackedConn) Read(data []byte) (int, error) {
+	count, err := c.Conn.Read(data)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.scanner.done {
+		return count, err
+	}
+	if c.headerTimed && errors.Is(err, os.ErrDeadlineExceeded) {
+		return 0, c.reject(HeaderTooSlow, 0)
+	}
+	if !c.scanner.scan(data[:count]) {
+		return 0, c.reject(NotHTTP, count)
+	}
+	if limit := c.limits.bytes; limit > 0 && c.scanner.headerBytes >= limit && !c.scanner.done {
+		return 0, c.reject(HeaderTooLarge, 0)
+	}
+	if limit := c.limits.interim; limit > 0 && c.scanner.interims > limit {
+		return 0, c.reject(TooManyInterim, 0)
+	}
+	if timeErr := c.timeHeader(); err == nil {
+		err = timeErr
+	}
+	return count, err
+}
+
+// timeHeader bounds the time of a header that arrives in pieces. The caller must
+// hold the lock.
+func (c *trackedConn) timeHeader() error {
+	timed := c.scanner.inHeader() && c.limits.timeout > 0
+	if timed == c.headerTimed {
+		return nil
+	}
+	c.headerTimed = timed
+	if !timed {
+		return c.SetReadDeadline(time.Time{})
+	}
+	return c.SetReadDeadline(time.Now().Add(c.limits.timeout))
+}
+
+// reject records why the connection is broken off. more is the number of bytes
+// that the scanner did not count. The caller must hold the lock.
+func (c *trackedConn) reject(reason Reason, more int) *ReplyError {
+	c.invalid = &ReplyError{Reason: reason, Bytes: c.scanner.headerBytes + int64(more), Elapsed: time.Since(c.begun)}
+	return c.invalid
 }
 
 // finish marks the current exchange as complete.
--- /dev/null
+++ b/internal/proxy/forward/endless_test.go
@@ -0,0 +1,121 @@
+package forward_test
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kestrelstream/kestrelstream/internal/proxy/forward"
+	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
+	"github.com/kestrelstream/kestrelstream/internal/standin/endless"
+)
+
+const (
+	testHeaderBytes   = 8 << 10
+	testHeaderTimeout = time.Second
+	testInterim       = 5
+)
+
+// boundedPool returns a pool with bounds of replies and the rejections that it reports.
+func boundedPool(p *scriptedPeer) (*forward.Pool, *[]*forward.ReplyError) {
+	rejected := &[]*forward.ReplyError{}
+	limits := forward.Limits{
+		Connections: 4, IdleTimeout: time.Minute, DialTimeout: time.Second,
+		ReplyHeaderBytes: testHeaderBytes, ReplyHeaderTimeout: testHeaderTimeout, InterimReplies: testInterim,
+		OnInvalid: func(_ *http.Request, invalid *forward.ReplyError) { *rejected = append(*rejected, invalid) },
+	}
+	return forward.NewPool("peer:80", limits, p.dial), rejected
+}
+
+// streaming returns a script that reads a request and sends the stream.
+func streaming(p *scriptedPeer, stream endless.Stream) func(net.Conn, int32) {
+	return func(connection net.Conn, _ int32) {
+		if p.read(connection) {
+			stream.Send(connection)
+		}
+	}
+}
+
+// TestHeaderWithoutEnd guards against an exchange that lasts until its deadline while the peer sends
+// bytes that never become a reply.
+func TestHeaderWithoutEnd(t *testing.T) {
+	reasons := map[string]forward.Reason{"header of single bytes": forward.HeaderTooSlow, "interim answers": forward.TooManyInterim}
+	check := func(stream endless.Stream, reason forward.Reason) {
+		t.Run(stream.Name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				served := &scriptedPeer{}
+				served.script = streaming(served, stream)
+				pool, rejected := boundedPool(served)
+				begun := time.Now()
+				_, err := pool.RoundTrip(requestWithID("a"))
+				elapsed := time.Since(begun)
+				var invalid *forward.ReplyError
+				g.Expect(errors.As(err, &invalid)).To(BeTrue(), "%v", err)
+				g.Expect(outcomeOf(err)).To(Equal(outcome.Unknown))
+				g.Expect(*rejected).To(Equal([]*forward.ReplyError{invalid}))
+				g.Expect(invalid.Reason).To(Equal(reason))
+				g.Expect(invalid.Bytes).To(And(BeNumerically(">", 0), BeNumerically("<=", testHeaderBytes+2<<10)))
+				g.Expect(invalid.Elapsed).To(Equal(elapsed))
+				g.Expect(elapsed).To(BeNumerically("<", 2*testHeaderTimeout))
+				g.Expect(pool.Open()).To(BeZero())
+				time.Sleep(time.Second) // the script ends
+			})
+		})
+	}
+	for _, stream := range endless.NoAnswers() {
+		check(stream, forward.NotHTTP)
+	}
+	for _, stream := range endless.Heads("Request-Id: a\r\n") {
+		reason := forward.HeaderTooLarge
+		if special, found := reasons[stream.Name]; found {
+			reason = special
+		}
+		check(stream, reason)
+	}
+}
+
+// TestReplyInPieces guards against a valid reply that is rejected because its header arrives in
+// pieces, after interim replies or after a long wait.
+func TestReplyInPieces(t *testing.T) {
+	const reply = "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n" +
+		"HTTP/1.1 200 OK\r\nRequest-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+	cases := map[string][]string{
+		"single bytes":  strings.Split(reply, ""),
+		"lines":         strings.SplitAfter(reply, "\n"),
+		"line ends":     strings.SplitAfter(reply, "\r"),
+		"one piece":     {reply},
+		"bare newlines": {strings.ReplaceAll(reply[:strings.Index(reply, "2\r\n")], "\r\n", "\n"), "2\r\nok\r\n0\r\n\r\n"},
+	}
+	for name, pieces := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				served := &scriptedPeer{}
+				served.script = func(connection net.Conn, _ int32) {
+					for served.read(connection) {
+						time.Sleep(10 * testHeaderTimeout)
+						for _, piece := range pieces {
+							served.answer(connection, piece)
+							time.Sleep(testHeaderTimeout / time.Duration(2*len(reply)))
+						}
+					}
+				}
+				pool, rejected := boundedPool(served)
+				defer pool.Close()
+				for range 3 {
+					g.Expect(exchange(pool, requestWithID("a"))).To(Equal("ok"))
+					time.Sleep(testHeaderTimeout)
+				}
+				g.Expect(*rejected).To(BeEmpty())
+				g.Expect(served.connections.Load()).To(BeEquivalentTo(1))
+			})
+		})
+	}
+}
--- a/internal/proxy/forward/exchange.go
+++ b/internal/proxy/forward/exchange.go
@@ -66,7 +66,11 @@
 	conn.tracked.begin(request.Context())
 	response, err := p.exchange(conn, request)
 	if err != nil {
-		if conn.reused && request.Context().Err() == nil && !errors.Is(err, ErrForeignReply) {
+		if invalid := conn.tracked.invalidReply(); invalid != nil {
+			p.reportInvalid(request, invalid)
+			err = errors.Join(invalid, err)
+		}
+		if conn.reused && request.Context().Err() == nil && !IsPeerError(err) {
 			p.recordBreak(conn.idleFor)
 		}
 		return nil, p.fail(conn, err)
--- a/internal/proxy/forward/pool.go
+++ b/internal/proxy/forward/pool.go
@@ -24,8 +24,16 @@
 	IdleTimeout time.Duration
 	// DialTimeout bounds the time to open a connection.
 	DialTimeout time.Duration
-	// ReplyHeaderBytes bounds the size of a reply header.
+	// ReplyHeaderBytes bounds the size of a reply's header together with those of
+	// the interim replies before it; zero selects net/http's default for the former.
 	ReplyHeaderBytes int64
+	// ReplyHeaderTimeout bounds the time from the first byte of a reply's header to
+	// its end; zero for no bound. The time until the first byte is that of the
+	// request's context.
+	ReplyHeaderTimeout time.Duration
+	// InterimReplies bounds the number of interim replies (1xx) before a reply; zero
+	// for no bound.
+	InterimReplies int
 	// ExpectContinueTimeout is how long to wait for 100 Continue before the body
 	// is sent anyway; zero selects defaultExpectContinueTimeout.
 	ExpectContinueTimeout time.Duration
@@ -35,6 +43,9 @@
 	AllowUnframed bool
 	// Correlation matches replies with requests; zero if the peer echoes no id.
 	Correlation Correlation
+	// OnInvalid is called when bytes of the peer were rejected, with the request
+	// whose exchange they ended; nil for none.
+	OnInvalid func(request *http.Request, invalid *ReplyError)
 }
 
 // Dialer opens network connections.
@@ -44,9 +55,10 @@
 type Pool struct {
 	address   string
 	transport *http.Transport
-	// unframed and correlation are the fields of Limits, which never change.
+	// unframed, correlation and onInvalid are fields of Limits that never change.
 	unframed    bool
 	correlation Correlation
+	onInvalid   func(request *http.Request, invalid *ReplyError)
 	limits      Limits
 
 	mutex   sync.Mutex // guards all below
@@ -86,9 +98,12 @@
 	if dial == nil {
 		dial = (&net.Dialer{KeepAlive: 15 * time.Second}).DialContext
 	}
-	pool := &Pool{address: address, limits: limits, unframed: limits.AllowUnframed, correlation: limits.Correlation}
+	pool := &Pool{
+		address: address, limits: limits, unframed: limits.AllowUnframed, correlation: limits.Correlation,
+		onInvalid: limits.OnInvalid,
+	}
 	pool.transport = &http.Transport{
-		DialContext:            trackDials(dial),
+		DialContext:            trackDials(dial, limits.header()),
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: limits.ReplyHeaderBytes,
 		ReadBufferSize:         connectionBufferBytes,
@@ -113,17 +128,22 @@
 	return l.ExpectContinueTimeout
 }
 
+// header returns the limits of reply headers.
+func (l Limits) header() headerLimits {
+	return headerLimits{bytes: l.ReplyHeaderBytes, timeout: l.ReplyHeaderTimeout, interim: l.InterimReplies}
+}
+
 // dialedConnKey is the context key of the pointer in which trackDials stores the
 // new connection.
 type dialedConnKey struct{}
 
-func trackDials(dial Dialer) Dialer {
+func trackDials(dial Dialer, limits headerLimits) Dialer {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		opened, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		tracked := &trackedConn{Conn: opened}
+		tracked := &trackedConn{Conn: opened, limits: limits}
 		if dest, ok := ctx.Value(dialedConnKey{}).(**trackedConn); ok {
 			*dest = tracked
 		}
@@ -141,8 +161,8 @@
 	return p.open
 }
 
-// SetLimits replaces the limits, except for ReplyHeaderBytes,
-// ExpectContinueTimeout, AllowUnframed and Correlation, which NewPool fixes.
+// SetLimits replaces the limits of connections; NewPool fixes those of replies,
+// ExpectContinueTimeout, AllowUnframed, Correlation and OnInvalid.
 // Connections above a lowered limit are closed when their exchange ends.
 func (p *Pool) SetLimits(limits Limits) {
 	p.mutex.Lock()
--- /dev/null
+++ b/internal/sidecar/ingress/endless_test.go
@@ -0,0 +1,192 @@
+package ingress_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/kestrelstream/kestrelstream/internal/proxy/forward"
+	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/ingress"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/route"
+	"github.com/kestrelstream/kestrelstream/internal/standin/endless"
+)
+
+const (
+	// earlierID and endlessID are the ids of a request with a whole answer and of one whose answer
+	// is a stream.
+	earlierID, endlessID = "a", "b"
+	earlierAnswer        = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nSignature: s\r\nContent-Length: 2\r\n\r\nok"
+	// streamDeadline is the time of the request whose answer is a stream.
+	streamDeadline = 10 * time.Second
+)
+
+// endlessBackend sends a whole answer to the request with the earlier id and a stream for all
+// others.
+type endlessBackend struct {
+	stream endless.Stream
+
+	mu   sync.Mutex // guards all below
+	sent int64
+	// open is the number of connections on which a stream is being sent.
+	open int
+}
+
+// dial opens a connection in memory.
+func (b *endlessBackend) dial(context.Context, string, string) (net.Conn, error) {
+	client, server := net.Pipe()
+	go b.serve(server)
+	return client, nil
+}
+
+func (b *endlessBackend) serve(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return
+		}
+		if request.Header.Get(vocabulary.RequestID) != earlierID {
+			b.send(conn)
+			return
+		}
+		_, _ = io.WriteString(conn, earlierAnswer)
+	}
+}
+
+func (b *endlessBackend) send(conn net.Conn) {
+	b.mu.Lock()
+	b.open++
+	b.mu.Unlock()
+	sent := b.stream.Send(conn)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.open--
+	b.sent += sent
+}
+
+// state returns the number of bytes sent and of connections on which a stream is being sent.
+func (b *endlessBackend) state() (sent int64, open int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.sent, b.open
+}
+
+// rejections records the reasons of rejected answers.
+type rejections struct {
+	silentObserver
+	reasons []forward.Reason
+}
+
+func (r *rejections) InvalidAnswer(reason forward.Reason) { r.reasons = append(r.reasons, reason) }
+
+// streamTest is a handler in front of an endlessBackend.
+type streamTest struct {
+	*fixture
+	backend    *endlessBackend
+	rejections *rejections
+	logs       *observer.ObservedLogs
+}
+
+func newStreamTest(stream endless.Stream) *streamTest {
+	core, logs := observer.New(zapcore.InfoLevel)
+	test := &streamTest{fixture: &fixture{}, backend: &endlessBackend{stream: stream}, rejections: &rejections{}, logs: logs}
+	test.start(func(options *ingress.Options) {
+		options.Address, options.Dial = "backend:80", test.backend.dial
+		options.Logger, options.Observer = zap.New(core), test.rejections
+	})
+	test.handler.SetService(&route.Service{Name: "one", HealthPath: "/health"})
+	return test
+}
+
+// streamed passes the request whose answer is a stream through the handler. It returns the answer,
+// whether it was broken off, and the time that it took.
+func (s *streamTest) streamed() (got *httptest.ResponseRecorder, aborted bool, elapsed time.Duration) {
+	reported := hop.Request{Service: "one", Caller: "two", Remaining: streamDeadline, MaximumWait: time.Second}
+	request := httptest.NewRequest(http.MethodPost, "/a/", strings.NewReader("body"))
+	request.Header.Set(hop.HeaderHop, reported.Format())
+	request.Header.Set(vocabulary.RequestID, endlessID)
+	got = httptest.NewRecorder()
+	begun := time.Now()
+	defer func() {
+		elapsed = time.Since(begun)
+		aborted = recover() != nil
+	}()
+	s.handler.ServeHTTP(got, request)
+	return got, false, 0
+}
+
+// close ends all connections, and with them the streams.
+func (s *streamTest) close() {
+	s.handler.CloseIdle()
+	time.Sleep(time.Second)
+}
+
+// rejected returns the fields of the log lines about rejected answers.
+func (s *streamTest) rejected() (lines []map[string]any) {
+	for _, entry := range s.logs.FilterMessage("answer rejected").All() {
+		lines = append(lines, entry.ContextMap())
+	}
+	return lines
+}
+
+// headerLines are the header lines with which streams begin: without and with the request's id, its
+// signature and the marker of a request that was not processed.
+func headerLines() []string {
+	const own, earlier, signed, marked = "Request-Id: b\r\n", "Request-Id: a\r\n", "Signature: s\r\n", "Not-Processed: 1\r\n"
+	return []string{"", marked, own + signed, own + marked, earlier + signed, earlier + marked}
+}
+
+// TestAnswerHeadWithoutEnd guards against a caller that hears only at its deadline, and against a
+// request that is reported as not run, while the back end sends bytes that never become an answer.
+func TestAnswerHeadWithoutEnd(t *testing.T) {
+	const maxBytes, maxTime = 66 << 10, 2 * time.Second
+	for _, lines := range headerLines() {
+		for _, stream := range append(endless.NoAnswers(), endless.Heads(lines)...) {
+			t.Run(stream.Name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					g := NewWithT(t)
+					test := newStreamTest(stream)
+					defer test.close()
+					g.Expect(test.post(earlierID).Code).To(Equal(http.StatusOK))
+					got, aborted, elapsed := test.streamed()
+					g.Expect(aborted).To(BeFalse())
+					g.Expect(elapsed).To(BeNumerically("<", maxTime))
+					g.Expect(got.Header().Get(outcome.HeaderOutcome)).To(BeEquivalentTo(outcome.Unknown))
+					if stream.Name != "interim answers" { // of which the recorder keeps the first status
+						g.Expect(got.Code).To(Equal(http.StatusBadGateway))
+					}
+					time.Sleep(time.Second)
+					sent, open := test.backend.state()
+					g.Expect(open).To(BeZero())
+					g.Expect(sent).To(BeNumerically("<", maxBytes))
+					g.Expect(test.rejections.reasons).To(HaveLen(1))
+					g.Expect(test.rejected()).To(ConsistOf(And(
+						HaveKeyWithValue("request", endlessID), HaveKeyWithValue("endpoint", "i-1"),
+						HaveKeyWithValue("reason", string(test.rejections.reasons[0])),
+						HaveKeyWithValue("bytes", BeNumerically("<", maxBytes)), HaveKeyWithValue("elapsed", BeNumerically("<=", elapsed)),
+					)))
+					g.Expect(test.post(earlierID).Code).To(Equal(http.StatusOK), "the next request is served")
+				})
+			})
+		}
+	}
+}
--- a/internal/sidecar/ingress/exchange.go
+++ b/internal/sidecar/ingress/exchange.go
@@ -103,10 +103,10 @@
 }
 
 // detectCrash finds out whether a broken connection is due to a crash of the back end's process and
-// updates the failure. It did not break by itself when the caller cancelled the request, or when an
-// answer to another request arrived.
+// updates the failure. It did not break by itself when the caller cancelled the request, or when
+// bytes that are no answer to the request arrived.
 func (a *arrival) detectCrash(failure *outcome.Failure) {
-	if a.context.Err() != nil || errors.Is(failure.Cause, forward.ErrForeignReply) {
+	if a.context.Err() != nil || forward.IsPeerError(failure.Cause) {
 		return
 	}
 	crashed, first := a.handler.crashed(a)
--- a/internal/sidecar/ingress/handler.go
+++ b/internal/sidecar/ingress/handler.go
@@ -94,6 +94,8 @@
 	NoticeUnreadable()
 	// ForeignAnswer is called when the back end sends an answer without the request's id.
 	ForeignAnswer()
+	// InvalidAnswer is called when bytes of the back end were rejected.
+	InvalidAnswer(reason forward.Reason)
 }
 
 // Quarantine knows which requests crash the back ends that run them.
@@ -128,6 +130,11 @@
 	idleTimeout = 3 * time.Second
 	// replyHeaderBytes bounds the size of an answer's headers.
 	replyHeaderBytes = 64 << 10
+	// replyHeaderTimeout bounds the time from the first byte of an answer to the end of its headers,
+	// which servers write at once.
+	replyHeaderTimeout = time.Second
+	// interimReplies bounds the number of interim answers before an answer.
+	interimReplies = 32
 	// defaultConnections bounds the connections until a configuration is in force.
 	defaultConnections = 64
 	// defaultRetryAfter is the Retry-After of refusals without a better estimate.
@@ -182,12 +189,15 @@
 		trial:        semaphore.NewWeighted(1),
 	}
 	created.pool = forward.NewPool(options.Address, forward.Limits{
-		Connections:      defaultConnections,
-		IdleTimeout:      idleTimeout,
-		DialTimeout:      dialTimeout,
-		ReplyHeaderBytes: replyHeaderBytes,
-		AllowUnframed:    true,
-		Correlation:      forward.Correlation{Header: options.Vocabulary.RequestID, OnForeign: created.recordForeign},
+		Connections:        defaultConnections,
+		IdleTimeout:        idleTimeout,
+		DialTimeout:        dialTimeout,
+		ReplyHeaderBytes:   replyHeaderBytes,
+		ReplyHeaderTimeout: replyHeaderTimeout,
+		InterimReplies:     interimReplies,
+		AllowUnframed:      true,
+		Correlation:        forward.Correlation{Header: options.Vocabulary.RequestID, OnForeign: created.recordForeign},
+		OnInvalid:          created.recordInvalid,
 	}, options.Dial)
 	if options.Restarted {
 		created.notices.noReplyYet.Store(true)
--- a/internal/sidecar/ingress/handler_test.go
+++ b/internal/sidecar/ingress/handler_test.go
@@ -17,6 +17,7 @@
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
 
+	"github.com/kestrelstream/kestrelstream/internal/proxy/forward"
 	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/ingress"
@@ -36,6 +37,7 @@
 func (silentObserver) BackendSent()                                                                 {}
 func (silentObserver) NoticeUnreadable()                                                            {}
 func (silentObserver) ForeignAnswer()                                                               {}
+func (silentObserver) InvalidAnswer(forward.Reason)                                                 {}
 
 // fixture is a handler with a back end whose answers the test sets.
 type fixture struct {
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -7,6 +7,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/kestrelstream/kestrelstream/internal/proxy/forward"
 	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
 )
 
@@ -29,6 +30,8 @@
 	// backendSent counts the requests sent to the back end, unreadableNotices its notices that
 	// cannot be decoded, foreignAnswers its answers without the id of the request that was sent.
 	backendSent, unreadableNotices, foreignAnswers prometheus.Counter
+	// invalidAnswers counts the rejections of bytes of the back end by reason.
+	invalidAnswers *prometheus.CounterVec
 	// diverted counts requests that were not sent to a back end because its own limit had no
 	// capacity for them in time.
 	diverted *prometheus.CounterVec
@@ -140,7 +143,10 @@
 	created.foreignAnswers = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "kestrel_sidecar_backend_foreign_answers_total", Help: "Answers of the local back end without the id of the request that was sent.",
 	})
-	registry.MustRegister(created.diverted, created.backendSent, created.unreadableNotices, created.foreignAnswers, created.versionAnswers, created.proofAges, created.lag, created.fetches, created.crashes, created.crashedRequests, created.silentProbes, created.pipelined, created.calls, created.latency, created.hop, created.sends, created.arrivals, created.queueSeconds, created.backendSeconds)
+	created.invalidAnswers = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "kestrel_sidecar_backend_invalid_answers_total", Help: "Rejections of bytes of the local back end that are no valid answer or exceed a limit, by reason.",
+	}, []string{"reason"})
+	registry.MustRegister(created.diverted, created.backendSent, created.unreadableNotices, created.foreignAnswers, created.invalidAnswers, created.versionAnswers, created.proofAges, created.lag, created.fetches, created.crashes, created.crashedRequests, created.silentProbes, created.pipelined, created.calls, created.latency, created.hop, created.sends, created.arrivals, created.queueSeconds, created.backendSeconds)
 	return created
 }
 
@@ -190,6 +196,11 @@
 // ForeignAnswer implements ingress.Observer.
 func (m *metrics) ForeignAnswer() { m.foreignAnswers.Inc() }
 
+// InvalidAnswer implements ingress.Observer.
+func (m *metrics) InvalidAnswer(reason forward.Reason) {
+	m.invalidAnswers.WithLabelValues(string(reason)).Inc()
+}
+
 // CaughtUp implements exchange.Observer.
 func (m *metrics) CaughtUp(lag time.Duration) { m.lag.Observe(lag.Seconds()) }
 
