forward: bound a dropped reply to another request

What callers saw: when a back end sent the answer to an earlier request once more and its body had no end, the caller of the next request got 504 at its deadline.

Cause: nextReply read the reply that it dropped without a bound of bytes or of time, also where no other reply could follow it on the connection.

Change: Limits.DroppedReplyBytes and DroppedReplyTimeout; the node sets 1 MB and 250 ms, far below what a reply to its own request may take. A reply that ends with its connection, or states a greater length, is not read at all. The exchange fails with ErrForeignReply as before (502, unknown), and a ReplyError says which bound was reached.

--- a/internal/proxy/forward/conn.go
+++ b/internal/proxy/forward/conn.go
@@ -89,7 +89,7 @@
 		return 0, c.reject(HeaderTooSlow, 0)
 	}
 	if !c.scanner.scan(data[:count]) {
-		return 0, c.reject(NotHTTP, count)
+		return 0, c.reject(NotHTTP, int64(count))
 	}
 	if limit := c.limits.bytes; limit > 0 && c.scanner.headerBytes >= limit && !c.scanner.done {
 		return 0, c.reject(HeaderTooLarge, 0)
@@ -119,8 +119,8 @@
 
 // reject records why the connection is broken off. more is the number of bytes
 // that the scanner did not count. The caller must hold the lock.
-func (c *trackedConn) reject(reason Reason, more int) *ReplyError {
-	c.invalid = &ReplyError{Reason: reason, Bytes: c.scanner.headerBytes + int64(more), Elapsed: time.Since(c.begun)}
+func (c *trackedConn) reject(reason Reason, more int64) *ReplyError {
+	c.invalid = &ReplyError{Reason: reason, Bytes: c.scanner.headerBytes + more, Elapsed: time.Since(c.begun)}
 	return c.invalid
 }
 
@@ -164,9 +164,22 @@
 	return written, err
 }
 
-// discardWrites discards all writes until the next exchange begins. The request
-// must have been written completely.
-func (c *trackedConn) discardWrites() { c.state.Store(writeDiscarded) }
+// rejectDropped records why a reply that was being dropped broke off the connection.
+// bytes is the number of bytes read of its body.
+func (c *trackedConn) rejectDropped(reason Reason, bytes int64) *ReplyError {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.reject(reason, bytes)
+}
+
+// discardWrites discards all writes until the next exchange begins, and awaits
+// another reply. The request must have been written completely.
+func (c *trackedConn) discardWrites() {
+	c.state.Store(writeDiscarded)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.scanner.reset()
+}
 
 // seal disables further writes and reports whether nothing was written. A write
 // in progress counts as written.
--- a/internal/proxy/forward/correlation.go
+++ b/internal/proxy/forward/correlation.go
@@ -4,6 +4,8 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
+	"time"
 )
 
 // ErrForeignReply is returned when the peer sent a reply to another request in
@@ -68,7 +70,7 @@
 		_ = reply.Body.Close()
 		return nil, ErrForeignReply
 	}
-	reply, err = conn.nextReply(request, reply)
+	reply, err = conn.nextReply(request, reply, p.replies)
 	if err != nil {
 		return nil, errors.Join(ErrForeignReply, err)
 	}
@@ -83,8 +85,8 @@
 // sending anything. net/http reads a reply only after it has sent a request, so
 // the request is repeated with its writes discarded. A reply that arrives before
 // that ends the connection: net/http takes it for unsolicited.
-func (c *connection) nextReply(request *http.Request, dropped *http.Response) (*http.Response, error) {
-	_, err := io.Copy(io.Discard, dropped.Body)
+func (c *connection) nextReply(request *http.Request, dropped *http.Response, limits Limits) (*http.Response, error) {
+	err := c.drop(dropped, limits)
 	_ = dropped.Body.Close()
 	if err != nil {
 		return nil, err
@@ -97,3 +99,48 @@
 	repeated.Body, repeated.GetBody, repeated.ContentLength = nil, nil, 0
 	return c.client.RoundTrip(repeated)
 }
+
+// drop reads the body of a reply within the limits. It fails at once if no other
+// reply can follow.
+func (c *connection) drop(dropped *http.Response, limits Limits) error {
+	if dropped.Close || dropped.ContentLength < 0 && len(dropped.TransferEncoding) == 0 {
+		return errNoNextReply
+	}
+	if timeout := limits.DroppedReplyTimeout; timeout > 0 {
+		if err := c.tracked.SetReadDeadline(time.Now().Add(timeout)); err != nil {
+			return err
+		}
+	}
+	read, err := readAtMost(dropped, limits.DroppedReplyBytes)
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return c.tracked.rejectDropped(DroppedTooSlow, read)
+	case errors.Is(err, errTooLong):
+		return c.tracked.rejectDropped(DroppedTooLarge, read)
+	case err != nil:
+		return err
+	}
+	return c.tracked.SetReadDeadline(time.Time{})
+}
+
+var errTooLong = errors.New("reply is too long to be dropped")
+
+// readAtMost reads the body of a reply and returns its length. It fails with
+// errTooLong, without reading a body that states its length, if that exceeds the
+// maximum; zero for none.
+func readAtMost(reply *http.Response, maximum int64) (read int64, err error) {
+	if maximum <= 0 {
+		return io.Copy(io.Discard, reply.Body)
+	}
+	if reply.ContentLength > maximum {
+		return 0, errTooLong
+	}
+	read, err = io.CopyN(io.Discard, reply.Body, maximum+1)
+	switch {
+	case err == nil:
+		return read, errTooLong
+	case errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF):
+		return read, nil
+	}
+	return read, err
+}
--- a/internal/proxy/forward/endless_test.go
+++ b/internal/proxy/forward/endless_test.go
@@ -1,6 +1,7 @@
 package forward_test
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -20,6 +21,8 @@
 	testHeaderBytes   = 8 << 10
 	testHeaderTimeout = time.Second
 	testInterim       = 5
+	testDroppedBytes  = 32 << 10
+	testDroppedTime   = 100 * time.Millisecond
 )
 
 // boundedPool returns a pool with bounds of replies and the rejections that it reports.
@@ -28,11 +31,19 @@
 	limits := forward.Limits{
 		Connections: 4, IdleTimeout: time.Minute, DialTimeout: time.Second,
 		ReplyHeaderBytes: testHeaderBytes, ReplyHeaderTimeout: testHeaderTimeout, InterimReplies: testInterim,
+		DroppedReplyBytes: testDroppedBytes, DroppedReplyTimeout: testDroppedTime, Correlation: forward.Correlation{Header: idHeader},
 		OnInvalid: func(_ *http.Request, invalid *forward.ReplyError) { *rejected = append(*rejected, invalid) },
 	}
 	return forward.NewPool("peer:80", limits, p.dial), rejected
 }
 
+// roundTripWithin sends a request that is cancelled long after all bounds.
+func roundTripWithin(t *testing.T, pool *forward.Pool, id string) (*http.Response, error) {
+	ctx, cancel := context.WithTimeout(t.Context(), 10*testHeaderTimeout)
+	t.Cleanup(cancel)
+	return pool.RoundTrip(requestWithID(id).WithContext(ctx))
+}
+
 // streaming returns a script that reads a request and sends the stream.
 func streaming(p *scriptedPeer, stream endless.Stream) func(net.Conn, int32) {
 	return func(connection net.Conn, _ int32) {
@@ -54,7 +65,7 @@
 				served.script = streaming(served, stream)
 				pool, rejected := boundedPool(served)
 				begun := time.Now()
-				_, err := pool.RoundTrip(requestWithID("a"))
+				_, err := roundTripWithin(t, pool, "a")
 				elapsed := time.Since(begun)
 				var invalid *forward.ReplyError
 				g.Expect(errors.As(err, &invalid)).To(BeTrue(), "%v", err)
@@ -85,7 +96,7 @@
 // pieces, after interim replies or after a long wait.
 func TestReplyInPieces(t *testing.T) {
 	const reply = "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n" +
-		"HTTP/1.1 200 OK\r\nRequest-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
 	cases := map[string][]string{
 		"single bytes":  strings.Split(reply, ""),
 		"lines":         strings.SplitAfter(reply, "\n"),
@@ -110,7 +121,7 @@
 				pool, rejected := boundedPool(served)
 				defer pool.Close()
 				for range 3 {
-					g.Expect(exchange(pool, requestWithID("a"))).To(Equal("ok"))
+					g.Expect(exchange(pool, requestWithID(""))).To(Equal("ok"))
 					time.Sleep(testHeaderTimeout)
 				}
 				g.Expect(*rejected).To(BeEmpty())
@@ -119,3 +130,48 @@
 		})
 	}
 }
+
+// TestForeignReplyWithoutEnd guards against an exchange that lasts until its deadline while the peer
+// sends an endless reply to another request.
+func TestForeignReplyWithoutEnd(t *testing.T) {
+	const earlier = "Request-Id: b\r\n"
+	reasons := map[string]forward.Reason{
+		"body in chunks": forward.DroppedTooLarge, "body of a great length": forward.DroppedTooLarge,
+		"chunks of single bytes": forward.DroppedTooSlow,
+	}
+	valid, invalid := endless.Bodies(earlier)
+	for _, stream := range append(valid, invalid...) {
+		t.Run(stream.Name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				served := &scriptedPeer{}
+				served.script = func(connection net.Conn, _ int32) {
+					if served.read(connection) {
+						served.answer(connection, replyTo("b", 200))
+					}
+					if served.read(connection) {
+						stream.Send(connection)
+					}
+				}
+				pool, rejected := boundedPool(served)
+				_, err := exchange(pool, requestWithID("b"))
+				g.Expect(err).NotTo(HaveOccurred())
+				begun := time.Now()
+				_, err = roundTripWithin(t, pool, "a")
+				g.Expect(time.Since(begun)).To(BeNumerically("<", 2*testDroppedTime))
+				g.Expect(err).To(MatchError(forward.ErrForeignReply))
+				g.Expect(outcomeOf(err)).To(Equal(outcome.Unknown))
+				g.Expect(pool.Open()).To(BeZero())
+				time.Sleep(time.Second) // the script ends
+				reason, bounded := reasons[stream.Name]
+				if !bounded {
+					g.Expect(*rejected).To(BeEmpty())
+					return
+				}
+				g.Expect(*rejected).To(HaveLen(1))
+				g.Expect((*rejected)[0].Reason).To(Equal(reason))
+				g.Expect((*rejected)[0].Bytes).To(BeNumerically("<=", testDroppedBytes+testHeaderBytes))
+			})
+		})
+	}
+}
--- a/internal/proxy/forward/invalid.go
+++ b/internal/proxy/forward/invalid.go
@@ -20,6 +20,11 @@
 	HeaderTooSlow Reason = "header-time"
 	// TooManyInterim: more than Limits.InterimReplies came before the reply.
 	TooManyInterim Reason = "interim-replies"
+	// DroppedTooLarge: a reply to another request exceeds Limits.DroppedReplyBytes.
+	DroppedTooLarge Reason = "dropped-bytes"
+	// DroppedTooSlow: a reply to another request did not end within
+	// Limits.DroppedReplyTimeout.
+	DroppedTooSlow Reason = "dropped-time"
 )
 
 // ReplyError reports bytes of a peer that are no valid reply or exceed a limit. Their connection is
--- a/internal/proxy/forward/pool.go
+++ b/internal/proxy/forward/pool.go
@@ -43,6 +43,11 @@
 	AllowUnframed bool
 	// Correlation matches replies with requests; zero if the peer echoes no id.
 	Correlation Correlation
+	// DroppedReplyBytes bounds the body of a reply to another request that is
+	// dropped to await the own one, DroppedReplyTimeout the time to read it; zero
+	// for no bound.
+	DroppedReplyBytes   int64
+	DroppedReplyTimeout time.Duration
 	// OnInvalid is called when bytes of the peer were rejected, with the request
 	// whose exchange they ended; nil for none.
 	OnInvalid func(request *http.Request, invalid *ReplyError)
@@ -55,7 +60,9 @@
 type Pool struct {
 	address   string
 	transport *http.Transport
-	// unframed, correlation and onInvalid are fields of Limits that never change.
+	// replies holds the limits as passed to NewPool; those of replies never change.
+	// unframed, correlation and onInvalid are fields of it.
+	replies     Limits
 	unframed    bool
 	correlation Correlation
 	onInvalid   func(request *http.Request, invalid *ReplyError)
@@ -99,8 +106,8 @@
 		dial = (&net.Dialer{KeepAlive: 15 * time.Second}).DialContext
 	}
 	pool := &Pool{
-		address: address, limits: limits, unframed: limits.AllowUnframed, correlation: limits.Correlation,
-		onInvalid: limits.OnInvalid,
+		address: address, limits: limits, replies: limits,
+		unframed: limits.AllowUnframed, correlation: limits.Correlation, onInvalid: limits.OnInvalid,
 	}
 	pool.transport = &http.Transport{
 		DialContext:            trackDials(dial, limits.header()),
--- a/internal/sidecar/ingress/endless_test.go
+++ b/internal/sidecar/ingress/endless_test.go
@@ -190,3 +190,32 @@
 		}
 	}
 }
+
+// TestEarlierAnswerWithoutEnd guards against a caller that hears only at its deadline while the back
+// end sends an endless answer to an earlier request.
+func TestEarlierAnswerWithoutEnd(t *testing.T) {
+	const maxBytes, maxTime = 2 << 20, time.Second
+	for _, lines := range []string{"Request-Id: a\r\nSignature: s\r\n", "Request-Id: a\r\nNot-Processed: 1\r\n"} {
+		valid, invalid := endless.Bodies(lines)
+		for _, stream := range append(valid, invalid...) {
+			t.Run(stream.Name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					g := NewWithT(t)
+					test := newStreamTest(stream)
+					defer test.close()
+					g.Expect(test.post(earlierID).Code).To(Equal(http.StatusOK))
+					got, aborted, elapsed := test.streamed()
+					g.Expect(aborted).To(BeFalse())
+					g.Expect(elapsed).To(BeNumerically("<", maxTime))
+					g.Expect(got.Code).To(Equal(http.StatusBadGateway))
+					g.Expect(got.Header().Get(outcome.HeaderOutcome)).To(BeEquivalentTo(outcome.Unknown))
+					time.Sleep(time.Second)
+					sent, open := test.backend.state()
+					g.Expect(open).To(BeZero())
+					g.Expect(sent).To(BeNumerically("<", maxBytes))
+					g.Expect(test.logs.FilterMessage("answer to another request").Len()).To(Equal(1))
+				})
+			})
+		}
+	}
+}
--- a/internal/sidecar/ingress/handler.go
+++ b/internal/sidecar/ingress/handler.go
@@ -135,6 +135,9 @@
 	replyHeaderTimeout = time.Second
 	// interimReplies bounds the number of interim answers before an answer.
 	interimReplies = 32
+	// droppedReplyBytes and droppedReplyTimeout bound an answer to another request that is dropped.
+	droppedReplyBytes   = 1 << 20
+	droppedReplyTimeout = 250 * time.Millisecond
 	// defaultConnections bounds the connections until a configuration is in force.
 	defaultConnections = 64
 	// defaultRetryAfter is the Retry-After of refusals without a better estimate.
@@ -189,15 +192,17 @@
 		trial:        semaphore.NewWeighted(1),
 	}
 	created.pool = forward.NewPool(options.Address, forward.Limits{
-		Connections:        defaultConnections,
-		IdleTimeout:        idleTimeout,
-		DialTimeout:        dialTimeout,
-		ReplyHeaderBytes:   replyHeaderBytes,
-		ReplyHeaderTimeout: replyHeaderTimeout,
-		InterimReplies:     interimReplies,
-		AllowUnframed:      true,
-		Correlation:        forward.Correlation{Header: options.Vocabulary.RequestID, OnForeign: created.recordForeign},
-		OnInvalid:          created.recordInvalid,
+		Connections:         defaultConnections,
+		IdleTimeout:         idleTimeout,
+		DialTimeout:         dialTimeout,
+		ReplyHeaderBytes:    replyHeaderBytes,
+		ReplyHeaderTimeout:  replyHeaderTimeout,
+		InterimReplies:      interimReplies,
+		AllowUnframed:       true,
+		Correlation:         forward.Correlation{Header: options.Vocabulary.RequestID, OnForeign: created.recordForeign},
+		DroppedReplyBytes:   droppedReplyBytes,
+		DroppedReplyTimeout: droppedReplyTimeout,
+		OnInvalid:           created.recordInvalid,
 	}, options.Dial)
 	if options.Restarted {
 		created.notices.noReplyYet.Store(true)
--- a/internal/standin/endless/endless.go
+++ b/internal/standin/endless/endless.go
@@ -66,6 +66,8 @@
 		{"body until close", head(lines) + "\r\n", noise, pause},
 		{"body in chunks", head(lines, chunked), chunk, pause},
 		{"body of single bytes", head(lines) + "\r\n", "0", slowPause},
+		{"chunks of single bytes", head(lines, chunked), "1\r\n0\r\n", slowPause},
+		{"body of a great length", head(lines) + "Content-Length: 1000000000000\r\n\r\n", noise, pause},
 	}
 	invalid = []Stream{
 		{"chunk size without an end", head(lines, chunked), padding, pause},
