ingress: bound the answer to a health check

What operators saw: nothing, which is the fault. A back end whose answer to a health check has no end made its node read up to 10 MB a check, net/http's own bound, and nothing counted it.

Cause: the health check had a client of its own, without a bound of the header and without the checks of the other connections.

Change: the check uses a connection pool as requests do, with the same bounds of the header, the time of the check as a whole as before, and one connection a check (Request.Close). It follows no redirects, as no back end's check has any. "answer rejected" also has the path, since a health check has no request id.

--- a/internal/sidecar/ingress/endless_test.go
+++ b/internal/sidecar/ingress/endless_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -219,3 +221,34 @@
 		}
 	}
 }
+
+// TestHealthAnswerWithoutEnd guards against a health check that reads, and logs, an endless answer.
+func TestHealthAnswerWithoutEnd(t *testing.T) {
+	const maxBytes, maxText, maxTime = 66 << 10, 1 << 10, 400 * time.Millisecond
+	const requests = 5 // a health check is sent before the last one
+	const lines = "Instance: i-1\r\n"
+	valid, invalid := endless.Bodies(lines)
+	for _, stream := range slices.Concat(endless.NoAnswers(), endless.Heads(lines), valid, invalid) {
+		t.Run(stream.Name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				test := newStreamTest(stream)
+				defer test.close()
+				test.handler.SetService(&route.Service{Name: "one", HealthPath: "/health", WarmupRate: 3, WarmupTime: time.Hour})
+				test.handler.MarkPossiblyCold()
+				for range requests {
+					test.post(earlierID)
+				}
+				time.Sleep(maxTime)
+				sent, open := test.backend.state()
+				g.Expect(open).To(BeZero())
+				g.Expect(sent).To(And(BeNumerically(">", 0), BeNumerically("<", maxBytes)))
+				for _, entry := range test.logs.All() {
+					for name, value := range entry.ContextMap() {
+						g.Expect(len(fmt.Sprint(value))).To(BeNumerically("<", maxText), name)
+					}
+				}
+			})
+		})
+	}
+}
--- a/internal/sidecar/ingress/handler.go
+++ b/internal/sidecar/ingress/handler.go
@@ -169,8 +169,8 @@
 	// warmup limits the requests to a cold back end.
 	warmup warmup.Limit
 	// health is the path of the back end's health check, nil until known.
-	health       atomic.Pointer[string]
-	healthClient *http.Client
+	health     atomic.Pointer[string]
+	healthPool *forward.Pool
 	// trial is held by the suspected request that is active: only one at a time, so that a crash
 	// identifies it.
 	trial *semaphore.Weighted
@@ -185,12 +185,12 @@
 // New returns a handler that refuses all requests until a back end is known.
 func New(options Options) *Handler {
 	created := &Handler{
-		options:      options,
-		gate:         admission.New(clock.Now),
-		transfers:    newTransfers(options.LinkMbps),
-		healthClient: newHealthClient(options.Dial),
-		trial:        semaphore.NewWeighted(1),
+		options:   options,
+		gate:      admission.New(clock.Now),
+		transfers: newTransfers(options.LinkMbps),
+		trial:     semaphore.NewWeighted(1),
 	}
+	created.healthPool = created.newHealthPool()
 	created.pool = forward.NewPool(options.Address, forward.Limits{
 		Connections:         defaultConnections,
 		IdleTimeout:         idleTimeout,
--- a/internal/sidecar/ingress/invalid.go
+++ b/internal/sidecar/ingress/invalid.go
@@ -8,15 +8,23 @@
 	"github.com/kestrelstream/kestrelstream/internal/proxy/forward"
 )
 
-// recordInvalid counts and logs bytes of the back end that were rejected.
+// recordInvalid counts and logs bytes of the back end that were rejected. A health check has no id.
 func (h *Handler) recordInvalid(request *http.Request, invalid *forward.ReplyError) {
 	h.options.Observer.InvalidAnswer(invalid.Reason)
-	names := &h.options.Vocabulary
 	h.options.Logger.Info("answer rejected",
-		zap.String("request", request.Header.Get(names.RequestID)),
-		zap.String("endpoint", request.Header.Get(names.TargetInstance)),
+		zap.String("request", request.Header.Get(h.options.Vocabulary.RequestID)),
+		zap.String("path", request.URL.Path),
+		zap.String("endpoint", h.endpointID()),
 		zap.String("reason", string(invalid.Reason)),
 		zap.Int64("bytes", invalid.Bytes),
 		zap.Duration("elapsed", invalid.Elapsed),
 	)
 }
+
+// endpointID returns the id of the back end, empty if there is none.
+func (h *Handler) endpointID() string {
+	if endpoint := h.options.Endpoint(); endpoint != nil {
+		return endpoint.ID
+	}
+	return ""
+}
--- a/internal/sidecar/ingress/warmup.go
+++ b/internal/sidecar/ingress/warmup.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/kestrelstream/kestrelstream/internal/proxy/forward"
 	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/contain"
@@ -50,13 +50,37 @@
 	return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepWarmup, max(verdict.RetryAfter, defaultRetryAfter/2), errCold)
 }
 
-// newHealthClient returns the client for the back end's health check. It opens a new connection
-// each time, since a kept one could belong to a process that was replaced.
-func newHealthClient(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Client {
-	return &http.Client{
-		Timeout:   healthTimeout,
-		Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true},
+// maxHealthChecks bounds the health checks in progress.
+const maxHealthChecks = 4
+
+// newHealthPool returns the connections for the back end's health check. Each check has one of its
+// own, since a kept one could belong to a process that was replaced.
+func (h *Handler) newHealthPool() *forward.Pool {
+	return forward.NewPool(h.options.Address, forward.Limits{
+		Connections:        maxHealthChecks,
+		DialTimeout:        healthTimeout,
+		ReplyHeaderBytes:   replyHeaderBytes,
+		ReplyHeaderTimeout: healthTimeout,
+		InterimReplies:     interimReplies,
+		AllowUnframed:      true,
+		OnInvalid:          h.recordInvalid,
+	}, h.options.Dial)
+}
+
+// checkHealth sends a health check. The answer's body is not read.
+func (h *Handler) checkHealth(path string) (*http.Response, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), healthTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.options.Address+path, nil)
+	if err != nil {
+		return nil, err
+	}
+	request.Close = true
+	response, err := h.healthPool.RoundTrip(request)
+	if err != nil {
+		return nil, err
 	}
+	return response, response.Body.Close()
 }
 
 // askHealth asks the back end for its remaining warm-up time. An answer of another instance is
@@ -67,12 +91,11 @@
 		return
 	}
 	asked := clock.Now()
-	response, err := h.healthClient.Get("http://" + h.options.Address + *path)
+	response, err := h.checkHealth(*path)
 	if err != nil {
 		h.options.Logger.Info("back end's health not known", zap.String("endpoint", endpoint.ID), zap.Error(err))
 		return
 	}
-	_ = response.Body.Close()
 	names := &h.options.Vocabulary
 	left, reported := hop.ParseMilliseconds(response.Header.Get(names.WarmupLeft))
 	if found := response.Header.Get(names.InstanceID); found != endpoint.ID {
