forward: bound the text of errors that quote the peer

What operators saw: log lines as long as what a back end in trouble had sent.

Cause: net/http quotes a malformed status or header line whole, up to 64 KB, and four times as long where the bytes are escaped; Error.Error passed this on to the logs.

Evidence: TestErrorTextIsBounded with 4 KB of zero bytes in a status line, a header line and a Content-Length: more than 512 bytes of text without the bound.

Change: the text of an Error's cause ends after 256 bytes. The cause itself is unchanged.

--- a/internal/proxy/forward/endless_test.go
+++ b/internal/proxy/forward/endless_test.go
@@ -175,3 +175,24 @@
 		})
 	}
 }
+
+// TestErrorTextIsBounded guards against log lines as long as what the peer sent.
+func TestErrorTextIsBounded(t *testing.T) {
+	const maxText = 512
+	noise := strings.Repeat("\x00", 4<<10)
+	for _, reply := range []string{"HTTP/1.1 " + noise + "\r\n\r\n", "HTTP/1.1 200 OK\r\n" + noise + "\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: " + noise + "\r\n\r\n"} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			served := &scriptedPeer{}
+			served.script = func(connection net.Conn, _ int32) {
+				if served.read(connection) {
+					served.answer(connection, reply)
+				}
+			}
+			pool, _ := boundedPool(served)
+			_, err := pool.RoundTrip(requestWithID("a"))
+			g.Expect(outcomeOf(err)).To(Equal(outcome.Unknown))
+			g.Expect(len(err.Error())).To(BeNumerically("<", maxText))
+		})
+	}
+}
--- a/internal/proxy/forward/exchange.go
+++ b/internal/proxy/forward/exchange.go
@@ -31,9 +31,16 @@
 	Cause   error
 }
 
-// Error returns the outcome, step, peer and cause as text.
+// maxCauseBytes bounds the text of a cause, which may quote what the peer sent.
+const maxCauseBytes = 256
+
+// Error returns the outcome, step, peer and the beginning of the cause as text.
 func (e *Error) Error() string {
-	return string(e.Outcome) + ": step " + string(e.Step) + ", peer " + e.Peer + ": " + e.Cause.Error()
+	cause := e.Cause.Error()
+	if len(cause) > maxCauseBytes {
+		cause = cause[:maxCauseBytes] + "..."
+	}
+	return string(e.Outcome) + ": step " + string(e.Step) + ", peer " + e.Peer + ": " + cause
 }
 
 // Unwrap returns the cause.
