forward: report bodies that are broken off, and bound their size

What operators saw: nothing. A back end whose body has no end, or whose framing is broken, had its answer broken off at the request's deadline or at the fault, without a log line or a counter. A body over loopback kept the node's processor busy until then.

Is a bound of bytes right? The body goes through a buffer of 16 KB, and the caller's connection slows the back end's, so that its size costs no memory, and a long download must not be cut. Its time is bounded: the caller's deadline or the route's timeout, 30 s where there is neither. Over a machine's link that bounds the bytes as well. An answer that states a greater length fails at once with 502; any other one is broken off, its connection closed without the end of its framing, so that no caller takes it for whole.

Change: Limits.ReplyBodyBytes, and reasons body-bytes, body-time (deadline) and body-broken (ended early or framing invalid) for log line and counter. A request that its caller cancelled is not reported. Outcomes are as before: unknown, 502, or the connection broken off once a part was forwarded.

--- a/internal/proxy/forward/conn.go
+++ b/internal/proxy/forward/conn.go
@@ -164,9 +164,9 @@
 	return written, err
 }
 
-// rejectDropped records why a reply that was being dropped broke off the connection.
-// bytes is the number of bytes read of its body.
-func (c *trackedConn) rejectDropped(reason Reason, bytes int64) *ReplyError {
+// rejectBody records why the connection is broken off while a body is read, of
+// which bytes were read.
+func (c *trackedConn) rejectBody(reason Reason, bytes int64) *ReplyError {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	return c.reject(reason, bytes)
--- a/internal/proxy/forward/correlation.go
+++ b/internal/proxy/forward/correlation.go
@@ -114,9 +114,9 @@
 	read, err := readAtMost(dropped, limits.DroppedReplyBytes)
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return c.tracked.rejectDropped(DroppedTooSlow, read)
+		return c.tracked.rejectBody(DroppedTooSlow, read)
 	case errors.Is(err, errTooLong):
-		return c.tracked.rejectDropped(DroppedTooLarge, read)
+		return c.tracked.rejectBody(DroppedTooLarge, read)
 	case err != nil:
 		return err
 	}
--- a/internal/proxy/forward/endless_test.go
+++ b/internal/proxy/forward/endless_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"strings"
@@ -196,3 +197,44 @@
 		})
 	}
 }
+
+// TestBodyBound guards against a body within the bound that is broken off, and one beyond it that
+// looks whole.
+func TestBodyBound(t *testing.T) {
+	const limit = 64 << 10
+	for _, size := range []int{limit, limit + 1} {
+		body := strings.Repeat("x", size)
+		replies := map[string]string{
+			"length":      fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", size, body),
+			"chunks":      fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", size, body),
+			"until close": "HTTP/1.1 200 OK\r\n\r\n" + body,
+		}
+		for name, reply := range replies {
+			t.Run(fmt.Sprint(name, size), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					g := NewWithT(t)
+					served := &scriptedPeer{}
+					served.script = func(connection net.Conn, _ int32) {
+						if served.read(connection) {
+							served.answer(connection, reply)
+						}
+					}
+					pool := forward.NewPool("peer:80", forward.Limits{
+						Connections: 1, IdleTimeout: time.Minute, DialTimeout: time.Second, ReplyBodyBytes: limit, AllowUnframed: true,
+					}, served.dial)
+					defer pool.Close()
+					got, err := exchange(pool, requestWithID(""))
+					if size <= limit {
+						g.Expect(err).NotTo(HaveOccurred())
+						g.Expect(got).To(HaveLen(size))
+						return
+					}
+					var invalid *forward.ReplyError
+					g.Expect(errors.As(err, &invalid)).To(BeTrue())
+					g.Expect(invalid.Reason).To(Equal(forward.BodyTooLarge))
+					g.Expect(pool.Open()).To(BeZero())
+				})
+			})
+		}
+	}
+}
--- a/internal/proxy/forward/exchange.go
+++ b/internal/proxy/forward/exchange.go
@@ -86,8 +86,17 @@
 		_ = response.Body.Close()
 		return nil, p.fail(conn, err)
 	}
+	if limit := p.replies.ReplyBodyBytes; limit > 0 && response.ContentLength > limit && request.Method != http.MethodHead {
+		_ = response.Body.Close()
+		invalid := conn.tracked.rejectBody(BodyTooLarge, 0)
+		p.reportInvalid(request, invalid)
+		return nil, p.fail(conn, invalid)
+	}
 	conn.applyKeepAlive(response.Header)
-	response.Body = &replyBody{body: response.Body, pool: p, connection: conn, complete: response.Body == http.NoBody}
+	response.Body = &replyBody{
+		body: response.Body, request: request, pool: p, connection: conn,
+		complete: response.Body == http.NoBody,
+	}
 	return response, nil
 }
 
@@ -148,11 +157,14 @@
 	return nil
 }
 
-// replyBody returns the connection to the pool after the body was read to EOF.
+// replyBody bounds a body and returns the connection to the pool after it was
+// read to EOF.
 type replyBody struct {
 	body       io.ReadCloser
+	request    *http.Request
 	pool       *Pool
 	connection *connection
+	read       int64
 	complete   bool
 	closed     bool
 }
@@ -160,12 +172,37 @@
 // Read implements io.Reader.
 func (b *replyBody) Read(data []byte) (int, error) {
 	count, err := b.body.Read(data)
-	if err == io.EOF {
+	b.read += int64(count)
+	if limit := b.pool.replies.ReplyBodyBytes; limit > 0 && b.read > limit {
+		return 0, b.reject(BodyTooLarge)
+	}
+	switch {
+	case err == io.EOF:
 		b.complete = true
+	case err != nil:
+		b.reportBroken()
 	}
 	return count, err
 }
 
+// reportBroken reports a body that was broken off, unless the caller cancelled the
+// request.
+func (b *replyBody) reportBroken() {
+	switch ctxErr := b.request.Context().Err(); {
+	case ctxErr == nil:
+		_ = b.reject(BodyBroken)
+	case errors.Is(ctxErr, context.DeadlineExceeded):
+		_ = b.reject(BodyTooSlow)
+	}
+}
+
+// reject reports why the body is broken off.
+func (b *replyBody) reject(reason Reason) *ReplyError {
+	invalid := b.connection.tracked.rejectBody(reason, b.read)
+	b.pool.reportInvalid(b.request, invalid)
+	return invalid
+}
+
 // Close ends the exchange. If the body was not read to EOF, it closes the
 // connection.
 func (b *replyBody) Close() error {
--- a/internal/proxy/forward/invalid.go
+++ b/internal/proxy/forward/invalid.go
@@ -25,6 +25,12 @@
 	// DroppedTooSlow: a reply to another request did not end within
 	// Limits.DroppedReplyTimeout.
 	DroppedTooSlow Reason = "dropped-time"
+	// BodyTooLarge: the body exceeds Limits.ReplyBodyBytes.
+	BodyTooLarge Reason = "body-bytes"
+	// BodyTooSlow: the body did not end before the deadline of the request.
+	BodyTooSlow Reason = "body-time"
+	// BodyBroken: the body ended early, or its framing is invalid.
+	BodyBroken Reason = "body-broken"
 )
 
 // ReplyError reports bytes of a peer that are no valid reply or exceed a limit. Their connection is
--- a/internal/proxy/forward/pool.go
+++ b/internal/proxy/forward/pool.go
@@ -34,6 +34,10 @@
 	// InterimReplies bounds the number of interim replies (1xx) before a reply; zero
 	// for no bound.
 	InterimReplies int
+	// ReplyBodyBytes bounds the size of a reply's body; zero for no bound. A reply
+	// that states a greater length fails at once, any other one when its body
+	// exceeds the bound. The time of a body is that of the request's context.
+	ReplyBodyBytes int64
 	// ExpectContinueTimeout is how long to wait for 100 Continue before the body
 	// is sent anyway; zero selects defaultExpectContinueTimeout.
 	ExpectContinueTimeout time.Duration
--- a/internal/sidecar/ingress/endless_test.go
+++ b/internal/sidecar/ingress/endless_test.go
@@ -33,6 +33,7 @@
 	// is a stream.
 	earlierID, endlessID = "a", "b"
 	earlierAnswer        = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nSignature: s\r\nContent-Length: 2\r\n\r\nok"
+	maxAnswerBytes       = 1 << 20
 	// streamDeadline is the time of the request whose answer is a stream.
 	streamDeadline = 10 * time.Second
 )
@@ -114,6 +115,7 @@
 	test.start(func(options *ingress.Options) {
 		options.Address, options.Dial = "backend:80", test.backend.dial
 		options.Logger, options.Observer = zap.New(core), test.rejections
+		options.MaxAnswerBytes = maxAnswerBytes
 	})
 	test.handler.SetService(&route.Service{Name: "one", HealthPath: "/health"})
 	return test
@@ -252,3 +254,45 @@
 		})
 	}
 }
+
+// TestAnswerBodyWithoutEnd guards against an endless body that is read beyond its bounds, unnoticed
+// by operators, or that looks whole to the caller.
+func TestAnswerBodyWithoutEnd(t *testing.T) {
+	const lines = "Request-Id: b\r\nSignature: s\r\n"
+	reasons := map[string]forward.Reason{
+		"body until close": forward.BodyTooLarge, "body in chunks": forward.BodyTooLarge, "body of a great length": forward.BodyTooLarge,
+		"body of single bytes": forward.BodyTooSlow, "chunks of single bytes": forward.BodyTooSlow,
+	}
+	valid, invalid := endless.Bodies(lines)
+	for _, stream := range append(valid, invalid...) {
+		t.Run(stream.Name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				test := newStreamTest(stream)
+				defer test.close()
+				got, aborted, elapsed := test.streamed()
+				if !aborted {
+					g.Expect(got.Code).To(Equal(http.StatusBadGateway))
+					g.Expect(got.Header().Get(outcome.HeaderOutcome)).To(BeEquivalentTo(outcome.Unknown))
+				}
+				reason, bounded := reasons[stream.Name]
+				if !bounded {
+					reason = forward.BodyBroken
+				}
+				if reason != forward.BodyTooSlow {
+					g.Expect(elapsed).To(BeNumerically("<", streamDeadline/2))
+				}
+				g.Expect(test.rejections.reasons).To(Equal([]forward.Reason{reason}))
+				g.Expect(test.rejected()).To(ConsistOf(And(
+					HaveKeyWithValue("request", endlessID), HaveKeyWithValue("endpoint", "i-1"), HaveKeyWithValue("reason", string(reason)),
+					HaveKeyWithValue("bytes", BeNumerically("<=", maxAnswerBytes+16<<10)), HaveKeyWithValue("elapsed", BeNumerically("<=", elapsed)),
+				)))
+				time.Sleep(time.Second)
+				sent, open := test.backend.state()
+				g.Expect(open).To(BeZero())
+				g.Expect(sent).To(BeNumerically("<", maxAnswerBytes+64<<10))
+				g.Expect(test.post(earlierID).Code).To(Equal(http.StatusOK), "the next request is served")
+			})
+		})
+	}
+}
--- a/internal/sidecar/ingress/handler.go
+++ b/internal/sidecar/ingress/handler.go
@@ -72,6 +72,8 @@
 	// ReportShares: replies report tenants' shares. It is off in the program, as is the
 	// corresponding option of the egress.
 	ReportShares bool
+	// MaxAnswerBytes bounds the body of an answer of the back end; zero for no bound.
+	MaxAnswerBytes int64
 	// LinkMbps is the speed of the machine's link in Mbit/s; zero when unknown.
 	LinkMbps int
 	// Dial opens connections to the back end.
@@ -198,6 +200,7 @@
 		ReplyHeaderBytes:    replyHeaderBytes,
 		ReplyHeaderTimeout:  replyHeaderTimeout,
 		InterimReplies:      interimReplies,
+		ReplyBodyBytes:      options.MaxAnswerBytes,
 		AllowUnframed:       true,
 		Correlation:         forward.Correlation{Header: options.Vocabulary.RequestID, OnForeign: created.recordForeign},
 		DroppedReplyBytes:   droppedReplyBytes,
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -56,6 +56,8 @@
 	// LendRepeats lets nodes lend each other their shares of the retry budget where requests
 	// compete for capacity.
 	LendRepeats bool
+	// MaxAnswerBytes bounds the body of an answer of the back end; zero for any size.
+	MaxAnswerBytes int64
 	// Rollout limits the requests that a faulty version may receive.
 	Rollout rollout.Limits
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -210,6 +210,7 @@
 		Vocabulary:     s.options.Vocabulary,
 		Address:        settings.BackendAddress,
 		LinkMbps:       settings.LinkMbps,
+		MaxAnswerBytes: settings.MaxAnswerBytes,
 		ActiveRequests: s.activeRequests,
 		DecodeLoad:     s.options.DecodeLoad,
 		RecordLoad:     s.recordLoad,
