--- a/internal/proxy/forward/exchange.go
+++ b/internal/proxy/forward/exchange.go
@@ -34,9 +34,16 @@
 	Cause    error
 }
 
-// Error returns the outcome, step, peer and cause as text.
+// maxCauseBytes bounds the text of a cause, which may quote what the peer sent.
+const maxCauseBytes = 256
+
+// Error returns the outcome, step, peer and the beginning of the cause as text.
 func (e *Error) Error() string {
-	return string(e.Outcome) + ": step " + string(e.Step) + ", peer " + e.Peer + ": " + e.Cause.Error()
+	cause := e.Cause.Error()
+	if len(cause) > maxCauseBytes {
+		cause = cause[:maxCauseBytes] + "..."
+	}
+	return string(e.Outcome) + ": step " + string(e.Step) + ", peer " + e.Peer + ": " + cause
 }
 
 // Unwrap returns the cause.
@@ -69,7 +76,11 @@
 	conn.tracked.begin(request.Context())
 	response, err := p.exchange(conn, request)
 	if err != nil {
-		if conn.reused && request.Context().Err() == nil && !errors.Is(err, ErrForeignReply) {
+		if invalid := conn.tracked.invalidReply(); invalid != nil {
+			p.reportInvalid(request, invalid)
+			err = errors.Join(invalid, err)
+		}
+		if conn.reused && request.Context().Err() == nil && !IsPeerError(err) {
 			p.recordBreak(conn.idleFor)
 		}
 		return nil, p.fail(conn, err)
@@ -78,8 +89,17 @@
 		_ = response.Body.Close()
 		return nil, p.fail(conn, err)
 	}
+	if limit := p.replies.ReplyBodyBytes; limit > 0 && response.ContentLength > limit && request.Method != http.MethodHead {
+		_ = response.Body.Close()
+		invalid := conn.tracked.rejectBody(BodyTooLarge, 0)
+		p.reportInvalid(request, invalid)
+		return nil, p.fail(conn, invalid)
+	}
 	conn.applyKeepAlive(response.Header)
-	response.Body = &replyBody{body: response.Body, pool: p, connection: conn, complete: response.Body == http.NoBody}
+	response.Body = &replyBody{
+		body: response.Body, request: request, pool: p, connection: conn,
+		complete: response.Body == http.NoBody,
+	}
 	return response, nil
 }
 
@@ -141,11 +161,14 @@
 	return nil
 }
 
-// replyBody returns the connection to the pool after the body was read to EOF.
+// replyBody bounds a body and returns the connection to the pool after it was
+// read to EOF.
 type replyBody struct {
 	body       io.ReadCloser
+	request    *http.Request
 	pool       *Pool
 	connection *connection
+	read       int64
 	complete   bool
 	closed     bool
 }
@@ -153,12 +176,37 @@
 // Read implements io.Reader.
 func (b *replyBody) Read(data []byte) (int, error) {
 	count, err := b.body.Read(data)
-	if err == io.EOF {
+	b.read += int64(count)
+	if limit := b.pool.replies.ReplyBodyBytes; limit > 0 && b.read > limit {
+		return 0, b.reject(BodyTooLarge)
+	}
+	switch {
+	case err == io.EOF:
 		b.complete = true
+	case err != nil:
+		b.reportBroken()
 	}
 	return count, err
 }
 
+// reportBroken reports a body that was broken off, unless the caller cancelled the
+// request.
+func (b *replyBody) reportBroken() {
+	switch ctxErr := b.request.Context().Err(); {
+	case ctxErr == nil:
+		_ = b.reject(BodyBroken)
+	case errors.Is(ctxErr, context.DeadlineExceeded):
+		_ = b.reject(BodyTooSlow)
+	}
+}
+
+// reject reports why the body is broken off.
+func (b *replyBody) reject(reason Reason) *ReplyError {
+	invalid := b.connection.tracked.rejectBody(reason, b.read)
+	b.pool.reportInvalid(b.request, invalid)
+	return invalid
+}
+
 // Close ends the exchange. If the body was not read to EOF, it closes the
 // connection.
 func (b *replyBody) Close() error {
--- a/internal/sidecar/ingress/handler.go
+++ b/internal/sidecar/ingress/handler.go
@@ -73,6 +73,8 @@
 	// ReportShares: replies report tenants' shares. It is off in the program, as is the
 	// corresponding option of the egress.
 	ReportShares bool
+	// MaxAnswerBytes bounds the body of an answer of the back end; zero for no bound.
+	MaxAnswerBytes int64
 	// LinkMbps is the speed of the machine's link in Mbit/s; zero when unknown.
 	LinkMbps int
 	// Dial opens connections to the back end.
@@ -98,6 +100,8 @@
 	NoticeUnreadable()
 	// ForeignAnswer is called when the back end sends an answer without the request's id.
 	ForeignAnswer()
+	// InvalidAnswer is called when bytes of the back end were rejected.
+	InvalidAnswer(reason forward.Reason)
 }
 
 // Quarantine knows which requests crash the back ends that run them.
@@ -132,6 +136,14 @@
 	idleTimeout = 3 * time.Second
 	// replyHeaderBytes bounds the size of an answer's headers.
 	replyHeaderBytes = 64 << 10
+	// replyHeaderTimeout bounds the time from the first byte of an answer to the end of its headers,
+	// which servers write at once.
+	replyHeaderTimeout = time.Second
+	// interimReplies bounds the number of interim answers before an answer.
+	interimReplies = 32
+	// droppedReplyBytes and droppedReplyTimeout bound an answer to another request that is dropped.
+	droppedReplyBytes   = 1 << 20
+	droppedReplyTimeout = 250 * time.Millisecond
 	// defaultConnections bounds the connections until a configuration is in force.
 	defaultConnections = 64
 	// defaultRetryAfter is the Retry-After of refusals without a better estimate.
@@ -163,8 +175,8 @@
 	// warmup limits the requests to a cold back end.
 	warmup warmup.Limit
 	// health is the path of the back end's health check, nil until known.
-	health       atomic.Pointer[string]
-	healthClient *http.Client
+	health     atomic.Pointer[string]
+	healthPool *forward.Pool
 	// trial is held by the suspected request that is active: only one at a time, so that a crash
 	// identifies it.
 	trial *semaphore.Weighted
@@ -179,19 +191,25 @@
 // New returns a handler that refuses all requests until a back end is known.
 func New(options Options) *Handler {
 	created := &Handler{
-		options:      options,
-		gate:         admission.New(clock.Now),
-		transfers:    newTransfers(options.LinkMbps),
-		healthClient: newHealthClient(options.Dial),
-		trial:        semaphore.NewWeighted(1),
+		options:   options,
+		gate:      admission.New(clock.Now),
+		transfers: newTransfers(options.LinkMbps),
+		trial:     semaphore.NewWeighted(1),
 	}
+	created.healthPool = created.newHealthPool()
 	created.pool = forward.NewPool(options.Address, forward.Limits{
-		Connections:      defaultConnections,
-		IdleTimeout:      idleTimeout,
-		DialTimeout:      dialTimeout,
-		ReplyHeaderBytes: replyHeaderBytes,
-		AllowUnframed:    true,
-		Correlation:      forward.Correlation{Header: options.Vocabulary.RequestID, OnForeign: created.recordForeign},
+		Connections:         defaultConnections,
+		IdleTimeout:         idleTimeout,
+		DialTimeout:         dialTimeout,
+		ReplyHeaderBytes:    replyHeaderBytes,
+		ReplyHeaderTimeout:  replyHeaderTimeout,
+		InterimReplies:      interimReplies,
+		ReplyBodyBytes:      options.MaxAnswerBytes,
+		AllowUnframed:       true,
+		Correlation:         forward.Correlation{Header: options.Vocabulary.RequestID, OnForeign: created.recordForeign},
+		DroppedReplyBytes:   droppedReplyBytes,
+		DroppedReplyTimeout: droppedReplyTimeout,
+		OnInvalid:           created.recordInvalid,
 	}, options.Dial)
 	if options.Restarted {
 		created.notices.noReplyYet.Store(true)
