clock, quarantine: what is due at once starts without a timer

Cause: a timer of a synctest bubble that is set to zero runs in the goroutine that sets it, with the race context of the bubble's timers, so that two goroutines use it at a time. The quarantine started its broadcasts by timers of zero.

Change: quarantine starts a goroutine, clock.Timer delivers at once.

--- a/internal/sidecar/clock/ticker.go
+++ b/internal/sidecar/clock/ticker.go
@@ -5,9 +5,10 @@
 	"time"
 )
 
-// Ticker is like time.Ticker. Its ticks come from a goroutine of its own and not from a timer
-// that is part of the channel: the race detector of Go 1.26 crashes when a select finds such a
-// timer due in a synctest bubble while the bubble runs others.
+// Ticker is like time.Ticker, but runs only where timers run and never in the goroutine that
+// receives its ticks. The race detector of Go 1.26 crashes when two goroutines of a synctest
+// bubble run timers at a time: a channel timer runs in a select that finds it due, and a timer
+// that is set to zero runs in the goroutine that sets it.
 type Ticker struct {
 	// C delivers the ticks. A tick is dropped while the one before has not been received.
 	C <-chan time.Time
@@ -86,6 +87,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.cancel()
+	if after <= 0 {
+		send(t.expired, time.Now())
+		return
+	}
 	reset := t.resets
 	t.timer = time.AfterFunc(after, func() { t.expire(reset) })
 }
--- a/internal/sidecar/clock/ticker_test.go
+++ b/internal/sidecar/clock/ticker_test.go
@@ -64,6 +64,21 @@
 	})
 }
 
+// TestTimersOfZeroInABubbleKeepTheRaceDetectorRunning has goroutines set timers that expire at once.
+func TestTimersOfZeroInABubbleKeepTheRaceDetectorRunning(t *testing.T) {
+	synctest.Test(t, func(*testing.T) {
+		var waiting sync.WaitGroup
+		for range 32 {
+			waiting.Go(func() {
+				for range 500 {
+					<-clock.NewTimer(0).C
+				}
+			})
+		}
+		waiting.Wait()
+	})
+}
+
 func receiveTicks(ctx context.Context) {
 	var tickers [4]*clock.Ticker
 	for i := range tickers {
--- a/internal/sidecar/quarantine/quarantine.go
+++ b/internal/sidecar/quarantine/quarantine.go
@@ -76,7 +76,12 @@
 func New(options Options) *Quarantine {
 	if options.After == nil {
 		options.After = func(delay time.Duration, run func()) {
-			time.AfterFunc(delay, func() { _ = contain.Run("evidence", options.Logger, run) })
+			contained := func() { _ = contain.Run("evidence", options.Logger, run) }
+			if delay <= 0 {
+				go contained()
+				return
+			}
+			time.AfterFunc(delay, contained)
 		}
 	}
 	created := &Quarantine{
