sidecar: ask the back end whether it has the id in a heartbeat

What callers saw: on a machine that was replaced by one of the same service, requests for its back end named the former one. The back end refused them (421), their callers got 503 or another back end. With start times and the former machine's clock ahead, one late heartbeat was enough at any time.

Cause: which id the back end has was judged by the order in which heartbeats arrive and by their start times. Both can be those of a process that has ended: the first heartbeat after a start of the node, two that arrive late in a row, one after a silence, one with a clock that was ahead.

Change: a heartbeat of another incarnation than the current one is compared with the id that the back end's health check names, within 0.1 s. A confirmed id replaces the current one at once, also where two heartbeats were needed before; a refuted one is refused (reason "instance"). Where the health check is not known yet, the node waits for its first configuration within the same time. A back end that does not answer is judged as before; one that was taken before the first configuration is asked once when that is in force, and dropped if it has another id. It costs one health check a start of a back end.

Conclusion: what is left to order of arrival are back ends that do not answer their health check in time, and starts under the same id.

--- a/internal/sidecar/backend.go
+++ b/internal/sidecar/backend.go
@@ -16,6 +16,10 @@
 // received it. The change takes effect on this node in any case.
 const broadcastTimeout = 400 * time.Millisecond
 
+// identityTimeout bounds the question for the back end's id. The back end is on the same machine and
+// answers at once, unless the question waits for a slot.
+const identityTimeout = 100 * time.Millisecond
+
 // Heartbeat handles a heartbeat of the back end. If the heartbeat puts the back end into a state
 // other than ready, the call returns once another node has received the change, or after
 // broadcastTimeout: the change must survive the end of this process. An error means that the
@@ -25,6 +29,7 @@
 		s.logRefusedHeartbeat(&beat, roster.RefusedService)
 		return trace.BadParameter("info.service: %q is not this machine's service, %q", beat.Service, service)
 	}
+	beat.Identity = s.identify(ctx, &beat)
 	var refusal roster.Refusal
 	own, changed := s.members.Update(func(record roster.Record) (next roster.Record, changed bool) {
 		now := clock.Now()
@@ -46,6 +51,56 @@
 	return nil
 }
 
+// identify asks the back end whether it has the id in a heartbeat, unless the heartbeat is of the
+// current incarnation or of one that has ended.
+func (s *Sidecar) identify(ctx context.Context, beat *roster.Heartbeat) roster.Identity {
+	own := s.members.Own()
+	if own.HasEnded(beat.Incarnation()) || (own.Endpoint != nil && own.Endpoint.Incarnation() == beat.Incarnation()) {
+		return roster.IdentityUnknown
+	}
+	return s.askIdentity(ctx, beat.ID)
+}
+
+// askIdentity asks the back end whether it has the id. Where no configuration is in force yet, it
+// first waits for one, since that names the health check.
+func (s *Sidecar) askIdentity(ctx context.Context, id string) roster.Identity {
+	ctx, cancel := context.WithTimeout(ctx, identityTimeout)
+	defer cancel()
+	select {
+	case <-s.configured:
+	case <-ctx.Done():
+	}
+	reported, err := s.ingress.ReportedInstance(ctx)
+	switch {
+	case err != nil:
+		s.logger.Info("back end's id not known", zap.String("endpoint", id), zap.Error(err))
+		return roster.IdentityUnknown
+	case reported != id:
+		return roster.IdentityRefuted
+	}
+	return roster.IdentityConfirmed
+}
+
+// verifyBackend asks the back end for its id if it was not known when its first heartbeat was taken,
+// and drops it if the back end has another one.
+func (s *Sidecar) verifyBackend() {
+	var unverified *roster.Endpoint
+	s.members.Update(func(record roster.Record) (roster.Record, bool) {
+		unverified = s.incarnations.TakeUnverified(record)
+		return record, false
+	})
+	if unverified == nil || s.askIdentity(context.Background(), unverified.ID) != roster.IdentityRefuted {
+		return
+	}
+	_, dropped := s.members.Update(func(record roster.Record) (roster.Record, bool) {
+		return record.WithoutEndpoint(unverified.Incarnation())
+	})
+	if dropped {
+		s.logRefusedHeartbeat(&roster.Heartbeat{Endpoint: *unverified}, roster.RefusedInstance)
+		s.broadcastRecord(context.Background())
+	}
+}
+
 // recordHeartbeat records what a heartbeat of the local back end says besides its record.
 func (s *Sidecar) recordHeartbeat(beat *roster.Heartbeat, now time.Time) {
 	s.lastHeartbeat.Store(clock.Stamp(now))
--- a/internal/sidecar/membership/publisher.go
+++ b/internal/sidecar/membership/publisher.go
@@ -124,10 +124,8 @@
 	}
 	storedEndpoint, ownEndpoint := stored.Endpoint, own.Endpoint
 	switch {
-	case ownEndpoint == nil:
-		return false
-	case storedEndpoint == nil:
-		return true
+	case ownEndpoint == nil || storedEndpoint == nil:
+		return ownEndpoint != storedEndpoint
 	}
 	return storedEndpoint.Service != ownEndpoint.Service || (storedEndpoint.State == roster.Ready) != (ownEndpoint.State == roster.Ready)
 }
--- a/internal/sidecar/roster/incarnationtracker.go
+++ b/internal/sidecar/roster/incarnationtracker.go
@@ -7,8 +7,22 @@
 	Endpoint
 	// WarmupLeft is the remaining time for which the back end is slow after its start.
 	WarmupLeft time.Duration
+	// Identity is what the back end beside the node says about the id.
+	Identity Identity
 }
 
+// Identity is what the back end beside the node itself says about the id in a heartbeat.
+type Identity int
+
+const (
+	// IdentityUnknown means that the back end was not asked or did not answer.
+	IdentityUnknown Identity = iota
+	// IdentityConfirmed means that the back end has that id.
+	IdentityConfirmed
+	// IdentityRefuted means that the back end has another id.
+	IdentityRefuted
+)
+
 // Refusal is the reason why a heartbeat does not count; empty if it does.
 type Refusal string
 
@@ -19,15 +33,17 @@
 	RefusedEnded Refusal = "ended"
 	// RefusedSequence means that a later heartbeat of the incarnation has already arrived.
 	RefusedSequence Refusal = "sequence"
+	// RefusedInstance means that the back end itself reports another id.
+	RefusedInstance Refusal = "instance"
 	// RefusedUnconfirmed means that the incarnation is not the current one, and that nothing shows
 	// that it has replaced it.
 	RefusedUnconfirmed Refusal = "unconfirmed"
 )
 
 // IncarnationTracker decides which incarnation of the back end is current when heartbeats of
-// several arrive. A heartbeat may arrive seconds late, from a process that no longer runs, so a
-// single one does not replace an incarnation that is still sending, unless it belongs to a later
-// start.
+// several arrive. A heartbeat may arrive seconds late, from a process that no longer runs. Where the
+// back end itself does not confirm the id, a single one therefore does not replace an incarnation
+// that is still sending, unless it belongs to a later start.
 type IncarnationTracker struct {
 	// Interval is the expected time between two heartbeats.
 	Interval time.Duration
@@ -38,6 +54,8 @@
 	// their number in a row.
 	candidate           Endpoint
 	candidateHeartbeats int
+	// unverified means that the current incarnation was taken while the back end's id was not known.
+	unverified bool
 }
 
 const (
@@ -57,27 +75,43 @@
 		return record, false, RefusedEnded
 	}
 	current := record.Endpoint
-	if current == nil {
+	switch {
+	case current != nil && current.Incarnation() == heartbeat.Incarnation():
+		return c.refresh(record, heartbeat.Endpoint, now)
+	case heartbeat.Identity == IdentityRefuted:
+		return record, false, RefusedInstance
+	case current == nil || c.replaces(current, &heartbeat, now):
+		c.unverified = heartbeat.Identity == IdentityUnknown
 		return c.replace(record, heartbeat.Endpoint, now), true, ""
 	}
+	return record, false, RefusedUnconfirmed
+}
+
+// replaces reports whether the incarnation of a heartbeat replaces the current one.
+func (c *IncarnationTracker) replaces(current *Endpoint, heartbeat *Heartbeat, now time.Time) bool {
 	currentIncarnation, reportedIncarnation := current.Incarnation(), heartbeat.Incarnation()
-	replaces := false
 	switch {
-	case currentIncarnation == reportedIncarnation:
-		return c.refresh(record, heartbeat.Endpoint, now)
+	case heartbeat.Identity == IdentityConfirmed && heartbeat.ID != current.ID:
+		return true
 	case reportedIncarnation.Born == 0 && currentIncarnation.Born != 0:
+		return false
 	case currentIncarnation.before(reportedIncarnation):
-		replaces = true
+		return true
 	case reportedIncarnation.before(currentIncarnation):
 		// Either a late heartbeat of an earlier start, or the clock was set back.
-		replaces = c.countCandidate(heartbeat.Endpoint) && (current.State == Gone || c.silent(now))
-	default:
-		replaces = current.State == Gone || c.silent(now) || c.countCandidate(heartbeat.Endpoint)
+		return c.countCandidate(heartbeat.Endpoint) && (current.State == Gone || c.silent(now))
 	}
-	if !replaces {
-		return record, false, RefusedUnconfirmed
+	return current.State == Gone || c.silent(now) || c.countCandidate(heartbeat.Endpoint)
+}
+
+// TakeUnverified returns the current endpoint if it was taken while the back end's id was not known,
+// and nil otherwise or if it was returned before.
+func (c *IncarnationTracker) TakeUnverified(record Record) *Endpoint {
+	if !c.unverified {
+		return nil
 	}
-	return c.replace(record, heartbeat.Endpoint, now), true, ""
+	c.unverified = false
+	return record.Endpoint
 }
 
 // silent reports whether the current incarnation has sent no heartbeat for too long, or none since
@@ -137,5 +171,6 @@
 	if current == nil || current.ID == id || c.candidate.ID != id || record.HasEnded(c.candidate.Incarnation()) {
 		return record, false
 	}
+	c.unverified = false
 	return c.replace(record, c.candidate, now), true
 }
--- a/internal/sidecar/roster/record.go
+++ b/internal/sidecar/roster/record.go
@@ -166,6 +166,16 @@
 	return r, true
 }
 
+// WithoutEndpoint returns the record without the incarnation, which has turned out not to be the
+// node's back end. An incarnation that has ended stays.
+func (r Record) WithoutEndpoint(incarnation Incarnation) (next Record, changed bool) {
+	if r.BackendAbsent() || r.Endpoint.Incarnation() != incarnation {
+		return r, false
+	}
+	r.Endpoint = nil
+	return r, true
+}
+
 // asDraining returns a copy of the endpoint in the state Draining.
 func (e *Endpoint) asDraining() *Endpoint {
 	draining := *e
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -119,6 +120,9 @@
 	// store first returned the other nodes; nil before.
 	started         time.Time
 	peersDiscovered atomic.Pointer[time.Time]
+	// configured is closed once a configuration is in force.
+	configured     chan struct{}
+	configuredOnce sync.Once
 	// settings is replaced when settings are reloaded.
 	settings atomic.Pointer[Settings]
 	// lastHeartbeat is the arrival time of the last heartbeat, as a clock.Stamp; zero before the
@@ -151,6 +155,7 @@
 			RunID: uint64(rand.Uint32()),
 		}),
 		started:        clock.Now(),
+		configured:     make(chan struct{}),
 		keeper:         configuration.NewKeeper(options.Decode, options.Logger),
 		contention:     contention.NewSwitch(settings.OverloadControl),
 		activeRequests: &nested.ActiveRequests{},
@@ -349,6 +354,8 @@
 // as well.
 func (s *Sidecar) applyConfiguration(table *route.Table, source configuration.Source) {
 	s.setService(table, s.members.Own().Endpoint)
+	s.configuredOnce.Do(func() { close(s.configured) })
+	go s.verifyBackend()
 	s.contention.SetTenantsConfigured(len(table.Document().Tenants) > 0)
 	switch source {
 	case configuration.SourceWatch:
