--- a/internal/sidecar/ingress/identity.go
+++ b/internal/sidecar/ingress/identity.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 )
 
 var (
@@ -18,15 +17,10 @@
 	if path == nil || *path == "" {
 		return "", errNoHealthCheck
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.options.Address+*path, http.NoBody)
+	response, err := h.checkHealth(ctx, *path)
 	if err != nil {
 		return "", err
 	}
-	response, err := h.healthClient.Do(request)
-	if err != nil {
-		return "", err
-	}
-	_ = response.Body.Close()
 	if id = response.Header.Get(h.options.Vocabulary.InstanceID); id == "" {
 		return "", errNoInstanceID
 	}
--- a/internal/sidecar/ingress/warmup.go
+++ b/internal/sidecar/ingress/warmup.go
@@ -68,8 +68,8 @@
 }
 
 // checkHealth sends a health check. The answer's body is not read.
-func (h *Handler) checkHealth(path string) (*http.Response, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), healthTimeout)
+func (h *Handler) checkHealth(ctx context.Context, path string) (*http.Response, error) {
+	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.options.Address+path, nil)
 	if err != nil {
@@ -91,7 +91,7 @@
 		return
 	}
 	asked := clock.Now()
-	response, err := h.checkHealth(*path)
+	response, err := h.checkHealth(context.Background(), *path)
 	if err != nil {
 		h.options.Logger.Info("back end's health not known", zap.String("endpoint", endpoint.ID), zap.Error(err))
 		return
