forward: deliver the own reply that comes in one piece with another one

Cause: net/http takes the second reply for unsolicited, because it reads it before the pool can ask for it, and closes the connection.

Change: the wrapper, which now knows where a reply ends, holds what follows it. When the pool awaits the own reply behind one that it dropped, the held bytes are passed on as soon as net/http expects a reply, that is at the first discarded write of the repeated request. Nothing else changes: one reply is dropped at most, only one to the request before on the connection, and ids are compared before anything of a reply is read.

TestReplyRightAfterForeignOne allowed either result; it now demands the own reply, for three kinds of foreign replies, in pieces of each size, with and without other bytes behind them (which end the connection), and that nothing is sent twice. TestLateAnswersRunNothingTwice passes.

--- a/internal/proxy/forward/conn.go
+++ b/internal/proxy/forward/conn.go
@@ -80,6 +80,7 @@
 		case writeSealed, writeRefused:
 			return 0, net.ErrClosed
 		case writeDiscarded:
+			c.expectNext()
 			return len(data), nil
 		}
 	}
@@ -95,12 +96,11 @@
 	return written, err
 }
 
-// discardWrites discards all writes until the next exchange begins, and awaits
-// another reply. The request must have been written completely. It reports false
-// if bytes have followed the current reply already.
-func (c *trackedConn) discardWrites() bool {
+// discardWrites discards all writes until the next exchange begins, and allows
+// another reply. The request must have been written completely.
+func (c *trackedConn) discardWrites() {
 	c.state.Store(writeDiscarded)
-	return c.awaitNext()
+	c.awaitNext()
 }
 
 // seal disables further writes and reports whether nothing was written. A write
--- a/internal/proxy/forward/correlation.go
+++ b/internal/proxy/forward/correlation.go
@@ -83,8 +83,8 @@
 
 // nextReply drops a reply and awaits the next one on the connection without
 // sending anything. net/http reads a reply only after it has sent a request, so
-// the request is repeated with its writes discarded. A reply that arrives before
-// that ends the exchange.
+// the request is repeated with its writes discarded. What arrives before that is
+// held.
 func (c *connection) nextReply(request *http.Request, dropped *http.Response, limits Limits) (*http.Response, error) {
 	err := c.drop(dropped, limits)
 	_ = dropped.Body.Close()
@@ -94,9 +94,7 @@
 	if c.client.Available() == 0 {
 		return nil, errNoNextReply
 	}
-	if !c.tracked.discardWrites() {
-		return nil, errNoNextReply
-	}
+	c.tracked.discardWrites()
 	repeated := request.WithContext(request.Context())
 	repeated.Body, repeated.GetBody, repeated.ContentLength = nil, nil, 0
 	return c.client.RoundTrip(repeated)
--- a/internal/proxy/forward/correlation_test.go
+++ b/internal/proxy/forward/correlation_test.go
@@ -127,37 +127,61 @@
 	}
 }
 
-// TestReplyRightAfterForeignOne guards against a wrong reply or a second send when both replies
-// arrive at once.
+// TestReplyRightAfterForeignOne guards against a wrong reply, a lost one or a second send when both
+// replies arrive at once, or in pieces that do not end where the first reply does.
 func TestReplyRightAfterForeignOne(t *testing.T) {
-	for _, foreignReply := range []string{replyTo("b", 503), "HTTP/1.1 200 OK\r\nRequest-Id: b\r\nContent-Length: 5\r\n\r\nlater"} {
-		synctest.Test(t, func(t *testing.T) {
-			g := NewWithT(t)
-			served := &scriptedPeer{}
-			served.script = func(connection net.Conn, _ int32) {
-				if served.read(connection) {
-					served.answer(connection, replyTo("b", 200))
-				}
-				for served.read(connection) {
-					served.answer(connection, foreignReply+replyTo("a", 200))
-				}
-			}
-			foreign := 0
-			pool := newCorrelatedPool(served, &foreign)
-			defer pool.Close()
-			_, err := exchange(pool, requestWithID("b"))
-			g.Expect(err).NotTo(HaveOccurred())
-			response, err := pool.RoundTrip(requestWithID("a"))
-			synctest.Wait()
-			g.Expect(served.arrivals.Load()).To(BeEquivalentTo(2))
-			if err != nil {
-				g.Expect(outcomeOf(err)).To(Equal(outcome.Unknown))
-				return
+	const chunked = "HTTP/1.1 200 OK\r\nRequest-Id: b\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nlater\r\n0\r\n\r\n"
+	const withBody = "HTTP/1.1 200 OK\r\nRequest-Id: b\r\nContent-Length: 5\r\n\r\nlater"
+	const own = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nContent-Length: 2\r\n\r\nok"
+	for _, foreignReply := range []string{replyTo("b", 503), withBody, chunked} {
+		for _, surplus := range []string{"", "noise"} {
+			for size := 1; size <= len(foreignReply+own+surplus); size++ {
+				synctest.Test(t, func(t *testing.T) {
+					g := NewWithT(t)
+					served := &scriptedPeer{}
+					served.script = func(connection net.Conn, _ int32) {
+						if served.read(connection) {
+							served.answer(connection, replyTo("b", 200))
+						}
+						if served.read(connection) {
+							sendPieces(served, connection, foreignReply+own+surplus, size)
+						}
+						if served.read(connection) {
+							served.answer(connection, replyTo("next", 200))
+						}
+					}
+					foreign := 0
+					pool := newCorrelatedPool(served, &foreign)
+					defer time.Sleep(time.Second) // the script ends
+					defer pool.Close()
+					_, err := exchange(pool, requestWithID("b"))
+					g.Expect(err).NotTo(HaveOccurred())
+					got, err := exchange(pool, requestWithID("a"))
+					g.Expect(err).NotTo(HaveOccurred(), "pieces of %d bytes", size)
+					g.Expect(got).To(Equal("ok"))
+					g.Expect(foreign).To(Equal(1))
+					time.Sleep(time.Second)
+					g.Expect(served.arrivals.Load()).To(BeEquivalentTo(2), "nothing is sent twice")
+					pool.Sweep(time.Now())
+					if surplus == "" {
+						_, err = exchange(pool, requestWithID("next"))
+						g.Expect(err).NotTo(HaveOccurred())
+						g.Expect(served.connections.Load()).To(BeEquivalentTo(1), "the connection is used again")
+					} else {
+						g.Expect(pool.Open()).To(BeZero())
+					}
+				})
 			}
-			g.Expect(response.Header.Get(idHeader)).To(Equal("a"))
-			g.Expect(response.Body.Close()).To(Succeed())
-		})
+		}
+	}
+}
+
+// sendPieces sends the text in pieces of the size.
+func sendPieces(p *scriptedPeer, connection net.Conn, text string, size int) {
+	for ; len(text) > size; text = text[size:] {
+		p.answer(connection, text[:size])
 	}
+	p.answer(connection, text)
 }
 
 // TestForeignReplyToHead guards against an own reply that is read as the body of a reply to HEAD,
--- a/internal/proxy/forward/incoming.go
+++ b/internal/proxy/forward/incoming.go
@@ -28,7 +28,9 @@
 	changed sync.Cond  // signals changes of all below to Read
 	// expecting: an exchange is in progress.
 	expecting, closed bool
-	scanner           replyScanner
+	// awaitsNext: another reply may follow once a write was discarded.
+	awaitsNext bool
+	scanner    replyScanner
 	// held are bytes after the reply of the current exchange.
 	held []byte
 	// begun is when the latest exchange began.
@@ -183,13 +185,25 @@
 	return surplus
 }
 
-// awaitNext awaits another reply. It reports false if bytes have followed the
-// current one already.
-func (c *trackedConn) awaitNext() bool {
+// awaitNext allows another reply to follow the current one once a write is
+// discarded.
+func (c *trackedConn) awaitNext() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	c.awaitsNext = true
+}
+
+// expectNext awaits another reply if awaitNext was called. net/http must have
+// started to expect it.
+func (c *trackedConn) expectNext() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if !c.awaitsNext {
+		return
+	}
+	c.awaitsNext = false
 	c.scanner.reset(c.scanner.method)
-	return len(c.held) == 0
+	c.changed.Broadcast()
 }
 
 // stopReading ends a Read that waits for held bytes to be in the place of a reply.
