--- a/internal/proxy/forward/correlation.go
+++ b/internal/proxy/forward/correlation.go
@@ -83,8 +83,8 @@
 
 // nextReply drops a reply and awaits the next one on the connection without
 // sending anything. net/http reads a reply only after it has sent a request, so
-// the request is repeated with its writes discarded. A reply that arrives before
-// that ends the connection: net/http takes it for unsolicited.
+// the request is repeated with its writes discarded. What arrives before that is
+// held.
 func (c *connection) nextReply(request *http.Request, dropped *http.Response, limits Limits) (*http.Response, error) {
 	err := c.drop(dropped, limits)
 	_ = dropped.Body.Close()
