Test: a signed success with the marker of a rejection ends unknown

The table of bytes after an answer expected the promise for an answer that is signed, a success and marked as not processed at a time. Such an answer contradicts itself and proves nothing (design 0023).

--- a/internal/sidecar/ingress/endless_test.go
+++ b/internal/sidecar/ingress/endless_test.go
@@ -323,7 +323,8 @@
 					g.Expect(aborted).To(BeFalse())
 					g.Expect(elapsed).To(BeZero())
 					if strings.Contains(lines, vocabulary.NotProcessed) {
-						g.Expect(got.Code).To(Equal(http.StatusServiceUnavailable))
+						g.Expect(got.Code).To(Equal(http.StatusBadGateway), "a success with the marker contradicts itself")
+						g.Expect(got.Header().Get(outcome.HeaderOutcome)).To(BeEquivalentTo(outcome.Unknown))
 					} else {
 						g.Expect(got.Code).To(Or(Equal(http.StatusOK), Equal(http.StatusNoContent)))
 						g.Expect(got.Body.String()).To(Or(Equal("ok"), BeEmpty()))
