sidecar: a back end of another service than the settings' leaves the node's record

What callers saw: a machine that came back under its name with a back end of another service told other nodes, until the first heartbeat, of the former back end: 33 requests of the former service reached the new one, which refused them (421). After a reload of the settings with another service, nothing changed before a restart.

Cause: a node takes over what an earlier run left about its back end, in the store and with other nodes, whatever its settings say since. Class: a statement is acted on before it is known of whom it is.

Change: the roster knows the service of the settings. A record of an earlier run restores no back end of another one. The service is among the settings that a reload changes; the back end of the former service is dropped then, and other nodes and the store are told.

--- a/internal/sidecar/reload.go
+++ b/internal/sidecar/reload.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"context"
 	"reflect"
 
 	"go.uber.org/zap"
@@ -9,7 +10,7 @@
 // reloadable names the fields of Settings that a running node can change. The others are addresses
 // already bound or facts known to peers, and need a restart.
 var reloadable = map[string]bool{
-	"StoreAddress": true, "DrainBound": true, "Grace": true, "Retries": true, "ValueBytes": true, "Rollout": true,
+	"Service": true, "StoreAddress": true, "DrainBound": true, "Grace": true, "Retries": true, "ValueBytes": true, "Rollout": true,
 }
 
 // Reload applies newer settings and logs the names of the changed fields. Fields that a running
@@ -19,10 +20,20 @@
 	changed, needRestart := applyReloadable(&current, &next)
 	if len(changed) > 0 {
 		s.settings.Store(&current)
+		s.applyService(current.Service)
 	}
 	s.logger.Info("settings reloaded", zap.Strings("changed", changed), zap.Strings("needRestart", needRestart))
 }
 
+// applyService applies the service of the settings. A back end of another one is no longer that of the
+// node, which then waits for the heartbeats of the next.
+func (s *Sidecar) applyService(service string) {
+	if s.members.SetService(service) {
+		go s.broadcastRecord(context.Background())
+	}
+	s.setService(s.keeper.Table(), s.members.Own().Endpoint)
+}
+
 // applyReloadable copies the reloadable fields that differ from next to current. It returns their
 // names and the names of the other fields that differ.
 func applyReloadable(current, next *Settings) (changed, needRestart []string) {
--- a/internal/sidecar/reload_test.go
+++ b/internal/sidecar/reload_test.go
@@ -31,8 +31,25 @@
 // renaming a field does not silently make it need a restart.
 func TestReloadableFieldsExist(t *testing.T) {
 	g := NewWithT(t)
-	current, next := Settings{}, Settings{StoreAddress: "x", DrainBound: 1, Grace: 1, Retries: repeats.Limits{Slack: 1}, ValueBytes: 1, Rollout: rollout.Limits{Share: 1}}
+	current, next := Settings{}, Settings{Service: "x", StoreAddress: "x", DrainBound: 1, Grace: 1, Retries: repeats.Limits{Slack: 1}, ValueBytes: 1, Rollout: rollout.Limits{Share: 1}}
 	changed, needRestart := applyReloadable(&current, &next)
 	g.Expect(changed).To(HaveLen(len(reloadable)))
 	g.Expect(needRestart).To(BeEmpty())
 }
+
+// TestReloadedServiceDropsBackend guards against a node that goes on telling others of a back end
+// whose service is no longer that of the settings.
+func TestReloadedServiceDropsBackend(t *testing.T) {
+	g := NewWithT(t)
+	node := newNode(t)
+	next := *node.settings.Load()
+	node.Reload(next)
+	g.Expect(node.members.Own().Endpoint).NotTo(BeNil(), "nothing has changed")
+	next.Service = "beta"
+	node.Reload(next)
+	g.Expect(node.caller()).To(Equal("beta"))
+	g.Expect(node.members.Own().Endpoint).To(BeNil())
+	g.Expect(node.Heartbeat(t.Context(), heartbeatOf("i-0", "alpha", 9))).NotTo(Succeed())
+	g.Expect(node.Heartbeat(t.Context(), heartbeatOf("i-1", "beta", 1))).To(Succeed())
+	g.Expect(node.members.Own().Endpoint.ID).To(Equal("i-1"))
+}
--- a/internal/sidecar/roster/roster.go
+++ b/internal/sidecar/roster/roster.go
@@ -16,6 +16,8 @@
 
 	mutex   sync.Mutex // guards the fields below and replacing view
 	records map[string]*Record
+	// service is the service of the node's own back end, empty if it is not known.
+	service string
 	// dirty are the nodes whose records have changed since the view was built.
 	dirty     map[string]struct{}
 	observers []func(changed []*Record)
@@ -45,6 +47,31 @@
 	r.dirty[record.Node] = struct{}{}
 }
 
+// SetService sets the service of the node's own back end, empty if it is not known. A back end of
+// another service is removed from the node's own record, and no record of a previous run restores
+// one. It reports whether one was removed.
+func (r *Roster) SetService(service string) (removed bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.service = service
+	own := *r.records[r.self]
+	if r.mayBeOwn(own.Endpoint) {
+		return false
+	}
+	own.Endpoint = nil
+	own.Counter++
+	own.RunID = r.runID
+	r.set(&own)
+	r.publishAndNotify([]*Record{&own})
+	return true
+}
+
+// mayBeOwn reports whether the endpoint, which may be nil, is of the service of the node's own back
+// end. The lock must be held.
+func (r *Roster) mayBeOwn(endpoint *Endpoint) bool {
+	return endpoint == nil || r.service == "" || endpoint.Service == r.service
+}
+
 // View returns the current view.
 func (r *Roster) View() *View { return r.view.Load() }
 
@@ -134,7 +161,7 @@
 	if newest == nil {
 		return false
 	}
-	if own := r.records[r.self]; !own.isInitial() || !newest.continuedBy(own) {
+	if own := r.records[r.self]; !own.isInitial() || !newest.continuedBy(own) || !r.mayBeOwn(newest.Endpoint) {
 		r.publishAndNotify(r.supersede(newest))
 		return false
 	}
@@ -157,7 +184,9 @@
 			own.Ended = appendEnded(own.Ended, ended)
 		}
 	}
-	own.Endpoint = mergeEndpoint(own, previous.Endpoint)
+	if r.mayBeOwn(previous.Endpoint) {
+		own.Endpoint = mergeEndpoint(own, previous.Endpoint)
+	}
 	own.Evidence = mergeEvidence(own.Evidence, previous.Evidence)
 	r.set(&own)
 	return []*Record{&own}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -166,6 +166,7 @@
 	options.Store = newCountedStore(options.Store, options.Registry)
 	created.options.Store = options.Store
 	created.settings.Store(settings)
+	created.members.SetService(settings.Service)
 	created.quarantine = quarantine.New(quarantine.Options{
 		Members:          created.members,
 		Broadcast:        func() { created.broadcastRecord(context.Background()) },
