roster: an answer for another instance that names none takes no back end away

Cause: the id was compared with that of the candidate, which is empty while there is none, so an absent id confirmed an absent candidate. Class: a statement is acted on before it is known of whom it is.

Change: an absent id confirms nothing.

Evidence: TestAnswerWithoutIDNamesNoBackEnd red before, green in 20 of 20 runs with the race detector.

--- a/internal/sidecar/roster/identity_test.go
+++ b/internal/sidecar/roster/identity_test.go
@@ -90,3 +90,14 @@
 	_, changed = ended.WithoutEndpoint(roster.Incarnation{ID: "a"})
 	g.Expect(changed).To(BeFalse())
 }
+
+// TestAnswerWithoutIDNamesNoBackEnd guards against an answer for another instance that names none and
+// takes the node's back end out of its record.
+func TestAnswerWithoutIDNamesNoBackEnd(t *testing.T) {
+	g := NewWithT(t)
+	tracker, now := roster.IncarnationTracker{Interval: time.Second}, time.Unix(1000, 0)
+	own, _, _ := tracker.ApplyHeartbeat(record("self", 1, 1), roster.Heartbeat{Endpoint: *endpoint("a", roster.Ready, 1)}, now)
+	next, changed := tracker.Confirm(own, "", now)
+	g.Expect(changed).To(BeFalse())
+	g.Expect(next).To(Equal(own))
+}
--- a/internal/sidecar/roster/incarnationtracker.go
+++ b/internal/sidecar/roster/incarnationtracker.go
@@ -164,11 +164,11 @@
 	}
 }
 
-// Confirm applies an id obtained from the back end itself. A candidate with that id becomes the
-// current incarnation at once.
+// Confirm applies an id obtained from the back end itself, empty if it named none. A candidate with
+// that id becomes the current incarnation at once.
 func (c *IncarnationTracker) Confirm(record Record, id string, now time.Time) (next Record, changed bool) {
 	current := record.Endpoint
-	if current == nil || current.ID == id || c.candidate.ID != id || record.HasEnded(c.candidate.Incarnation()) {
+	if id == "" || current == nil || current.ID == id || c.candidate.ID != id || record.HasEnded(c.candidate.Incarnation()) {
 		return record, false
 	}
 	c.unverified = false
