roster: the id that a back end reports in an answer is kept for its first heartbeat

A node that believes another back end beside it, and whose own does not answer its health check in time, sent requests in vain until the second heartbeat.

Cause: the id in an answer with status 421 was forgotten unless a heartbeat with it had already arrived.

Change: it is kept for three heartbeat intervals, and confirms the first heartbeat with that id.

Evidence: TestIncarnationTracker, "id reported by the back end before its first heartbeat" red before.

--- a/internal/sidecar/roster/incarnationtracker.go
+++ b/internal/sidecar/roster/incarnationtracker.go
@@ -54,6 +54,10 @@
 	// their number in a row.
 	candidate           Endpoint
 	candidateHeartbeats int
+	// reportedID is the id that the back end itself last reported without a heartbeat of it,
+	// at reportedAt.
+	reportedID string
+	reportedAt time.Time
 	// unverified means that the current incarnation was taken while the back end's id was not known.
 	unverified bool
 }
@@ -75,6 +79,7 @@
 		return record, false, RefusedEnded
 	}
 	current := record.Endpoint
+	heartbeat.Identity = c.identity(&heartbeat, now)
 	switch {
 	case current != nil && current.Incarnation() == heartbeat.Incarnation():
 		return c.refresh(record, heartbeat.Endpoint, now)
@@ -165,12 +170,28 @@
 }
 
 // Confirm applies an id obtained from the back end itself, empty if it named none. A candidate with
-// that id becomes the current incarnation at once.
+// that id becomes the current incarnation at once. Without one, the next heartbeat with that id does.
 func (c *IncarnationTracker) Confirm(record Record, id string, now time.Time) (next Record, changed bool) {
 	current := record.Endpoint
-	if id == "" || current == nil || current.ID == id || c.candidate.ID != id || record.HasEnded(c.candidate.Incarnation()) {
+	switch {
+	case id == "" || current == nil || current.ID == id:
+		return record, false
+	case c.candidate.ID != id:
+		c.reportedID, c.reportedAt = id, now
+		return record, false
+	case record.HasEnded(c.candidate.Incarnation()):
 		return record, false
 	}
 	c.unverified = false
 	return c.replace(record, c.candidate, now), true
 }
+
+// identity returns what the back end says about the id of a heartbeat, including what it reported
+// before.
+func (c *IncarnationTracker) identity(heartbeat *Heartbeat, now time.Time) Identity {
+	recent := now.Sub(c.reportedAt) <= maxSilentIntervals*c.Interval
+	if heartbeat.Identity == IdentityUnknown && heartbeat.ID == c.reportedID && recent {
+		return IdentityConfirmed
+	}
+	return heartbeat.Identity
+}
--- a/internal/sidecar/roster/roster_test.go
+++ b/internal/sidecar/roster/roster_test.go
@@ -181,6 +181,13 @@
 		{"id confirmed by the back end", []event{
 			{0, "a", roster.Ready, 40, false, false}, {1, "b", roster.Ready, 1, false, false}, {2, "b", "", 0, false, true},
 		}, "b", roster.Ready},
+		{"id reported by the back end before its first heartbeat", []event{
+			{0, "a", roster.Ready, 40, false, false}, {1, "b", "", 0, false, true}, {2, "b", roster.Ready, 1, false, false},
+		}, "b", roster.Ready},
+		{"id reported by the back end too long ago", []event{
+			{0, "a", roster.Ready, 40, false, false}, {1, "b", "", 0, false, true}, {3 * interval, "a", roster.Ready, 41, false, false},
+			{4 * interval, "b", roster.Ready, 1, false, false},
+		}, "a", roster.Ready},
 		{"unknown id from the back end is ignored", []event{
 			{0, "a", roster.Ready, 40, false, false}, {2, "c", "", 0, false, true},
 		}, "a", roster.Ready},
