roster: late heartbeats that arrive together count once

Cause: two heartbeats of another incarnation without one of the current between them were taken for those of a sender that goes on, also within a millisecond.

Change: the second counts half an interval after the first at the earliest. A back end sends one each interval, so a real one is taken no later than before.

Evidence: TestIncarnationTracker, "several late heartbeats of an earlier id together", red before.

--- a/internal/sidecar/roster/incarnationtracker.go
+++ b/internal/sidecar/roster/incarnationtracker.go
@@ -50,10 +50,11 @@
 	// lastHeartbeat is the time of the current incarnation's last heartbeat since this process
 	// started. It is zero if none has arrived or the back end's process is known to have ended.
 	lastHeartbeat time.Time
-	// candidate is another incarnation that has sent heartbeats since then, and candidateHeartbeats
-	// their number in a row.
+	// candidate is another incarnation that has sent heartbeats since then, candidateHeartbeats their
+	// number in a row, and candidateCounted the arrival of the last one that was counted.
 	candidate           Endpoint
 	candidateHeartbeats int
+	candidateCounted    time.Time
 	// reportedID is the id that the back end itself last reported without a heartbeat of it,
 	// at reportedAt.
 	reportedID string
@@ -68,6 +69,9 @@
 	maxSilentIntervals = 3
 	// minCandidateHeartbeats is the number of consecutive heartbeats that a candidate must send.
 	minCandidateHeartbeats = 2
+	// minCandidateGap is the minimum time between two of them, as a fraction of an interval: late
+	// heartbeats that were held up together also arrive together.
+	minCandidateGap = 0.5
 )
 
 // ApplyHeartbeat returns the record after a heartbeat, whether it changed in a way that peers must
@@ -104,9 +108,9 @@
 		return true
 	case reportedIncarnation.before(currentIncarnation):
 		// Either a late heartbeat of an earlier start, or the clock was set back.
-		return c.countCandidate(heartbeat.Endpoint) && (current.State == Gone || c.silent(now))
+		return c.countCandidate(heartbeat.Endpoint, now) && (current.State == Gone || c.silent(now))
 	}
-	return current.State == Gone || c.silent(now) || c.countCandidate(heartbeat.Endpoint)
+	return current.State == Gone || c.silent(now) || c.countCandidate(heartbeat.Endpoint, now)
 }
 
 // TakeUnverified returns the current endpoint if it was taken while the back end's id was not known,
@@ -127,12 +131,16 @@
 
 // countCandidate counts a candidate's heartbeat and reports whether it has sent enough in a row to
 // become the current incarnation.
-func (c *IncarnationTracker) countCandidate(candidate Endpoint) bool {
+func (c *IncarnationTracker) countCandidate(candidate Endpoint, now time.Time) bool {
 	if c.candidate.Incarnation() != candidate.Incarnation() {
 		c.candidateHeartbeats = 0
 	}
-	c.candidateHeartbeats++
 	c.candidate = candidate
+	gap := time.Duration(minCandidateGap * float64(c.Interval))
+	if c.candidateHeartbeats == 0 || now.Sub(c.candidateCounted) >= gap {
+		c.candidateHeartbeats++
+		c.candidateCounted = now
+	}
 	return c.candidateHeartbeats >= minCandidateHeartbeats
 }
 
--- a/internal/sidecar/roster/roster_test.go
+++ b/internal/sidecar/roster/roster_test.go
@@ -161,6 +161,10 @@
 			{0, "b", roster.Ready, 1, false, false}, {1, "a", roster.Ready, 40, false, false}, {interval, "b", roster.Ready, 2, false, false},
 			{interval + 1, "a", roster.Ready, 41, false, false}, {2 * interval, "b", roster.Ready, 3, false, false},
 		}, "b", roster.Ready},
+		{"several late heartbeats of an earlier id together", []event{
+			{0, "b", roster.Ready, 1, false, false}, {1, "a", roster.Ready, 40, false, false}, {2, "a", roster.Ready, 41, false, false},
+			{3, "a", roster.Ready, 42, false, false},
+		}, "b", roster.Ready},
 		{"late heartbeat that arrived first is replaced", []event{
 			{0, "a", roster.Ready, 40, false, false}, {1, "b", roster.Ready, 1, false, false}, {interval, "b", roster.Ready, 2, false, false},
 		}, "b", roster.Ready},
