pipelining: a broken long answer loses no requests behind it

Seen by callers: a client that had sent a request for a long answer and two short ones lost all three when the long answer was broken off, although the short ones had been passed on and answered.

Cause: requests start before their turn whatever the answer before them does. An answer of more than 64 KiB is streamed, so that its handler can only abort it: the connection closes, and the buffered answers behind it are dropped.

Evidence: TestBrokenLongAnswerLosesNoRequestsBehind, TestBrokenEarlyAnswerLosesNoRequestsBehind and TestRequestsWaitForStreamedAnswer fail before this change (unexpected EOF, or a request that starts behind the streamed answer).

Change: while requests have started behind an answer, it is held until it is whole, up to 1 MiB a connection and 32 MiB a pipeline. A held answer that its handler aborts is replaced by 502, and those behind it are answered. Once an answer has begun, no request starts behind it until it is whole. Answers with nothing started behind them are streamed as before. Discard lets a handler replace a held answer itself.

TestAbortedAnswerClosesConnection asked that an aborted answer closes the connection with a request started behind it, which is this fault. It now checks the close with nothing behind; the other case is checked by TestBrokenEarlyAnswerLosesNoRequestsBehind.

After: the package's tests pass 20 times with the race detector.

--- /dev/null
+++ b/internal/pipelining/brokenanswer_test.go
@@ -0,0 +1,158 @@
+package pipelining_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+const longAnswerBytes = 200 << 10
+
+// breakOff writes half of a long answer and aborts it. length is its Content-Length, empty for none.
+func breakOff(length string) func(http.ResponseWriter) {
+	return func(w http.ResponseWriter) {
+		if length != "" {
+			w.Header().Set("Content-Length", length)
+		}
+		w.Header().Set("X-Signature", "of the broken answer")
+		_, _ = io.WriteString(w, strings.Repeat("s", longAnswerBytes/2))
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// TestBrokenLongAnswerLosesNoRequestsBehind checks that requests that have started behind a long
+// answer are answered when it is broken off.
+func TestBrokenLongAnswerLosesNoRequestsBehind(t *testing.T) {
+	cases := map[string]string{"stated length": strconv.Itoa(longAnswerBytes), "no stated length": ""}
+	for name, length := range cases {
+		t.Run(name, func(t *testing.T) {
+			served := startServer(t)
+			connected := served.connect()
+			connected.send(get("/free/1"), get("/free/2"), get("/free/3"))
+			served.awaitBegun(3)
+			served.releaseWith("/free/1", breakOff(length))
+			served.release("/free/2")
+			served.release("/free/3")
+			response, content := connected.receive()
+			connected.g.Expect(response.StatusCode).To(Equal(http.StatusBadGateway))
+			connected.g.Expect(response.Header).NotTo(HaveKey("X-Signature"))
+			connected.g.Expect(content).To(BeEmpty())
+			connected.expect("/free/2", "/free/3")
+			connected.g.Eventually(served.early.Load).Should(BeZero())
+		})
+	}
+}
+
+// TestBrokenEarlyAnswerLosesNoRequestsBehind breaks off the long answer of a request that was itself
+// started early.
+func TestBrokenEarlyAnswerLosesNoRequestsBehind(t *testing.T) {
+	served := startServer(t)
+	connected := served.connect()
+	connected.send(get("/free/1"), get("/free/2"), get("/free/3"))
+	served.awaitBegun(3)
+	served.releaseWith("/free/2", breakOff(strconv.Itoa(longAnswerBytes)))
+	served.release("/free/1")
+	served.release("/free/3")
+	connected.expect("/free/1")
+	response, _ := connected.receive()
+	connected.g.Expect(response.StatusCode).To(Equal(http.StatusBadGateway))
+	connected.expect("/free/3")
+}
+
+// TestRequestsWaitForStreamedAnswer checks that no request starts behind an answer that the client
+// already receives, so that none is lost when it is broken off.
+func TestRequestsWaitForStreamedAnswer(t *testing.T) {
+	for _, breaks := range []bool{true, false} {
+		t.Run(fmt.Sprintf("breaks %v", breaks), func(t *testing.T) {
+			served := startServer(t)
+			connected := served.connect()
+			connected.send(get("/free/1"))
+			served.awaitBegun(1)
+			proceed := make(chan struct{})
+			served.releaseWith("/free/1", func(w http.ResponseWriter) {
+				w.Header().Set("Content-Length", strconv.Itoa(longAnswerBytes))
+				_, _ = io.WriteString(w, strings.Repeat("s", longAnswerBytes/2))
+				_ = http.NewResponseController(w).Flush()
+				<-proceed
+				if breaks {
+					panic(http.ErrAbortHandler)
+				}
+				_, _ = io.WriteString(w, strings.Repeat("s", longAnswerBytes/2))
+			})
+			response, err := http.ReadResponse(connected.reader, nil)
+			connected.g.Expect(err).NotTo(HaveOccurred())
+			connected.send(get("/free/2"), get("/free/3"))
+			connected.g.Consistently(served.begun, "50ms").ShouldNot(Receive())
+			close(proceed)
+			content, err := io.ReadAll(response.Body)
+			if breaks {
+				connected.g.Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+				connected.g.Consistently(served.begun, "50ms").ShouldNot(Receive())
+				return
+			}
+			connected.g.Expect(err).NotTo(HaveOccurred())
+			connected.g.Expect(content).To(HaveLen(longAnswerBytes))
+			connected.g.Expect(served.awaitBegun(2)).To(ConsistOf("/free/2", "/free/3"))
+			served.release("/free/2")
+			served.release("/free/3")
+			connected.expect("/free/2", "/free/3")
+		})
+	}
+}
+
+// TestAnswerBeyondHeldBytesIsDelivered checks that an answer that is too long to be held reaches the
+// client unchanged, and so do the answers behind it.
+func TestAnswerBeyondHeldBytesIsDelivered(t *testing.T) {
+	const piece, pieces = 48 << 10, 64 // 3 MiB
+	for _, length := range []string{strconv.Itoa(piece * pieces), ""} {
+		t.Run("length "+length, func(t *testing.T) {
+			served := startServer(t)
+			connected := served.connect()
+			connected.send(get("/free/1"), get("/free/2"))
+			served.awaitBegun(2)
+			served.release("/free/2")
+			served.releaseWith("/free/1", func(w http.ResponseWriter) {
+				if length != "" {
+					w.Header().Set("Content-Length", length)
+				}
+				for number := range pieces {
+					_, _ = io.WriteString(w, strings.Repeat(string(rune('0'+number)), piece))
+					_ = http.NewResponseController(w).Flush()
+				}
+			})
+			_, content := connected.receive()
+			connected.g.Expect(content).To(HaveLen(piece * pieces))
+			for number := range pieces {
+				connected.g.Expect(strings.Count(content[number*piece:(number+1)*piece], string(rune('0'+number)))).To(Equal(piece))
+			}
+			connected.expect("/free/2")
+		})
+	}
+}
+
+// TestHeldAnswerKeepsTrailers checks the trailers of an answer that was held.
+func TestHeldAnswerKeepsTrailers(t *testing.T) {
+	served := startServer(t)
+	connected := served.connect()
+	connected.send(get("/free/1"), get("/free/2"))
+	served.awaitBegun(2)
+	served.release("/free/2")
+	long := strings.Repeat("0123456789", longAnswerBytes/10)
+	served.releaseWith("/free/1", func(w http.ResponseWriter) {
+		w.Header().Set("Trailer", "X-End")
+		_, _ = io.WriteString(w, long)
+		_ = http.NewResponseController(w).Flush()
+		w.Header().Set("X-End", "whole")
+	})
+	response, content := connected.receive()
+	connected.g.Expect(content).To(Equal(long))
+	connected.g.Expect(response.Header).NotTo(HaveKey("X-End"))
+	connected.g.Expect(response.Trailer.Get("X-End")).To(Equal("whole"))
+	connected.expect("/free/2")
+}
--- a/internal/pipelining/connection.go
+++ b/internal/pipelining/connection.go
@@ -39,6 +39,8 @@
 	// barrier is the number of requests up to and including the last one that
 	// must be answered before later ones may start.
 	barrier int
+	// answering: the current answer has begun and is not known to be whole.
+	answering bool
 	// early holds the requests that were started early, by number.
 	early map[int]*earlyRequest
 }
@@ -178,9 +180,10 @@
 }
 
 // mayStartEarly reports whether the next request may start early: no unanswered
-// request before it requires ordering, and the limit is not reached.
+// request before it requires ordering, no answer before it may still break off and
+// end the connection, and the limit is not reached.
 func (c *connection) mayStartEarly() bool {
-	return c.barrier <= c.finished && len(c.early) < maxEarlyPerConnection
+	return c.barrier <= c.finished && !c.answering && len(c.early) < maxEarlyPerConnection
 }
 
 // countRequest counts a parsed request and updates the barrier.
@@ -244,12 +247,26 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.finished++
+	c.answering = false
 }
 
-// hasEarlyRequests reports whether requests after the current one were started
-// early. They would be lost if the connection closed after its answer.
-func (c *connection) hasEarlyRequests() bool {
+// beginAnswer records that the current answer has begun. It reports whether later
+// requests have started early: they are lost if the connection closes after this
+// answer.
+func (c *connection) beginAnswer() (hasEarly bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.answering = true
 	return len(c.early) > 0
 }
+
+// completeAnswer records that the current answer is whole, and starts requests that
+// waited for that.
+func (c *connection) completeAnswer() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.answering {
+		c.answering = false
+		c.scan()
+	}
+}
--- a/internal/pipelining/pipelining.go
+++ b/internal/pipelining/pipelining.go
@@ -8,6 +8,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 )
 
 // Options configure which requests may start early.
@@ -30,6 +31,10 @@
 	// maxBufferedBytes bounds the buffered part of an answer; a handler that writes
 	// more blocks until the server serves its request.
 	maxBufferedBytes = 64 << 10
+	// maxHeldBytes bounds the answer that a connection holds until it is whole.
+	maxHeldBytes = 1 << 20
+	// maxTotalHeldBytes bounds what all connections of a Pipeline hold.
+	maxTotalHeldBytes = 32 << 20
 )
 
 // Pipeline provides the listener, the ConnContext hook and the handler of a
@@ -37,6 +42,8 @@
 type Pipeline struct {
 	options Options
 	handler http.Handler
+	// held is the number of bytes allocated for held answers.
+	held atomic.Int64
 }
 
 // New returns a Pipeline that serves requests with the handler.
@@ -87,10 +94,24 @@
 	}
 	begun := conn.startTurn(r)
 	defer conn.finishTurn()
-	writer := &keepAliveWriter{ResponseWriter: w, connection: conn}
+	writer := &turnWriter{ResponseWriter: w, connection: conn}
+	defer writer.replaceAborted(r.Context())
 	if begun == nil {
 		p.handler.ServeHTTP(writer, r)
-		return
+	} else {
+		begun.answer(writer, r)
 	}
-	begun.answer(writer, r)
+	writer.finish()
 }
+
+// reserve reserves memory for held answers and reports whether there was enough.
+func (p *Pipeline) reserve(bytes int) bool {
+	if p.held.Add(int64(bytes)) <= maxTotalHeldBytes {
+		return true
+	}
+	p.release(bytes)
+	return false
+}
+
+// release returns reserved memory.
+func (p *Pipeline) release(bytes int) { p.held.Add(-int64(bytes)) }
--- a/internal/pipelining/pipelining_test.go
+++ b/internal/pipelining/pipelining_test.go
@@ -236,12 +236,12 @@
 }
 
 // TestAbortedAnswerClosesConnection aborts the answer of an early request before the server
-// serves the request.
+// serves the request. No request has started behind it.
 func TestAbortedAnswerClosesConnection(t *testing.T) {
 	served := startServer(t)
 	connected := served.connect()
-	connected.send(get("/free/1"), get("/free/2"), get("/free/3"))
-	served.awaitBegun(3)
+	connected.send(get("/free/1"), get("/free/2"))
+	served.awaitBegun(2)
 	served.releaseWith("/free/2", func(w http.ResponseWriter) {
 		w.Header().Set("Content-Length", "9")
 		_, _ = io.WriteString(w, "half")
--- /dev/null
+++ b/internal/pipelining/turnwriter.go
@@ -0,0 +1,250 @@
+package pipelining
+
+import (
+	"context"
+	"maps"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+const (
+	// minHeldBytes is the size of the first buffer of a held answer.
+	minHeldBytes = 64 << 10
+	// heldWriteTimeout bounds the writing of a held answer whose handler has returned.
+	heldWriteTimeout = 30 * time.Second
+)
+
+// turnWriter writes the answer of the request that the server is serving. While
+// later requests of the connection have started early, it holds the answer until it
+// is whole or longer than maxHeldBytes, so that an answer that breaks off can be
+// replaced and the later ones are still delivered.
+type turnWriter struct {
+	http.ResponseWriter
+	connection *connection
+	// status is that of the answer, zero before its header is written. length is its
+	// Content-Length, -1 if unknown.
+	status int
+	length int64
+	// written counts the bytes of the body, held ones included.
+	written int64
+	// sentHeader is a copy of the header from when the status was set; held is the
+	// body so far.
+	sentHeader http.Header
+	held       []byte
+
+	mu sync.Mutex // guards all below
+	// holding: the server has not been given any part of the answer.
+	holding bool
+	// writeDeadline is the write deadline set while holding.
+	writeDeadline time.Time
+}
+
+// Discard drops what was written to w, the writer of a request's answer, and reports
+// whether that was possible. Afterwards another answer can be written.
+func Discard(w http.ResponseWriter) bool {
+	for {
+		switch writer := w.(type) {
+		case interface{ discard() bool }:
+			return writer.discard()
+		case interface{ Unwrap() http.ResponseWriter }:
+			w = writer.Unwrap()
+		default:
+			return false
+		}
+	}
+}
+
+// WriteHeader implements http.ResponseWriter. It removes "Connection: close" if
+// later requests of the connection have started early.
+func (w *turnWriter) WriteHeader(status int) {
+	if status < http.StatusOK || w.status != 0 {
+		w.ResponseWriter.WriteHeader(status)
+		return
+	}
+	w.status, w.length = status, contentLength(w.Header())
+	if !w.connection.beginAnswer() {
+		w.ResponseWriter.WriteHeader(status)
+		return
+	}
+	w.Header().Del("Connection")
+	if w.length > maxHeldBytes {
+		w.ResponseWriter.WriteHeader(status)
+		return
+	}
+	w.sentHeader = w.Header().Clone()
+	w.setHolding(true)
+}
+
+func contentLength(header http.Header) int64 {
+	length, err := strconv.ParseInt(header.Get("Content-Length"), 10, 64)
+	if err != nil {
+		return -1
+	}
+	return length
+}
+
+// Write implements http.ResponseWriter.
+func (w *turnWriter) Write(p []byte) (int, error) {
+	if w.status == 0 {
+		w.WriteHeader(http.StatusOK)
+	}
+	w.written += int64(len(p))
+	whole := w.length >= 0 && w.written >= w.length
+	if whole {
+		w.connection.completeAnswer()
+	}
+	if w.holding && !whole && w.hold(p) {
+		return len(p), nil
+	}
+	if err := w.releaseHeld(); err != nil {
+		return 0, err
+	}
+	return w.ResponseWriter.Write(p)
+}
+
+// hold appends to the held body. It reports whether there was room.
+func (w *turnWriter) hold(p []byte) bool {
+	size := len(w.held) + len(p)
+	if size > cap(w.held) && !w.grow(size) {
+		return false
+	}
+	w.held = append(w.held, p...)
+	return true
+}
+
+// grow enlarges the buffer of the held body to at least size bytes.
+func (w *turnWriter) grow(size int) bool {
+	if size > maxHeldBytes {
+		return false
+	}
+	capacity := int(w.length)
+	if capacity < size {
+		capacity = min(max(size, 2*cap(w.held), minHeldBytes), maxHeldBytes)
+	}
+	if !w.connection.pipeline.reserve(capacity - cap(w.held)) {
+		return false
+	}
+	w.held = append(make([]byte, 0, capacity), w.held...)
+	return true
+}
+
+// dropHeld frees the buffer of the held body.
+func (w *turnWriter) dropHeld() {
+	w.connection.pipeline.release(cap(w.held))
+	w.held = nil
+}
+
+// setHolding starts or ends holding. The write deadline set meanwhile is applied at
+// the end.
+func (w *turnWriter) setHolding(holding bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.holding = holding
+	if !holding && !w.writeDeadline.IsZero() {
+		_ = http.NewResponseController(w.ResponseWriter).SetWriteDeadline(w.writeDeadline)
+	}
+	w.writeDeadline = time.Time{}
+}
+
+// releaseHeld passes the held part of the answer to the server.
+func (w *turnWriter) releaseHeld() error {
+	if !w.holding {
+		return nil
+	}
+	w.setHolding(false)
+	defer w.dropHeld()
+	header := w.Header()
+	later := maps.Clone(header)
+	clear(header)
+	maps.Copy(header, w.sentHeader)
+	w.ResponseWriter.WriteHeader(w.status)
+	// Trailers are set after the header was written.
+	maps.Copy(header, later)
+	if len(w.held) == 0 {
+		return nil
+	}
+	_, err := w.ResponseWriter.Write(w.held)
+	return err
+}
+
+// finish releases the answer after the handler has returned.
+func (w *turnWriter) finish() {
+	if !w.holding {
+		return
+	}
+	w.connection.completeAnswer()
+	controller := http.NewResponseController(w.ResponseWriter)
+	_ = controller.SetWriteDeadline(time.Now().Add(heldWriteTimeout))
+	if err := w.releaseHeld(); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	_ = controller.SetWriteDeadline(time.Time{})
+}
+
+// discard drops a held answer.
+func (w *turnWriter) discard() bool {
+	if w.status != 0 && !w.holding {
+		return false
+	}
+	w.mu.Lock()
+	w.holding, w.writeDeadline = false, time.Time{}
+	w.mu.Unlock()
+	w.dropHeld()
+	clearHeader(w.Header())
+	w.status, w.written, w.sentHeader = 0, 0, nil
+	return true
+}
+
+// clearHeader removes everything but the Connection header, which does not depend on
+// the answer.
+func clearHeader(header http.Header) {
+	maps.DeleteFunc(header, func(name string, _ []string) bool { return name != "Connection" })
+}
+
+// replaceAborted answers 502 in place of a held answer that its handler has aborted,
+// unless the client has left. It is deferred.
+func (w *turnWriter) replaceAborted(client context.Context) {
+	if !w.holding {
+		return
+	}
+	cause := recover()
+	if cause != nil && (cause != http.ErrAbortHandler || client.Err() != nil) {
+		w.dropHeld()
+		panic(cause)
+	}
+	if cause == nil {
+		return
+	}
+	w.discard()
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(http.StatusBadGateway)
+	w.finish()
+}
+
+// FlushError is called by http.ResponseController.Flush.
+func (w *turnWriter) FlushError() error {
+	if w.status == 0 {
+		w.WriteHeader(http.StatusOK)
+	}
+	if w.holding {
+		return nil
+	}
+	return http.NewResponseController(w.ResponseWriter).Flush()
+}
+
+// SetWriteDeadline is called by http.ResponseController.SetWriteDeadline. A deadline
+// that is set while the answer is held applies once it is released.
+func (w *turnWriter) SetWriteDeadline(deadline time.Time) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.holding {
+		w.writeDeadline = deadline
+		return nil
+	}
+	return http.NewResponseController(w.ResponseWriter).SetWriteDeadline(deadline)
+}
+
+// Unwrap returns the server's writer to http.ResponseController.
+func (w *turnWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
--- a/internal/pipelining/writer.go
+++ b/internal/pipelining/writer.go
@@ -78,6 +78,18 @@
 	}
 }
 
+// discard drops the answer if none of it was passed to the client.
+func (w *bufferedWriter) discard() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.server != nil && w.status != 0 && !Discard(w.server) {
+		return false
+	}
+	clearHeader(w.header)
+	w.status, w.sentHeader, w.buffered = 0, nil, nil
+	return true
+}
+
 // FlushError is called by http.ResponseController.Flush.
 func (w *bufferedWriter) FlushError() error {
 	w.mu.Lock()
@@ -119,33 +131,3 @@
 // finish copies the trailers to the server's writer. It is called after the
 // handler has returned.
 func (w *bufferedWriter) finish() { maps.Copy(w.server.Header(), w.header) }
-
-// keepAliveWriter removes "Connection: close" from an answer if later requests of
-// the connection have started early.
-type keepAliveWriter struct {
-	http.ResponseWriter
-	connection  *connection
-	wroteHeader bool
-}
-
-// WriteHeader implements http.ResponseWriter.
-func (w *keepAliveWriter) WriteHeader(status int) {
-	if status >= http.StatusOK && !w.wroteHeader {
-		w.wroteHeader = true
-		if w.connection.hasEarlyRequests() {
-			w.Header().Del("Connection")
-		}
-	}
-	w.ResponseWriter.WriteHeader(status)
-}
-
-// Write implements http.ResponseWriter.
-func (w *keepAliveWriter) Write(p []byte) (int, error) {
-	if !w.wroteHeader {
-		w.WriteHeader(http.StatusOK)
-	}
-	return w.ResponseWriter.Write(p)
-}
-
-// Unwrap returns the server's writer to http.ResponseController.
-func (w *keepAliveWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
