egress: a long answer that is broken off while it is held is requested again

Seen by callers: a long answer of a repeatable route that was broken off while requests waited behind it became a 502, although none of it had reached the caller and other back ends of the service were free. A short answer in the same place is requested again.

Cause: writeResponse aborts the handler whenever the answer can't be finished.

Change: when the held answer can be discarded, the break counts as a failed attempt with unknown outcome, so that the attempts and the budget of the route decide; the last failure is answered as usual, with the request's id.

--- a/internal/sidecar/egress/call.go
+++ b/internal/sidecar/egress/call.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/kestrelstream/kestrelstream/internal/pipelining"
 	"github.com/kestrelstream/kestrelstream/internal/proxy/forward"
 	"github.com/kestrelstream/kestrelstream/internal/proxy/notrun"
 	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
@@ -213,7 +214,10 @@
 	for {
 		result := c.sendOnce()
 		if result.response != nil {
-			return c.writeResponse(result)
+			result.failure = c.writeResponse(result)
+			if result.failure == nil {
+				return nil
+			}
 		}
 		if result.misrouted() {
 			retry, failure := c.reroute(result)
@@ -227,7 +231,10 @@
 			continue
 		}
 		if late, answered := c.awaitDetached(); answered {
-			return c.writeResponse(late)
+			result.failure = c.writeResponse(late)
+			if result.failure == nil {
+				return nil
+			}
 		}
 		return c.finalFailure(result.failure)
 	}
@@ -244,7 +251,8 @@
 	return outcome.Refusal(status, outcome.StepRequest, 0, err)
 }
 
-// writeResponse writes a back end's response to the caller.
+// writeResponse writes a back end's response to the caller. A failure means that the response was cut
+// off while it was held, so that the caller has received no part of it.
 func (c *call) writeResponse(result result) *outcome.Failure {
 	response := result.response
 	c.status = response.StatusCode
@@ -252,7 +260,11 @@
 	outcome.StripMarkers(response.Header)
 	c.body.CloseUnlessRead(c.writer.Header())
 	if err := forward.WriteReply(c.context, c.writer, response, ""); err != nil {
-		c.failure = &outcome.Failure{Outcome: outcome.Unknown, Step: outcome.StepBody, Peer: result.target.address, Cause: err}
+		failure := &outcome.Failure{Outcome: outcome.Unknown, Step: outcome.StepBody, Peer: result.target.address, Cause: err}
+		if pipelining.Discard(c.writer) {
+			return failure
+		}
+		c.failure = failure
 		c.reportEnd()
 		panic(http.ErrAbortHandler)
 	}
