pipelining: the write deadline of an answer that started early can be set

Seen by callers: none reported. Found while tracing the related paths of broken answers: a client that sent two requests and stopped reading the second answer kept its connection, the handler and the back end's connection for as long as it stayed, whatever the deadline of the request was.

Cause: bufferedWriter held its mutex while the server's writer blocked, and Unwrap, through which the deadline is set, needs that mutex.

Evidence: TestWriteDeadlineEndsEarlyAnswer fails before this change (no end of the write within 20 s).

Change: writing to the server's writer is ordered by a mutex of its own.

After: the package's tests pass 20 times with the race detector.

--- a/internal/pipelining/brokenanswer_test.go
+++ b/internal/pipelining/brokenanswer_test.go
@@ -4,9 +4,11 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 )
@@ -156,3 +158,26 @@
 	connected.g.Expect(response.Trailer.Get("X-End")).To(Equal("whole"))
 	connected.expect("/free/2")
 }
+
+// TestWriteDeadlineEndsEarlyAnswer checks that a handler that started early can end a write to a client
+// that does not read.
+func TestWriteDeadlineEndsEarlyAnswer(t *testing.T) {
+	served := startServer(t)
+	connected := served.connect()
+	connected.send(get("/free/1"), get("/free/2"))
+	served.awaitBegun(2)
+	written := make(chan error, 1)
+	served.releaseWith("/free/2", func(w http.ResponseWriter) {
+		var err error
+		for err == nil {
+			stop := time.AfterFunc(50*time.Millisecond, func() {
+				_ = http.NewResponseController(w).SetWriteDeadline(time.Unix(1, 0))
+			})
+			_, err = w.Write(make([]byte, 1<<20))
+			stop.Stop()
+		}
+		written <- err
+	})
+	served.release("/free/1")
+	connected.g.Eventually(written, "20s").Should(Receive(MatchError(os.ErrDeadlineExceeded)))
+}
--- a/internal/pipelining/writer.go
+++ b/internal/pipelining/writer.go
@@ -15,6 +15,10 @@
 	// attached is closed when server is set.
 	attached chan struct{}
 
+	// writing is held while the server's writer is used, which may block. It is locked
+	// before mu.
+	writing sync.Mutex
+
 	mu     sync.Mutex // guards all below
 	status int
 	// sentHeader is a copy of the header from when the status was set.
@@ -51,24 +55,30 @@
 // Write implements http.ResponseWriter. Beyond maxBufferedBytes it blocks until
 // the server serves the request.
 func (w *bufferedWriter) Write(p []byte) (int, error) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.setStatus(http.StatusOK)
-	if w.server == nil && len(w.buffered)+len(p) <= maxBufferedBytes {
-		w.buffered = append(w.buffered, p...)
+	if w.buffer(p) {
 		return len(p), nil
 	}
-	if w.server == nil {
-		w.mu.Unlock()
-		err := w.awaitTurn()
-		w.mu.Lock()
-		if err != nil {
-			return 0, err
-		}
+	if err := w.awaitTurn(); err != nil {
+		return 0, err
 	}
+	w.writing.Lock()
+	defer w.writing.Unlock()
 	return w.server.Write(p)
 }
 
+// buffer buffers a part of the body. It reports false if the part has to be written
+// to the server's writer.
+func (w *bufferedWriter) buffer(p []byte) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.setStatus(http.StatusOK)
+	if w.server != nil || len(w.buffered)+len(p) > maxBufferedBytes {
+		return false
+	}
+	w.buffered = append(w.buffered, p...)
+	return true
+}
+
 func (w *bufferedWriter) awaitTurn() error {
 	select {
 	case <-w.attached:
@@ -80,6 +90,8 @@
 
 // discard drops the answer if none of it was passed to the client.
 func (w *bufferedWriter) discard() bool {
+	w.writing.Lock()
+	defer w.writing.Unlock()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.server != nil && w.status != 0 && !Discard(w.server) {
@@ -92,12 +104,13 @@
 
 // FlushError is called by http.ResponseController.Flush.
 func (w *bufferedWriter) FlushError() error {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.server == nil {
+	w.writing.Lock()
+	defer w.writing.Unlock()
+	server := w.Unwrap()
+	if server == nil {
 		return nil
 	}
-	return http.NewResponseController(w.server).Flush()
+	return http.NewResponseController(server).Flush()
 }
 
 // Unwrap returns the server's writer to http.ResponseController.
@@ -109,18 +122,26 @@
 
 // attach sets the server's writer and writes the buffered answer to it.
 func (w *bufferedWriter) attach(server http.ResponseWriter) {
+	w.writing.Lock()
+	defer w.writing.Unlock()
+	buffered := w.setServer(server)
+	if len(buffered) > 0 {
+		_, _ = server.Write(buffered)
+	}
+}
+
+// setServer sets the server's writer, passes the header if it is known, and returns
+// the buffered part of the body.
+func (w *bufferedWriter) setServer(server http.ResponseWriter) (buffered []byte) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.server = server
 	close(w.attached)
-	if w.status == 0 {
-		return
-	}
-	w.passHeader()
-	if len(w.buffered) > 0 {
-		_, _ = server.Write(w.buffered)
-		w.buffered = nil
+	if w.status != 0 {
+		w.passHeader()
 	}
+	buffered, w.buffered = w.buffered, nil
+	return buffered
 }
 
 func (w *bufferedWriter) passHeader() {
