pipelining: no request starts behind an answer that could not be held

Seen by callers: requests behind an answer of more than 1 MiB, or behind one that finds the memory for held answers taken, are still lost when it is broken off.

Cause: such an answer has to be streamed, and whether an answer is that long is known only once the requests behind it have started.

Evidence: TestRequestsWaitBehindLengthyAnswers and TestHeldAnswersStayWithinMemory fail before this change.

Change: the node remembers for ten minutes that a route had an answer too long to be held; requests behind the route's next ones start once they are written. While more than half of the memory for held answers is taken, no request starts early.

What remains: the first such answer of a route on a node, and an answer of more than 1 MiB of a route that had none for ten minutes.

--- a/internal/pipelining/brokenanswer_test.go
+++ b/internal/pipelining/brokenanswer_test.go
@@ -181,3 +181,41 @@
 	served.release("/free/1")
 	connected.g.Eventually(written, "20s").Should(Receive(MatchError(os.ErrDeadlineExceeded)))
 }
+
+// TestRequestsWaitBehindLengthyAnswers checks that once an answer was too long to be held, no request
+// starts behind the next one of that kind, so that none is lost when it is broken off.
+func TestRequestsWaitBehindLengthyAnswers(t *testing.T) {
+	for _, length := range []int{2 << 20, -1} {
+		t.Run(fmt.Sprintf("length %d", length), func(t *testing.T) {
+			served := startServer(t)
+			lengthy := func(breaks bool) func(http.ResponseWriter) {
+				return func(w http.ResponseWriter) {
+					if length > 0 {
+						w.Header().Set("Content-Length", strconv.Itoa(length))
+					}
+					_, _ = io.WriteString(w, strings.Repeat("s", 1<<20))
+					if breaks {
+						panic(http.ErrAbortHandler)
+					}
+					_, _ = io.WriteString(w, strings.Repeat("s", 1<<20))
+				}
+			}
+			connected := served.connect()
+			connected.send(get("/free/long"))
+			served.awaitBegun(1)
+			served.releaseWith("/free/long", lengthy(false))
+			connected.expect(strings.Repeat("s", 2<<20))
+			connected.send(get("/free/1"), get("/free/long"), get("/free/2"))
+			connected.g.Expect(served.awaitBegun(2)).To(ConsistOf("/free/1", "/free/long"))
+			served.release("/free/1")
+			connected.expect("/free/1")
+			connected.g.Consistently(served.begun, "50ms").ShouldNot(Receive())
+			served.releaseWith("/free/long", lengthy(true))
+			response, err := http.ReadResponse(connected.reader, nil)
+			connected.g.Expect(err).NotTo(HaveOccurred())
+			_, err = io.ReadAll(response.Body)
+			connected.g.Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+			connected.g.Consistently(served.begun, "50ms").ShouldNot(Receive())
+		})
+	}
+}
--- a/internal/pipelining/connection.go
+++ b/internal/pipelining/connection.go
@@ -172,8 +172,7 @@
 			return
 		}
 		number := c.parsed
-		c.countRequest(next)
-		if c.mayStartEarly() {
+		if c.countRequest(next) {
 			c.early[number] = startEarly(c, next)
 		}
 	}
@@ -181,17 +180,20 @@
 
 // mayStartEarly reports whether the next request may start early: no unanswered
 // request before it requires ordering, no answer before it may still break off and
-// end the connection, and the limit is not reached.
+// end the connection, and the limits are not reached.
 func (c *connection) mayStartEarly() bool {
-	return c.barrier <= c.finished && !c.answering && len(c.early) < maxEarlyPerConnection
+	return c.barrier <= c.finished && !c.answering && len(c.early) < maxEarlyPerConnection && c.pipeline.mayHold()
 }
 
-// countRequest counts a parsed request and updates the barrier.
-func (c *connection) countRequest(r *http.Request) {
+// countRequest counts a parsed request, updates the barrier and reports whether the
+// request may overtake earlier ones.
+func (c *connection) countRequest(r *http.Request) (mayOvertake bool) {
 	c.parsed++
-	if !c.mayOvertake(r) {
+	mayOvertake = c.mayOvertake(r)
+	if !mayOvertake || c.pipeline.options.long(r) {
 		c.barrier = c.parsed
 	}
+	return mayOvertake
 }
 
 // mayOvertake reports whether the request may run concurrently with the other
--- /dev/null
+++ b/internal/pipelining/memory_test.go
@@ -0,0 +1,44 @@
+package pipelining
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+// TestHeldAnswersStayWithinMemory checks the bounds on held answers of a connection and of a pipeline,
+// and that the memory is returned.
+func TestHeldAnswersStayWithinMemory(t *testing.T) {
+	g := NewWithT(t)
+	pipeline := New(Options{}, http.NotFoundHandler())
+	newWriter := func() *turnWriter {
+		conn := newConnection(nil, pipeline)
+		conn.early[1] = &earlyRequest{}
+		return &turnWriter{ResponseWriter: httptest.NewRecorder(), connection: conn}
+	}
+	var writers []*turnWriter
+	for range maxTotalHeldBytes / maxHeldBytes {
+		g.Expect(pipeline.held.Load() <= maxTotalHeldBytes/2).To(Equal(newConnection(nil, pipeline).mayStartEarly()))
+		writer := newWriter()
+		_, err := writer.Write(make([]byte, maxHeldBytes))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(writer.holding).To(BeTrue())
+		writers = append(writers, writer)
+	}
+	g.Expect(pipeline.held.Load()).To(Equal(int64(maxTotalHeldBytes)))
+	beyond := newWriter()
+	_, err := beyond.Write(make([]byte, 1))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(beyond.holding).To(BeFalse())
+	_, err = writers[0].Write(make([]byte, 1))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(writers[0].holding).To(BeFalse())
+	g.Expect(writers[0].ResponseWriter.(*httptest.ResponseRecorder).Body.Len()).To(Equal(maxHeldBytes + 1))
+	g.Expect(writers[1].discard()).To(BeTrue())
+	for _, writer := range writers[2:] {
+		writer.finish()
+	}
+	g.Expect(pipeline.held.Load()).To(BeZero())
+}
--- a/internal/pipelining/pipelining.go
+++ b/internal/pipelining/pipelining.go
@@ -19,6 +19,20 @@
 	// Begun is called when a request starts early. The returned function is called
 	// once the answer was written or dropped.
 	Begun func() (ended func())
+	// Long reports whether the answer to a request may be too long to be held. Later
+	// requests start only once it was written. nil stands for no request.
+	Long func(*http.Request) bool
+	// Lengthy is called when the answer to a request is too long to be held. It may be
+	// nil.
+	Lengthy func(*http.Request)
+}
+
+func (o *Options) long(r *http.Request) bool { return o.Long != nil && o.Long(r) }
+
+func (o *Options) lengthy(r *http.Request) {
+	if o.Lengthy != nil {
+		o.Lengthy(r)
+	}
 }
 
 const (
@@ -94,7 +108,7 @@
 	}
 	begun := conn.startTurn(r)
 	defer conn.finishTurn()
-	writer := &turnWriter{ResponseWriter: w, connection: conn}
+	writer := &turnWriter{ResponseWriter: w, connection: conn, request: r}
 	defer writer.replaceAborted(r.Context())
 	if begun == nil {
 		p.handler.ServeHTTP(writer, r)
@@ -113,5 +127,8 @@
 	return false
 }
 
+// mayHold reports whether there is memory left for answers that begin later.
+func (p *Pipeline) mayHold() bool { return p.held.Load() <= maxTotalHeldBytes/2 }
+
 // release returns reserved memory.
 func (p *Pipeline) release(bytes int) { p.held.Add(-int64(bytes)) }
--- a/internal/pipelining/pipelining_test.go
+++ b/internal/pipelining/pipelining_test.go
@@ -28,6 +28,8 @@
 	// request whose context ends.
 	begun, cancelled chan string
 	early            atomic.Int64
+	// long holds the paths whose answers were too long to be held.
+	long sync.Map
 
 	mu     sync.Mutex // guards answer
 	answer map[string]chan func(http.ResponseWriter)
@@ -48,6 +50,11 @@
 			created.early.Add(1)
 			return func() { created.early.Add(-1) }
 		},
+		Long: func(r *http.Request) bool {
+			_, seen := created.long.Load(r.URL.Path)
+			return seen
+		},
+		Lengthy: func(r *http.Request) { created.long.Store(r.URL.Path, true) },
 	}
 	served := httpserver.New("test", listener, created, httpserver.Limits{Pipelining: options}, zap.NewNop())
 	go func() { _ = served.Serve() }()
--- a/internal/pipelining/turnwriter.go
+++ b/internal/pipelining/turnwriter.go
@@ -23,6 +23,7 @@
 type turnWriter struct {
 	http.ResponseWriter
 	connection *connection
+	request    *http.Request
 	// status is that of the answer, zero before its header is written. length is its
 	// Content-Length, -1 if unknown.
 	status int
@@ -64,6 +65,9 @@
 		return
 	}
 	w.status, w.length = status, contentLength(w.Header())
+	if w.length > maxHeldBytes {
+		w.connection.pipeline.options.lengthy(w.request)
+	}
 	if !w.connection.beginAnswer() {
 		w.ResponseWriter.WriteHeader(status)
 		return
@@ -90,7 +94,7 @@
 	if w.status == 0 {
 		w.WriteHeader(http.StatusOK)
 	}
-	w.written += int64(len(p))
+	w.count(len(p))
 	whole := w.length >= 0 && w.written >= w.length
 	if whole {
 		w.connection.completeAnswer()
@@ -104,6 +108,15 @@
 	return w.ResponseWriter.Write(p)
 }
 
+// count counts a part of the body.
+func (w *turnWriter) count(size int) {
+	before := w.written
+	w.written += int64(size)
+	if w.length < 0 && before <= maxHeldBytes && w.written > maxHeldBytes {
+		w.connection.pipeline.options.lengthy(w.request)
+	}
+}
+
 // hold appends to the held body. It reports whether there was room.
 func (w *turnWriter) hold(p []byte) bool {
 	size := len(w.held) + len(p)
--- a/internal/sidecar/egress/handler.go
+++ b/internal/sidecar/egress/handler.go
@@ -177,6 +177,11 @@
 	// work and callerTimeouts hold estimates by route name.
 	work, callerTimeouts sync.Map
 
+	// longAnswers holds the time.Time of the last answer too long to be held, by route name;
+	// lastLongAnswer is that of any route, nil for none.
+	longAnswers    sync.Map
+	lastLongAnswer atomic.Pointer[time.Time]
+
 	// randomFloat returns a random number in [0, 1).
 	randomFloat func() float64
 	// tenantShares holds the tenants' shares that responses reported.
@@ -270,6 +275,36 @@
 	return matched != nil && matched.Repeatable
 }
 
+// longAnswerMemory is the time after an answer too long to be held during which pipelined requests
+// behind those of its route wait.
+const longAnswerMemory = 10 * time.Minute
+
+// Lengthy records that the answer to a request was too long to be held.
+func (h *Handler) Lengthy(r *http.Request) {
+	matched := match(h.options.Table(), r)
+	if matched == nil {
+		return
+	}
+	now := clock.Now()
+	h.longAnswers.Store(matched.Name, now)
+	h.lastLongAnswer.Store(&now)
+}
+
+// Long reports whether the route of a request has recently had an answer too long to be held.
+func (h *Handler) Long(r *http.Request) bool {
+	if latest := h.lastLongAnswer.Load(); latest == nil || !recentlyLong(*latest) {
+		return false
+	}
+	matched := match(h.options.Table(), r)
+	if matched == nil {
+		return false
+	}
+	last, known := h.longAnswers.Load(matched.Name)
+	return known && recentlyLong(last.(time.Time))
+}
+
+func recentlyLong(moment time.Time) bool { return clock.Since(moment) < longAnswerMemory }
+
 // Begun records a request that was started before its turn: it is in flight until ended is called.
 func (h *Handler) Begun() (ended func()) {
 	h.options.Observer.Pipelined()
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -379,7 +379,9 @@
 // Pipelining returns the options that decide which pipelined requests of a caller are served
 // concurrently.
 func (s *Sidecar) Pipelining() *pipelining.Options {
-	return &pipelining.Options{Ahead: s.egress.Ahead, Begun: s.egress.Begun}
+	return &pipelining.Options{
+		Ahead: s.egress.Ahead, Begun: s.egress.Begun, Long: s.egress.Long, Lengthy: s.egress.Lengthy,
+	}
 }
 
 // Inbound returns the handler of the listener for other nodes.
