--- a/internal/pipelining/connection.go
+++ b/internal/pipelining/connection.go
@@ -39,6 +39,8 @@
 	// barrier is the number of requests up to and including the last one that
 	// must be answered before later ones may start.
 	barrier int
+	// answering: the current answer has begun and is not known to be whole.
+	answering bool
 	// early holds the requests that were started early, by number.
 	early map[int]*earlyRequest
 }
@@ -170,25 +172,28 @@
 			return
 		}
 		number := c.parsed
-		c.countRequest(next)
-		if c.mayStartEarly() {
+		if c.countRequest(next) {
 			c.early[number] = startEarly(c, next)
 		}
 	}
 }
 
 // mayStartEarly reports whether the next request may start early: no unanswered
-// request before it requires ordering, and the limit is not reached.
+// request before it requires ordering, no answer before it may still break off and
+// end the connection, and the limits are not reached.
 func (c *connection) mayStartEarly() bool {
-	return c.barrier <= c.finished && len(c.early) < maxEarlyPerConnection
+	return c.barrier <= c.finished && !c.answering && len(c.early) < maxEarlyPerConnection && c.pipeline.mayHold()
 }
 
-// countRequest counts a parsed request and updates the barrier.
-func (c *connection) countRequest(r *http.Request) {
+// countRequest counts a parsed request, updates the barrier and reports whether the
+// request may overtake earlier ones.
+func (c *connection) countRequest(r *http.Request) (mayOvertake bool) {
 	c.parsed++
-	if !c.mayOvertake(r) {
+	mayOvertake = c.mayOvertake(r)
+	if !mayOvertake || c.pipeline.options.long(r) {
 		c.barrier = c.parsed
 	}
+	return mayOvertake
 }
 
 // mayOvertake reports whether the request may run concurrently with the other
@@ -244,12 +249,26 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.finished++
+	c.answering = false
 }
 
-// hasEarlyRequests reports whether requests after the current one were started
-// early. They would be lost if the connection closed after its answer.
-func (c *connection) hasEarlyRequests() bool {
+// beginAnswer records that the current answer has begun. It reports whether later
+// requests have started early: they are lost if the connection closes after this
+// answer.
+func (c *connection) beginAnswer() (hasEarly bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.answering = true
 	return len(c.early) > 0
 }
+
+// completeAnswer records that the current answer is whole, and starts requests that
+// waited for that.
+func (c *connection) completeAnswer() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.answering {
+		c.answering = false
+		c.scan()
+	}
+}
--- a/internal/pipelining/writer.go
+++ b/internal/pipelining/writer.go
@@ -15,6 +15,10 @@
 	// attached is closed when server is set.
 	attached chan struct{}
 
+	// writing is held while the server's writer is used, which may block. It is locked
+	// before mu.
+	writing sync.Mutex
+
 	mu     sync.Mutex // guards all below
 	status int
 	// sentHeader is a copy of the header from when the status was set.
@@ -51,24 +55,30 @@
 // Write implements http.ResponseWriter. Beyond maxBufferedBytes it blocks until
 // the server serves the request.
 func (w *bufferedWriter) Write(p []byte) (int, error) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.setStatus(http.StatusOK)
-	if w.server == nil && len(w.buffered)+len(p) <= maxBufferedBytes {
-		w.buffered = append(w.buffered, p...)
+	if w.buffer(p) {
 		return len(p), nil
 	}
-	if w.server == nil {
-		w.mu.Unlock()
-		err := w.awaitTurn()
-		w.mu.Lock()
-		if err != nil {
-			return 0, err
-		}
+	if err := w.awaitTurn(); err != nil {
+		return 0, err
 	}
+	w.writing.Lock()
+	defer w.writing.Unlock()
 	return w.server.Write(p)
 }
 
+// buffer buffers a part of the body. It reports false if the part has to be written
+// to the server's writer.
+func (w *bufferedWriter) buffer(p []byte) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.setStatus(http.StatusOK)
+	if w.server != nil || len(w.buffered)+len(p) > maxBufferedBytes {
+		return false
+	}
+	w.buffered = append(w.buffered, p...)
+	return true
+}
+
 func (w *bufferedWriter) awaitTurn() error {
 	select {
 	case <-w.attached:
@@ -78,14 +88,29 @@
 	}
 }
 
-// FlushError is called by http.ResponseController.Flush.
-func (w *bufferedWriter) FlushError() error {
+// discard drops the answer if none of it was passed to the client.
+func (w *bufferedWriter) discard() bool {
+	w.writing.Lock()
+	defer w.writing.Unlock()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.server == nil {
+	if w.server != nil && w.status != 0 && !Discard(w.server) {
+		return false
+	}
+	clearHeader(w.header)
+	w.status, w.sentHeader, w.buffered = 0, nil, nil
+	return true
+}
+
+// FlushError is called by http.ResponseController.Flush.
+func (w *bufferedWriter) FlushError() error {
+	w.writing.Lock()
+	defer w.writing.Unlock()
+	server := w.Unwrap()
+	if server == nil {
 		return nil
 	}
-	return http.NewResponseController(w.server).Flush()
+	return http.NewResponseController(server).Flush()
 }
 
 // Unwrap returns the server's writer to http.ResponseController.
@@ -97,18 +122,26 @@
 
 // attach sets the server's writer and writes the buffered answer to it.
 func (w *bufferedWriter) attach(server http.ResponseWriter) {
+	w.writing.Lock()
+	defer w.writing.Unlock()
+	buffered := w.setServer(server)
+	if len(buffered) > 0 {
+		_, _ = server.Write(buffered)
+	}
+}
+
+// setServer sets the server's writer, passes the header if it is known, and returns
+// the buffered part of the body.
+func (w *bufferedWriter) setServer(server http.ResponseWriter) (buffered []byte) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.server = server
 	close(w.attached)
-	if w.status == 0 {
-		return
-	}
-	w.passHeader()
-	if len(w.buffered) > 0 {
-		_, _ = server.Write(w.buffered)
-		w.buffered = nil
+	if w.status != 0 {
+		w.passHeader()
 	}
+	buffered, w.buffered = w.buffered, nil
+	return buffered
 }
 
 func (w *bufferedWriter) passHeader() {
@@ -119,33 +152,3 @@
 // finish copies the trailers to the server's writer. It is called after the
 // handler has returned.
 func (w *bufferedWriter) finish() { maps.Copy(w.server.Header(), w.header) }
-
-// keepAliveWriter removes "Connection: close" from an answer if later requests of
-// the connection have started early.
-type keepAliveWriter struct {
-	http.ResponseWriter
-	connection  *connection
-	wroteHeader bool
-}
-
-// WriteHeader implements http.ResponseWriter.
-func (w *keepAliveWriter) WriteHeader(status int) {
-	if status >= http.StatusOK && !w.wroteHeader {
-		w.wroteHeader = true
-		if w.connection.hasEarlyRequests() {
-			w.Header().Del("Connection")
-		}
-	}
-	w.ResponseWriter.WriteHeader(status)
-}
-
-// Write implements http.ResponseWriter.
-func (w *keepAliveWriter) Write(p []byte) (int, error) {
-	if !w.wroteHeader {
-		w.WriteHeader(http.StatusOK)
-	}
-	return w.ResponseWriter.Write(p)
-}
-
-// Unwrap returns the server's writer to http.ResponseController.
-func (w *keepAliveWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
