--- a/internal/proxy/forward/conn.go
+++ b/internal/proxy/forward/conn.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"sync/atomic"
 )
 
@@ -21,21 +22,32 @@
 	writeSome
 	// writeSealed: writing is disabled.
 	writeSealed
+	// writeRefused: writing was disabled before anything was written, because the
+	// peer sent bytes before the request.
+	writeRefused
 	// writeDiscarded: something has been written, and all further writes are
 	// discarded.
 	writeDiscarded
 )
 
-// trackedConn tracks whether the current exchange has written anything. Writes
-// come from one goroutine at a time; begin and seal are called by the owner of
-// the exchange.
+// trackedConn tracks whether the current exchange has written anything, and
+// rejects bytes that are no reply. Reads and writes come from one goroutine at a
+// time each; begin and seal are called by the owner of the exchange.
 type trackedConn struct {
 	net.Conn
+	incoming
 	state atomic.Int32
 	// exchange is the context of the current exchange, nil while idle.
 	exchange atomic.Pointer[context.Context]
 }
 
+// newTrackedConn returns an idle connection.
+func newTrackedConn(opened net.Conn, limits headerLimits, onUnsolicited func(*http.Request, *ReplyError)) *trackedConn {
+	created := &trackedConn{Conn: opened}
+	created.limits, created.onUnsolicited, created.changed.L = limits, onUnsolicited, &created.mutex
+	return created
+}
+
 // begin starts an exchange with the given context. The connection must be idle.
 func (c *trackedConn) begin(ctx context.Context) {
 	c.state.Store(writeNone)
@@ -50,6 +62,7 @@
 // buffered body before the FIN, so that uploads went on for 0.7 s after their callers had
 // disconnected.
 func (c *trackedConn) Close() error {
+	c.stopReading()
 	if ctx := c.exchange.Load(); ctx != nil && (*ctx).Err() != nil {
 		if resettable, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
 			_ = resettable.SetLinger(0) // on an error the connection closes without a reset
@@ -59,14 +72,15 @@
 }
 
 // Write implements net.Conn. After seal it returns net.ErrClosed, after
-// discardWrites it does nothing.
+// discardWrites it writes nothing.
 func (c *trackedConn) Write(data []byte) (int, error) {
 	first := c.state.CompareAndSwap(writeNone, writeBusy)
 	if !first {
 		switch c.state.Load() {
-		case writeSealed:
+		case writeSealed, writeRefused:
 			return 0, net.ErrClosed
 		case writeDiscarded:
+			c.expectNext()
 			return len(data), nil
 		}
 	}
@@ -82,12 +96,16 @@
 	return written, err
 }
 
-// discardWrites discards all writes until the next exchange begins. The request
-// must have been written completely.
-func (c *trackedConn) discardWrites() { c.state.Store(writeDiscarded) }
+// discardWrites discards all writes until the next exchange begins, and allows
+// another reply. The request must have been written completely.
+func (c *trackedConn) discardWrites() {
+	c.state.Store(writeDiscarded)
+	c.awaitNext()
+}
 
 // seal disables further writes and reports whether nothing was written. A write
 // in progress counts as written.
 func (c *trackedConn) seal() (nothingWritten bool) {
-	return c.state.Swap(writeSealed) == writeNone
+	former := c.state.Swap(writeSealed)
+	return former == writeNone || former == writeRefused
 }
--- a/internal/sidecar/roster/incarnationtracker.go
+++ b/internal/sidecar/roster/incarnationtracker.go
@@ -7,22 +7,60 @@
 	Endpoint
 	// WarmupLeft is the remaining time for which the back end is slow after its start.
 	WarmupLeft time.Duration
+	// Identity is what the back end beside the node says about the id.
+	Identity Identity
 }
 
+// Identity is what the back end beside the node itself says about the id in a heartbeat.
+type Identity int
+
+const (
+	// IdentityUnknown means that the back end was not asked or did not answer.
+	IdentityUnknown Identity = iota
+	// IdentityConfirmed means that the back end has that id.
+	IdentityConfirmed
+	// IdentityRefuted means that the back end has another id.
+	IdentityRefuted
+)
+
+// Refusal is the reason why a heartbeat does not count; empty if it does.
+type Refusal string
+
+const (
+	// RefusedService means that the heartbeat is of another service than that of the node.
+	RefusedService Refusal = "service"
+	// RefusedEnded means that the incarnation has ended.
+	RefusedEnded Refusal = "ended"
+	// RefusedSequence means that a later heartbeat of the incarnation has already arrived.
+	RefusedSequence Refusal = "sequence"
+	// RefusedInstance means that the back end itself reports another id.
+	RefusedInstance Refusal = "instance"
+	// RefusedUnconfirmed means that the incarnation is not the current one, and that nothing shows
+	// that it has replaced it.
+	RefusedUnconfirmed Refusal = "unconfirmed"
+)
+
 // IncarnationTracker decides which incarnation of the back end is current when heartbeats of
-// several arrive. A heartbeat may arrive seconds late, from a process that no longer runs, so a
-// single one does not replace an incarnation that is still sending, unless it belongs to a later
-// start.
+// several arrive. A heartbeat may arrive seconds late, from a process that no longer runs. Where the
+// back end itself does not confirm the id, a single one therefore does not replace an incarnation
+// that is still sending, unless it belongs to a later start.
 type IncarnationTracker struct {
 	// Interval is the expected time between two heartbeats.
 	Interval time.Duration
 	// lastHeartbeat is the time of the current incarnation's last heartbeat since this process
 	// started. It is zero if none has arrived or the back end's process is known to have ended.
 	lastHeartbeat time.Time
-	// candidate is another incarnation that has sent heartbeats since then, and candidateHeartbeats
-	// their number in a row.
+	// candidate is another incarnation that has sent heartbeats since then, candidateHeartbeats their
+	// number in a row, and candidateCounted the arrival of the last one that was counted.
 	candidate           Endpoint
 	candidateHeartbeats int
+	candidateCounted    time.Time
+	// reportedID is the id that the back end itself last reported without a heartbeat of it,
+	// at reportedAt.
+	reportedID string
+	reportedAt time.Time
+	// unverified means that the current incarnation was taken while the back end's id was not known.
+	unverified bool
 }
 
 const (
@@ -31,38 +69,58 @@
 	maxSilentIntervals = 3
 	// minCandidateHeartbeats is the number of consecutive heartbeats that a candidate must send.
 	minCandidateHeartbeats = 2
+	// minCandidateGap is the minimum time between two of them, as a fraction of an interval: late
+	// heartbeats that were held up together also arrive together.
+	minCandidateGap = 0.5
 )
 
-// ApplyHeartbeat returns the record after a heartbeat and reports whether it changed in a way that
-// peers must learn of. An incarnation that has ended stays ended, and among heartbeats of one
-// incarnation the highest sequence wins. A heartbeat without a start time is ignored if the current
-// incarnation has one.
-func (c *IncarnationTracker) ApplyHeartbeat(record Record, heartbeat Heartbeat, now time.Time) (next Record, changed bool) {
+// ApplyHeartbeat returns the record after a heartbeat, whether it changed in a way that peers must
+// learn of, and why the heartbeat does not count. An incarnation that has ended stays ended, and
+// among heartbeats of one incarnation the highest sequence wins. A heartbeat without a start time is
+// refused if the current incarnation has one.
+func (c *IncarnationTracker) ApplyHeartbeat(record Record, heartbeat Heartbeat, now time.Time) (next Record, changed bool, refusal Refusal) {
 	if record.HasEnded(heartbeat.Incarnation()) {
-		return record, false
+		return record, false, RefusedEnded
 	}
 	current := record.Endpoint
-	if current == nil {
-		return c.replace(record, heartbeat.Endpoint, now), true
+	heartbeat.Identity = c.identity(&heartbeat, now)
+	switch {
+	case current != nil && current.Incarnation() == heartbeat.Incarnation():
+		return c.refresh(record, heartbeat.Endpoint, now)
+	case heartbeat.Identity == IdentityRefuted:
+		return record, false, RefusedInstance
+	case current == nil || c.replaces(current, &heartbeat, now):
+		c.unverified = heartbeat.Identity == IdentityUnknown
+		return c.replace(record, heartbeat.Endpoint, now), true, ""
 	}
+	return record, false, RefusedUnconfirmed
+}
+
+// replaces reports whether the incarnation of a heartbeat replaces the current one.
+func (c *IncarnationTracker) replaces(current *Endpoint, heartbeat *Heartbeat, now time.Time) bool {
 	currentIncarnation, reportedIncarnation := current.Incarnation(), heartbeat.Incarnation()
-	replaces := false
 	switch {
-	case currentIncarnation == reportedIncarnation:
-		return c.refresh(record, heartbeat.Endpoint, now)
+	case heartbeat.Identity == IdentityConfirmed && heartbeat.ID != current.ID:
+		return true
 	case reportedIncarnation.Born == 0 && currentIncarnation.Born != 0:
+		return false
 	case currentIncarnation.before(reportedIncarnation):
-		replaces = true
+		return true
 	case reportedIncarnation.before(currentIncarnation):
 		// Either a late heartbeat of an earlier start, or the clock was set back.
-		replaces = c.countCandidate(heartbeat.Endpoint) && (current.State == Gone || c.silent(now))
-	default:
-		replaces = current.State == Gone || c.silent(now) || c.countCandidate(heartbeat.Endpoint)
+		return c.countCandidate(heartbeat.Endpoint, now) && (current.State == Gone || c.silent(now))
 	}
-	if !replaces {
-		return record, false
+	return current.State == Gone || c.silent(now) || c.countCandidate(heartbeat.Endpoint, now)
+}
+
+// TakeUnverified returns the current endpoint if it was taken while the back end's id was not known,
+// and nil otherwise or if it was returned before.
+func (c *IncarnationTracker) TakeUnverified(record Record) *Endpoint {
+	if !c.unverified {
+		return nil
 	}
-	return c.replace(record, heartbeat.Endpoint, now), true
+	c.unverified = false
+	return record.Endpoint
 }
 
 // silent reports whether the current incarnation has sent no heartbeat for too long, or none since
@@ -73,19 +131,26 @@
 
 // countCandidate counts a candidate's heartbeat and reports whether it has sent enough in a row to
 // become the current incarnation.
-func (c *IncarnationTracker) countCandidate(candidate Endpoint) bool {
+func (c *IncarnationTracker) countCandidate(candidate Endpoint, now time.Time) bool {
 	if c.candidate.Incarnation() != candidate.Incarnation() {
 		c.candidateHeartbeats = 0
 	}
-	c.candidateHeartbeats++
 	c.candidate = candidate
+	gap := time.Duration(minCandidateGap * float64(c.Interval))
+	if c.candidateHeartbeats == 0 || now.Sub(c.candidateCounted) >= gap {
+		c.candidateHeartbeats++
+		c.candidateCounted = now
+	}
 	return c.candidateHeartbeats >= minCandidateHeartbeats
 }
 
-func (c *IncarnationTracker) refresh(record Record, reported Endpoint, now time.Time) (next Record, changed bool) {
+func (c *IncarnationTracker) refresh(record Record, reported Endpoint, now time.Time) (next Record, changed bool, refusal Refusal) {
 	current := record.Endpoint
-	if current.State == Gone || reported.Sequence < current.Sequence {
-		return record, false
+	switch {
+	case current.State == Gone:
+		return record, false, RefusedEnded
+	case reported.Sequence < current.Sequence:
+		return record, false, RefusedSequence
 	}
 	if current.State == Draining {
 		reported.State = Draining // an earlier heartbeat may arrive after a response that announced draining
@@ -94,7 +159,7 @@
 	changed = current.State != reported.State || current.Slots != reported.Slots || current.Service != reported.Service ||
 		current.Version != reported.Version
 	record.Endpoint = &reported
-	return record, changed
+	return record, changed, ""
 }
 
 func (c *IncarnationTracker) replace(record Record, reported Endpoint, now time.Time) Record {
@@ -112,12 +177,29 @@
 	}
 }
 
-// Confirm applies an id obtained from the back end itself. A candidate with that id becomes the
-// current incarnation at once.
+// Confirm applies an id obtained from the back end itself, empty if it named none. A candidate with
+// that id becomes the current incarnation at once. Without one, the next heartbeat with that id does.
 func (c *IncarnationTracker) Confirm(record Record, id string, now time.Time) (next Record, changed bool) {
 	current := record.Endpoint
-	if current == nil || current.ID == id || c.candidate.ID != id || record.HasEnded(c.candidate.Incarnation()) {
+	switch {
+	case id == "" || current == nil || current.ID == id:
+		return record, false
+	case c.candidate.ID != id:
+		c.reportedID, c.reportedAt = id, now
+		return record, false
+	case record.HasEnded(c.candidate.Incarnation()):
 		return record, false
 	}
+	c.unverified = false
 	return c.replace(record, c.candidate, now), true
 }
+
+// identity returns what the back end says about the id of a heartbeat, including what it reported
+// before.
+func (c *IncarnationTracker) identity(heartbeat *Heartbeat, now time.Time) Identity {
+	recent := now.Sub(c.reportedAt) <= maxSilentIntervals*c.Interval
+	if heartbeat.Identity == IdentityUnknown && heartbeat.ID == c.reportedID && recent {
+		return IdentityConfirmed
+	}
+	return heartbeat.Identity
+}
--- a/internal/sidecar/roster/roster_test.go
+++ b/internal/sidecar/roster/roster_test.go
@@ -161,6 +161,10 @@
 			{0, "b", roster.Ready, 1, false, false}, {1, "a", roster.Ready, 40, false, false}, {interval, "b", roster.Ready, 2, false, false},
 			{interval + 1, "a", roster.Ready, 41, false, false}, {2 * interval, "b", roster.Ready, 3, false, false},
 		}, "b", roster.Ready},
+		{"several late heartbeats of an earlier id together", []event{
+			{0, "b", roster.Ready, 1, false, false}, {1, "a", roster.Ready, 40, false, false}, {2, "a", roster.Ready, 41, false, false},
+			{3, "a", roster.Ready, 42, false, false},
+		}, "b", roster.Ready},
 		{"late heartbeat that arrived first is replaced", []event{
 			{0, "a", roster.Ready, 40, false, false}, {1, "b", roster.Ready, 1, false, false}, {interval, "b", roster.Ready, 2, false, false},
 		}, "b", roster.Ready},
@@ -181,6 +185,13 @@
 		{"id confirmed by the back end", []event{
 			{0, "a", roster.Ready, 40, false, false}, {1, "b", roster.Ready, 1, false, false}, {2, "b", "", 0, false, true},
 		}, "b", roster.Ready},
+		{"id reported by the back end before its first heartbeat", []event{
+			{0, "a", roster.Ready, 40, false, false}, {1, "b", "", 0, false, true}, {2, "b", roster.Ready, 1, false, false},
+		}, "b", roster.Ready},
+		{"id reported by the back end too long ago", []event{
+			{0, "a", roster.Ready, 40, false, false}, {1, "b", "", 0, false, true}, {3 * interval, "a", roster.Ready, 41, false, false},
+			{4 * interval, "b", roster.Ready, 1, false, false},
+		}, "a", roster.Ready},
 		{"unknown id from the back end is ignored", []event{
 			{0, "a", roster.Ready, 40, false, false}, {2, "c", "", 0, false, true},
 		}, "a", roster.Ready},
@@ -201,7 +212,7 @@
 				case event.confirm:
 					own, _ = claims.Confirm(own, event.id, now)
 				default:
-					own, _ = claims.ApplyHeartbeat(own, roster.Heartbeat{Endpoint: *endpoint(event.id, event.state, event.sequence)}, now)
+					own, _, _ = claims.ApplyHeartbeat(own, roster.Heartbeat{Endpoint: *endpoint(event.id, event.state, event.sequence)}, now)
 				}
 			}
 			g.Expect(own.Endpoint.ID).To(Equal(tc.id))
@@ -218,7 +229,8 @@
 	members.Observe(func([]*roster.Record) { notifications++ })
 	for sequence := uint64(1); sequence <= 5; sequence++ {
 		members.Update(func(own roster.Record) (roster.Record, bool) {
-			return claims.ApplyHeartbeat(own, roster.Heartbeat{Endpoint: *endpoint("a", roster.Ready, sequence)}, time.Unix(int64(sequence), 0))
+			next, changed, _ := claims.ApplyHeartbeat(own, roster.Heartbeat{Endpoint: *endpoint("a", roster.Ready, sequence)}, time.Unix(int64(sequence), 0))
+			return next, changed
 		})
 	}
 	g.Expect(notifications).To(Equal(1))
@@ -337,15 +349,15 @@
 	now := time.Unix(100, 0)
 	beat := roster.Heartbeat{Endpoint: *endpoint("i-1", roster.Ready, 1)}
 	beat.Version = "v1"
-	held, changed := claims.ApplyHeartbeat(record("self", 1, 1), beat, now)
+	held, changed, _ := claims.ApplyHeartbeat(record("self", 1, 1), beat, now)
 	g.Expect(changed).To(BeTrue())
 	g.Expect(held.Endpoint.Version).To(Equal("v1"))
 	beat.Sequence++
-	held, changed = claims.ApplyHeartbeat(held, beat, now)
+	held, changed, _ = claims.ApplyHeartbeat(held, beat, now)
 	g.Expect(changed).To(BeFalse())
 	beat.Version = "v2"
 	beat.Sequence++
-	held, changed = claims.ApplyHeartbeat(held, beat, now)
+	held, changed, _ = claims.ApplyHeartbeat(held, beat, now)
 	g.Expect(changed).To(BeTrue())
 	g.Expect(held.Endpoint.Version).To(Equal("v2"))
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -94,6 +95,7 @@
 type Sidecar struct {
 	options Options
 	logger  *zap.Logger
+	metrics *metrics
 	members *roster.Roster
 	keeper  *configuration.Keeper
 	// membership discovers the other nodes through the store.
@@ -118,6 +120,9 @@
 	// store first returned the other nodes; nil before.
 	started         time.Time
 	peersDiscovered atomic.Pointer[time.Time]
+	// configured is closed once a configuration is in force.
+	configured     chan struct{}
+	configuredOnce sync.Once
 	// settings is replaced when settings are reloaded.
 	settings atomic.Pointer[Settings]
 	// lastHeartbeat is the arrival time of the last heartbeat, as a clock.Stamp; zero before the
@@ -150,15 +155,18 @@
 			RunID: uint64(rand.Uint32()),
 		}),
 		started:        clock.Now(),
+		configured:     make(chan struct{}),
 		keeper:         configuration.NewKeeper(options.Decode, options.Logger),
 		contention:     contention.NewSwitch(settings.OverloadControl),
 		activeRequests: &nested.ActiveRequests{},
 		incarnations:   roster.IncarnationTracker{Interval: settings.HeartbeatInterval},
 	}
 	observer := newMetrics(options.Registry)
+	created.metrics = observer
 	options.Store = newCountedStore(options.Store, options.Registry)
 	created.options.Store = options.Store
 	created.settings.Store(settings)
+	created.members.SetService(settings.Service)
 	created.quarantine = quarantine.New(quarantine.Options{
 		Members:          created.members,
 		Broadcast:        func() { created.broadcastRecord(context.Background()) },
@@ -210,6 +218,7 @@
 		Vocabulary:     s.options.Vocabulary,
 		Address:        settings.BackendAddress,
 		LinkMbps:       settings.LinkMbps,
+		MaxAnswerBytes: settings.MaxAnswerBytes,
 		ActiveRequests: s.activeRequests,
 		DecodeLoad:     s.options.DecodeLoad,
 		RecordLoad:     s.recordLoad,
@@ -298,11 +307,16 @@
 }
 
 // caller returns the name of the service beside this node.
-func (s *Sidecar) caller() string {
-	if endpoint := s.members.Own().Endpoint; endpoint != nil {
-		return endpoint.Service
+func (s *Sidecar) caller() string { return s.serviceOf(s.members.Own().Endpoint) }
+
+// serviceOf returns the service of the local back end: the one in the settings, since a heartbeat may
+// be that of another back end. If the settings name none, it is that of the endpoint; empty if that
+// is nil.
+func (s *Sidecar) serviceOf(endpoint *roster.Endpoint) string {
+	if service := s.settings.Load().Service; service != "" || endpoint == nil {
+		return service
 	}
-	return s.options.Settings.Service
+	return endpoint.Service
 }
 
 // handleRecordChanges passes changed records to the parts that depend on them. It is called with
@@ -342,6 +356,8 @@
 // as well.
 func (s *Sidecar) applyConfiguration(table *route.Table, source configuration.Source) {
 	s.setService(table, s.members.Own().Endpoint)
+	s.configuredOnce.Do(func() { close(s.configured) })
+	go s.verifyBackend()
 	s.contention.SetTenantsConfigured(len(table.Document().Tenants) > 0)
 	switch source {
 	case configuration.SourceWatch:
@@ -354,8 +370,8 @@
 
 // setService gives the ingress handler the configured service of the back end.
 func (s *Sidecar) setService(table *route.Table, endpoint *roster.Endpoint) {
-	if table != nil && endpoint != nil {
-		s.ingress.SetService(table.Service(endpoint.Service))
+	if service := s.serviceOf(endpoint); table != nil && service != "" {
+		s.ingress.SetService(table.Service(service))
 	}
 }
 
@@ -371,7 +387,9 @@
 // Pipelining returns the options that decide which pipelined requests of a caller are served
 // concurrently.
 func (s *Sidecar) Pipelining() *pipelining.Options {
-	return &pipelining.Options{Ahead: s.egress.Ahead, Begun: s.egress.Begun}
+	return &pipelining.Options{
+		Ahead: s.egress.Ahead, Begun: s.egress.Begun, Long: s.egress.Long, Lengthy: s.egress.Lengthy,
+	}
 }
 
 // Inbound returns the handler of the listener for other nodes.
