pipelining: tests of broken answers beside uploads, stops and clients that leave

The related paths of the fault: what stands behind an upload is not passed on before its answer is whole; a server that closes its connections still answers what was passed on behind a broken answer; an aborted answer whose client has left is not replaced and its memory is returned, as when a handler fails.

--- a/internal/pipelining/brokenanswer_test.go
+++ b/internal/pipelining/brokenanswer_test.go
@@ -219,3 +219,41 @@
 		})
 	}
 }
+
+// TestNothingStartsBehindUpload checks that a request behind an upload is not passed on when the answer
+// to the upload is broken off.
+func TestNothingStartsBehindUpload(t *testing.T) {
+	served := startServer(t)
+	connected := served.connect()
+	connected.send("POST /free/upload HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc", get("/free/2"))
+	connected.g.Expect(served.awaitBegun(1)).To(Equal([]string{"/free/upload"}))
+	served.releaseWith("/free/upload", breakOff(strconv.Itoa(longAnswerBytes)))
+	response, err := http.ReadResponse(connected.reader, nil)
+	connected.g.Expect(err).NotTo(HaveOccurred())
+	_, err = io.ReadAll(response.Body)
+	connected.g.Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+	connected.g.Consistently(served.begun, "50ms").ShouldNot(Receive())
+}
+
+// TestStoppingServerAnswersBehindBrokenAnswer breaks off the answer of a server that closes its
+// connections, as it does during a planned stop.
+func TestStoppingServerAnswersBehindBrokenAnswer(t *testing.T) {
+	served := startServer(t)
+	connected := served.connect()
+	connected.send(get("/free/1"), get("/free/2"))
+	served.awaitBegun(2)
+	served.releaseWith("/free/1", func(w http.ResponseWriter) {
+		w.Header().Set("Connection", "close")
+		breakOff("")(w)
+	})
+	served.releaseWith("/free/2", func(w http.ResponseWriter) {
+		w.Header().Set("Connection", "close")
+		_, _ = io.WriteString(w, "/free/2")
+	})
+	response, _ := connected.receive()
+	connected.g.Expect(response.StatusCode).To(Equal(http.StatusBadGateway))
+	connected.g.Expect(response.Close).To(BeFalse())
+	response, content := connected.receive()
+	connected.g.Expect(content).To(Equal("/free/2"))
+	connected.g.Expect(response.Close).To(BeTrue())
+}
--- a/internal/pipelining/memory_test.go
+++ b/internal/pipelining/memory_test.go
@@ -1,6 +1,7 @@
 package pipelining
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -8,16 +9,19 @@
 	. "github.com/onsi/gomega"
 )
 
+// newHoldingWriter returns the writer of an answer with a request started behind it.
+func newHoldingWriter(pipeline *Pipeline) *turnWriter {
+	conn := newConnection(nil, pipeline)
+	conn.early[1] = &earlyRequest{}
+	return &turnWriter{ResponseWriter: httptest.NewRecorder(), connection: conn}
+}
+
 // TestHeldAnswersStayWithinMemory checks the bounds on held answers of a connection and of a pipeline,
 // and that the memory is returned.
 func TestHeldAnswersStayWithinMemory(t *testing.T) {
 	g := NewWithT(t)
 	pipeline := New(Options{}, http.NotFoundHandler())
-	newWriter := func() *turnWriter {
-		conn := newConnection(nil, pipeline)
-		conn.early[1] = &earlyRequest{}
-		return &turnWriter{ResponseWriter: httptest.NewRecorder(), connection: conn}
-	}
+	newWriter := func() *turnWriter { return newHoldingWriter(pipeline) }
 	var writers []*turnWriter
 	for range maxTotalHeldBytes / maxHeldBytes {
 		g.Expect(pipeline.held.Load() <= maxTotalHeldBytes/2).To(Equal(newConnection(nil, pipeline).mayStartEarly()))
@@ -42,3 +46,31 @@
 	}
 	g.Expect(pipeline.held.Load()).To(BeZero())
 }
+
+// TestHeldMemoryIsReturnedWhenClientLeaves checks that an answer that is aborted because its client has
+// left is not replaced, and that its memory is returned; the same for a handler that fails.
+func TestHeldMemoryIsReturnedWhenClientLeaves(t *testing.T) {
+	left, leave := context.WithCancel(context.Background())
+	leave()
+	cases := map[string]struct {
+		client context.Context
+		cause  any
+	}{
+		"client has left":  {left, http.ErrAbortHandler},
+		"handler panicked": {context.Background(), "out of range"},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			pipeline := New(Options{}, http.NotFoundHandler())
+			writer := newHoldingWriter(pipeline)
+			g.Expect(func() {
+				defer writer.replaceAborted(test.client)
+				_, _ = writer.Write(make([]byte, 100<<10))
+				panic(test.cause)
+			}).To(PanicWith(test.cause))
+			g.Expect(writer.ResponseWriter.(*httptest.ResponseRecorder).Body.Len()).To(BeZero())
+			g.Expect(pipeline.held.Load()).To(BeZero())
+		})
+	}
+}
