egress: the log shows a response that was cut off while it was held

Seen by operators: a call whose long answer was broken off and requested again looks like any other; its visits show two nodes without a failure.

Cause: the visit is recorded when the answer's header has arrived.

Evidence: TestBrokenLongAnswerIsRetried fails before this change (no line).

Change: the visit gets the outcome and step of the failure, and a line names the request, the route, the peer and the cause.

--- a/internal/sidecar/egress/attempts.go
+++ b/internal/sidecar/egress/attempts.go
@@ -76,6 +76,16 @@
 	return count
 }
 
+// fail sets the result of the latest attempt at a peer.
+func (v attempts) fail(peer *target, failure *outcome.Failure) {
+	for index := len(v) - 1; index >= 0; index-- {
+		if v[index].target == peer {
+			v[index].outcome, v[index].step = failure.Outcome, failure.Step
+			return
+		}
+	}
+}
+
 // MarshalLogArray implements zapcore.ArrayMarshaler.
 func (v attempts) MarshalLogArray(encoder zapcore.ArrayEncoder) error {
 	for index := range v {
--- a/internal/sidecar/egress/brokenanswer_test.go
+++ b/internal/sidecar/egress/brokenanswer_test.go
@@ -14,6 +14,7 @@
 
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/kestrelstream/kestrelstream/internal/httpserver"
 	"github.com/kestrelstream/kestrelstream/internal/pipelining"
@@ -95,6 +96,8 @@
 				peers = append(peers, &peer{address: started.Listener.Addr().String()})
 			}
 			handler := newHandler(t, &fakeObserver{}, probeOK, peers...)
+			core, logged := observer.New(zap.InfoLevel)
+			handler.options.Logger = zap.New(core)
 			answers := pipelineThrough(t, handler, "/safe/long", "/safe/behind")
 			response, err := http.ReadResponse(answers, nil)
 			g.Expect(err).NotTo(HaveOccurred())
@@ -110,6 +113,9 @@
 			g.Expect(string(content)).To(Equal("behind"))
 			g.Expect(backEnd.behind.Load()).To(Equal(int64(1)))
 			g.Expect(backEnd.long.Load()).To(Equal(int64(2)))
+			cutOff := logged.FilterMessage("response cut off while it was held").All()
+			g.Expect(cutOff).To(HaveLen(int(min(test.breaks, 2))))
+			g.Expect(cutOff[0].ContextMap()).To(HaveKeyWithValue("request", "/safe/long"))
 		})
 	}
 }
--- a/internal/sidecar/egress/call.go
+++ b/internal/sidecar/egress/call.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/kestrelstream/kestrelstream/internal/pipelining"
 	"github.com/kestrelstream/kestrelstream/internal/proxy/forward"
 	"github.com/kestrelstream/kestrelstream/internal/proxy/notrun"
@@ -262,6 +264,7 @@
 	if err := forward.WriteReply(c.context, c.writer, response, ""); err != nil {
 		failure := &outcome.Failure{Outcome: outcome.Unknown, Step: outcome.StepBody, Peer: result.target.address, Cause: err}
 		if pipelining.Discard(c.writer) {
+			c.recordCutOff(result.target, failure)
 			return failure
 		}
 		c.failure = failure
@@ -271,6 +274,15 @@
 	return nil
 }
 
+// recordCutOff records that the response of a peer was cut off after the attempt had ended, and logs
+// it: a later attempt may hide the failure.
+func (c *call) recordCutOff(peer *target, failure *outcome.Failure) {
+	c.attempts.fail(peer, failure)
+	c.handler.options.Logger.Info("response cut off while it was held",
+		zap.String("request", c.request.Header.Get(c.handler.options.Vocabulary.RequestID)),
+		zap.String("route", c.route.Name), zap.String("peer", failure.Peer), zap.Error(failure.Cause))
+}
+
 // finalFailure returns the failure of the call, derived from that of the last attempt.
 func (c *call) finalFailure(last *outcome.Failure) *outcome.Failure {
 	failure := *last
