pipelining: a second header does not release a held answer

Seen by callers: none reported. Found by reading the new code: a handler that writes a second header, or an interim one after the final one, would have sent the second in place of the held answer's.

Evidence: TestSecondHeaderDoesNotReleaseHeldAnswer fails before this change.

Change: headers after the first are dropped while the answer is held.

After: green 20 times with the race detector.

--- a/internal/pipelining/memory_test.go
+++ b/internal/pipelining/memory_test.go
@@ -74,3 +74,18 @@
 		})
 	}
 }
+
+// TestSecondHeaderDoesNotReleaseHeldAnswer checks that a header that comes after the first one is not
+// passed on in place of the held one.
+func TestSecondHeaderDoesNotReleaseHeldAnswer(t *testing.T) {
+	g := NewWithT(t)
+	writer := newHoldingWriter(New(Options{}, http.NotFoundHandler()))
+	recorder := writer.ResponseWriter.(*httptest.ResponseRecorder)
+	writer.WriteHeader(http.StatusTeapot)
+	writer.WriteHeader(http.StatusEarlyHints)
+	writer.WriteHeader(http.StatusInternalServerError)
+	g.Expect(writer.FlushError()).To(Succeed())
+	g.Expect(recorder.Flushed).To(BeFalse())
+	writer.finish()
+	g.Expect(recorder.Code).To(Equal(http.StatusTeapot))
+}
--- a/internal/pipelining/turnwriter.go
+++ b/internal/pipelining/turnwriter.go
@@ -60,6 +60,9 @@
 // WriteHeader implements http.ResponseWriter. It removes "Connection: close" if
 // later requests of the connection have started early.
 func (w *turnWriter) WriteHeader(status int) {
+	if w.holding {
+		return
+	}
 	if status < http.StatusOK || w.status != 0 {
 		w.ResponseWriter.WriteHeader(status)
 		return
