forward: keep only the beginning of long lines

What operators would have seen: memory. The scanner of replies kept a line without an end up to the bound of the header, 64 KB, beside what net/http keeps of it, on each connection to a back end; deployments have up to 560 of those on machines of 184 MB.

Change: 1 KB is kept. Of a longer status or header line nothing else matters but whether it states a length or an encoding; the end of such a reply, and of one with a longer line between chunks, is left to net/http.

TestScannerKeepsLittle fails without the bound and passed 20 times with the race detector, with the other tests of the scanner; 183,294 further inputs of the fuzz test found no reply that ends early.

--- a/internal/proxy/forward/incoming.go
+++ b/internal/proxy/forward/incoming.go
@@ -127,9 +127,8 @@
 
 // checkHeader checks the limits of the header. The caller must hold the lock.
 func (c *trackedConn) checkHeader() *ReplyError {
-	inHeader := c.scanner.state == scanStatus || c.scanner.state == scanHeader
 	switch {
-	case !inHeader:
+	case !c.scanner.inHeaders():
 		return nil
 	case c.limits.bytes > 0 && c.scanner.headerBytes >= c.limits.bytes:
 		return c.reject(HeaderTooLarge, 0)
--- a/internal/proxy/forward/scan.go
+++ b/internal/proxy/forward/scan.go
@@ -28,8 +28,10 @@
 	state scanState
 	// method is that of the request.
 	method string
-	// line is the beginning of a line that was not received completely.
+	// line is the beginning of a line that was not received completely; cut: more of the line was
+	// received than is kept.
 	line []byte
+	cut  bool
 	// headerBytes counts the bytes of headers, interim replies included; interims counts those.
 	headerBytes int64
 	interims    int
@@ -93,35 +95,37 @@
 	}
 }
 
-// maxChunkLine bounds the lines between chunks that the scanner keeps. net/http rejects longer ones.
-const maxChunkLine = 4 << 10
+// maxKeptLine bounds what is kept of a line that arrives in pieces.
+const maxKeptLine = 1 << 10
 
 // scanLine consumes bytes up to the end of a line and returns their number.
 func (s *replyScanner) scanLine(data []byte) (used int, valid bool) {
 	line, rest, complete := bytes.Cut(data, newline)
 	used = len(data) - len(rest)
 	if len(s.line) > 0 || !complete {
-		s.line = append(s.line, line...)
+		kept := min(len(line), maxKeptLine-len(s.line))
+		s.cut = s.cut || kept < len(line)
+		s.line = append(s.line, line[:kept]...)
 		line = s.line
 	}
-	switch s.state {
-	case scanStatus, scanHeader:
+	if s.inHeaders() {
 		s.headerBytes += int64(used)
-		if s.state == scanStatus && !isReplyPrefix(line) {
-			return used, false
-		}
-	default:
-		if len(line) > maxChunkLine {
-			s.state = scanUnknown
-		}
+	} else if s.cut {
+		s.state = scanUnknown
+	}
+	if s.state == scanStatus && !isReplyPrefix(line) {
+		return used, false
 	}
 	if complete {
 		s.endLine(line)
-		s.line = s.line[:0]
+		s.line, s.cut = s.line[:0], false
 	}
 	return used, true
 }
 
+// inHeaders reports whether the next bytes are those of a header.
+func (s *replyScanner) inHeaders() bool { return s.state == scanStatus || s.state == scanHeader }
+
 // endLine consumes a complete line without its newline.
 func (s *replyScanner) endLine(line []byte) {
 	text := bytes.TrimSuffix(line, carriageReturn)
@@ -130,7 +134,7 @@
 		s.framing = parseStatus(text)
 		s.state = scanHeader
 	case s.state == scanHeader && len(text) > 0:
-		s.framing.addLine(text)
+		s.framing.addLine(text, s.cut)
 	case s.state == scanHeader:
 		s.endHeader()
 	case len(text) == len(line): // net/http requires a carriage return between chunks
@@ -203,18 +207,18 @@
 	return framing{status: int(code), http10: line[version] == '0', unclear: unclear}
 }
 
-// addLine adds a header line.
-func (f *framing) addLine(line []byte) {
+// addLine adds a header line, of which only the beginning is known if it was cut.
+func (f *framing) addLine(line []byte, cut bool) {
 	name, value, _ := bytes.Cut(line, colon)
+	value = bytes.Trim(value, " \t")
 	switch {
 	case line[0] == ' ' || line[0] == '\t': // a continued line
 		f.unclear = true
 	case equalFold(name, "content-length"):
-		f.addLength(bytes.Trim(value, " \t"))
+		f.unclear = f.unclear || cut
+		f.addLength(value)
 	case equalFold(name, "transfer-encoding"):
-		if f.chunked || f.http10 || !equalFold(bytes.Trim(value, " \t"), "chunked") {
-			f.unclear = true
-		}
+		f.unclear = f.unclear || cut || f.chunked || f.http10 || !equalFold(value, "chunked")
 		f.chunked = true
 	}
 }
--- a/internal/proxy/forward/scan_test.go
+++ b/internal/proxy/forward/scan_test.go
@@ -44,7 +44,8 @@
 		{name: "protocol switch", reply: "HTTP/1.1 101 Switching Protocols\r\n\r\nok", unknown: true},
 		{name: "no chunk", reply: status + chunked + "ok\r\n", unknown: true},
 		{name: "newline alone after a chunk", reply: status + chunked + "1\r\nk\r\n0\r\n\n", unknown: true},
-		{name: "chunk line without an end", reply: status + chunked + "1;" + strings.Repeat("a", 2*maxChunkLine), unknown: true},
+		{name: "long header lines", reply: status + "A: " + strings.Repeat("a", 2*maxKeptLine) + "\r\nContent-Length: 2\r\nB: " + strings.Repeat("b", maxKeptLine) + "\r\n\r\nok"},
+		{name: "long reason", reply: "HTTP/1.1 200 " + strings.Repeat("a", 2*maxKeptLine) + "\r\nContent-Length: 2\r\n\r\nok"},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -69,6 +70,29 @@
 	}
 }
 
+// TestScannerKeepsLittle guards against the memory of lines without an end on many connections, and
+// against a length of which only the beginning is known.
+func TestScannerKeepsLittle(t *testing.T) {
+	const piece = "0000000000"
+	for name, beginning := range map[string]string{
+		"status": "HTTP/1.1 200 ", "header": "HTTP/1.1 200 OK\r\nA: ", "length": "HTTP/1.1 200 OK\r\nContent-Length: 0",
+		"chunk": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0;", "trailer": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nA: ",
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			scanner := &replyScanner{}
+			scanner.scan([]byte(beginning))
+			for range 2 * maxKeptLine {
+				scanner.scan([]byte(piece))
+			}
+			g.Expect(cap(scanner.line)).To(BeNumerically("<=", 2*maxKeptLine))
+			_, valid := scanner.scan([]byte("5\r\n\r\n"))
+			g.Expect(valid).To(BeTrue())
+			g.Expect(scanner.state).To(Equal(scanUnknown))
+		})
+	}
+}
+
 // FuzzScannerEndsNoReplyEarly guards against a reply of which a part is withheld from net/http.
 func FuzzScannerEndsNoReplyEarly(f *testing.F) {
 	for _, reply := range []string{
