pipelining: an answer without a length that is aborted ends with a reset

Seen by callers: none reported. Found while checking that no broken answer looks whole: a client that speaks HTTP/1.0 gets an answer of unknown length that ends with its connection. When such an answer was broken off, the connection was closed in the usual way, so that the part looked like the whole answer.

Cause: the library's server closes the connection of an aborted answer as it closes any other; HTTP/1.1 clients see the missing last chunk, others nothing.

Evidence: TestBrokenAnswerToOldClientIsReset fails before this change (no error at the client), also where connections close gently.

Change: the connection of such an answer is reset.

After: green 20 times with the race detector; whole answers still end normally.

--- a/internal/httpserver/linger.go
+++ b/internal/httpserver/linger.go
@@ -1,9 +1,11 @@
 package httpserver
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -43,8 +45,21 @@
 type lingerConn struct {
 	net.Conn
 	from *lingerListener
-	once sync.Once
-	err  error
+	// resets: the connection closes in one step.
+	resets atomic.Bool
+	once   sync.Once
+	err    error
+}
+
+// SetLinger sets the linger time of a TCP connection. With zero seconds the
+// connection closes at once, with a reset.
+func (c *lingerConn) SetLinger(seconds int) error {
+	c.resets.Store(seconds == 0)
+	transport, ok := c.Conn.(interface{ SetLinger(seconds int) error })
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return transport.SetLinger(seconds)
 }
 
 // Close implements net.Conn.
@@ -55,7 +70,7 @@
 
 func (c *lingerConn) close() error {
 	half, able := c.Conn.(halfCloser)
-	if !able || !c.from.lingers() || half.CloseWrite() != nil {
+	if !able || c.resets.Load() || !c.from.lingers() || half.CloseWrite() != nil {
 		return c.Conn.Close()
 	}
 	c.from.closing.Go(func() {
--- a/internal/pipelining/brokenanswer_test.go
+++ b/internal/pipelining/brokenanswer_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -257,3 +258,28 @@
 	connected.g.Expect(content).To(Equal("/free/2"))
 	connected.g.Expect(response.Close).To(BeTrue())
 }
+
+// TestBrokenAnswerToOldClientIsReset checks that an answer that ends with its connection does not look
+// whole when it is broken off, also while connections close gently.
+func TestBrokenAnswerToOldClientIsReset(t *testing.T) {
+	for _, gently := range []bool{false, true} {
+		t.Run(fmt.Sprintf("closes gently %v", gently), func(t *testing.T) {
+			served := startServerWith(t, func() bool { return gently })
+			connected := served.connect()
+			connected.send("GET /free/1 HTTP/1.0\r\nHost: h\r\n\r\n")
+			served.awaitBegun(1)
+			served.releaseWith("/free/1", breakOff(""))
+			_, err := io.ReadAll(connected.reader)
+			connected.g.Expect(err).To(MatchError(syscall.ECONNRESET))
+			connected = served.connect()
+			connected.send("GET /free/2 HTTP/1.0\r\nHost: h\r\n\r\n")
+			served.awaitBegun(1)
+			served.releaseWith("/free/2", func(w http.ResponseWriter) {
+				_, _ = io.WriteString(w, strings.Repeat("s", longAnswerBytes))
+			})
+			content, err := io.ReadAll(connected.reader)
+			connected.g.Expect(err).NotTo(HaveOccurred())
+			connected.g.Expect(strings.Count(string(content), "s")).To(BeNumerically(">=", longAnswerBytes))
+		})
+	}
+}
--- a/internal/pipelining/connection.go
+++ b/internal/pipelining/connection.go
@@ -57,6 +57,13 @@
 	return c.Conn.Close()
 }
 
+// reset makes Close reset the connection where the transport can.
+func (c *connection) reset() {
+	if transport, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = transport.SetLinger(0) // on an error the connection closes without a reset
+	}
+}
+
 // Read implements net.Conn. The server reads a single byte only in the
 // background while a handler runs, to detect a client disconnect. After the
 // first such byte, the connection is read ahead of the server.
--- a/internal/pipelining/pipelining_test.go
+++ b/internal/pipelining/pipelining_test.go
@@ -35,7 +35,9 @@
 	answer map[string]chan func(http.ResponseWriter)
 }
 
-func startServer(t *testing.T) *server {
+func startServer(t *testing.T) *server { return startServerWith(t, nil) }
+
+func startServerWith(t *testing.T, closeGently func() bool) *server {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -56,7 +58,7 @@
 		},
 		Lengthy: func(r *http.Request) { created.long.Store(r.URL.Path, true) },
 	}
-	served := httpserver.New("test", listener, created, httpserver.Limits{Pipelining: options}, zap.NewNop())
+	served := httpserver.New("test", listener, created, httpserver.Limits{Pipelining: options, CloseGently: closeGently}, zap.NewNop())
 	go func() { _ = served.Serve() }()
 	t.Cleanup(func() {
 		ended, end := context.WithCancel(context.Background())
--- a/internal/pipelining/turnwriter.go
+++ b/internal/pipelining/turnwriter.go
@@ -28,6 +28,8 @@
 	// Content-Length, -1 if unknown.
 	status int
 	length int64
+	// finished: the handler has returned.
+	finished bool
 	// written counts the bytes of the body, held ones included.
 	written int64
 	// sentHeader is a copy of the header from when the status was set; held is the
@@ -187,6 +189,7 @@
 
 // finish releases the answer after the handler has returned.
 func (w *turnWriter) finish() {
+	w.finished = true
 	if !w.holding {
 		return
 	}
@@ -223,6 +226,7 @@
 // unless the client has left. It is deferred.
 func (w *turnWriter) replaceAborted(client context.Context) {
 	if !w.holding {
+		w.resetIfAborted()
 		return
 	}
 	cause := recover()
@@ -239,6 +243,14 @@
 	w.finish()
 }
 
+// resetIfAborted makes the connection close with a reset if an answer whose end is
+// the end of the connection was aborted: it would look whole.
+func (w *turnWriter) resetIfAborted() {
+	if !w.finished && w.status != 0 && w.length < 0 && !w.request.ProtoAtLeast(1, 1) {
+		w.connection.reset()
+	}
+}
+
 // FlushError is called by http.ResponseController.Flush.
 func (w *turnWriter) FlushError() error {
 	if w.status == 0 {
