forward: a reply's write deadline is set before the reply returns, or not at all

What callers saw: of requests sent ahead on one connection, the ones behind an answer that was given up at its deadline and replaced were lost with the connection, seldom.

Cause: the function that ends a blocked write at the deadline ran on a goroutine that WriteReply did not wait for. Until answers could be replaced, a reply that failed ended its connection, so that a late deadline hit nothing else.

Change: WriteReply waits for that function once it has started.

--- a/internal/proxy/forward/reply.go
+++ b/internal/proxy/forward/reply.go
@@ -31,13 +31,20 @@
 	if !mayBlock(response) {
 		return writeReply(w, response, hidden)
 	}
+	expired := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
+		defer close(expired)
 		_ = http.NewResponseController(w).SetWriteDeadline(pastDeadline)
 	})
 	err := writeReply(w, response, hidden)
-	if inTime := stop(); !inTime && err == nil {
-		// The write deadline has passed, so that the server can no longer flush
-		// its buffer.
+	if stop() {
+		return err
+	}
+	// A write deadline that is set after the return would end the next answer on the
+	// connection.
+	<-expired
+	if err == nil {
+		// The server can no longer flush its buffer.
 		return errors.Join(ErrReplyWriteFailed, context.Cause(ctx))
 	}
 	return err
