roster: the id that a back end reported is forgotten once it was taken

A single late heartbeat of a back end that has ended replaced the one that runs, with start times too, if the ended one had named itself in an answer within three heartbeat intervals and the new one did not answer its health check in time. Its requests then named the wrong back end and were refused (421).

Cause: the id from an answer, kept for its first heartbeat, stayed after that heartbeat. Class: a statement is acted on after what it was about has gone.

Change: it is dropped when an incarnation is taken.

TestReportedIDIsForgottenOnceTaken fails without the change in both cases and passed 20 times with the race detector.

--- a/internal/sidecar/roster/identity_test.go
+++ b/internal/sidecar/roster/identity_test.go
@@ -101,3 +101,30 @@
 	g.Expect(changed).To(BeFalse())
 	g.Expect(next).To(Equal(own))
 }
+
+// TestReportedIDIsForgottenOnceTaken guards against a late heartbeat that replaces the back end that
+// runs because its sender was there at an earlier answer.
+func TestReportedIDIsForgottenOnceTaken(t *testing.T) {
+	const interval = time.Second
+	for name, starts := range map[string][]int64{"without start times": {0, 0, 0}, "with start times": {100, 200, 300}} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			tracker, now := roster.IncarnationTracker{Interval: interval}, time.Unix(1000, 0)
+			beat := func(id string, sequence uint64, start int64) roster.Heartbeat {
+				reported := *endpoint(id, roster.Ready, sequence)
+				reported.Born = start
+				return roster.Heartbeat{Endpoint: reported}
+			}
+			own, _, _ := tracker.ApplyHeartbeat(record("self", 1, 1), beat("first", 1, starts[0]), now)
+			own, _ = tracker.Confirm(own, "second", now.Add(interval/10))
+			own, _, _ = tracker.ApplyHeartbeat(own, beat("second", 1, starts[1]), now.Add(interval/5))
+			g.Expect(own.Endpoint.ID).To(Equal("second"))
+			tracker.MarkLost(own, own.Endpoint.Incarnation().String())
+			own, _, _ = tracker.ApplyHeartbeat(own, beat("third", 1, starts[2]), now.Add(interval))
+			g.Expect(own.Endpoint.ID).To(Equal("third"))
+			own, _, refusal := tracker.ApplyHeartbeat(own, beat("second", 2, starts[1]), now.Add(interval+interval/10))
+			g.Expect(refusal).To(Equal(roster.RefusedUnconfirmed))
+			g.Expect(own.Endpoint.ID).To(Equal("third"))
+		})
+	}
+}
--- a/internal/sidecar/roster/incarnationtracker.go
+++ b/internal/sidecar/roster/incarnationtracker.go
@@ -55,8 +55,8 @@
 	candidate           Endpoint
 	candidateHeartbeats int
 	candidateCounted    time.Time
-	// reportedID is the id that the back end itself last reported without a heartbeat of it,
-	// at reportedAt.
+	// reportedID is the id that the back end itself last reported without a heartbeat of it, at
+	// reportedAt; empty if the current incarnation was taken since.
 	reportedID string
 	reportedAt time.Time
 	// unverified means that the current incarnation was taken while the back end's id was not known.
@@ -164,6 +164,7 @@
 
 func (c *IncarnationTracker) replace(record Record, reported Endpoint, now time.Time) Record {
 	c.lastHeartbeat, c.candidateHeartbeats = now, 0
+	c.reportedID = ""
 	record.Endpoint = &reported
 	return record
 }
@@ -197,7 +198,7 @@
 // identity returns what the back end says about the id of a heartbeat, including what it reported
 // before.
 func (c *IncarnationTracker) identity(heartbeat *Heartbeat, now time.Time) Identity {
-	recent := now.Sub(c.reportedAt) <= maxSilentIntervals*c.Interval
+	recent := c.reportedID != "" && now.Sub(c.reportedAt) <= maxSilentIntervals*c.Interval
 	if heartbeat.Identity == IdentityUnknown && heartbeat.ID == c.reportedID && recent {
 		return IdentityConfirmed
 	}
