ingress: interim answers of another request are not passed on

An interim answer (1xx) of the request before, which a back end sent in the place of the next answer, reached the caller of the next one, with the other request's id and headers.

Cause: interim answers were passed on before anything was known of whom they are; ids were compared for final answers only.

Change: an interim answer is passed on only with the id of its request. One without an id is dropped: interim answers carry nothing that a caller needs.

--- a/internal/proxy/forward/outgoing.go
+++ b/internal/proxy/forward/outgoing.go
@@ -71,8 +71,10 @@
 	trace   httptrace.ClientTrace
 	address url.URL
 	hidden  string
-	mutex   sync.Mutex // guards writer
-	writer  http.ResponseWriter
+	// idHeader, if not empty, is the header that must carry id in replies to forward.
+	idHeader, id string
+	mutex        sync.Mutex // guards writer
+	writer       http.ResponseWriter
 }
 
 // NewInterim returns an Interim that writes to w until Stop is called. hidden is
@@ -89,6 +91,10 @@
 	i.writer = nil
 }
 
+// Match makes the Interim drop replies whose header does not carry the id: they may
+// belong to another request. It must be called before the exchange.
+func (i *Interim) Match(header, id string) { i.idHeader, i.id = header, id }
+
 // forwardInterim writes one 1xx reply. 100 Continue is skipped, since the
 // server answers Expect headers itself.
 func (i *Interim) forwardInterim(code int, received textproto.MIMEHeader) error {
@@ -97,6 +103,9 @@
 	if i.writer == nil || code == http.StatusContinue || code == http.StatusSwitchingProtocols {
 		return nil
 	}
+	if i.idHeader != "" && received.Get(i.idHeader) != i.id {
+		return nil
+	}
 	header := RequestHeader(http.Header(received), 0)
 	delete(header, "User-Agent")
 	delete(header, i.hidden)
--- a/internal/sidecar/ingress/exchange.go
+++ b/internal/sidecar/ingress/exchange.go
@@ -37,8 +37,10 @@
 // exchange sends the request to the back end and forwards its answer. It sends the request a second
 // time only if the first send provably wrote nothing.
 func (a *arrival) exchange(sent *forward.Body) *outcome.Failure {
+	names := &a.handler.options.Vocabulary
 	for send := 1; ; send++ {
 		interim := forward.NewInterim(a.writer, "")
+		interim.Match(names.RequestID, a.request.Header.Get(names.RequestID))
 		a.sends = send
 		a.handler.options.Observer.BackendSent()
 		response, err := a.roundTrip(a.outgoing(interim, sent))
