--- a/internal/sidecar/ingress/refusedran_test.go
+++ b/internal/sidecar/ingress/refusedran_test.go
@@ -29,6 +29,23 @@
 	draw *rand.Rand
 }
 
+// newTroubledNode starts such a back end and a node beside it, and returns the back end and the
+// address of the node.
+func newTroubledNode(t *testing.T, seed uint64) (started *troubledBackend, address string) {
+	started = &troubledBackend{runs: map[string]int{}, draw: rand.New(rand.NewPCG(seed, seed))}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go started.accept(listener)
+	f := newWithOptions(t, func(options *ingress.Options) { options.Address = listener.Addr().String() })
+	f.handler.SetService(&route.Service{Name: "one"})
+	node := httptest.NewServer(f.handler)
+	t.Cleanup(node.Close)
+	return started, node.Listener.Addr().String()
+}
+
 func (b *troubledBackend) draws(n int) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -116,16 +133,8 @@
 func TestRefusedRequestsHaveNotRun(t *testing.T) {
 	const workers, each = 8, 200
 	g := NewWithT(t)
-	backend := &troubledBackend{runs: map[string]int{}, draw: rand.New(rand.NewPCG(2, 2))}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	g.Expect(err).NotTo(HaveOccurred())
-	defer listener.Close()
-	go backend.accept(listener)
-	f := newWithOptions(t, func(options *ingress.Options) { options.Address = listener.Addr().String() })
-	f.handler.SetService(&route.Service{Name: "one"})
-	node := httptest.NewServer(f.handler)
-	defer node.Close()
-	pool := forward.NewPool(node.Listener.Addr().String(), forward.Limits{
+	backend, address := newTroubledNode(t, 2)
+	pool := forward.NewPool(address, forward.Limits{
 		Connections: 2 * workers, IdleTimeout: time.Minute, DialTimeout: time.Second, ExpectContinueTimeout: time.Hour,
 	}, nil)
 	defer pool.Close()
@@ -156,7 +165,6 @@
 		})
 	}
 	done.Wait()
-	node.Close()
 	backend.mu.Lock()
 	defer backend.mu.Unlock()
 	t.Logf("%d served, %d refused, %d run", served, len(refused), len(backend.runs))
