notrun: the zero value proves nothing, and the test of its only source reads more spellings

What a reader saw: TestNotRunRestsOnEvidence stayed green with `failure.Outcome = "not-run"` and with outcome.Refusal for a request that had been sent; and notrun.Send{} was a proof, so that a field left out made a promise.

Change: Send has NothingWritten in place of Written. The test also rejects the text of the outcome, and allows outcome.Refusal and notrun.NotSent only in files that it lists, which refuse requests before they send them; notrun.Reported only in package outcome. The refusal of a call whose caller has left moves from sendonce.go, which judges sent requests, to choose.go; its log line names the service.

--- a/internal/proxy/forward/exchange.go
+++ b/internal/proxy/forward/exchange.go
@@ -116,7 +116,7 @@
 
 // notRun returns the error of a request of which nothing was written.
 func (p *Pool) notRun(step outcome.Step, cause error) *Error {
-	evidence := notrun.Send{}.Evidence()
+	evidence := notrun.Send{NothingWritten: true}.Evidence()
 	return &Error{Outcome: outcome.Of(evidence), Evidence: evidence, Step: step, Peer: p.address, Cause: cause}
 }
 
--- a/internal/proxy/inbound/request.go
+++ b/internal/proxy/inbound/request.go
@@ -227,7 +227,7 @@
 	response.Header[outcome.HeaderLoad] = []string{r.handler.loadHeader()}
 	// The back ends of this proxy echo no id: replies are matched by their order.
 	reply := notrun.Reply{Status: response.StatusCode, Marked: isShed(r.settings.shedMarker, response)}
-	evidence := notrun.Send{Written: true, Reply: &reply}.Evidence()
+	evidence := notrun.Send{Reply: &reply}.Evidence()
 	if !reply.Marked || !evidence.Proven() {
 		return
 	}
--- a/internal/proxy/notrun/onlysource_test.go
+++ b/internal/proxy/notrun/onlysource_test.go
@@ -6,36 +6,50 @@
 	"go/token"
 	"io/fs"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 
 	. "github.com/onsi/gomega"
 )
 
-const outcomePackage = `"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"`
-
-// importsOutcome reports whether the file imports package outcome.
-func importsOutcome(file *ast.File) bool {
-	for _, imported := range file.Imports {
-		if imported.Path.Value == outcomePackage {
-			return true
-		}
-	}
-	return false
+// refusing lists the files that may refuse a request which they have sent to nobody.
+var refusing = []string{
+	"internal/agent/inbound.go",
+	"internal/proxy/drain.go",
+	"internal/proxy/inbound/handler.go",
+	"internal/proxy/inbound/request.go",
+	"internal/proxy/outbound/attempt.go",
+	"internal/proxy/outbound/call.go",
+	"internal/proxy/outbound/handler.go",
+	"internal/sidecar/egress/call.go",
+	"internal/sidecar/egress/choose.go",
+	"internal/sidecar/egress/freshness.go",
+	"internal/sidecar/egress/notice.go",
+	"internal/sidecar/egress/quota.go",
+	"internal/sidecar/egress/tenant.go",
+	"internal/sidecar/ingress/arrival.go",
+	"internal/sidecar/ingress/transfer.go",
+	"internal/sidecar/ingress/trial.go",
+	"internal/sidecar/ingress/warmup.go",
 }
 
-// isOutcome reports whether the expression is the named identifier of package outcome.
-func isOutcome(expression ast.Expr, name string) bool {
+// deciding lists the directories whose code decides on outcomes.
+var deciding = []string{"internal/agent", "internal/proxy", "internal/sidecar"}
+
+// isSelected reports whether the expression is the named identifier of the package.
+func isSelected(expression ast.Expr, qualifier, name string) bool {
 	selector, ok := expression.(*ast.SelectorExpr)
 	if !ok || selector.Sel.Name != name {
 		return false
 	}
-	qualifier, ok := selector.X.(*ast.Ident)
-	return ok && qualifier.Name == "outcome"
+	found, ok := selector.X.(*ast.Ident)
+	return ok && found.Name == qualifier
 }
 
-// madeOutcomes returns where the file makes an outcome of its own instead of comparing one.
-func madeOutcomes(file *ast.File) []token.Pos {
+// madeOutcomes returns where the file makes an outcome of its own instead of comparing one. A file
+// that may refuse also makes refusals.
+func madeOutcomes(file *ast.File, mayRefuse bool) []token.Pos {
 	compared := map[ast.Expr]bool{}
 	var made []token.Pos
 	ast.Inspect(file, func(node ast.Node) bool {
@@ -49,11 +63,19 @@
 				compared[expression] = true
 			}
 		case *ast.CallExpr:
-			if isOutcome(found.Fun, "Outcome") {
+			if isSelected(found.Fun, "outcome", "Outcome") {
+				made = append(made, found.Pos())
+			}
+		case *ast.BasicLit:
+			if found.Value == `"not-run"` {
 				made = append(made, found.Pos())
 			}
 		case *ast.SelectorExpr:
-			if isOutcome(found, "NotRun") && !compared[found] {
+			refuses := isSelected(found, "outcome", "Refusal") || isSelected(found, "notrun", "NotSent")
+			switch {
+			case isSelected(found, "outcome", "NotRun") && !compared[found]:
+				made = append(made, found.Pos())
+			case refuses && !mayRefuse || isSelected(found, "notrun", "Reported"):
 				made = append(made, found.Pos())
 			}
 		}
@@ -68,22 +90,28 @@
 	g := NewWithT(t)
 	root, err := filepath.Abs("../../..")
 	g.Expect(err).NotTo(HaveOccurred())
-	importing := 0
-	err = filepath.WalkDir(root, func(path string, entry fs.DirEntry, err error) error {
-		if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
-			return err
-		}
-		files := token.NewFileSet()
-		file, err := parser.ParseFile(files, path, nil, 0)
-		if err != nil || !importsOutcome(file) {
-			return err
-		}
-		importing++
-		for _, position := range madeOutcomes(file) {
-			t.Errorf("%s makes an outcome without evidence", files.Position(position))
-		}
-		return nil
-	})
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(importing).To(BeNumerically(">", 10), "the files that use package outcome")
+	read := 0
+	for _, directory := range deciding {
+		err = filepath.WalkDir(filepath.Join(root, directory), func(path string, entry fs.DirEntry, err error) error {
+			if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+				return err
+			}
+			name, err := filepath.Rel(root, path)
+			if err != nil || strings.HasPrefix(name, "internal/proxy/outcome/") {
+				return err
+			}
+			files := token.NewFileSet()
+			file, err := parser.ParseFile(files, path, nil, 0)
+			if err != nil {
+				return err
+			}
+			read++
+			for _, position := range madeOutcomes(file, slices.Contains(refusing, name)) {
+				t.Errorf("%s makes an outcome without evidence", files.Position(position))
+			}
+			return nil
+		})
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	g.Expect(read).To(BeNumerically(">", len(refusing)))
 }
--- a/internal/proxy/notrun/send.go
+++ b/internal/proxy/notrun/send.go
@@ -3,10 +3,10 @@
 import "net/http"
 
 // Send is what a proxy knows of one send of a request on one connection, after which it writes
-// nothing more of the request.
+// nothing more of the request. The zero value proves nothing.
 type Send struct {
-	// Written: a byte of the request was written, or may have been.
-	Written bool
+	// NothingWritten: no byte of the request was written.
+	NothingWritten bool
 	// BodyWithheld: the peer runs no request whose body is incomplete, and nothing of this one's body
 	// was read for sending. It is held back until the peer sends 100 Continue.
 	BodyWithheld bool
@@ -31,7 +31,7 @@
 // have run.
 func (s Send) Evidence() Evidence {
 	switch {
-	case !s.Written:
+	case s.NothingWritten:
 		return nothingWritten
 	case s.Reply != nil:
 		return s.Reply.evidence()
--- a/internal/sidecar/egress/choose.go
+++ b/internal/sidecar/egress/choose.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/kestrelstream/kestrelstream/internal/proxy/forward"
 	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/choice"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
@@ -16,6 +17,9 @@
 // choose selects the back end and returns an attempt that is not started yet, or the reason why
 // there is none.
 func (c *call) choose() (*attempt, *outcome.Failure) {
+	if forward.CallerDisconnected(c.context) {
+		return nil, outcome.Refusal(http.StatusServiceUnavailable, outcome.StepChoose, 0, forward.ErrCallerDisconnected)
+	}
 	candidateSet := c.candidateSet(clock.Now(), c.selection())
 	index, seen := candidateSet.draw()
 	if plan := c.handler.plan(c.service); seen.Excluded && plan != nil && !plan.Promoted() {
--- a/internal/sidecar/egress/sendonce.go
+++ b/internal/sidecar/egress/sendonce.go
@@ -47,9 +47,6 @@
 // sendOnce chooses a node, sends the request there once and waits for the result. A detached
 // attempt may answer first.
 func (c *call) sendOnce() result {
-	if forward.CallerDisconnected(c.context) {
-		return result{failure: outcome.Refusal(http.StatusServiceUnavailable, outcome.StepChoose, 0, forward.ErrCallerDisconnected)}
-	}
 	chosen, failure := c.choose()
 	if failure != nil {
 		failure.Peer = c.service
@@ -151,7 +148,7 @@
 		failure.Outcome, failure.Evidence, failure.Step = known.Outcome, known.Evidence, known.Step
 	}
 	if !failure.Evidence.Proven() {
-		failure.Evidence = notrun.Send{Written: true, BodyWithheld: a.bodyWithheld()}.Evidence()
+		failure.Evidence = notrun.Send{BodyWithheld: a.bodyWithheld()}.Evidence()
 		failure.Outcome = outcome.Of(failure.Evidence)
 	}
 	if failure.Outcome == outcome.NotRun {
--- a/internal/sidecar/ingress/exchange.go
+++ b/internal/sidecar/ingress/exchange.go
@@ -263,7 +263,7 @@
 		Marked:    response.Header.Get(names.NotProcessed) != "",
 		Signed:    response.Header.Get(names.Signature) != "",
 	}
-	return notrun.Send{Written: true, Reply: &reply}.Evidence()
+	return notrun.Send{Reply: &reply}.Evidence()
 }
 
 // recordForeign counts and logs an answer of the back end that belongs to another request.
