pipelining: a deadline that passes while an answer is held loses no requests

Cause: the held answer was released by its handler's last write. A handler whose time is over sets a write deadline in the past, which then closed the connection with everything behind the answer.

Change: a held answer is released when its handler has returned. An aborted one is replaced as before.

BenchmarkShortAnswers measures groups of short answers.

--- a/internal/pipelining/bench_test.go
+++ b/internal/pipelining/bench_test.go
@@ -155,3 +155,33 @@
 	b.ReportMetric(median(func(g group) time.Duration { return g.last }), "last-ms")
 	b.ReportMetric(float64(<-peak)/(1<<20), "peak-MiB")
 }
+
+// BenchmarkShortAnswers measures groups of eight pipelined requests with short answers, on one
+// connection.
+func BenchmarkShortAnswers(b *testing.B) {
+	const requests = 8
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "100")
+		_, _ = io.WriteString(w, strings.Repeat("s", 100))
+	})
+	options := &pipelining.Options{Ahead: func(*http.Request) bool { return true }, Begun: func() func() { return func() {} }}
+	served := httpserver.New("test", listener, handler, httpserver.Limits{Pipelining: options}, zap.NewNop())
+	go func() { _ = served.Serve() }()
+	defer func() { _ = served.Stop(context.Background()) }()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := sendGroup(conn, reader, 100, requests-1); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/pipelining/brokenanswer_test.go
+++ b/internal/pipelining/brokenanswer_test.go
@@ -283,3 +283,42 @@
 		})
 	}
 }
+
+// TestDeadlineDuringHeldAnswerLosesNoRequestsBehind sets the write deadline of a held answer, as a
+// handler does whose time is over, before or after its last part. The handler aborts the answer or not.
+func TestDeadlineDuringHeldAnswerLosesNoRequestsBehind(t *testing.T) {
+	for _, size := range []int{10 << 10, longAnswerBytes} {
+		for _, early := range []bool{true, false} {
+			for _, aborts := range []bool{true, false} {
+				t.Run(fmt.Sprintf("size %d, early %v, aborts %v", size, early, aborts), func(t *testing.T) {
+					served := startServer(t)
+					connected := served.connect()
+					connected.send(get("/free/1"), get("/free/2"))
+					served.awaitBegun(2)
+					served.release("/free/2")
+					served.releaseWith("/free/1", func(w http.ResponseWriter) {
+						w.Header().Set("Content-Length", strconv.Itoa(size))
+						_, _ = io.WriteString(w, strings.Repeat("s", size/2))
+						if early {
+							_ = http.NewResponseController(w).SetWriteDeadline(time.Unix(1, 0))
+						}
+						_, _ = io.WriteString(w, strings.Repeat("s", size/2))
+						if !early {
+							_ = http.NewResponseController(w).SetWriteDeadline(time.Unix(1, 0))
+						}
+						if aborts {
+							panic(http.ErrAbortHandler)
+						}
+					})
+					response, content := connected.receive()
+					if aborts {
+						connected.g.Expect(response.StatusCode).To(Equal(http.StatusBadGateway))
+					} else {
+						connected.g.Expect(content).To(Equal(strings.Repeat("s", size)))
+					}
+					connected.expect("/free/2")
+				})
+			}
+		}
+	}
+}
--- a/internal/pipelining/turnwriter.go
+++ b/internal/pipelining/turnwriter.go
@@ -100,11 +100,7 @@
 		w.WriteHeader(http.StatusOK)
 	}
 	w.count(len(p))
-	whole := w.length >= 0 && w.written >= w.length
-	if whole {
-		w.connection.completeAnswer()
-	}
-	if w.holding && !whole && w.hold(p) {
+	if w.holding && w.hold(p) {
 		return len(p), nil
 	}
 	if err := w.releaseHeld(); err != nil {
@@ -154,8 +150,8 @@
 	w.held = nil
 }
 
-// setHolding starts or ends holding. The write deadline set meanwhile is applied at
-// the end.
+// setHolding starts or ends holding. The last write deadline set meanwhile is applied
+// at the end.
 func (w *turnWriter) setHolding(holding bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -187,19 +183,20 @@
 	return err
 }
 
-// finish releases the answer after the handler has returned.
+// finish releases the answer after the handler has returned. A write deadline that
+// the handler has set does not apply: the answer is whole, and a failed write would
+// lose the later ones.
 func (w *turnWriter) finish() {
 	w.finished = true
 	if !w.holding {
 		return
 	}
 	w.connection.completeAnswer()
-	controller := http.NewResponseController(w.ResponseWriter)
-	_ = controller.SetWriteDeadline(time.Now().Add(heldWriteTimeout))
+	_ = w.SetWriteDeadline(time.Now().Add(heldWriteTimeout))
 	if err := w.releaseHeld(); err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	_ = controller.SetWriteDeadline(time.Time{})
+	_ = w.SetWriteDeadline(time.Time{})
 }
 
 // discard drops a held answer.
