--- a/internal/sidecar/exchange/exchanger.go
+++ b/internal/sidecar/exchange/exchanger.go
@@ -103,6 +103,8 @@
 	exchangeTimeout = 700 * time.Millisecond
 	maxIdlePerPeer  = 1
 	peerIdleTimeout = 20 * time.Second
+	// maxHeaderBytes bounds the header of a reply.
+	maxHeaderBytes = 64 << 10
 	// pingTimeout bounds the reply to a ping, pingAttempts is the number of pings sent.
 	pingTimeout  = 240 * time.Millisecond
 	pingAttempts = 2
@@ -151,10 +153,11 @@
 // newClient returns the HTTP client for requests to other nodes.
 func newClient(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         dial,
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: maxIdlePerPeer,
-		IdleConnTimeout:     peerIdleTimeout,
+		DialContext:            dial,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    maxIdlePerPeer,
+		IdleConnTimeout:        peerIdleTimeout,
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}}
 }
 
