forward: do not report a server that closes an idle connection with 408

What operators would have seen: "answer rejected", unsolicited, for back ends without a fault. Some servers send a reply 408 before they close an idle connection; net/http makes the same exception.

TestTimeoutReplyWhileIdle fails without it and passed 20 times with the race detector.

--- a/internal/proxy/forward/endless_test.go
+++ b/internal/proxy/forward/endless_test.go
@@ -303,6 +303,33 @@
 	}
 }
 
+// TestTimeoutReplyWhileIdle guards against reports about a server that closes an idle connection.
+func TestTimeoutReplyWhileIdle(t *testing.T) {
+	written := captureStandardLog(t)
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		served := &scriptedPeer{}
+		served.script = func(connection net.Conn, _ int32) {
+			if served.read(connection) {
+				served.answer(connection, completeReply)
+				time.Sleep(time.Second)
+				served.answer(connection, "HTTP/1.0 408 Request Time-out\r\nConnection: close\r\n\r\n")
+			}
+		}
+		pool, rejected := boundedPool(served)
+		defer pool.Close()
+		for range 2 {
+			g.Expect(exchange(pool, requestWithID(""))).To(Equal("ok"))
+			time.Sleep(2 * time.Second)
+		}
+		g.Expect(rejected.list()).To(BeEmpty())
+		g.Expect(served.connections.Load()).To(BeEquivalentTo(2))
+	})
+	if written.Len() > 0 {
+		t.Errorf("written to the standard logger: %.200q", written)
+	}
+}
+
 // TestBytesBeforeRequest guards against bytes on a new connection that are taken for a reply.
 func TestBytesBeforeRequest(t *testing.T) {
 	for _, banner := range []string{"SSH-2.0-noise\r\n", completeReply} {
--- a/internal/proxy/forward/incoming.go
+++ b/internal/proxy/forward/incoming.go
@@ -102,7 +102,9 @@
 	case len(data) == 0:
 		return 0, false, err
 	case !c.expecting || c.state.CompareAndSwap(writeNone, writeRefused):
-		c.onUnsolicited(nil, c.reject(Unsolicited, int64(len(data))))
+		if invalid := c.reject(Unsolicited, int64(len(data))); !isTimeoutReply(data) {
+			c.onUnsolicited(nil, invalid)
+		}
 		return 0, false, io.EOF
 	case c.scanner.state == scanDone:
 		c.held = append(c.held, data...)
--- a/internal/proxy/forward/scan.go
+++ b/internal/proxy/forward/scan.go
@@ -207,6 +207,13 @@
 	return framing{status: int(code), http10: line[version] == '0', unclear: unclear}
 }
 
+// isTimeoutReply reports whether the bytes begin with a reply 408, which servers send before they close
+// an idle connection.
+func isTimeoutReply(data []byte) bool {
+	line, _, _ := bytes.Cut(data, newline)
+	return isReplyPrefix(line) && parseStatus(bytes.TrimSuffix(line, carriageReturn)).status == http.StatusRequestTimeout
+}
+
 // addLine adds a header line, of which only the beginning is known if it was cut.
 func (f *framing) addLine(line []byte, cut bool) {
 	name, value, _ := bytes.Cut(line, colon)
