--- a/internal/proxy/inbound/handler.go
+++ b/internal/proxy/inbound/handler.go
@@ -72,12 +72,25 @@
 
 // New returns a handler that refuses all requests until Apply is called.
 func New(options Options) *Handler {
-	return &Handler{
+	created := &Handler{
 		options:     options,
 		limiter:     limit.New(0, 0),
-		pool:        forward.NewPool(options.Address, options.Connections, options.Dial),
 		callRecords: calls.NewDeduplicator(options.RememberedCalls),
 	}
+	connections := options.Connections
+	connections.OnInvalid = created.logInvalid
+	created.pool = forward.NewPool(options.Address, connections, options.Dial)
+	return created
+}
+
+// logInvalid logs bytes of the back end that were rejected.
+func (h *Handler) logInvalid(_ *http.Request, invalid *forward.ReplyError) {
+	h.options.Logger.Warn("reply rejected",
+		zap.String("peer", h.options.Address),
+		zap.String("reason", string(invalid.Reason)),
+		zap.Int64("bytes", invalid.Bytes),
+		zap.Duration("elapsed", invalid.Elapsed),
+	)
 }
 
 // Apply activates a snapshot. If the snapshot lacks the back end's service, the handler refuses all
