forward: look only at the header lines that can frame a reply

The scanner of replies cut each header line at its colon. Lines that begin with none of the letters of Content-Length and Transfer-Encoding cannot matter.

--- a/internal/proxy/forward/scan.go
+++ b/internal/proxy/forward/scan.go
@@ -216,11 +216,17 @@
 
 // addLine adds a header line, of which only the beginning is known if it was cut.
 func (f *framing) addLine(line []byte, cut bool) {
+	switch line[0] {
+	case ' ', '\t': // a continued line
+		f.unclear = true
+		return
+	case 'C', 'c', 'T', 't':
+	default:
+		return
+	}
 	name, value, _ := bytes.Cut(line, colon)
 	value = bytes.Trim(value, " \t")
 	switch {
-	case line[0] == ' ' || line[0] == '\t': // a continued line
-		f.unclear = true
 	case equalFold(name, "content-length"):
 		f.unclear = f.unclear || cut
 		f.addLength(value)
