Names and comments of the new code, after an independent reading

The filter below net/http is replyFilter, the writer that holds answers holdingWriter; what allows a second reply on a connection says so; ambiguous and hasLength for framing; ExceedsHold and OnExceedsHold for answers too long to be held; bodyBegun says what it has meant since. No behaviour changes.

--- a/cmd/kestrel-sidecar/main.go
+++ b/cmd/kestrel-sidecar/main.go
@@ -26,7 +26,7 @@
 	LogLevel        string `default:"info" enum:"debug,info,warn,error" help:"Lowest level that is logged."`
 	OverloadControl string `default:"auto" enum:"auto,on,off" help:"Overload control: nested calls first, slots shared between tenants, back ends chosen by load; auto: where the configuration names tenants or back ends share their machines."`
 	LendRepeats     bool   `help:"With overload control, nodes lend each other their shares of the repeats, so that more of them can be spent where back ends reject."`
-	MaxAnswerBytes  int64  `default:"1073741824" placeholder:"BYTES" help:"Largest body of a back end's answer; longer ones are broken off. 0: any size."`
+	MaxAnswerBytes  int64  `default:"1073741824" placeholder:"BYTES" help:"Largest body of a back end's answer; longer ones are aborted. 0: any size."`
 	CheckSettings   bool   `help:"Check the settings, list every error, and exit."`
 	PrintSettings   bool   `help:"Print the settings in force and exit."`
 	Version         bool   `help:"Print the version and exit."`
@@ -84,13 +84,13 @@
 	return loaded, nil
 }
 
-// leastMaxAnswerBytes is the least bound of a body, below which ordinary answers are broken off.
-const leastMaxAnswerBytes = 1 << 20
+// minMaxAnswerBytes is the smallest bound of a body: a smaller one would abort ordinary answers.
+const minMaxAnswerBytes = 1 << 20
 
 // validate checks the values of flags.
 func (f *flags) validate() error {
-	if f.MaxAnswerBytes != 0 && f.MaxAnswerBytes < leastMaxAnswerBytes {
-		return trace.BadParameter("--max-answer-bytes: %d is less than %d, use 0 for any size", f.MaxAnswerBytes, leastMaxAnswerBytes)
+	if f.MaxAnswerBytes != 0 && f.MaxAnswerBytes < minMaxAnswerBytes {
+		return trace.BadParameter("--max-answer-bytes: %d is less than %d, use 0 for any size", f.MaxAnswerBytes, minMaxAnswerBytes)
 	}
 	return nil
 }
--- a/internal/pipelining/brokenanswer_test.go
+++ b/internal/pipelining/brokenanswer_test.go
@@ -183,9 +183,9 @@
 	connected.g.Eventually(written, "20s").Should(Receive(MatchError(os.ErrDeadlineExceeded)))
 }
 
-// TestRequestsWaitBehindLengthyAnswers checks that once an answer was too long to be held, no request
+// TestRequestsWaitBehindAnswersThatExceedTheHold checks that once an answer was too long to be held, no request
 // starts behind the next one of that kind, so that none is lost when it is broken off.
-func TestRequestsWaitBehindLengthyAnswers(t *testing.T) {
+func TestRequestsWaitBehindAnswersThatExceedTheHold(t *testing.T) {
 	for _, length := range []int{2 << 20, -1} {
 		t.Run(fmt.Sprintf("length %d", length), func(t *testing.T) {
 			served := startServer(t)
--- a/internal/pipelining/connection.go
+++ b/internal/pipelining/connection.go
@@ -197,7 +197,7 @@
 func (c *connection) countRequest(r *http.Request) (mayOvertake bool) {
 	c.parsed++
 	mayOvertake = c.mayOvertake(r)
-	if !mayOvertake || c.pipeline.options.long(r) {
+	if !mayOvertake || c.pipeline.options.exceedsHold(r) {
 		c.barrier = c.parsed
 	}
 	return mayOvertake
--- a/internal/pipelining/turnwriter.go
+++ b/internal/pipelining/holdingwriter.go
@@ -18,11 +18,11 @@
 
 var heldChunks = sync.Pool{New: func() any { return new([heldChunkBytes]byte) }}
 
-// turnWriter writes the answer of the request that the server is serving. While
+// holdingWriter writes the answer of the request that the server is serving. While
 // later requests of the connection have started early, it holds the answer until it
 // is whole or longer than maxHeldBytes, so that an answer that breaks off can be
 // replaced and the later ones are still delivered.
-type turnWriter struct {
+type holdingWriter struct {
 	http.ResponseWriter
 	connection *connection
 	request    *http.Request
@@ -65,7 +65,7 @@
 
 // WriteHeader implements http.ResponseWriter. It removes "Connection: close" if
 // later requests of the connection have started early.
-func (w *turnWriter) WriteHeader(status int) {
+func (w *holdingWriter) WriteHeader(status int) {
 	if w.holding {
 		return
 	}
@@ -75,7 +75,7 @@
 	}
 	w.status, w.length = status, contentLength(w.Header())
 	if w.length > maxHeldBytes {
-		w.connection.pipeline.options.lengthy(w.request)
+		w.connection.pipeline.options.onExceedsHold(w.request)
 	}
 	if !w.connection.beginAnswer() {
 		w.ResponseWriter.WriteHeader(status)
@@ -99,7 +99,7 @@
 }
 
 // Write implements http.ResponseWriter.
-func (w *turnWriter) Write(p []byte) (int, error) {
+func (w *holdingWriter) Write(p []byte) (int, error) {
 	if w.status == 0 {
 		w.WriteHeader(http.StatusOK)
 	}
@@ -114,16 +114,16 @@
 }
 
 // count counts a part of the body.
-func (w *turnWriter) count(size int) {
+func (w *holdingWriter) count(size int) {
 	before := w.written
 	w.written += int64(size)
 	if w.length < 0 && before <= maxHeldBytes && w.written > maxHeldBytes {
-		w.connection.pipeline.options.lengthy(w.request)
+		w.connection.pipeline.options.onExceedsHold(w.request)
 	}
 }
 
 // hold appends to the held body. It reports whether there was room.
-func (w *turnWriter) hold(p []byte) bool {
+func (w *holdingWriter) hold(p []byte) bool {
 	if !w.grow(w.heldBytes + len(p)) {
 		return false
 	}
@@ -136,7 +136,7 @@
 }
 
 // grow adds chunks until the held body may be size bytes long.
-func (w *turnWriter) grow(size int) bool {
+func (w *holdingWriter) grow(size int) bool {
 	if size > maxHeldBytes {
 		return false
 	}
@@ -151,7 +151,7 @@
 }
 
 // dropHeld frees the held body.
-func (w *turnWriter) dropHeld() {
+func (w *holdingWriter) dropHeld() {
 	w.connection.pipeline.release(len(w.held) * heldChunkBytes)
 	for _, chunk := range w.held {
 		heldChunks.Put(chunk)
@@ -161,7 +161,7 @@
 
 // setHolding starts or ends holding. The last write deadline set meanwhile is applied
 // at the end.
-func (w *turnWriter) setHolding(holding bool) {
+func (w *holdingWriter) setHolding(holding bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.holding = holding
@@ -172,7 +172,7 @@
 }
 
 // releaseHeld passes the held part of the answer to the server.
-func (w *turnWriter) releaseHeld() error {
+func (w *holdingWriter) releaseHeld() error {
 	if !w.holding {
 		return nil
 	}
@@ -197,7 +197,7 @@
 // finish releases the answer after the handler has returned. A write deadline that
 // the handler has set does not apply: the answer is whole, and a failed write would
 // lose the later ones.
-func (w *turnWriter) finish() {
+func (w *holdingWriter) finish() {
 	w.finished = true
 	if !w.holding {
 		return
@@ -211,7 +211,7 @@
 }
 
 // discard drops a held answer.
-func (w *turnWriter) discard() bool {
+func (w *holdingWriter) discard() bool {
 	if w.status != 0 && !w.holding {
 		return false
 	}
@@ -232,7 +232,7 @@
 
 // replaceAborted answers 502 in place of a held answer that its handler has aborted,
 // unless the client has left. It is deferred.
-func (w *turnWriter) replaceAborted(client context.Context) {
+func (w *holdingWriter) replaceAborted(client context.Context) {
 	if !w.holding {
 		w.resetIfAborted()
 		return
@@ -253,14 +253,14 @@
 
 // resetIfAborted makes the connection close with a reset if an answer whose end is
 // the end of the connection was aborted: it would look whole.
-func (w *turnWriter) resetIfAborted() {
+func (w *holdingWriter) resetIfAborted() {
 	if !w.finished && w.status != 0 && w.length < 0 && !w.request.ProtoAtLeast(1, 1) {
 		w.connection.reset()
 	}
 }
 
 // FlushError is called by http.ResponseController.Flush.
-func (w *turnWriter) FlushError() error {
+func (w *holdingWriter) FlushError() error {
 	if w.status == 0 {
 		w.WriteHeader(http.StatusOK)
 	}
@@ -272,7 +272,7 @@
 
 // SetWriteDeadline is called by http.ResponseController.SetWriteDeadline. A deadline
 // that is set while the answer is held applies once it is released.
-func (w *turnWriter) SetWriteDeadline(deadline time.Time) error {
+func (w *holdingWriter) SetWriteDeadline(deadline time.Time) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.holding {
@@ -283,4 +283,4 @@
 }
 
 // Unwrap returns the server's writer to http.ResponseController.
-func (w *turnWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+func (w *holdingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
--- a/internal/pipelining/memory_test.go
+++ b/internal/pipelining/memory_test.go
@@ -10,10 +10,10 @@
 )
 
 // newHoldingWriter returns the writer of an answer with a request started behind it.
-func newHoldingWriter(pipeline *Pipeline) *turnWriter {
+func newHoldingWriter(pipeline *Pipeline) *holdingWriter {
 	conn := newConnection(nil, pipeline)
 	conn.early[1] = &earlyRequest{}
-	return &turnWriter{ResponseWriter: httptest.NewRecorder(), connection: conn}
+	return &holdingWriter{ResponseWriter: httptest.NewRecorder(), connection: conn}
 }
 
 // TestHeldAnswersStayWithinMemory checks the bounds on held answers of a connection and of a pipeline,
@@ -21,8 +21,8 @@
 func TestHeldAnswersStayWithinMemory(t *testing.T) {
 	g := NewWithT(t)
 	pipeline := New(Options{}, http.NotFoundHandler())
-	newWriter := func() *turnWriter { return newHoldingWriter(pipeline) }
-	var writers []*turnWriter
+	newWriter := func() *holdingWriter { return newHoldingWriter(pipeline) }
+	var writers []*holdingWriter
 	for range maxTotalHeldBytes / maxHeldBytes {
 		g.Expect(pipeline.held.Load() <= maxTotalHeldBytes/2).To(Equal(newConnection(nil, pipeline).mayStartEarly()))
 		writer := newWriter()
--- a/internal/pipelining/pipelining.go
+++ b/internal/pipelining/pipelining.go
@@ -19,19 +19,19 @@
 	// Begun is called when a request starts early. The returned function is called
 	// once the answer was written or dropped.
 	Begun func() (ended func())
-	// Long reports whether the answer to a request may be too long to be held. Later
+	// ExceedsHold reports whether the answer to a request may be too long to be held. Later
 	// requests start only once it was written. nil stands for no request.
-	Long func(*http.Request) bool
-	// Lengthy is called when the answer to a request is too long to be held. It may be
+	ExceedsHold func(*http.Request) bool
+	// OnExceedsHold is called when the answer to a request is too long to be held. It may be
 	// nil.
-	Lengthy func(*http.Request)
+	OnExceedsHold func(*http.Request)
 }
 
-func (o *Options) long(r *http.Request) bool { return o.Long != nil && o.Long(r) }
+func (o *Options) exceedsHold(r *http.Request) bool { return o.ExceedsHold != nil && o.ExceedsHold(r) }
 
-func (o *Options) lengthy(r *http.Request) {
-	if o.Lengthy != nil {
-		o.Lengthy(r)
+func (o *Options) onExceedsHold(r *http.Request) {
+	if o.OnExceedsHold != nil {
+		o.OnExceedsHold(r)
 	}
 }
 
@@ -108,7 +108,7 @@
 	}
 	begun := conn.startTurn(r)
 	defer conn.finishTurn()
-	writer := &turnWriter{ResponseWriter: w, connection: conn, request: r}
+	writer := &holdingWriter{ResponseWriter: w, connection: conn, request: r}
 	defer writer.replaceAborted(r.Context())
 	if begun == nil {
 		p.handler.ServeHTTP(writer, r)
--- a/internal/pipelining/pipelining_test.go
+++ b/internal/pipelining/pipelining_test.go
@@ -52,11 +52,11 @@
 			created.early.Add(1)
 			return func() { created.early.Add(-1) }
 		},
-		Long: func(r *http.Request) bool {
+		ExceedsHold: func(r *http.Request) bool {
 			_, seen := created.long.Load(r.URL.Path)
 			return seen
 		},
-		Lengthy: func(r *http.Request) { created.long.Store(r.URL.Path, true) },
+		OnExceedsHold: func(r *http.Request) { created.long.Store(r.URL.Path, true) },
 	}
 	served := httpserver.New("test", listener, created, httpserver.Limits{Pipelining: options, CloseGently: closeGently}, zap.NewNop())
 	go func() { _ = served.Serve() }()
--- a/internal/proxy/forward/conn.go
+++ b/internal/proxy/forward/conn.go
@@ -35,7 +35,7 @@
 // time each; begin and seal are called by the owner of the exchange.
 type trackedConn struct {
 	net.Conn
-	incoming
+	replyFilter
 	state atomic.Int32
 	// exchange is the context of the current exchange, nil while idle.
 	exchange atomic.Pointer[context.Context]
@@ -80,7 +80,7 @@
 		case writeSealed, writeRefused:
 			return 0, net.ErrClosed
 		case writeDiscarded:
-			c.expectNext()
+			c.startSecondReply()
 			return len(data), nil
 		}
 	}
@@ -100,7 +100,7 @@
 // another reply. The request must have been written completely.
 func (c *trackedConn) discardWrites() {
 	c.state.Store(writeDiscarded)
-	c.awaitNext()
+	c.allowSecondReply()
 }
 
 // seal disables further writes and reports whether nothing was written. A write
--- a/internal/proxy/forward/incoming.go
+++ b/internal/proxy/forward/replyfilter.go
@@ -17,9 +17,9 @@
 	interim int
 }
 
-// incoming is the read side of a trackedConn. It passes bytes on only in the place
+// replyFilter is the read side of a trackedConn. It passes bytes on only in the place
 // of a reply, since net/http writes all others to the standard logger.
-type incoming struct {
+type replyFilter struct {
 	limits headerLimits
 	// onUnsolicited is called with bytes that arrive before or after a reply.
 	onUnsolicited func(request *http.Request, invalid *ReplyError)
@@ -28,9 +28,9 @@
 	changed sync.Cond  // signals changes of all below to Read
 	// expecting: an exchange is in progress.
 	expecting, closed bool
-	// awaitsNext: another reply may follow once a write was discarded.
-	awaitsNext bool
-	scanner    replyScanner
+	// secondReplyAllowed: another reply may follow once a write was discarded.
+	secondReplyAllowed bool
+	scanner            replyScanner
 	// held are bytes after the reply of the current exchange.
 	held []byte
 	// begun is when the latest exchange began.
@@ -65,7 +65,7 @@
 		if count == 0 && err == nil {
 			count, err = c.Conn.Read(data)
 		}
-		count, held, err := c.accept(data[:count], err)
+		count, held, err := c.filter(data[:count], err)
 		if !held {
 			return count, err
 		}
@@ -91,9 +91,9 @@
 	return 0, nil
 }
 
-// accept returns what is passed on of received bytes and the error of the read. held
+// filter returns what is passed on of received bytes and the error of the read. held
 // reports that all of them follow the reply, so that they are kept.
-func (c *trackedConn) accept(data []byte, err error) (count int, held bool, _ error) {
+func (c *trackedConn) filter(data []byte, err error) (count int, held bool, _ error) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	switch {
@@ -154,10 +154,10 @@
 	return c.SetReadDeadline(time.Now().Add(c.limits.timeout))
 }
 
-// reject records why the connection is broken off. more is the number of bytes
+// reject records why the connection is broken off. extraBytes is the number of bytes
 // beside those of headers. The caller must hold the lock.
-func (c *trackedConn) reject(reason Reason, more int64) *ReplyError {
-	c.invalid = &ReplyError{Reason: reason, Bytes: more}
+func (c *trackedConn) reject(reason Reason, extraBytes int64) *ReplyError {
+	c.invalid = &ReplyError{Reason: reason, Bytes: extraBytes}
 	if c.expecting {
 		c.invalid.Bytes += c.scanner.headerBytes
 		c.invalid.Elapsed = time.Since(c.begun)
@@ -186,23 +186,23 @@
 	return surplus
 }
 
-// awaitNext allows another reply to follow the current one once a write is
+// allowSecondReply allows another reply to follow the current one once a write is
 // discarded.
-func (c *trackedConn) awaitNext() {
+func (c *trackedConn) allowSecondReply() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.awaitsNext = true
+	c.secondReplyAllowed = true
 }
 
-// expectNext awaits another reply if awaitNext was called. net/http must have
+// startSecondReply awaits another reply if allowSecondReply was called. net/http must have
 // started to expect it.
-func (c *trackedConn) expectNext() {
+func (c *trackedConn) startSecondReply() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if !c.awaitsNext {
+	if !c.secondReplyAllowed {
 		return
 	}
-	c.awaitsNext = false
+	c.secondReplyAllowed = false
 	c.scanner.reset(c.scanner.method)
 	c.changed.Broadcast()
 }
--- a/internal/proxy/forward/scan.go
+++ b/internal/proxy/forward/scan.go
@@ -42,13 +42,13 @@
 
 // framing is what a header says about the end of its reply.
 type framing struct {
-	status   int
-	http10   bool
-	chunked  bool
-	length   int64
-	measured bool // length is known
-	// unclear: the header is contradictory or malformed.
-	unclear bool
+	status    int
+	http10    bool
+	chunked   bool
+	length    int64
+	hasLength bool // length is known
+	// ambiguous: the header is contradictory or malformed.
+	ambiguous bool
 }
 
 // reset prepares the scanner for the reply to a request with the method.
@@ -150,7 +150,7 @@
 func (s *replyScanner) endHeader() {
 	f := &s.framing
 	switch {
-	case f.unclear || f.status == http.StatusSwitchingProtocols:
+	case f.ambiguous || f.status == http.StatusSwitchingProtocols:
 		s.state = scanUnknown
 	case f.status < http.StatusOK:
 		s.state = scanStatus
@@ -159,7 +159,7 @@
 		s.state = scanDone
 	case f.chunked:
 		s.state = scanChunkSize
-	case !f.measured:
+	case !f.hasLength:
 		s.state = scanUnknown
 	default:
 		s.state, s.remaining = scanData, f.length
@@ -195,16 +195,16 @@
 	return bytes.Equal(line[:length], replyPrefix[:length])
 }
 
-// parseStatus parses a status line. A status that is not understood is unclear.
+// parseStatus parses a status line. A status that is not understood is ambiguous.
 func parseStatus(line []byte) framing {
 	const version, status, end = len("HTTP/1."), len("HTTP/1.1 "), len("HTTP/1.1 200")
 	if len(line) < end || line[status-1] != ' ' {
-		return framing{unclear: true}
+		return framing{ambiguous: true}
 	}
 	code, err := strconv.ParseUint(string(line[status:end]), 10, 16)
 	const leastStatus = 100
-	unclear := err != nil || code < leastStatus || len(line) > end && line[end] != ' '
-	return framing{status: int(code), http10: line[version] == '0', unclear: unclear}
+	ambiguous := err != nil || code < leastStatus || len(line) > end && line[end] != ' '
+	return framing{status: int(code), http10: line[version] == '0', ambiguous: ambiguous}
 }
 
 // isTimeoutReply reports whether the bytes begin with a reply 408, which servers send before they close
@@ -218,7 +218,7 @@
 func (f *framing) addLine(line []byte, cut bool) {
 	switch line[0] {
 	case ' ', '\t': // a continued line
-		f.unclear = true
+		f.ambiguous = true
 		return
 	case 'C', 'c', 'T', 't':
 	default:
@@ -228,20 +228,20 @@
 	value = bytes.Trim(value, " \t")
 	switch {
 	case equalFold(name, "content-length"):
-		f.unclear = f.unclear || cut
+		f.ambiguous = f.ambiguous || cut
 		f.addLength(value)
 	case equalFold(name, "transfer-encoding"):
-		f.unclear = f.unclear || cut || f.chunked || f.http10 || !equalFold(value, "chunked")
+		f.ambiguous = f.ambiguous || cut || f.chunked || f.http10 || !equalFold(value, "chunked")
 		f.chunked = true
 	}
 }
 
 func (f *framing) addLength(text []byte) {
 	length, err := strconv.ParseUint(string(text), 10, 62)
-	if err != nil || f.measured && f.length != int64(length) {
-		f.unclear = true
+	if err != nil || f.hasLength && f.length != int64(length) {
+		f.ambiguous = true
 	}
-	f.length, f.measured = int64(length), true
+	f.length, f.hasLength = int64(length), true
 }
 
 var colon = []byte{':'}
--- a/internal/sidecar/clock/ticker.go
+++ b/internal/sidecar/clock/ticker.go
@@ -5,10 +5,8 @@
 	"time"
 )
 
-// Ticker is like time.Ticker, but runs only where timers run and never in the goroutine that
-// receives its ticks. The race detector of Go 1.26 crashes when two goroutines of a synctest
-// bubble run timers at a time: a channel timer runs in a select that finds it due, and a timer
-// that is set to zero runs in the goroutine that sets it.
+// Ticker is like time.Ticker, built on time.AfterFunc: channel timers, and timers of zero, crash the
+// race detector of Go 1.26 in synctest bubbles.
 type Ticker struct {
 	// C delivers the ticks. A tick is dropped while the one before has not been received.
 	C <-chan time.Time
@@ -59,7 +57,7 @@
 	t.timer.Stop()
 }
 
-// Timer is like time.Timer, with the difference described at Ticker.
+// Timer is like time.Timer, built as Ticker is.
 type Timer struct {
 	// C delivers the time at which the timer expired.
 	C <-chan time.Time
--- a/internal/sidecar/egress/attempt.go
+++ b/internal/sidecar/egress/attempt.go
@@ -38,8 +38,7 @@
 	interim *forward.Interim
 	// suspected is closed when the peer did not answer a probe.
 	suspected chan struct{}
-	// bodyBegun: the peer has a slot, or room for a large body, and receives the body that was held
-	// back for it.
+	// bodyBegun: the HTTP client has started to read the held body for sending.
 	bodyBegun atomic.Bool
 
 	// sends is the number of peers that the request was sent to before, candidates the number of
--- a/internal/sidecar/egress/attempts.go
+++ b/internal/sidecar/egress/attempts.go
@@ -23,7 +23,7 @@
 	step      outcome.Step
 	// sentAfter is the time from the arrival of the call to the attempt.
 	sentAfter, elapsed time.Duration
-	// bodyBegun: the node asked for the body that was held back for it.
+	// bodyBegun: the HTTP client has started to read the held body for sending.
 	bodyBegun bool
 }
 
--- a/internal/sidecar/egress/handler.go
+++ b/internal/sidecar/egress/handler.go
@@ -279,8 +279,8 @@
 // behind those of its route wait.
 const longAnswerMemory = 10 * time.Minute
 
-// Lengthy records that the answer to a request was too long to be held.
-func (h *Handler) Lengthy(r *http.Request) {
+// OnExceedsHold records that the answer to a request was too long to be held.
+func (h *Handler) OnExceedsHold(r *http.Request) {
 	matched := match(h.options.Table(), r)
 	if matched == nil {
 		return
@@ -290,8 +290,8 @@
 	h.lastLongAnswer.Store(&now)
 }
 
-// Long reports whether the route of a request has recently had an answer too long to be held.
-func (h *Handler) Long(r *http.Request) bool {
+// ExceedsHold reports whether the route of a request has recently had an answer too long to be held.
+func (h *Handler) ExceedsHold(r *http.Request) bool {
 	if latest := h.lastLongAnswer.Load(); latest == nil || !recentlyLong(*latest) {
 		return false
 	}
--- a/internal/sidecar/egress/longanswer_test.go
+++ b/internal/sidecar/egress/longanswer_test.go
@@ -22,15 +22,15 @@
 			return created
 		}
 		safe, often, unknown := newRequest("/safe/1"), newRequest("/often/1"), newRequest("/unknown/1")
-		g.Expect(handler.Long(safe)).To(BeFalse())
-		handler.Lengthy(unknown)
-		handler.Lengthy(safe)
-		g.Expect(handler.Long(safe)).To(BeTrue())
-		g.Expect(handler.Long(often)).To(BeFalse())
-		g.Expect(handler.Long(unknown)).To(BeFalse())
+		g.Expect(handler.ExceedsHold(safe)).To(BeFalse())
+		handler.OnExceedsHold(unknown)
+		handler.OnExceedsHold(safe)
+		g.Expect(handler.ExceedsHold(safe)).To(BeTrue())
+		g.Expect(handler.ExceedsHold(often)).To(BeFalse())
+		g.Expect(handler.ExceedsHold(unknown)).To(BeFalse())
 		time.Sleep(longAnswerMemory - time.Second)
-		g.Expect(handler.Long(safe)).To(BeTrue())
+		g.Expect(handler.ExceedsHold(safe)).To(BeTrue())
 		time.Sleep(time.Second)
-		g.Expect(handler.Long(safe)).To(BeFalse())
+		g.Expect(handler.ExceedsHold(safe)).To(BeFalse())
 	})
 }
--- a/internal/sidecar/roster/incarnationtracker.go
+++ b/internal/sidecar/roster/incarnationtracker.go
@@ -51,10 +51,10 @@
 	// started. It is zero if none has arrived or the back end's process is known to have ended.
 	lastHeartbeat time.Time
 	// candidate is another incarnation that has sent heartbeats since then, candidateHeartbeats their
-	// number in a row, and candidateCounted the arrival of the last one that was counted.
+	// number in a row, and lastCountedAt the arrival of the last one that was counted.
 	candidate           Endpoint
 	candidateHeartbeats int
-	candidateCounted    time.Time
+	lastCountedAt       time.Time
 	// reportedID is the id that the back end itself last reported without a heartbeat of it, at
 	// reportedAt; empty if the current incarnation was taken since.
 	reportedID string
@@ -137,9 +137,9 @@
 	}
 	c.candidate = candidate
 	gap := time.Duration(minCandidateGap * float64(c.Interval))
-	if c.candidateHeartbeats == 0 || now.Sub(c.candidateCounted) >= gap {
+	if c.candidateHeartbeats == 0 || now.Sub(c.lastCountedAt) >= gap {
 		c.candidateHeartbeats++
-		c.candidateCounted = now
+		c.lastCountedAt = now
 	}
 	return c.candidateHeartbeats >= minCandidateHeartbeats
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -388,7 +388,7 @@
 // concurrently.
 func (s *Sidecar) Pipelining() *pipelining.Options {
 	return &pipelining.Options{
-		Ahead: s.egress.Ahead, Begun: s.egress.Begun, Long: s.egress.Long, Lengthy: s.egress.Lengthy,
+		Ahead: s.egress.Ahead, Begun: s.egress.Begun, ExceedsHold: s.egress.ExceedsHold, OnExceedsHold: s.egress.OnExceedsHold,
 	}
 }
 
