pipelining: a header of which only the server knows the end starts nothing

What callers saw: text in the body of an upload could run as a request of its own, ahead of its turn, if the request before it had lines that end with LF alone, or if empty lines stood in front of a request after an upload. Nobody had sent that request; its answer was dropped.

Cause: the requests that are begun ahead are found by a second reading of the connection's bytes. It took the first CRLF CRLF for the end of a header; net/http's server also ends one at LF LF, and skips up to four bytes of CR and LF after a POST. From there on the two disagreed about where requests begin.

Change: a header with other line ends, or with an empty line in front, ends the search for requests on that connection. It is still served, in order.

A client that sends only CRLF, as RFC 9112 asks, has its requests begun ahead as before.

Conclusion: where two parsers read the same bytes, the second may accept only what leaves no choice.

--- a/internal/pipelining/scanner.go
+++ b/internal/pipelining/scanner.go
@@ -79,7 +79,9 @@
 	return parsed
 }
 
-// cutHead removes a complete request header from pending and returns it, or nil.
+// cutHead removes a complete request header from pending and returns it, or nil. Since
+// the server tolerates other line ends, and empty lines in front, a header that has any
+// stops the scanner: the server may have found its end elsewhere.
 func (s *scanner) cutHead() []byte {
 	if s.stopped || s.body > 0 {
 		return nil
@@ -89,6 +91,10 @@
 		return nil
 	}
 	head := s.pending[:end+len(headEnd)]
+	if !hasOnlyCRLF(head) {
+		s.stop()
+		return nil
+	}
 	s.pending = s.pending[len(head):]
 	if len(s.pending) == 0 {
 		// The returned header still uses this buffer, so the next bytes need a
@@ -98,6 +104,12 @@
 	return head
 }
 
+// hasOnlyCRLF reports whether all lines of a header end with CRLF and the first is not
+// empty.
+func hasOnlyCRLF(head []byte) bool {
+	return head[0] != '\r' && head[0] != '\n' && bytes.Count(head, []byte("\n")) == bytes.Count(head, []byte("\r\n"))
+}
+
 // skipBody skips a body of the given length.
 func (s *scanner) skipBody(length int64) {
 	pending := min(length, int64(len(s.pending)))
