forward: a read deadline of one request does not end the next ones

What callers saw: after an upload whose deadline passed just as its reply was whole, the next requests on the same connection were refused as if their caller had left.

Cause: the deadline sets a read deadline in the past, so that a body that never comes blocks nobody. It did so beside the end of the exchange, which did not wait for it, and also when the body was complete: net/http's server then reads the connection itself, and a failed read cancels every later request on it.

Change: no read deadline once the body is complete, and the end of the exchange waits for one that is being set.

--- a/internal/proxy/forward/body.go
+++ b/internal/proxy/forward/body.go
@@ -81,12 +81,14 @@
 func (b *Body) Held() (beginning []byte, length int64) { return b.buffered, b.length }
 
 func readShortBody(ctx context.Context, w http.ResponseWriter, request *http.Request) (*Body, error) {
-	defer unblockOnDone(ctx, w)()
+	var complete atomic.Bool
+	defer unblockOnDone(ctx, w, &complete)()
 	buffered := make([]byte, request.ContentLength)
 	if _, err := io.ReadFull(request.Body, buffered); err != nil {
 		return nil, fmt.Errorf("read request body: %w", err)
 	}
 	readEOF(request.Body)
+	complete.Store(true)
 	return &Body{buffered: buffered, length: request.ContentLength}, nil
 }
 
@@ -176,7 +178,7 @@
 	if b.stream == nil {
 		return func() {}
 	}
-	stopped := unblockOnDone(ctx, w)
+	stopped := unblockOnDone(ctx, w, &b.stream.complete)
 	return func() {
 		stopped()
 		setDiscardDeadline(w)
@@ -249,9 +251,20 @@
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(discardTimeout))
 }
 
-func unblockOnDone(ctx context.Context, w http.ResponseWriter) (stop func()) {
-	stopped := context.AfterFunc(ctx, func() {
-		_ = http.NewResponseController(w).SetReadDeadline(pastDeadline)
+// unblockOnDone makes reads of a body fail when the context ends, unless it is complete:
+// the server then reads the connection itself, and a failed read would end it. The
+// returned function must be called once; no deadline is set after it has returned.
+func unblockOnDone(ctx context.Context, w http.ResponseWriter, complete *atomic.Bool) (stop func()) {
+	ended := make(chan struct{})
+	cancel := context.AfterFunc(ctx, func() {
+		defer close(ended)
+		if !complete.Load() {
+			_ = http.NewResponseController(w).SetReadDeadline(pastDeadline)
+		}
 	})
-	return func() { stopped() }
+	return func() {
+		if !cancel() {
+			<-ended
+		}
+	}
 }
