forward: a body belongs to one send at a time

What callers saw: an upload that one node had refused could arrive at the next one with a part missing, as a request that was whole and ran.

Cause: net/http's transport returns a reply that comes early while its writer has yet to read the body. The node found the body unread, sent the request to another node with the same reader, and the first writer took the next bytes. That the body had not been read was asked, and nothing kept it so.

TestRefusedSendReadsNoBody was red on in 5 of 5 runs: the second node received one,two,four of one,two,three,four.

Change: each send has a reader of its own. Reclaim, in place of Consumed, takes the body back and says whether reading has begun, in one step; a writer that comes later gets an error.

After: green in 20 of 20 runs with the race detector.

--- a/internal/proxy/forward/body.go
+++ b/internal/proxy/forward/body.go
@@ -8,6 +8,7 @@
 	"io"
 	"math"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -103,13 +104,13 @@
 	return httpguts.HeaderValuesContainsToken(request.Header["Expect"], "100-continue")
 }
 
-// Attach sets the body of an outgoing request. It must not be called again
-// once Consumed reports true.
+// Attach sets the body of an outgoing request. Reclaim must be called before it is
+// called again.
 func (b *Body) Attach(outgoing *http.Request) {
 	outgoing.ContentLength = b.length
 	switch {
 	case b.stream != nil:
-		outgoing.Body = b.stream
+		outgoing.Body = b.stream.newSend()
 		outgoing.Trailer = b.trailer
 	case len(b.buffered) > 0:
 		outgoing.Body = io.NopCloser(bytes.NewReader(b.buffered))
@@ -118,9 +119,10 @@
 	}
 }
 
-// Consumed reports whether the body can no longer be sent from its start,
-// because reading its stream has begun.
-func (b *Body) Consumed() bool { return b.stream != nil && b.stream.readStarted.Load() }
+// Reclaim takes the body back from the request that it was attached to, whose writer
+// may outlive the reply, and reports whether it can be sent from its start: reading a
+// streamed body has not begun.
+func (b *Body) Reclaim() bool { return b.stream == nil || b.stream.reclaim() }
 
 // Replayable reports whether the body can be sent any number of times.
 func (b *Body) Replayable() bool { return b.stream == nil }
@@ -135,23 +137,58 @@
 	}
 }
 
-// streamedBody reads from the caller's connection. Close does not close the
-// source, which belongs to the server.
+// errReclaimed is returned to a writer that reads a body after Reclaim.
+var errReclaimed = errors.New("forward: request body was reclaimed")
+
+// streamedBody reads from the caller's connection.
 type streamedBody struct {
-	source      io.Reader
-	remaining   int64
-	readStarted atomic.Bool
+	source    io.Reader
+	remaining int64
 	// complete: the source was read to EOF.
 	complete atomic.Bool
 	// request is the received request. Its trailers are known, and filtered,
 	// at the end of the source.
 	request *http.Request
 	hidden  string
+
+	mu sync.Mutex // guards all below
+	// send may read the source; nil after Reclaim.
+	send *bodySend
+	// readStarted: reading the source has begun, for the last send.
+	readStarted bool
 }
 
-// Read implements io.Reader.
-func (s *streamedBody) Read(data []byte) (int, error) {
-	s.readStarted.Store(true)
+// newSend returns the body of another send, which replaces that of the one before.
+func (s *streamedBody) newSend() *bodySend {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.send = &bodySend{stream: s}
+	return s.send
+}
+
+func (s *streamedBody) reclaim() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.readStarted {
+		return false
+	}
+	s.send = nil
+	return true
+}
+
+// mayRead reports whether a send may read the source, and records that it does.
+func (s *streamedBody) mayRead(send *bodySend) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.send != send {
+		return false
+	}
+	s.readStarted = true
+	return true
+}
+
+// read reads the source.
+func (s *streamedBody) read(data []byte) (int, error) {
 	count, err := s.source.Read(data)
 	s.remaining -= int64(count)
 	if s.remaining < 0 {
@@ -164,8 +201,19 @@
 	return count, err
 }
 
-// Close implements io.Closer.
-func (s *streamedBody) Close() error { return nil }
+// bodySend is a streamed body as one outgoing request reads it.
+type bodySend struct{ stream *streamedBody }
+
+// Read implements io.Reader.
+func (b *bodySend) Read(data []byte) (int, error) {
+	if !b.stream.mayRead(b) {
+		return 0, errReclaimed
+	}
+	return b.stream.read(data)
+}
+
+// Close implements io.Closer. It does not close the source, which belongs to the server.
+func (b *bodySend) Close() error { return nil }
 
 // pastDeadline makes reads and writes of a connection fail immediately.
 var pastDeadline = time.Unix(1, 0)
--- a/internal/proxy/outbound/call.go
+++ b/internal/proxy/outbound/call.go
@@ -202,7 +202,7 @@
 		Outcome:         last,
 		Repeatable:      c.repeatable,
 		RetriedUpstream: c.retriedUpstream,
-		BodyConsumed:    c.body.Consumed(),
+		BodyConsumed:    !c.body.Reclaim(),
 		Remaining:       time.Until(deadline),
 		Random:          rand.Uint64(),
 	})
--- a/internal/sidecar/egress/freshness.go
+++ b/internal/sidecar/egress/freshness.go
@@ -82,7 +82,7 @@
 // rerouted.
 func (c *call) reroute(last result) (retry bool, failure *outcome.Failure) {
 	c.reroutes++
-	if c.reroutes > maxReroutes || c.detached > 0 || c.runs > 0 || c.body.Consumed() {
+	if c.reroutes > maxReroutes || c.detached > 0 || c.runs > 0 || !c.body.Reclaim() {
 		return false, nil
 	}
 	if !c.handler.options.Freshness.CatchUp(c.context, last.target.node, last.version) {
--- a/internal/sidecar/egress/sendonce.go
+++ b/internal/sidecar/egress/sendonce.go
@@ -191,7 +191,7 @@
 
 // retry decides whether another attempt follows a failed one.
 func (c *call) retry(last result) bool {
-	if last.target == nil || c.context.Err() != nil || c.body.Consumed() {
+	if last.target == nil || c.context.Err() != nil || !c.body.Reclaim() {
 		return false
 	}
 	if c.crashes >= maxCrashes {
--- a/internal/sidecar/ingress/exchange.go
+++ b/internal/sidecar/ingress/exchange.go
@@ -59,7 +59,7 @@
 		}
 		a.countFailure(failure)
 		again := failure.Outcome == outcome.NotRun && failure.Step == outcome.StepWrite && a.context.Err() == nil
-		if !again || send == maximumSends || sent.Consumed() {
+		if !again || send == maximumSends || !sent.Reclaim() {
 			return failure
 		}
 	}
