pipelining: an answer without a body is not too long to be held

What callers saw: requests behind a HEAD, or behind a 304, whose Content-Length is that of a long resource were not begun ahead any more, and were lost if such an answer broke off.

Cause: whether an answer fits into the held bytes was read from Content-Length, which these answers carry for a body that they do not have.

Change: the length of the body is 0 for HEAD, 204 and 304. The test of the memory bounds builds its writer with a request now.

--- a/internal/pipelining/holdingwriter.go
+++ b/internal/pipelining/holdingwriter.go
@@ -26,8 +26,8 @@
 	http.ResponseWriter
 	connection *connection
 	request    *http.Request
-	// status is that of the answer, zero before its header is written. length is its
-	// Content-Length, -1 if unknown.
+	// status is that of the answer, zero before its header is written. length is that of
+	// its body, -1 if unknown.
 	status int
 	length int64
 	// finished: the handler has returned.
@@ -73,7 +73,7 @@
 		w.ResponseWriter.WriteHeader(status)
 		return
 	}
-	w.status, w.length = status, contentLength(w.Header())
+	w.status, w.length = status, bodyLength(w.request.Method, status, w.Header())
 	if w.length > maxHeldBytes {
 		w.connection.pipeline.options.onExceedsHold(w.request)
 	}
@@ -90,7 +90,12 @@
 	w.setHolding(true)
 }
 
-func contentLength(header http.Header) int64 {
+// bodyLength returns the length of an answer's body, -1 if unknown. Content-Length is
+// also set on answers that have none.
+func bodyLength(method string, status int, header http.Header) int64 {
+	if method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified {
+		return 0
+	}
 	length, err := strconv.ParseInt(header.Get("Content-Length"), 10, 64)
 	if err != nil {
 		return -1
--- a/internal/pipelining/memory_test.go
+++ b/internal/pipelining/memory_test.go
@@ -13,7 +13,8 @@
 func newHoldingWriter(pipeline *Pipeline) *holdingWriter {
 	conn := newConnection(nil, pipeline)
 	conn.early[1] = &earlyRequest{}
-	return &holdingWriter{ResponseWriter: httptest.NewRecorder(), connection: conn}
+	request := httptest.NewRequest(http.MethodGet, "/", nil)
+	return &holdingWriter{ResponseWriter: httptest.NewRecorder(), connection: conn, request: request}
 }
 
 // TestHeldAnswersStayWithinMemory checks the bounds on held answers of a connection and of a pipeline,
