A request whose caller has left is not passed on before the background read ends

Cause: the code. forward.CallerDisconnected yields twice so that the server's background read can find the end of the connection.

Ruled out: the check. Test and node have the end of the connection at hand before the request is read.

Change: CallerDisconnected also asks the socket whether a read would find its end (internal/httpserver/hangup; a poll, and a peek only if something can be read). The sockets come by ConnContext of httpserver, for both sides of a node. It finds what the background read would find, nothing more: false behind unread bytes of later requests, and for connections without a socket, where the turns remain.

Conclusion: the end of the connection is no longer left to the scheduler.

--- a/internal/httpserver/linger.go
+++ b/internal/httpserver/linger.go
@@ -51,6 +51,9 @@
 	err    error
 }
 
+// NetConn returns the connection below.
+func (c *lingerConn) NetConn() net.Conn { return c.Conn }
+
 // SetLinger sets the linger time of a TCP connection. With zero seconds the
 // connection closes at once, with a reset.
 func (c *lingerConn) SetLinger(seconds int) error {
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -15,6 +15,7 @@
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 
+	"github.com/kestrelstream/kestrelstream/internal/httpserver/hangup"
 	"github.com/kestrelstream/kestrelstream/internal/pipelining"
 	"github.com/kestrelstream/kestrelstream/internal/telemetry"
 )
@@ -66,11 +67,14 @@
 		created.listener = created.lingering
 	}
 	handler = created.counted(handler)
-	var connected func(context.Context, net.Conn) context.Context
+	connected := hangup.Context
 	if limits.Pipelining != nil {
 		pipeline := pipelining.New(*limits.Pipelining, handler)
 		created.listener = pipeline.WrapListener(created.listener)
-		handler, connected = pipeline, pipeline.Context
+		handler = pipeline
+		connected = func(ctx context.Context, accepted net.Conn) context.Context {
+			return pipeline.Context(hangup.Context(ctx, accepted), accepted)
+		}
 	}
 	created.server = &http.Server{
 		Handler:           handler,
--- a/internal/pipelining/connection.go
+++ b/internal/pipelining/connection.go
@@ -51,6 +51,9 @@
 	return created
 }
 
+// NetConn returns the connection below.
+func (c *connection) NetConn() net.Conn { return c.Conn }
+
 // Close implements net.Conn.
 func (c *connection) Close() error {
 	c.end()
