notrun: the test of its only source knows renamed imports and sends

Seen: the independent reader passed TestNotRunRestsOnEvidence with outcome.Of(notrun.Send{NothingWritten: true}.Evidence()) in a file that sends nothing, and with an import under another name.

Change: the test lists the files that may record what a send proves, and refuses renamed imports of outcome and notrun.

--- a/internal/proxy/notrun/onlysource_test.go
+++ b/internal/proxy/notrun/onlysource_test.go
@@ -34,6 +34,14 @@
 	"internal/sidecar/ingress/warmup.go",
 }
 
+// observing lists the files that record what a send proves.
+var observing = []string{
+	"internal/proxy/forward/exchange.go",
+	"internal/proxy/inbound/request.go",
+	"internal/sidecar/egress/sendonce.go",
+	"internal/sidecar/ingress/exchange.go",
+}
+
 // deciding lists the directories whose code decides on outcomes.
 var deciding = []string{"internal/agent", "internal/proxy", "internal/sidecar"}
 
@@ -47,13 +55,23 @@
 	return ok && found.Name == qualifier
 }
 
+// renamesPackage reports whether an import gives the packages of outcomes and evidence another name.
+func renamesPackage(spec *ast.ImportSpec) bool {
+	path := strings.Trim(spec.Path.Value, `"`)
+	return spec.Name != nil && (strings.HasSuffix(path, "/proxy/outcome") || strings.HasSuffix(path, "/proxy/notrun"))
+}
+
 // madeOutcomes returns where the file makes an outcome of its own instead of comparing one. A file
-// that may refuse also makes refusals.
-func madeOutcomes(file *ast.File, mayRefuse bool) []token.Pos {
+// that may refuse also makes refusals, one that may observe also evidence of sends.
+func madeOutcomes(file *ast.File, mayRefuse, mayObserve bool) []token.Pos {
 	compared := map[ast.Expr]bool{}
 	var made []token.Pos
 	ast.Inspect(file, func(node ast.Node) bool {
 		switch found := node.(type) {
+		case *ast.ImportSpec:
+			if renamesPackage(found) {
+				made = append(made, found.Pos())
+			}
 		case *ast.BinaryExpr:
 			if found.Op == token.EQL || found.Op == token.NEQ {
 				compared[found.X], compared[found.Y] = true, true
@@ -72,7 +90,10 @@
 			}
 		case *ast.SelectorExpr:
 			refuses := isSelected(found, "outcome", "Refusal") || isSelected(found, "notrun", "NotSent")
+			observes := isSelected(found, "notrun", "Send") || isSelected(found, "notrun", "Reply")
 			switch {
+			case observes && !mayObserve:
+				made = append(made, found.Pos())
 			case isSelected(found, "outcome", "NotRun") && !compared[found]:
 				made = append(made, found.Pos())
 			case refuses && !mayRefuse || isSelected(found, "notrun", "Reported"):
@@ -106,7 +127,7 @@
 				return err
 			}
 			read++
-			for _, position := range madeOutcomes(file, slices.Contains(refusing, name)) {
+			for _, position := range madeOutcomes(file, slices.Contains(refusing, name), slices.Contains(observing, name)) {
 				t.Errorf("%s makes an outcome without evidence", files.Position(position))
 			}
 			return nil
