egress: Retry-After of a limit counts the room of all back ends

Callers of a service whose back ends all name limits were told to come back when one of them had room for all: the second one refused beside three back ends that get 0.25 requests a second was told 7.9 s, the third one beside three of 1 a second 2.8 s, and so on up to 30 s. The room of the other two was told to nobody.

Cause: candidateSet.shortestWait compares the waits of the limits and takes the next time of the shortest one. A wait doesn't count the times that were told to others, so it is the same back end for every caller.

Change: compare the next times that were told to nobody (Estimate.NextRetryAfter).

Test: TestRefusalByLimitOnlyWithoutFreeBackend, 24 cases on the virtual clock: limits 0, 1, 5, the node beside the back end and another one, two free back ends, one, none, and free ones in an evacuated zone. Red without the change in the six cases with none free (refusal 1: 7.85 s, expected at most 6.33 s; refusal 2 at 1 a second: 2.80 s, 2.67 s; refusal 23 at 5 a second: 2.76 s, 2.73 s). The other 18 were green before: where a node knows a free back end it refused nobody. Green 20 times with the race detector.

Conclusion: refused callers share the room of all back ends.

--- a/internal/sidecar/egress/notice.go
+++ b/internal/sidecar/egress/notice.go
@@ -152,8 +152,8 @@
 	return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepLimit, wait, errLimited)
 }
 
-// shortestWait returns the shortest time until a back end's limit has capacity for the caller,
-// false when none has a limit.
+// shortestWait returns the shortest time until a back end's limit has capacity for the caller and for
+// those that were refused before; false when none has a limit.
 func (s *candidateSet) shortestWait() (wait time.Duration, limited bool) {
 	class := s.call.class()
 	var soonest *limitReport
@@ -162,7 +162,7 @@
 		if limit == nil || !record.AcceptsWork() {
 			continue
 		}
-		if next := limit.Wait(class, s.now); soonest == nil || next < wait {
+		if next := limit.NextRetryAfter(class, s.now); soonest == nil || next < wait {
 			soonest, wait = limit, next
 		}
 	}
--- a/internal/sidecar/ratelimit/estimate.go
+++ b/internal/sidecar/ratelimit/estimate.go
@@ -71,6 +71,20 @@
 func (e *Estimate) RetryAfter(class Class, now time.Time) time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	at := e.retryAt(class, now)
+	e.nextRetry = at.Add(e.buckets[class].interval())
+	return at.Sub(now)
+}
+
+// NextRetryAfter returns the delay that RetryAfter would return.
+func (e *Estimate) NextRetryAfter(class Class, now time.Time) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.retryAt(class, now).Sub(now)
+}
+
+// retryAt returns the earliest retry time that no caller was given yet; the lock is held.
+func (e *Estimate) retryAt(class Class, now time.Time) time.Time {
 	at := now.Add(e.buckets[class].wait(1, now))
 	if e.nextRetry.After(at) {
 		at = e.nextRetry
@@ -78,6 +92,5 @@
 	if last := now.Add(maxRetryAfter); at.After(last) {
 		at = last
 	}
-	e.nextRetry = at.Add(e.buckets[class].interval())
-	return at.Sub(now)
+	return at
 }
