egress: Retry-After doesn't count the limit of a leaving back end

A caller refused by limits was told 8 s, when a back end that had announced that it leaves would have had room, and not 20 s, when the one that stays has.

Cause: shortestWait skips records that accept no work, but not back ends whose answer said that they leave, which other nodes' records tell later.

Change: skip these, too.

Test: TestRetryAfterOfSoonestBackEnd, red without the change (8, expected 18 or more).

--- a/internal/sidecar/egress/notice.go
+++ b/internal/sidecar/egress/notice.go
@@ -158,8 +158,9 @@
 	class := s.call.class()
 	var soonest *limitReport
 	for _, record := range s.records {
-		limit := s.call.handler.targets.forRecord(record).limitOf(record)
-		if limit == nil || !record.AcceptsWork() {
+		peer := s.call.handler.targets.forRecord(record)
+		limit := peer.limitOf(record)
+		if _, leaves := peer.leavingFor(record, s.now); limit == nil || leaves || !record.AcceptsWork() {
 			continue
 		}
 		if next := limit.NextRetryAfter(class, s.now); soonest == nil || next < wait {
--- a/internal/sidecar/egress/notice_test.go
+++ b/internal/sidecar/egress/notice_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -136,3 +137,35 @@
 	g.Expect(onTrial.requests.Load()).To(BeEquivalentTo(1))
 	g.Expect(inUse.requests.Load()).To(BeEquivalentTo(9))
 }
+
+// TestRetryAfterOfSoonestBackEnd: the Retry-After of a request that rate limits refuse is that of the
+// back end that is expected to have capacity first, leaving ones aside.
+func TestRetryAfterOfSoonestBackEnd(t *testing.T) {
+	const soon, late = "Kestrel-Limit: 500 -3000\r\n", "Kestrel-Limit: 500 -9000\r\n" // 8 and 20 seconds
+	cases := []struct {
+		name      string
+		near, far func(*peer, net.Conn, *bufio.Reader)
+		// served is the number of requests before the refused one, want its Retry-After in seconds.
+		served int
+		want   float64
+	}{
+		{"the sooner one leaves", answerWith("Kestrel-Leaving: i\r\n" + soon), answerWith(late), 2, 20},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			g := NewWithT(t)
+			handler := newHandler(t, &fakeObserver{}, probeOK, newPeer(t, test.near), newPeer(t, test.far))
+			handler.options.DrainAfter = func() time.Duration { return 0 }
+			began := time.Now()
+			for range test.served {
+				g.Expect(sendRequest(handler).Code).To(Equal(http.StatusOK))
+			}
+			refused := sendRequest(handler)
+			g.Expect(refused.Code).To(Equal(http.StatusServiceUnavailable))
+			retryAfter, err := strconv.ParseFloat(refused.Header().Get("Retry-After"), 64)
+			g.Expect(err).NotTo(HaveOccurred())
+			const rounding = 0.01
+			g.Expect(retryAfter).To(And(BeNumerically("<=", test.want+rounding), BeNumerically(">=", test.want-time.Since(began).Seconds()-rounding)))
+		})
+	}
+}
