egress: Retry-After of a request refused by several back ends is the soonest

A request that one back end refused for its full queue (0.1 s) or for a limit that ends in 8 s, and the next one for a limit of 20 s, was answered with 20 s: the last one's word.

Cause: the failure of the last attempt is the failure of the call, its Retry-After included.

Change: where the last refusal is a limit's, tell the earliest time of all known limits that was told to nobody, and the time of an earlier refusal for another reason where that is shorter. Requests of which an attempt may have run are told nothing, as before.

Test: two more cases of TestRetryAfterOfSoonestBackEnd, red without the change (20, expected 8 and 0.1), and two in the other order, green before.

--- a/internal/sidecar/egress/attempt.go
+++ b/internal/sidecar/egress/attempt.go
@@ -218,6 +218,7 @@
 	}
 	if a.failure != nil {
 		seen.outcome, seen.evidence, seen.step = a.failure.Outcome, a.failure.Evidence, a.failure.Step
+		seen.retryAfter = a.failure.RetryAfter
 	}
 	return seen
 }
--- a/internal/sidecar/egress/attempts.go
+++ b/internal/sidecar/egress/attempts.go
@@ -21,6 +21,8 @@
 	outcome   outcome.Outcome
 	evidence  notrun.Evidence
 	step      outcome.Step
+	// retryAfter is the Retry-After of the node that refused the attempt, zero for none.
+	retryAfter time.Duration
 	// sentAfter is the time from the arrival of the call to the attempt.
 	sentAfter, elapsed time.Duration
 	// bodyBegun: the HTTP client has started to read the held body for sending.
@@ -76,6 +78,17 @@
 	return count
 }
 
+// soonestRetry returns the shortest Retry-After of attempts that were refused for another reason than a
+// rate limit, zero for none.
+func (v attempts) soonestRetry() (soonest time.Duration) {
+	for index := range v {
+		if seen := &v[index]; seen.retryAfter > 0 && seen.step != outcome.StepLimit && (soonest == 0 || seen.retryAfter < soonest) {
+			soonest = seen.retryAfter
+		}
+	}
+	return soonest
+}
+
 // fail sets the result of the latest attempt at a peer.
 func (v attempts) fail(peer *target, failure *outcome.Failure) {
 	for index := len(v) - 1; index >= 0; index-- {
--- a/internal/sidecar/egress/call.go
+++ b/internal/sidecar/egress/call.go
@@ -238,6 +238,9 @@
 				return nil
 			}
 		}
+		if result.failure.Step == outcome.StepLimit && !c.mayHaveRun {
+			result.failure.RetryAfter = c.retryAfterLimit(result)
+		}
 		return c.finalFailure(result.failure)
 	}
 }
--- a/internal/sidecar/egress/notice.go
+++ b/internal/sidecar/egress/notice.go
@@ -152,6 +152,21 @@
 	return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepLimit, wait, errLimited)
 }
 
+// retryAfterLimit returns the Retry-After of a request whose last attempt a rate limit refused: the time
+// until any back end of the service is expected to have capacity.
+func (c *call) retryAfterLimit(last result) time.Duration {
+	wait := last.failure.RetryAfter
+	if last.target != nil {
+		if shortest, limited := c.candidateSet(clock.Now(), c.selection()).shortestWait(); limited {
+			wait = shortest
+		}
+	}
+	if soonest := c.attempts.soonestRetry(); soonest > 0 {
+		wait = min(wait, c.clampRetryAfter(soonest))
+	}
+	return wait
+}
+
 // shortestWait returns the shortest time until a back end's limit has capacity for the caller and for
 // those that were refused before; false when none has a limit.
 func (s *candidateSet) shortestWait() (wait time.Duration, limited bool) {
--- a/internal/sidecar/egress/notice_test.go
+++ b/internal/sidecar/egress/notice_test.go
@@ -138,8 +138,16 @@
 	g.Expect(inUse.requests.Load()).To(BeEquivalentTo(9))
 }
 
+// refuseAt refuses every request at a step, with a Retry-After and additional headers.
+func refuseAt(step outcome.Step, retryAfter, headers string) func(*peer, net.Conn, *bufio.Reader) {
+	return func(_ *peer, connection net.Conn, _ *bufio.Reader) {
+		_, _ = io.WriteString(connection, "HTTP/1.1 503 X\r\nConnection: close\r\nKestrel-Reply: 1 0 0 8 50000 1000 1000\r\n"+
+			outcome.HeaderOutcome+": not-run\r\n"+outcome.HeaderError+": step="+string(step)+"\r\nRetry-After: "+retryAfter+"\r\n"+headers+"Content-Length: 0\r\n\r\n")
+	}
+}
+
 // TestRetryAfterOfSoonestBackEnd: the Retry-After of a request that rate limits refuse is that of the
-// back end that is expected to have capacity first, leaving ones aside.
+// back end that is expected to have capacity first, not of the last one that was asked; leaving ones aside.
 func TestRetryAfterOfSoonestBackEnd(t *testing.T) {
 	const soon, late = "Kestrel-Limit: 500 -3000\r\n", "Kestrel-Limit: 500 -9000\r\n" // 8 and 20 seconds
 	cases := []struct {
@@ -149,6 +157,10 @@
 		served int
 		want   float64
 	}{
+		{"both limited, the later one asked last", refuseAt(outcome.StepLimit, "8.00", soon), refuseAt(outcome.StepLimit, "20.00", late), 0, 8},
+		{"both limited, the later one asked first", refuseAt(outcome.StepLimit, "20.00", late), refuseAt(outcome.StepLimit, "8.00", soon), 0, 8},
+		{"a full queue, then a limit", refuseAt(outcome.StepAdmit, "0.10", ""), refuseAt(outcome.StepLimit, "20.00", late), 0, 0.1},
+		{"a limit, then a full queue", refuseAt(outcome.StepLimit, "20.00", late), refuseAt(outcome.StepAdmit, "0.10", ""), 0, 0.1},
 		{"the sooner one leaves", answerWith("Kestrel-Leaving: i\r\n" + soon), answerWith(late), 2, 20},
 	}
 	for _, test := range cases {
