membership: a node that refuses its callers looks for nodes that started with it

What callers saw: three nodes start together, the back end of the first one names a limit of 0. In the second after that the node refuses all of its callers, 49 of 49 on the virtual clock, with a Retry-After of 4 s and so on up to 30 s, while the other two back ends are free. 4 at a limit of 1, with up to 3.94 s.

Supposed: the choice excludes free back ends; refusals by peers are final; the node knows no others. Traced: each refusal is made without an attempt, and the node's view has one record, its own (candidate records logged at closedFailure: near=1 viewrecords=1). Started 3 s later, the same trial refuses nobody (limits 0, 1, 5). So it is the third.

Cause: nodes that start together have read the keys before the others wrote theirs. Each reads again 0.75 to 1.5 s after its own write, which is spread so for the store's sake, and until then knows its own back end alone. Without a limit nobody notices. The Retry-After was that of this one back end, though nothing was known about room elsewhere.

Change: a node that refuses a caller for a limit, that no other node has contacted and that hasn't read since its write reads the keys at once, then at growing intervals (Membership.Search). Its callers are told 150 ms meanwhile. At the first start of the whole system it doesn't read early: a thousand nodes would. A node on its own stops after its first read of its own.

Conclusion: the node asks as soon as it matters, and doesn't tell times that it can't know.

--- a/internal/sidecar/egress/handler.go
+++ b/internal/sidecar/egress/handler.go
@@ -36,6 +36,9 @@
 	TableAge func() time.Duration
 	// View returns the known records of the other nodes.
 	View func() *roster.View
+	// Search reports whether other nodes may still be unknown because they started together with this
+	// one, and makes the node look for them; nil for never.
+	Search func() bool
 	// Node is this node's name, Zone its zone.
 	Node, Zone string
 	// Regions maps each zone to its region, as far as known.
@@ -210,6 +213,9 @@
 	if options.DrainAfter == nil {
 		options.DrainAfter = func() time.Duration { return 0 }
 	}
+	if options.Search == nil {
+		options.Search = func() bool { return false }
+	}
 	if options.Evacuated == nil {
 		options.Evacuated = func() *evacuation.Zones { return nil }
 	}
--- a/internal/sidecar/egress/notice.go
+++ b/internal/sidecar/egress/notice.go
@@ -153,9 +153,13 @@
 }
 
 // retryAfterLimit returns the Retry-After of a request whose last attempt a rate limit refused: the time
-// until any back end of the service is expected to have capacity.
+// until any back end of the service is expected to have capacity. While other nodes may still be unknown
+// it is short.
 func (c *call) retryAfterLimit(last result) time.Duration {
 	wait := last.failure.RetryAfter
+	if c.handler.options.Search() {
+		return min(wait, defaultRetryAfter)
+	}
 	if last.target != nil {
 		if shortest, limited := c.candidateSet(clock.Now(), c.selection()).shortestWait(); limited {
 			wait = shortest
--- a/internal/sidecar/membership/membership.go
+++ b/internal/sidecar/membership/membership.go
@@ -83,11 +83,15 @@
 	publisher *publisher
 	// ownInSnapshot is the node's own record in the last snapshot that contained one.
 	ownInSnapshot atomic.Pointer[roster.Record]
+	// searches holds the request for an early search. searched: the keys were read again after the
+	// node's own write, so that the nodes that started together with it are known.
+	searches chan struct{}
+	searched atomic.Bool
 }
 
 // New returns a membership that is started by Run.
 func New(options Options) *Membership {
-	return &Membership{options: options, publisher: newPublisher(&options)}
+	return &Membership{options: options, publisher: newPublisher(&options), searches: make(chan struct{}, 1)}
 }
 
 // Run discovers the other nodes and maintains the node's key until the context is done.
@@ -118,6 +122,22 @@
 // checked again.
 func (m *Membership) Restored() { m.publisher.scheduleRecheck() }
 
+// Search reports whether nodes that started together with this one may still be unknown to it, and makes
+// it read the keys without further delay. At the first start of the whole system it does not: there the
+// reads are spread over time.
+func (m *Membership) Search() bool {
+	if m.searched.Load() || m.options.HadContact() {
+		return false
+	}
+	if !m.options.FirstStart {
+		select {
+		case m.searches <- struct{}{}:
+		default:
+		}
+	}
+	return true
+}
+
 // Withdraw removes the own key, for a node that does not return.
 func (m *Membership) Withdraw(ctx context.Context) error { return m.publisher.withdraw(ctx) }
 
@@ -187,10 +207,32 @@
 // awaitContact reads the keys at increasing intervals until another node has contacted this one.
 func (m *Membership) awaitContact(ctx context.Context) {
 	for wait := m.firstContactDelay(); ; wait = min(2*max(wait, contactDelay), maxContactDelay) {
-		pause.Wait(ctx, wait)
+		m.searchEarly(ctx, wait)
 		if ctx.Err() != nil || m.options.HadContact() {
 			return
 		}
+		if _, err := m.discover(ctx); err != nil {
+			m.logReadFailure(err)
+			continue
+		}
+		m.searched.Store(true)
+	}
+}
+
+// searchEarly waits like pause.Wait. Meanwhile it reads the keys when a search is requested, at
+// increasing intervals, until another node has contacted this one.
+func (m *Membership) searchEarly(ctx context.Context, wait time.Duration) {
+	waiting, cancel := context.WithTimeout(ctx, wait/2+rand.N(wait/2+1))
+	defer cancel()
+	for backoff := (pause.Backoff{Base: retryBase, Max: contactDelay}); ; backoff.Pause(waiting) {
+		select {
+		case <-m.searches:
+		case <-waiting.Done():
+			return
+		}
+		if m.options.HadContact() {
+			return
+		}
 		if _, err := m.discover(ctx); err != nil {
 			m.logReadFailure(err)
 		}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -249,6 +249,7 @@
 		Table:       s.keeper.Table,
 		TableAge:    s.keeper.Age,
 		View:        s.members.View,
+		Search:      func() bool { return s.membership.Search() },
 		Node:        settings.Node,
 		Zone:        settings.Zone,
 		Regions:     settings.Regions,
