egress: refusals by limits don't end the search for a free back end

A request that five back ends refused in a row for limits that the node didn't know yet was refused, while a free one was left untried.

Cause: maxRefusals counts each refusal alike. It bounds how often a request waits in queues; a refusal by a limit comes at once.

Change: after that many refusals, the last of them by a limit, the request goes on while a back end without a known limit is left. Each is asked once, and answers with its limit, so that a node sends in vain to each back end once, as before. Large bodies keep their bound, as each refusal may have cost a transfer.

Test: TestFreeBackEndFoundBehindLimits, ten limited back ends and a free one that is drawn last: red without the change (503), and a second case that holds the bound for full queues, green before.

--- a/internal/sidecar/egress/choose.go
+++ b/internal/sidecar/egress/choose.go
@@ -152,6 +152,17 @@
 	return false
 }
 
+// hasUnlimited reports whether a back end without a known rate limit is left for a request that was
+// refused.
+func (s *candidateSet) hasUnlimited() bool {
+	for index, record := range s.records {
+		if s.call.handler.targets.forRecord(record).limitOf(record) == nil && s.describe(index).EligibleForRetry() {
+			return true
+		}
+	}
+	return false
+}
+
 // maxTransferTime bounds the estimate of a transfer: beyond it no response comes in time.
 const maxTransferTime = 10 * time.Second
 
--- a/internal/sidecar/egress/notice_test.go
+++ b/internal/sidecar/egress/notice_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
@@ -181,3 +182,30 @@
 		})
 	}
 }
+
+// TestFreeBackEndFoundBehindLimits: a request that more back ends refuse for their limits than it may be
+// refused otherwise is served by a free one, and a full one still counts as a refusal.
+func TestFreeBackEndFoundBehindLimits(t *testing.T) {
+	limited := refuseAt(outcome.StepLimit, "20.00", "Kestrel-Limit: 500 -9000\r\n")
+	cases := []struct {
+		name   string
+		refuse func(*peer, net.Conn, *bufio.Reader)
+		status int
+	}{
+		{"limits", limited, http.StatusOK},
+		{"full queues", refuseAt(outcome.StepAdmit, "0.10", ""), http.StatusServiceUnavailable},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			g := NewWithT(t)
+			free := newPeer(t, answerWith(""))
+			peers := []*peer{free}
+			for range 2 * maxRefusals {
+				peers = append(peers, newPeer(t, test.refuse))
+			}
+			handler := newHandler(t, &fakeObserver{}, probeOK, peers...)
+			handler.targets.forRecord(handler.options.View().Record("a")).avoid(clock.Now(), time.Minute) // chosen last
+			g.Expect(sendRequest(handler).Code).To(Equal(test.status))
+		})
+	}
+}
--- a/internal/sidecar/egress/sendonce.go
+++ b/internal/sidecar/egress/sendonce.go
@@ -200,7 +200,7 @@
 	}
 	reached := last.failure.Outcome != outcome.NotRun || last.failure.Step == outcome.StepShed
 	if !reached {
-		return len(c.attempts) < c.refusalLimit() && c.candidateSet(clock.Now(), c.selection()).hasAlternative()
+		return c.hasAlternative(last.failure)
 	}
 	c.runs++
 	c.handler.options.RetryBudget.RecordResult(c.service, last.failure.Step != outcome.StepShed)
@@ -225,6 +225,16 @@
 	return true
 }
 
+// hasAlternative reports whether another back end is left for a request that was just refused. Refusals by
+// rate limits end the search only where every back end that is left has a known limit.
+func (c *call) hasAlternative(refusal *outcome.Failure) bool {
+	candidates := c.candidateSet(clock.Now(), c.selection())
+	if len(c.attempts) < c.refusalLimit() {
+		return candidates.hasAlternative()
+	}
+	return refusal.Step == outcome.StepLimit && !c.hasLargeBody() && candidates.hasUnlimited()
+}
+
 // outgoing builds the request to the node.
 func (c *call) outgoing(a *attempt) *http.Request {
 	options := &c.handler.options
