egress: look at all of a service's back ends before a limit refuses

A node considers 24 back ends of its zone and 16 of others.

Cause: the subset bounds what a choice costs, and closed back ends stay in it.

Change: a subset has up to two further ones of the same size behind it, by the same order, of records that accept work. They are looked at only where none of those before can take the request, for the Retry-After, too. Nothing changes for services that fit into one.

Test: TestFreeBackEndFoundBeyondSubset (2, 18 and 48 back ends), red without the change at 18 (503), TestSubsetsCoverAvailable.

--- a/internal/sidecar/egress/choose.go
+++ b/internal/sidecar/egress/choose.go
@@ -28,7 +28,14 @@
 		candidateSet = c.candidateSet(candidateSet.now, plan.Fallback())
 		index, seen = candidateSet.draw()
 	}
-	if candidateSet.limitExceeded {
+	limitExceeded := candidateSet.limitExceeded
+	for further := candidateSet; (seen.Excluded || seen.Tried) && further.next != nil; {
+		further = further.following()
+		if found, described := further.draw(); found >= 0 && !described.Excluded {
+			candidateSet, index, seen = further, found, described
+		}
+	}
+	if limitExceeded {
 		c.handler.options.Observer.Diverted(c.service, index >= 0 && !seen.Excluded)
 	}
 	switch {
@@ -105,6 +112,13 @@
 	}
 }
 
+// following returns the back ends that are considered only where none of this set is left.
+func (s *candidateSet) following() *candidateSet {
+	following := *s
+	following.subset, following.limitExceeded = s.next, false
+	return &following
+}
+
 // describe returns the candidate with that index.
 func (s *candidateSet) describe(index int) choice.Candidate {
 	record := s.records[index]
@@ -144,23 +158,26 @@
 
 // hasAlternative reports whether another back end is left for a request that was refused.
 func (s *candidateSet) hasAlternative() bool {
-	for index := range s.records {
-		if s.describe(index).EligibleForRetry() {
-			return true
-		}
-	}
-	return false
+	return s.containsEligible(func(*roster.Record) bool { return true })
 }
 
 // hasUnlimited reports whether a back end without a known rate limit is left for a request that was
 // refused.
 func (s *candidateSet) hasUnlimited() bool {
+	return s.containsEligible(func(record *roster.Record) bool {
+		return s.call.handler.targets.forRecord(record).limitOf(record) == nil
+	})
+}
+
+// containsEligible reports whether a back end that a refused request may be sent to meets the
+// condition.
+func (s *candidateSet) containsEligible(condition func(*roster.Record) bool) bool {
 	for index, record := range s.records {
-		if s.call.handler.targets.forRecord(record).limitOf(record) == nil && s.describe(index).EligibleForRetry() {
+		if condition(record) && s.describe(index).EligibleForRetry() {
 			return true
 		}
 	}
-	return false
+	return s.next != nil && s.following().containsEligible(condition)
 }
 
 // maxTransferTime bounds the estimate of a transfer: beyond it no response comes in time.
--- a/internal/sidecar/egress/notice.go
+++ b/internal/sidecar/egress/notice.go
@@ -176,14 +176,16 @@
 func (s *candidateSet) shortestWait() (wait time.Duration, limited bool) {
 	class := s.call.class()
 	var soonest *limitReport
-	for _, record := range s.records {
-		peer := s.call.handler.targets.forRecord(record)
-		limit := peer.limitOf(record)
-		if _, leaves := peer.leavingFor(record, s.now); limit == nil || leaves || !record.AcceptsWork() {
-			continue
-		}
-		if next := limit.NextRetryAfter(class, s.now); soonest == nil || next < wait {
-			soonest, wait = limit, next
+	for considered := s.subset; considered != nil; considered = considered.next {
+		for _, record := range considered.records {
+			peer := s.call.handler.targets.forRecord(record)
+			limit := peer.limitOf(record)
+			if _, leaves := peer.leavingFor(record, s.now); limit == nil || leaves || !record.AcceptsWork() {
+				continue
+			}
+			if next := limit.NextRetryAfter(class, s.now); soonest == nil || next < wait {
+				soonest, wait = limit, next
+			}
 		}
 	}
 	if soonest == nil {
--- a/internal/sidecar/egress/subset.go
+++ b/internal/sidecar/egress/subset.go
@@ -17,6 +17,9 @@
 	// end would grow with the size of the mesh.
 	nearSubset = 24
 	farSubset  = 16
+	// maxChain bounds the subsets of a service. The later ones are considered only by requests that
+	// would be refused otherwise, each of which may describe all back ends in them.
+	maxChain = 3
 )
 
 // subsetKey identifies a subset by service, version selection and allowed regions.
@@ -32,6 +35,8 @@
 	// were excluded.
 	source    []*roster.Record
 	evacuated *evacuation.Zones
+	// next holds back ends that are considered only where none of this subset is left; nil for none.
+	next *subset
 }
 
 // chosenFrom reports whether the subset was chosen from this very list, not an equal one, and the
@@ -97,8 +102,8 @@
 }
 
 // chooseSubset returns at most nearSubset records of the zone and farSubset of other zones, those
-// of the region first. Records that accept no work come last, and those whose back end is gone are
-// left out.
+// of the region first, and as many others in each of the subsets after it. Records that accept no work come last,
+// and those whose back end is gone are left out.
 func chooseSubset(records []*roster.Record, self string, origin location) *subset {
 	var near, far []ranked
 	for _, record := range records {
@@ -111,9 +116,21 @@
 			far = append(far, candidate)
 		}
 	}
-	near, far = topRanked(near, nearSubset), topRanked(far, farSubset)
+	slices.SortFunc(near, compareRanks)
+	slices.SortFunc(far, compareRanks)
+	chosen := newSubset(near, far)
+	for last, count := chosen, 1; count < maxChain && (len(near) > nearSubset || len(far) > farSubset); last, count = last.next, count+1 {
+		near, far = availableAfter(near, nearSubset), availableAfter(far, farSubset)
+		last.next = newSubset(near, far)
+	}
+	return chosen
+}
+
+// newSubset returns the best ranked records as a subset.
+func newSubset(near, far []ranked) *subset {
+	near, far = near[:min(len(near), nearSubset)], far[:min(len(far), farSubset)]
 	chosen := &subset{near: len(near), records: make([]*roster.Record, 0, len(near)+len(far))}
-	for _, candidate := range append(near, far...) {
+	for _, candidate := range slices.Concat(near, far) {
 		chosen.records = append(chosen.records, candidate.record)
 		if !candidate.unavailable {
 			chosen.ready++
@@ -122,10 +139,13 @@
 	return chosen
 }
 
-// topRanked returns the best ranked records, at most limit.
-func topRanked(all []ranked, limit int) []ranked {
-	slices.SortFunc(all, compareRanks)
-	return all[:min(len(all), limit)]
+// availableAfter returns the records after the first ones that accept work.
+func availableAfter(all []ranked, first int) []ranked {
+	rest := all[min(len(all), first):]
+	if end := slices.IndexFunc(rest, func(candidate ranked) bool { return candidate.unavailable }); end >= 0 {
+		rest = rest[:end]
+	}
+	return rest
 }
 
 func rank(record *roster.Record, self string, origin location) ranked {
--- a/internal/sidecar/egress/subset_test.go
+++ b/internal/sidecar/egress/subset_test.go
@@ -3,11 +3,13 @@
 import (
 	"fmt"
 	"maps"
+	"net/http"
 	"slices"
 	"testing"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 )
 
@@ -138,3 +140,50 @@
 	g.Expect(counts).To(HaveLen(44))
 	g.Expect(float64(slices.Min(counts))).To(BeNumerically(">", 0.5*float64(slices.Max(counts))))
 }
+
+// TestFreeBackEndFoundBeyondSubset: when the limits of all back ends that a node considers are used up,
+// requests are served by those of a large service that it does not consider otherwise.
+func TestFreeBackEndFoundBeyondSubset(t *testing.T) {
+	for _, count := range []int{2, farSubset + 2, maxChain * farSubset} {
+		g := NewWithT(t)
+		limited, free := newPeer(t, refuseAt(outcome.StepLimit, "20.00", "Kestrel-Limit: 500 -9000\r\n")), newPeer(t, answerWith(""))
+		handler := newHandler(t, &fakeObserver{}, probeOK)
+		records := serviceRecords(count, "other")
+		considered := chooseSubset(records, "self", location{zone: "z"}).records
+		for _, record := range records {
+			record.Address = limited.address
+		}
+		others := slices.DeleteFunc(slices.Clone(records), func(record *roster.Record) bool { return slices.Contains(considered, record) })
+		slices.Concat(others, considered)[0].Address = free.address
+		members := roster.New(roster.Record{Node: "self", Epoch: 1, Zone: "z"})
+		members.Merge(records)
+		handler.options.View = members.View
+		for range 5 {
+			g.Expect(sendRequest(handler).Code).To(Equal(http.StatusOK), "%d back ends", count)
+		}
+		g.Expect(limited.requests.Load()).To(BeNumerically("<", count), "each is asked once at most")
+	}
+}
+
+// TestSubsetsCoverAvailable: every record that accepts work is in one subset, and none that accepts none
+// is in a later one.
+func TestSubsetsCoverAvailable(t *testing.T) {
+	g := NewWithT(t)
+	records := serviceRecords(2*maxChain*farSubset, "a", "b")
+	for i, record := range records {
+		record.Leaving = i%7 == 0
+	}
+	seen := map[string]int{}
+	for chosen, first := chooseSubset(records, "self", location{zone: "a"}), true; chosen != nil; chosen, first = chosen.next, false {
+		g.Expect(len(chosen.records)).To(BeNumerically("<=", nearSubset+farSubset))
+		for _, record := range chosen.records {
+			seen[record.Node]++
+			g.Expect(first || record.AcceptsWork()).To(BeTrue())
+		}
+	}
+	for _, record := range records {
+		if record.AcceptsWork() {
+			g.Expect(seen[record.Node]).To(Equal(1), record.Node)
+		}
+	}
+}
