--- a/internal/sidecar/egress/notice.go
+++ b/internal/sidecar/egress/notice.go
@@ -152,18 +152,40 @@
 	return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepLimit, wait, errLimited)
 }
 
-// shortestWait returns the shortest time until a back end's limit has capacity for the caller,
-// false when none has a limit.
+// retryAfterLimit returns the Retry-After of a request whose last attempt a rate limit refused: the time
+// until any back end of the service is expected to have capacity. While other nodes may still be unknown
+// it is short.
+func (c *call) retryAfterLimit(last result) time.Duration {
+	wait := last.failure.RetryAfter
+	if c.handler.options.Search() {
+		return min(wait, defaultRetryAfter)
+	}
+	if last.target != nil {
+		if shortest, limited := c.candidateSet(clock.Now(), c.selection()).shortestWait(); limited {
+			wait = shortest
+		}
+	}
+	if soonest := c.attempts.soonestRetry(); soonest > 0 {
+		wait = min(wait, c.clampRetryAfter(soonest))
+	}
+	return wait
+}
+
+// shortestWait returns the shortest time until a back end's limit has capacity for the caller and for
+// those that were refused before; false when none has a limit.
 func (s *candidateSet) shortestWait() (wait time.Duration, limited bool) {
 	class := s.call.class()
 	var soonest *limitReport
-	for _, record := range s.records {
-		limit := s.call.handler.targets.forRecord(record).limitOf(record)
-		if limit == nil || !record.AcceptsWork() {
-			continue
-		}
-		if next := limit.Wait(class, s.now); soonest == nil || next < wait {
-			soonest, wait = limit, next
+	for considered := s.subset; considered != nil; considered = considered.next {
+		for _, record := range considered.records {
+			peer := s.call.handler.targets.forRecord(record)
+			limit := peer.limitOf(record)
+			if _, leaves := peer.leavingFor(record, s.now); limit == nil || leaves || !record.AcceptsWork() {
+				continue
+			}
+			if next := limit.NextRetryAfter(class, s.now); soonest == nil || next < wait {
+				soonest, wait = limit, next
+			}
 		}
 	}
 	if soonest == nil {
--- a/internal/sidecar/egress/notice_test.go
+++ b/internal/sidecar/egress/notice_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -13,6 +14,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/hop"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
@@ -136,3 +138,74 @@
 	g.Expect(onTrial.requests.Load()).To(BeEquivalentTo(1))
 	g.Expect(inUse.requests.Load()).To(BeEquivalentTo(9))
 }
+
+// refuseAt refuses every request at a step, with a Retry-After and additional headers.
+func refuseAt(step outcome.Step, retryAfter, headers string) func(*peer, net.Conn, *bufio.Reader) {
+	return func(_ *peer, connection net.Conn, _ *bufio.Reader) {
+		_, _ = io.WriteString(connection, "HTTP/1.1 503 X\r\nConnection: close\r\nKestrel-Reply: 1 0 0 8 50000 1000 1000\r\n"+
+			outcome.HeaderOutcome+": not-run\r\n"+outcome.HeaderError+": step="+string(step)+"\r\nRetry-After: "+retryAfter+"\r\n"+headers+"Content-Length: 0\r\n\r\n")
+	}
+}
+
+// TestRetryAfterOfSoonestBackEnd: the Retry-After of a request that rate limits refuse is that of the
+// back end that is expected to have capacity first, not of the last one that was asked; leaving ones aside.
+func TestRetryAfterOfSoonestBackEnd(t *testing.T) {
+	const soon, late = "Kestrel-Limit: 500 -3000\r\n", "Kestrel-Limit: 500 -9000\r\n" // 8 and 20 seconds
+	cases := []struct {
+		name      string
+		near, far func(*peer, net.Conn, *bufio.Reader)
+		// served is the number of requests before the refused one, want its Retry-After in seconds.
+		served int
+		want   float64
+	}{
+		{"both limited, the later one asked last", refuseAt(outcome.StepLimit, "8.00", soon), refuseAt(outcome.StepLimit, "20.00", late), 0, 8},
+		{"both limited, the later one asked first", refuseAt(outcome.StepLimit, "20.00", late), refuseAt(outcome.StepLimit, "8.00", soon), 0, 8},
+		{"a full queue, then a limit", refuseAt(outcome.StepAdmit, "0.10", ""), refuseAt(outcome.StepLimit, "20.00", late), 0, 0.1},
+		{"a limit, then a full queue", refuseAt(outcome.StepLimit, "20.00", late), refuseAt(outcome.StepAdmit, "0.10", ""), 0, 0.1},
+		{"the sooner one leaves", answerWith("Kestrel-Leaving: i\r\n" + soon), answerWith(late), 2, 20},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			g := NewWithT(t)
+			handler := newHandler(t, &fakeObserver{}, probeOK, newPeer(t, test.near), newPeer(t, test.far))
+			handler.options.DrainAfter = func() time.Duration { return 0 }
+			began := time.Now()
+			for range test.served {
+				g.Expect(sendRequest(handler).Code).To(Equal(http.StatusOK))
+			}
+			refused := sendRequest(handler)
+			g.Expect(refused.Code).To(Equal(http.StatusServiceUnavailable))
+			retryAfter, err := strconv.ParseFloat(refused.Header().Get("Retry-After"), 64)
+			g.Expect(err).NotTo(HaveOccurred())
+			const rounding = 0.01
+			g.Expect(retryAfter).To(And(BeNumerically("<=", test.want+rounding), BeNumerically(">=", test.want-time.Since(began).Seconds()-rounding)))
+		})
+	}
+}
+
+// TestFreeBackEndFoundBehindLimits: a request that more back ends refuse for their limits than it may be
+// refused otherwise is served by a free one, and a full one still counts as a refusal.
+func TestFreeBackEndFoundBehindLimits(t *testing.T) {
+	limited := refuseAt(outcome.StepLimit, "20.00", "Kestrel-Limit: 500 -9000\r\n")
+	cases := []struct {
+		name   string
+		refuse func(*peer, net.Conn, *bufio.Reader)
+		status int
+	}{
+		{"limits", limited, http.StatusOK},
+		{"full queues", refuseAt(outcome.StepAdmit, "0.10", ""), http.StatusServiceUnavailable},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			g := NewWithT(t)
+			free := newPeer(t, answerWith(""))
+			peers := []*peer{free}
+			for range 2 * maxRefusals {
+				peers = append(peers, newPeer(t, test.refuse))
+			}
+			handler := newHandler(t, &fakeObserver{}, probeOK, peers...)
+			handler.targets.forRecord(handler.options.View().Record("a")).avoid(clock.Now(), time.Minute) // chosen last
+			g.Expect(sendRequest(handler).Code).To(Equal(test.status))
+		})
+	}
+}
