sidecar: a stop gives requests up when the grace time requires it, not 0.9 s before

What callers saw: a node that was stopping answered 502 of its own 5.1 s after SIGTERM, of 6 s, while the back end was at work; a request that had come 1.1 s after it was so given up 4.0 s after it came. Requests of peers at the node beside the back end were cut at 5.35 s. With a grace time of 1 s requests were given up after 0.1 s.

Cause: cutoffMargin (0.9 s, stop.go) stood beside the grace time. The path is Drain, waitIdle (cutoff reached), egress.CancelCalls, "call failed" with step await and the cause "context canceled", then "stop ends". Peers' requests ended with closeTimeout (0.25 s, assembly) after that: "N requests in flight on the inbound listener were cut". The margin was the sum of the removal of the record and the closing of the listeners, which wait for no request.

Ruled out: other time-outs on the way. Probes abandon nothing during a stop, the pipelined requests behind a held answer count as in flight, and no read or write deadline depends on the stop.

Conclusion: what needs longer than the rest of the grace time is still lost with the node.

--- a/internal/sidecar/assembly/process.go
+++ b/internal/sidecar/assembly/process.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"runtime/debug"
-	"time"
 
 	"go.uber.org/zap"
 
@@ -12,6 +11,7 @@
 	"github.com/kestrelstream/kestrelstream/internal/httpserver"
 	"github.com/kestrelstream/kestrelstream/internal/lifecycle"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar"
+	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/dial"
 	"github.com/kestrelstream/kestrelstream/internal/telemetry"
 	"github.com/kestrelstream/kestrelstream/platform"
@@ -28,13 +28,9 @@
 	ring      *telemetry.Ring
 }
 
-const (
-	// closeTimeout bounds the time to close the listeners after the drain.
-	closeTimeout = 250 * time.Millisecond
-	// memoryLimitShare is the fraction of the allowed memory that is set as the runtime's soft
-	// memory limit.
-	memoryLimitShare = 0.6
-)
+// memoryLimitShare is the fraction of the allowed memory that is set as the runtime's soft
+// memory limit.
+const memoryLimitShare = 0.6
 
 // New binds the listeners on the network and assembles the process.
 func New(loaded *sidecar.Settings, flags Flags, network dial.Network) (*Process, error) {
@@ -100,8 +96,8 @@
 
 // stop drains the node, then closes the listeners.
 func (p *Process) stop(servers []*httpserver.Server) error {
-	p.node.Drain()
-	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	closeBy := p.node.Drain()
+	ctx, cancel := clock.WithDeadline(context.Background(), closeBy)
 	defer cancel()
 	var errs []error
 	for _, server := range servers {
