New proof resets the pauses between checks even if it is too old again at the next one

Cause: the code, one of two. A trace of the reads in bad plays shows nodes with proof 1.32 s old beside nine others with 0.37 s, whose last question to another node lay 0.33 s back and the one before at 0.7 s, where a question is due every 0.125 s. The pause doubles after checks "that brought no new proof", but new proof was seen only if it was still fresh (below 0.6 s) when the loop came around again. Proof of 0.5 to 0.6 s, which is what the others often have, is too old again by then: each successful check counted as a failure, up to 0.5 s between questions, until the proof was 1.3 s old.

Ruled out: nodes that don't answer, or a store that is not followed: all others had fresh proof at the time.

Change: the pauses are reset if the proof was fresh at some moment since the last check. Nodes without proof, or with old proof from others, are paced as before.

Test: TestNewProofResetsPauseOfChecks, one peer whose proof is 0.55 s old whenever it is asked: red in 5 of 5 without the change (0.75 s where 0.725 is allowed, growing), 0 red of 400 with it. Package exchange green.

--- a/internal/sidecar/exchange/proof_test.go
+++ b/internal/sidecar/exchange/proof_test.go
@@ -286,6 +286,25 @@
 	}
 }
 
+// TestNewProofResetsPauseOfChecks guards against long pauses between checks that each bring new proof, which is
+// too old again at the next check.
+func TestNewProofResetsPauseOfChecks(t *testing.T) {
+	runWithPeer(t, func(t *testing.T, g *WithT, late, peer *virtualMember, _ *network) {
+		late.exchanger.options.Roster.Merge([]*roster.Record{peer.record})
+		limits := late.exchanger.limits
+		ctx, end := context.WithCancel(t.Context())
+		go late.exchanger.proof.run(ctx)
+		late.keeper.RecordProof(7, time.Now())
+		for began := time.Now(); time.Since(began) < 10*limits.storeReads; time.Sleep(minPollInterval) {
+			peer.keeper.RecordProof(7, time.Now().Add(2*minPollInterval-limits.refresh))
+			age, _ := late.keeper.ProofAge()
+			g.Expect(age).To(BeNumerically("<=", limits.refresh+minCheckPause))
+		}
+		end()
+		time.Sleep(time.Second)
+	})
+}
+
 // TestStoreReadPauseResetsAfterProof checks that the rounds of store reads start again with the shortest
 // pause after new proof, also when another node provided it.
 func TestStoreReadPauseResetsAfterProof(t *testing.T) {
--- a/internal/sidecar/exchange/proofchecker.go
+++ b/internal/sidecar/exchange/proofchecker.go
@@ -57,15 +57,20 @@
 	timer := clock.NewTimer(0)
 	defer timer.Stop()
 	pacer := &checkPacer{}
+	checked := clock.Now()
 	for {
 		select {
 		case <-timer.C:
 		case <-ctx.Done():
 			return
 		}
-		if left := c.untilRefresh(); left > 0 {
+		left := c.untilRefresh()
+		if left > 0 || c.wasFreshSince(checked) {
 			pacer.reset()
 			c.storeReads.reset()
+		}
+		checked = clock.Now()
+		if left > 0 {
 			c.stale.Clear()
 			timer.Reset(max(left, minCheckPause))
 			continue
@@ -117,6 +122,13 @@
 	return c.storeReads.wait(clock.Now())
 }
 
+// wasFreshSince reports whether the node had fresh proof at some moment since the given one. Proof from
+// others may be too old again at the next check, and is new proof all the same.
+func (c *proofChecker) wasFreshSince(moment time.Time) bool {
+	age, proven := c.exchanger.options.Configuration.ProofAge()
+	return proven && age < c.exchanger.limits.refresh+clock.Since(moment)
+}
+
 // untilRefresh returns the time until the proof needs to be refreshed.
 func (c *proofChecker) untilRefresh() time.Duration {
 	e := c.exchanger
