egress: a stopping node serves the calls of requests that run beside it

What callers saw: a request that a back end was working on ended with 500, since the node beside the back end was stopping and refused the call that the request needed.

Cause: from 0.4 of the grace time on (2.4 s of 6 s) a stopping node refuses every new call, while the requests of peers that it has taken go on until the end of the grace time. Those of their calls that come later were refused like calls of clients, for which the platform has another node.

Change: a call that comes after calls are refused is accepted if the back end works on a request whose deadline is not before that of the call, and if the call's own deadline ends it before the remaining calls are cancelled. So no call that is accepted late can be cut by the stop, also where a client's call is taken for one of the back end. With nothing at work all are refused, as before.

Not chosen: the learnt routes of overload control, since they are not known everywhere; calls whose deadline is after the cutoff, since a client's would be cut.

Conclusion: a call whose deadline is later than the cutoff is still refused, and its parent fails.

--- a/internal/sidecar/contention.go
+++ b/internal/sidecar/contention.go
@@ -31,6 +31,9 @@
 	return n.classifier.Repeated(deadline)
 }
 
+// Possible implements egress.Nested.
+func (n *nestedClassifier) Possible(deadline time.Time) bool { return n.classifier.Possible(deadline) }
+
 // Nested implements egress.Nested.
 func (n *nestedClassifier) Nested(route string, deadline time.Time, identified bool, now time.Time) bool {
 	return n.contention.On() && n.classifier.Nested(route, deadline, identified, now)
--- a/internal/sidecar/egress/call.go
+++ b/internal/sidecar/egress/call.go
@@ -106,7 +106,7 @@
 	if c.table == nil {
 		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepSnapshot, defaultRetryAfter, errNoTable)
 	}
-	if c.handler.refuses(c.started) {
+	if c.refusedByStop() {
 		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepDrain, defaultRetryAfter, errStopping)
 	}
 	if forward.WantsUpgrade(c.request) {
--- a/internal/sidecar/egress/handler.go
+++ b/internal/sidecar/egress/handler.go
@@ -87,6 +87,9 @@
 	// Repeated returns the probability that the run which makes a call with that deadline is a
 	// retry.
 	Repeated(deadline time.Time) float64
+	// Possible reports whether the local back end works on a request that may make a call with that
+	// deadline.
+	Possible(deadline time.Time) bool
 }
 
 // RetryBudget limits how often requests are sent again after they have reached a back end.
@@ -159,8 +162,10 @@
 	stopping atomic.Bool
 	// refuseFrom is the time from which new calls are refused, nil for never.
 	refuseFrom atomic.Pointer[time.Time]
-	inFlight   atomic.Int64
-	lastCall   atomic.Int64
+	// nestedUntil is the time by which a nested call must end to be accepted after that, nil for none.
+	nestedUntil atomic.Pointer[time.Time]
+	inFlight    atomic.Int64
+	lastCall    atomic.Int64
 
 	// servedLogger logs a sample of the successful calls.
 	servedLogger *zap.Logger
--- a/internal/sidecar/nested/nested.go
+++ b/internal/sidecar/nested/nested.go
@@ -131,11 +131,17 @@
 	if now.Sub(c.started) < startupDelay {
 		return false
 	}
-	client := identified || deadline.After(c.active.LatestDeadline().Add(maximumReadDelay))
+	client := identified || !c.Possible(deadline)
 	called := c.counterOf(route).add(client)
 	return called && !client
 }
 
+// Possible reports whether the local back end works on a request that may make a call with that
+// deadline. If not, the call certainly comes from a client.
+func (c *Classifier) Possible(deadline time.Time) bool {
+	return !deadline.After(c.active.LatestDeadline().Add(maximumReadDelay))
+}
+
 // Repeated returns the result of ActiveRequests.Repeated for the local back end.
 func (c *Classifier) Repeated(deadline time.Time) float64 { return c.active.Repeated(deadline) }
 
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -20,6 +20,7 @@
 	s.ingress.Stop()
 	plan := stopPlan{grace: s.settings.Load().Grace}
 	s.egress.RefuseFrom(started.Add(plan.acceptUntil()))
+	s.egress.AcceptNestedUntil(started.Add(plan.cutoff()))
 	announcement := time.AfterFunc(plan.announceAt(), s.announceLeaving)
 	defer announcement.Stop()
 	s.logger.Info("stop begins", zap.Int("callsInFlight", s.egress.InFlight()), zap.Int("running", s.ingress.Load().Running))
