Random draws of the exchange between nodes come from a source with a seed

Change: exchange.Options.Seed, zero for one drawn at random as before; each node has a source of its own, and the proof checker one more. Lost peers are drawn from a sorted list.

--- a/internal/sidecar/exchange/announce.go
+++ b/internal/sidecar/exchange/announce.go
@@ -1,10 +1,6 @@
 package exchange
 
-import (
-	"math/rand/v2"
-
-	"github.com/kestrelstream/kestrelstream/internal/sidecar/readers"
-)
+import "github.com/kestrelstream/kestrelstream/internal/sidecar/readers"
 
 // AnnounceVersion notifies other nodes that this node has read a newer configuration: the
 // nodes of its zone that are assigned to it, and one node of each other larger zone, in case
@@ -14,7 +10,7 @@
 	targets := e.peersOf(readers.AssignedNodes(view, own, e.Reachable))
 	for _, zone := range view.Zones() {
 		if peers := e.peersOf(view.Zone(zone)); zone != own.Zone && len(peers) > smallZoneSize {
-			targets = append(targets, peers[rand.N(len(peers))])
+			targets = append(targets, peers[e.random.IntN(len(peers))])
 		}
 	}
 	e.notifyAll(targets, own)
@@ -23,6 +19,6 @@
 // notifyZone notifies some nodes of the own zone of the version in force and the shared state.
 func (e *Exchanger) notifyZone() {
 	own := e.options.Roster.Own()
-	peers := shuffled(e.peersOf(e.options.Roster.View().Zone(own.Zone)))
+	peers := e.shuffled(e.peersOf(e.options.Roster.View().Zone(own.Zone)))
 	e.notifyAll(peers[:min(len(peers), relayFanout)], own)
 }
--- a/internal/sidecar/exchange/broadcast.go
+++ b/internal/sidecar/exchange/broadcast.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 
@@ -83,7 +82,7 @@
 	var group errgroup.Group
 	group.SetLimit(maxParallelNotices)
 	for _, zone := range view.Zones() {
-		peers := shuffled(e.peersOf(view.Zone(zone)))
+		peers := e.shuffled(e.peersOf(view.Zone(zone)))
 		if zone == own.Zone || len(peers) <= smallZoneSize {
 			e.notify(ctx, &group, delivered, peers[:min(len(peers), maxZonePeers)], e.notice(own))
 			continue
@@ -154,7 +153,7 @@
 // recorded it as lost need not retry it.
 func (e *Exchanger) AnnouncePresence(ctx context.Context) {
 	own, view := e.options.Roster.Own(), e.options.Roster.View()
-	peers := shuffled(e.peersOf(view.Zone(own.Zone)))
+	peers := e.shuffled(e.peersOf(view.Zone(own.Zone)))
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	var group errgroup.Group
@@ -169,7 +168,7 @@
 // the configuration and recent changes from those that were running before.
 func (e *Exchanger) Greet(ctx context.Context) {
 	own, view := e.options.Roster.Own(), e.options.Roster.View()
-	peers := shuffled(e.peersOf(view.Zone(own.Zone)))
+	peers := e.shuffled(e.peersOf(view.Zone(own.Zone)))
 	var group errgroup.Group
 	for _, peer := range peers[:min(len(peers), greetedPeers)] {
 		group.Go(func() error { return e.ExchangeWith(ctx, peer) })
@@ -209,7 +208,7 @@
 // forward notifies the given number of nodes of the own zone of another node's record.
 func (e *Exchanger) forward(record *roster.Record, count int) {
 	own, view := e.options.Roster.Own(), e.options.Roster.View()
-	peers := shuffled(e.peersOf(view.Zone(own.Zone)))
+	peers := e.shuffled(e.peersOf(view.Zone(own.Zone)))
 	e.notifyAll(peers[:min(len(peers), count)], record)
 }
 
@@ -242,7 +241,7 @@
 	return resp.Body.Close()
 }
 
-func shuffled(records []*roster.Record) []*roster.Record {
-	rand.Shuffle(len(records), func(i, j int) { records[i], records[j] = records[j], records[i] })
+func (e *Exchanger) shuffled(records []*roster.Record) []*roster.Record {
+	e.random.Shuffle(len(records), func(i, j int) { records[i], records[j] = records[j], records[i] })
 	return records
 }
--- a/internal/sidecar/exchange/exchanger.go
+++ b/internal/sidecar/exchange/exchanger.go
@@ -59,7 +59,9 @@
 	Observer Observer
 	// MarkUnresponsive is called with nodes that do not respond.
 	MarkUnresponsive func(*roster.Record)
-	Logger           *zap.Logger
+	// Seed determines the node's random draws; zero draws it at random.
+	Seed   uint64
+	Logger *zap.Logger
 }
 
 // EraTracker tracks how often the store was restored from an older copy.
@@ -124,6 +126,7 @@
 	limits  limits
 	client  *http.Client
 	lost    lostPeers
+	random  *rand.Rand
 	// hadContact reports whether this node was in contact with another one.
 	hadContact atomic.Bool
 	// updater fetches newer configurations; proof keeps the proof of being up to date fresh.
@@ -141,6 +144,7 @@
 		options.Bound = DefaultBound
 	}
 	created := &Exchanger{options: options, limits: newLimits(options.Bound), client: newClient(options.Dial)}
+	created.random = newRandom(options.Seed, exchangeStream)
 	if created.observer = options.Observer; created.observer == nil {
 		created.observer = noopObserver{}
 	}
@@ -169,7 +173,7 @@
 	defer running.Wait()
 	for ctx.Err() == nil {
 		half := e.options.Interval / 2
-		timer := clock.NewTimer(half + rand.N(e.options.Interval))
+		timer := clock.NewTimer(half + time.Duration(e.random.Int64N(int64(e.options.Interval))))
 		select {
 		case <-timer.C:
 		case <-ctx.Done():
@@ -185,11 +189,11 @@
 // pick returns a random peer: often a lost one or the assigned reader, otherwise mostly one of the
 // own zone. It returns nil when there is none.
 func (e *Exchanger) pick() *roster.Record {
-	if lost := e.lost.pick(e.options.Roster.View(), clock.Now()); lost != nil {
+	if lost := e.lost.pick(e.options.Roster.View(), clock.Now(), e.random); lost != nil {
 		return lost
 	}
 	own, view := e.options.Roster.Own(), e.options.Roster.View()
-	if rand.Float64() < readerShare {
+	if e.random.Float64() < readerShare {
 		if reader := readers.AssignedReader(view, own, e.Reachable); reader != nil {
 			return reader
 		}
@@ -203,13 +207,13 @@
 		}
 	}
 	from := near
-	if len(near) == 0 || (len(far) > 0 && rand.Float64() < min(crossZoneShare, crossZoneExchanges/float64(len(near)+1))) {
+	if len(near) == 0 || (len(far) > 0 && e.random.Float64() < min(crossZoneShare, crossZoneExchanges/float64(len(near)+1))) {
 		from = far
 	}
 	if len(from) == 0 {
 		return nil
 	}
-	return from[rand.N(len(from))]
+	return from[e.random.IntN(len(from))]
 }
 
 // peersOf returns the records of other nodes that have a peer address.
--- a/internal/sidecar/exchange/lost.go
+++ b/internal/sidecar/exchange/lost.go
@@ -1,7 +1,9 @@
 package exchange
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -54,7 +56,7 @@
 
 // pick returns a random lost peer of the view for a share of the calls, nil otherwise. It drops peers
 // that are no longer retried.
-func (l *lostPeers) pick(view *roster.View, now time.Time) *roster.Record {
+func (l *lostPeers) pick(view *roster.View, now time.Time, random *rand.Rand) *roster.Record {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	var candidates []*roster.Record
@@ -70,8 +72,9 @@
 		return nil
 	}
 	share := min(lostShare, lostTriesPerInterval*float64(len(candidates))/float64(view.Count()))
-	if rand.Float64() >= share {
+	if random.Float64() >= share {
 		return nil
 	}
-	return candidates[rand.N(len(candidates))]
+	slices.SortFunc(candidates, func(a, b *roster.Record) int { return cmp.Compare(a.Node, b.Node) })
+	return candidates[random.IntN(len(candidates))]
 }
--- a/internal/sidecar/exchange/proofchecker.go
+++ b/internal/sidecar/exchange/proofchecker.go
@@ -47,9 +47,12 @@
 	// moments at which nodes replied without new proof or failed to reply.
 	pending, stale sync.Map
 	storeReads     storeReadPacer
+	random         *rand.Rand
 }
 
-func newProofChecker(exchanger *Exchanger) *proofChecker { return &proofChecker{exchanger: exchanger} }
+func newProofChecker(exchanger *Exchanger) *proofChecker {
+	return &proofChecker{exchanger: exchanger, random: newRandom(exchanger.options.Seed, proofStream)}
+}
 
 // run keeps the proof fresh until the context ends. A node that does not reply does not delay the
 // others.
@@ -160,11 +163,11 @@
 	all := readers.All(view, e.Reachable)
 	for _, candidates := range [][]*roster.Record{near, all, view.Records()} {
 		if found := c.withoutStale(c.askable(candidates)); len(found) > 0 {
-			return found[rand.N(len(found))]
+			return found[c.random.IntN(len(found))]
 		}
 	}
 	if all = c.askable(all); len(all) > 0 {
-		return all[rand.N(len(all))]
+		return all[c.random.IntN(len(all))]
 	}
 	return nil
 }
--- a/internal/sidecar/exchange/storeread.go
+++ b/internal/sidecar/exchange/storeread.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -64,7 +63,7 @@
 // readStoreInTurn reads the store when a round is due and a random draw selects this node for it.
 func (c *proofChecker) readStoreInTurn(ctx context.Context) {
 	wanted := c.storeReads.startRound(clock.Now())
-	if rand.Float64()*float64(c.exchanger.options.Roster.View().Count()) < float64(wanted) {
+	if c.random.Float64()*float64(c.exchanger.options.Roster.View().Count()) < float64(wanted) {
 		go c.readStore(ctx)
 	}
 }
