TestLimitExceeded runs on the virtual clock

Seen: red once beside load 12 to 15, Retry-After is 7.99 where 8.0 is expected.

Cause: the test. Real time passes between the answer that names the limit and the refusal; the Retry-After falls by it, as it should.

Change: the peer is served over a connection in memory, the test runs in a bubble of testing/synctest. The check is the same. peer.serve is taken out of newPeer for it.

--- a/internal/sidecar/egress/call_test.go
+++ b/internal/sidecar/egress/call_test.go
@@ -62,26 +62,29 @@
 			if err != nil {
 				return
 			}
-			go func() {
-				defer connection.Close()
-				reader := bufio.NewReader(connection)
-				for {
-					line, err := reader.ReadString('\n')
-					if err != nil {
-						return
-					}
-					if strings.TrimSpace(line) == "" {
-						break
-					}
-				}
-				created.requests.Add(1)
-				script(created, connection, reader)
-			}()
+			go created.serve(connection, script)
 		}
 	}()
 	return created
 }
 
+// serve runs the script once the header of a request was read.
+func (p *peer) serve(connection net.Conn, script func(p *peer, connection net.Conn, reader *bufio.Reader)) {
+	defer connection.Close()
+	reader := bufio.NewReader(connection)
+	for {
+		line, err := reader.ReadString('\n')
+		if err != nil {
+			return
+		}
+		if strings.TrimSpace(line) == "" {
+			break
+		}
+	}
+	p.requests.Add(1)
+	script(p, connection, reader)
+}
+
 const replyOK = "HTTP/1.1 200 OK\r\nKestrel-Reply: 1 0 0 8 50000 1000 1000\r\nContent-Length: 2\r\n\r\nok"
 
 // closeConnection closes the connection before 100 Continue.
--- a/internal/sidecar/egress/notice_test.go
+++ b/internal/sidecar/egress/notice_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -38,14 +40,21 @@
 // TestLimitExceeded: if no back end's limit has capacity, the caller is refused without an attempt
 // and receives a Retry-After.
 func TestLimitExceeded(t *testing.T) {
-	g := NewWithT(t)
-	full := newPeer(t, answerWith("Kestrel-Limit: 500 -3000\r\n"))
-	handler := newHandler(t, &fakeObserver{}, probeOK, full)
-	g.Expect(sendRequest(handler).Code).To(Equal(http.StatusOK))
-	refused := sendRequest(handler)
-	g.Expect(refused.Code).To(Equal(http.StatusServiceUnavailable))
-	g.Expect(refused.Header().Get("Retry-After")).To(HavePrefix("8.0"), "four requests at one in two seconds")
-	g.Expect(full.requests.Load()).To(BeEquivalentTo(1))
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		full := &peer{address: "full:1"}
+		handler := newHandler(t, &fakeObserver{}, probeOK, full)
+		handler.targets.dial = func(context.Context, string, string) (net.Conn, error) {
+			near, far := net.Pipe()
+			go full.serve(far, answerWith("Kestrel-Limit: 500 -3000\r\n"))
+			return near, nil
+		}
+		g.Expect(sendRequest(handler).Code).To(Equal(http.StatusOK))
+		refused := sendRequest(handler)
+		g.Expect(refused.Code).To(Equal(http.StatusServiceUnavailable))
+		g.Expect(refused.Header().Get("Retry-After")).To(HavePrefix("8.0"), "four requests at one in two seconds")
+		g.Expect(full.requests.Load()).To(BeEquivalentTo(1))
+	})
 }
 
 // TestLimitedBackEndSkipped: a back end without capacity is skipped while another one of the
