Revert "egress: look for nodes that started together where no back end is known"

Suspected, not traced: nodes that start together serve sooner than they know each other, so that reports of crashes do not reach all. The refusals that the commit removed are back: callers of a node that has met no other are refused for some 0.75 to 1.5 s after its start.

--- a/internal/sidecar/egress/choose.go
+++ b/internal/sidecar/egress/choose.go
@@ -40,7 +40,6 @@
 	}
 	switch {
 	case index < 0:
-		c.handler.options.Search()
 		return nil, outcome.Refusal(http.StatusServiceUnavailable, outcome.StepChoose, defaultRetryAfter, errNoEndpoint)
 	case seen.Excluded:
 		return nil, candidateSet.closedFailure()
