The fleets of package repeats draw requests and messages from sources of their own

Found: its seed did not fix what it draws. Requests came from the source from which the messages between nodes draw their delays too, in the order in which the scheduler ran them: each play had other requests.

Change, of the test alone: one source for the requests, one for each direction between two nodes; delays are drawn to the nanosecond, so that messages seldom meet at a moment. Checks and bounds as before.

Not run: 200 plays of the whole test, and none with the race detector.

The pauses of carrier.Run are still drawn from the process's source (pause.Wait), and no play below 0.5 was found to trace.

--- a/internal/sidecar/repeats/fleet_test.go
+++ b/internal/sidecar/repeats/fleet_test.go
@@ -13,6 +13,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	. "github.com/onsi/gomega"
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
@@ -29,11 +30,14 @@
 	nodes   []*member
 	members *roster.Roster
 	on      atomic.Bool
+	seed    uint64
 
-	mu     sync.Mutex // guards all below
-	random *rand.Rand
-	group  map[string]int
-	loss   float64
+	mu sync.Mutex // guards all below
+	// links holds a source of random draws for each direction between two nodes, so that the draws of a link do not
+	// depend on which messages of other links the scheduler runs first.
+	links map[string]*rand.Rand
+	group map[string]int
+	loss  float64
 	// requests and repeated hold the times at which requests began and at which they were sent
 	// again.
 	requests, repeated []time.Time
@@ -51,7 +55,7 @@
 
 func newFleet(seed uint64, size int) *fleet {
 	f := &fleet{
-		random: rand.New(rand.NewPCG(seed, 7)), group: map[string]int{},
+		seed: seed, links: map[string]*rand.Rand{}, group: map[string]int{},
 		members: roster.New(roster.Record{Node: "n0", Epoch: 1, Zone: "z", Address: "a:1", PeerAddress: "n0", Endpoint: &roster.Endpoint{ID: "i", Slots: 1}}),
 	}
 	f.on.Store(true)
@@ -123,13 +127,23 @@
 // reaches sleeps for the delay of a message and reports at random whether the message arrives.
 func (f *fleet) reaches(from, to string) bool {
 	f.mu.Lock()
-	delay := time.Duration(200+f.random.IntN(2000)) * time.Microsecond
-	arrives := f.group[from] == f.group[to] && f.random.Float64() >= f.loss
+	link := f.link(from, to)
+	delay := 200*time.Microsecond + time.Duration(link.Int64N(int64(2*time.Millisecond)))
+	arrives := f.group[from] == f.group[to] && link.Float64() >= f.loss
 	f.mu.Unlock()
 	time.Sleep(delay)
 	return arrives
 }
 
+// link returns the source of the draws for messages from one node to another. The caller holds f.mu.
+func (f *fleet) link(from, to string) *rand.Rand {
+	key := from + " " + to
+	if f.links[key] == nil {
+		f.links[key] = rand.New(rand.NewPCG(f.seed, xxhash.Sum64String(key)))
+	}
+	return f.links[key]
+}
+
 func (f *fleet) send(ctx context.Context, from *member, to *roster.Record, request *lending.GrantRequest) (*lending.GrantResponse, error) {
 	if err := request.Validate(); err != nil {
 		return nil, err
@@ -163,15 +177,13 @@
 
 // generateLoad sends requests for the given duration.
 func (f *fleet) generateLoad(duration time.Duration, load load) {
-	began := time.Now()
+	began, random := time.Now(), rand.New(rand.NewPCG(f.seed, 7))
 	var running sync.WaitGroup
 	for time.Since(began) < duration {
-		f.mu.Lock()
-		gap := time.Duration(f.random.ExpFloat64() / load.rate(time.Since(began)) * float64(time.Second))
-		number := f.random.IntN(len(f.nodes))
-		repeat := f.random.Float64() < load.repeat(number)
-		nested := f.random.Float64() < load.nested
-		f.mu.Unlock()
+		gap := time.Duration(random.ExpFloat64() / load.rate(time.Since(began)) * float64(time.Second))
+		number := random.IntN(len(f.nodes))
+		repeat := random.Float64() < load.repeat(number)
+		nested := random.Float64() < load.nested
 		time.Sleep(min(gap, 100*time.Millisecond))
 		if gap <= 100*time.Millisecond {
 			running.Go(func() { f.request(f.nodes[number], repeat, nested) })
