forward, pipelining, egress: names and comments that stopped a new reader

headerBegun and awaitsHeader for inHeader and inHeaders, which differed by one letter; setLatestResult for fail; what holding, closed and a nil ExceedsHold mean. No behaviour changes.

--- a/internal/pipelining/holdingwriter.go
+++ b/internal/pipelining/holdingwriter.go
@@ -42,7 +42,8 @@
 	heldBytes int
 
 	mu sync.Mutex // guards all below
-	// holding: the server has not been given any part of the answer.
+	// holding: the server has not been given any part of the answer. It is written under mu by the
+	// handler, which reads it without.
 	holding bool
 	// writeDeadline is the write deadline set while holding.
 	writeDeadline time.Time
@@ -236,7 +237,7 @@
 }
 
 // replaceAborted answers 502 in place of a held answer that its handler has aborted,
-// unless the client has left. It is deferred.
+// unless the client has left. It must be the deferred call itself, since it recovers.
 func (w *holdingWriter) replaceAborted(client context.Context) {
 	if !w.holding {
 		w.resetIfAborted()
--- a/internal/pipelining/pipelining.go
+++ b/internal/pipelining/pipelining.go
@@ -20,7 +20,7 @@
 	// once the answer was written or dropped.
 	Begun func() (ended func())
 	// ExceedsHold reports whether the answer to a request may be too long to be held. Later
-	// requests start only once it was written. nil stands for no request.
+	// requests start only once it was written. A nil function means no request.
 	ExceedsHold func(*http.Request) bool
 	// OnExceedsHold is called when the answer to a request is too long to be held. It may be
 	// nil.
--- a/internal/proxy/forward/replyfilter.go
+++ b/internal/proxy/forward/replyfilter.go
@@ -26,9 +26,10 @@
 
 	mutex   sync.Mutex // guards all below
 	changed sync.Cond  // signals changes of all below to Read
-	// expecting: an exchange is in progress.
+	// expecting: an exchange is in progress; closed: stopReading was called.
 	expecting, closed bool
-	// secondReplyAllowed: another reply may follow once a write was discarded.
+	// secondReplyAllowed: the next reply may follow the current one without a new exchange, once
+	// the write of the repeated request was discarded.
 	secondReplyAllowed bool
 	scanner            replyScanner
 	// held are bytes after the reply of the current exchange.
@@ -130,7 +131,7 @@
 // checkHeader checks the limits of the header. The caller must hold the lock.
 func (c *trackedConn) checkHeader() *ReplyError {
 	switch {
-	case !c.scanner.inHeaders():
+	case !c.scanner.awaitsHeader():
 		return nil
 	case c.limits.bytes > 0 && c.scanner.headerBytes >= c.limits.bytes:
 		return c.reject(HeaderTooLarge, 0)
@@ -143,7 +144,7 @@
 // timeHeader bounds the time of a header that arrives in pieces. The caller must
 // hold the lock.
 func (c *trackedConn) timeHeader() error {
-	timed := c.scanner.inHeader() && c.limits.timeout > 0
+	timed := c.scanner.headerBegun() && c.limits.timeout > 0
 	if timed == c.headerTimed {
 		return nil
 	}
--- a/internal/proxy/forward/scan.go
+++ b/internal/proxy/forward/scan.go
@@ -54,8 +54,8 @@
 // reset prepares the scanner for the reply to a request with the method.
 func (s *replyScanner) reset(method string) { *s = replyScanner{method: method, line: s.line[:0]} }
 
-// inHeader reports whether the beginning of a header has been received but not its end.
-func (s *replyScanner) inHeader() bool {
+// headerBegun reports whether the beginning of a header has been received but not its end.
+func (s *replyScanner) headerBegun() bool {
 	return s.state == scanHeader || s.state == scanStatus && len(s.line) > 0
 }
 
@@ -108,7 +108,7 @@
 		s.line = append(s.line, line[:kept]...)
 		line = s.line
 	}
-	if s.inHeaders() {
+	if s.awaitsHeader() {
 		s.headerBytes += int64(used)
 	} else if s.cut {
 		s.state = scanUnknown
@@ -123,8 +123,8 @@
 	return used, true
 }
 
-// inHeaders reports whether the next bytes are those of a header.
-func (s *replyScanner) inHeaders() bool { return s.state == scanStatus || s.state == scanHeader }
+// awaitsHeader reports whether the next bytes are those of a header.
+func (s *replyScanner) awaitsHeader() bool { return s.state == scanStatus || s.state == scanHeader }
 
 // endLine consumes a complete line without its newline.
 func (s *replyScanner) endLine(line []byte) {
--- a/internal/sidecar/egress/attempts.go
+++ b/internal/sidecar/egress/attempts.go
@@ -89,8 +89,8 @@
 	return soonest
 }
 
-// fail sets the result of the latest attempt at a peer.
-func (v attempts) fail(peer *target, failure *outcome.Failure) {
+// setLatestResult replaces the result of the latest attempt at a peer.
+func (v attempts) setLatestResult(peer *target, failure *outcome.Failure) {
 	for index := len(v) - 1; index >= 0; index-- {
 		if v[index].target == peer {
 			v[index].outcome, v[index].step = failure.Outcome, failure.Step
--- a/internal/sidecar/egress/call.go
+++ b/internal/sidecar/egress/call.go
@@ -280,7 +280,7 @@
 // recordCutOff records that the response of a peer was cut off after the attempt had ended, and logs
 // it: a later attempt may hide the failure.
 func (c *call) recordCutOff(peer *target, failure *outcome.Failure) {
-	c.attempts.fail(peer, failure)
+	c.attempts.setLatestResult(peer, failure)
 	c.handler.options.Logger.Info("response cut off while it was held",
 		zap.String("request", c.request.Header.Get(c.handler.options.Vocabulary.RequestID)),
 		zap.String("route", c.route.Name), zap.String("peer", failure.Peer), zap.Error(failure.Cause))
