--- /dev/null
+++ b/review/_fleet/store.go
@@ -0,0 +1,194 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	// storeLatency is the time of an answer, as in the sheets.
+	storeLatency = 4 * time.Millisecond
+	// rangeItems is the most items of one page.
+	rangeItems = 500
+)
+
+// item is an entry of the store.
+type item struct {
+	Key      string `json:"key"`
+	Value    []byte `json:"value,omitempty"`
+	Revision uint64 `json:"revision"`
+	Created  uint64 `json:"created,omitempty"`
+	Lease    uint64 `json:"lease"`
+	Gone     bool   `json:"gone,omitempty"`
+}
+
+// metadataStore is a sound stand-in of the platform's metadata store: linearizable, with a single
+// counter of revisions and its whole history.
+type metadataStore struct {
+	address string
+	server  *http.Server
+
+	mu       sync.Mutex // guards all below
+	revision uint64
+	items    map[string]item
+	history  []item
+	changed  chan struct{}
+}
+
+func startStore(address string) (*metadataStore, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	store := &metadataStore{address: address, items: map[string]item{}, changed: make(chan struct{})}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /api/kv-key", store.serveKey)
+	mux.HandleFunc("GET /api/kv-range", store.serveRange)
+	mux.HandleFunc("GET /api/kv-watch", store.serveWatch)
+	mux.HandleFunc("POST /api/kv-txn", store.serveTransaction)
+	store.server = &http.Server{Handler: mux}
+	go func() { _ = store.server.Serve(listener) }()
+	return store, nil
+}
+
+func (s *metadataStore) close() { _ = s.server.Close() }
+
+// put writes an item on behalf of the operator.
+func (s *metadataStore) put(key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.putLocked(key, value, 0)
+	s.notify()
+}
+
+func (s *metadataStore) putLocked(key string, value []byte, lease uint64) {
+	s.revision++
+	next := item{Key: key, Value: value, Revision: s.revision, Created: s.revision, Lease: lease}
+	if existing, found := s.items[key]; found {
+		next.Created = existing.Created
+	}
+	s.items[key] = next
+	s.history = append(s.history, next)
+}
+
+func (s *metadataStore) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func reply(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func (s *metadataStore) serveKey(w http.ResponseWriter, r *http.Request) {
+	time.Sleep(storeLatency)
+	s.mu.Lock()
+	found, exists := s.items[r.URL.Query().Get("key")]
+	at := s.revision
+	s.mu.Unlock()
+	if !exists {
+		reply(w, http.StatusNotFound, map[string]any{"at": at})
+		return
+	}
+	reply(w, http.StatusOK, map[string]any{
+		"key": found.Key, "value": found.Value, "revision": found.Revision, "created": found.Created, "lease": found.Lease, "at": at,
+	})
+}
+
+func (s *metadataStore) serveRange(w http.ResponseWriter, r *http.Request) {
+	time.Sleep(storeLatency)
+	prefix, after := r.URL.Query().Get("path_prefix"), r.URL.Query().Get("after")
+	s.mu.Lock()
+	found := []item{}
+	for key, entry := range s.items {
+		if strings.HasPrefix(key, prefix) && key > after {
+			found = append(found, entry)
+		}
+	}
+	at := s.revision
+	s.mu.Unlock()
+	sort.Slice(found, func(i, j int) bool { return found[i].Key < found[j].Key })
+	more := len(found) > rangeItems
+	if more {
+		found = found[:rangeItems]
+	}
+	reply(w, http.StatusOK, map[string]any{"items": found, "more": more, "at": at})
+}
+
+func (s *metadataStore) serveWatch(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	after, _ := strconv.ParseUint(query.Get("after"), 10, 64)
+	wait, _ := strconv.Atoi(query.Get("wait_ms"))
+	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(wait)*time.Millisecond)
+	defer cancel()
+	for {
+		s.mu.Lock()
+		events := []item{}
+		for _, entry := range s.history {
+			if entry.Revision > after && strings.HasPrefix(entry.Key, query.Get("path_prefix")) {
+				events = append(events, entry)
+			}
+		}
+		at, changed := s.revision, s.changed
+		s.mu.Unlock()
+		if len(events) > 0 {
+			reply(w, http.StatusOK, map[string]any{"events": events, "at": at})
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			if r.Context().Err() == nil {
+				reply(w, http.StatusOK, map[string]any{"events": events, "at": at})
+			}
+			return
+		}
+	}
+}
+
+func (s *metadataStore) serveTransaction(w http.ResponseWriter, r *http.Request) {
+	var asked struct {
+		ExpectedRev []struct {
+			Key      string `json:"key"`
+			Revision uint64 `json:"revision"`
+		} `json:"expected_rev"`
+		Put []struct {
+			Key   string `json:"key"`
+			Value []byte `json:"value"`
+			Lease uint64 `json:"lease"`
+		} `json:"put"`
+		Remove []string `json:"remove"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&asked); err != nil {
+		reply(w, http.StatusBadRequest, map[string]any{})
+		return
+	}
+	time.Sleep(storeLatency)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, expected := range asked.ExpectedRev {
+		if s.items[expected.Key].Revision != expected.Revision {
+			reply(w, http.StatusPreconditionFailed, map[string]any{"items": []item{}})
+			return
+		}
+	}
+	for _, entry := range asked.Put {
+		s.putLocked(entry.Key, entry.Value, entry.Lease)
+	}
+	for _, key := range asked.Remove {
+		s.revision++
+		delete(s.items, key)
+		s.history = append(s.history, item{Key: key, Revision: s.revision, Gone: true})
+	}
+	s.notify()
+	reply(w, http.StatusOK, map[string]any{"revision": s.revision})
+}
