review/6: with a grace time of 10 s a stopping node takes requests that it cuts (LOST)

Planned work only, with the bounds of the large deployment: a node takes requests up to 4 s after its SIGTERM and cuts them at 9.7 s.

--- /dev/null
+++ b/review/6/run.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Exits with 1 if LOST was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: without the restarts.
+cd "$(dirname "$0")/../.." || exit 2
+run=$(sed -n 's/^run = "\(.*\)"$/\1/p' deploy/system.toml)
+[ -n "$run" ] && [ -x target/review-2/fleet ] || exit 2
+exec target/review-2/fleet -case grace -command "$run" -record review/6/record.txt
--- /dev/null
+++ b/review/_fleet/grace.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+)
+
+func init() { cases["grace"] = reviewCase{largeBounds, grace} }
+
+// largeBounds are those of the large deployment of Mesh for Municipal EV Charging Sessions.
+func largeBounds() bounds {
+	set := smallBounds()
+	for name, value := range map[string]float64{
+		"contact_ms": 4000, "ack_ms": 5000, "sync_s": 6, "drain_ms": 3000, "grace_s": 10, "config_apply_ms": 3000, "max_skew_ms": 6000, "budget_slack": 430,
+	} {
+		set[name] = value
+	}
+	return set
+}
+
+// longHistory is the work of historico-consulta there: 1,300 ms in the mean, 7,800 ms at most.
+func longHistory(*http.Request) time.Duration {
+	const mean, long, longest, shareOfLong = 1300, 5000, 7800, 0.1
+	if rand.Float64() < shareOfLong {
+		return time.Duration(long+rand.IntN(longest-long)) * time.Millisecond
+	}
+	return time.Duration(mean/2+rand.IntN(mean/2)) * time.Millisecond
+}
+
+// grace restarts the two machines of each of two zones in turn, one a second. The upstreams that serve the requests and
+// the nodes beside them are in a third zone and run on.
+func grace(f *fleet, trouble bool) (violations []string, err error) {
+	const timeout, deadline = 12 * time.Second, 25 * time.Second
+	for range 4 {
+		f.add("sala-central", "rede-pontos", longHistory)
+	}
+	for _, zone := range []string{"sala-norte", "sala-sul"} {
+		f.add(zone, "tarifario", longHistory)
+		f.add(zone, "sessoes", longHistory)
+	}
+	f.configure(1, []route{{"historico", "/historico/", "idempotent", "rede-pontos", int(timeout.Milliseconds()), 4000, 2, 2}})
+	if err := f.start(); err != nil {
+		return nil, err
+	}
+	sent := &tries{}
+	ctx, cancel := context.WithCancel(f.context)
+	var running sync.WaitGroup
+	for _, each := range f.machines[4:] {
+		running.Add(1)
+		go (&load{machine: each, name: "h", method: http.MethodGet, prefix: "/historico/", deadline: deadline, every: 120 * time.Millisecond, into: sent}).run(ctx, &running)
+	}
+	time.Sleep(4 * time.Second)
+	for range 2 {
+		for _, each := range f.machines[4:] {
+			if trouble {
+				each.signal(syscall.SIGTERM)
+			}
+			time.Sleep(time.Second)
+		}
+		time.Sleep(14 * time.Second)
+	}
+	cancel()
+	running.Wait()
+	return f.lost(sent.list(), timeout, deadline), nil
+}
