--- a/review/_fleet/machine.go
+++ b/review/_fleet/machine.go
@@ -43,6 +43,8 @@
 	fleet                   *fleet
 	up                      *upstream
 	settings                string
+	// storeAddress is the address of the store that the machine's settings name.
+	storeAddress string
 
 	mu sync.Mutex // guards all below
 	// process is nil while none runs. held: the platform doesn't start it again.
@@ -89,9 +91,10 @@
 	number := len(f.machines) + 1
 	created := &machine{
 		name: fmt.Sprintf("sidecar-%s-%d", zone, number), ip: fmt.Sprintf("%s.%d", f.network, number+10), zone: zone, service: service, fleet: f,
+		storeAddress: f.store.address,
 	}
 	created.up = &upstream{
-		id: fmt.Sprintf("i-%02d", number), service: service, zone: zone, address: created.at(portApp), slots: 18, queue: 72, log: f.log, work: work,
+		id: fmt.Sprintf("i-%02d", number), service: service, version: "v1", zone: zone, address: created.at(portApp), slots: 18, queue: 72, log: f.log, work: work,
 	}
 	created.settings = filepath.Join(f.dir, created.name+".json")
 	f.machines = append(f.machines, created)
@@ -119,7 +122,7 @@
 		"fault_tolerance": map[string]int{"machines": 1, "zones": 0, "regions": 0},
 		"bounds":          m.fleet.bounds, "app_addr": m.at(portApp), "service": m.service,
 		"platform": map[string]any{
-			"address": m.fleet.store.address, "form": "kv", "writes_per_s": 400, "reads_per_s": 2000, "history_s": 20, "value_bytes": 1048576, "ttl_min_ms": 1000,
+			"address": m.storeAddress, "form": "kv", "writes_per_s": 400, "reads_per_s": 2000, "history_s": 20, "value_bytes": 1048576, "ttl_min_ms": 1000,
 		},
 	})
 	if err != nil {
@@ -131,19 +134,9 @@
 // start starts all upstreams and processes and waits until every node answers that it is ready.
 func (f *fleet) start() error {
 	for _, each := range f.machines {
-		if err := startUpstream(each.up); err != nil {
+		if err := each.start(true); err != nil {
 			return err
 		}
-		if err := each.writeSettings(true); err != nil {
-			return err
-		}
-	}
-	for _, each := range f.machines {
-		if err := each.startProcess(); err != nil {
-			return err
-		}
-		go each.sendHeartbeats()
-		go each.askReadiness()
 	}
 	deadline := time.Now().Add(20 * time.Second)
 	for time.Now().Before(deadline) {
@@ -162,6 +155,22 @@
 	return fmt.Errorf("the nodes were not ready in time")
 }
 
+// start starts the machine's upstream and its process.
+func (m *machine) start(bootstrap bool) error {
+	if err := startUpstream(m.up); err != nil {
+		return err
+	}
+	if err := m.writeSettings(bootstrap); err != nil {
+		return err
+	}
+	if err := m.startProcess(); err != nil {
+		return err
+	}
+	go m.sendHeartbeats()
+	go m.askReadiness()
+	return nil
+}
+
 // startProcess starts the command of the deploy file, and again each time the process has ended.
 func (m *machine) startProcess() error {
 	output, err := os.OpenFile(filepath.Join(m.fleet.dir, m.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
--- a/review/_fleet/store.go
+++ b/review/_fleet/store.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -33,7 +34,8 @@
 // counter of revisions and its whole history.
 type metadataStore struct {
 	address string
-	server  *http.Server
+	mux     *http.ServeMux
+	servers []*http.Server
 
 	mu       sync.Mutex // guards all below
 	revision uint64
@@ -43,22 +45,50 @@
 }
 
 func startStore(address string) (*metadataStore, error) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	store := &metadataStore{address: address, items: map[string]item{}, changed: make(chan struct{})}
 	mux := http.NewServeMux()
+	store := &metadataStore{address: address, mux: mux, items: map[string]item{}, changed: make(chan struct{})}
 	mux.HandleFunc("GET /api/kv-key", store.serveKey)
 	mux.HandleFunc("GET /api/kv-range", store.serveRange)
 	mux.HandleFunc("GET /api/kv-watch", store.serveWatch)
 	mux.HandleFunc("POST /api/kv-txn", store.serveTransaction)
-	store.server = &http.Server{Handler: mux}
-	go func() { _ = store.server.Serve(listener) }()
+	if _, err := store.listen(address); err != nil {
+		return nil, err
+	}
 	return store, nil
 }
 
-func (s *metadataStore) close() { _ = s.server.Close() }
+// listen serves the store at one more address, which answers 503 while the returned switch is on: the store may turn
+// some machines away while it serves the others.
+func (s *metadataStore) listen(address string) (busy *atomic.Bool, err error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	busy = &atomic.Bool{}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if busy.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		s.mux.ServeHTTP(w, r)
+	})}
+	s.servers = append(s.servers, server)
+	go func() { _ = server.Serve(listener) }()
+	return busy, nil
+}
+
+func (s *metadataStore) close() {
+	for _, server := range s.servers {
+		_ = server.Close()
+	}
+}
+
+// value returns the value of a key, nil if there is none.
+func (s *metadataStore) value(key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.items[key].Value
+}
 
 // put writes an item on behalf of the operator.
 func (s *metadataStore) put(key string, value []byte) {
--- a/review/_fleet/upstream.go
+++ b/review/_fleet/upstream.go
@@ -25,8 +25,10 @@
 // upstream is a sound stand-in of an application upstream.
 type upstream struct {
 	id, service, zone, address string
-	slots, queue               int
-	log                        *record
+	// version is the version of its software.
+	version      string
+	slots, queue int
+	log          *record
 	// work returns how long a request takes; answer may spoil the answer of a completed run.
 	work   func(r *http.Request) time.Duration
 	answer func(w http.ResponseWriter, r *http.Request) (spoiled bool)
@@ -161,7 +163,7 @@
 	u.mu.Unlock()
 	body, _ := json.Marshal(map[string]any{
 		"address": u.address,
-		"info":    map[string]any{"service": u.service, "version": "v1", "zone": u.zone, "slots": u.slots},
+		"info":    map[string]any{"service": u.service, "version": u.version, "zone": u.zone, "slots": u.slots},
 		"status":  map[string]any{"state": state, "seq": u.sequence.Add(1), "warmup_left_ms": 0},
 	})
 	acked := callControl(http.MethodPut, control, u.id, body)
