--- a/review/_fleet/client.go
+++ b/review/_fleet/client.go
@@ -84,8 +84,8 @@
 		return
 	}
 	request.Host, request.Close = host, true
-	request.Header.Set("X-Request-Id", entry.id)
-	request.Header.Set("X-Deadline-Ms", strconv.FormatInt(l.deadline.Milliseconds(), 10))
+	request.Header.Set(wire["request id"], entry.id)
+	request.Header.Set(wire["deadline"], strconv.FormatInt(l.deadline.Milliseconds(), 10))
 	transport := &http.Transport{DisableKeepAlives: true}
 	entry.sent = log.add("send %s to %s", entry.id, l.machine.name)
 	response, err := transport.RoundTrip(request)
@@ -96,7 +96,7 @@
 		body, readErr := io.ReadAll(response.Body)
 		_ = response.Body.Close()
 		entry.status = response.StatusCode
-		entry.signed = response.Header.Get("X-Response-Signature") != ""
+		entry.signed = response.Header.Get(wire["signature"]) != ""
 		entry.whole = readErr == nil && string(body) == fmt.Sprintf("answer to %s of %d bytes", entry.id, l.body)
 	}
 	entry.ended = log.add("end %s status %d signed %v whole %v error %v", entry.id, entry.status, entry.signed, entry.whole, err)
--- a/review/_fleet/grace.go
+++ b/review/_fleet/grace.go
@@ -15,7 +15,7 @@
 func largeBounds() bounds {
 	set := smallBounds()
 	for name, value := range map[string]float64{
-		"contact_ms": 4000, "ack_ms": 5000, "sync_s": 6, "drain_ms": 3000, "grace_s": 10, "config_apply_ms": 3000, "max_skew_ms": 6000, "budget_slack": 430,
+		"contact_ms": 4000, "ack_ms": 5000, "sync_s": 6, "drain_ms": 3000, "grace_s": 10, "config_apply_ms": 3000, "max_skew_ms": 6000, wire["budget slack"]: 430,
 	} {
 		set[name] = value
 	}
--- a/review/_fleet/machine.go
+++ b/review/_fleet/machine.go
@@ -32,8 +32,8 @@
 func smallBounds() bounds {
 	return bounds{
 		"seed_lag_s": 3, "reuse_after_s": 2, "contact_ms": 3000, "ack_ms": 4000, "sync_s": 4, "drain_ms": 2000, "grace_s": 6,
-		"loss_slack_ms": 200, "config_apply_ms": 2000, "rollback_slack_ms": 250, "max_skew_ms": 5000, "retry_budget_ratio": 0.2,
-		"budget_window_s": 10, "budget_slack": 62, "recovery_s": 15,
+		"loss_slack_ms": 200, "config_apply_ms": 2000, "rollback_slack_ms": 250, "max_skew_ms": 5000, wire["retry ratio"]: 0.2,
+		"budget_window_s": 10, wire["budget slack"]: 62, "recovery_s": 15,
 	}
 }
 
@@ -112,15 +112,15 @@
 	raw, err := json.Marshal(map[string]any{
 		"node_name": m.name, "role": "sidecar", "machine_class": "sidecar", "serves": []string{"sidecar"}, "ip": m.ip, "zone": m.zone,
 		"region": "setubal", "zones": zones,
-		"listen_addrs": map[string]string{
+		wire["listen"]: map[string]string{
 			"inbound": m.at(portInbound), "outbound": m.at(portOutbound), "readiness": m.at(portReadiness), "control": m.at(portControl),
 		},
-		"port_range": []int{portPeer, portPeer + 15}, "seeds": []string{}, "bootstrap": bootstrap, "in_tolerance": false,
+		wire["ports"]: []int{portPeer, portPeer + 15}, "seeds": []string{}, "bootstrap": bootstrap, "in_tolerance": false,
 		"limits":   map[string]any{"cpu_share": 0.32, "cores": 1, "memory_mb": 284, "max_fds": 4100, "link_mbps": 1000.0, "disk_mb": 0},
 		"data_dir": nil, "discovery": "static", "entry": "static", "heartbeat_ms": heartbeat.Milliseconds(),
 		"contracts":       []string{"base", "drain", "config", "cost", "retry", "recover", "platform"},
 		"fault_tolerance": map[string]int{"machines": 1, "zones": 0, "regions": 0},
-		"bounds":          m.fleet.bounds, "app_addr": m.at(portApp), "service": m.service,
+		"bounds":          m.fleet.bounds, wire["app"]: m.at(portApp), "service": m.service,
 		"platform": map[string]any{
 			"address": m.storeAddress, "form": "kv", "writes_per_s": 400, "reads_per_s": 2000, "history_s": 20, "value_bytes": 1048576, "ttl_min_ms": 1000,
 		},
@@ -178,7 +178,7 @@
 		return err
 	}
 	process := exec.Command(m.fleet.command[0], m.fleet.command[1:]...)
-	process.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "KESTRELSTREAM_SETTINGS=" + m.settings}
+	process.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), wire["settings variable"] + "=" + m.settings}
 	process.Stdout, process.Stderr = output, output
 	if err := process.Start(); err != nil {
 		_ = output.Close()
@@ -282,7 +282,7 @@
 func (m *machine) ready() bool {
 	ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.at(portReadiness)+"/api/readyz", nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.at(portReadiness)+wire["readiness"], nil)
 	if err != nil {
 		return false
 	}
@@ -371,7 +371,7 @@
 // configure writes a configuration as the operator does.
 func (f *fleet) configure(version int, routes []route) {
 	resources := []any{map[string]any{
-		"resource_kind": "limits", "metadata": map[string]any{},
+		wire["kind"]: "limits", "metadata": map[string]any{},
 		"spec": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	}}
 	services := map[string]bool{}
@@ -380,21 +380,21 @@
 	}
 	for service := range services {
 		resources = append(resources, map[string]any{
-			"resource_kind": "services", "metadata": map[string]any{"name": service},
+			wire["kind"]: "services", "metadata": map[string]any{"name": service},
 			"spec": map[string]any{"health_path": "/healthz", "max_connections": 130, "protocol": "h1", "tls": false},
 		})
 	}
 	for _, each := range routes {
 		resources = append(resources, map[string]any{
-			"resource_kind": "routes", "metadata": map[string]any{"name": each.name},
+			wire["kind"]: "routes", "metadata": map[string]any{"name": each.name},
 			"spec": map[string]any{
-				"host": host, "path_prefix": each.prefix, "route_type": each.kind, "timeout_ms": each.timeoutMS,
-				"target_latency_ms": each.targetMS, "priority": each.priority, "service": each.service, "retry_attempts": each.attempts,
+				"host": host, wire["prefix"]: each.prefix, wire["type"]: each.kind, "timeout_ms": each.timeoutMS,
+				wire["target latency"]: each.targetMS, "priority": each.priority, "service": each.service, wire["attempts"]: each.attempts,
 			},
 		})
 	}
 	raw, _ := json.Marshal(map[string]any{"version": fmt.Sprintf("%08x", version), "resources": resources})
-	f.store.put("op/config", raw)
+	f.store.put(wire["configuration"], raw)
 	f.log.add("configuration %08x acknowledged", version)
 }
 
--- a/review/_fleet/rollout.go
+++ b/review/_fleet/rollout.go
@@ -17,8 +17,8 @@
 func rolloutBounds() bounds {
 	set := smallBounds()
 	for name, value := range map[string]float64{
-		"ack_ms": 5000, "sync_s": 6, "drain_ms": 2500, "config_apply_ms": 2500, "budget_slack": 200,
-		"canary_share": 0.1, "canary_slack": 50, "rollback_ms": 5000,
+		"ack_ms": 5000, "sync_s": 6, "drain_ms": 2500, "config_apply_ms": 2500, wire["budget slack"]: 200,
+		wire["canary share"]: 0.1, wire["canary slack"]: 50, "rollback_ms": 5000,
 	} {
 		set[name] = value
 	}
@@ -48,7 +48,7 @@
 		if b.answered.Add(1)%2 == 0 {
 			return false
 		}
-		w.Header().Set("X-Response-Signature", "signed."+id)
+		w.Header().Set(wire["signature"], "signed."+id)
 		w.WriteHeader(http.StatusInternalServerError)
 		at := b.log.now()
 		b.mu.Lock()
@@ -104,12 +104,12 @@
 
 // rollOut plays one roll-out up to its end. restored is when the store served the new machines again.
 func (f *fleet) rollOut(round int, service string, software *bad, trouble bool) (fresh []*machine, restored time.Duration, err error) {
-	order, err := json.Marshal(map[string]any{"service": service, "target_version": "v2", "duration_s": rolloutDuration.Seconds()})
+	order, err := json.Marshal(map[string]any{"service": service, wire["target version"]: "v2", "duration_s": rolloutDuration.Seconds()})
 	if err != nil {
 		return nil, 0, err
 	}
 	ordered := time.Now()
-	f.store.put("op/rollout/"+service, order)
+	f.store.put(wire["rollout order"]+service, order)
 	f.log.add("roll-out of v2 of %s ordered", service)
 	time.Sleep(rolloutDuration - lateStart - turnedAway)
 	var switches []*atomic.Bool
@@ -134,7 +134,7 @@
 	}
 	restored = f.log.add("the store serves the new machines")
 	time.Sleep(time.Until(ordered.Add(rolloutDuration + time.Second)))
-	f.log.add("status of %s: %s", service, f.store.value("status/rollout/"+service))
+	f.log.add("status of %s: %s", service, f.store.value(wire["rollout status"]+service))
 	fmt.Printf("%s: %s\n", service, f.rolloutState(service))
 	return fresh, restored, nil
 }
@@ -144,7 +144,7 @@
 	var status struct {
 		State string `json:"state"`
 	}
-	_ = json.Unmarshal(f.store.value("status/rollout/"+service), &status)
+	_ = json.Unmarshal(f.store.value(wire["rollout status"]+service), &status)
 	return status.State
 }
 
--- a/review/_fleet/store.go
+++ b/review/_fleet/store.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"io"
 	"net"
 	"net/http"
 	"sort"
@@ -47,10 +49,10 @@
 func startStore(address string) (*metadataStore, error) {
 	mux := http.NewServeMux()
 	store := &metadataStore{address: address, mux: mux, items: map[string]item{}, changed: make(chan struct{})}
-	mux.HandleFunc("GET /api/kv-key", store.serveKey)
-	mux.HandleFunc("GET /api/kv-range", store.serveRange)
-	mux.HandleFunc("GET /api/kv-watch", store.serveWatch)
-	mux.HandleFunc("POST /api/kv-txn", store.serveTransaction)
+	mux.HandleFunc("GET "+wire["store key"], store.serveKey)
+	mux.HandleFunc("GET "+wire["store range"], store.serveRange)
+	mux.HandleFunc("GET "+wire["store watch"], store.serveWatch)
+	mux.HandleFunc("POST "+wire["store transaction"], store.serveTransaction)
 	if _, err := store.listen(address); err != nil {
 		return nil, err
 	}
@@ -136,7 +138,7 @@
 
 func (s *metadataStore) serveRange(w http.ResponseWriter, r *http.Request) {
 	time.Sleep(storeLatency)
-	prefix, after := r.URL.Query().Get("path_prefix"), r.URL.Query().Get("after")
+	prefix, after := r.URL.Query().Get(wire["prefix"]), r.URL.Query().Get("after")
 	s.mu.Lock()
 	found := []item{}
 	for key, entry := range s.items {
@@ -164,7 +166,7 @@
 		s.mu.Lock()
 		events := []item{}
 		for _, entry := range s.history {
-			if entry.Revision > after && strings.HasPrefix(entry.Key, query.Get("path_prefix")) {
+			if entry.Revision > after && strings.HasPrefix(entry.Key, query.Get(wire["prefix"])) {
 				events = append(events, entry)
 			}
 		}
@@ -186,11 +188,11 @@
 }
 
 func (s *metadataStore) serveTransaction(w http.ResponseWriter, r *http.Request) {
+	var expectedRows []struct {
+		Key      string `json:"key"`
+		Revision uint64 `json:"revision"`
+	}
 	var asked struct {
-		ExpectedRev []struct {
-			Key      string `json:"key"`
-			Revision uint64 `json:"revision"`
-		} `json:"expected_rev"`
 		Put []struct {
 			Key   string `json:"key"`
 			Value []byte `json:"value"`
@@ -198,14 +200,22 @@
 		} `json:"put"`
 		Remove []string `json:"remove"`
 	}
-	if err := json.NewDecoder(r.Body).Decode(&asked); err != nil {
+	body, err := io.ReadAll(r.Body)
+	fields := map[string]json.RawMessage{}
+	if err == nil {
+		err = errors.Join(json.Unmarshal(body, &asked), json.Unmarshal(body, &fields))
+	}
+	if rows := fields[wire["expected"]]; err == nil && rows != nil {
+		err = json.Unmarshal(rows, &expectedRows)
+	}
+	if err != nil {
 		reply(w, http.StatusBadRequest, map[string]any{})
 		return
 	}
 	time.Sleep(storeLatency)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, expected := range asked.ExpectedRev {
+	for _, expected := range expectedRows {
 		if s.items[expected.Key].Revision != expected.Revision {
 			reply(w, http.StatusPreconditionFailed, map[string]any{"items": []item{}})
 			return
--- a/review/_fleet/upstream.go
+++ b/review/_fleet/upstream.go
@@ -75,8 +75,8 @@
 func (u *upstream) serve(w http.ResponseWriter, r *http.Request) {
 	header := w.Header()
 	if r.URL.Path == "/healthz" {
-		header.Set("X-Instance-Id", u.id)
-		header.Set("X-Upstream-Load", u.load())
+		header.Set(wire["instance id"], u.id)
+		header.Set(wire["load"], u.load())
 		u.mu.Lock()
 		leaving := u.state != "ready"
 		u.mu.Unlock()
@@ -89,15 +89,15 @@
 	if err != nil {
 		return
 	}
-	id := r.Header.Get("X-Request-Id")
-	header.Set("X-Request-Id", id)
+	id := r.Header.Get(wire["request id"])
+	header.Set(wire["request id"], id)
 	reject := func(status int) {
-		header.Set("X-Not-Processed", "1")
-		header.Set("X-Upstream-Load", u.load())
+		header.Set(wire["not processed"], "1")
+		header.Set(wire["load"], u.load())
 		w.WriteHeader(status)
 	}
-	if target := r.Header.Get("X-Target-Instance"); target != "" && target != u.id {
-		header.Set("X-Instance-Id", u.id)
+	if target := r.Header.Get(wire["target instance"]); target != "" && target != u.id {
+		header.Set(wire["instance id"], u.id)
 		reject(http.StatusMisdirectedRequest)
 		return
 	}
@@ -106,7 +106,7 @@
 		return
 	}
 	left := 30 * time.Second
-	if ms, err := strconv.ParseFloat(r.Header.Get("X-Deadline-Ms"), 64); err == nil {
+	if ms, err := strconv.ParseFloat(r.Header.Get(wire["deadline"]), 64); err == nil {
 		left = time.Duration(ms * float64(time.Millisecond))
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), left)
@@ -141,10 +141,10 @@
 	u.mu.Lock()
 	entry.completed, entry.ended = completed, ended
 	u.mu.Unlock()
-	header.Set("X-Upstream-Load", u.load())
+	header.Set(wire["load"], u.load())
 	if !completed {
 		if r.Context().Err() == nil {
-			header.Set("X-Response-Signature", "signed."+u.id+"."+id)
+			header.Set(wire["signature"], "signed."+u.id+"."+id)
 			w.WriteHeader(http.StatusGatewayTimeout)
 		}
 		return
@@ -152,7 +152,7 @@
 	if u.answer != nil && u.answer(w, r) {
 		return
 	}
-	header.Set("X-Response-Signature", "signed."+u.id+"."+id)
+	header.Set(wire["signature"], "signed."+u.id+"."+id)
 	_, _ = fmt.Fprintf(w, "answer to %s of %d bytes", id, len(body))
 }
 
@@ -164,7 +164,7 @@
 	body, _ := json.Marshal(map[string]any{
 		"address": u.address,
 		"info":    map[string]any{"service": u.service, "version": u.version, "zone": u.zone, "slots": u.slots},
-		"status":  map[string]any{"state": state, "seq": u.sequence.Add(1), "warmup_left_ms": 0},
+		"status":  map[string]any{"state": state, "seq": u.sequence.Add(1), wire["warmup left"]: 0},
 	})
 	acked := callControl(http.MethodPut, control, u.id, body)
 	if acked && state == "draining" {
@@ -181,7 +181,7 @@
 func callControl(method, control, id string, body []byte) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+control+"/api/instances/"+id, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+control+wire["instances"]+id, bytes.NewReader(body))
 	if err != nil {
 		return false
 	}
