--- a/review/_fleet/cases.go
+++ b/review/_fleet/cases.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -25,28 +26,41 @@
 	return func(*http.Request) time.Duration { return work }
 }
 
-// history is the work of historico-consulta in the sheet: 550 ms in the mean, 3,300 ms at most.
-func history(*http.Request) time.Duration {
-	const mean, longest, shareOfLong = 550, 3300, 0.1
-	if rand.Float64() < shareOfLong {
-		return time.Duration(2000+rand.IntN(longest-2000)) * time.Millisecond
+// historyWork is the work of historico-consulta in the site file: mean 550 ms, spread 0.8, one in a hundred three times as
+// long, 3,300 ms at most.
+var historyWork = drawnWork{mean: 550, spread: 0.8, tail: 0.01, tailTimes: 3, most: 3300}
+
+// speeds are those of the upstreams of a service, of which the site file has [0.5, 1.0, 1.0, 1.5].
+var speeds = []float64{0.5, 1.0, 1.5}
+
+// drawnWork is how long the requests of a kind take, in milliseconds.
+type drawnWork struct{ mean, spread, tail, tailTimes, most float64 }
+
+// at returns the work at an upstream of a speed.
+func (d drawnWork) at(speed float64) func(*http.Request) time.Duration {
+	return func(*http.Request) time.Duration {
+		drawn := d.mean * math.Exp(d.spread*rand.NormFloat64()-d.spread*d.spread/2)
+		if rand.Float64() < d.tail {
+			drawn *= d.tailTimes
+		}
+		return time.Duration(min(drawn, d.most) / speed * float64(time.Millisecond))
+	}
+}
+
+// addServices adds a machine of each service in each zone.
+func (f *fleet) addServices(zones []string, services ...string) {
+	for _, service := range services {
+		for number, zone := range zones {
+			f.add(zone, service, historyWork.at(speeds[number%len(speeds)]))
+		}
 	}
-	return time.Duration(mean/2+rand.IntN(mean/2)) * time.Millisecond
 }
 
 // rolling restarts all machines in turn, one a second, as roll_term does with x = 1 and gap_s = 1.
 func rolling(f *fleet, trouble bool) (violations []string, err error) {
 	const timeout, deadline = 5 * time.Second, 10 * time.Second
 	zones := []string{"sala-norte", "sala-sul", "sala-porto"}
-	for _, zone := range zones {
-		f.add(zone, "rede-pontos", history)
-	}
-	for _, zone := range zones {
-		f.add(zone, "tarifario", history)
-	}
-	for _, zone := range zones {
-		f.add(zone, "sessoes", history)
-	}
+	f.addServices(zones, "rede-pontos", "tarifario", "sessoes")
 	f.configure(1, []route{
 		{"historico", "/historico/", "idempotent", "rede-pontos", int(timeout.Milliseconds()), 1500, 2, 2},
 		{"comando", "/comando/", "non_idempotent", "rede-pontos", int(timeout.Milliseconds()), 1500, 1, 2},
--- a/review/_fleet/drain.go
+++ b/review/_fleet/drain.go
@@ -23,15 +23,7 @@
 func drain(f *fleet, trouble bool) (violations []string, err error) {
 	const timeout, deadline = 5 * time.Second, 10 * time.Second
 	zones := []string{"sala-norte", "sala-sul", "sala-porto"}
-	for _, zone := range zones {
-		f.add(zone, "rede-pontos", history)
-	}
-	for _, zone := range zones {
-		f.add(zone, "tarifario", history)
-	}
-	for _, zone := range zones {
-		f.add(zone, "sessoes", history)
-	}
+	f.addServices(zones, "rede-pontos", "tarifario", "sessoes")
 	f.configure(1, []route{{"historico", "/historico/", "idempotent", "rede-pontos", int(timeout.Milliseconds()), 1500, 2, 2}})
 	if err := f.start(); err != nil {
 		return nil, err
--- a/review/_fleet/grace.go
+++ b/review/_fleet/grace.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"sync"
 	"syscall"
@@ -22,25 +21,23 @@
 	return set
 }
 
-// longHistory is the work of historico-consulta there: 1,300 ms in the mean, 7,800 ms at most.
-func longHistory(*http.Request) time.Duration {
-	const mean, long, longest, shareOfLong = 1300, 5000, 7800, 0.1
-	if rand.Float64() < shareOfLong {
-		return time.Duration(long+rand.IntN(longest-long)) * time.Millisecond
-	}
-	return time.Duration(mean/2+rand.IntN(mean/2)) * time.Millisecond
-}
+// longHistoryWork is the work of historico-consulta there: mean 1,300 ms, 7,800 ms at most.
+var longHistoryWork = drawnWork{mean: 1300, spread: 0.8, tail: 0.01, tailTimes: 3, most: 7800}
+
+// longSpeeds are those of the upstreams of rede-pontos there.
+var longSpeeds = []float64{0.6, 1.0, 1.4}
 
 // grace restarts the two machines of each of two zones in turn, one a second. The upstreams that serve the requests and
 // the nodes beside them are in a third zone and run on.
 func grace(f *fleet, trouble bool) (violations []string, err error) {
 	const timeout, deadline = 12 * time.Second, 25 * time.Second
-	for range 4 {
-		f.add("sala-central", "rede-pontos", longHistory)
+	for number := range 12 {
+		f.add("sala-central", "rede-pontos", longHistoryWork.at(longSpeeds[number%len(longSpeeds)]))
 	}
+	callers := len(f.machines)
 	for _, zone := range []string{"sala-norte", "sala-sul"} {
-		f.add(zone, "tarifario", longHistory)
-		f.add(zone, "sessoes", longHistory)
+		f.add(zone, "tarifario", longHistoryWork.at(1))
+		f.add(zone, "sessoes", longHistoryWork.at(1))
 	}
 	f.configure(1, []route{{"historico", "/historico/", "idempotent", "rede-pontos", int(timeout.Milliseconds()), 4000, 2, 2}})
 	if err := f.start(); err != nil {
@@ -49,13 +46,13 @@
 	sent := &tries{}
 	ctx, cancel := context.WithCancel(f.context)
 	var running sync.WaitGroup
-	for _, each := range f.machines[4:] {
+	for _, each := range f.machines[callers:] {
 		running.Add(1)
-		go (&load{machine: each, name: "h", method: http.MethodGet, prefix: "/historico/", deadline: deadline, every: 120 * time.Millisecond, into: sent}).run(ctx, &running)
+		go (&load{machine: each, name: "h", method: http.MethodGet, prefix: "/historico/", deadline: deadline, every: 40 * time.Millisecond, into: sent}).run(ctx, &running)
 	}
 	time.Sleep(4 * time.Second)
-	for range 2 {
-		for _, each := range f.machines[4:] {
+	for range 3 {
+		for _, each := range f.machines[callers:] {
 			if trouble {
 				each.signal(syscall.SIGTERM)
 			}
