--- a/review/_fleet/grace.go
+++ b/review/_fleet/grace.go
@@ -31,7 +31,7 @@
 // the nodes beside them are in a third zone and run on.
 func grace(f *fleet, trouble bool) (violations []string, err error) {
 	const timeout, deadline = 12 * time.Second, 25 * time.Second
-	for number := range 12 {
+	for number := range 21 {
 		f.add("sala-central", "rede-pontos", longHistoryWork.at(longSpeeds[number%len(longSpeeds)]))
 	}
 	callers := len(f.machines)
@@ -48,7 +48,7 @@
 	var running sync.WaitGroup
 	for _, each := range f.machines[callers:] {
 		running.Add(1)
-		go (&load{machine: each, name: "h", method: http.MethodGet, prefix: "/historico/", deadline: deadline, every: 40 * time.Millisecond, into: sent}).run(ctx, &running)
+		go (&load{machine: each, name: "h", method: http.MethodGet, prefix: "/historico/", deadline: deadline, every: 20 * time.Millisecond, into: sent}).run(ctx, &running)
 	}
 	time.Sleep(4 * time.Second)
 	for range 3 {
