--- a/review/_fleet/rollout.go
+++ b/review/_fleet/rollout.go
@@ -31,7 +31,7 @@
 	rolloutDuration = 14 * time.Second
 	turnedAway      = 8200 * time.Millisecond
 	lateStart       = 800 * time.Millisecond
-	freshMachines   = 3
+	freshMachines   = 4
 )
 
 // bad is the software of a bad version: half of its answers are failures.
