--- a/review/_probe/bedding.go
+++ b/review/_probe/bedding.go
@@ -18,7 +18,7 @@
 func (b *bed) build(config []byte, work time.Duration, places []place, adjust func(*machine)) *site {
 	built := &site{store: newStore(), address: b.network + ".200:8309"}
 	built.store.serve(built.address)
-	built.store.put("op/config", config)
+	built.store.put(wire["configuration"], config)
 	for _, one := range places {
 		m := b.newMachine(one.name, one.zone, one.service, built.address, bounds())
 		if adjust != nil {
--- a/review/_probe/client.go
+++ b/review/_probe/client.go
@@ -39,7 +39,7 @@
 	}
 	defer func() { _ = connection.Close() }()
 	_ = connection.SetDeadline(seen.sent.Add(deadline + time.Second))
-	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n", method, target, host, id, deadline.Milliseconds())
+	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n", method, target, host, wire["request id"], id, wire["deadline"], deadline.Milliseconds())
 	switch whole := strings.Join(pieces, ""); {
 	case chunked:
 		head += "Transfer-Encoding: chunked\r\n"
@@ -81,6 +81,6 @@
 	if err != nil {
 		seen.err = "answer broke off"
 	}
-	seen.status, seen.signature, seen.body = response.StatusCode, response.Header.Get("X-Response-Signature"), string(read)
+	seen.status, seen.signature, seen.body = response.StatusCode, response.Header.Get(wire["signature"]), string(read)
 	return seen
 }
--- a/review/_probe/machine.go
+++ b/review/_probe/machine.go
@@ -58,15 +58,15 @@
 	m.document = map[string]any{
 		"node_name": name, "role": "sidecar", "machine_class": "sidecar", "serves": []string{"sidecar"}, "ip": m.ip,
 		"zone": zone, "region": "khomas", "zones": map[string]string{"hall-a": "khomas", "hall-b": "khomas", "hall-c": "khomas"},
-		"listen_addrs": map[string]string{
+		wire["listen"]: map[string]string{
 			"inbound": m.address(portInbound), "outbound": m.address(portOutbound), "readiness": m.address(portReady), "control": m.address(portControl),
 		},
-		"port_range": []int{portPeer, portPeer + 15}, "seeds": []string{}, "bootstrap": true, "in_tolerance": false,
+		wire["ports"]: []int{portPeer, portPeer + 15}, "seeds": []string{}, "bootstrap": true, "in_tolerance": false,
 		"limits":   map[string]any{"cpu_share": 0.32, "cores": 1, "memory_mb": 284, "max_fds": 4100, "link_mbps": 1000.0, "disk_mb": 0},
 		"data_dir": nil, "discovery": "static", "entry": "static", "heartbeat_ms": 1500,
 		"contracts":       []string{"base", "drain", "config", "cost", "retry", "recover", "platform"},
 		"fault_tolerance": map[string]int{"machines": 1, "zones": 0, "regions": 0},
-		"bounds":          bounds, "app_addr": m.address(portApp), "service": service,
+		"bounds":          bounds, wire["app"]: m.address(portApp), "service": service,
 		"platform": map[string]any{"address": storeAddress, "form": "kv", "writes_per_s": 400, "reads_per_s": 2000, "history_s": 20, "value_bytes": 1048576, "ttl_min_ms": 1000},
 	}
 	m.write()
@@ -77,8 +77,8 @@
 func bounds() map[string]any {
 	return map[string]any{
 		"seed_lag_s": 3, "reuse_after_s": 2, "contact_ms": 3000, "ack_ms": 4000, "sync_s": 4, "drain_ms": 2000, "grace_s": 6,
-		"loss_slack_ms": 200, "config_apply_ms": 2000, "rollback_slack_ms": 250, "max_skew_ms": 5000, "retry_budget_ratio": 0.2,
-		"budget_window_s": 10, "budget_slack": 62, "recovery_s": 15,
+		"loss_slack_ms": 200, "config_apply_ms": 2000, "rollback_slack_ms": 250, "max_skew_ms": 5000, wire["retry ratio"]: 0.2,
+		"budget_window_s": 10, wire["retry slack"]: 62, "recovery_s": 15,
 	}
 }
 
@@ -100,7 +100,7 @@
 func (b *bed) start(m *machine) {
 	words := strings.Fields(b.run)
 	m.process = exec.Command(words[0], words[1:]...)
-	m.process.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + b.folder, "KESTRELSTREAM_SETTINGS=" + m.settings}
+	m.process.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + b.folder, wire["settings variable"] + "=" + m.settings}
 	log, err := os.OpenFile(filepath.Join(b.folder, m.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		cannotRun("log: %v", err)
@@ -127,7 +127,7 @@
 func (m *machine) awaitReady(within time.Duration) bool {
 	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		request, _ := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.address(portReady)+"/api/readyz", nil)
+		request, _ := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.address(portReady)+wire["readiness"], nil)
 		response, err := http.DefaultClient.Do(request)
 		cancel()
 		if err == nil {
--- a/review/_probe/main.go
+++ b/review/_probe/main.go
@@ -101,23 +101,23 @@
 
 func routeOf(name, host, prefix, kind, service string, timeoutMS, aimMS, attempts int) object {
 	spec := object{
-		"host": host, "path_prefix": prefix, "route_type": kind, "target_latency_ms": aimMS,
-		"priority": 1, "service": service, "retry_attempts": attempts,
+		"host": host, wire["prefix"]: prefix, wire["type"]: kind, wire["target latency"]: aimMS,
+		"priority": 1, "service": service, wire["attempts"]: attempts,
 	}
 	if timeoutMS > 0 {
 		spec["timeout_ms"] = timeoutMS
 	}
-	return object{"resource_kind": "routes", "metadata": object{"name": name}, "spec": spec}
+	return object{wire["kind"]: "routes", "metadata": object{"name": name}, "spec": spec}
 }
 
 func serviceOf(name string) object {
-	return object{"resource_kind": "services", "metadata": object{"name": name}, "spec": object{
+	return object{wire["kind"]: "services", "metadata": object{"name": name}, "spec": object{
 		"health_path": "/healthz", "max_connections": 130, "protocol": "h1", "tls": false,
 	}}
 }
 
 func limitsOf() object {
-	return object{"resource_kind": "limits", "metadata": object{}, "spec": object{
+	return object{wire["kind"]: "limits", "metadata": object{}, "spec": object{
 		"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout_ms": 3000, "idle_timeout_ms": 15000,
 	}}
 }
--- a/review/_probe/movedback.go
+++ b/review/_probe/movedback.go
@@ -38,7 +38,7 @@
 	_ = other.Close()
 	b.note("no settings name %s any more, nothing listens there", second)
 	time.Sleep(4 * time.Second)
-	s.store.put("op/config", version(9, "archive"))
+	s.store.put(wire["configuration"], version(9, "archive"))
 	acknowledged := time.Now()
 	b.note("the store at %s acknowledges version 9, which moves the route from registry to archive", s.address)
 	time.Sleep((applyMS + 500) * time.Millisecond)
--- a/review/_probe/slashes.go
+++ b/review/_probe/slashes.go
@@ -23,7 +23,7 @@
 		inner := u.server.Handler
 		u.server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			mu.Lock()
-			reached[r.Header.Get("X-Request-Id")] = target{method: r.Method, uri: r.RequestURI, host: r.Host}
+			reached[r.Header.Get(wire["request id"])] = target{method: r.Method, uri: r.RequestURI, host: r.Host}
 			mu.Unlock()
 			inner.ServeHTTP(w, r)
 		})
--- a/review/_probe/store.go
+++ b/review/_probe/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"sort"
@@ -18,12 +19,8 @@
 	revision uint64
 	items    map[string]item
 	history  []item
-	// slow delays every answer but those of watches.
-	slow time.Duration
 	// down: every call is answered with 503, as nothing was done.
 	down bool
-	// writes lists the keys that nodes wrote, with the time.
-	writes []string
 }
 
 type item struct {
@@ -42,10 +39,10 @@
 // serve answers on an address until the server is closed.
 func (s *store) serve(address string) *http.Server {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /api/kv-key", s.key)
-	mux.HandleFunc("GET /api/kv-range", s.rangeOf)
-	mux.HandleFunc("GET /api/kv-watch", s.watch)
-	mux.HandleFunc("POST /api/kv-txn", s.transaction)
+	mux.HandleFunc("GET "+wire["store key"], s.key)
+	mux.HandleFunc("GET "+wire["store range"], s.rangeOf)
+	mux.HandleFunc("GET "+wire["store watch"], s.watch)
+	mux.HandleFunc("POST "+wire["store transaction"], s.transaction)
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		cannotRun("store: %v", err)
@@ -94,17 +91,9 @@
 	s.changed = make(chan struct{})
 }
 
+// pause takes the time of an answer of the store.
 func (s *store) pause() {
-	s.mu.Lock()
-	slow := s.slow
-	s.mu.Unlock()
-	time.Sleep(4*time.Millisecond + slow)
-}
-
-func (s *store) setSlow(slow time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.slow = slow
+	time.Sleep(4 * time.Millisecond)
 }
 
 // setDown makes the store busy or sound. Watches that wait are cut.
@@ -133,7 +122,7 @@
 	s.pause()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	prefix, after := r.URL.Query().Get("path_prefix"), r.URL.Query().Get("after")
+	prefix, after := r.URL.Query().Get(wire["prefix"]), r.URL.Query().Get("after")
 	found := []item{}
 	for key, one := range s.items {
 		if strings.HasPrefix(key, prefix) && key > after {
@@ -148,7 +137,7 @@
 
 func (s *store) watch(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
-	prefix := query.Get("path_prefix")
+	prefix := query.Get(wire["prefix"])
 	after, _ := strconv.ParseUint(query.Get("after"), 10, 64)
 	wait, _ := strconv.Atoi(query.Get("wait_ms"))
 	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
@@ -185,24 +174,35 @@
 func (s *store) transaction(w http.ResponseWriter, r *http.Request) {
 	s.pause()
 	var asked struct {
-		Expected []struct {
-			Key      string `json:"key"`
-			Revision uint64 `json:"revision"`
-		} `json:"expected_rev"`
 		Put []struct {
 			Key   string `json:"key"`
 			Value []byte `json:"value"`
 		} `json:"put"`
 		Remove []string `json:"remove"`
 	}
-	if err := json.NewDecoder(r.Body).Decode(&asked); err != nil {
-		answer(w, http.StatusBadRequest, map[string]any{})
+	var expectations []struct {
+		Key      string `json:"key"`
+		Revision uint64 `json:"revision"`
+	}
+	raw, err := io.ReadAll(r.Body)
+	if err == nil {
+		err = json.Unmarshal(raw, &asked)
+	}
+	fields := map[string]json.RawMessage{}
+	if err == nil {
+		err = json.Unmarshal(raw, &fields)
+	}
+	if expected, found := fields[wire["expected"]]; err == nil && found {
+		err = json.Unmarshal(expected, &expectations)
+	}
+	if err != nil {
+		answer(w, http.StatusBadRequest, object{})
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	current, differs := []item{}, false
-	for _, expected := range asked.Expected {
+	for _, expected := range expectations {
 		found, ok := s.items[expected.Key]
 		if ok {
 			current = append(current, found)
@@ -216,7 +216,6 @@
 	s.revision++
 	for _, one := range asked.Put {
 		s.set(one.Key, one.Value)
-		s.writes = append(s.writes, one.Key)
 	}
 	for _, key := range asked.Remove {
 		delete(s.items, key)
--- a/review/_probe/upstream.go
+++ b/review/_probe/upstream.go
@@ -67,7 +67,7 @@
 	body, _ := json.Marshal(map[string]any{
 		"address": u.address,
 		"info":    map[string]any{"service": u.service, "version": "v1", "zone": u.zone, "slots": u.slots},
-		"status":  map[string]any{"state": state, "seq": seq, "warmup_left_ms": 0},
+		"status":  map[string]any{"state": state, "seq": seq, wire["warmup left"]: 0},
 	})
 	return u.call(http.MethodPut, body)
 }
@@ -75,7 +75,7 @@
 func (u *upstream) call(method string, body []byte) (time.Time, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+u.control+"/api/instances/"+u.id, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+u.control+wire["instances"]+u.id, bytes.NewReader(body))
 	if err != nil {
 		return time.Time{}, err
 	}
@@ -100,12 +100,6 @@
 	return u.beat()
 }
 
-// end ends the process of the upstream.
-func (u *upstream) end() {
-	close(u.stop)
-	_ = u.server.Close()
-}
-
 func (u *upstream) seen() []arrivalSeen {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -115,23 +109,23 @@
 func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	header := w.Header()
 	if r.URL.Path == "/healthz" {
-		header.Set("X-Instance-Id", u.id)
+		header.Set(wire["instance id"], u.id)
 		u.mu.Lock()
 		state := u.state
-		header.Set("X-Upstream-Load", fmt.Sprintf("%d,0,%d", u.running, u.slots))
+		header.Set(wire["load"], fmt.Sprintf("%d,0,%d", u.running, u.slots))
 		u.mu.Unlock()
 		if state != "ready" {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 		return
 	}
-	seen := arrivalSeen{id: r.Header.Get("X-Request-Id"), upstream: u.id, service: u.service, target: r.Header.Get("X-Target-Instance"), at: time.Now()}
-	header.Set("X-Request-Id", seen.id)
+	seen := arrivalSeen{id: r.Header.Get(wire["request id"]), upstream: u.id, service: u.service, target: r.Header.Get(wire["target instance"]), at: time.Now()}
+	header.Set(wire["request id"], seen.id)
 	if seen.target != "" && seen.target != u.id {
 		seen.refused = true
 		u.record(seen)
-		header.Set("X-Instance-Id", u.id)
-		header.Set("X-Not-Processed", "1")
+		header.Set(wire["instance id"], u.id)
+		header.Set(wire["not processed"], "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -145,7 +139,7 @@
 	if full {
 		seen.refused = true
 		u.record(seen)
-		header.Set("X-Not-Processed", "1")
+		header.Set(wire["not processed"], "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -179,8 +173,8 @@
 		header.Set("Connection", "close")
 	}
 	u.mu.Unlock()
-	header.Set("X-Upstream-Load", fmt.Sprintf("%d,0,%d", running, u.slots))
-	header.Set("X-Response-Signature", "sig."+u.id+"."+seen.id)
+	header.Set(wire["load"], fmt.Sprintf("%d,0,%d", running, u.slots))
+	header.Set(wire["signature"], "sig."+u.id+"."+seen.id)
 	_, _ = io.WriteString(w, "the answer of "+u.id+" to "+seen.id)
 }
 
