review: case 8, EXPOSURE: a bad version is completed while the old one restarts

The machines of the old version's three upstreams get SIGTERM at the same moment and are started again. A bad version that is ordered 2.2 s later is completed 0.02 to 0.04 s after the order and gets all requests.

--- a/review/_probe/store.go
+++ b/review/_probe/store.go
@@ -91,6 +91,13 @@
 	s.changed = make(chan struct{})
 }
 
+// value returns the value of a key, nil where there is none.
+func (s *store) value(key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.items[key].Value
+}
+
 // pause takes the time of an answer of the store.
 func (s *store) pause() {
 	time.Sleep(4 * time.Millisecond)
--- a/review/_probe/upstream.go
+++ b/review/_probe/upstream.go
@@ -17,7 +17,7 @@
 type arrivalSeen struct {
 	id, upstream, service, target string
 	at, started, ended            time.Time
-	refused, ran                  bool
+	refused, ran, failed, cut     bool
 }
 
 // upstream is a stand-in of an application upstream.
@@ -27,6 +27,9 @@
 	work                                time.Duration
 	server                              *http.Server
 	stop                                chan struct{}
+	// version is that of the software; of bad software every second answer is a failure.
+	version string
+	bad     bool
 
 	mu       sync.Mutex // guards all below
 	state    string
@@ -36,7 +39,7 @@
 }
 
 func startUpstream(id, service, zone, address, control string, slots int, work time.Duration) *upstream {
-	u := &upstream{id: id, service: service, zone: zone, address: address, control: control, slots: slots, work: work, state: "ready", stop: make(chan struct{})}
+	u := &upstream{id: id, service: service, zone: zone, address: address, control: control, slots: slots, work: work, state: "ready", stop: make(chan struct{}), version: "v1"}
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		cannotRun("upstream: %v", err)
@@ -66,7 +69,7 @@
 	u.mu.Unlock()
 	body, _ := json.Marshal(map[string]any{
 		"address": u.address,
-		"info":    map[string]any{"service": u.service, "version": "v1", "zone": u.zone, "slots": u.slots},
+		"info":    map[string]any{"service": u.service, "version": u.version, "zone": u.zone, "slots": u.slots},
 		"status":  map[string]any{"state": state, "seq": seq, wire["warmup left"]: 0},
 	})
 	return u.call(http.MethodPut, body)
@@ -162,11 +165,12 @@
 	select {
 	case <-time.After(work):
 	case <-r.Context().Done():
-		seen.ended = time.Now()
+		seen.ended, seen.cut = time.Now(), true
 		u.record(seen)
 		return
 	}
 	seen.ended = time.Now()
+	seen.failed = u.bad && requestNumber.Add(1)%2 == 0
 	u.record(seen)
 	u.mu.Lock()
 	if u.state != "ready" {
@@ -175,6 +179,9 @@
 	u.mu.Unlock()
 	header.Set(wire["load"], fmt.Sprintf("%d,0,%d", running, u.slots))
 	header.Set(wire["signature"], "sig."+u.id+"."+seen.id)
+	if seen.failed {
+		w.WriteHeader(http.StatusInternalServerError)
+	}
 	_, _ = io.WriteString(w, "the answer of "+u.id+" to "+seen.id)
 }
 
