review: case 8, ROUTE: without the last keys every request is run

A version takes away the two keys of the only tenant. The nodes then pass on requests with keys that were taken away, with invented keys and without any.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -10,4 +10,4 @@
 	echo "run the build of deploy/system.toml and review/build-2.sh first" >&2
 	exit 2
 fi
-exec "$probe" leaving-order "$command" "$record"
+exec "$probe" keys "$command" "$record"
--- a/review/_probe/client.go
+++ b/review/_probe/client.go
@@ -29,7 +29,16 @@
 }
 
 // slow sends one request whose body goes out in pieces, in chunks or with a length.
-func slow(address, method, host, target, id string, deadline time.Duration, pieces []string, gap time.Duration, chunked bool) (seen outcomeSeen) {
+func slow(address, method, host, target, id string, deadline time.Duration, pieces []string, gap time.Duration, chunked bool) outcomeSeen {
+	return send(address, method, host, target, id, deadline, pieces, gap, chunked, "")
+}
+
+// withHead is plain with further lines in the header.
+func withHead(address, method, host, target, id string, deadline time.Duration, body, lines string) outcomeSeen {
+	return send(address, method, host, target, id, deadline, []string{body}, 0, false, lines)
+}
+
+func send(address, method, host, target, id string, deadline time.Duration, pieces []string, gap time.Duration, chunked bool, lines string) (seen outcomeSeen) {
 	seen = outcomeSeen{id: id, sent: time.Now()}
 	defer func() { seen.ended = time.Now() }()
 	connection, err := net.DialTimeout("tcp", address, time.Second)
@@ -39,7 +48,7 @@
 	}
 	defer func() { _ = connection.Close() }()
 	_ = connection.SetDeadline(seen.sent.Add(deadline + time.Second))
-	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n", method, target, host, wire["request id"], id, wire["deadline"], deadline.Milliseconds())
+	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n", method, target, host, wire["request id"], id, wire["deadline"], deadline.Milliseconds()) + lines
 	switch whole := strings.Join(pieces, ""); {
 	case chunked:
 		head += "Transfer-Encoding: chunked\r\n"
