--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,5 +3,5 @@
 set -eu
 cd "$(dirname "$0")/.."
 go build -o target/review-2/fleet ./review/_fleet
-# Those of review/8 to review/12.
+# Those of review/8, and of what review/_probe/seen tells.
 go build -o target/review/probe ./review/_probe
