--- a/internal/sidecar/ingress/arrival.go
+++ b/internal/sidecar/ingress/arrival.go
@@ -124,6 +124,9 @@
 	if forward.CallerDisconnected(a.context) {
 		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepAdmit, 0, forward.ErrCallerDisconnected)
 	}
+	if failure := a.checkStop(); failure != nil {
+		return failure
+	}
 	a.sent, sent = clock.Now(), true
 	a.handler.activeRequests.begin(a)
 	defer a.handler.activeRequests.end(a)
@@ -132,6 +135,7 @@
 	}
 	run := a.handler.pace.Begin(a.reported.ExpectedServiceTime, a.sent)
 	defer a.handler.pace.End(run)
+	defer a.observeLongest()
 	failure = a.exchange(body)
 	served = failure == nil
 	return failure
@@ -185,8 +189,11 @@
 	if judge := a.handler.options.Judge; judge != nil && judge.Refuses() {
 		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepDrain, defaultRetryAfter, errVersionRejected)
 	}
-	a.applyPeerLimit()
 	a.deadline = a.started.Add(reported.Remaining)
+	if failure := a.checkStop(); failure != nil {
+		return failure
+	}
+	a.applyPeerLimit()
 	return nil
 }
 
@@ -254,11 +261,20 @@
 		Tenant:            a.tenant(),
 		PreventStarvation: a.contended(),
 		Work:              a.reported.ExpectedServiceTime,
-		MaximumWait:       a.reported.MaximumWait,
+		MaximumWait:       a.maximumWait(),
 		Peer:              a.peer(),
 	}
 }
 
+// maximumWait returns how long the request may wait for a slot.
+func (a *arrival) maximumWait() time.Duration {
+	now := clock.Now()
+	if latest, bounded := a.latestStart(now); bounded {
+		return min(a.reported.MaximumWait, max(latest.Sub(now), time.Millisecond))
+	}
+	return a.reported.MaximumWait
+}
+
 // peer returns the host of the node that sent the request.
 func (a *arrival) peer() string {
 	host, _, _ := strings.Cut(a.request.RemoteAddr, ":")
--- a/internal/sidecar/ingress/exchange.go
+++ b/internal/sidecar/ingress/exchange.go
@@ -224,6 +224,12 @@
 	a.setReplyHeaders(worked)
 }
 
+// observeLongest records how long the request was at the back end, whatever became of it.
+func (a *arrival) observeLongest() {
+	now := clock.Now()
+	a.handler.longest.Observe(now.Sub(a.sent), a.reported.ExpectedServiceTime, now)
+}
+
 // checkResponse returns the failure that the answer to this request stands for, nil for a valid one.
 func (a *arrival) checkResponse(response *http.Response) *outcome.Failure {
 	names := &a.handler.options.Vocabulary
--- a/internal/sidecar/ingress/handler.go
+++ b/internal/sidecar/ingress/handler.go
@@ -162,11 +162,14 @@
 	// drainStart records since when the back end has been draining; nil if it is not.
 	drainStart       atomic.Pointer[drainStart]
 	closeConnections atomic.Bool
+	// finishBy is the time by which requests must be done because the node stops; nil before.
+	finishBy atomic.Pointer[time.Time]
 	// rejecting: no request is accepted any more. inFlight is incremented before rejecting is read,
 	// so that each request is either counted or refused.
 	rejecting atomic.Bool
 	inFlight  atomic.Int64
 	pace      choice.Pace
+	longest   choice.Longest
 	failures  choice.Failures
 	// active tracks the requests that the back end works on.
 	activeRequests activeRequests
@@ -250,15 +253,6 @@
 	})
 }
 
-// Stop makes replies close their connections from now on.
-func (h *Handler) Stop() { h.closeConnections.Store(true) }
-
-// RejectNew refuses new requests and those that wait for a slot; none of them is run.
-func (h *Handler) RejectNew() {
-	h.rejecting.Store(true)
-	h.gate.Close()
-}
-
 // InFlight returns the number of requests in progress.
 func (h *Handler) InFlight() int { return int(h.inFlight.Load()) }
 
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -16,9 +16,9 @@
 func (s *Sidecar) Drain() (closeBy time.Time) {
 	started := clock.Now()
 	s.stopping.Store(true)
-	s.egress.Stop()
-	s.ingress.Stop()
 	plan := stopPlan{grace: s.settings.Load().Grace}
+	s.egress.Stop()
+	s.ingress.Stop(started.Add(plan.cutoff()))
 	s.egress.RefuseFrom(started.Add(plan.acceptUntil()))
 	s.egress.AcceptNestedUntil(started.Add(plan.cutoff()))
 	announcement := time.AfterFunc(plan.announceAt(), s.announceLeaving)
