--- a/internal/sidecar/exchange/broadcast.go
+++ b/internal/sidecar/exchange/broadcast.go
@@ -180,7 +180,7 @@
 
 // handleNotice merges a notice and forwards it when required.
 func (e *Exchanger) handleNotice(notice *Notice) {
-	e.hadContact.Store(true)
+	e.firstContact.setOnce(clock.Now())
 	if notice.From == notice.Record.Node {
 		e.lost.remove(notice.From)
 	}
@@ -237,7 +237,7 @@
 	if err != nil {
 		return err
 	}
-	e.hadContact.Store(true)
+	e.firstContact.setOnce(clock.Now())
 	return resp.Body.Close()
 }
 
--- a/internal/sidecar/exchange/exchanger.go
+++ b/internal/sidecar/exchange/exchanger.go
@@ -11,7 +11,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -127,8 +126,8 @@
 	client  *http.Client
 	lost    lostPeers
 	random  *rand.Rand
-	// hadContact reports whether this node was in contact with another one.
-	hadContact atomic.Bool
+	// firstContact is the time at which this node was first in contact with another one.
+	firstContact atomicTime
 	// updater fetches newer configurations; proof keeps the proof of being up to date fresh.
 	updater  *catchUp
 	proof    *proofChecker
@@ -281,7 +280,14 @@
 }
 
 // HadContact reports whether this node was in contact with another one since it started.
-func (e *Exchanger) HadContact() bool { return e.hadContact.Load() }
+func (e *Exchanger) HadContact() bool {
+	_, had := e.firstContact.get()
+	return had
+}
+
+// FirstContact returns the time at which this node was first in contact with another one, and false
+// before.
+func (e *Exchanger) FirstContact() (time.Time, bool) { return e.firstContact.get() }
 
 // Reachable reports whether a node is not recorded as lost.
 func (e *Exchanger) Reachable(record *roster.Record) bool { return !e.lost.contains(record.Node) }
@@ -348,7 +354,7 @@
 
 // handleMessage merges a peer's message and fetches its configuration when that is newer.
 func (e *Exchanger) handleMessage(received *Message) {
-	e.hadContact.Store(true)
+	e.firstContact.setOnce(clock.Now())
 	e.lost.remove(received.From.Node) // it is reachable, whichever side started
 	e.mergeState(&received.SharedState)
 	e.options.Roster.Merge(append([]*roster.Record{received.From}, received.Records...))
--- a/internal/sidecar/exchange/proofchecker.go
+++ b/internal/sidecar/exchange/proofchecker.go
@@ -201,7 +201,7 @@
 		c.exchanger.observer.VersionRequestFinished(versionFailed, -1)
 		return trace.Wrap(err, "request version of %s", reader.Node)
 	}
-	c.exchanger.hadContact.Store(true)
+	c.exchanger.firstContact.setOnce(clock.Now())
 	c.recordReply(reader, answer)
 	c.recordProof(answer.Version, answer.ProofAge, asked)
 	if answer.Version > c.exchanger.options.Configuration.Version() {
--- a/internal/sidecar/rollout/controller/controller.go
+++ b/internal/sidecar/rollout/controller/controller.go
@@ -34,8 +34,8 @@
 	// Readers returns the nodes that read the store, in any order. They act one after the
 	// other, in an order that is the same on all nodes.
 	Readers func() []*roster.Record
-	// Settled reports whether the node has run long enough to know earlier orders and the
-	// versions in use.
+	// Settled reports whether the node has known the other nodes for long enough to know earlier
+	// orders and the versions in use.
 	Settled func() bool
 	// Broadcast sends the rollout states to all peers, BroadcastRecord the node's own record.
 	Broadcast, BroadcastRecord func()
@@ -95,6 +95,8 @@
 	writing   bool
 	failures  int
 	notBefore time.Time
+	// waits means that the result is due but the versions in use are not known.
+	waits bool
 }
 
 // New returns a controller. Run starts it.
@@ -159,22 +161,13 @@
 // ApplyOrder handles an order read from the store.
 func (c *Controller) ApplyOrder(order rollout.Order) {
 	now := clock.Now()
-	if c.merge(c.initialState(order, now), now) {
+	if c.merge(rollout.Start(order, c.tally(order.Service, order.Version), now), now) {
 		c.options.Logger.Info("roll-out ordered", zap.String("service", order.Service), zap.String("software", order.Version),
 			zap.Uint64("revision", order.Revision), zap.Duration("duration", order.Duration))
 		c.options.Broadcast()
 	}
 }
 
-// initialState returns the initial state for an order. A node that has just started does not
-// know yet whether other versions are in use.
-func (c *Controller) initialState(order rollout.Order, now time.Time) rollout.State {
-	if !c.options.Settled() {
-		return rollout.NewState(order, now)
-	}
-	return rollout.Start(order, c.tally(order.Service, order.Version), now)
-}
-
 // Restored handles a store that was restored from an older copy: no status is known to be
 // recorded there. A known result of a rollout is kept and written again.
 func (c *Controller) Restored() {
@@ -342,7 +335,7 @@
 
 // tally returns the number of back ends of a service and the evidence about those of a version.
 func (c *Controller) tally(service, version string) rollout.Tally {
-	tally := rollout.Tally{Load: c.options.Load(service, version)}
+	tally := rollout.Tally{Load: c.options.Load(service, version), Incomplete: !c.options.Settled()}
 	for _, record := range c.options.Members.View().Service(service) {
 		switch {
 		case record.Endpoint.Version != version:
@@ -396,7 +389,7 @@
 	for service, active := range c.rollouts {
 		candidates, others := c.candidates(active)
 		assignment := active.TrialAssignment(candidates, others, c.options.Limits(), c.requestRate(active, now), now)
-		onlyVersion := c.options.Settled() && others == 0 && len(candidates) > 0
+		onlyVersion := len(candidates) > 0 && c.tally(service, active.Version).OnlyVersion()
 		plan := rollout.NewPlan(active.State, assignment, slices.Sorted(maps.Keys(c.withheld[service])), onlyVersion, c.splitter(service))
 		plan.PromotedAt = active.promotedAt
 		updated[service] = plan
--- a/internal/sidecar/rollout/controller/metrics.go
+++ b/internal/sidecar/rollout/controller/metrics.go
@@ -12,6 +12,7 @@
 type metrics struct {
 	phase   *prometheus.GaugeVec
 	answers *prometheus.CounterVec
+	waits   prometheus.Counter
 }
 
 func newMetrics(registry prometheus.Registerer) *metrics {
@@ -23,8 +24,11 @@
 		answers: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "kestrel_sidecar_rollout_answers_total", Help: "Answers of the back end beside this node while its version was judged.",
 		}, []string{"version", "result"}),
+		waits: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "kestrel_sidecar_rollout_waits_total", Help: "Results of moves that were due while this node might not know all versions in use.",
+		}),
 	}
-	registry.MustRegister(m.phase, m.answers)
+	registry.MustRegister(m.phase, m.answers, m.waits)
 	return m
 }
 
--- a/internal/sidecar/rollout/controller/writes.go
+++ b/internal/sidecar/rollout/controller/writes.go
@@ -56,6 +56,7 @@
 // writeDue starts writing the phase that is due if it is this node's turn. The lock must be
 // held.
 func (c *Controller) writeDue(ctx context.Context, active *activeRollout, tally rollout.Tally, now time.Time) {
+	c.observeWait(active, active.Waits(tally, c.options.Limits(), now))
 	phase, due := active.DuePhase(tally, c.options.Limits(), now)
 	if !due {
 		active.dueSince = time.Time{}
@@ -72,6 +73,17 @@
 	go c.write(ctx, next)
 }
 
+// observeWait logs and counts that a node cannot tell the result of a rollout because it may not
+// know all versions in use. The lock must be held.
+func (c *Controller) observeWait(active *activeRollout, waits bool) {
+	if waits && !active.waits {
+		c.metrics.waits.Inc()
+		c.options.Logger.Warn("roll-out waits until the versions in use are known", zap.String("service", active.Service),
+			zap.String("software", active.Version), zap.Int("known", c.options.Members.View().Count()))
+	}
+	active.waits = waits
+}
+
 // isTurn reports whether this node is to write the due phase: the readers act one after the
 // other, each if those before it have not.
 func (c *Controller) isTurn(active *activeRollout, phase rollout.Phase, now time.Time) bool {
--- a/internal/sidecar/rollout/detector.go
+++ b/internal/sidecar/rollout/detector.go
@@ -198,6 +198,8 @@
 	// Present is the number of back ends of the version that accept requests, Others that of
 	// the other versions.
 	Present, Others int
+	// Incomplete: the node may not know all back ends of the service yet.
+	Incomplete bool
 	// Load is the fraction of the slots of the other back ends in use; above 1 while requests
 	// wait.
 	Load float64
@@ -209,9 +211,6 @@
 	LogOdds float64
 }
 
-// onlyVersion reports whether no back end of another version is left.
-func (t Tally) onlyVersion() bool { return t.Present > 0 && t.Others == 0 }
-
 // clearLogOdds is the absolute value from which the log odds of one back end are clear.
 const clearLogOdds = 1.0
 
--- a/internal/sidecar/rollout/evaluate.go
+++ b/internal/sidecar/rollout/evaluate.go
@@ -24,7 +24,7 @@
 	switch {
 	case tally.Condemns():
 		s.Phase, s.Recorded, s.Cause = Condemned, false, CauseFaulty
-	case now.After(s.Deadline.Add(expiryGrace)) && !tally.onlyVersion():
+	case now.After(s.Deadline.Add(expiryGrace)) && tally.otherVersions() == othersInUse:
 		s.Phase, s.Recorded, s.Cause = Condemned, false, CauseDeadlineMissed
 	default:
 		return s, false
@@ -36,7 +36,7 @@
 // is in use, there is nothing to compare with and the rollout is completed at once.
 func Start(order Order, tally Tally, now time.Time) State {
 	state := NewState(order, now)
-	if tally.onlyVersion() {
+	if tally.OnlyVersion() {
 		state.Phase = Completed
 	}
 	return state
@@ -49,7 +49,9 @@
 		return s.Phase, !s.Recorded
 	case s.Phase == Condemned:
 		return RolledBack, true
-	case tally.onlyVersion() && !now.Before(s.CompleteAt(limits)):
+	case s.Waits(tally, limits, now):
+		return s.Phase, false
+	case tally.OnlyVersion() && !now.Before(s.CompleteAt(limits)):
 		return Completed, true
 	case !now.Before(s.Deadline):
 		return RolledBack, true
@@ -64,6 +66,12 @@
 	return Trial, !s.Recorded
 }
 
+// Waits reports whether the result is due but this node cannot tell it: it may be the only version
+// in use, which completes the rollout, or one without enough evidence, which rolls it back.
+func (s State) Waits(tally Tally, limits Limits, now time.Time) bool {
+	return s.Phase == Trial && tally.otherVersions() == othersUnknown && !now.Before(s.CompleteAt(limits))
+}
+
 // WithRecordedPhase returns the state with a phase that the store has recorded.
 func (s State) WithRecordedPhase(phase Phase) State {
 	switch {
--- a/internal/sidecar/rollout/rollout_test.go
+++ b/internal/sidecar/rollout/rollout_test.go
@@ -213,6 +213,8 @@
 	good    = rollout.Tally{Present: 8, Others: 8, Answered: 3, For: 3, LogOdds: -9}
 	bad     = rollout.Tally{Present: 8, Others: 8, Answered: 2, Faulty: 2, LogOdds: 8}
 	unknown = rollout.Tally{Present: 8, Others: 8}
+	// alone is the tally of a node that knows no back end of another version, but may not know all.
+	alone = rollout.Tally{Present: 1, Incomplete: true}
 )
 
 // TestDuePhase checks which phase is to be written at which time.
@@ -242,6 +244,11 @@
 		{"completed, not recorded", rollout.Completed, bad, false, start, rollout.Completed, true},
 		{"only version left", rollout.Trial, rollout.Tally{Present: 8}, true, complete, rollout.Completed, true},
 		{"only version left, and condemned", rollout.Condemned, rollout.Tally{Present: 8}, false, complete, rollout.RolledBack, true},
+		{"other versions are not known yet", rollout.Trial, alone, true, complete, rollout.Trial, false},
+		{"other versions are not known by the deadline", rollout.Trial, alone, true, state.Deadline, rollout.Trial, false},
+		{"nothing is known yet", rollout.Trial, rollout.Tally{Incomplete: true}, true, state.Deadline, rollout.Trial, false},
+		{"some other version is known", rollout.Trial, rollout.Tally{Present: 1, Others: 1, Incomplete: true}, true, complete, rollout.RolledBack, true},
+		{"condemned where others are not known yet", rollout.Condemned, alone, false, complete, rollout.RolledBack, true},
 		{"completed is final", rollout.Completed, bad, true, state.Deadline, rollout.Completed, false},
 		{"rolled back is final", rollout.RolledBack, good, true, state.Deadline, rollout.RolledBack, false},
 	}
@@ -259,6 +266,28 @@
 	}
 }
 
+// TestOnlyVersion guards against a version that counts as the only one in use because its node knows no others.
+func TestOnlyVersion(t *testing.T) {
+	cases := []struct {
+		name  string
+		tally rollout.Tally
+		only  bool
+	}{
+		{"no other is left", rollout.Tally{Present: 8}, true},
+		{"others are in use", unknown, false},
+		{"others are not known yet", alone, false},
+		{"no back end at all", rollout.Tally{}, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			g.Expect(tc.tally.OnlyVersion()).To(Equal(tc.only))
+			started := rollout.Start(newOrder(5), tc.tally, start)
+			g.Expect(started.Phase == rollout.Completed).To(Equal(tc.only))
+		})
+	}
+}
+
 // TestEvaluate checks that a version is condemned by several back ends without the store, and
 // when the deadline has passed without a known result.
 func TestEvaluate(t *testing.T) {
@@ -277,6 +306,7 @@
 		{"two are faulty and three are good", rollout.Trial, rollout.Tally{Present: 8, Others: 8, Answered: 5, Faulty: 2, For: 3, LogOdds: -4}, time.Second, rollout.Trial},
 		{"two have log odds against it", rollout.Trial, rollout.Tally{Present: 8, Others: 8, Answered: 2, Against: 2, LogOdds: 4}, time.Second, rollout.Condemned},
 		{"the deadline has just passed", rollout.Promoting, good, 14500 * time.Millisecond, rollout.Promoting},
+		{"others are not known long after the deadline", rollout.Trial, alone, 16 * time.Second, rollout.Trial},
 		{"no result long after the deadline", rollout.Promoting, good, 16 * time.Second, rollout.Condemned},
 		{"completed is final", rollout.Completed, bad, 16 * time.Second, rollout.Completed},
 	}
--- a/internal/sidecar/rollouts.go
+++ b/internal/sidecar/rollouts.go
@@ -31,14 +31,25 @@
 	})
 }
 
-// settleTime is the time after its start during which a node takes all versions that it encounters
-// for versions already in use, since the records of other nodes arrive in any order.
+// settleTime is the time for which a node that knows other nodes takes all versions that it
+// encounters for versions already in use, since the records of other nodes arrive in any order.
 const settleTime = 5 * time.Second
 
-// settled reports whether the node has a configuration, and with it all earlier orders, and has run
-// for settleTime.
+// settled reports whether the node has a configuration, and with it all earlier orders, and has
+// known the other nodes for settleTime.
 func (s *Sidecar) settled() bool {
-	return s.keeper.Version() > 0 && clock.Since(s.started) >= settleTime
+	since, known := s.peersKnownSince()
+	return s.keeper.Version() > 0 && known && clock.Since(since) >= settleTime
+}
+
+// peersKnownSince returns the time at which the store first returned the other nodes, or one of them
+// was first in contact with this one; false before.
+func (s *Sidecar) peersKnownSince() (since time.Time, known bool) {
+	since, known = s.exchanger.FirstContact()
+	if read := s.peersDiscovered.Load(); read != nil && (!known || read.Before(since)) {
+		return *read, true
+	}
+	return since, known
 }
 
 // keyspace describes the keys that operators write, with the handlers of their items.
