--- a/internal/sidecar/egress/call.go
+++ b/internal/sidecar/egress/call.go
@@ -42,6 +42,9 @@
 	minimumRetryAfter = 50 * time.Millisecond
 	// defaultRetryAfter is sent when the load is unknown.
 	defaultRetryAfter = 150 * time.Millisecond
+	// retryAfterUseful is the part of a caller's time, as a divisor, beyond which a Retry-After leaves
+	// too little for another attempt.
+	retryAfterUseful = 4
 	// unlimitedBody stands for a configuration without a limit.
 	unlimitedBody = int64(1) << 40
 )
@@ -107,7 +110,7 @@
 		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepSnapshot, defaultRetryAfter, errNoTable)
 	}
 	if c.refusedByStop() {
-		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepDrain, defaultRetryAfter, errStopping)
+		return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepDrain, c.stopRetryAfter(), errStopping)
 	}
 	if forward.WantsUpgrade(c.request) {
 		return outcome.Refusal(http.StatusNotImplemented, outcome.StepRequest, 0, errUpgrade)
@@ -349,8 +352,7 @@
 		return max(wait, time.Duration(float64(left)*returningWaitFraction))
 	}
 	if !c.deadline.IsZero() {
-		const useful = 4
-		wait = min(wait, max(clock.Until(c.deadline)/useful, 0))
+		wait = min(wait, max(clock.Until(c.deadline)/retryAfterUseful, 0))
 	}
 	return wait
 }
--- a/internal/sidecar/egress/stop.go
+++ b/internal/sidecar/egress/stop.go
@@ -45,6 +45,20 @@
 	return !valid || !c.handler.acceptsNested(c.started.Add(asked))
 }
 
+// stopRetryAfter returns when the caller of a refused call may return: once the node has stopped, but
+// with time left for another attempt.
+func (c *call) stopRetryAfter() time.Duration {
+	until := c.handler.nestedUntil.Load()
+	if until == nil {
+		return defaultRetryAfter
+	}
+	wait := max(clock.Until(*until), defaultRetryAfter)
+	if asked, valid := hop.ParseMilliseconds(c.request.Header.Get(c.handler.options.Vocabulary.Deadline)); valid {
+		wait = min(wait, max(asked/retryAfterUseful, minimumRetryAfter))
+	}
+	return wait
+}
+
 // acceptsNested reports whether a call with that deadline is accepted as a nested one.
 func (h *Handler) acceptsNested(deadline time.Time) bool {
 	until := h.nestedUntil.Load()
--- a/internal/sidecar/stop_test.go
+++ b/internal/sidecar/stop_test.go
@@ -41,13 +41,14 @@
 // TestStopPlanFollowsGrace guards against a step of a stop that ends requests earlier than the grace time requires,
 // or later than it allows.
 func TestStopPlanFollowsGrace(t *testing.T) {
-	for _, grace := range []time.Duration{500 * ms, time.Second, 2 * time.Second, 6 * time.Second, time.Minute} {
+	for _, grace := range []time.Duration{500 * ms, time.Second, 2 * time.Second, 6 * time.Second, 10 * time.Second, time.Minute} {
 		t.Run(grace.String(), func(t *testing.T) {
 			g := NewWithT(t)
 			plan := stopPlan{grace: grace}
 			at := func(share float64) time.Duration { return time.Duration(share * float64(grace)) }
 			g.Expect(plan.announceAt()).To(BeNumerically("<", plan.acceptUntil()))
 			g.Expect(plan.minimum()).To(BeNumerically("<=", plan.acceptUntil()))
+			g.Expect(plan.acceptUntil()).To(BeNumerically("<", 3*time.Second), "calls accepted later would be cancelled")
 			g.Expect(plan.done(max(at(0.94), grace-310*ms), false, 0)).To(BeFalse(), "requests in flight are served")
 			g.Expect(plan.done(max(at(0.95), grace-300*ms), false, 0)).To(BeTrue(), "requests in flight are cancelled")
 			for _, elapsed := range []time.Duration{0, at(0.4), plan.cutoff(), plan.cutoff() + plan.closing()/2} {
--- a/internal/sidecar/stopplan.go
+++ b/internal/sidecar/stopplan.go
@@ -30,6 +30,11 @@
 
 // Bounds of steps that do not depend on the grace time. None of them ends a request.
 const (
+	// maxAnnounce bounds announceAt and maxAccept acceptUntil, for long grace times: the platform
+	// directs callers elsewhere within minDrainTime however long the grace time is. A call that is
+	// accepted more than 3 s after the stop signal may not be cancelled at its end.
+	maxAnnounce = 1800 * time.Millisecond
+	maxAccept   = 2500 * time.Millisecond
 	// drainPollInterval is the time between two checks whether the drain is done.
 	drainPollInterval = 50 * time.Millisecond
 	// minDrainTime is the minimum time for which a stopping node keeps serving: the platform takes
@@ -53,10 +58,10 @@
 func (p stopPlan) at(share float64) time.Duration { return time.Duration(float64(p.grace) * share) }
 
 // announceAt returns when the peers are notified.
-func (p stopPlan) announceAt() time.Duration { return p.at(announceShare) }
+func (p stopPlan) announceAt() time.Duration { return min(maxAnnounce, p.at(announceShare)) }
 
 // acceptUntil returns how long new calls are accepted.
-func (p stopPlan) acceptUntil() time.Duration { return p.at(acceptShare) }
+func (p stopPlan) acceptUntil() time.Duration { return min(maxAccept, p.at(acceptShare)) }
 
 // minimum returns how long the node keeps serving at least, for calls that still arrive.
 func (p stopPlan) minimum() time.Duration { return min(minDrainTime, p.at(minimumShare)) }
