--- a/internal/sidecar/egress/tenant_test.go
+++ b/internal/sidecar/egress/tenant_test.go
@@ -148,6 +148,26 @@
 	g.Expect(node.headers[0]).NotTo(HaveKey(tenantHeader))
 }
 
+// TestLastKeyRevoked guards against requests that are served without a valid key once a version has taken the last
+// keys away.
+func TestLastKeyRevoked(t *testing.T) {
+	for _, key := range []string{"", "revoked", "invented"} {
+		t.Run("key "+key, func(t *testing.T) {
+			g := NewWithT(t)
+			document := tenantTable(t, 2, route.Tenant{Name: "acme"}).Document()
+			document.Tenants = document.Tenants[:1]
+			table, err := route.Compile(document, nil)
+			g.Expect(err).NotTo(HaveOccurred())
+			node := newRecordingNode(t)
+			handler := tenantHandler(t, &fakeFreshness{table: table, canAdvance: true}, node)
+			header := http.Header{"Deadline-Ms": {"3000"}, keyHeader: {key}}
+			g.Expect(request(t, handler, "/closed/", header).Code).To(Equal(http.StatusUnauthorized))
+			g.Expect(node.headers).To(BeEmpty())
+			g.Expect(request(t, handler, "/open/", header).Code).To(Equal(http.StatusOK))
+		})
+	}
+}
+
 // TestRevokedKey: a request that was routed before the key was revoked is returned by a node with
 // the newer configuration, and refused.
 func TestRevokedKey(t *testing.T) {
--- a/internal/sidecar/route/table.go
+++ b/internal/sidecar/route/table.go
@@ -14,8 +14,8 @@
 	hosts        map[string]map[string]*CompiledRoute
 	services     map[string]*Service
 	serviceNames []string
-	// tenants maps each key to its tenant.
-	tenants map[Key]*Tenant
+	// tenantsByKey maps each key to its tenant. It is empty also where no tenant has a key.
+	tenantsByKey map[Key]*Tenant
 	// limited maps names to the tenants with a rate limit; limitedNames holds those names sorted.
 	limited      map[string]*Tenant
 	limitedNames []string
@@ -47,16 +47,16 @@
 		return nil, err
 	}
 	compiled := &Table{
-		document: document,
-		hosts:    map[string]map[string]*CompiledRoute{},
-		services: make(map[string]*Service, len(document.Services)),
-		tenants:  make(map[Key]*Tenant, len(document.Tenants)),
-		limited:  map[string]*Tenant{},
+		document:     document,
+		hosts:        map[string]map[string]*CompiledRoute{},
+		services:     make(map[string]*Service, len(document.Services)),
+		tenantsByKey: make(map[Key]*Tenant, len(document.Tenants)),
+		limited:      map[string]*Tenant{},
 	}
 	for index := range document.Tenants {
 		tenant := &document.Tenants[index]
 		for _, key := range tenant.Keys {
-			compiled.tenants[key] = tenant
+			compiled.tenantsByKey[key] = tenant
 		}
 		if tenant.Limited() {
 			compiled.limited[tenant.Name] = tenant
--- a/internal/sidecar/route/tenant.go
+++ b/internal/sidecar/route/tenant.go
@@ -115,16 +115,22 @@
 	return nil
 }
 
+// HasTenants reports whether the document has tenants, even if none of them has a key.
+func (t *Table) HasTenants() bool { return t != nil && len(t.document.Tenants) > 0 }
+
+// HasKeys reports whether any tenant has a key.
+func (t *Table) HasKeys() bool { return t != nil && len(t.tenantsByKey) > 0 }
+
 // RequiresKey reports whether callers of the route need a key: there are tenants, and the route is
 // not open.
-func (t *Table) RequiresKey(matched *CompiledRoute) bool { return len(t.tenants) > 0 && !matched.Open }
+func (t *Table) RequiresKey(matched *CompiledRoute) bool { return t.HasTenants() && !matched.Open }
 
 // TenantByKey returns the tenant with the given key, or nil.
 func (t *Table) TenantByKey(key string) *Tenant {
 	if key == "" {
 		return nil
 	}
-	return t.tenants[Key(key)]
+	return t.tenantsByKey[Key(key)]
 }
 
 // LimitedTenant returns the tenant with the given name if it has a rate limit, otherwise nil. A nil
--- a/internal/sidecar/route/tenant_test.go
+++ b/internal/sidecar/route/tenant_test.go
@@ -41,6 +41,42 @@
 	}
 }
 
+// TestRoutesStayClosedWithoutKeys guards against routes that are open to everybody once the last key has been
+// taken away.
+func TestRoutesStayClosedWithoutKeys(t *testing.T) {
+	cases := []struct {
+		name         string
+		tenants      []route.Tenant
+		closed, keys bool
+	}{
+		{"a tenant with a key", []route.Tenant{{Name: "a", Keys: []route.Key{"k"}}}, true, true},
+		{"a tenant whose keys were taken away", []route.Tenant{{Name: "a"}}, true, false},
+		{"one of two tenants without keys", []route.Tenant{{Name: "a"}, {Name: "b", Keys: []route.Key{"k"}}}, true, true},
+		{"all tenants without keys", []route.Tenant{{Name: "a"}, {Name: "b", Keys: []route.Key{}}}, true, false},
+		{"no tenants", nil, false, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			table, err := route.Compile(&route.Document{Version: 1, Tenants: tc.tenants}, nil)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(table.RequiresKey(&route.CompiledRoute{})).To(Equal(tc.closed))
+			g.Expect(table.RequiresKey(&route.CompiledRoute{Route: route.Route{Open: true}})).To(BeFalse())
+			g.Expect(table.HasKeys()).To(Equal(tc.keys))
+			g.Expect(table.TenantByKey("")).To(BeNil())
+			encoded, err := json.Marshal((&route.Document{Version: 1, Tenants: tc.tenants}).ChangeFrom(nil))
+			g.Expect(err).NotTo(HaveOccurred())
+			change := &route.Change{}
+			g.Expect(json.Unmarshal(encoded, change)).To(Succeed())
+			passed, err := change.Apply(nil)
+			g.Expect(err).NotTo(HaveOccurred())
+			compiled, err := route.Compile(passed, nil)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(compiled.RequiresKey(&route.CompiledRoute{})).To(Equal(tc.closed), "at a node that has it from a peer")
+		})
+	}
+}
+
 // TestKeyIsNotPrinted checks all formatting verbs.
 func TestKeyIsNotPrinted(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -114,6 +114,8 @@
 	egress         *egress.Handler
 	ingress        *ingress.Handler
 	stopping       atomic.Bool
+	// hasTenants is true while the configuration in force has tenants.
+	hasTenants atomic.Bool
 	// following is true while the node watches the configuration in the store.
 	following atomic.Bool
 	// started is the time at which the node was created. peersDiscovered is the time at which the
@@ -359,7 +361,8 @@
 	s.setService(table, s.members.Own().Endpoint)
 	s.configuredOnce.Do(func() { close(s.configured) })
 	go s.verifyBackend()
-	s.contention.SetTenantsConfigured(len(table.Document().Tenants) > 0)
+	s.contention.SetTenantsConfigured(table.HasTenants())
+	s.warnOfKeys(table)
 	switch source {
 	case configuration.SourceWatch:
 		go s.exchanger.AnnounceVersion()
@@ -369,6 +372,17 @@
 	}
 }
 
+// warnOfKeys logs a version that lets nobody in, and one that ends the use of keys.
+func (s *Sidecar) warnOfKeys(table *route.Table) {
+	had := s.hasTenants.Swap(table.HasTenants())
+	switch {
+	case table.HasTenants() && !table.HasKeys():
+		s.logger.Warn("no tenant has a key: only open routes are served", zap.Uint64("version", table.Version()))
+	case had && !table.HasTenants():
+		s.logger.Warn("the configuration has no tenants any more: no route requires a key", zap.Uint64("version", table.Version()))
+	}
+}
+
 // setService gives the ingress handler the configured service of the back end.
 func (s *Sidecar) setService(table *route.Table, endpoint *roster.Endpoint) {
 	if service := s.serviceOf(endpoint); table != nil && service != "" {
