--- a/internal/sidecar/ingress/arrival.go
+++ b/internal/sidecar/ingress/arrival.go
@@ -209,6 +209,18 @@
 	return !a.handler.options.RoutesTo(a.request, a.endpoint.Service, version)
 }
 
+// checkStop refuses a request that may not be done before the node stops. It has not run. The
+// caller may return when the node has been restarted.
+func (a *arrival) checkStop() *outcome.Failure {
+	now := clock.Now()
+	latest, bounded := a.latestStart(now)
+	if !bounded || !now.After(latest) {
+		return nil
+	}
+	wait := max(a.handler.finishBy.Load().Sub(now), defaultRetryAfter)
+	return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepDrain, wait, errStopping)
+}
+
 func (a *arrival) readBody() (*forward.Body, error) {
 	const unlimited = 1 << 40
 	return forward.ReadBody(a.context, a.writer, a.request, unlimited, "")
--- a/internal/sidecar/ingress/stop.go
+++ b/internal/sidecar/ingress/stop.go
@@ -1,12 +1,6 @@
 package ingress
 
-import (
-	"net/http"
-	"time"
-
-	"github.com/kestrelstream/kestrelstream/internal/proxy/outcome"
-	"github.com/kestrelstream/kestrelstream/internal/sidecar/clock"
-)
+import "time"
 
 // Stop begins the planned stop of the node: replies close their connections from now on, and
 // requests that may take until after finishBy are refused, since they would be cut off then.
@@ -30,15 +24,3 @@
 	}
 	return finishBy.Add(-a.handler.longest.Bound(a.reported.ExpectedServiceTime, now)), true
 }
-
-// checkStop refuses a request that may not be done before the node stops. It has not run. The
-// caller may return when the node has been restarted.
-func (a *arrival) checkStop() *outcome.Failure {
-	now := clock.Now()
-	latest, bounded := a.latestStart(now)
-	if !bounded || !now.After(latest) {
-		return nil
-	}
-	wait := max(a.handler.finishBy.Load().Sub(now), defaultRetryAfter)
-	return outcome.Refusal(http.StatusServiceUnavailable, outcome.StepDrain, wait, errStopping)
-}
