Replies: a reset that a write gets is no end of a body

Callers got a part of an answer as a whole one: a back end answered a long upload at once, without a length, and reset the connection while the upload was being written.

Cause: the kernel reports a reset once. If the write of the upload gets it, the read of the answer ends as after an orderly close, and the end of the connection is the end of the body.

Evidence: a connection that gives ECONNRESET to the write and an end to the read is taken for whole each time. Ruled out: net/http turning the error of the write into an end, and whole answers that were reset afterwards.

Change: strictreply.Conn reports an end of reading as a reset if a write has failed; a write in progress is ended first, so that it cannot be missed. Pools, stores, peers, control streams, the operators' client, health checks and the machine list read through it.

Conclusion: where two calls may observe an end, the reply is whole only if neither saw an error.

--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -22,6 +22,7 @@
 	v1 "github.com/kestrelstream/kestrelstream/internal/api/v1"
 	"github.com/kestrelstream/kestrelstream/internal/resource"
 	"github.com/kestrelstream/kestrelstream/internal/roundtrip"
+	"github.com/kestrelstream/kestrelstream/internal/strictreply"
 )
 
 // Defaults of the client.
@@ -83,7 +84,7 @@
 		options.Timeout = DefaultTimeout
 	}
 	transport := &http.Transport{TLSClientConfig: options.TLS}
-	return &Client{base: base, timeout: options.Timeout, http: &http.Client{Transport: transport}}, nil
+	return &Client{base: base, timeout: options.Timeout, http: &http.Client{Transport: strictreply.NewTransport(transport)}}, nil
 }
 
 // Close drops the idle connections.
--- a/internal/daemon/providers.go
+++ b/internal/daemon/providers.go
@@ -27,6 +27,7 @@
 	"github.com/kestrelstream/kestrelstream/internal/store/httpclient"
 	"github.com/kestrelstream/kestrelstream/internal/store/slots"
 	"github.com/kestrelstream/kestrelstream/internal/store/versionlog"
+	"github.com/kestrelstream/kestrelstream/internal/strictreply"
 	"github.com/kestrelstream/kestrelstream/internal/telemetry"
 )
 
@@ -119,7 +120,7 @@
 			_ = host.MachineLeaving(ctx, machine.Name)
 		},
 		Logger: logger,
-		Client: &http.Client{Transport: &http.Transport{DialContext: options.Dial}},
+		Client: &http.Client{Transport: strictreply.NewTransport(&http.Transport{DialContext: options.Dial})},
 	}
 }
 
--- a/internal/distribution/stream/client.go
+++ b/internal/distribution/stream/client.go
@@ -17,6 +17,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/kestrelstream/kestrelstream/internal/distribution"
+	"github.com/kestrelstream/kestrelstream/internal/strictreply"
 )
 
 // Timeouts and buffer sizes of the client.
@@ -68,7 +69,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &countingConnection{Conn: connection, traffic: traffic}, nil
+			return &countingConnection{Conn: strictreply.NewConn(connection), traffic: traffic}, nil
 		},
 		DisableCompression:    true,
 		ResponseHeaderTimeout: responseHeaderTimeout,
--- a/internal/proxy/announcer.go
+++ b/internal/proxy/announcer.go
@@ -13,6 +13,7 @@
 
 	"github.com/kestrelstream/kestrelstream/internal/endpoint"
 	"github.com/kestrelstream/kestrelstream/internal/proxy/health"
+	"github.com/kestrelstream/kestrelstream/internal/strictreply"
 )
 
 // answerReportInterval is the minimum time between two answered requests that
@@ -38,7 +39,7 @@
 	backend := options.Backend
 	created := &announcer{options: options, core: health.New()}
 	created.client = &http.Client{
-		Transport: &http.Transport{DialContext: options.Dial, DisableKeepAlives: true},
+		Transport: strictreply.NewTransport(&http.Transport{DialContext: options.Dial, DisableKeepAlives: true}),
 		Timeout:   backend.HealthInterval,
 	}
 	created.announced = endpoint.Update{
--- a/internal/proxy/forward/conn.go
+++ b/internal/proxy/forward/conn.go
@@ -10,6 +10,8 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+
+	"github.com/kestrelstream/kestrelstream/internal/strictreply"
 )
 
 // Write states of a tracked connection during one exchange.
@@ -43,7 +45,7 @@
 
 // newTrackedConn returns an idle connection.
 func newTrackedConn(opened net.Conn, limits headerLimits, onUnsolicited func(*http.Request, *ReplyError)) *trackedConn {
-	created := &trackedConn{Conn: opened}
+	created := &trackedConn{Conn: strictreply.NewConn(opened)}
 	created.limits, created.onUnsolicited, created.changed.L = limits, onUnsolicited, &created.mutex
 	return created
 }
--- a/internal/proxy/forward/reset_test.go
+++ b/internal/proxy/forward/reset_test.go
@@ -6,9 +6,11 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -96,6 +98,68 @@
 	}
 }
 
+// earlyReplyConn is a connection whose peer replies while the body of a request is written, and resets the
+// connection: the write gets the error, and the read ends as after an orderly close.
+type earlyReplyConn struct {
+	net.Conn
+	writes  int
+	reset   chan struct{}
+	replied bool
+	closed  chan struct{}
+}
+
+func (c *earlyReplyConn) Write(data []byte) (int, error) {
+	if c.writes++; c.writes == 1 {
+		return len(data), nil
+	}
+	close(c.reset)
+	time.Sleep(time.Millisecond) // the read ends before the write returns
+	return 0, os.NewSyscallError("write", syscall.ECONNRESET)
+}
+
+func (c *earlyReplyConn) Read(data []byte) (int, error) {
+	select {
+	case <-c.reset:
+	case <-c.closed:
+		return 0, net.ErrClosed
+	}
+	if !c.replied {
+		c.replied = true
+		return copy(data, "HTTP/1.1 200 OK\r\n\r\npart"), nil
+	}
+	return 0, io.EOF
+}
+
+func (c *earlyReplyConn) Close() error {
+	close(c.closed)
+	return nil
+}
+
+func (c *earlyReplyConn) SetReadDeadline(time.Time) error  { return nil }
+func (c *earlyReplyConn) SetWriteDeadline(time.Time) error { return nil }
+func (c *earlyReplyConn) LocalAddr() net.Addr              { return &net.TCPAddr{} }
+func (c *earlyReplyConn) RemoteAddr() net.Addr             { return &net.TCPAddr{} }
+
+// TestEarlyReplyThatIsResetIsBroken guards against a part of a reply to an upload that looks whole because the
+// write of the upload got the reset.
+func TestEarlyReplyThatIsResetIsBroken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		conn := &earlyReplyConn{reset: make(chan struct{}), closed: make(chan struct{})}
+		pool := NewPool("peer:80", Limits{Connections: 1, DialTimeout: time.Second, AllowUnframed: true},
+			func(context.Context, string, string) (net.Conn, error) { return conn, nil })
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://peer/", strings.NewReader(strings.Repeat("x", 1<<20)))
+		g.Expect(err).NotTo(HaveOccurred())
+		reply, err := pool.RoundTrip(request)
+		if err == nil {
+			_, err = io.ReadAll(reply.Body)
+			g.Expect(reply.Body.Close()).To(Succeed())
+		}
+		g.Expect(err).To(HaveOccurred())
+		synctest.Wait()
+	})
+}
+
 // lingerConn records whether SO_LINGER was set to 0, which makes Close send a reset.
 type lingerConn struct {
 	net.Conn
--- a/internal/sidecar/exchange/exchanger.go
+++ b/internal/sidecar/exchange/exchanger.go
@@ -26,6 +26,7 @@
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/rollout"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/roster"
 	"github.com/kestrelstream/kestrelstream/internal/sidecar/route"
+	"github.com/kestrelstream/kestrelstream/internal/strictreply"
 )
 
 // Options configure an exchanger.
@@ -155,13 +156,13 @@
 
 // newClient returns the HTTP client for requests to other nodes.
 func newClient(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Client {
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: strictreply.NewTransport(&http.Transport{
 		DialContext:            dial,
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxIdlePerPeer,
 		IdleConnTimeout:        peerIdleTimeout,
 		MaxResponseHeaderBytes: maxHeaderBytes,
-	}}
+	})}
 }
 
 // Run starts exchanges with one peer after another, and keeps the proof that the node is up to date
--- a/internal/store/httpclient/client.go
+++ b/internal/store/httpclient/client.go
@@ -20,6 +20,7 @@
 	"github.com/kestrelstream/kestrelstream/internal/roundtrip"
 	"github.com/kestrelstream/kestrelstream/internal/store"
 	"github.com/kestrelstream/kestrelstream/internal/store/wire"
+	"github.com/kestrelstream/kestrelstream/internal/strictreply"
 )
 
 // Defaults of the client.
@@ -72,7 +73,7 @@
 		address: address,
 		timeout: options.Timeout,
 		limiter: newLimiter(options.RequestsPerSecond),
-		http:    &http.Client{Transport: transport},
+		http:    &http.Client{Transport: strictreply.NewTransport(transport)},
 	}
 }
 
