Replies: reject malformed statuses and names of fields

Callers got malformed answers of a back end in trouble: a field whose name holds a blank was passed on, and with "Transfer-Encoding : chunked" the sizes of the chunks became a part of the body.

Cause: net/http accepts names with blanks, continued lines and any three digits as a status, and what it accepts was taken for valid. The scanner of replies looked at the two framing fields only.

Change: the scanner rejects a status outside of 100 to 599 and a line without a valid name, in headers, interim replies and trailers. New reasons in log and counter.

Conclusion: a proxy has to be stricter than its library.

--- a/internal/distribution/stream/client.go
+++ b/internal/distribution/stream/client.go
@@ -47,7 +47,7 @@
 func NewClient(transport http.RoundTripper, scheme string, traffic *Traffic) *Client {
 	return &Client{
 		httpClient: &http.Client{
-			Transport:     transport,
+			Transport:     strictreply.CheckReplies(transport),
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 		scheme:              scheme,
--- a/internal/proxy/forward/invalid.go
+++ b/internal/proxy/forward/invalid.go
@@ -14,6 +14,10 @@
 const (
 	// NotHTTP: the bytes in the place of a reply are no HTTP/1 reply.
 	NotHTTP Reason = "not-http"
+	// StatusInvalid: the status is none of HTTP.
+	StatusInvalid Reason = "status"
+	// FieldInvalid: the name of a header field is no token, or there is none.
+	FieldInvalid Reason = "header-field"
 	// HeaderTooLarge: the header exceeds Limits.ReplyHeaderBytes.
 	HeaderTooLarge Reason = "header-bytes"
 	// HeaderTooSlow: the header did not end within Limits.ReplyHeaderTimeout.
--- a/internal/proxy/forward/replyfilter.go
+++ b/internal/proxy/forward/replyfilter.go
@@ -113,7 +113,7 @@
 	}
 	used, valid := c.scanner.scan(data)
 	if !valid {
-		return 0, false, c.reject(NotHTTP, int64(len(data)-used))
+		return 0, false, c.reject(c.scanner.invalid, int64(len(data)-used))
 	}
 	if used < len(data) {
 		c.held = append(append([]byte(nil), data[used:]...), c.held...)
--- a/internal/proxy/forward/scan.go
+++ b/internal/proxy/forward/scan.go
@@ -4,6 +4,10 @@
 	"bytes"
 	"net/http"
 	"strconv"
+
+	"golang.org/x/net/http/httpguts"
+
+	"github.com/kestrelstream/kestrelstream/internal/strictreply"
 )
 
 // scanState is the part of a reply that a replyScanner expects next.
@@ -21,9 +25,10 @@
 	scanDone
 )
 
-// replyScanner finds the end of a reply in the bytes that a peer sends. It rejects only what is no
-// HTTP/1 reply from its first bytes; what it does not understand it leaves to net/http, which reads
-// the same bytes.
+// replyScanner finds the end of a reply in the bytes that a peer sends. It rejects what is no HTTP/1
+// reply from its first bytes, and of a header what net/http accepts although it is malformed: a status
+// that is none, and a field whose name is no token. What it does not understand otherwise it leaves to
+// net/http, which reads the same bytes.
 type replyScanner struct {
 	state scanState
 	// method is that of the request.
@@ -36,6 +41,8 @@
 	headerBytes int64
 	interims    int
 	framing     framing
+	// invalid is why the bytes were rejected; empty before.
+	invalid Reason
 	// remaining is the number of bytes left in scanData, line ends of chunks included.
 	remaining int64
 }
@@ -59,8 +66,8 @@
 	return s.state == scanHeader || s.state == scanStatus && len(s.line) > 0
 }
 
-// scan consumes received bytes up to the end of the reply and returns their number. It reports false
-// if they are not those of an HTTP/1 reply.
+// scan consumes received bytes up to the end of the reply and returns their number. It reports false,
+// with the reason in invalid, if they are not those of a valid HTTP/1 reply.
 func (s *replyScanner) scan(data []byte) (used int, valid bool) {
 	for used < len(data) {
 		switch s.state {
@@ -114,13 +121,13 @@
 		s.state = scanUnknown
 	}
 	if s.state == scanStatus && !isReplyPrefix(line) {
-		return used, false
+		s.invalid = NotHTTP
 	}
-	if complete {
+	if complete && s.invalid == "" {
 		s.endLine(line)
 		s.line, s.cut = s.line[:0], false
 	}
-	return used, true
+	return used, s.invalid == ""
 }
 
 // awaitsHeader reports whether the next bytes are those of a header.
@@ -133,6 +140,11 @@
 	case s.state == scanStatus:
 		s.framing = parseStatus(text)
 		s.state = scanHeader
+		if !strictreply.ValidStatus(s.framing.status) {
+			s.invalid = StatusInvalid
+		}
+	case len(text) > 0 && (s.state == scanHeader || s.state == scanTrailer) && !validField(text):
+		s.invalid = FieldInvalid
 	case s.state == scanHeader && len(text) > 0:
 		s.framing.addLine(text, s.cut)
 	case s.state == scanHeader:
@@ -195,16 +207,23 @@
 	return bytes.Equal(line[:length], replyPrefix[:length])
 }
 
-// parseStatus parses a status line. A status that is not understood is ambiguous.
+// parseStatus parses a status line. A line that is not understood has the status zero.
 func parseStatus(line []byte) framing {
-	const version, status, end = len("HTTP/1."), len("HTTP/1.1 "), len("HTTP/1.1 200")
-	if len(line) < end || line[status-1] != ' ' {
-		return framing{ambiguous: true}
+	const version, digits = len("HTTP/1."), 3
+	protocol, rest, _ := bytes.Cut(line, space)
+	status, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), space)
+	code, err := strconv.ParseUint(string(status), 10, 16)
+	if err != nil || len(status) != digits || len(protocol) != version+1 {
+		return framing{}
 	}
-	code, err := strconv.ParseUint(string(line[status:end]), 10, 16)
-	const leastStatus = 100
-	ambiguous := err != nil || code < leastStatus || len(line) > end && line[end] != ' '
-	return framing{status: int(code), http10: line[version] == '0', ambiguous: ambiguous}
+	return framing{status: int(code), http10: line[version] == '0'}
+}
+
+// validField reports whether a header line has a name, which is a token shorter than maxKeptLine. A line
+// that continues the one before it has none: whoever reads the reply next might read it differently.
+func validField(line []byte) bool {
+	name, _, found := bytes.Cut(line, colon)
+	return found && len(name) < maxKeptLine && httpguts.ValidHeaderFieldName(string(name))
 }
 
 // isTimeoutReply reports whether the bytes begin with a reply 408, which servers send before they close
@@ -217,9 +236,6 @@
 // addLine adds a header line, of which only the beginning is known if it was cut.
 func (f *framing) addLine(line []byte, cut bool) {
 	switch line[0] {
-	case ' ', '\t': // a continued line
-		f.ambiguous = true
-		return
 	case 'C', 'c', 'T', 't':
 	default:
 		return
@@ -244,7 +260,7 @@
 	f.length, f.hasLength = int64(length), true
 }
 
-var colon = []byte{':'}
+var colon, space = []byte{':'}, []byte{' '}
 
 // equalFold reports whether the text equals the lower-case ASCII name except for case.
 func equalFold(text []byte, name string) bool {
--- a/internal/proxy/framing_test.go
+++ b/internal/proxy/framing_test.go
@@ -201,3 +201,35 @@
 		})
 	}
 }
+
+// TestMalformedReplyIsNoAnswer guards against malformed replies of a back end that callers of kestrel-proxy get as
+// answers.
+func TestMalformedReplyIsNoAnswer(t *testing.T) {
+	cases := []struct{ name, head string }{
+		{"status 000", "HTTP/1.1 000 None\r\n"},
+		{"status 600", "HTTP/1.1 600 None\r\n"},
+		{"blank in a name", "HTTP/1.1 200 OK\r\nA Name: x\r\n"},
+		{"blank before the colon", "HTTP/1.1 200 OK\r\nA : x\r\n"},
+		{"blank before a name", "HTTP/1.1 200 OK\r\nA: x\r\n B: y\r\n"},
+		{"control byte in a name", "HTTP/1.1 200 OK\r\nA\x01: x\r\n"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				testMesh := newMesh(1, nil)
+				defer testMesh.close()
+				testMesh.setHandlers(func(w http.ResponseWriter, _ *http.Request) {
+					connection, _, err := http.NewResponseController(w).Hijack()
+					if err != nil {
+						t.Error(err)
+						return
+					}
+					_, _ = io.WriteString(connection, tc.head+"Content-Length: 2\r\n\r\nok")
+					_ = connection.Close()
+				})
+				statuses := testMesh.sendRaw(t, "POST /start HTTP/1.1\r\nHost: "+hostName+"\r\nContent-Length: 0\r\n\r\n")
+				NewWithT(t).Expect(statuses).To(Equal([]int{http.StatusBadGateway}))
+			})
+		})
+	}
+}
