Roll-outs: back ends whose nodes restart are in use (probe leaving-order)

Callers got the answers of a bad version that had been ordered while the nodes beside the old one were being restarted: it was completed at once.

Cause: whether another version is in use was told from the back ends that accept work at that moment. Nodes that are leaving don't, and nodes that have just started again know no back end.

Change: the controller remembers back ends that were in use. Tally.otherVersions stays the only place that tells.

TestOrderWhileOldVersionRestarts and a row of TestOnlyVersion are red without it.

Conclusion: "accepts work" and "in use" are two questions.

--- a/internal/sidecar/rollout/controller/controller.go
+++ b/internal/sidecar/rollout/controller/controller.go
@@ -72,6 +72,7 @@
 	versions  map[string]map[string]bool
 	withheld  map[string]map[string]time.Time
 	splitters map[string]*rollout.Splitter
+	absences  absences
 }
 
 // activeRollout is the state of a rollout and the node's progress with it. The controller's
@@ -105,6 +106,7 @@
 		options: options, metrics: newMetrics(options.Registry), wake: make(chan struct{}, 1),
 		rollouts: map[string]*activeRollout{}, versions: map[string]map[string]bool{},
 		withheld: map[string]map[string]time.Time{}, splitters: map[string]*rollout.Splitter{},
+		absences: newAbsences(),
 	}
 }
 
@@ -161,7 +163,10 @@
 // ApplyOrder handles an order read from the store.
 func (c *Controller) ApplyOrder(order rollout.Order) {
 	now := clock.Now()
-	if c.merge(rollout.Start(order, c.tally(order.Service, order.Version), now), now) {
+	c.mu.Lock()
+	state := rollout.Start(order, c.tally(order.Service, order.Version), now)
+	c.mu.Unlock()
+	if c.merge(state, now) {
 		c.options.Logger.Info("roll-out ordered", zap.String("service", order.Service), zap.String("software", order.Version),
 			zap.Uint64("revision", order.Revision), zap.Duration("duration", order.Duration))
 		c.options.Broadcast()
@@ -258,7 +263,7 @@
 	tally := c.tally(active.Service, active.Version)
 	c.options.Logger.Info("roll-out phase", zap.String("service", active.Service), zap.String("software", active.Version),
 		zap.Stringer("phase", active.Phase), zap.String("cause", active.Cause), zap.Duration("left", active.Deadline.Sub(now)),
-		zap.Int("present", tally.Present), zap.Int("others", tally.Others),
+		zap.Int("present", tally.Present), zap.Int("others", tally.Others), zap.Int("absent", tally.Absent),
 		zap.Int("answered", tally.Answered), zap.Int("faulty", tally.Faulty), zap.Float64("lean", tally.LogOdds), zap.Float64("load", tally.Load))
 }
 
@@ -267,8 +272,9 @@
 func (c *Controller) Follow(changed []*roster.Record) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	settled := c.options.Settled()
+	settled, now := c.options.Settled(), clock.Now()
 	for _, record := range changed {
+		c.absences.follow(record, now)
 		endpoint := record.Endpoint
 		if endpoint == nil || endpoint.Version == "" || c.versions[endpoint.Service][endpoint.Version] {
 			continue
@@ -333,7 +339,8 @@
 	}
 }
 
-// tally returns the number of back ends of a service and the evidence about those of a version.
+// tally returns the number of back ends of a service and the evidence about those of a version. The
+// lock must be held.
 func (c *Controller) tally(service, version string) rollout.Tally {
 	tally := rollout.Tally{Load: c.options.Load(service, version), Incomplete: !c.options.Settled()}
 	for _, record := range c.options.Members.View().Service(service) {
@@ -350,6 +357,7 @@
 			tally.Add(assessment.Answers, assessment.Faulty, assessment.LogOdds)
 		}
 	}
+	tally.Absent = c.absences.count(service, version, clock.Now())
 	return tally
 }
 
--- a/internal/sidecar/rollout/controller/controller_test.go
+++ b/internal/sidecar/rollout/controller/controller_test.go
@@ -429,6 +429,37 @@
 	})
 }
 
+// setLeaving starts or ends a planned restart of the nodes of the old version.
+func (f *fleet) setLeaving(leaving bool) {
+	for _, n := range f.nodes[:oldNodes] {
+		n.members.Update(func(record roster.Record) (roster.Record, bool) {
+			record.Leaving = leaving
+			return record, true
+		})
+	}
+	f.gossip()
+}
+
+// TestOrderWhileOldVersionRestarts guards against a bad version that counts as the only one in use because the nodes
+// of the others are being restarted.
+func TestOrderWhileOldVersionRestarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newFleet(8)
+		defer f.end()
+		f.runIdle(settleTime)
+		f.setLeaving(true)
+		f.order(7)
+		bad := func(*node) bool { return f.random.Float64() < 0.5 }
+		counts := f.run(3*time.Second, bad)
+		g.Expect(f.store.phase()).To(Equal(rollout.Trial))
+		g.Expect(counts[newVersion]).To(BeZero(), "nothing to compare with")
+		f.setLeaving(false)
+		f.run(duration, bad)
+		g.Expect(f.store.phase()).To(Equal(rollout.RolledBack))
+	})
+}
+
 // TestOrderForVersionInUse checks that an order for the version in use never leaves requests
 // without back ends, with and without traffic, and with bad answers.
 func TestOrderForVersionInUse(t *testing.T) {
--- a/internal/sidecar/rollout/detector.go
+++ b/internal/sidecar/rollout/detector.go
@@ -198,6 +198,9 @@
 	// Present is the number of back ends of the version that accept requests, Others that of
 	// the other versions.
 	Present, Others int
+	// Absent is the number of back ends of other versions that are in use, but whose nodes do not
+	// accept requests while they are restarted.
+	Absent int
 	// Incomplete: the node may not know all back ends of the service yet.
 	Incomplete bool
 	// Load is the fraction of the slots of the other back ends in use; above 1 while requests
--- a/internal/sidecar/rollout/rollout_test.go
+++ b/internal/sidecar/rollout/rollout_test.go
@@ -276,6 +276,7 @@
 		{"no other is left", rollout.Tally{Present: 8}, true},
 		{"others are in use", unknown, false},
 		{"others are not known yet", alone, false},
+		{"others are being restarted", rollout.Tally{Present: 8, Absent: 1}, false},
 		{"no back end at all", rollout.Tally{}, false},
 	}
 	for _, tc := range cases {
--- a/internal/sidecar/rollout/usage.go
+++ b/internal/sidecar/rollout/usage.go
@@ -16,7 +16,7 @@
 // concluded from not knowing any: a node that has just started knows none.
 func (t Tally) otherVersions() usage {
 	switch {
-	case t.Others > 0:
+	case t.Others+t.Absent > 0:
 		return othersInUse
 	case t.Incomplete:
 		return othersUnknown
