--- a/internal/sidecar/choice/longest.go
+++ b/internal/sidecar/choice/longest.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// Longest bounds the service time of a back end's requests by the greatest ratio to the expected
-// service time among recent ones. The zero value is ready to use. It is safe for concurrent use.
+// Longest estimates the longest service time of a back end's requests from the greatest ratio of
+// actual to expected service time among recent ones. The zero value is ready to use. It is safe for concurrent use.
 type Longest struct {
 	mutex sync.Mutex // guards all below
 	// current is the greatest ratio since began, previous that of the period before.
@@ -35,7 +35,7 @@
 	l.current = max(l.current, min(float64(worked)/float64(expected), highestFactor))
 }
 
-// Bound returns the time that a request with the given expected service time takes at most.
+// Bound returns the estimated longest service time of requests with the given expected one.
 func (l *Longest) Bound(expected time.Duration, now time.Time) time.Duration {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
--- a/internal/sidecar/egress/call.go
+++ b/internal/sidecar/egress/call.go
@@ -42,9 +42,9 @@
 	minimumRetryAfter = 50 * time.Millisecond
 	// defaultRetryAfter is sent when the load is unknown.
 	defaultRetryAfter = 150 * time.Millisecond
-	// retryAfterUseful is the part of a caller's time, as a divisor, beyond which a Retry-After leaves
-	// too little for another attempt.
-	retryAfterUseful = 4
+	// retryAfterParts bounds a Retry-After to one of so many equal parts of the caller's time, so that
+	// there is time left for another attempt.
+	retryAfterParts = 4
 	// unlimitedBody stands for a configuration without a limit.
 	unlimitedBody = int64(1) << 40
 )
@@ -352,7 +352,7 @@
 		return max(wait, time.Duration(float64(left)*returningWaitFraction))
 	}
 	if !c.deadline.IsZero() {
-		wait = min(wait, max(clock.Until(c.deadline)/retryAfterUseful, 0))
+		wait = min(wait, max(clock.Until(c.deadline)/retryAfterParts, 0))
 	}
 	return wait
 }
--- a/internal/sidecar/egress/stop.go
+++ b/internal/sidecar/egress/stop.go
@@ -54,7 +54,7 @@
 	}
 	wait := max(clock.Until(*until), defaultRetryAfter)
 	if asked, valid := hop.ParseMilliseconds(c.request.Header.Get(c.handler.options.Vocabulary.Deadline)); valid {
-		wait = min(wait, max(asked/retryAfterUseful, minimumRetryAfter))
+		wait = min(wait, max(asked/retryAfterParts, minimumRetryAfter))
 	}
 	return wait
 }
--- a/internal/sidecar/ingress/handler.go
+++ b/internal/sidecar/ingress/handler.go
@@ -169,8 +169,9 @@
 	rejecting atomic.Bool
 	inFlight  atomic.Int64
 	pace      choice.Pace
-	longest   choice.Longest
-	failures  choice.Failures
+	// longest bounds how long requests take at the back end.
+	longest  choice.Longest
+	failures choice.Failures
 	// active tracks the requests that the back end works on.
 	activeRequests activeRequests
 	// notices tracks the announcements of the back end.
--- a/internal/sidecar/rollout/controller/absence.go
+++ b/internal/sidecar/rollout/controller/absence.go
@@ -18,29 +18,29 @@
 // absences tracks back ends in use whose nodes are away: such a node is leaving, or has started again and
 // does not know its back end yet. The controller's lock guards it.
 type absences struct {
-	// present holds the back ends that accept work, by node. away holds the time since which others
-	// have not, in addition.
-	present map[string]backEnd
-	away    map[string]time.Time
+	// inUse holds the back ends in use by node; away holds, for nodes that do not accept work, since
+	// when they have not.
+	inUse map[string]backEnd
+	away  map[string]time.Time
 }
 
 func newAbsences() absences {
-	return absences{present: map[string]backEnd{}, away: map[string]time.Time{}}
+	return absences{inUse: map[string]backEnd{}, away: map[string]time.Time{}}
 }
 
 // follow handles a changed record.
 func (a *absences) follow(record *roster.Record, now time.Time) {
 	endpoint := record.Endpoint
 	if endpoint != nil && endpoint.State == roster.Ready && endpoint.Version != "" {
-		a.present[record.Node] = backEnd{endpoint.Service, endpoint.Version, endpoint.Incarnation()}
+		a.inUse[record.Node] = backEnd{endpoint.Service, endpoint.Version, endpoint.Incarnation()}
 	}
-	known, found := a.present[record.Node]
+	known, found := a.inUse[record.Node]
 	switch {
 	case !found:
 	case record.AcceptsWork():
 		delete(a.away, record.Node)
 	case hasLeft(record, known.incarnation):
-		delete(a.present, record.Node)
+		delete(a.inUse, record.Node)
 		delete(a.away, record.Node)
 	default:
 		if _, absent := a.away[record.Node]; !absent {
@@ -58,7 +58,7 @@
 // count returns the number of absent back ends of a service that are of another version.
 func (a *absences) count(service, version string, now time.Time) (absent int) {
 	for node, since := range a.away {
-		known := a.present[node]
+		known := a.inUse[node]
 		if known.service == service && known.version != version && now.Sub(since) < maxAbsence {
 			absent++
 		}
--- a/internal/sidecar/stopplan.go
+++ b/internal/sidecar/stopplan.go
@@ -30,9 +30,9 @@
 
 // Bounds of steps that do not depend on the grace time. None of them ends a request.
 const (
-	// maxAnnounce bounds announceAt and maxAccept acceptUntil, for long grace times: the platform
-	// directs callers elsewhere within minDrainTime however long the grace time is. A call that is
-	// accepted more than 3 s after the stop signal may not be cancelled at its end.
+	// maxAnnounce bounds announceAt and maxAccept acceptUntil, for long grace times: how soon callers
+	// are directed elsewhere does not depend on the grace time. A call that is accepted more than 3 s
+	// after the stop signal may not be cancelled at all.
 	maxAnnounce = 1800 * time.Millisecond
 	maxAccept   = 2500 * time.Millisecond
 	// drainPollInterval is the time between two checks whether the drain is done.
